Add design page, package skeleton and shared types

Cause: the project is empty. Change: design page, ids, clock, result codes, registries, rendezvous hashing, ports for the platform service and upstreams, agreed configuration, test runner. Conclusion: the slices can be built in parallel against these interfaces.

--- /dev/null
+++ b/src/chervilrack/_internal/__init__.py
@@ -0,0 +1,1 @@
+"""Private implementation of chervilrack; import from ``chervilrack`` instead."""
--- /dev/null
+++ b/src/chervilrack/_internal/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line entry point."""
--- /dev/null
+++ b/src/chervilrack/_internal/cli/main.py
@@ -0,0 +1,68 @@
+"""Command group of ``chervilrack``. Subcommands are imported only when they are used."""
+
+import importlib
+import sys
+from collections.abc import Mapping
+
+import click
+
+import chervilrack
+from chervilrack._internal.cli.status_codes import ExitStatus
+from chervilrack._internal.exceptions import ChervilrackError
+from chervilrack._internal.observability.logs import LogFormat, configure_logging
+
+# Name of a subcommand -> module and attribute below ``_internal.commands``.
+_COMMANDS: Mapping[str, tuple[str, str]] = {}
+
+
+class LazyGroup(click.Group):
+    """Group that imports the module of a subcommand on its first use."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        """Return the names of all subcommands."""
+        return sorted(_COMMANDS)
+
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        """Import and return a subcommand, or None if there is none of this name."""
+        entry = _COMMANDS.get(cmd_name)
+        if entry is None:
+            return None
+        module_name, attribute = entry
+        module = importlib.import_module(f"chervilrack._internal.commands.{module_name}")
+        command = getattr(module, attribute)
+        assert isinstance(command, click.Command)
+        return command
+
+
+@click.group(cls=LazyGroup, context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(chervilrack.__version__, prog_name="chervilrack")
+@click.option(
+    "--log-format",
+    type=click.Choice([kind.value for kind in LogFormat]),
+    default=LogFormat.TEXT.value,
+    show_default=True,
+    help="Format of log lines on standard error.",
+)
+@click.option("--log-level", default="warning", show_default=True, help="Lowest level to log.")
+def cli(log_format: str, log_level: str) -> None:
+    """Serve multi-stage model pipelines over shared upstreams.
+
+    Example: chervilrack quickstart --profile paramo
+    """
+    configure_logging(LogFormat(log_format), log_level)
+
+
+def main() -> None:
+    """Run the command line and translate errors into exit statuses."""
+    try:
+        cli(standalone_mode=False)
+    except click.exceptions.Exit as done:
+        sys.exit(done.exit_code)
+    except click.Abort:
+        sys.exit(ExitStatus.INTERRUPTED)
+    except click.ClickException as error:
+        error.show()
+        sys.exit(error.exit_code)
+    except ChervilrackError as error:
+        click.echo(f"error: {error}", err=True)
+        sys.exit(ExitStatus.FAILED)
--- /dev/null
+++ b/src/chervilrack/_internal/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Implementations of the subcommands, imported lazily."""
--- /dev/null
+++ b/src/chervilrack/_internal/common/__init__.py
@@ -0,0 +1,1 @@
+"""Shared types: ids, clock, result codes, registries and hashing."""
--- /dev/null
+++ b/src/chervilrack/_internal/common/effects.py
@@ -0,0 +1,25 @@
+"""Effects shared by several decision cores."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from chervilrack._internal.common.ids import NodeId
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Send a message to another node; delivery is at most once and unordered."""
+
+    to: NodeId
+    message: msgspec.Struct
+
+
+@dataclass(frozen=True, slots=True)
+class ActionTaken:
+    """An automatic action, reported as one log line, one metric and one explanation entry."""
+
+    part: str
+    action: str
+    subject: str
+    reason: str
--- /dev/null
+++ b/src/chervilrack/_internal/execution/__init__.py
@@ -0,0 +1,1 @@
+"""Stage scheduling, deadlines, retries and the pipeline runner."""
--- /dev/null
+++ b/src/chervilrack/_internal/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Open-loop load, scenarios and reports."""
--- /dev/null
+++ b/src/chervilrack/_internal/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP interface for callers and operators."""
--- /dev/null
+++ b/src/chervilrack/_internal/history/__init__.py
@@ -0,0 +1,1 @@
+"""Recorded histories of concurrent runs and their checker."""
--- /dev/null
+++ b/src/chervilrack/_internal/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Permit pools: the owner's ledger and each node's holdings."""
--- /dev/null
+++ b/src/chervilrack/_internal/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Agreed view, heartbeats and confirmation of the right to act."""
--- /dev/null
+++ b/src/chervilrack/_internal/node/__init__.py
@@ -0,0 +1,1 @@
+"""The node daemon: connects decision cores to input and output."""
--- /dev/null
+++ b/src/chervilrack/_internal/observability/__init__.py
@@ -0,0 +1,1 @@
+"""Logging, metrics and explanations of decisions."""
--- /dev/null
+++ b/src/chervilrack/_internal/orders/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once execution of non-idempotent requests."""
--- /dev/null
+++ b/src/chervilrack/_internal/peering/__init__.py
@@ -0,0 +1,1 @@
+"""Message transport between nodes over ZeroMQ."""
--- /dev/null
+++ b/src/chervilrack/_internal/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Assignment of models and adapters to engines."""
--- /dev/null
+++ b/src/chervilrack/_internal/platform/port.py
@@ -0,0 +1,123 @@
+"""Port of the platform's service: compare-and-swap, leases, watches and the VM list.
+
+Keys and values follow etcd v3: each write gets a revision from one counter, and each key carries
+the revision of its last change (``mod_revision``), 0 for an absent key.
+"""
+
+from collections.abc import Iterator, Sequence
+from contextlib import AbstractContextManager
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import Enum
+from typing import Protocol
+
+
+@dataclass(frozen=True, slots=True)
+class KeyValue:
+    """One key with its value and the revision of its last change."""
+
+    key: str
+    value: bytes
+    mod_revision: int
+    lease: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Compare:
+    """Condition of a transaction: ``key`` was last changed at ``mod_revision`` (0: absent)."""
+
+    key: str
+    mod_revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Put:
+    """Write of one key; ``lease`` 0 keeps it until it is deleted."""
+
+    key: str
+    value: bytes
+    lease: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class TxnResult:
+    """Outcome of a transaction and the store's revision after it."""
+
+    succeeded: bool
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class RangeResult:
+    """Keys of a range, ordered by key, and the store's revision when they were read."""
+
+    items: tuple[KeyValue, ...]
+    revision: int
+
+
+class ChangeKind(Enum):
+    """Kind of change a watch reports."""
+
+    PUT = "put"
+    DELETE = "delete"
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """One change seen by a watch. The value of a deleted key is empty."""
+
+    kind: ChangeKind
+    item: KeyValue
+
+
+@dataclass(frozen=True, slots=True)
+class WatchBatch:
+    """Changes of one or more revisions; resume a broken watch at ``revision + 1``."""
+
+    changes: tuple[Change, ...]
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class VmList:
+    """VMs as the platform lists them. It lags, but a VM listed as gone is gone."""
+
+    live: frozenset[str]
+    leaving: frozenset[str]
+    gone: frozenset[str]
+
+
+class PlatformService(Protocol):
+    """Client of the platform's service.
+
+    Every method may raise PlatformUnavailable or PlatformOverloaded (not applied). Writes may
+    raise PlatformOutcomeUnknown (perhaps applied). ``watch`` may raise WatchCompacted.
+    """
+
+    def get(self, key: str) -> KeyValue | None:
+        """Return the key, or None if it is absent."""
+
+    def range(self, prefix: str) -> RangeResult:
+        """Return all keys that begin with ``prefix``."""
+
+    def txn(
+        self, compares: Sequence[Compare], puts: Sequence[Put], deletes: Sequence[str] = ()
+    ) -> TxnResult:
+        """Apply all writes if every comparison holds; at most 128 writes in a call."""
+
+    def lease_grant(self, ttl: timedelta) -> int:
+        """Create a lease and return its id."""
+
+    def lease_keepalive(self, lease: int) -> timedelta:
+        """Renew a lease; return its remaining time, zero if it has expired."""
+
+    def lease_revoke(self, lease: int) -> None:
+        """End a lease and delete its keys."""
+
+    def watch(
+        self, prefix: str, from_revision: int
+    ) -> AbstractContextManager[Iterator[WatchBatch | None]]:
+        """Open a watch; it yields batches, and None at least once a second when idle."""
+
+    def list_vms(self) -> VmList:
+        """Return the list of live, leaving and recently gone VMs."""
--- /dev/null
+++ b/src/chervilrack/_internal/releases/__init__.py
@@ -0,0 +1,1 @@
+"""Release notes: checking, acceptance, application and distribution."""
--- /dev/null
+++ b/src/chervilrack/_internal/releases/state.py
@@ -0,0 +1,176 @@
+"""Agreed configuration: everything that release notes add, change and withdraw."""
+
+from collections.abc import Iterator, Mapping
+from datetime import datetime, timedelta
+from enum import Enum
+
+import msgspec
+
+from chervilrack._internal.common.ids import (
+    LimitId,
+    ModelId,
+    NoteId,
+    OrganisationId,
+    PipelineId,
+    ReleaseRevision,
+    ServiceId,
+    StageId,
+    TeamId,
+    UpstreamId,
+    ZoneId,
+)
+
+
+class UpstreamKind(Enum):
+    """Kinds of upstream."""
+
+    ENGINE = "engine"
+    ENCODER = "encoder"
+    RETRIEVER = "retriever"
+    RERANKER = "reranker"
+    SERVICE = "service"
+
+
+class LimitKind(Enum):
+    """Kinds of limit. Rates count over a sliding window of one second."""
+
+    CONCURRENCY = "concurrency"
+    REQUESTS_PER_S = "requests_per_s"
+    TOKENS_PER_S = "tokens_per_s"
+
+
+class Limits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Limits of an upstream or team; None means no limit of that kind."""
+
+    concurrency: int | None = None
+    requests_per_s: int | None = None
+    tokens_per_s: int | None = None
+
+    def items(self) -> Iterator[tuple[LimitKind, int]]:
+        """Yield the limits that are set."""
+        for kind in LimitKind:
+            value: int | None = getattr(self, kind.value)
+            if value is not None:
+                yield kind, value
+
+
+class Team(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Team that owns upstreams; its limits hold over all of them together."""
+
+    id: TeamId
+    limits: Limits = Limits()
+
+
+class Upstream(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One upstream. ``service`` is set for plain services, ``models`` for the other kinds."""
+
+    id: UpstreamId
+    team: TeamId
+    kind: UpstreamKind
+    url: str
+    zone: ZoneId
+    limits: Limits = Limits()
+    models: tuple[ModelId, ...] = ()
+    adapters: tuple[str, ...] = ()
+    service: ServiceId | None = None
+    protocol: str = "json"
+    checks_fencing: bool = False
+    reports_load: bool = False
+
+
+class Model(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One model version that engines can hold; ``size`` is in bytes."""
+
+    id: ModelId
+    version: str = "1"
+    size: int = 0
+
+
+class Stage(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One stage of a pipeline. Only idempotent stages are retried or hedged."""
+
+    id: StageId
+    kind: UpstreamKind
+    model: ModelId | None = None
+    adapter: str | None = None
+    idempotent: bool = True
+    max_tokens: int = 0
+
+
+class Pipeline(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Stages that run one after the other under one deadline."""
+
+    id: PipelineId
+    stages: tuple[Stage, ...]
+    deadline: timedelta = timedelta(seconds=6)
+
+
+class Operation(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Operation of a plain service. One that is not idempotent runs as an order."""
+
+    name: str
+    idempotent: bool = True
+
+
+class Service(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Plain service and its operations."""
+
+    id: ServiceId
+    operations: tuple[Operation, ...]
+    deadline: timedelta = timedelta(seconds=6)
+
+
+class OrganisationKey(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """SHA-256 of a key in hexadecimal, and when the key expires."""
+
+    sha256: str
+    expires: datetime | None = None
+
+
+class Organisation(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Organisation: its keys, fair-share weight and priority class."""
+
+    id: OrganisationId
+    keys: tuple[OrganisationKey, ...]
+    weight: float = 1.0
+    priority_class: str = "standard"
+
+
+class Configuration(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Agreed configuration at one revision. Revision 0 is empty.
+
+    The mappings are never changed in place; applying a note makes new ones.
+    """
+
+    revision: ReleaseRevision = ReleaseRevision(0)
+    note_id: NoteId | None = None
+    teams: Mapping[TeamId, Team] = {}
+    upstreams: Mapping[UpstreamId, Upstream] = {}
+    models: Mapping[ModelId, Model] = {}
+    pipelines: Mapping[PipelineId, Pipeline] = {}
+    services: Mapping[ServiceId, Service] = {}
+    organisations: Mapping[OrganisationId, Organisation] = {}
+
+    def limit_capacities(self) -> dict[LimitId, int]:
+        """Return the capacity of every permit pool."""
+        return {
+            limit_id(scope, name, kind): capacity
+            for scope, name, limits in self._limited()
+            for kind, capacity in limits.items()
+        }
+
+    def _limited(self) -> Iterator[tuple[str, str, Limits]]:
+        for team in self.teams.values():
+            yield "team", team.id, team.limits
+        for upstream in self.upstreams.values():
+            yield "upstream", upstream.id, upstream.limits
+
+
+def limit_id(scope: str, name: str, kind: LimitKind) -> LimitId:
+    """Return the id of a permit pool, such as ``team/forge/concurrency``."""
+    return LimitId(f"{scope}/{name}/{kind.value}")
+
+
+def limit_kind(limit: LimitId) -> LimitKind:
+    """Return the kind of a permit pool from its id."""
+    return LimitKind(limit.rsplit("/", 1)[1])
--- /dev/null
+++ b/src/chervilrack/_internal/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of an upstream, upstream health and affinity."""
--- /dev/null
+++ b/src/chervilrack/_internal/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Typed YAML settings."""
--- /dev/null
+++ b/src/chervilrack/_internal/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Emulated platform service and upstreams with injectable faults."""
--- /dev/null
+++ b/src/chervilrack/_internal/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Port and HTTP adapters for upstreams."""
