Add HTTP gateway, message transport and operator client

Cause: callers, operators and nodes need interfaces before the slices are connected. Change: cheroot application with numbered problems, authentication, look-up and token streams; pyzmq transport with CURVE keys; status and explain commands. cheroot reads an unread body before it answers, so a stalled sender lost its answer; send_headers now gives up on the body. Headers over the limit were answered as a large body.

--- /dev/null
+++ b/features/steps/gateway_steps.py
@@ -0,0 +1,231 @@
+"""Steps for the HTTP interface, over real connections and a fake node."""
+
+import http.client
+import json
+import random
+import socket
+import threading
+import time
+from contextlib import ExitStack
+from datetime import UTC, datetime, timedelta
+
+from behave import given, then, when
+from result import Err, Ok
+
+from chervilrack._internal.common.clock import SystemClock
+from chervilrack._internal.common.results import Problem, ResultCode
+from chervilrack._internal.gateway.application import Application
+from chervilrack._internal.gateway.authentication import OperatorKeys, key_digest
+from chervilrack._internal.gateway.callers import CallerWatch
+from chervilrack._internal.gateway.lookup import Endpoint, look_up
+from chervilrack._internal.gateway.routes import Routes
+from chervilrack._internal.gateway.server import HttpServer, HttpServerSettings
+from chervilrack._internal.releases.state import (
+    Configuration,
+    Operation,
+    Organisation,
+    OrganisationKey,
+    Pipeline,
+    Service,
+)
+
+MAX_BODY = 10_000
+MAX_HEADERS = 8_000
+WAIT_LIMIT_S = 20
+
+CONFIGURATION = Configuration(
+    revision=1,
+    pipelines={"summary": Pipeline("summary", ())},
+    services={"stock": Service("stock", (Operation("count"), Operation("pay", idempotent=False)))},
+    organisations={
+        "acme": Organisation(
+            "acme",
+            (
+                OrganisationKey(key_digest("acme-key")),
+                OrganisationKey(key_digest("old-key"), datetime(2020, 1, 1, tzinfo=UTC)),
+            ),
+        ),
+        "other": Organisation("other", (OrganisationKey(key_digest("other-key")),)),
+    },
+)
+
+
+class FakeNode:
+    """Node whose work returns at once, or waits until it is cancelled."""
+
+    def __init__(self):
+        self.configuration = CONFIGURATION
+        self.executor = self.orders = self.operations = self
+        self.blocking = threading.Event()
+        self.running = threading.Event()
+        self.cancelled = threading.Event()
+
+    def run_pipeline(self, request):
+        self.running.set()
+        if self.blocking.is_set():
+            self.cancelled.wait(WAIT_LIMIT_S)
+        return Ok({"organisation": request.organisation})
+
+    run_service = submit = run_pipeline
+
+    def cancel(self, request_id):
+        self.cancelled.set()
+
+    def look_up(self, organisation, key):
+        if organisation == "acme":
+            return Ok({"state": "done"})
+        return Err(Problem(ResultCode.UNKNOWN_ORDER, "no such order"))
+
+    def explanation(self, request_id, organisation):
+        return ["queued"] if organisation in {None, "acme"} else None
+
+    def not_ready(self):
+        return None
+
+    def status(self):
+        return {}
+
+    def release_log(self):
+        return []
+
+    def accept_release(self, document):
+        return Ok({})
+
+    def request_ended(self, *arguments):
+        pass
+
+
+@given("a gateway over a fake node")
+def start_gateway(context):
+    stack = ExitStack()
+    context.add_cleanup(stack.close)
+    context.node = FakeNode()
+    watch = stack.enter_context(CallerWatch())
+    operators = OperatorKeys([key_digest("operator-key")])
+    routes = Routes(context.node, operators, watch, SystemClock(), random.Random(1))
+    settings = HttpServerSettings(
+        "127.0.0.1",
+        0,
+        max_body=MAX_BODY,
+        max_headers=MAX_HEADERS,
+        threads=4,
+        idle_time=timedelta(seconds=1),
+    )
+    server = stack.enter_context(HttpServer(settings, Application(routes)))
+    context.port = server.port
+
+
+def _exchange(port, method, path, body=b"{}", headers=None):
+    connection = http.client.HTTPConnection("127.0.0.1", port, timeout=WAIT_LIMIT_S)
+    fields = {"Authorization": "Bearer acme-key", **(headers or {})}
+    fields = {name: value for name, value in fields.items() if value is not None}
+    connection.request(method, path, body if method == "POST" else None, fields)
+    answer = connection.getresponse()
+    payload = answer.read()
+    connection.close()
+    return answer.status, payload
+
+
+def _raw(port, data):
+    with socket.create_connection(("127.0.0.1", port), timeout=WAIT_LIMIT_S) as connection:
+        connection.sendall(data)
+        chunks = iter(lambda: connection.recv(65536), b"")
+        answer = b"".join(chunks)
+    head, _, payload = answer.partition(b"\r\n\r\n")
+    return int(head.split()[1]), payload
+
+
+PIPELINE = ("POST", "/v1/pipelines/summary")
+HEAD = b"POST /v1/pipelines/summary HTTP/1.1\r\nHost: n\r\nAuthorization: Bearer acme-key\r\n"
+FAULTS = {
+    "malformed JSON": lambda port: _exchange(port, *PIPELINE, b'{"input": '),
+    "deeply nested JSON": lambda port: _exchange(port, *PIPELINE, b"[" * 5000),
+    "invalid UTF-8": lambda port: _exchange(port, *PIPELINE, b'{"input": "\xff\xfe"}'),
+    "a JSON array": lambda port: _exchange(port, *PIPELINE, b"[1]"),
+    "a text max_tokens": lambda port: _exchange(port, *PIPELINE, b'{"max_tokens": "9"}'),
+    "a text stream flag": lambda port: _exchange(port, *PIPELINE, b'{"stream": "yes"}'),
+    "an oversized body": lambda port: _exchange(port, *PIPELINE, b" " * (MAX_BODY + 1)),
+    "oversized headers": lambda port: _raw(port, HEAD + b"X: " + b"y" * MAX_HEADERS + b"\r\n\r\n"),
+    "an unknown path": lambda port: _exchange(port, "GET", "/v2/nothing"),
+    "a wrong method": lambda port: _exchange(port, "GET", "/v1/pipelines/summary"),
+    "unknown pipeline": lambda port: _exchange(port, "POST", "/v1/pipelines/none"),
+    "unknown operation": lambda port: _exchange(port, "POST", "/v1/services/stock/none"),
+    "a past deadline": lambda port: _exchange(port, *PIPELINE, headers={"Deadline-Ms": "0"}),
+    "a long deadline": lambda port: _exchange(port, *PIPELINE, headers={"Deadline-Ms": "60000"}),
+    "a text deadline": lambda port: _exchange(port, *PIPELINE, headers={"Deadline-Ms": "soon"}),
+    "no idempotency key": lambda port: _exchange(port, "POST", "/v1/services/stock/pay"),
+    "a bad request line": lambda port: _raw(port, b"HELLO\r\n\r\n"),
+    "a slow body": lambda port: _raw(port, HEAD + b"Content-Length: 10\r\n\r\n{"),
+}
+KEYS = {
+    "no key": None,
+    "a wrong key": "Bearer nobody",
+    "an expired key": "Bearer old-key",
+    "a basic scheme": "Basic acme-key",
+    "another organisation's key": "Bearer other-key",
+    "an organisation's key": "Bearer acme-key",
+}
+DOORS = {
+    "pipeline": PIPELINE,
+    "service": ("POST", "/v1/services/stock/count"),
+    "order": ("GET", "/v1/orders/key-1"),
+    "explanation": ("GET", "/v1/requests/r1/explanation"),
+    "status": ("GET", "/operator/v1/status"),
+    "releases": ("GET", "/operator/v1/releases"),
+    "accept": ("POST", "/operator/v1/releases/accept"),
+}
+
+
+@when("gateway receives a request with {fault}")
+def send_fault(context, fault):
+    context.status, context.payload = FAULTS[fault](context.port)
+
+
+@when("gateway receives {key} at {door}")
+def send_key(context, key, door):
+    headers = {"Authorization": KEYS[key]}
+    context.status, context.payload = _exchange(context.port, *DOORS[door], headers=headers)
+
+
+@then("gateway answers status {status:d} with problem code {code:d} and executed {executed}")
+def check_problem(context, status, code, executed):
+    document = json.loads(context.payload)
+    seen = (context.status, document["code"], document["executed"])
+    assert seen == (status, code, executed), (seen, document)
+
+
+@then("gateway still answers a correct request")
+def check_correct(context):
+    status, payload = _exchange(context.port, *PIPELINE)
+    assert (status, json.loads(payload)) == (200, {"organisation": "acme"}), payload
+
+
+@when("gateway loses the caller of a running request")
+def lose_caller(context):
+    context.node.blocking.set()
+    with socket.create_connection(("127.0.0.1", context.port)) as connection:
+        connection.sendall(HEAD + b"Content-Length: 2\r\n\r\n{}")
+        assert context.node.running.wait(WAIT_LIMIT_S)
+
+
+@then("gateway cancels the request at the node")
+def check_cancelled(context):
+    limit = time.monotonic() + WAIT_LIMIT_S
+    while not context.node.cancelled.is_set() and time.monotonic() < limit:
+        time.sleep(0.02)
+    assert context.node.cancelled.is_set()
+
+
+@when("gateway looks up endpoints for zone {zone} with node {leaving} leaving")
+def look_up_endpoints(context, zone, leaving):
+    zones = {"n1": "quito", "n2": "ambato", "n3": "riobamba"}
+    endpoints = [Endpoint(name, where, name, name == leaving) for name, where in zones.items()]
+    context.answers = [look_up(endpoints, zone, random.Random(seed)) for seed in range(20)]
+
+
+@then("gateway lookup answers {first} first and never {leaving}")
+def check_look_up(context, first, leaving):
+    for answer in context.answers:
+        assert answer.addresses[0] == first, answer
+        assert leaving not in answer.addresses, answer
+        assert len(answer.addresses) == 2
--- /dev/null
+++ b/features/steps/peering_steps.py
@@ -0,0 +1,84 @@
+"""Steps for messages between nodes."""
+
+import time
+
+import msgspec
+from behave import then, when
+
+from chervilrack._internal.peering.envelope import MessageCodec, MessageRefused
+from chervilrack._internal.peering.keys import generate_keys
+from chervilrack._internal.peering.transport import PeerTransport
+
+WAIT_LIMIT_S = 20
+LOOPBACK = "tcp://127.0.0.1:*"
+
+
+class Hello(msgspec.Struct, forbid_unknown_fields=True):
+    """Message of the tests."""
+
+    text: str
+
+
+def _codec():
+    codec = MessageCodec()
+    codec.register("test.hello", Hello)
+    return codec
+
+
+def _frame(version, kind, body):
+    return msgspec.msgpack.encode([version, "a", "1", kind, msgspec.msgpack.encode(body)])
+
+
+FRAMES = {
+    "random bytes": b"\x93\x01\x02",
+    "a later version": _frame(2, "test.hello", {"text": "x"}),
+    "an unknown kind": _frame(1, "test.none", {"text": "x"}),
+    "an unknown field": _frame(1, "test.hello", {"text": "x", "more": 1}),
+    "a wrong field type": _frame(1, "test.hello", {"text": 7}),
+}
+
+
+@when("peering decodes a frame with {fault}")
+def decode_frame(context, fault):
+    context.refusal = ""
+    try:
+        _codec().decode(FRAMES[fault])
+    except MessageRefused as refusal:
+        context.refusal = str(refusal)
+
+
+@then("peering refuses it because {reason}")
+def check_refusal(context, reason):
+    assert context.refusal.startswith(reason), context.refusal
+
+
+@when("peering sends a message from a node with {keys}")
+def send_message(context, keys):
+    fleet = generate_keys()
+    chosen = {"the fleet keys": fleet, "other keys": generate_keys(), "no keys": None}[keys]
+    context.delivered = []
+    handler = context.delivered.append
+    with (
+        PeerTransport("b", "1", LOOPBACK, _codec(), handler, fleet) as receiver,
+        PeerTransport("a", "1", LOOPBACK, _codec(), handler, chosen) as sender,
+        PeerTransport("c", "1", LOOPBACK, _codec(), handler, fleet) as witness,
+    ):
+        sender.set_peers({"b": receiver.address})
+        witness.set_peers({"b": receiver.address})
+        sender.send("b", Hello("x"))
+        # A later message of an allowed node bounds the wait for one that must not arrive.
+        limit = time.monotonic() + WAIT_LIMIT_S
+        while "c" not in {e.sender for e in context.delivered} and time.monotonic() < limit:
+            witness.send("b", Hello("probe"))
+            time.sleep(0.05)
+        while keys == "the fleet keys" and time.monotonic() < limit:
+            if any(envelope.sender == "a" for envelope in context.delivered):
+                break
+            time.sleep(0.02)
+
+
+@then("peering delivers {count:d} message")
+def check_delivered(context, count):
+    senders = [envelope.sender for envelope in context.delivered]
+    assert "c" in senders
+    assert senders.count("a") == count, senders
--- /dev/null
+++ b/src/chervilrack/_internal/cli/client.py
@@ -0,0 +1,81 @@
+"""HTTP client of the command line for a node's operator interface."""
+
+from collections.abc import Mapping
+from typing import Any
+
+import click
+import urllib3
+
+from chervilrack._internal.exceptions import ChervilrackError
+
+CONNECT_TIMEOUT_S = 2.0
+READ_TIMEOUT_S = 15.0
+
+
+class NodeUnreachable(ChervilrackError):
+    """The node did not answer."""
+
+
+class NodeRefused(ChervilrackError):
+    """The node answered with a problem document."""
+
+    def __init__(self, document: Mapping[str, Any]) -> None:
+        code, title, detail = (document.get(name, "?") for name in ("code", "title", "detail"))
+        super().__init__(f"{code} {title}: {detail}")
+        self._document = document
+
+    @property
+    def document(self) -> Mapping[str, Any]:
+        """The problem document as the node sent it."""
+        return self._document
+
+
+class NodeClient:
+    """Calls one node. ``certificates`` names a CA bundle for HTTPS addresses."""
+
+    def __init__(self, address: str, key: str | None, certificates: str | None = None) -> None:
+        self._address = address.rstrip("/")
+        self._key = key
+        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S)
+        options: dict[str, Any] = {"ca_certs": certificates} if certificates else {}
+        self._pool = urllib3.PoolManager(timeout=timeout, retries=False, **options)
+
+    def get(self, path: str) -> Any:
+        """Return the decoded JSON answer of a GET."""
+        return self._request("GET", path, None)
+
+    def post(self, path: str, body: bytes) -> Any:
+        """Return the decoded JSON answer of a POST."""
+        return self._request("POST", path, body)
+
+    def _request(self, method: str, path: str, body: bytes | None) -> Any:
+        headers = {"Content-Type": "application/json"}
+        if self._key:
+            headers["Authorization"] = f"Bearer {self._key}"
+        try:
+            response = self._pool.request(
+                method, f"{self._address}{path}", body=body, headers=headers
+            )
+        except urllib3.exceptions.HTTPError as error:
+            raise NodeUnreachable(f"{self._address} does not answer: {error}") from None
+        document = response.json()
+        if response.status >= 400:
+            raise NodeRefused(document)
+        return document
+
+
+def node_options(command: Any) -> Any:
+    """Add the options that name a node and the key to it."""
+    for option in (
+        click.option("--ca", "certificates", help="CA bundle for an HTTPS address."),
+        click.option("--key", envvar="CHERVILRACK_KEY", help="Key; default: $CHERVILRACK_KEY."),
+        click.option(
+            "--node",
+            "address",
+            envvar="CHERVILRACK_NODE",
+            required=True,
+            help="Address of any node, such as http://10.0.0.1:8080; default: $CHERVILRACK_NODE.",
+        ),
+    ):
+        command = option(command)
+    return command
--- a/src/chervilrack/_internal/common/results.py
+++ b/src/chervilrack/_internal/common/results.py
@@ -23,6 +23,7 @@
     METHOD_NOT_ALLOWED = (1005, 405, "The path does not support this method", False)
     HEADERS_TOO_LARGE = (1006, 431, "The headers are larger than allowed", False)
     REQUEST_TIMEOUT = (1007, 408, "The request did not arrive in time", True)
+    CALLER_GONE = (1008, 400, "The caller closed its side of the connection", False)
     KEY_MISSING = (1101, 401, "No key was given", False)
     KEY_INVALID = (1102, 401, "The key is not valid", False)
     KEY_EXPIRED = (1103, 401, "The key has expired", False)
--- /dev/null
+++ b/src/chervilrack/_internal/gateway/application.py
@@ -0,0 +1,61 @@
+"""WSGI application of a node: reads requests, finds their route, writes responses."""
+
+import logging
+import secrets
+from collections.abc import Iterable
+from urllib.parse import parse_qsl, unquote
+
+from chervilrack._internal.common.ids import RequestId
+from chervilrack._internal.common.results import Executed, Problem, ResultCode
+from chervilrack._internal.gateway.http import (
+    Environ,
+    HttpRequest,
+    StartResponse,
+    problem_response,
+    status_line,
+)
+from chervilrack._internal.gateway.routes import Routes
+
+logger = logging.getLogger(__name__)
+
+
+class Application:
+    """Callable that cheroot runs for each request."""
+
+    def __init__(self, routes: Routes) -> None:
+        self._routes = routes
+
+    def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
+        request = _read_request(environ)
+        try:
+            response = self._routes.handle(request)
+        except Exception:
+            logger.exception("gateway: request %s failed", request.request_id)
+            problem = Problem(
+                ResultCode.INTERNAL_ERROR, "see the node's log", executed=Executed.UNKNOWN
+            )
+            response = problem_response(problem, request.request_id)
+        headers = [*response.headers, ("X-Request-Id", request.request_id)]
+        start_response(status_line(response.status), headers)
+        return [response.body] if isinstance(response.body, bytes) else response.body
+
+
+def _read_request(environ: Environ) -> HttpRequest:
+    path = tuple(unquote(part) for part in environ["PATH_INFO"].strip("/").split("/") if part)
+    headers = {
+        name[5:].replace("_", "-").lower(): value
+        for name, value in environ.items()
+        if name.startswith("HTTP_")
+    }
+    length = int(environ.get("CONTENT_LENGTH") or 0)
+    body = environ["wsgi.input"]
+    chunked = "chunked" in headers.get("transfer-encoding", "").lower()
+    return HttpRequest(
+        method=environ["REQUEST_METHOD"],
+        path=path,
+        query=dict(parse_qsl(environ.get("QUERY_STRING", ""))),
+        headers=headers,
+        request_id=RequestId(secrets.token_hex(12)),
+        read_body=body.read if chunked else lambda: body.read(length),
+        connection=environ.get("chervilrack.socket"),
+    )
--- /dev/null
+++ b/src/chervilrack/_internal/gateway/server.py
@@ -0,0 +1,178 @@
+"""The cheroot server of a node: limits on input and problem documents for its own errors."""
+
+import contextlib
+import logging
+import ssl
+import threading
+from collections.abc import Iterable
+from dataclasses import dataclass
+from datetime import timedelta
+from pathlib import Path
+from types import TracebackType
+from typing import Any, Self
+
+from cheroot import wsgi
+from cheroot.server import HTTPConnection, HTTPRequest
+from cheroot.ssl.builtin import BuiltinSSLAdapter
+
+from chervilrack._internal.common.results import Problem, ResultCode
+from chervilrack._internal.gateway.http import Environ, StartResponse, status_line
+from chervilrack._internal.gateway.problems import encode_problem, problem_headers
+
+logger = logging.getLogger(__name__)
+
+_CODES_BY_STATUS = {
+    "400": ResultCode.MALFORMED_REQUEST,
+    "408": ResultCode.REQUEST_TIMEOUT,
+    "411": ResultCode.MALFORMED_REQUEST,
+    "413": ResultCode.BODY_TOO_LARGE,
+    "414": ResultCode.HEADERS_TOO_LARGE,
+    "431": ResultCode.HEADERS_TOO_LARGE,
+    "505": ResultCode.MALFORMED_REQUEST,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class HttpServerSettings:
+    """Listen address and limits on what callers may send. Sizes are in bytes."""
+
+    host: str
+    port: int
+    max_body: int = 4 * 1024 * 1024
+    max_headers: int = 32 * 1024
+    threads: int = 128
+    queued_connections: int = 512
+    idle_time: timedelta = timedelta(seconds=10)
+    certificate: Path | None = None
+    private_key: Path | None = None
+
+
+class _ProblemRequest(HTTPRequest):
+    """Request whose protocol errors are answered with problem documents."""
+
+    def simple_response(self, status: Any, msg: str = "") -> None:
+        """Write a problem document instead of cheroot's plain text."""
+        number = str(status)[:3]
+        code = _CODES_BY_STATUS.get(number, ResultCode.MALFORMED_REQUEST)
+        if code is ResultCode.BODY_TOO_LARGE and not self._body_is_too_large():
+            # cheroot answers 413 for headers over their limit, too.
+            code = ResultCode.HEADERS_TOO_LARGE
+        problem = Problem(code, msg or code.title)
+        body = encode_problem(problem)
+        lines = [f"HTTP/1.1 {status_line(code.http_status)}"]
+        lines += [f"{name}: {value}" for name, value in problem_headers(problem)]
+        lines += [f"Content-Length: {len(body)}", "Connection: close", "", ""]
+        self.close_connection = True
+        # The peer may have closed already; there is nobody left to tell.
+        with contextlib.suppress(OSError):
+            self.conn.wfile.write("\r\n".join(lines).encode("latin-1") + body)
+
+    def send_headers(self) -> None:
+        """Send the headers even if the rest of the body does not arrive.
+
+        cheroot reads an unread body first; a sender that stalls would never get its answer.
+        """
+        remaining = getattr(self.rfile, "remaining", 0)
+        if remaining > 0 and not self.close_connection:
+            try:
+                self.rfile.read(remaining)
+            except OSError:
+                self.close_connection = True
+        super().send_headers()
+
+    def _body_is_too_large(self) -> bool:
+        declared = self.inheaders.get(b"Content-Length", b"0")
+        limit = self.server.max_request_body_size
+        return self.ready or (declared.isdigit() and int(declared) > limit)
+
+
+class _ProblemConnection(HTTPConnection):
+    RequestHandlerClass = _ProblemRequest
+
+
+class _Gateway(wsgi.Gateway_10):
+    """Passes the caller's socket on, so that a caller that leaves can be noticed."""
+
+    def get_environ(self) -> Environ:  # type: ignore[override]  # the stub returns None
+        """Return the WSGI environment with the connection's socket."""
+        environ: Environ = super().get_environ()  # type: ignore[no-untyped-call]
+        environ["chervilrack.socket"] = self.req.conn.socket
+        return environ
+
+
+class HttpServer:
+    """Serves a WSGI application until the context ends.
+
+    ``stop_listening`` closes only the listener; requests in progress are finished.
+    """
+
+    def __init__(self, settings: HttpServerSettings, application: Any) -> None:
+        self._settings = settings
+        self._server = wsgi.Server(
+            (settings.host, settings.port),
+            application,
+            numthreads=settings.threads,
+            max=settings.threads,
+            request_queue_size=settings.queued_connections,
+            timeout=max(1, round(settings.idle_time.total_seconds())),
+            server_name="chervilrack",
+        )
+        self._server.ConnectionClass = _ProblemConnection
+        self._server.gateway = _Gateway
+        self._server.max_request_body_size = settings.max_body
+        self._server.max_request_header_size = settings.max_headers
+        self._server.error_log = _log_server_error  # type: ignore[method-assign]
+        self._adapter: BuiltinSSLAdapter | None = None
+        if settings.certificate is not None and settings.private_key is not None:
+            self._adapter = BuiltinSSLAdapter(str(settings.certificate), str(settings.private_key))
+            self._adapter.context.minimum_version = ssl.TLSVersion.TLSv1_2
+            self._server.ssl_adapter = self._adapter
+        self._thread = threading.Thread(target=self._serve, name="http", daemon=True)
+
+    @property
+    def port(self) -> int:
+        """Port the server listens on."""
+        return int(self._server.bind_addr[1])
+
+    def __enter__(self) -> Self:
+        self._server.prepare()
+        self._thread.start()
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self._server.stop()
+        self._thread.join(timeout=5)
+
+    def reload_certificate(self) -> None:
+        """Read the certificate files again; new connections use them."""
+        settings = self._settings
+        if self._adapter is not None:
+            self._adapter.context.load_cert_chain(
+                str(settings.certificate), str(settings.private_key)
+            )
+
+    def _serve(self) -> None:
+        try:
+            self._server.serve()
+        except OSError as error:
+            logger.error("gateway: the server stopped: %s", error)
+
+
+def _log_server_error(msg: str = "", level: int = logging.WARNING, traceback: bool = False) -> None:
+    logger.log(level, "gateway: %s", msg, exc_info=traceback)
+
+
+def send_response(
+    start_response: StartResponse,
+    status: int,
+    headers: list[tuple[str, str]],
+    body: bytes | Iterable[bytes],
+) -> Iterable[bytes]:
+    """Pass a response to the WSGI server."""
+    start_response(status_line(status), headers)
+    return [body] if isinstance(body, bytes) else body
--- /dev/null
+++ b/src/chervilrack/_internal/peering/envelope.py
@@ -0,0 +1,73 @@
+"""Encoding of messages between nodes: versioned, typed, unknown fields refused."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from chervilrack._internal.common.ids import Incarnation, NodeId
+from chervilrack._internal.exceptions import ChervilrackError
+
+PROTOCOL_VERSION = 1
+
+
+class MessageRefused(ChervilrackError):
+    """A received message has an unknown version, type or field."""
+
+
+class _Frame(msgspec.Struct, array_like=True, forbid_unknown_fields=True):
+    """Wire form: version, sender, sender's incarnation, message type, encoded message."""
+
+    version: int
+    sender: str
+    incarnation: str
+    kind: str
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Envelope:
+    """A received message and the process that sent it."""
+
+    sender: NodeId
+    incarnation: Incarnation
+    message: msgspec.Struct
+
+
+class MessageCodec:
+    """Encodes and decodes the message types that have been registered."""
+
+    def __init__(self) -> None:
+        self._kinds: dict[type[msgspec.Struct], str] = {}
+        self._decoders: dict[str, msgspec.msgpack.Decoder[msgspec.Struct]] = {}
+        self._encoder = msgspec.msgpack.Encoder()
+        self._frame_decoder = msgspec.msgpack.Decoder(_Frame)
+
+    def register(self, kind: str, message_type: type[msgspec.Struct]) -> None:
+        """Add a message type under the name it has on the wire."""
+        if kind in self._decoders:
+            raise ValueError(f"message kind '{kind}' is registered twice")
+        self._kinds[message_type] = kind
+        self._decoders[kind] = msgspec.msgpack.Decoder(message_type)
+
+    def encode(self, sender: NodeId, incarnation: Incarnation, message: msgspec.Struct) -> bytes:
+        """Return the wire form of a message."""
+        kind = self._kinds[type(message)]
+        body = self._encoder.encode(message)
+        return self._encoder.encode(_Frame(PROTOCOL_VERSION, sender, incarnation, kind, body))
+
+    def decode(self, data: bytes) -> Envelope:
+        """Return the message and its sender; raise MessageRefused if it is not understood."""
+        try:
+            frame = self._frame_decoder.decode(data)
+        except msgspec.MsgspecError as error:
+            raise MessageRefused(f"frame is malformed: {error}") from None
+        if frame.version != PROTOCOL_VERSION:
+            raise MessageRefused(f"protocol version {frame.version} is not supported")
+        decoder = self._decoders.get(frame.kind)
+        if decoder is None:
+            raise MessageRefused(f"message kind '{frame.kind}' is unknown")
+        try:
+            message = decoder.decode(frame.body)
+        except msgspec.MsgspecError as error:
+            raise MessageRefused(f"message '{frame.kind}' is malformed: {error}") from None
+        return Envelope(NodeId(frame.sender), Incarnation(frame.incarnation), message)
--- /dev/null
+++ b/src/chervilrack/_internal/peering/transport.py
@@ -0,0 +1,254 @@
+"""Messages between nodes over ZeroMQ: at most once, unordered, never blocking the sender.
+
+Each node binds one PULL socket and connects one PUSH socket to each peer that it sends to. One
+thread owns all sockets; other threads hand messages over through a queue.
+"""
+
+import logging
+import threading
+from collections import deque
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from types import TracebackType
+from typing import Self
+
+import msgspec
+import zmq
+from zmq.auth.thread import ThreadAuthenticator
+
+from chervilrack._internal.common.ids import Incarnation, NodeId
+from chervilrack._internal.peering.envelope import Envelope, MessageCodec, MessageRefused
+from chervilrack._internal.peering.keys import CurveKeys
+
+logger = logging.getLogger(__name__)
+
+# A peer that does not read loses messages instead of filling this node's memory.
+SEND_QUEUE_MESSAGES = 1000
+# Time after which an unfinished TCP connection attempt to a vanished VM is dropped.
+CONNECT_TIMEOUT_MS = 2000
+# Reconnects back off so that a returning VM is not flooded by all nodes at once.
+RECONNECT_MS = 50
+RECONNECT_MAX_MS = 1000
+MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+POLL_MS = 500
+
+PeerHandler = Callable[[Envelope], None]
+
+
+@dataclass(slots=True)
+class TrafficCounters:
+    """Bytes and messages handed to and received from the transport."""
+
+    sent_bytes: int = 0
+    received_bytes: int = 0
+    sent_messages: int = 0
+    received_messages: int = 0
+    dropped_messages: int = 0
+    refused_messages: int = 0
+
+
+@dataclass(slots=True)
+class _Outbox:
+    queue: deque[tuple[str, bytes]] = field(default_factory=deque)
+    lock: threading.Lock = field(default_factory=threading.Lock)
+    wake_pending: bool = False
+
+
+class PeerTransport:
+    """Sends and receives messages of one node. Use as a context manager.
+
+    ``handler`` runs in the transport's thread and must not block.
+    """
+
+    def __init__(
+        self,
+        node: NodeId,
+        incarnation: Incarnation,
+        listen: str,
+        codec: MessageCodec,
+        handler: PeerHandler,
+        keys: CurveKeys | None = None,
+    ) -> None:
+        self._node = node
+        self._incarnation = incarnation
+        self._listen = listen
+        self._codec = codec
+        self._handler = handler
+        self._keys = keys
+        self._context: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
+        self._links: dict[str, zmq.Socket[bytes]] = {}
+        self._addresses: dict[NodeId, str] = {}
+        self._blocked: frozenset[str] = frozenset()
+        self._outbox = _Outbox()
+        self._counters = TrafficCounters()
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._run, name=f"peering-{node}", daemon=True)
+        self._authenticator: ThreadAuthenticator | None = None
+        self._address = ""
+
+    @property
+    def address(self) -> str:
+        """Address the socket is bound to, such as ``tcp://127.0.0.1:5001``."""
+        return self._address
+
+    @property
+    def counters(self) -> TrafficCounters:
+        """Traffic since the start."""
+        return self._counters
+
+    def __enter__(self) -> Self:
+        self._inbound: zmq.Socket[bytes] = self._context.socket(zmq.PULL)
+        self._inbound.setsockopt(zmq.LINGER, 0)
+        self._inbound.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
+        if self._keys is not None:
+            self._authenticator = ThreadAuthenticator(self._context)
+            self._authenticator.start()
+            self.reload_keys(self._keys)
+            self._inbound.curve_server = True
+            self._inbound.curve_secretkey = self._keys.secret
+            self._inbound.curve_publickey = self._keys.public
+        self._inbound.bind(self._listen)
+        self._address = self._inbound.getsockopt_string(zmq.LAST_ENDPOINT)
+        wake_address = f"inproc://wake-{id(self)}"
+        self._wake_receiver: zmq.Socket[bytes] = self._context.socket(zmq.PAIR)
+        self._wake_receiver.bind(wake_address)
+        self._wake_sender: zmq.Socket[bytes] = self._context.socket(zmq.PAIR)
+        self._wake_sender.connect(wake_address)
+        self._thread.start()
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self._stopping.set()
+        self._wake()
+        self._thread.join()
+        if self._authenticator is not None:
+            self._authenticator.stop()
+        self._context.destroy(linger=0)
+
+    def reload_keys(self, keys: CurveKeys) -> None:
+        """Replace the list of public keys that may connect."""
+        if self._authenticator is not None:
+            # pyzmq names the files' folder; a callback compares against a set in memory instead.
+            self._authenticator.configure_curve_callback("*", _AllowedKeys(keys.allowed))
+
+    def set_peers(self, addresses: Mapping[NodeId, str]) -> None:
+        """Set the addresses of the nodes that messages can be sent to."""
+        self._addresses = dict(addresses)
+
+    def block(self, addresses: frozenset[str]) -> None:
+        """Drop messages to these addresses; cuts a link in one direction for tests."""
+        self._blocked = addresses
+
+    def send(self, to: NodeId, message: msgspec.Struct) -> None:
+        """Queue a message for a peer; it is dropped if the peer's address is not known."""
+        address = self._addresses.get(to)
+        if address is None:
+            self._counters.dropped_messages += 1
+            return
+        self.send_to_address(address, message)
+
+    def send_to_address(self, address: str, message: msgspec.Struct) -> None:
+        """Queue a message for whichever node listens at ``address``."""
+        if address in self._blocked:
+            self._counters.dropped_messages += 1
+            return
+        data = self._codec.encode(self._node, self._incarnation, message)
+        with self._outbox.lock:
+            self._outbox.queue.append((address, data))
+            must_wake = not self._outbox.wake_pending
+            self._outbox.wake_pending = True
+            if must_wake:
+                self._wake_sender.send(b"")
+
+    def _wake(self) -> None:
+        with self._outbox.lock:
+            self._wake_sender.send(b"")
+
+    def _run(self) -> None:
+        poller = zmq.Poller()
+        poller.register(self._inbound, zmq.POLLIN)
+        poller.register(self._wake_receiver, zmq.POLLIN)
+        while not self._stopping.is_set():
+            ready = dict(poller.poll(POLL_MS))
+            if self._wake_receiver in ready:
+                self._wake_receiver.recv()
+                self._flush()
+            if self._inbound in ready:
+                self._receive()
+
+    def _flush(self) -> None:
+        with self._outbox.lock:
+            batch = list(self._outbox.queue)
+            self._outbox.queue.clear()
+            self._outbox.wake_pending = False
+        self._close_unused_links()
+        for address, data in batch:
+            try:
+                self._link(address).send(data, zmq.NOBLOCK)
+            except zmq.ZMQError:
+                self._counters.dropped_messages += 1
+                continue
+            self._counters.sent_messages += 1
+            self._counters.sent_bytes += len(data)
+
+    def _link(self, address: str) -> zmq.Socket[bytes]:
+        link = self._links.get(address)
+        if link is None:
+            link = self._context.socket(zmq.PUSH)
+            link.setsockopt(zmq.LINGER, 0)
+            link.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
+            link.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
+            link.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
+            link.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+            if self._keys is not None:
+                link.curve_serverkey = self._keys.public
+                link.curve_publickey = self._keys.public
+                link.curve_secretkey = self._keys.secret
+            link.connect(address)
+            self._links[address] = link
+        return link
+
+    def _close_unused_links(self) -> None:
+        known = set(self._addresses.values())
+        if len(self._links) <= 2 * len(known) + 16:
+            return
+        for address in set(self._links) - known:
+            self._links.pop(address).close()
+
+    def _receive(self) -> None:
+        while True:
+            try:
+                data = self._inbound.recv(zmq.NOBLOCK)
+            except zmq.Again:
+                return
+            self._counters.received_messages += 1
+            self._counters.received_bytes += len(data)
+            self._deliver(data)
+
+    def _deliver(self, data: bytes) -> None:
+        try:
+            envelope = self._codec.decode(data)
+        except MessageRefused as refusal:
+            self._counters.refused_messages += 1
+            logger.warning("peering: message refused: %s", refusal)
+            return
+        try:
+            self._handler(envelope)
+        except Exception:
+            logger.exception("peering: handling a message failed")
+
+
+class _AllowedKeys:
+    """Callback of the ZAP authenticator: accepts the listed public keys."""
+
+    def __init__(self, allowed: frozenset[bytes]) -> None:
+        self._allowed = allowed
+
+    def callback(self, domain: str, key: bytes) -> bool:
+        """Return whether a client with this public key may connect."""
+        return key in self._allowed
