--- a/src/chervilrack/_internal/observability/logs.py
+++ b/src/chervilrack/_internal/observability/logs.py
@@ -2,7 +2,9 @@
 
 import logging
 import sys
+from collections.abc import MutableMapping
 from enum import Enum
+from typing import Any
 
 from pythonjsonlogger.json import JsonFormatter
 
@@ -24,3 +26,22 @@
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level.upper())
+
+
+class PartLogger(logging.LoggerAdapter[logging.Logger]):
+    """Logger that begins each line with the fixed prefix of one part."""
+
+    def __init__(self, logger: logging.Logger, part: str) -> None:
+        super().__init__(logger)
+        self._prefix = part.replace("%", "%%") + ": "
+
+    def process(
+        self, msg: object, kwargs: MutableMapping[str, Any]
+    ) -> tuple[str, MutableMapping[str, Any]]:
+        """Put the prefix before the message."""
+        return f"{self._prefix}{msg}", kwargs
+
+
+def part_logger(module: str, part: str) -> PartLogger:
+    """Return the logger of ``module`` with the prefix ``part``, such as ``limits``."""
+    return PartLogger(logging.getLogger(module), part)
