--- a/src/chervilrack/_internal/cli/main.py
+++ b/src/chervilrack/_internal/cli/main.py
@@ -12,7 +12,9 @@
 from chervilrack._internal.observability.logs import LogFormat, configure_logging
 
 # Name of a subcommand -> module and attribute below ``_internal.commands``.
-_COMMANDS: Mapping[str, tuple[str, str]] = {}
+_COMMANDS: Mapping[str, tuple[str, str]] = {
+    "history": ("history", "history_command"),
+}
 
 
 class LazyGroup(click.Group):
