--- /dev/null
+++ b/features/docs/pages.feature
@@ -0,0 +1,12 @@
+Feature: Pages match the code
+  An operator who follows a page must find what it names.
+
+  Scenario: the error page lists every result code
+    When docs page of errors is rendered from the code
+    Then docs page of errors is the committed page
+
+  Scenario: numbers of result codes are unique
+    Then docs numbers of result codes are unique
+
+  Scenario: documented commands exist
+    Then docs name only commands that exist
--- /dev/null
+++ b/features/steps/docs_steps.py
@@ -0,0 +1,55 @@
+"""Steps that compare pages with the code."""
+
+import re
+import runpy
+from pathlib import Path
+
+import click
+from behave import then, when
+
+from chervilrack._internal.cli.main import cli
+from chervilrack._internal.common.results import ResultCode
+
+ROOT = Path(__file__).resolve().parents[2]
+PAGES = [ROOT / "README.md", *sorted((ROOT / "docs").rglob("*.md"))]
+COMMAND = re.compile(r"`chervilrack ((?:[a-z][a-z-]*[ |`])+)")
+
+
+@when("docs page of errors is rendered from the code")
+def render_errors(context):
+    module = runpy.run_path(str(ROOT / "tools" / "generate_errors.py"))
+    context.rendered = module["render"]()
+
+
+@then("docs page of errors is the committed page")
+def compare_errors(context):
+    assert (ROOT / "docs" / "errors.md").read_text() == context.rendered
+
+
+@then("docs numbers of result codes are unique")
+def unique_numbers(context):
+    numbers = [code.number for code in ResultCode]
+    assert len(numbers) == len(set(numbers))
+
+
+@then("docs name only commands that exist")
+def commands_exist(context):
+    missing = []
+    for page in PAGES:
+        for found in COMMAND.finditer(page.read_text()):
+            words = re.split(r"[ `]", found.group(1))
+            missing += [(page.name, path) for path in _unknown(words)]
+    assert not missing, missing
+
+
+def _unknown(words):
+    command = cli
+    for word in filter(None, words):
+        if not isinstance(command, click.Group):
+            return
+        choices = [choice for choice in word.split("|") if choice]
+        known = [command.get_command(click.Context(command), choice) for choice in choices]
+        yield from (choice for choice, entry in zip(choices, known, strict=True) if entry is None)
+        if len(known) != 1 or known[0] is None:
+            return
+        command = known[0]
--- a/src/chervilrack/_internal/cli/main.py
+++ b/src/chervilrack/_internal/cli/main.py
@@ -13,6 +13,8 @@
 
 # Name of a subcommand -> module and attribute below ``_internal.commands``.
 _COMMANDS: Mapping[str, tuple[str, str]] = {
+    "explain": ("explain", "explain"),
+    "status": ("status", "status"),
     "history": ("history", "history_command"),
 }
 
