--- a/src/chervilrack/_internal/exceptions.py
+++ b/src/chervilrack/_internal/exceptions.py
@@ -30,6 +30,10 @@
     """The service refused the call because of its rate limit; it was not applied."""
 
 
+class PlatformRefused(PlatformError):
+    """The service refused the call as invalid or not permitted; it was not applied."""
+
+
 class WatchCompacted(PlatformError):
     """The watched revision is no longer kept. List the keys again and watch from there."""
 
--- /dev/null
+++ b/src/chervilrack/_internal/platform/etcd.py
@@ -0,0 +1,272 @@
+"""Adapter of the platform's service over etcd v3's JSON gateway.
+
+``GET /v1/vms`` for the list of VMs is chervilrack's own addition to that protocol.
+"""
+
+import json
+import math
+import ssl
+from collections.abc import Iterator, Mapping, Sequence
+from contextlib import contextmanager
+from datetime import timedelta
+from typing import Any
+
+import urllib3
+from urllib3.exceptions import (
+    ConnectTimeoutError,
+    HTTPError,
+    LocationParseError,
+    NameResolutionError,
+    NewConnectionError,
+)
+from urllib3.exceptions import SSLError as UrllibSslError
+
+from chervilrack._internal.common.clock import Clock, SystemClock
+from chervilrack._internal.exceptions import (
+    PlatformError,
+    PlatformOutcomeUnknown,
+    PlatformOverloaded,
+    PlatformRefused,
+    PlatformUnavailable,
+)
+from chervilrack._internal.platform import gateway_json as wire
+from chervilrack._internal.platform.etcd_watch import EtcdWatch
+from chervilrack._internal.platform.port import (
+    Compare,
+    KeyValue,
+    Put,
+    RangeResult,
+    TxnResult,
+    VmList,
+    WatchBatch,
+)
+from chervilrack._internal.platform.registry import PLATFORM_ADAPTERS, PlatformSettings
+from chervilrack._internal.platform.store import check_writes, prefix_end
+
+# A node makes a handful of calls at a time; idle connections beyond these are closed.
+KEPT_CONNECTIONS = 8
+_NOT_SENT = (NewConnectionError, NameResolutionError, ConnectTimeoutError, LocationParseError)
+
+
+class EtcdPlatform:
+    """PlatformService over HTTP; safe for use by several threads."""
+
+    def __init__(self, settings: PlatformSettings, clock: Clock | None = None) -> None:
+        if not settings.endpoints:
+            raise ValueError("the etcd adapter needs at least one endpoint")
+        self._settings = settings
+        self._clock = clock or SystemClock()
+        self._timeout = urllib3.Timeout(
+            connect=settings.connect_timeout.total_seconds(),
+            read=settings.request_timeout.total_seconds(),
+        )
+        tls: dict[str, Any] = {}
+        if not settings.verify_tls:
+            tls = {"cert_reqs": "CERT_NONE"}
+        elif settings.ca_file:
+            tls = {"ca_certs": settings.ca_file}
+        self._pool = urllib3.PoolManager(
+            maxsize=KEPT_CONNECTIONS, retries=False, timeout=self._timeout, **tls
+        )
+        self._endpoint = 0
+        self._etcd_token: str | None = None
+
+    def get(self, key: str) -> KeyValue | None:
+        """Return the key, or None if it is absent."""
+        body = self._call("/v3/kv/range", {"key": wire.encode_bytes(key.encode())})
+        return next((wire.decode_item(item) for item in body.get("kvs", ())), None)
+
+    def range(self, prefix: str) -> RangeResult:
+        """Return all keys that begin with ``prefix``."""
+        body = self._call("/v3/kv/range", _key_range(prefix))
+        items = tuple(wire.decode_item(item) for item in body.get("kvs", ()))
+        return RangeResult(items, wire.revision_of(body))
+
+    def txn(
+        self, compares: Sequence[Compare], puts: Sequence[Put], deletes: Sequence[str] = ()
+    ) -> TxnResult:
+        """Apply all writes if every comparison holds."""
+        check_writes(puts, deletes)
+        body = self._call("/v3/kv/txn", wire.encode_txn(compares, puts, deletes), write=True)
+        return TxnResult(bool(body.get("succeeded", False)), wire.revision_of(body))
+
+    def lease_grant(self, ttl: timedelta) -> int:
+        """Create a lease and return its id; etcd counts whole seconds, so the time rounds up."""
+        seconds = max(1, math.ceil(ttl.total_seconds()))
+        return int(self._call("/v3/lease/grant", {"TTL": str(seconds)}, write=True)["ID"])
+
+    def lease_keepalive(self, lease: int) -> timedelta:
+        """Renew a lease; return its remaining time, zero if it has expired."""
+        body = self._call("/v3/lease/keepalive", {"ID": str(lease)}, write=True)
+        return timedelta(seconds=int(body.get("result", {}).get("TTL", 0)))
+
+    def lease_revoke(self, lease: int) -> None:
+        """End a lease and delete its keys. Raises PlatformRefused if there is no such lease."""
+        self._call("/v3/lease/revoke", {"ID": str(lease)}, write=True)
+
+    @contextmanager
+    def watch(self, prefix: str, from_revision: int) -> Iterator[Iterator[WatchBatch | None]]:
+        """Open a watch that reconnects and resumes after the last change it delivered.
+
+        Iterating raises WatchCompacted, or PlatformUnavailable after ``watch_reconnect`` without
+        a connection. None is yielded at least once a second, also while it reconnects.
+        """
+        watch = EtcdWatch(
+            self._open_stream, _key_range(prefix), from_revision, self._settings, self._clock
+        )
+        try:
+            watch.open()
+            yield watch.batches()
+        finally:
+            watch.close()
+
+    def list_vms(self) -> VmList:
+        """Return the list of VMs from ``GET /v1/vms``."""
+        body = self._call("/v1/vms", None)
+        return VmList(*(frozenset(body.get(name, ())) for name in ("live", "leaving", "gone")))
+
+    def _call(self, path: str, body: Mapping[str, Any] | None, write: bool = False) -> wire.Json:
+        renewed = False
+        while True:
+            response = self._request(path, body, write)
+            if response.status == 200:
+                return _parsed(response.data, write)
+            error = _failure(response.status, response.data, write)
+            expired = response.status == 401 and self._settings.username is not None
+            if not expired or renewed:
+                raise error
+            # A token ends with the server's restart or after its lifetime; one renewal suffices.
+            self._etcd_token = None
+            renewed = True
+
+    def _request(
+        self, path: str, body: Mapping[str, Any] | None, write: bool
+    ) -> urllib3.BaseHTTPResponse:
+        headers = {"Content-Type": "application/json", **self._authorization()}
+        return self._send(path, body, write, headers, stream=False)
+
+    def _open_stream(self, path: str, body: Mapping[str, Any]) -> urllib3.BaseHTTPResponse:
+        for renewed in (False, True):
+            headers = {"Content-Type": "application/json", **self._authorization()}
+            response = self._send(path, body, False, headers, stream=True)
+            if response.status == 200:
+                return response
+            error = _failure(response.status, response.data, False)
+            response.close()
+            if response.status != 401 or self._settings.username is None or renewed:
+                raise error
+            self._etcd_token = None
+        raise AssertionError("the loop returns or raises")
+
+    def _send(
+        self,
+        path: str,
+        body: Mapping[str, Any] | None,
+        write: bool,
+        headers: Mapping[str, str],
+        stream: bool,
+    ) -> urllib3.BaseHTTPResponse:
+        """Send to the current endpoint; go to the next only if nothing was sent."""
+        endpoints = self._settings.endpoints
+        silence = self._settings.watch_silence.total_seconds()
+        timeout = (
+            urllib3.Timeout(connect=self._timeout.connect_timeout, read=silence)
+            if stream
+            else self._timeout
+        )
+        failure: Exception | None = None
+        for _ in endpoints:
+            url = endpoints[self._endpoint % len(endpoints)].rstrip("/") + path
+            try:
+                return self._pool.request(
+                    "GET" if body is None else "POST",
+                    url,
+                    body=None if body is None else json.dumps(body).encode(),
+                    headers=headers,
+                    timeout=timeout,
+                    preload_content=not stream,
+                    redirect=False,
+                )
+            except _NOT_SENT as error:
+                failure = error
+            except UrllibSslError as error:
+                if not _is_handshake_failure(error):
+                    raise _lost(error, write) from error
+                failure = error
+            except HTTPError as error:
+                self._endpoint += 1
+                raise _lost(error, write) from error
+            self._endpoint += 1
+        raise PlatformUnavailable(f"no endpoint can be reached: {failure}") from failure
+
+    def _authorization(self) -> dict[str, str]:
+        settings = self._settings
+        if settings.token is not None:
+            return {"Authorization": f"Bearer {settings.token}"}
+        if settings.username is None:
+            return {}
+        token = self._etcd_token
+        if token is None:
+            token = self._etcd_token = self._authenticate()
+        return {"Authorization": token}  # etcd expects the bare token
+
+    def _authenticate(self) -> str:
+        body = {"name": self._settings.username, "password": self._settings.password or ""}
+        headers = {"Content-Type": "application/json"}
+        response = self._send("/v3/auth/authenticate", body, False, headers, stream=False)
+        if response.status != 200:
+            raise _failure(response.status, response.data, False)
+        return str(_parsed(response.data, False).get("token", ""))
+
+
+def _key_range(prefix: str) -> dict[str, str]:
+    start = prefix.encode()
+    # etcd refuses empty keys; the single zero byte is the first possible key.
+    return {
+        "key": wire.encode_bytes(start or b"\0"),
+        "range_end": wire.encode_bytes(prefix_end(start)),
+    }
+
+
+def _parsed(data: bytes, write: bool) -> wire.Json:
+    try:
+        body = json.loads(data)
+    except ValueError as error:
+        raise _lost(error, write) from error
+    if not isinstance(body, dict):
+        raise _lost(ValueError("the response is no JSON object"), write)
+    return body
+
+
+def _lost(error: Exception, write: bool) -> PlatformError:
+    """Return the error for a call whose response did not arrive."""
+    if write:
+        return PlatformOutcomeUnknown(f"the response of a write was lost: {error}")
+    return PlatformUnavailable(f"the response was lost: {error}")
+
+
+def _failure(status: int, data: bytes, write: bool) -> PlatformError:
+    """Return the error for a response with an error status."""
+    try:
+        body = json.loads(data)
+        message = str(body.get("message") or body.get("error", ""))
+    except (ValueError, AttributeError):
+        message = ""
+    detail = f"HTTP status {status}: {message or 'no message'}"
+    if status == 429:
+        return PlatformOverloaded(detail)
+    if status < 500:
+        return PlatformRefused(detail)
+    if write and not message.startswith(wire.NO_LEADER):
+        # etcd also answers 503 when a proposal timed out that may still be committed.
+        return PlatformOutcomeUnknown(detail)
+    return PlatformUnavailable(detail)
+
+
+def _is_handshake_failure(error: Exception) -> bool:
+    return any(isinstance(cause, ssl.SSLCertVerificationError) for cause in error.args)
+
+
+@PLATFORM_ADAPTERS.register("etcd")
+def _from_settings(settings: PlatformSettings) -> EtcdPlatform:
+    return EtcdPlatform(settings)
--- /dev/null
+++ b/src/chervilrack/_internal/platform/registry.py
@@ -0,0 +1,52 @@
+"""Registry of the adapters of the platform's service, and their settings."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from chervilrack._internal.common.registry import Registry
+from chervilrack._internal.platform.port import PlatformService
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformSettings:
+    """How to reach the platform's service.
+
+    ``endpoints`` are URLs that are tried in turn. Either ``token`` (sent as a bearer token) or
+    ``username`` and ``password`` (exchanged for a token, as etcd does) may be set.
+    """
+
+    adapter: str = "etcd"
+    endpoints: tuple[str, ...] = ()
+    username: str | None = None
+    password: str | None = field(default=None, repr=False)
+    token: str | None = field(default=None, repr=False)
+    verify_tls: bool = True
+    ca_file: str | None = None
+    connect_timeout: timedelta = timedelta(milliseconds=500)
+    request_timeout: timedelta = timedelta(seconds=2)
+    # A watch without any line for this long may be half open; it is opened again.
+    watch_silence: timedelta = timedelta(seconds=5)
+    watch_reconnect: timedelta = timedelta(seconds=2)
+
+
+PLATFORM_ADAPTERS: Registry[Callable[[PlatformSettings], PlatformService]] = Registry(
+    "platform adapter"
+)
+
+
+def platform_adapters() -> Registry[Callable[[PlatformSettings], PlatformService]]:
+    """Return the registry after importing the adapters that are part of chervilrack."""
+    # Imported here because both modules register themselves in this one.
+    from chervilrack._internal.platform import etcd, memory  # noqa: F401
+
+    return PLATFORM_ADAPTERS
+
+
+def open_platform(settings: PlatformSettings) -> PlatformService:
+    """Return a client made by the adapter that the settings name.
+
+    Raises UnknownVariantError if there is no adapter of this name.
+    """
+    factory = platform_adapters().get(settings.adapter)
+    return factory(settings)
