--- /dev/null
+++ b/src/chervilrack/_internal/membership/changes.py
@@ -0,0 +1,120 @@
+"""Construction of the next view. Every view change passes through ``next_view``."""
+
+from collections.abc import Iterable
+
+from chervilrack._internal.common.ids import Epoch, NodeId, ReleaseRevision
+from chervilrack._internal.membership.sealing import Sealing
+from chervilrack._internal.membership.state import (
+    DEPARTED_KEPT,
+    Departed,
+    Member,
+    MembershipSettings,
+    MemberState,
+    UnsealedEpoch,
+    View,
+)
+from chervilrack._internal.membership.witnesses import choose_witnesses
+
+
+class ViewChange:
+    """Changes to collect into one write of the view."""
+
+    def __init__(self, view: View) -> None:
+        self._view = view
+        self._members = {member.node: member for member in view.members}
+        self._departed: list[Departed] = []
+
+    @property
+    def changed(self) -> bool:
+        """Whether anything differs from the view it started from."""
+        return self._members != {member.node: member for member in self._view.members}
+
+    def join(self, member: Member) -> None:
+        """Add a member or replace the earlier process of its node."""
+        earlier = self._members.get(member.node)
+        departed = next((d for d in self._view.departed if d.node == member.node), None)
+        failures = departed.failures if departed else 0
+        if earlier is not None:
+            failures = earlier.failures
+            self._departed.append(
+                Departed(earlier.node, earlier.incarnation, self._epoch, earlier.failures)
+            )
+        self._members[member.node] = Member(
+            member.node,
+            member.incarnation,
+            member.zone,
+            member.peer_address,
+            member.http_address,
+            failures=failures,
+            replacement=earlier is not None
+            or (departed is not None and departed.incarnation != member.incarnation),
+        )
+
+    def mark_leaving(self, node: NodeId) -> None:
+        """Exclude a member from ownership and lookup before it leaves."""
+        member = self._members[node]
+        self._members[node] = Member(
+            member.node,
+            member.incarnation,
+            member.zone,
+            member.peer_address,
+            member.http_address,
+            MemberState.LEAVING,
+            member.failures,
+            member.replacement,
+        )
+
+    def leave(self, node: NodeId) -> None:
+        """Remove a member after its planned leave."""
+        self._remove(node, 0)
+
+    def fail(self, nodes: Iterable[NodeId], long_lived: frozenset[NodeId]) -> None:
+        """Remove members on suspicion; a long membership resets the count of failures."""
+        for node in nodes:
+            earlier = 0 if node in long_lived else self._members[node].failures
+            self._remove(node, earlier + 1)
+
+    def build(
+        self,
+        settings: MembershipSettings,
+        sealing: Sealing,
+        release: ReleaseRevision,
+        written_by: str,
+    ) -> View:
+        """Return the next view with its witnesses and the epochs not known to be sealed."""
+        members = tuple(member for _, member in sorted(self._members.items()))
+        unsealed = sealing.unsealed
+        if self._view.witnesses:
+            unsealed += (UnsealedEpoch(self._view.epoch, self._view.witnesses),)
+        removed = {item.node for item in self._departed} | set(self._members)
+        kept = [item for item in self._view.departed if item.node not in removed]
+        gone = [item for item in self._departed if item.node not in self._members]
+        return View(
+            epoch=self._epoch,
+            members=members,
+            witnesses=choose_witnesses(members, settings.max_witnesses),
+            departed=tuple((kept + gone)[-DEPARTED_KEPT:]),
+            unsealed=unsealed,
+            doubtful=sealing.doubts,
+            release=max(release, self._view.release),
+            written_by=written_by,
+        )
+
+    @property
+    def _epoch(self) -> Epoch:
+        return Epoch(self._view.epoch + 1)
+
+    def _remove(self, node: NodeId, failures: int) -> None:
+        member = self._members.pop(node)
+        self._departed.append(Departed(node, member.incarnation, self._epoch, failures))
+
+
+def first_view(member: Member, release: ReleaseRevision, written_by: str) -> View:
+    """Return the view of the first member of a new installation."""
+    return View(
+        epoch=Epoch(1),
+        members=(member,),
+        witnesses=(member.process,),
+        release=release,
+        written_by=written_by,
+    )
--- /dev/null
+++ b/src/chervilrack/_internal/membership/confirmation.py
@@ -0,0 +1,111 @@
+"""Right to act: votes of witnesses and validity passed on by relays."""
+
+from datetime import timedelta
+
+from chervilrack._internal.common.ids import Epoch
+from chervilrack._internal.membership.messages import Heartbeat
+from chervilrack._internal.membership.state import MembershipSettings, Process, View
+from chervilrack._internal.membership.witnesses import majority
+
+MICROSECOND = timedelta(microseconds=1)
+SENDS_KEPT = 32  # replies to older heartbeats could not extend the validity any more
+
+
+class Confirmation:
+    """Validity of this node's right to act.
+
+    A confirmation of the previous epoch stays usable until it expires after a new view is
+    adopted: an epoch becomes active only after all confirmations of earlier ones have expired.
+    """
+
+    def __init__(self, settings: MembershipSettings) -> None:
+        self._settings = settings
+        self._epoch = Epoch(0)
+        self._witnesses: tuple[Process, ...] = ()
+        self._votes: dict[Process, timedelta] = {}
+        self._sends: dict[int, timedelta] = {}
+        self._until: timedelta | None = None
+        self._until_epoch = Epoch(0)
+
+    @property
+    def until(self) -> timedelta | None:
+        """End of the right to act; None if it was never given or was withdrawn."""
+        return self._until
+
+    @property
+    def epoch(self) -> Epoch:
+        """Epoch at which the right was last extended."""
+        return self._until_epoch
+
+    def start_epoch(self, view: View, member: bool) -> None:
+        """Count votes for ``view`` only; a node that is not a member loses its right."""
+        self._epoch = view.epoch
+        self._witnesses = view.witnesses
+        self._votes.clear()
+        self._sends.clear()
+        if not member:
+            self._until = None
+
+    def sent(self, now: timedelta) -> int:
+        """Note a heartbeat sent at ``now``; return its send time in microseconds."""
+        sent = now // MICROSECOND
+        self._sends[sent] = now
+        while len(self._sends) > SENDS_KEPT:
+            del self._sends[next(iter(self._sends))]
+        return sent
+
+    def vote(self, witness: Process, epoch: Epoch, sent: int) -> None:
+        """Count a witness's confirmation of the heartbeat sent at ``sent``."""
+        at = self._sends.get(sent)
+        if epoch != self._epoch or at is None or witness not in self._witnesses:
+            return
+        self._votes[witness] = max(at, self._votes.get(witness, at))
+        needed = majority(len(self._witnesses))
+        if len(self._votes) >= needed:
+            oldest = sorted(self._votes.values(), reverse=True)[needed - 1]
+            self._extend(oldest + self._settings.validity)
+
+    def relayed(self, epoch: Epoch, sent: int, remaining: timedelta) -> None:
+        """Take over a relay's remaining validity for the heartbeat sent at ``sent``."""
+        at = self._sends.get(sent)
+        if epoch != self._epoch or at is None:
+            return
+        self._extend(at + remaining * (1 - self._settings.clock_margin))
+
+    def remaining(self, now: timedelta) -> timedelta:
+        """Return the validity that a relay may pass on at its own epoch; zero if none."""
+        if self._until is None or self._until_epoch != self._epoch:
+            return timedelta(0)
+        return max(timedelta(0), self._until - now)
+
+    def _extend(self, until: timedelta) -> None:
+        if self._until is None or until > self._until or self._until_epoch != self._epoch:
+            self._until = until if self._until is None else max(until, self._until)
+            self._until_epoch = self._epoch
+
+
+def confirms(
+    view: View, witness: Process, release: int, sender: Process, heartbeat: Heartbeat
+) -> bool:
+    """Whether this witness confirms a heartbeat; see 2.3 of the design page."""
+    return (
+        witness in view.witnesses
+        and same_epoch(view, heartbeat)
+        and is_current_process(view, sender)
+        and has_release(max(release, view.release), heartbeat)
+    )
+
+
+def same_epoch(view: View, heartbeat: Heartbeat) -> bool:
+    """Whether the sender follows the witness's own view."""
+    return heartbeat.epoch == view.epoch
+
+
+def is_current_process(view: View, sender: Process) -> bool:
+    """Whether the sender is the incarnation that the view names."""
+    return view.has(sender)
+
+
+def has_release(release: int, heartbeat: Heartbeat) -> bool:
+    """Whether the sender's release is not older than the witness's."""
+    return heartbeat.release >= release
--- /dev/null
+++ b/src/chervilrack/_internal/membership/core.py
@@ -0,0 +1,351 @@
+"""Decision core of membership: events in, effects out."""
+
+import random
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+from chervilrack._internal.common.effects import ActionTaken, Send
+from chervilrack._internal.common.ids import Epoch, NodeId, ReleaseRevision
+from chervilrack._internal.membership import messages as m
+from chervilrack._internal.membership.changes import ViewChange, first_view
+from chervilrack._internal.membership.exchange import Exchange
+from chervilrack._internal.membership.joining import Joining
+from chervilrack._internal.membership.state import (
+    Doubt,
+    Member,
+    MembershipSettings,
+    MemberState,
+    Process,
+    View,
+)
+from chervilrack._internal.membership.vms import VmEvidence
+from chervilrack._internal.membership.witnesses import majority
+from chervilrack._internal.membership.writing import ViewWriter
+
+PART = "membership"
+HOUSEKEEPING_INTERVAL = timedelta(seconds=10)
+Effects = list[m.MembershipEffect]
+
+
+class Membership:
+    """Membership of one node. Not thread-safe: the caller holds one lock around each call.
+
+    ``member`` describes this run of the node's process. ``handle`` takes an event and the
+    monotonic time and returns the effects to carry out in their order.
+    """
+
+    def __init__(self, member: Member, settings: MembershipSettings, rng: random.Random) -> None:
+        self._member = member
+        self._process = member.process
+        self._settings = settings
+        self._exchange = Exchange(member, settings)
+        self._joining = Joining(member.node, settings, rng)
+        self._writer = ViewWriter(settings, rng)
+        self._vms = VmEvidence(settings)
+        self._view: View | None = None
+        self._mod_revision = 0
+        self._head_mod_revision: int | None = None
+        self._active_epoch = Epoch(0)
+        self._granted = False
+        self._doubts: tuple[Doubt, ...] = ()
+        self._leaving = self._drained = self._replaced = self._was_member = False
+        self._self_listed_gone = False
+        self._member_since: dict[Process, timedelta] = {}
+        self._seed = 0
+        self._seed_at = timedelta(0)
+        self._request_at: timedelta | None = None
+        self._last_tick: timedelta | None = None
+        self._housekeeping_at = timedelta(0)
+        self._handlers: dict[type, Callable[[Any, timedelta], Effects]] = {
+            m.ViewLearned: self._on_learned,
+            m.ViewAbsent: self._on_absent,
+            m.ViewWriteFinished: self._on_written,
+            m.PeerMessage: self._on_message,
+            m.Tick: self._on_tick,
+            m.VmListLearned: self._on_vm_list,
+            m.PlatformReachable: self._on_platform,
+            m.ReleaseApplied: self._on_release,
+            m.LeaveRequested: self._on_leave,
+            m.Drained: self._on_drained,
+            m.PartitionsOwned: self._on_partitions,
+            m.OutageTicketsWritten: self._on_tickets_written,
+        }
+
+    @property
+    def view(self) -> View | None:
+        """View that this node follows, or None before the first one."""
+        return self._view
+
+    @property
+    def mod_revision(self) -> int:
+        """Platform revision of the view's record."""
+        return self._mod_revision
+
+    @property
+    def epoch(self) -> Epoch:
+        """Epoch of the view, 0 before the first one."""
+        return self._view.epoch if self._view else Epoch(0)
+
+    @property
+    def active_epoch(self) -> Epoch:
+        """Highest epoch that this node has found active."""
+        return self._active_epoch
+
+    @property
+    def confirmed_until(self) -> timedelta | None:
+        """End of the right to act on this node's monotonic clock; None without a right."""
+        return self._exchange.confirmation.until if self.is_member else None
+
+    @property
+    def confirmed_epoch(self) -> Epoch:
+        """Epoch at which the right to act was last extended."""
+        return self._exchange.confirmation.epoch
+
+    @property
+    def is_member(self) -> bool:
+        """Whether the view names this run of the process."""
+        return self._view is not None and self._view.has(self._process)
+
+    @property
+    def is_witness(self) -> bool:
+        """Whether the view names this run of the process as a witness."""
+        return self._view is not None and self._process in self._view.witnesses
+
+    @property
+    def outage_granted(self) -> bool:
+        """Whether orders may run on tickets in memory, while ``may_act`` holds."""
+        return self._granted
+
+    @property
+    def witness_release_majority(self) -> ReleaseRevision:
+        """Highest release that a majority of the view's witnesses has applied at its epoch."""
+        return self._exchange.release_majority(self._view) if self._view else ReleaseRevision(0)
+
+    def may_act(self, now: timedelta) -> bool:
+        """Whether this node may start work at ``now``; read the clock directly before."""
+        until = self.confirmed_until
+        return until is not None and now < until
+
+    def peer_status(self, now: timedelta) -> tuple[m.PeerStatus, ...]:
+        """Return what this node knows of the other members."""
+        if self._view is None:
+            return ()
+        return self._exchange.peers.status(self._view, now, self._process)
+
+    def handle(self, event: m.MembershipEvent, now: timedelta) -> Effects:
+        """Take in one event and return the effects to carry out."""
+        effects = self._handlers[type(event)](event, now)
+        return effects + self._changes_to_report(now)
+
+    def _on_learned(self, event: m.ViewLearned, now: timedelta) -> Effects:
+        self._writer.learned()
+        return self._adopt(event.view, event.mod_revision, now)
+
+    def _on_absent(self, event: m.ViewAbsent, now: timedelta) -> Effects:
+        if self._view is not None:
+            return [ActionTaken(PART, "ignore", "view", "the platform lost the view; keeping ours")]
+        self._writer.learned()
+        if self._leaving or not self._writer.ready(now):
+            return []
+        view = first_view(self._member, self._exchange.release, self._write_id())
+        return [*self._writer.write(m.WriteView(view, 0, self._head_mod_revision))]
+
+    def _on_written(self, event: m.ViewWriteFinished, now: timedelta) -> Effects:
+        view = self._writer.finished(event.outcome, now)
+        return self._adopt(view, event.mod_revision, now) if view else []
+
+    def _on_message(self, event: m.PeerMessage, now: timedelta) -> Effects:
+        sender = Process(event.sender, event.incarnation)
+        if sender.node == self._process.node:
+            return []
+        match event.message:
+            case m.Heartbeat() as heartbeat:
+                return self._on_heartbeat(sender, heartbeat, now)
+            case m.HeartbeatReply() as reply:
+                return self._on_reply(sender, reply, now)
+            case m.ViewRequest(epoch=epoch):
+                return self._push_view(sender.node, epoch)
+            case m.ViewPush(view=view, mod_revision=mod_revision):
+                return self._adopt(view, mod_revision, now)
+
+    def _on_heartbeat(self, sender: Process, heartbeat: m.Heartbeat, now: timedelta) -> Effects:
+        if self._view is None:
+            return self._request_view(sender.node, heartbeat.epoch, now)
+        reply = self._exchange.receive(sender, heartbeat, self._view, now)
+        return [
+            Send(sender.node, reply),
+            *self._request_view(sender.node, heartbeat.epoch, now),
+        ]
+
+    def _on_reply(self, sender: Process, reply: m.HeartbeatReply, now: timedelta) -> Effects:
+        if self._view is None:
+            return self._request_view(sender.node, reply.epoch, now)
+        self._exchange.receive_reply(sender, reply, self._view, now)
+        if reply.to == self._process.incarnation and sender in self._view.witnesses:
+            self._joining.answered(sender, now)
+        return self._request_view(sender.node, reply.epoch, now)
+
+    def _on_tick(self, event: m.Tick, now: timedelta) -> Effects:
+        paused = (
+            self._last_tick is not None
+            and now - self._last_tick > self._settings.suspicion_timeout / 2
+        )
+        self._last_tick = now
+        if paused:
+            self._exchange.suspicion.resume(now)
+        if self._view is None:
+            return [*self._contact_seed(now), *self._writer.reads(True, now)]
+        if now >= self._housekeeping_at:
+            self._housekeeping_at = now + HOUSEKEEPING_INTERVAL
+            self._exchange.housekeeping(self._view, now)
+        unsure = not self.may_act(now)
+        return [
+            *self._exchange.heartbeats(self._view, now),
+            *self._writer.reads(unsure, now),
+            *self._change_view(self._view, now),
+        ]
+
+    def _on_vm_list(self, event: m.VmListLearned, now: timedelta) -> Effects:
+        self._self_listed_gone = self._process.node in event.gone
+        self._vms.learn(event.gone, now)
+        self._exchange.sealing.vms_gone(self._vms.gone, now)
+        return []
+
+    def _on_platform(self, event: m.PlatformReachable, now: timedelta) -> Effects:
+        self._exchange.contact.note(event.reachable, now)
+        return []
+
+    def _on_release(self, event: m.ReleaseApplied, now: timedelta) -> Effects:
+        if event.revision >= self._exchange.release:
+            self._exchange.release = event.revision
+            self._head_mod_revision = event.head_mod_revision
+        return []
+
+    def _on_leave(self, event: m.LeaveRequested, now: timedelta) -> Effects:
+        self._leaving = True
+        self._joining.stop()
+        return []
+
+    def _on_drained(self, event: m.Drained, now: timedelta) -> Effects:
+        self._leaving = self._drained = True
+        return []
+
+    def _on_partitions(self, event: m.PartitionsOwned, now: timedelta) -> Effects:
+        self._exchange.own_grant.set_partitions(event.partitions)
+        return []
+
+    def _on_tickets_written(self, event: m.OutageTicketsWritten, now: timedelta) -> Effects:
+        self._exchange.own_grant.written()
+        return []
+
+    def _adopt(self, view: View, mod_revision: int, now: timedelta) -> Effects:
+        previous = self._view
+        if previous is not None and view.epoch <= previous.epoch:
+            return []
+        self._view, self._mod_revision = view, mod_revision
+        self._request_at = None
+        own = view.member(self._process.node)
+        if self.is_member:
+            self._was_member = True
+        elif own is not None and self._was_member:
+            # Another run of this node joined after this one and must keep its place.
+            self._replaced = True
+        self._member_since = {
+            member.process: self._member_since.get(member.process, now) for member in view.members
+        }
+        self._vms.adopt(view, now)
+        self._exchange.adopt(view, previous, now)
+        if self.is_member or self._leaving or self._replaced:
+            self._joining.stop()
+        else:
+            self._joining.start(view, now)
+        return [m.ViewAdopted(view, mod_revision, previous)]
+
+    def _changes_to_report(self, now: timedelta) -> Effects:
+        effects: Effects = []
+        granted = self._exchange.own_grant.granted and self.is_member
+        if granted != self._granted:
+            self._granted = granted
+            effects.append(m.OutageGrantChanged(granted, self.epoch))
+        doubts = self._exchange.sealing.doubts
+        if self.epoch > self._active_epoch and self._exchange.sealing.active(now):
+            self._active_epoch, self._doubts = self.epoch, doubts
+            effects.append(m.EpochActive(self.epoch, doubts))
+        elif doubts != self._doubts:
+            self._doubts = doubts
+            effects.append(m.DoubtsChanged(doubts))
+        return effects
+
+    def _change_view(self, view: View, now: timedelta) -> Effects:
+        if not self._writer.ready(now) or not self._exchange.contact.reachable:
+            return []
+        change = ViewChange(view)
+        actions = self._collect(change, view, now)
+        if not change.changed:
+            return []
+        following = change.build(
+            self._settings, self._exchange.sealing, self._exchange.release, self._write_id()
+        )
+        effect = m.WriteView(following, self._mod_revision, self._head_mod_revision)
+        return [*actions, *self._writer.write(effect)]
+
+    def _collect(self, change: ViewChange, view: View, now: timedelta) -> Effects:
+        actions: Effects = []
+        own = view.member(self._process.node)
+        if self.is_member and own is not None:
+            if self._drained:
+                change.leave(own.node)
+                actions.append(ActionTaken(PART, "leave", own.node, "drained"))
+            elif self._leaving and own.state is MemberState.ACTIVE:
+                change.mark_leaving(own.node)
+                actions.append(ActionTaken(PART, "mark leaving", own.node, "leave requested"))
+        elif not self._self_listed_gone and self._joining.due(view, now):
+            self._joining.wrote(now)
+            change.join(self._member)
+            actions.append(ActionTaken(PART, "join", self._process.node, "not a member"))
+        failed = self._failed(change.changed, view, now)
+        if failed:
+            change.fail(failed, self._long_lived(now))
+            reason = "missed by a majority of witnesses, or listed as gone"
+            actions += [ActionTaken(PART, "remove", node, reason) for node in sorted(failed)]
+        return actions
+
+    def _failed(self, writes_anyway: bool, view: View, now: timedelta) -> frozenset[NodeId]:
+        gone = self._vms.gone_members(view) - {self._process.node}
+        if not self.is_witness:
+            # Others remove only stopped VMs, and only if the witnesses cannot.
+            stopped = sum(witness.node in gone for witness in view.witnesses)
+            left = len(view.witnesses) - stopped
+            no_majority = left < majority(len(view.witnesses))
+            return gone if writes_anyway or no_majority else frozenset()
+        suspected = self._exchange.suspicion.agreed(view, now)
+        return self._exchange.suspicion.due(gone | suspected, view, now)
+
+    def _long_lived(self, now: timedelta) -> frozenset[NodeId]:
+        reset = self._settings.flap_reset
+        return frozenset(p.node for p, at in self._member_since.items() if now - at >= reset)
+
+    def _contact_seed(self, now: timedelta) -> Effects:
+        if not self._settings.seeds or now < self._seed_at:
+            return []
+        self._seed_at = now + self._settings.seed_interval
+        address = self._settings.seeds[self._seed % len(self._settings.seeds)]
+        self._seed += 1
+        return [m.Contact(address, m.ViewRequest(Epoch(0), self._member.peer_address))]
+
+    def _request_view(self, node: NodeId, epoch: Epoch, now: timedelta) -> Effects:
+        waiting = self._request_at is not None and now < self._request_at
+        if epoch <= self.epoch or waiting:
+            return []
+        self._request_at = now + self._settings.heartbeat_interval
+        return [Send(node, m.ViewRequest(self.epoch, self._member.peer_address))]
+
+    def _push_view(self, node: NodeId, epoch: Epoch) -> Effects:
+        if self._view is None or self._view.epoch <= epoch:
+            return []
+        return [Send(node, m.ViewPush(self._view, self._mod_revision))]
+
+    def _write_id(self) -> str:
+        prefix = f"{self._process.node}/{self._process.incarnation}"
+        return self._writer.next_id(prefix)
--- /dev/null
+++ b/src/chervilrack/_internal/membership/state.py
@@ -0,0 +1,185 @@
+"""Agreed view: the record under the platform key ``view``, and the settings of the slice."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import Enum
+
+import msgspec
+
+from chervilrack._internal.common.ids import (
+    Epoch,
+    Incarnation,
+    NodeId,
+    ReleaseRevision,
+    ZoneId,
+)
+
+VIEW_KEY = "view"
+VIEW_FORMAT = 1
+DEPARTED_KEPT = 64  # bounds the view's size; covers an hour at 1,100 restarts a day
+
+
+class MemberState(Enum):
+    """State of a member; a leaving member owns nothing and is not offered to callers."""
+
+    ACTIVE = "active"
+    LEAVING = "leaving"
+
+
+class Process(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
+    """One run of a node's process."""
+
+    node: NodeId
+    incarnation: Incarnation
+
+
+class Member(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Member of a view. ``failures`` counts its recent removals on suspicion."""
+
+    node: NodeId
+    incarnation: Incarnation
+    zone: ZoneId
+    peer_address: str
+    http_address: str
+    state: MemberState = MemberState.ACTIVE
+    failures: int = 0
+    replacement: bool = False
+
+    @property
+    def process(self) -> Process:
+        """Node and incarnation of the member."""
+        return Process(self.node, self.incarnation)
+
+
+class UnsealedEpoch(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Earlier epoch that is not known to be sealed, and its witnesses."""
+
+    epoch: Epoch
+    witnesses: tuple[Process, ...]
+
+
+class Departed(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Recent removal. ``failures`` is 0 after a planned leave."""
+
+    node: NodeId
+    incarnation: Incarnation
+    epoch: Epoch
+    failures: int = 0
+
+
+class Holder(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
+    """Process with an outage grant; ``partitions`` is the bit set of its order partitions.
+
+    ``sent`` is the send time of the heartbeat that asked, on the process's clock. It orders grants
+    and reports of the same process, because messages may be reordered.
+    """
+
+    process: Process
+    partitions: int
+    sent: int
+
+
+class Doubt(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Orders of a sealed epoch that may have run without a ticket on the platform.
+
+    ``lost`` means that too few witnesses reported, so that any partition may be affected.
+    """
+
+    epoch: Epoch
+    holders: tuple[Holder, ...] = ()
+    lost: bool = False
+
+
+class View(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Agreed membership of one epoch. Every change of the record raises the epoch by one.
+
+    ``release`` is the release that the writer had applied: witnesses confirm no node with an older
+    one, so that new witnesses cannot confirm a release that earlier witnesses refused.
+    """
+
+    epoch: Epoch
+    members: tuple[Member, ...]
+    witnesses: tuple[Process, ...]
+    departed: tuple[Departed, ...] = ()
+    unsealed: tuple[UnsealedEpoch, ...] = ()
+    doubtful: tuple[Doubt, ...] = ()
+    release: ReleaseRevision = ReleaseRevision(0)
+    written_by: str = ""
+    format: int = VIEW_FORMAT
+
+    def member(self, node: NodeId) -> Member | None:
+        """Return the member with this node id, or None."""
+        return next((member for member in self.members if member.node == node), None)
+
+    def has(self, process: Process) -> bool:
+        """Whether this run of the process is a member."""
+        member = self.member(process.node)
+        return member is not None and member.incarnation == process.incarnation
+
+    def active(self) -> Iterator[Member]:
+        """Yield the members that may own items."""
+        return (member for member in self.members if member.state is MemberState.ACTIVE)
+
+
+def encode_view(view: View) -> bytes:
+    """Return the JSON form of ``view`` that is stored under ``VIEW_KEY``."""
+    return msgspec.json.encode(view)
+
+
+def decode_view(value: bytes) -> View:
+    """Return the view stored as ``value``.
+
+    Raises msgspec.ValidationError for an unknown field, a wrong type or another format number.
+    """
+    view = msgspec.json.decode(value, type=View)
+    if view.format != VIEW_FORMAT:
+        raise msgspec.ValidationError(
+            f"view has format {view.format}; this version reads format {VIEW_FORMAT}"
+        )
+    return view
+
+
+@dataclass(frozen=True, slots=True)
+class MembershipSettings:
+    """Times and sizes of the membership protocol, and the addresses of seeds."""
+
+    seeds: tuple[str, ...] = ()
+    heartbeat_interval: timedelta = timedelta(milliseconds=500)
+    large_heartbeat_interval: timedelta = timedelta(seconds=1)
+    relay_threshold: int = 12
+    relays_per_zone: int = 2
+    max_witnesses: int = 7
+    confirmation_ttl: timedelta = timedelta(seconds=2)
+    clock_margin: float = 0.01
+    suspicion_timeout: timedelta = timedelta(seconds=3)
+    rank_delay: timedelta = timedelta(milliseconds=500)
+    platform_silence: timedelta = timedelta(seconds=2)
+    join_retry: timedelta = timedelta(milliseconds=500)
+    join_retry_max: timedelta = timedelta(seconds=8)
+    # A joiner that no majority of witnesses answers waits this long, because the usual reason is
+    # a broken link that would make the witnesses remove it again.
+    join_patience: timedelta = timedelta(seconds=10)
+    flap_delay: timedelta = timedelta(seconds=2)
+    flap_delay_max: timedelta = timedelta(minutes=5)
+    flap_reset: timedelta = timedelta(minutes=10)
+    seed_interval: timedelta = timedelta(seconds=1)
+    read_interval: timedelta = timedelta(seconds=5)
+    # Longest time for which the list may still describe the previous VM of a node id.
+    vm_list_lag: timedelta = timedelta(minutes=2)
+    retry_horizon: timedelta = timedelta(minutes=10)
+
+    @property
+    def validity(self) -> timedelta:
+        """Time a confirmation lasts on the confirmed node's clock."""
+        return self.confirmation_ttl * (1 - self.clock_margin)
+
+    @property
+    def activation_wait(self) -> timedelta:
+        """Time between the sealing of all earlier epochs and the activation of a new one."""
+        return self.confirmation_ttl * (1 + self.clock_margin)
+
+    def interval(self, members: int) -> timedelta:
+        """Return the heartbeat interval for a view of this many members."""
+        large = members > self.relay_threshold
+        return self.large_heartbeat_interval if large else self.heartbeat_interval
--- /dev/null
+++ b/src/chervilrack/_internal/membership/witnesses.py
@@ -0,0 +1,48 @@
+"""Choice of witnesses and relays."""
+
+from collections import Counter
+from collections.abc import Sequence
+
+from chervilrack._internal.common.hashing import rendezvous_order
+from chervilrack._internal.common.ids import Epoch, NodeId, ZoneId
+from chervilrack._internal.membership.state import Member, MemberState, Process, View
+
+
+def majority(count: int) -> int:
+    """Return the size of the smallest majority of ``count``."""
+    return count // 2 + 1
+
+
+def choose_witnesses(members: Sequence[Member], maximum: int) -> tuple[Process, ...]:
+    """Return an odd number of members, spread evenly over zones.
+
+    An odd number is used because one more witness would not allow one more failure. Leaving
+    members are used only if no active member exists.
+    """
+    active = [member for member in members if member.state is MemberState.ACTIVE]
+    by_node = {member.node: member for member in active or members}
+    count = min(maximum, len(by_node))
+    count -= (count + 1) % 2
+    order = [NodeId(node) for node in rendezvous_order("witness", by_node)]
+    chosen: list[Member] = []
+    used: Counter[ZoneId] = Counter()
+    while len(chosen) < count:
+        least = min(used[by_node[node].zone] for node in order)
+        node = next(node for node in order if used[by_node[node].zone] == least)
+        order.remove(node)
+        used[by_node[node].zone] += 1
+        chosen.append(by_node[node])
+    return tuple(member.process for member in chosen)
+
+
+def zone_relays(view: View, zone: ZoneId, count: int) -> tuple[Process, ...]:
+    """Return the members of ``zone`` that talk to the witnesses for the others."""
+    members = {member.node: member for member in view.members if member.zone == zone}
+    order = rendezvous_order("relay", members)
+    return tuple(members[NodeId(node)].process for node in order[:count])
+
+
+def removal_order(witnesses: Sequence[Process], epoch: Epoch) -> list[NodeId]:
+    """Return the witnesses' nodes in the order in which they remove members at ``epoch``."""
+    nodes = [witness.node for witness in witnesses]
+    return [NodeId(node) for node in rendezvous_order(f"rank/{epoch}", nodes)]
--- /dev/null
+++ b/src/chervilrack/_internal/membership/writing.py
@@ -0,0 +1,69 @@
+"""Writes and reads of the view record, one at a time."""
+
+import random
+from datetime import timedelta
+
+from chervilrack._internal.membership.messages import ReadView, WriteOutcome, WriteView
+from chervilrack._internal.membership.state import MembershipSettings, View
+
+
+class ViewWriter:
+    """At most one write in flight; after a conflict or a lost response the view is read first."""
+
+    def __init__(self, settings: MembershipSettings, rng: random.Random) -> None:
+        self._settings = settings
+        self._rng = rng
+        self._in_flight: View | None = None
+        self._read_needed = True
+        self._read_at: timedelta | None = None
+        self._refresh_at: timedelta | None = None
+        self._retry_at: timedelta | None = None
+        self._written = 0
+
+    def ready(self, now: timedelta) -> bool:
+        """Whether a write may start."""
+        waiting = self._retry_at is not None and now < self._retry_at
+        return self._in_flight is None and not self._read_needed and not waiting
+
+    def next_id(self, prefix: str) -> str:
+        """Return an id for the next write."""
+        self._written += 1
+        return f"{prefix}/{self._written}"
+
+    def write(self, effect: WriteView) -> list[WriteView]:
+        """Start a write."""
+        self._in_flight = effect.view
+        return [effect]
+
+    def finished(self, outcome: WriteOutcome, now: timedelta) -> View | None:
+        """End the write in flight; return its view if it was applied."""
+        written, self._in_flight = self._in_flight, None
+        if outcome is not WriteOutcome.APPLIED:
+            self._retry_at = now + self._settings.join_retry * self._rng.random()
+        if outcome in {WriteOutcome.CONFLICT, WriteOutcome.UNKNOWN}:
+            self._read_needed = True
+            self._read_at = None
+        return written if outcome is WriteOutcome.APPLIED else None
+
+    def learned(self) -> None:
+        """Note that the view was read or told by a watch."""
+        self._read_needed = False
+        self._refresh_at = None
+
+    def reads(self, wanted: bool, now: timedelta) -> list[ReadView]:
+        """Return a read that is due; ``wanted`` asks for regular reads as well."""
+        if self._in_flight is not None:
+            return []
+        if self._read_needed:
+            if self._read_at is not None and now < self._read_at:
+                return []
+            self._read_at = now + self._settings.join_retry * (1 + self._rng.random())
+            return [ReadView()]
+        if not wanted:
+            self._refresh_at = None
+            return []
+        if self._refresh_at is None or now >= self._refresh_at:
+            first = self._refresh_at is None
+            self._refresh_at = now + self._settings.read_interval * (0.5 + self._rng.random())
+            return [] if first else [ReadView()]
+        return []
