Spread views by hints and read before joining

Cause: nodes behind relays learned a view only with their next heartbeat, and many nodes that joined at once wrote on views that were already replaced. Change: witnesses and relays announce a new epoch; a joiner reads the view directly before its write; a node that stays unconfirmed counts as silent.

--- a/src/chervilrack/_internal/membership/core.py
+++ b/src/chervilrack/_internal/membership/core.py
@@ -139,13 +139,16 @@
         return effects + self._changes_to_report(now)
 
     def _on_learned(self, event: m.ViewLearned, now: timedelta) -> Effects:
-        self._writer.learned()
-        return self._adopt(event.view, event.mod_revision, now)
+        self._writer.learned(now)
+        effects = self._adopt(event.view, event.mod_revision, now)
+        if self._view is not None and not self.is_member:
+            effects += self._change_view(self._view, now)
+        return effects
 
     def _on_absent(self, event: m.ViewAbsent, now: timedelta) -> Effects:
         if self._view is not None:
             return [ActionTaken(PART, "ignore", "view", "the platform lost the view; keeping ours")]
-        self._writer.learned()
+        self._writer.learned(now)
         if self._leaving or not self._writer.ready(now):
             return []
         view = first_view(self._member, self._exchange.release, self._write_id())
@@ -164,6 +167,8 @@
                 return self._on_heartbeat(sender, heartbeat, now)
             case m.HeartbeatReply() as reply:
                 return self._on_reply(sender, reply, now)
+            case m.ViewAnnounce(epoch=epoch):
+                return self._request_view(sender.node, epoch, now)
             case m.ViewRequest(epoch=epoch):
                 return self._push_view(sender.node, epoch)
             case m.ViewPush(view=view, mod_revision=mod_revision):
@@ -260,7 +265,10 @@
             self._joining.stop()
         else:
             self._joining.start(view, now)
-        return [m.ViewAdopted(view, mod_revision, previous)]
+        return [
+            m.ViewAdopted(view, mod_revision, previous),
+            *self._exchange.announcements(view),
+        ]
 
     def _changes_to_report(self, now: timedelta) -> Effects:
         effects: Effects = []
@@ -301,6 +309,10 @@
                 change.mark_leaving(own.node)
                 actions.append(ActionTaken(PART, "mark leaving", own.node, "leave requested"))
         elif not self._self_listed_gone and self._joining.due(view, now):
+            if not self._writer.fresh(now):
+                # Many nodes may join at once; a write on an older view would mostly conflict.
+                self._writer.request_read()
+                return []
             self._joining.wrote(now)
             change.join(self._member)
             actions.append(ActionTaken(PART, "join", self._process.node, "not a member"))
@@ -319,7 +331,8 @@
             left = len(view.witnesses) - stopped
             no_majority = left < majority(len(view.witnesses))
             return gone if writes_anyway or no_majority else frozenset()
-        suspected = self._exchange.suspicion.agreed(view, now)
+        # A witness that cannot act may be the one that is cut off.
+        suspected = self._exchange.suspicion.agreed(view, now) if self.may_act(now) else frozenset()
         return self._exchange.suspicion.due(gone | suspected, view, now)
 
     def _long_lived(self, now: timedelta) -> frozenset[NodeId]:
--- a/src/chervilrack/_internal/membership/exchange.py
+++ b/src/chervilrack/_internal/membership/exchange.py
@@ -11,7 +11,7 @@
     PlatformContact,
     may_grant,
 )
-from chervilrack._internal.membership.messages import Heartbeat, HeartbeatReply
+from chervilrack._internal.membership.messages import Heartbeat, HeartbeatReply, ViewAnnounce
 from chervilrack._internal.membership.peers import Peers
 from chervilrack._internal.membership.sealing import Sealing
 from chervilrack._internal.membership.state import Member, MembershipSettings, Process, View
@@ -37,6 +37,7 @@
         self._relays: tuple[Process, ...] = ()
         self._vouches: dict[Process, tuple[NodeId, ...]] = {}
         self._next_witness = self._next_relay = timedelta(0)
+        self._was_confirmed = False
 
     def adopt(self, view: View, previous: View | None, now: timedelta) -> None:
         """Follow ``view``; the next heartbeats are due at once."""
@@ -51,6 +52,15 @@
         self._relays = tuple(p for p in self._vouches if self._process.node in self._vouches[p])
         self._next_witness = self._next_relay = now
 
+    def announcements(self, view: View) -> list[Send]:
+        """Return the hints that spread a view quickly: witnesses to relays, relays to nodes."""
+        targets = set(self._vouches.get(self._process, ()))
+        if self._process in view.witnesses:
+            everyone = self._vouches or [member.process for member in view.members]
+            targets.update(process.node for process in everyone)
+        hint = ViewAnnounce(view.epoch)
+        return [Send(node, hint) for node in sorted(targets - {self._process.node})]
+
     def heartbeats(self, view: View, now: timedelta) -> list[Send]:
         """Return the heartbeats that are due; a witness answers its own at once."""
         relay_due = bool(self._relays) and now >= self._next_relay
@@ -67,6 +77,7 @@
             self._next_witness = now + self._settings.interval(len(view.members))
             if self._reaches_witnesses(view, now):
                 targets += [witness for witness in view.witnesses if witness not in targets]
+        self._restart_suspicion(now)
         sent = self.confirmation.sent(now)
         self.own_grant.update(self.contact.away(now), sent)
         heartbeat = self._heartbeat(view, sent, now)
@@ -137,8 +148,11 @@
             release=self.release,
             sent=sent,
             sealed=self.sealing.sealed_through,
+            confirmed=self._confirmed(now),
             silent=self.suspicion.silent(vouched, now),
-            missing=tuple(sorted(self.suspicion.missing(now))) if witness else (),
+            missing=tuple(sorted(self.suspicion.missing(now)))
+            if witness and self._confirmed(now)
+            else (),
             grant_partitions=self.own_grant.asked_partitions,
             no_tickets=self.own_grant.no_tickets,
             held=self.given.held,
@@ -152,7 +166,7 @@
                 self.own_grant.vote(self._process, view, view.epoch, heartbeat.sent)
 
     def _observe(self, sender: Process, heartbeat: Heartbeat, view: View, now: timedelta) -> None:
-        self.suspicion.heard(sender.node, now)
+        self.suspicion.heard(sender.node, heartbeat.confirmed, now)
         if sender in view.witnesses:
             self.suspicion.witness_report(sender.node, heartbeat.epoch, heartbeat.missing, now)
         vouched = self._vouches.get(sender)
@@ -179,6 +193,17 @@
             or unserved
         )
 
+    def _restart_suspicion(self, now: timedelta) -> None:
+        """Trust nothing observed while this node could not act: it may have been cut off."""
+        confirmed = self._confirmed(now)
+        if confirmed and not self._was_confirmed:
+            self.suspicion.resume(now)
+        self._was_confirmed = confirmed
+
+    def _confirmed(self, now: timedelta) -> bool:
+        until = self.confirmation.until
+        return until is not None and now < until
+
     def _listens(self, view: View) -> bool:
         return self._process in view.witnesses or bool(self._vouches.get(self._process))
 
--- a/src/chervilrack/_internal/membership/messages.py
+++ b/src/chervilrack/_internal/membership/messages.py
@@ -21,6 +21,7 @@
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True, tag="hb", forbid_unknown_fields=True):
     """Request for confirmation. ``sent`` is in microseconds of the sender's monotonic clock.
 
+    ``confirmed`` says whether the sender may act at the moment.
     ``grant_partitions`` is non-zero while the sender asks for an outage grant. ``no_tickets``
     says that the sender holds no unwritten tickets of an outage. ``held`` are the grants that the
     sender gave as a witness.
@@ -30,6 +31,7 @@
     release: ReleaseRevision
     sent: int
     sealed: Epoch
+    confirmed: bool = False
     silent: tuple[Silence, ...] = ()
     missing: tuple[NodeId, ...] = ()
     grant_partitions: int = 0
@@ -75,7 +77,15 @@
     mod_revision: int
 
 
-MembershipMessage = Heartbeat | HeartbeatReply | ViewRequest | ViewPush
+class ViewAnnounce(
+    msgspec.Struct, frozen=True, array_like=True, tag="va", forbid_unknown_fields=True
+):
+    """Hint that a newer view exists; the receiver requests it."""
+
+    epoch: Epoch
+
+
+MembershipMessage = Heartbeat | HeartbeatReply | ViewRequest | ViewPush | ViewAnnounce
 
 
 class WriteOutcome(Enum):
--- a/src/chervilrack/_internal/membership/suspicion.py
+++ b/src/chervilrack/_internal/membership/suspicion.py
@@ -20,6 +20,7 @@
         self._direct: dict[NodeId, timedelta] = {}
         # Kept apart from the node's own observations: two relays that repeat each other's
         # reports would otherwise keep a dead member alive for ever.
+        self._confirmed: dict[NodeId, timedelta] = {}
         self._vouched: dict[NodeId, timedelta] = {}
         self._reports: dict[NodeId, tuple[timedelta, Epoch, frozenset[NodeId]]] = {}
         self._since: dict[NodeId, timedelta] = {}
@@ -32,19 +33,29 @@
         for member in view.members:
             if not listens or previous is None or not previous.has(member.process):
                 self._direct[member.node] = now
+                self._confirmed[member.node] = now
         nodes = {member.node for member in view.members}
-        for table in (self._direct, self._vouched, self._reports, self._since):
+        for table in (self._direct, self._confirmed, self._vouched, self._reports, self._since):
             for node in [node for node in table if node not in nodes]:
                 del table[node]
 
     def resume(self, now: timedelta) -> None:
-        """Restart all timers after this process was paused: nothing could be heard meanwhile."""
+        """Restart all timers after this node was paused or cut off: what it knows is old."""
         self._direct = dict.fromkeys(self._direct, now)
+        self._confirmed = dict.fromkeys(self._confirmed, now)
         self._reports.clear()
 
-    def heard(self, node: NodeId, now: timedelta) -> None:
-        """Note a heartbeat."""
-        self._direct[node] = now
+    def heard(self, node: NodeId, confirmed: bool, now: timedelta) -> None:
+        """Note a heartbeat.
+
+        A node that has long been unconfirmed counts as silent: its requests arrive, but no
+        answers reach it or it lacks the release, so that it blocks what it owns.
+        """
+        if confirmed:
+            self._confirmed[node] = now
+        unconfirmed = now - self._confirmed.get(node, now)
+        if unconfirmed < self._settings.suspicion_timeout:
+            self._direct[node] = now
 
     def relay_report(
         self, nodes: Iterable[NodeId], silent: Iterable[Silence], now: timedelta
--- a/src/chervilrack/_internal/membership/writing.py
+++ b/src/chervilrack/_internal/membership/writing.py
@@ -6,6 +6,8 @@
 from chervilrack._internal.membership.messages import ReadView, WriteOutcome, WriteView
 from chervilrack._internal.membership.state import MembershipSettings, View
 
+FRESH = timedelta(milliseconds=50)  # several platform calls of a few milliseconds
+
 
 class ViewWriter:
     """At most one write in flight; after a conflict or a lost response the view is read first."""
@@ -17,6 +19,7 @@
         self._read_needed = True
         self._read_at: timedelta | None = None
         self._refresh_at: timedelta | None = None
+        self._learned_at: timedelta | None = None
         self._retry_at: timedelta | None = None
         self._written = 0
 
@@ -45,8 +48,17 @@
             self._read_at = None
         return written if outcome is WriteOutcome.APPLIED else None
 
-    def learned(self) -> None:
+    def fresh(self, now: timedelta) -> bool:
+        """Whether the view was read just now, so that a write has a good chance to succeed."""
+        return self._learned_at is not None and now - self._learned_at <= FRESH
+
+    def request_read(self) -> None:
+        """Read the view at the next opportunity."""
+        self._read_needed = True
+
+    def learned(self, now: timedelta) -> None:
         """Note that the view was read or told by a watch."""
+        self._learned_at = now
         self._read_needed = False
         self._refresh_at = None
 
