--- /dev/null
+++ b/src/chervilrack/_internal/limits/ledger.py
@@ -0,0 +1,317 @@
+"""Ledger of one limit at its owner: what each node may occupy."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from chervilrack._internal.common.ids import LimitId, NodeId, ReleaseRevision
+from chervilrack._internal.limits.messages import Allocation, Holding
+from chervilrack._internal.limits.sharing import Claim, fair_shares
+
+# A node keeps a small allocation for this long while others wait for theirs. A shorter time
+# spends more of it on the two round trips of passing it on.
+TURN = timedelta(milliseconds=200)
+# A node that did not use its turn at all goes behind the others, so that permits are not kept
+# by work that waits for another pool.
+UNUSED_TURN = timedelta(milliseconds=600)
+# A node within this part of its fair share does not cause recalls from others.
+TOLERANCE = 10
+# Every member keeps one permit if the limit is at least this many times the number of members.
+KEEP_ONE = 4
+
+# Exceeds a round trip between zones and one tick.
+RETRY_FIRST = timedelta(milliseconds=150)
+# Keeps a long partition cheap, yet capacity moves within a second after it ends.
+RETRY_LONGEST = timedelta(milliseconds=800)
+
+_ZERO = timedelta(0)
+
+
+@dataclass(slots=True)
+class Account:
+    """What the owner knows about one node. Times are the owner's."""
+
+    sequence: int = -1
+    revision: ReleaseRevision | None = None
+    version: int = 0
+    amount: int = 0
+    unacknowledged: dict[int, int] = field(default_factory=dict)
+    cap: int = 0
+    in_use: int = 0
+    want: int = 0
+    chunk: int = 1
+    waiting_since: timedelta | None = None
+    suspended: bool = False
+    granted_at: timedelta = _ZERO
+    passed_at: timedelta | None = None
+    retry_at: timedelta = _ZERO
+    retry_delay: timedelta = RETRY_FIRST
+
+    @property
+    def charge(self) -> int:
+        """Highest number of permits the node may occupy now or after messages under way."""
+        return max(self.in_transit, self.cap, self.in_use)
+
+    @property
+    def in_transit(self) -> int:
+        """Highest allocation that the node may still adopt."""
+        return max(self.unacknowledged.values(), default=0)
+
+
+class LimitLedger:
+    """Allocations of one limit for one epoch.
+
+    The sum of all charges and the quarantined permits exceeds the capacity only while work runs
+    that was dispatched before a release lowered the capacity; nobody is allocated more then.
+    """
+
+    def __init__(self, limit: LimitId) -> None:
+        self._limit = limit
+        self._capacity: int | None = None
+        self._revision = ReleaseRevision(0)
+        self._appeared_at = ReleaseRevision(0)
+        self._quarantined: int | None = None
+        self._accounts: dict[NodeId, Account] = {}
+
+    @property
+    def capacity(self) -> int | None:
+        """Capacity under the owner's release; None without a limit."""
+        return self._capacity
+
+    @property
+    def appeared_at(self) -> ReleaseRevision:
+        """Revision since which the limit exists; reports of older ones do not count."""
+        return self._appeared_at
+
+    @property
+    def accounts(self) -> dict[NodeId, Account]:
+        """Accounts by node."""
+        return self._accounts
+
+    @property
+    def quarantined(self) -> int:
+        """Permits that a removed node's work may still occupy."""
+        return self._quarantined or 0
+
+    @property
+    def charged(self) -> int:
+        """Sum of the charges of all nodes."""
+        return sum(account.charge for account in self._accounts.values())
+
+    def configure(
+        self, capacity: int | None, revision: ReleaseRevision, now: timedelta
+    ) -> set[NodeId]:
+        """Apply the capacity of a release and return the nodes with a new allocation."""
+        old, self._capacity = self._capacity, capacity
+        self._revision = revision
+        if capacity is None:
+            return set()
+        if old is None:
+            self._appeared_at = revision
+            self._quarantined = None
+        elif capacity >= old:
+            return set()
+        # Holders refuse allocations computed under the higher limit.
+        pending = {node for node, account in self._accounts.items() if account.unacknowledged}
+        for node in pending:
+            account = self._accounts[node]
+            scaled = account.amount * capacity // old if old else 0
+            self._issue(account, min(scaled, self._without_excess(account)), now)
+        return pending
+
+    def record(
+        self, node: NodeId, holding: Holding, sequence: int, revision: ReleaseRevision,
+        now: timedelta,
+    ) -> None:  # fmt: skip
+        """Record a report unless a later one of the node is known."""
+        account = self._accounts.setdefault(node, Account())
+        if not self._is_newer(account, sequence):
+            return
+        account.sequence = sequence
+        account.revision = revision
+        for version in [v for v in account.unacknowledged if v <= holding.version]:
+            del account.unacknowledged[version]
+        served = holding.waited is None or account.waiting_since is None
+        account.cap = holding.cap
+        account.in_use = holding.in_use
+        account.want = holding.want
+        account.chunk = holding.chunk
+        account.suspended = holding.suspended
+        if holding.waited is None:
+            account.waiting_since = None
+        else:
+            account.waiting_since = now - timedelta(seconds=holding.waited)
+        if served:
+            account.passed_at = None
+        if not account.unacknowledged:
+            account.amount = holding.cap
+
+    def record_empty(self, node: NodeId, sequence: int, revision: ReleaseRevision) -> None:
+        """Record that a complete report of ``node`` does not list this limit."""
+        account = self._accounts.setdefault(node, Account())
+        if self._is_newer(account, sequence):
+            account.sequence = sequence
+            account.cap = account.in_use = account.want = 0
+            account.waiting_since = None
+            account.suspended = False
+        if account.revision is None or account.revision < revision:
+            account.revision = revision
+
+    @staticmethod
+    def _is_newer(account: Account, sequence: int) -> bool:
+        return sequence > account.sequence
+
+    def missing_reports(self, members: Iterable[NodeId]) -> list[NodeId]:
+        """Return the members that did not report since the limit exists."""
+        missing: list[NodeId] = []
+        for node in members:
+            account = self._accounts.get(node)
+            if account is None or account.revision is None or account.revision < self._appeared_at:
+                missing.append(node)
+        return missing
+
+    def plan(self, members: frozenset[NodeId], quarantine: bool, now: timedelta) -> set[NodeId]:
+        """Allocate by demand and return the nodes with a new allocation."""
+        if self._capacity is None or self.missing_reports(members):
+            return set()
+        if quarantine:
+            if self._quarantined is None:
+                self._quarantined = max(0, self._capacity - self.charged)
+        else:
+            self._quarantined = 0
+        changed = self._resume(now)
+        usable = self._capacity - self.quarantined
+        nodes = self._by_priority(members, now)
+        floor = 1 if usable >= KEEP_ONE * len(nodes) else 0
+        claims = [
+            Claim(min(max(a.want, floor), usable), min(a.chunk, usable))
+            for a in (self._accounts[node] for node in nodes)
+        ]
+        targets = dict(zip(nodes, fair_shares(max(0, usable), claims), strict=True))
+        changed |= self._recall(targets, usable, now)
+        changed |= self._grant(targets, usable, now)
+        return changed
+
+    @property
+    def starving(self) -> bool:
+        """Whether work waits at a node whose allocation does not serve a single attempt."""
+        usable = (self._capacity or 0) - self.quarantined
+        return any(
+            account.waiting_since is not None and account.amount < min(account.chunk, usable)
+            for account in self._accounts.values()
+        )
+
+    def allocation(self, node: NodeId) -> Allocation:
+        """Return the latest allocation of a node."""
+        account = self._accounts[node]
+        return Allocation(self._limit, account.version, account.amount, self._revision)
+
+    def _resume(self, now: timedelta) -> set[NodeId]:
+        """Answer nodes that stopped dispatching when a release lowered the capacity."""
+        changed = set()
+        for node, account in self._accounts.items():
+            if account.suspended and not account.unacknowledged:
+                amount = min(account.cap, self._without_excess(account))
+                if amount > account.in_use or not self._excess:
+                    self._issue(account, amount, now)
+                    changed.add(node)
+        return changed
+
+    @property
+    def _excess(self) -> int:
+        """Charges above the capacity, while work from before a tightening runs."""
+        return max(0, self.charged + self.quarantined - (self._capacity or 0))
+
+    def _without_excess(self, account: Account) -> int:
+        return max(0, account.charge - self._excess)
+
+    def _by_priority(self, members: frozenset[NodeId], now: timedelta) -> list[NodeId]:
+        """Order nodes: those in their turn, then by how long their work waits."""
+
+        def key(node: NodeId) -> tuple[int, timedelta, str]:
+            account = self._accounts[node]
+            since = account.waiting_since
+            if since is None:
+                return (2, _ZERO, node)
+            held = account.amount >= min(account.chunk, self._capacity or 0) > 0
+            turn = now - account.granted_at
+            if held and turn >= UNUSED_TURN and since <= account.granted_at:
+                account.passed_at = now
+            if account.passed_at is not None and since < account.passed_at:
+                since = account.passed_at
+            return (0 if held and turn < TURN else 1, since, node)
+
+        return sorted(members, key=key)
+
+    def _recall(self, targets: dict[NodeId, int], usable: int, now: timedelta) -> set[NodeId]:
+        """Lower allocations, idle permits first, as far as others lack their fair share."""
+        needed = 0
+        for node, target in targets.items():
+            short = target - self._accounts[node].amount
+            if short > 0 and short * TOLERANCE >= target:
+                needed += short
+        held = sum(account.amount for account in self._accounts.values())
+        needed -= max(0, usable - held)
+        changed: set[NodeId] = set()
+        if needed <= 0:
+            return changed
+        surplus = {
+            node: account.amount - targets.get(node, 0)
+            for node, account in self._accounts.items()
+            if account.amount > targets.get(node, 0)
+        }
+        for node in sorted(surplus, key=lambda name: (-surplus[name], name)):
+            if needed <= 0:
+                break
+            account = self._accounts[node]
+            cut = min(needed, surplus[node])
+            amount = account.amount - cut
+            if account.suspended:
+                amount = min(amount, self._without_excess(account))
+            self._issue(account, amount, now)
+            needed -= cut
+            changed.add(node)
+        return changed
+
+    def _grant(self, targets: dict[NodeId, int], usable: int, now: timedelta) -> set[NodeId]:
+        """Raise allocations from the permits that nobody is charged with."""
+        free = usable - self.charged
+        changed: set[NodeId] = set()
+        if free < 0:
+            return changed
+        for node, target in targets.items():
+            account = self._accounts[node]
+            if account.suspended or target <= account.amount:
+                continue
+            amount = min(target, account.charge + free)
+            step = amount - account.amount
+            if step <= 0 or (amount < target and step < account.chunk):
+                continue
+            free -= max(0, amount - account.charge)
+            self._issue(account, amount, now)
+            changed.add(node)
+        if not changed and free > 0:
+            changed = self._spread(free, usable, now)
+        return changed
+
+    def _spread(self, free: int, usable: int, now: timedelta) -> set[NodeId]:
+        """Give idle nodes half of their equal share in advance, so that first requests go out."""
+        changed = set()
+        advance = usable // (2 * len(self._accounts))
+        for node in sorted(self._accounts):
+            account = self._accounts[node]
+            step = min(advance - account.charge, free)
+            if step > 0 and not account.suspended and not account.unacknowledged:
+                self._issue(account, account.charge + step, now)
+                free -= step
+                changed.add(node)
+        return changed
+
+    def _issue(self, account: Account, amount: int, now: timedelta) -> None:
+        if amount > account.amount:
+            account.granted_at = now
+        account.version += 1
+        account.amount = amount
+        account.unacknowledged[account.version] = amount
+        account.retry_delay = RETRY_FIRST
+        account.retry_at = now + RETRY_FIRST
