--- a/src/chervilrack/_internal/peering/transport.py
+++ b/src/chervilrack/_internal/peering/transport.py
@@ -4,11 +4,16 @@
 thread owns all sockets; other threads hand messages over through a queue.
 """
 
+import heapq
+import itertools
 import logging
+import math
 import threading
+import time
 from collections import deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
+from datetime import timedelta
 from types import TracebackType
 from typing import Self
 
@@ -79,6 +84,9 @@
         self._links: dict[str, zmq.Socket[bytes]] = {}
         self._addresses: dict[NodeId, str] = {}
         self._blocked: frozenset[str] = frozenset()
+        self._delays: dict[str, float] = {}
+        self._delayed: list[tuple[float, int, str, bytes]] = []
+        self._sequence = itertools.count()
         self._outbox = _Outbox()
         self._counters = TrafficCounters()
         self._stopping = threading.Event()
@@ -144,6 +152,10 @@
         """Drop messages to these addresses; cuts a link in one direction for tests."""
         self._blocked = addresses
 
+    def set_delays(self, delays: Mapping[str, timedelta]) -> None:
+        """Hold messages to these addresses back; emulates the latency between zones."""
+        self._delays = {address: delay.total_seconds() for address, delay in delays.items()}
+
     def send(self, to: NodeId, message: msgspec.Struct) -> None:
         """Queue a message for a peer; it is dropped if the peer's address is not known."""
         address = self._addresses.get(to)
@@ -174,10 +186,11 @@
         poller.register(self._inbound, zmq.POLLIN)
         poller.register(self._wake_receiver, zmq.POLLIN)
         while not self._stopping.is_set():
-            ready = dict(poller.poll(POLL_MS))
+            ready = dict(poller.poll(self._poll_time()))
             if self._wake_receiver in ready:
                 self._wake_receiver.recv()
                 self._flush()
+            self._send_delayed()
             if self._inbound in ready:
                 self._receive()
 
@@ -188,13 +201,31 @@
             self._outbox.wake_pending = False
         self._close_unused_links()
         for address, data in batch:
-            try:
-                self._link(address).send(data, zmq.NOBLOCK)
-            except zmq.ZMQError:
-                self._counters.dropped_messages += 1
-                continue
-            self._counters.sent_messages += 1
-            self._counters.sent_bytes += len(data)
+            delay = self._delays.get(address)
+            if delay:
+                entry = (time.monotonic() + delay, next(self._sequence), address, data)
+                heapq.heappush(self._delayed, entry)
+            else:
+                self._transmit(address, data)
+
+    def _poll_time(self) -> int:
+        if not self._delayed:
+            return POLL_MS
+        return max(0, math.ceil((self._delayed[0][0] - time.monotonic()) * 1000))
+
+    def _send_delayed(self) -> None:
+        while self._delayed and self._delayed[0][0] <= time.monotonic():
+            _, _, address, data = heapq.heappop(self._delayed)
+            self._transmit(address, data)
+
+    def _transmit(self, address: str, data: bytes) -> None:
+        try:
+            self._link(address).send(data, zmq.NOBLOCK)
+        except zmq.ZMQError:
+            self._counters.dropped_messages += 1
+            return
+        self._counters.sent_messages += 1
+        self._counters.sent_bytes += len(data)
 
     def _link(self, address: str) -> zmq.Socket[bytes]:
         link = self._links.get(address)
