--- a/src/chervilrack/_internal/upstreams/completions.py
+++ b/src/chervilrack/_internal/upstreams/completions.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Iterator, Mapping
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from typing import Any
 
 import msgspec
@@ -29,6 +29,7 @@
 from chervilrack._internal.upstreams.sse import EventParser, MalformedStreamError
 
 DONE = "[DONE]"
+_TRAILER_TIMEOUT_S = 0.1  # for the end marker; a new connection costs less than a longer wait
 
 
 class _Choice(msgspec.Struct):
@@ -90,16 +91,24 @@
         self._exchange = exchange
 
     def __iter__(self) -> Iterator[TokenChunk]:
-        """Yield chunks; raises StreamBroken if the stream ends before its final chunk."""
+        """Yield chunks; raises StreamBroken if the stream ends before its final chunk.
+
+        The protocol's end marker without a preceding ``finish_reason`` gives an empty final chunk.
+        """
         parser = EventParser()
+        offset = self._exchange.call.resume_offset
         try:
             while piece := read_part(self._exchange):
                 for data in parser.feed(piece):
                     if data == DONE:
-                        raise StreamBroken("the stream ended without a final chunk")
+                        yield TokenChunk(offset, "", 0, final=True)
+                        self._finish()
+                        return
                     chunk = parse_chunk(data)
+                    offset = chunk.offset + chunk.tokens
                     yield chunk
                     if chunk.final:
+                        self._finish()
                         return
         except MalformedStreamError as error:
             raise StreamBroken(str(error)) from error
@@ -108,6 +117,13 @@
             raise StreamBroken(failure.detail) from error
         raise StreamBroken("the stream ended before its final chunk")
 
+    def _finish(self) -> None:
+        """Read the rest of a finished stream, so that its connection can be used again."""
+        self._exchange.transmission.shorten(_TRAILER_TIMEOUT_S)
+        with suppress(urllib3.exceptions.HTTPError, OSError, ValueError):
+            while read_part(self._exchange):
+                pass
+
     def cancel(self) -> None:
         """Close the connection so that the upstream stops the work; may come from any thread."""
         self._exchange.transmission.cancel()
--- a/src/chervilrack/_internal/upstreams/connections.py
+++ b/src/chervilrack/_internal/upstreams/connections.py
@@ -66,6 +66,10 @@
         """Whether the deadline has passed."""
         return time.monotonic() >= self._deadline
 
+    def shorten(self, seconds: float) -> None:
+        """Bring the deadline forward to at most ``seconds`` from now."""
+        self._deadline = min(self._deadline, time.monotonic() + seconds)
+
     def begin(self, connected: socket.socket) -> None:
         """Check, on an open connection, that the request may be written, and note that it is.
 
