Add the node daemon

Cause: nothing connects the cores to callers, peers, platform and upstreams. Change: node daemon that routes events and effects between membership, releases, limits and the pipeline runner; platform link; operators' calls; load and cache reports. Messages carry the sender's address until it is a member: without it the witnesses could not answer a joining node, which then waited 10 s before it joined.

--- a/src/chervilrack/_internal/gateway/application.py
+++ b/src/chervilrack/_internal/gateway/application.py
@@ -2,7 +2,7 @@
 
 import logging
 import secrets
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from urllib.parse import parse_qsl, unquote
 
 from chervilrack._internal.common.ids import RequestId
@@ -20,10 +20,15 @@
 
 
 class Application:
-    """Callable that cheroot runs for each request."""
+    """Callable that cheroot runs for each request.
 
-    def __init__(self, routes: Routes) -> None:
+    While ``closing`` holds, each response closes its connection, so that callers with persistent
+    connections move to another node before the listener closes.
+    """
+
+    def __init__(self, routes: Routes, closing: Callable[[], bool] = lambda: False) -> None:
         self._routes = routes
+        self._closing = closing
 
     def __call__(self, environ: Environ, start_response: StartResponse) -> Iterable[bytes]:
         request = _read_request(environ)
@@ -36,6 +41,8 @@
             )
             response = problem_response(problem, request.request_id)
         headers = [*response.headers, ("X-Request-Id", request.request_id)]
+        if self._closing():
+            headers.append(("Connection", "close"))
         start_response(status_line(response.status), headers)
         return [response.body] if isinstance(response.body, bytes) else response.body
 
--- a/src/chervilrack/_internal/gateway/server.py
+++ b/src/chervilrack/_internal/gateway/server.py
@@ -4,7 +4,6 @@
 import logging
 import ssl
 import threading
-from collections.abc import Iterable
 from dataclasses import dataclass
 from datetime import timedelta
 from pathlib import Path
@@ -16,7 +15,7 @@
 from cheroot.ssl.builtin import BuiltinSSLAdapter
 
 from chervilrack._internal.common.results import Problem, ResultCode
-from chervilrack._internal.gateway.http import Environ, StartResponse, status_line
+from chervilrack._internal.gateway.http import Environ, status_line
 from chervilrack._internal.gateway.problems import encode_problem, problem_headers
 
 logger = logging.getLogger(__name__)
@@ -43,6 +42,7 @@
     threads: int = 128
     queued_connections: int = 512
     idle_time: timedelta = timedelta(seconds=10)
+    drain_time: timedelta = timedelta(seconds=15)
     certificate: Path | None = None
     private_key: Path | None = None
 
@@ -72,6 +72,8 @@
 
         cheroot reads an unread body first; a sender that stalls would never get its answer.
         """
+        if (b"Connection", b"close") in self.outheaders:
+            self.close_connection = True
         remaining = getattr(self.rfile, "remaining", 0)
         if remaining > 0 and not self.close_connection:
             try:
@@ -101,10 +103,7 @@
 
 
 class HttpServer:
-    """Serves a WSGI application until the context ends.
-
-    ``stop_listening`` closes only the listener; requests in progress are finished.
-    """
+    """Serves a WSGI application until the context ends, then finishes requests in progress."""
 
     def __init__(self, settings: HttpServerSettings, application: Any) -> None:
         self._settings = settings
@@ -127,6 +126,9 @@
             self._adapter = BuiltinSSLAdapter(str(settings.certificate), str(settings.private_key))
             self._adapter.context.minimum_version = ssl.TLSVersion.TLSv1_2
             self._server.ssl_adapter = self._adapter
+        self._server.shutdown_timeout = settings.drain_time.total_seconds()
+        self._bound = False
+        self._stopper: threading.Thread | None = None
         self._thread = threading.Thread(target=self._serve, name="http", daemon=True)
 
     @property
@@ -134,8 +136,14 @@
         """Port the server listens on."""
         return int(self._server.bind_addr[1])
 
+    def bind(self) -> None:
+        """Bind the listen address, so that ``port`` is known; connections wait in the backlog."""
+        if not self._bound:
+            self._server.prepare()
+            self._bound = True
+
     def __enter__(self) -> Self:
-        self._server.prepare()
+        self.bind()
         self._thread.start()
         return self
 
@@ -145,9 +153,17 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        self._server.stop()
+        self.stop_listening()
+        if self._stopper is not None:
+            self._stopper.join()
         self._thread.join(timeout=5)
 
+    def stop_listening(self) -> None:
+        """Close the listener at once; requests in progress go on in their threads."""
+        if self._stopper is None:
+            self._stopper = threading.Thread(target=self._server.stop, name="http-stop")
+            self._stopper.start()
+
     def reload_certificate(self) -> None:
         """Read the certificate files again; new connections use them."""
         settings = self._settings
@@ -165,14 +181,3 @@
 
 def _log_server_error(msg: str = "", level: int = logging.WARNING, traceback: bool = False) -> None:
     logger.log(level, "gateway: %s", msg, exc_info=traceback)
-
-
-def send_response(
-    start_response: StartResponse,
-    status: int,
-    headers: list[tuple[str, str]],
-    body: bytes | Iterable[bytes],
-) -> Iterable[bytes]:
-    """Pass a response to the WSGI server."""
-    start_response(status_line(status), headers)
-    return [body] if isinstance(body, bytes) else body
--- a/src/chervilrack/_internal/node/codec.py
+++ b/src/chervilrack/_internal/node/codec.py
@@ -3,6 +3,7 @@
 from chervilrack._internal.limits import messages as limits
 from chervilrack._internal.membership import messages as membership
 from chervilrack._internal.peering.envelope import MessageCodec
+from chervilrack._internal.releases import messages as releases
 
 
 def create_codec() -> MessageCodec:
@@ -14,6 +15,11 @@
         ("membership.announce", membership.ViewAnnounce),
         ("membership.request", membership.ViewRequest),
         ("membership.push", membership.ViewPush),
+        ("releases.announcement", releases.ReleaseAnnouncement),
+        ("releases.notes-request", releases.NotesRequest),
+        ("releases.notes-reply", releases.NotesReply),
+        ("releases.snapshot-request", releases.SnapshotRequest),
+        ("releases.snapshot-part", releases.SnapshotPart),
         ("limits.holdings", limits.HoldingReport),
         ("limits.allocations", limits.AllocationBatch),
     ):
--- /dev/null
+++ b/src/chervilrack/_internal/node/daemon.py
@@ -0,0 +1,363 @@
+"""The node daemon: puts the cores, the transport, the platform link and the gateway together."""
+
+import logging
+import threading
+import time
+from collections.abc import Iterator, Mapping, Sequence
+from contextlib import ExitStack
+from datetime import timedelta
+from types import TracebackType
+from typing import Any, Self
+
+from chervilrack._internal.common.clock import Clock, SystemClock
+from chervilrack._internal.common.ids import OrganisationId, RequestId
+from chervilrack._internal.common.results import Problem, ResultCode
+from chervilrack._internal.execution.candidates import Candidates
+from chervilrack._internal.execution.port import Executor
+from chervilrack._internal.execution.runner import PipelineRunner
+from chervilrack._internal.execution.scheduler import Scheduler
+from chervilrack._internal.execution.work import WorkPlanner
+from chervilrack._internal.gateway.application import Application
+from chervilrack._internal.gateway.authentication import OperatorKeys
+from chervilrack._internal.gateway.callers import CallerWatch
+from chervilrack._internal.gateway.lookup import LOOKUP_LIFETIME, Endpoint
+from chervilrack._internal.gateway.ports import Operations, OrderDesk
+from chervilrack._internal.gateway.routes import Routes
+from chervilrack._internal.gateway.server import HttpServer
+from chervilrack._internal.limits.policies import limit_policies
+from chervilrack._internal.membership import messages as membership
+from chervilrack._internal.membership.core import Membership
+from chervilrack._internal.membership.state import Member, MemberState
+from chervilrack._internal.node.codec import create_codec
+from chervilrack._internal.node.cores import NodeCores, seeded
+from chervilrack._internal.node.operations import NodeOperations
+from chervilrack._internal.node.options import NodeOptions
+from chervilrack._internal.node.periodic import PeriodicAction
+from chervilrack._internal.node.platform_link import PlatformLink
+from chervilrack._internal.node.platform_worker import PlatformWorker
+from chervilrack._internal.node.reactor import Reactor
+from chervilrack._internal.node.reports import STEPS_PER_S, UpstreamReports
+from chervilrack._internal.observability.telemetry import NodeTelemetry
+from chervilrack._internal.peering.envelope import Envelope
+from chervilrack._internal.peering.transport import PeerTransport
+from chervilrack._internal.platform.port import PlatformService
+from chervilrack._internal.releases.accept import ReleaseStore
+from chervilrack._internal.releases.state import Configuration
+from chervilrack._internal.routing.policies import routing_policies
+from chervilrack._internal.upstreams.commands import UpstreamCommands
+from chervilrack._internal.upstreams.connections import ConnectionPools
+from chervilrack._internal.upstreams.protocols import create_clients
+
+logger = logging.getLogger(__name__)
+
+# Membership ticks more often than its heartbeats are due, so that none is late by a whole tick.
+MEMBERSHIP_TICK = timedelta(milliseconds=50)
+CORE_TICK = timedelta(milliseconds=50)
+# Requests in progress end within the longest deadline; after that a leaving node stops anyway.
+LEAVE_TIMEOUT = timedelta(seconds=15)
+POLL_S = 0.05
+
+
+class Node:
+    """One node. As a context manager it serves from entering to leaving the context.
+
+    ``leave`` stops it gracefully; ending the context without it is a crash to the other nodes.
+    """
+
+    def __init__(
+        self, options: NodeOptions, platform: PlatformService, clock: Clock | None = None
+    ) -> None:
+        self._options = options
+        self._clock = clock or SystemClock()
+        self._stack = ExitStack()
+        self._telemetry = NodeTelemetry(self._clock)
+        self._platform = platform
+        self._lock = threading.RLock()
+        self._leaving = False
+        self._receiving = False
+
+    # Life cycle
+
+    def __enter__(self) -> Self:
+        with ExitStack() as stack:
+            self._start(stack)
+            self._stack = stack.pop_all()
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self._stack.close()
+
+    def _start(self, stack: ExitStack) -> None:
+        options = self._options
+        self._transport = stack.enter_context(
+            PeerTransport(
+                options.node,
+                options.incarnation,
+                options.peer_listen,
+                create_codec(),
+                self._receive,
+                options.curve,
+            )
+        )
+        self._server = HttpServer(options.http, self._application(stack))
+        self._server.bind()
+        self._build_cores()
+        self._build_executor(stack)
+        worker = stack.enter_context(
+            PlatformWorker(self._platform, self._platform_reachable, seeded(options.seed, "watch"))
+        )
+        store = ReleaseStore(self._platform)
+        link = PlatformLink(self._cores, worker, store)
+        self._operations = NodeOperations(
+            options.node,
+            self._cores,
+            store,
+            link,
+            self._telemetry,
+            self._clock,
+            lambda: list(self._upstream_rows()),
+        )
+        self._receiving = True
+        link.start()
+        stack.enter_context(
+            PeriodicAction("membership", MEMBERSHIP_TICK, self._cores.tick_membership)
+        )
+        stack.enter_context(PeriodicAction("cores", CORE_TICK, self._tick))
+        interval = timedelta(seconds=1) / STEPS_PER_S
+        stack.enter_context(PeriodicAction("reports", interval, self._reports.step))
+        stack.enter_context(self._runner)
+        stack.enter_context(self._server)
+        logger.info("node: %s serves at %s", options.node, self.http_address)
+
+    def _application(self, stack: ExitStack) -> Application:
+        watch = stack.enter_context(CallerWatch())
+        operators = OperatorKeys(self._options.operator_key_digests)
+        rng = seeded(self._options.seed, "look-up")
+        routes = Routes(self, operators, watch, self._clock, rng)
+        return Application(routes, lambda: self._leaving)
+
+    def _build_cores(self) -> None:
+        options = self._options
+        member = Member(
+            node=options.node,
+            incarnation=options.incarnation,
+            zone=options.zone,
+            peer_address=options.advertised_peer or self._transport.address,
+            http_address=options.advertised_http or self.http_address,
+        )
+        members = Membership(member, options.membership, seeded(options.seed, "membership"))
+        make_limits = limit_policies.get(options.limit_policy)
+        limits = make_limits(options.node, self.may_act, seeded(options.seed, "limits"))
+        self._membership = members
+        self._cores = NodeCores(
+            options.node,
+            member.peer_address,
+            Reactor(self._clock, self._lock),
+            members,
+            limits,
+            self._transport,
+            self._telemetry,
+            self._clock,
+        )
+
+    def _build_executor(self, stack: ExitStack) -> None:
+        options = self._options
+        make_router = routing_policies.get(options.routing_policy)
+        self._router = make_router(seeded(options.seed, "routing"), options.zone, None)
+        candidates = Candidates(lambda: self._cores.configuration)
+        scheduler = Scheduler(self._router, self._cores.limits.permits, candidates)
+        pools = stack.enter_context(ConnectionPools(options.upstream_tls))
+        self._runner = PipelineRunner(
+            scheduler=scheduler,
+            planner=WorkPlanner(lambda: self._cores.configuration, self._router, candidates),
+            clients=create_clients(pools, self.may_act),
+            lock=self._lock,
+            clock=self._clock,
+            may_act=self.may_act,
+            telemetry=self._telemetry,
+        )
+        self._cores.on_capacity(self._runner.capacity_gained)
+
+        def retain(configuration: Configuration) -> None:
+            pools.retain(upstream.url for upstream in configuration.upstreams.values())
+            self._runner.capacity_gained()
+
+        self._cores.on_configuration(retain)
+        self._reports = UpstreamReports(
+            UpstreamCommands(pools, self.may_act),
+            self._router,
+            lambda: self._cores.configuration,
+            self._lock,
+            self._clock,
+            seeded(options.seed, "reports"),
+        )
+
+    def leave(self) -> bool:
+        """Stop gracefully: look-up first, then listener, then requests in progress.
+
+        Returns whether all requests had ended within the bound.
+        """
+        self._leaving = True
+        self._cores.submit(self._membership, membership.LeaveRequested())
+        self._wait(lambda: not self._is_active_member(), LEAVE_TIMEOUT)
+        # Callers may hold a look-up answer that still names this node until it expires.
+        time.sleep(LOOKUP_LIFETIME.total_seconds())
+        self._server.stop_listening()
+        drained = self._wait(lambda: self._runner.in_flight == 0, LEAVE_TIMEOUT)
+        self._cores.submit(self._membership, membership.Drained())
+        self._wait(lambda: not self._membership.is_member, LEAVE_TIMEOUT)
+        return drained
+
+    def _wait(self, condition: Any, limit: timedelta) -> bool:
+        end = self._clock.monotonic() + limit
+        while not condition():
+            if self._clock.monotonic() >= end:
+                return False
+            time.sleep(POLL_S)
+        return True
+
+    def _is_active_member(self) -> bool:
+        view = self._membership.view
+        own = view.member(self._options.node) if view is not None else None
+        return own is not None and own.state is MemberState.ACTIVE and self._membership.is_member
+
+    # Input
+
+    def _receive(self, envelope: Envelope) -> None:
+        # Messages that arrive before the cores exist are lost like any other message.
+        if self._receiving:
+            self._cores.receive(envelope)
+
+    def _platform_reachable(self, reachable: bool) -> None:
+        self._cores.submit(self._membership, membership.PlatformReachable(reachable))
+
+    def _tick(self) -> None:
+        self._cores.tick()
+        with self._lock:
+            actions = self._router.drain_actions()
+        for action in actions:
+            self._telemetry.action(action)
+
+    # NodeBackend
+
+    @property
+    def options(self) -> NodeOptions:
+        """Options the node was started with."""
+        return self._options
+
+    @property
+    def http_address(self) -> str:
+        """URL at which the node serves callers."""
+        settings = self._options.http
+        scheme = "https" if settings.certificate else "http"
+        return f"{scheme}://{settings.host}:{self._server.port}"
+
+    @property
+    def peer_address(self) -> str:
+        """Address at which the node receives messages."""
+        return self._transport.address
+
+    @property
+    def transport(self) -> PeerTransport:
+        """Transport to the other nodes."""
+        return self._transport
+
+    @property
+    def telemetry(self) -> NodeTelemetry:
+        """Metrics, attainment and explanations of this node."""
+        return self._telemetry
+
+    @property
+    def cores(self) -> NodeCores:
+        """Decision cores; use them under their lock."""
+        return self._cores
+
+    @property
+    def executor(self) -> Executor:
+        """Runs pipelines and idempotent operations."""
+        return self._runner
+
+    @property
+    def orders(self) -> OrderDesk:
+        """Runs non-idempotent operations."""
+        return self._orders
+
+    @property
+    def operations(self) -> Operations:
+        """Operators' calls."""
+        return self._operations
+
+    @property
+    def configuration(self) -> Configuration:
+        """Configuration in force at this node."""
+        return self._cores.configuration
+
+    def may_act(self) -> bool:
+        """Whether this node is confirmed now."""
+        return self._membership.may_act(self._clock.monotonic())
+
+    def endpoints(self) -> Sequence[Endpoint]:
+        """Return all nodes of the view."""
+        view = self._membership.view
+        if view is None:
+            return ()
+        return [
+            Endpoint(
+                member.node, member.zone, member.http_address, member.state is MemberState.LEAVING
+            )
+            for member in view.members
+        ]
+
+    def not_ready(self) -> Problem | None:
+        """Return why new work is refused at the moment, or None."""
+        if self._membership.view is None or not self._membership.is_member:
+            return Problem(ResultCode.NOT_READY, "this node is not a member yet")
+        if not self.may_act():
+            return Problem(ResultCode.NOT_CONFIRMED, "no majority of witnesses confirms this node")
+        return None
+
+    def explanation(
+        self, request_id: RequestId, organisation: OrganisationId | None
+    ) -> Sequence[str] | None:
+        """Return what was decided for a request."""
+        kept = self._telemetry.explanations
+        found = (
+            kept.read_as_operator(request_id)
+            if organisation is None
+            else kept.read(request_id, organisation)
+        )
+        if found is None:
+            return None
+        return [f"{at / timedelta(milliseconds=1):9.1f} ms  {event}" for at, event in found.events]
+
+    def metrics(self) -> bytes:
+        """Return the metrics in Prometheus text format."""
+        return self._telemetry.metrics.export()
+
+    def request_ended(
+        self,
+        organisation: OrganisationId,
+        priority_class: str,
+        target: str,
+        outcome: str,
+        seconds: float,
+    ) -> None:
+        """Record the end of a request for metrics and attainment."""
+        self._telemetry.request_finished(
+            organisation, priority_class, target, outcome, timedelta(seconds=seconds)
+        )
+
+    def _upstream_rows(self) -> Iterator[Mapping[str, Any]]:
+        for upstream in sorted(self.configuration.upstreams.values(), key=lambda entry: entry.id):
+            yield {
+                "upstream": upstream.id,
+                "team": upstream.team,
+                "kind": upstream.kind.value,
+                "zone": upstream.zone,
+                "models": ",".join(upstream.models) or None,
+            }
--- a/src/chervilrack/_internal/node/platform_worker.py
+++ b/src/chervilrack/_internal/node/platform_worker.py
@@ -3,7 +3,7 @@
 import logging
 import random
 import threading
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import suppress
 from types import TracebackType
@@ -15,12 +15,7 @@
     PlatformUnavailable,
     WatchCompacted,
 )
-from chervilrack._internal.platform.port import (
-    ChangeKind,
-    KeyValue,
-    PlatformService,
-    WatchBatch,
-)
+from chervilrack._internal.platform.port import Change, PlatformService, WatchBatch
 
 logger = logging.getLogger(__name__)
 
@@ -31,7 +26,8 @@
 REOPEN_JITTER_S = 1.0
 VM_LIST_INTERVAL_S = 5.0
 
-Changes = Callable[[list[KeyValue]], None]
+ListNow = Callable[[PlatformService], int]
+Changes = Callable[[Sequence[Change]], None]
 
 
 class PlatformWorker:
@@ -99,13 +95,19 @@
         self._reachable(True)
         return value
 
-    def follow(self, prefix: str, changed: Changes, wanted: Callable[[], bool]) -> None:
-        """Keep a watch open while ``wanted`` holds; pass on present and changed keys.
+    def follow(
+        self, prefix: str, list_now: ListNow, changed: Changes, wanted: Callable[[], bool]
+    ) -> None:
+        """Keep a watch open while ``wanted`` holds; pass on its changes.
 
-        After a gap the keys are listed again, so ``changed`` may see a key twice.
+        ``list_now`` reads the present state and returns the revision to watch from. It is called
+        again after each gap, so that no change is missed; a change may be seen twice.
         """
         thread = threading.Thread(
-            target=self._follow, args=(prefix, changed, wanted), name=f"watch-{prefix}", daemon=True
+            target=self._follow,
+            args=(prefix, list_now, changed, wanted),
+            name=f"watch-{prefix}",
+            daemon=True,
         )
         self._threads.append(thread)
         thread.start()
@@ -122,12 +124,16 @@
         self._threads.append(thread)
         thread.start()
 
-    def _follow(self, prefix: str, changed: Changes, wanted: Callable[[], bool]) -> None:
+    def _follow(
+        self, prefix: str, list_now: ListNow, changed: Changes, wanted: Callable[[], bool]
+    ) -> None:
         while not self._pause(self._rng.uniform(0.05, 0.2)):
             if not wanted():
                 continue
             try:
-                self._list_and_watch(prefix, changed, wanted)
+                revision = self.call(list_now)
+                with self._service.watch(prefix, revision) as batches:
+                    self._pass_on(batches, changed, wanted)
             except WatchCompacted:
                 logger.info("platform: watch of %s was compacted, listing again", prefix)
             except PlatformError as error:
@@ -138,12 +144,6 @@
                 logger.exception("platform: watch of %s failed", prefix)
                 self._pause(REOPEN_JITTER_S)
 
-    def _list_and_watch(self, prefix: str, changed: Changes, wanted: Callable[[], bool]) -> None:
-        listed = self.call(lambda service: service.range(prefix))
-        changed(list(listed.items))
-        with self._service.watch(prefix, listed.revision + 1) as batches:
-            self._pass_on(batches, changed, wanted)
-
     def _pass_on(
         self,
         batches: Iterator[WatchBatch | None],
@@ -156,7 +156,7 @@
             if batch is None:
                 continue
             self._reachable(True)
-            changed([change.item for change in batch.changes if change.kind is ChangeKind.PUT])
+            changed(batch.changes)
 
     def _pause(self, seconds: float) -> bool:
         """Wait; return True if the node is stopping."""
--- a/src/chervilrack/_internal/peering/envelope.py
+++ b/src/chervilrack/_internal/peering/envelope.py
@@ -15,13 +15,14 @@
 
 
 class _Frame(msgspec.Struct, array_like=True, forbid_unknown_fields=True):
-    """Wire form: version, sender, sender's incarnation, message type, encoded message."""
+    """Wire form. ``reply_to`` is the sender's address while it is not a member."""
 
     version: int
     sender: str
     incarnation: str
     kind: str
     body: bytes
+    reply_to: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,6 +32,7 @@
     sender: NodeId
     incarnation: Incarnation
     message: msgspec.Struct
+    reply_to: str = ""
 
 
 class MessageCodec:
@@ -49,11 +51,18 @@
         self._kinds[message_type] = kind
         self._decoders[kind] = msgspec.msgpack.Decoder(message_type)
 
-    def encode(self, sender: NodeId, incarnation: Incarnation, message: msgspec.Struct) -> bytes:
+    def encode(
+        self,
+        sender: NodeId,
+        incarnation: Incarnation,
+        message: msgspec.Struct,
+        reply_to: str = "",
+    ) -> bytes:
         """Return the wire form of a message."""
         kind = self._kinds[type(message)]
         body = self._encoder.encode(message)
-        return self._encoder.encode(_Frame(PROTOCOL_VERSION, sender, incarnation, kind, body))
+        frame = _Frame(PROTOCOL_VERSION, sender, incarnation, kind, body, reply_to)
+        return self._encoder.encode(frame)
 
     def decode(self, data: bytes) -> Envelope:
         """Return the message and its sender; raise MessageRefused if it is not understood."""
@@ -70,4 +79,5 @@
             message = decoder.decode(frame.body)
         except msgspec.MsgspecError as error:
             raise MessageRefused(f"message '{frame.kind}' is malformed: {error}") from None
-        return Envelope(NodeId(frame.sender), Incarnation(frame.incarnation), message)
+        sender, incarnation = NodeId(frame.sender), Incarnation(frame.incarnation)
+        return Envelope(sender, incarnation, message, frame.reply_to)
--- a/src/chervilrack/_internal/peering/transport.py
+++ b/src/chervilrack/_internal/peering/transport.py
@@ -10,7 +10,7 @@
 import math
 import threading
 import time
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -34,6 +34,8 @@
 # Reconnects back off so that a returning VM is not flooded by all nodes at once.
 RECONNECT_MS = 50
 RECONNECT_MAX_MS = 1000
+# Nodes that introduced themselves and are not members yet; bounds what strangers can occupy.
+MAX_INTRODUCED = 1024
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 POLL_MS = 500
 
@@ -83,6 +85,8 @@
         self._context: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
         self._links: dict[str, zmq.Socket[bytes]] = {}
         self._addresses: dict[NodeId, str] = {}
+        self._introduced: OrderedDict[NodeId, str] = OrderedDict()
+        self._reply_to = ""
         self._blocked: frozenset[str] = frozenset()
         self._delays: dict[str, float] = {}
         self._delayed: list[tuple[float, int, str, bytes]] = []
@@ -148,6 +152,13 @@
         """Set the addresses of the nodes that messages can be sent to."""
         self._addresses = dict(addresses)
 
+    def introduce(self, reply_to: str) -> None:
+        """Add this address to every message, so that nodes can answer before this one is a member.
+
+        An empty address ends it.
+        """
+        self._reply_to = reply_to
+
     def block(self, addresses: frozenset[str]) -> None:
         """Drop messages to these addresses; cuts a link in one direction for tests."""
         self._blocked = addresses
@@ -158,7 +169,7 @@
 
     def send(self, to: NodeId, message: msgspec.Struct) -> None:
         """Queue a message for a peer; it is dropped if the peer's address is not known."""
-        address = self._addresses.get(to)
+        address = self._addresses.get(to) or self._introduced.get(to)
         if address is None:
             self._counters.dropped_messages += 1
             return
@@ -169,7 +180,7 @@
         if address in self._blocked:
             self._counters.dropped_messages += 1
             return
-        data = self._codec.encode(self._node, self._incarnation, message)
+        data = self._codec.encode(self._node, self._incarnation, message, self._reply_to)
         with self._outbox.lock:
             self._outbox.queue.append((address, data))
             must_wake = not self._outbox.wake_pending
@@ -245,7 +256,7 @@
         return link
 
     def _close_unused_links(self) -> None:
-        known = set(self._addresses.values())
+        known = {*self._addresses.values(), *self._introduced.values()}
         if len(self._links) <= 2 * len(known) + 16:
             return
         for address in set(self._links) - known:
@@ -268,6 +279,10 @@
             self._counters.refused_messages += 1
             logger.warning("peering: message refused: %s", refusal)
             return
+        if envelope.reply_to:
+            self._introduced[envelope.sender] = envelope.reply_to
+            while len(self._introduced) > MAX_INTRODUCED:
+                self._introduced.popitem(last=False)
         try:
             self._handler(envelope)
         except Exception:
