Add experiments: profiles, open-loop load, scenarios and results

Cause: Targets for attainment, limits and failure behaviour need runs that measure them from outside, with the same arrivals for policy and baseline. Eleven defects of a fake cluster each raise exactly their counter. Conclusion: No figure about the system itself yet; the real cluster is not connected.

--- a/src/chervilrack/_internal/cli/main.py
+++ b/src/chervilrack/_internal/cli/main.py
@@ -15,6 +15,7 @@
 _COMMANDS: Mapping[str, tuple[str, str]] = {
     "explain": ("explain", "explain"),
     "status": ("status", "status"),
+    "experiment": ("experiment", "experiment_command"),
     "history": ("history", "history_command"),
 }
 
--- /dev/null
+++ b/src/chervilrack/_internal/commands/experiment.py
@@ -0,0 +1,143 @@
+"""``chervilrack experiment``: run scenarios against a local cluster and report the results."""
+
+from pathlib import Path
+
+import click
+import msgspec
+
+from chervilrack._internal.cli.status_codes import ExitStatus
+from chervilrack._internal.cli.tables import format_table
+from chervilrack._internal.experiments.profile import load_profile, profile_names
+from chervilrack._internal.experiments.report import (
+    bound_rows,
+    cost_rows,
+    plot_results,
+    result_rows,
+)
+from chervilrack._internal.experiments.result import RunResult, read_result, write_result
+from chervilrack._internal.experiments.runner import Experiment
+from chervilrack._internal.experiments.scenarios import SCENARIOS
+from chervilrack._internal.experiments.testbed import TEST_BEDS
+
+_NEW_FILE = click.Path(dir_okay=False, writable=True, path_type=Path)
+_EXISTING_FILE = click.Path(exists=True, dir_okay=False, path_type=Path)
+
+
+@click.group("experiment")
+def experiment_command() -> None:
+    """Run scenarios of load and faults against a cluster on this machine.
+
+    Example: chervilrack experiment list
+    """
+
+
+@experiment_command.command("list")
+@click.option("--profile", type=click.Choice(profile_names()), default="paramo", show_default=True)
+def list_scenarios(profile: str) -> None:
+    """List the scenarios with their summaries and targets.
+
+    Example: chervilrack experiment list --profile puzzle-guild
+    """
+    loaded = load_profile(profile)
+    rows = []
+    for name in SCENARIOS:
+        scenario = SCENARIOS.get(name)(loaded)
+        targets = ", ".join(f"{bound.name} {bound.target}" for bound in scenario.bounds)
+        rows.append({"scenario": name, "summary": scenario.summary, "targets": targets or "safety"})
+    click.echo(format_table(rows))
+
+
+@experiment_command.command("run")
+@click.argument("scenario")
+@click.option("--profile", type=click.Choice(profile_names()), default="paramo", show_default=True)
+@click.option("--policy", default="chervilrack", show_default=True, help="Routing policy.")
+@click.option(
+    "--baseline",
+    "baselines",
+    multiple=True,
+    help="Routing policy to run on the same arrivals, alternating. May be given several times.",
+)
+@click.option("--seed", type=int, default=1, show_default=True, help="Seed of arrivals and faults.")
+@click.option(
+    "--duration",
+    type=click.FloatRange(min=1.0),
+    default=30.0,
+    show_default=True,
+    help="Seconds during which requests arrive, per round.",
+)
+@click.option("--out", type=_NEW_FILE, required=True, help="Result file (JSON).")
+@click.option("--history", type=_NEW_FILE, help="Keep the history of the last round here.")
+@click.option("--load-processes", type=click.IntRange(1, 8), default=2, show_default=True)
+@click.option("--test-bed", default="local", show_default=True, hidden=True)
+@click.pass_context
+def run(
+    context: click.Context,
+    scenario: str,
+    profile: str,
+    policy: str,
+    baselines: tuple[str, ...],
+    seed: int,
+    duration: float,
+    out: Path,
+    history: Path | None,
+    load_processes: int,
+    test_bed: str,
+) -> None:
+    """Run SCENARIO and write its result; the exit status is 6 if a bound is missed.
+
+    Example: chervilrack experiment run nominal --profile paramo --seed 1 --duration 30
+    --out out/nominal.json
+    """
+    SCENARIOS.get(scenario)
+    experiment = Experiment(
+        scenario,
+        load_profile(profile),
+        TEST_BEDS.get(test_bed),
+        seed=seed,
+        duration_s=duration,
+        load_processes=load_processes,
+        history_path=history,
+    )
+    result = experiment.run(policy, baselines)
+    write_result(result, out)
+    _print(result)
+    if result.missed:
+        context.exit(ExitStatus.PROMISE_BROKEN)
+
+
+@experiment_command.command("report")
+@click.argument("files", nargs=-1, required=True, type=_EXISTING_FILE)
+@click.option("--bounds", is_flag=True, help="Also print the bounds of each result.")
+@click.option("--plot", type=_NEW_FILE, help="Draw a picture; needs the extra 'plots'.")
+@click.pass_context
+def report(
+    context: click.Context, files: tuple[Path, ...], bounds: bool, plot: Path | None
+) -> None:
+    """Print a table of result FILES.
+
+    Example: chervilrack experiment report out/*.json --plot out/report.png
+    """
+    results = []
+    for path in files:
+        try:
+            results.append(read_result(path))
+        except msgspec.DecodeError as error:
+            click.echo(f"{path}: {error}", err=True)
+            context.exit(ExitStatus.INVALID_DOCUMENT)
+    if bounds:
+        for result in results:
+            _print(result)
+    click.echo(format_table(result_rows(results)))
+    if plot is not None:
+        plot_results(results, plot)
+
+
+def _print(result: RunResult) -> None:
+    click.echo(f"{result.scenario} ({result.profile}, {result.policy}, seed {result.seed}):")
+    click.echo(format_table(result_rows([result])))
+    click.echo("cost by stage:")
+    click.echo(format_table(cost_rows(result)))
+    click.echo("bounds:")
+    click.echo(format_table(bound_rows(result.bounds)))
+    for line in (*result.unexpected, *result.violations):
+        click.echo(f"  {line}")
--- a/src/chervilrack/_internal/history/checker.py
+++ b/src/chervilrack/_internal/history/checker.py
@@ -95,8 +95,11 @@
     for start in history.of(ExecutionStarted):
         if start.idempotency_key is None:
             continue
-        earlier = first.setdefault((start.organisation, start.idempotency_key), start)
-        if earlier is not start:
+        order = (start.organisation, start.idempotency_key)
+        earlier = first.get(order)
+        if earlier is None:
+            first[order] = start
+        else:
             detail = (
                 f"attempt {start.attempt} at {start.upstream} ran the order again after "
                 f"attempt {earlier.attempt} at {earlier.upstream}"
