--- /dev/null
+++ b/features/helpers/scripted_server.py
@@ -0,0 +1,85 @@
+"""TCP server that answers every request with prepared bytes, for answers no real server gives."""
+
+import socket
+import ssl
+import threading
+import time
+from contextlib import suppress
+
+
+class ScriptedServer:
+    """Sends ``pieces`` with ``pause`` seconds between them after each request, then closes.
+
+    Header values of the request can be put into the answer as ``{X-Request-Id}``. ``received``
+    holds the bytes of every connection.
+    """
+
+    def __init__(self, pieces, pause=0.0, tls=None):
+        self._pieces = pieces
+        self._pause = pause
+        self._tls = tls
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.received = []
+        self._thread = threading.Thread(target=self._serve, daemon=True)
+
+    @property
+    def address(self):
+        scheme = "https" if self._tls else "http"
+        return f"{scheme}://127.0.0.1:{self._listener.getsockname()[1]}"
+
+    def __enter__(self):
+        self._thread.start()
+        return self
+
+    def __exit__(self, *_exception):
+        with suppress(OSError):
+            self._listener.shutdown(socket.SHUT_RDWR)
+        self._listener.close()
+        self._thread.join()
+
+    def _serve(self):
+        while True:
+            try:
+                connection, _peer = self._listener.accept()
+            except OSError:
+                return
+            with suppress(OSError, ssl.SSLError):
+                if self._tls:
+                    connection = self._tls.wrap_socket(connection, server_side=True)
+                connection.settimeout(5)
+                self._answer(connection)
+            connection.close()
+
+    def _answer(self, connection):
+        content = b""
+        self.received.append(content)
+        while b"\r\n\r\n" not in content:
+            more = connection.recv(65536)
+            if not more:
+                return
+            content += more
+            self.received[-1] = content
+        head, _, body = content.partition(b"\r\n\r\n")
+        headers = dict(
+            line.split(": ", 1) for line in head.decode().split("\r\n")[1:] if ": " in line
+        )
+        while len(body) < int(headers.get("Content-Length", 0)):
+            body += connection.recv(65536)
+        for piece in self._pieces:
+            filled = piece
+            for name, value in headers.items():
+                filled = filled.replace(b"{" + name.encode() + b"}", value.encode())
+            connection.sendall(filled)
+            time.sleep(self._pause)
+
+
+IDS = (
+    b"X-Request-Id: {X-Request-Id}\r\nX-Organisation: {X-Organisation}\r\n"
+    b"X-Attempt-Id: {X-Attempt-Id}\r\n"
+)
+
+
+def whole_answer(body, headers=IDS, status=b"200 OK"):
+    """Return the bytes of an answer with a correct length."""
+    length = b"Content-Length: %d\r\n" % len(body)
+    return b"HTTP/1.1 " + status + b"\r\n" + headers + length + b"\r\n" + body
--- a/src/chervilrack/_internal/upstreams/http_client.py
+++ b/src/chervilrack/_internal/upstreams/http_client.py
@@ -195,14 +195,18 @@
 def failure_of(transmission: Transmission, error: Exception) -> CallFailure:
     """Classify the error that ended an exchange."""
     executed = Executed.UNKNOWN if transmission.sent else Executed.NO
+    detail = f"the connection failed ({type(error).__name__})"
     if transmission.cancelled:
         return CallFailure(FailureKind.CANCELLED, executed, "the attempt was cancelled")
+    if isinstance(error, NotPermittedError):
+        # Not the upstream's fault, unlike NOT_SENT.
+        return CallFailure(FailureKind.CANCELLED, executed, str(error))
     if not transmission.sent:
-        return CallFailure(FailureKind.NOT_SENT, executed, _describe(error))
+        return CallFailure(FailureKind.NOT_SENT, executed, detail)
     timeouts = (urllib3.exceptions.TimeoutError, TimeoutError)
     if isinstance(error, timeouts) or transmission.expired:
         return CallFailure(FailureKind.TIMED_OUT, executed, "no whole answer within the deadline")
-    return CallFailure(FailureKind.BROKEN, executed, _describe(error))
+    return CallFailure(FailureKind.BROKEN, executed, detail)
 
 
 def parse_load(header: str | None) -> Mapping[str, float]:
@@ -215,12 +219,6 @@
         return {}
 
 
-def _describe(error: Exception) -> str:
-    if isinstance(error, NotPermittedError):
-        return str(error)
-    return f"the connection failed ({type(error).__name__})"
-
-
 def _read_whole(exchange: OpenExchange) -> bytes:
     parts: list[bytes] = []
     size = 0
