--- a/src/chervilrack/_internal/standins/upstreams/upstream.py
+++ b/src/chervilrack/_internal/standins/upstreams/upstream.py
@@ -187,7 +187,6 @@
                 self._record.refused()
                 exchange.reply(503, {"error": "refused"}, {**ids.echo, "X-Executed": "no"})
                 return
-            self._wait_while_hanging(exchange)
             self._work(exchange, ids, body)
         except ClientLeft:
             cut_off, cancelled = self._faults.crash, not self._faults.crash
@@ -235,6 +234,7 @@
 
     def _spend(self, exchange: Exchange, seconds: float) -> None:
         """Wait for the service time; raises ClientLeft if the client closes meanwhile."""
+        self._wait_while_hanging(exchange)
         end = time.monotonic() + seconds * self._faults.straggle
         while (rest := end - time.monotonic()) > 0:
             time.sleep(min(rest, POLL_S))
