Add quickstart over a whole cluster in one process

Cause: a user could not yet see a request served from end to end. Change: emulated upstreams of a profile, first release note, local cluster, quickstart.

--- a/src/chervilrack/_internal/cli/main.py
+++ b/src/chervilrack/_internal/cli/main.py
@@ -14,6 +14,7 @@
 # Name of a subcommand -> module and attribute below ``_internal.commands``.
 _COMMANDS: Mapping[str, tuple[str, str]] = {
     "explain": ("explain", "explain"),
+    "quickstart": ("quickstart", "quickstart"),
     "status": ("status", "status"),
     "experiment": ("experiment", "experiment_command"),
     "history": ("history", "history_command"),
--- /dev/null
+++ b/src/chervilrack/_internal/cluster/__init__.py
@@ -0,0 +1,1 @@
+"""Whole clusters on loopback for the quickstart and for experiments."""
--- /dev/null
+++ b/src/chervilrack/_internal/cluster/notes.py
@@ -0,0 +1,84 @@
+"""First release note of a profile."""
+
+from collections.abc import Mapping
+from typing import Any
+
+from chervilrack._internal.cluster.fleet import MODEL
+from chervilrack._internal.common.ids import UpstreamId
+from chervilrack._internal.experiments.profile import Pool, Profile
+from chervilrack._internal.releases.state import UpstreamKind
+
+FIRST_NOTE = "initial"
+
+
+def first_note(profile: Profile, addresses: Mapping[UpstreamId, str]) -> dict[str, Any]:
+    """Return the note that adds everything of a profile, as JSON values."""
+    return {
+        "id": FIRST_NOTE,
+        "added": {
+            "teams": [
+                {"id": team.id, "limits": dict(_limits(team.limits))} for team in profile.teams
+            ],
+            "models": [{"id": MODEL, "size": 1 << 30}],
+            "upstreams": [
+                _upstream(profile, pool, name, number, addresses[name])
+                for pool in profile.pools
+                for number, name in enumerate(pool.upstreams)
+            ],
+            "pipelines": [
+                {
+                    "id": profile.pipeline,
+                    "deadline": f"PT{profile.deadline_s}S",
+                    "stages": [_stage(pool) for pool in profile.stages],
+                }
+            ],
+            "services": [
+                {
+                    "id": service,
+                    "operations": [
+                        {"name": operation.name, "idempotent": operation.idempotent}
+                        for operation in operations
+                    ],
+                }
+                for service, operations in profile.service_operations().items()
+            ],
+            "organisations": [
+                {
+                    "id": organisation.id,
+                    "keys": [{"sha256": organisation.key_sha256}],
+                    "weight": organisation.weight,
+                }
+                for organisation in profile.organisations
+            ],
+        },
+    }
+
+
+def _limits(limits: Any) -> dict[str, int]:
+    return {kind.value: capacity for kind, capacity in limits.items()}
+
+
+def _upstream(
+    profile: Profile, pool: Pool, name: UpstreamId, number: int, address: str
+) -> dict[str, Any]:
+    upstream: dict[str, Any] = {
+        "id": name,
+        "team": pool.team,
+        "kind": pool.kind.value,
+        "url": address,
+        "zone": profile.zone_of(number),
+        "limits": {"concurrency": pool.concurrency},
+        "reports_load": pool.reports_load,
+    }
+    if pool.kind is UpstreamKind.ENGINE:
+        upstream |= {"models": [MODEL], "protocol": "openai-completions"}
+    if pool.kind is UpstreamKind.SERVICE:
+        upstream["service"] = pool.id
+    return upstream
+
+
+def _stage(pool: Pool) -> dict[str, Any]:
+    stage: dict[str, Any] = {"id": pool.id, "kind": pool.kind.value}
+    if pool.kind is UpstreamKind.ENGINE:
+        stage |= {"model": MODEL, "max_tokens": 64}
+    return stage
--- a/src/chervilrack/_internal/node/daemon.py
+++ b/src/chervilrack/_internal/node/daemon.py
@@ -32,6 +32,7 @@
 from chervilrack._internal.node.cores import NodeCores, seeded
 from chervilrack._internal.node.operations import NodeOperations
 from chervilrack._internal.node.options import NodeOptions
+from chervilrack._internal.node.order_desk import ClosedOrderDesk
 from chervilrack._internal.node.periodic import PeriodicAction
 from chervilrack._internal.node.platform_link import PlatformLink
 from chervilrack._internal.node.platform_worker import PlatformWorker
@@ -75,6 +76,7 @@
         self._lock = threading.RLock()
         self._leaving = False
         self._receiving = False
+        self._orders: OrderDesk = ClosedOrderDesk()
 
     # Life cycle
 
--- a/src/chervilrack/_internal/standins/upstreams/record.py
+++ b/src/chervilrack/_internal/standins/upstreams/record.py
@@ -95,6 +95,7 @@
         self._tokens_prefilled = 0
         self._withdrawn_at: float | None = None
         self._stale_commands = 0
+        self._ended: dict[str, float] = {}
 
     @property
     def limits(self) -> Limits:
@@ -174,6 +175,7 @@
         """Count the end of a request."""
         with self._lock:
             self._running -= 1
+            self._ended[ids.attempt] = time.monotonic()
             self._cancelled += cancelled
             if cut_off:
                 self._cut_off.append(ids)
@@ -214,11 +216,13 @@
                         "request": a.ids.request,
                         "attempt": a.ids.attempt,
                         "organisation": a.ids.organisation,
+                        "key": a.ids.key,
                         "tokens": a.tokens,
                         "after_withdrawal": a.after_withdrawal,
                     }
                     for a in self._arrivals
                 ],
+                "ended": dict(self._ended),
                 "cut_off": [ids.request for ids in self._cut_off],
                 "cancelled": self._cancelled,
                 "refused": self._refused,
