--- /dev/null
+++ b/src/chervilrack/_internal/common/documents.py
@@ -0,0 +1,345 @@
+"""Reads YAML documents into msgspec structs and reports all mistakes with their lines.
+
+msgspec's own conversion stops at the first mistake and knows no lines, so the nodes of PyYAML
+are converted here, guided by ``msgspec.inspect``.
+"""
+
+import difflib
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+from datetime import UTC, datetime
+from typing import Annotated, Any, Generic, TypeVar
+
+import msgspec
+import yaml
+from msgspec import inspect
+from yaml.nodes import MappingNode, Node, ScalarNode, SequenceNode
+
+from chervilrack._internal.common.units import parse_duration, parse_size
+from chervilrack._internal.exceptions import InvalidDocumentError
+
+T = TypeVar("T")
+
+Path = tuple[str | int, ...]
+
+# The C loader is about ten times faster; it is absent where PyYAML was built without libyaml.
+_LOADER = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
+_INVALID: Any = object()  # stands for a value that could not be read
+
+
+@dataclass(frozen=True, slots=True)
+class Mistake:
+    """One mistake: the path of its key and what is expected there."""
+
+    path: Path
+    text: str
+
+
+@dataclass(slots=True)
+class Document(Generic[T]):
+    """A document that was read, its mistakes, and the lines of its keys.
+
+    ``value`` is None if the outermost mapping could not be read. Items of lists that could not be
+    read are left out of ``value``; ``broken`` holds their plain fields by path.
+    """
+
+    file: str
+    value: T | None = None
+    mistakes: list[Mistake] = field(default_factory=list)
+    broken: dict[Path, dict[str, str]] = field(default_factory=dict)
+    _lines: dict[Path, int] = field(default_factory=dict)
+    _kept: dict[Path, list[int]] = field(default_factory=dict)
+
+    def line(self, path: Path) -> int:
+        """Return the line of a key, or of the nearest key around it."""
+        while path and path not in self._lines:
+            path = path[:-1]
+        return self._lines.get(path, 1)
+
+    def add(self, mistakes: Iterable[Mistake]) -> None:
+        """Add mistakes found in ``value``; their paths count only the items that were read."""
+        self.mistakes += [Mistake(self._as_written(found.path), found.text) for found in mistakes]
+
+    def messages(self) -> list[str]:
+        """Return all mistakes as ``file:line: key: text``, in the order of lines."""
+        ordered = sorted(self.mistakes, key=lambda found: self.line(found.path))
+        return [
+            f"{self.file}:{self.line(found.path)}: {format_path(found.path)}: {found.text}"
+            for found in ordered
+        ]
+
+    def checked(self) -> T:
+        """Return the value. Raises InvalidDocumentError that holds all mistakes."""
+        if self.mistakes or self.value is None:
+            raise InvalidDocumentError(self.messages())
+        return self.value
+
+    def _as_written(self, path: Path) -> Path:
+        written: Path = ()
+        for part in path:
+            kept = self._kept.get(written)
+            if isinstance(part, int) and kept is not None and part < len(kept):
+                part = kept[part]  # noqa: PLW2901
+            written = (*written, part)
+        return written
+
+
+def format_path(path: Path) -> str:
+    """Return a path such as ``added.upstreams[0].team``; items count from 0."""
+    text = ""
+    for part in path:
+        text += f"[{part}]" if isinstance(part, int) else f".{part}" if text else part
+    return text or "document"
+
+
+def read_document(
+    text: str,
+    file: str,
+    schema: type[T],
+    prepare: Callable[[Node], None] | None = None,
+    placeholders: Mapping[str, Any] | None = None,
+) -> Document[T]:
+    """Read a YAML document as ``schema``, a struct class.
+
+    ``prepare`` may change the nodes first. ``placeholders`` stand for required fields of the
+    outermost mapping that cannot be read, so that the rest can still be checked. Mistakes are
+    collected in the returned document.
+    Aliases are refused, because nested ones can expand to documents of any size.
+    """
+    document: Document[T] = Document(file)
+    try:
+        for event in yaml.parse(text, Loader=_LOADER):
+            if isinstance(event, yaml.AliasEvent):
+                mark = event.start_mark
+                document._lines[("alias",)] = mark.line + 1 if mark else 1
+                document.mistakes.append(Mistake(("alias",), "aliases are not supported"))
+                return document
+        root = yaml.compose(text, Loader=_LOADER)
+    except yaml.YAMLError as error:
+        mark = getattr(error, "problem_mark", None)
+        document._lines[()] = mark.line + 1 if mark else 1
+        problem = getattr(error, "problem", None) or str(error)
+        document.mistakes.append(Mistake((), f"expected valid YAML: {problem}"))
+        return document
+    except RecursionError:
+        document.mistakes.append(Mistake((), "expected fewer nested levels"))
+        return document
+    if root is None:
+        document.mistakes.append(Mistake((), "expected a mapping, found an empty document"))
+        return document
+    if prepare is not None:
+        prepare(root)
+    value = _Reader(document, placeholders or {}).read(root, inspect.type_info(schema), ())
+    document.value = None if value is _INVALID else value
+    return document
+
+
+class _Reader:
+    """Converts nodes to values and records lines and mistakes in a document."""
+
+    def __init__(self, document: Document[Any], placeholders: Mapping[str, Any]) -> None:
+        self._document = document
+        self._placeholders = placeholders
+
+    def read(self, node: Node, expected: inspect.Type, path: Path, unit: str = "") -> Any:
+        self._document._lines.setdefault(path, node.start_mark.line + 1)
+        match expected:
+            case inspect.Metadata():
+                unit = (expected.extra or {}).get("unit", unit)
+                return self.read(node, expected.type, path, unit)
+            case inspect.UnionType():
+                return self._union(node, expected, path, unit)
+            case inspect.StructType():
+                return self._struct(node, expected, path)
+            case inspect.VarTupleType() | inspect.ListType():
+                return self._sequence(node, expected, path)
+            case inspect.DictType():
+                return self._dict(node, expected, path)
+        return self._scalar(node, expected, path, unit)
+
+    def _wrong(self, path: Path, wanted: str, node: Node) -> Any:
+        self._document.mistakes.append(Mistake(path, f"expected {wanted}, found {_shown(node)}"))
+        return _INVALID
+
+    def _union(self, node: Node, expected: inspect.UnionType, path: Path, unit: str) -> Any:
+        others = [kind for kind in expected.types if not isinstance(kind, inspect.NoneType)]
+        if expected.includes_none and _is_null(node):
+            return None
+        if len(others) != 1:
+            raise TypeError(f"a union of several types is not supported at {format_path(path)}")
+        return self.read(node, others[0], path, unit)
+
+    def _entries(self, node: Node, path: Path) -> dict[str, Node] | None:
+        """Return the keys of a mapping, or None if it is none."""
+        if not isinstance(node, MappingNode):
+            return None
+        entries: dict[str, Node] = {}
+        for key_node, value_node in node.value:
+            key = str(key_node.value)
+            key_path = (*path, key)
+            if key in entries:
+                self._document.mistakes.append(Mistake(key_path, "the key is given twice"))
+                continue
+            self._document._lines[key_path] = key_node.start_mark.line + 1
+            entries[key] = value_node
+        return entries
+
+    def _struct(self, node: Node, expected: inspect.StructType, path: Path) -> Any:
+        entries = self._entries(node, path)
+        if entries is None:
+            return self._wrong(path, "a mapping", node)
+        fields = {item.encode_name: item for item in expected.fields}
+        mistakes = self._document.mistakes
+        for key in entries.keys() - fields.keys():
+            close = difflib.get_close_matches(key, fields, 1)
+            hint = f"did you mean '{close[0]}'?" if close else "known are: " + ", ".join(fields)
+            mistakes.append(Mistake((*path, key), f"unknown key; {hint}"))
+        values: dict[str, Any] = dict(self._placeholders) if path == () else {}
+        complete = True
+        for key, item in fields.items():
+            if key in entries:
+                value = self.read(entries[key], item.type, (*path, key))
+                if value is not _INVALID:
+                    values[item.name] = value
+                complete &= not item.required or item.name in values
+            elif item.required:
+                mistakes.append(Mistake((*path, key), f"expected {_wanted(item.type)}, is missing"))
+                complete &= item.name in values
+        if complete:
+            return expected.cls(**values)
+        self._document.broken[path] = {
+            key: child.value for key, child in entries.items() if isinstance(child, ScalarNode)
+        }
+        return _INVALID
+
+    def _sequence(
+        self, node: Node, expected: inspect.VarTupleType | inspect.ListType, path: Path
+    ) -> Any:
+        if not isinstance(node, SequenceNode):
+            return self._wrong(path, "a list", node)
+        kept: list[int] = []
+        values = []
+        for index, child in enumerate(node.value):
+            value = self.read(child, expected.item_type, (*path, index))
+            if value is not _INVALID:
+                kept.append(index)
+                values.append(value)
+        self._document._kept[path] = kept
+        return values if isinstance(expected, inspect.ListType) else tuple(values)
+
+    def _dict(self, node: Node, expected: inspect.DictType, path: Path) -> Any:
+        entries = self._entries(node, path)
+        if entries is None:
+            return self._wrong(path, "a mapping", node)
+        values = {
+            key: self.read(child, expected.value_type, (*path, key))
+            for key, child in entries.items()
+        }
+        return {key: value for key, value in values.items() if value is not _INVALID}
+
+    def _scalar(self, node: Node, expected: inspect.Type, path: Path, unit: str) -> Any:
+        wanted = _wanted(expected, unit)
+        if not isinstance(node, ScalarNode):
+            return self._wrong(path, wanted, node)
+        try:
+            return _convert(node, expected, unit)
+        except ValueError:
+            return self._wrong(path, wanted, node)
+
+
+def _convert(node: ScalarNode, expected: inspect.Type, unit: str) -> Any:
+    """Return the value of a scalar; ValueError if it does not match."""
+    text = str(node.value)
+    tag = node.tag.rpartition(":")[2]
+    value: Any = _INVALID
+    match expected:
+        case inspect.IntType() if unit == "size":
+            value = parse_size(text)
+        case inspect.TimeDeltaType():
+            value = parse_duration(text)
+        case inspect.EnumType():
+            value = expected.cls(text)
+        case inspect.LiteralType() if text in expected.values:
+            value = text
+        case inspect.StrType() if tag == "str" and text:
+            value = msgspec.convert(text, _constrained(expected, str))
+        case inspect.BoolType() if tag == "bool" and text.lower() in ("true", "false"):
+            value = text.lower() == "true"
+        case inspect.IntType() if tag == "int":
+            value = msgspec.convert(int(text), _constrained(expected, int))
+        case inspect.FloatType() if tag in ("int", "float"):
+            value = msgspec.convert(float(text), _constrained(expected, float))
+        case inspect.DateTimeType() if tag == "timestamp":
+            moment = datetime.fromisoformat(text)
+            if moment.tzinfo is not None:
+                value = moment.astimezone(UTC)
+    if value is _INVALID:
+        raise ValueError(f"no {type(expected).__name__}: {text}")
+    return value
+
+
+def _constrained(expected: inspect.Type, plain: type) -> Any:
+    """Return ``plain`` with the limits of ``expected``, for msgspec to check."""
+    names = ("gt", "ge", "lt", "le", "pattern", "min_length", "max_length")
+    limits = {name: getattr(expected, name, None) for name in names}
+    return Annotated[plain, msgspec.Meta(**{k: v for k, v in limits.items() if v is not None})]
+
+
+def _wanted(expected: inspect.Type, unit: str = "") -> str:
+    """Return a description of what a field takes."""
+    if isinstance(expected, inspect.Metadata):
+        return _wanted(expected.type, (expected.extra or {}).get("unit", unit))
+    if isinstance(expected, inspect.UnionType):
+        plain = [kind for kind in expected.types if not isinstance(kind, inspect.NoneType)]
+        return _wanted(plain[0], unit)
+    text = _NAMES.get(type(expected), "a value")
+    match expected:
+        case inspect.IntType() if unit == "size":
+            text = "a size with a unit such as 64kB or 2GiB"
+        case inspect.EnumType():
+            text = "one of " + ", ".join(str(member.value) for member in expected.cls)
+        case inspect.LiteralType():
+            text = "one of " + ", ".join(str(value) for value in expected.values)
+        case inspect.IntType() | inspect.FloatType():
+            text += _bounds(expected)
+        case inspect.StrType() if expected.pattern:
+            text = f"text that matches {expected.pattern}"
+    return text
+
+
+_NAMES: Mapping[type, str] = {
+    inspect.TimeDeltaType: "a duration with a unit such as 250ms or 6s",
+    inspect.DateTimeType: "a date and time with offset such as 2026-12-31T00:00:00Z",
+    inspect.StrType: "text (quote numbers, dates and yes/no)",
+    inspect.BoolType: "true or false",
+    inspect.IntType: "an integer",
+    inspect.FloatType: "a number",
+    inspect.StructType: "a mapping",
+    inspect.DictType: "a mapping",
+    inspect.VarTupleType: "a list",
+    inspect.ListType: "a list",
+}
+
+
+def _bounds(expected: inspect.IntType | inspect.FloatType) -> str:
+    signs = {"gt": ">", "ge": ">=", "lt": "<", "le": "<="}
+    limits = [
+        f"{sign} {getattr(expected, name)}"
+        for name, sign in signs.items()
+        if getattr(expected, name) is not None
+    ]
+    return " " + " and ".join(limits) if limits else ""
+
+
+def _is_null(node: Node) -> bool:
+    return isinstance(node, ScalarNode) and node.tag.endswith(":null")
+
+
+def _shown(node: Node) -> str:
+    if isinstance(node, MappingNode):
+        return "a mapping"
+    if isinstance(node, SequenceNode):
+        return "a list"
+    if _is_null(node):
+        return "nothing"
+    return f"'{node.value}'" if len(node.value) <= 60 else f"'{node.value[:57]}...'"
--- /dev/null
+++ b/src/chervilrack/_internal/common/units.py
@@ -0,0 +1,45 @@
+"""Durations and sizes with units, as settings and release notes write them."""
+
+import re
+from datetime import timedelta
+from typing import Annotated
+
+import msgspec
+
+_NUMBER = r"(\d+(?:\.\d+)?)"
+_DURATIONS = {
+    "ms": timedelta(milliseconds=1),
+    "s": timedelta(seconds=1),
+    "m": timedelta(minutes=1),
+    "h": timedelta(hours=1),
+    "d": timedelta(days=1),
+}
+_SIZES: dict[str, int] = {
+    "B": 1,
+    **{f"{prefix}B": 1000**power for power, prefix in enumerate(("k", "M", "G", "T"), 1)},
+    **{f"{prefix}iB": 1024**power for power, prefix in enumerate(("K", "M", "G", "T"), 1)},
+}
+_DURATION = re.compile(f"{_NUMBER}({'|'.join(_DURATIONS)})")
+_SIZE = re.compile(f"{_NUMBER}({'|'.join(_SIZES)})")
+
+# Marks an integer field that documents give as a size with a unit; the value is in bytes.
+ByteSize = Annotated[int, msgspec.Meta(extra={"unit": "size"})]
+
+
+def parse_duration(text: str) -> timedelta:
+    """Return a duration such as ``6s`` or ``250ms``; ValueError without a known unit."""
+    match = _DURATION.fullmatch(text)
+    if match is None:
+        raise ValueError(f"no duration: {text}")
+    try:
+        return float(match[1]) * _DURATIONS[match[2]]
+    except OverflowError:
+        raise ValueError(f"duration out of range: {text}") from None
+
+
+def parse_size(text: str) -> int:
+    """Return the bytes of a size such as ``2GiB`` or ``64kB``; ValueError without a known unit."""
+    match = _SIZE.fullmatch(text)
+    if match is None:
+        raise ValueError(f"no size: {text}")
+    return round(float(match[1]) * _SIZES[match[2]])
--- a/src/chervilrack/_internal/releases/state.py
+++ b/src/chervilrack/_internal/releases/state.py
@@ -19,6 +19,7 @@
     UpstreamId,
     ZoneId,
 )
+from chervilrack._internal.common.units import ByteSize
 
 
 class UpstreamKind(Enum):
@@ -83,7 +84,7 @@
 
     id: ModelId
     version: str = "1"
-    size: int = 0
+    size: ByteSize = 0
 
 
 class Stage(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
