Add tables for mistakes in release notes

Cause: a note is never rolled back, so its mistakes have to be found before acceptance. Change: scenario tables for form, references, coverage, values, units and key hashing; notes with mistakes of form no longer report "at least one item" as well.

--- /dev/null
+++ b/features/releases/notes.feature
@@ -0,0 +1,125 @@
+Feature: Release notes
+  A note is never rolled back, so each mistake must be found before it is accepted, and all at once.
+
+  Scenario: all mistakes of a note are reported with file, line, key and what is expected
+    Given releases base configuration
+    When releases note is read
+      """
+      id: "first note"
+      added:
+        teams:
+          - id: press
+            limits: {concurrency: many}
+          - id: forge
+        upstreams:
+          - {id: e9, team: nobody, kind: engine, url: "http://10.0.0.9:80", zone: quito, models: [m1]}
+          - {id: e8, team: press, kind: motor, url: "http://10.0.0.8:80", zone: quito}
+        pipelines:
+          - id: p9
+            deadline: 6
+            stages: [{id: s, kind: engine, model: m9}]
+      changed:
+        services: [{id: s9, deadline: 5s}]
+      withdrawn:
+        upstream: [e1]
+      """
+    Then releases mistakes are
+      | line | key                                 | text                                 |
+      | 1    | id                                  | expected an id that matches          |
+      | 5    | added.teams[0].limits.concurrency   | expected an integer, found 'many'    |
+      | 6    | added.teams[1].id                   | 'forge' exists                       |
+      | 8    | added.upstreams[0].team             | there is no 'nobody'                 |
+      | 9    | added.upstreams[1].kind             | expected one of engine, encoder      |
+      | 12   | added.pipelines[0].deadline         | a duration with a unit               |
+      | 13   | added.pipelines[0].stages[0].model  | there is no 'm9'                     |
+      | 15   | changed.services[0].id              | there is no 's9'                     |
+      | 17   | withdrawn.upstream                  | did you mean 'upstreams'?            |
+
+  Scenario Outline: a mistake of content is found (<key>: <text>)
+    Given releases base configuration
+    When releases note has <body>
+    Then releases only mistake is at <key> and says "<text>"
+
+    Examples: existence
+      | body                                                       | key                    | text                      |
+      | added: {teams: [{id: forge}]}                              | added.teams[0].id      | use 'changed'             |
+      | changed: {teams: [{id: x, limits: {concurrency: 1}}]}      | changed.teams[0].id    | there is no 'x'           |
+      | changed: {teams: [{id: forge}]}                            | changed.teams[0].id    | at least one field        |
+      | withdrawn: {teams: [x]}                                    | withdrawn.teams[0]     | there is no 'x'           |
+      | added: {teams: [{id: t}, {id: t}]}                         | added.teams[1].id      | is named before           |
+      | added: {teams: [{id: a b}]}                                | added.teams[0].id      | an id that matches        |
+      | description: nothing                                       | document               | at least one item         |
+
+    Examples: references and coverage
+      | body                                                       | key                    | text                      |
+      | withdrawn: {teams: [forge]}                                | withdrawn.teams[0]     | refers to it              |
+      | withdrawn: {models: [m1]}                                  | withdrawn.models[0]    | refers to it              |
+      | withdrawn: {upstreams: [e1, e2]}                           | withdrawn.upstreams[0] | remain for stage 'write'  |
+      | withdrawn: {upstreams: [o1]}                               | withdrawn.upstreams[0] | remain for service 'orders' |
+      | added: {upstreams: [{id: o2, team: forge, kind: service, url: "http://10.0.0.4:80", zone: quito, service: x}]} | added.upstreams[0].service | there is no 'x' |
+      | added: {services: [{id: dues, operations: [{name: pay}]}]} | added.services[0]      | at least one upstream for service 'dues' |
+      | added: {pipelines: [{id: q, stages: [{id: s, kind: reranker}]}]} | added.pipelines[0].stages[0] | at least one upstream for stage 's' |
+
+    Examples: values
+      | body                                                       | key                    | text                      |
+      | changed: {upstreams: [{id: e1, limits: {concurrency: 0}}]} | changed.upstreams[0].limits.concurrency | above 0, found 0 |
+      | changed: {teams: [{id: forge, limits: {requests_per_s: -1}}]} | changed.teams[0].limits.requests_per_s | above 0, found -1 |
+      | changed: {upstreams: [{id: e1, limits: {tokens_per_s: 99}}]} | changed.upstreams[0].limits.tokens_per_s | at least 500, the max_tokens of stage 'write' |
+      | changed: {teams: [{id: forge, limits: {tokens_per_s: 499}}]} | changed.teams[0].limits.tokens_per_s | at least 500 |
+      | changed: {pipelines: [{id: answer, stages: [{id: write, kind: engine, model: m1, max_tokens: 3000}]}]} | changed.pipelines[0].stages[0].max_tokens | at most the limit of 2000 |
+      | changed: {pipelines: [{id: answer, deadline: 0s}]}         | changed.pipelines[0].deadline | above 0s           |
+      | changed: {pipelines: [{id: answer, stages: []}]}           | changed.pipelines[0].stages | at least one stage   |
+      | changed: {upstreams: [{id: e1, url: "10.0.0.1:80"}]}       | changed.upstreams[0].url | expected a URL          |
+      | changed: {upstreams: [{id: e1, service: orders}]}          | changed.upstreams[0].service | no service for kind engine |
+      | changed: {organisations: [{id: org1, weight: 0}]}          | changed.organisations[0].weight | above 0          |
+      | changed: {organisations: [{id: org1, keys: []}]}           | changed.organisations[0].keys | at least one key   |
+      | changed: {organisations: [{id: org1, keys: [{sha256: abc}]}]} | changed.organisations[0].keys[0].sha256 | 64 lower-case |
+      | added: {organisations: [{id: org2, keys: [{key: secret1}]}]} | added.organisations[0].keys[0] | organisation 'org1' has the same |
+
+  Scenario Outline: a mistake of form is found (<text>)
+    Given releases base configuration
+    When releases note has <body>
+    Then releases only mistake is at <key> and says "<text>"
+
+    Examples:
+      | body                                                  | key                        | text                        |
+      | added: {models: [{id: m2, size: 2048}]}               | added.models[0].size       | a size with a unit          |
+      | added: {models: [{id: m2, size: 2XiB}]}               | added.models[0].size       | found '2XiB'                |
+      | added: {models: [{id: m2, version: 2}]}               | added.models[0].version    | expected text               |
+      | added: {models: [{id: m2, id: m3}]}                   | added.models[0].id         | given twice                 |
+      | added: {models: [{size: 2GiB}]}                       | added.models[0].id         | is missing                  |
+      | added: {models: {id: m2}}                             | added.models               | expected a list             |
+      | added: [m2]                                           | added                      | expected a mapping          |
+      | added: {models: [&x {id: m2}, *x]}                    | alias                      | not supported               |
+      | added: {models: [{id: m2}                             | document                   | expected valid YAML         |
+      | added: {organisations: [{id: o, keys: [{key: k, expires: 2027-01-01T00:00:00}]}]} | added.organisations[0].keys[0].expires | with offset |
+      | added: {organisations: [{id: o, keys: [{key: k, sha256: k}]}]} | added.organisations[0].keys[0].sha256 | given twice |
+
+  Scenario Outline: durations and sizes have units (<text>)
+    Then releases <kind> "<text>" is <value>
+
+    Examples:
+      | kind     | text   | value      |
+      | duration | 6s     | 6000       |
+      | duration | 250ms  | 250        |
+      | duration | 1.5m   | 90000      |
+      | duration | 1d     | 86400000   |
+      | duration | 6      | refused    |
+      | duration | -6s    | refused    |
+      | duration | 6 s    | refused    |
+      | duration | 9999999999999999d | refused |
+      | size     | 2GiB   | 2147483648 |
+      | size     | 64kB   | 64000      |
+      | size     | 0.5MiB | 524288     |
+      | size     | 12B    | 12         |
+      | size     | 12     | refused    |
+
+  Scenario: a clear key never appears in the note that leaves the command line
+    Given releases base configuration
+    When releases note has changed: {organisations: [{id: org1, keys: [{key: open sesame}, {key: 123456}]}]}
+    Then releases encoded note has the SHA-256 of "open sesame" and of "123456" but not the keys
+
+  Scenario: a note changes only what it names
+    Given releases base configuration
+    When releases note has changed: {upstreams: [{id: e1, zone: ambato}]}
+    Then releases configuration differs only in the zone of e1 and its revision
--- a/features/steps/releases_steps.py
+++ b/features/steps/releases_steps.py
@@ -1,5 +1,6 @@
 """Steps for release notes, acceptance and the release log."""
 
+import hashlib
 import sys
 from datetime import timedelta
 from pathlib import Path
@@ -12,11 +13,15 @@
 
 from chervilrack._internal.common.effects import Send
 from chervilrack._internal.common.results import Executed
+from chervilrack._internal.common.units import parse_duration, parse_size
+from chervilrack._internal.exceptions import InvalidDocumentError
 from chervilrack._internal.platform.memory import MemoryPlatform
 from chervilrack._internal.platform.port import Compare
 from chervilrack._internal.releases import accept, core, messages
+from chervilrack._internal.releases.apply import apply_note
+from chervilrack._internal.releases.check import read_checked_note
 from chervilrack._internal.releases.note import Added, ReleaseNote
-from chervilrack._internal.releases.state import Limits, Team
+from chervilrack._internal.releases.state import Configuration, Limits, Team
 
 sys.path.insert(0, str(Path(__file__).parent))  # behave runs step files without their directory
 from releases_machine import InterposedPlatform, ReleaseMachine, base_note, team_note
@@ -51,7 +56,10 @@
         try:
             run_state_machine_as_test(ReleaseMachine, settings=settings(phases=_PHASES))
         except AssertionError as violation:
-            print(f"without the {guard}: {violation}")
+            first = violation
+            while first.__context__ is not None:  # the machine's teardown can fail after it
+                first = first.__context__
+            print(f"without the {guard}: {first}")
             return
     raise AssertionError(f"nothing fails without the {guard}")
 
@@ -242,3 +250,88 @@
     except msgspec.ValidationError:
         return
     raise AssertionError(f"accepted: {body}")
+
+
+BASE = """
+id: base
+added:
+  teams: [{id: forge, limits: {concurrency: 64}}]
+  models: [{id: m1, size: 2GiB}]
+  services: [{id: orders, operations: [{name: place, idempotent: false}], deadline: 2s}]
+  upstreams:
+    - {id: e1, team: forge, kind: engine, url: "http://10.0.0.1:80", zone: quito, models: [m1],
+       limits: {concurrency: 8, tokens_per_s: 2000}}
+    - {id: e2, team: forge, kind: engine, url: "http://10.0.0.2:80", zone: quito, models: [m1]}
+    - {id: o1, team: forge, kind: service, url: "http://10.0.0.3:80", zone: quito, service: orders}
+  pipelines:
+    - {id: answer, stages: [{id: write, kind: engine, model: m1, max_tokens: 500}]}
+  organisations: [{id: org1, keys: [{key: secret1}]}]
+"""
+
+
+@given("releases base configuration")
+def base_configuration(context):
+    note = read_checked_note(BASE, "base.yaml", Configuration())
+    context.configuration = apply_note(Configuration(), note)
+
+
+@when("releases note is read")
+def read_note_text(context):
+    context.mistakes = []
+    try:
+        context.note = read_checked_note(str(context.text), "note.yaml", context.configuration)
+    except InvalidDocumentError as error:
+        context.mistakes = list(error.mistakes)
+
+
+@when("releases note has {body}")
+def read_note_body(context, body):
+    context.text = f"id: change\n{body}\n"
+    read_note_text(context)
+
+
+@then("releases mistakes are")
+def mistakes_are(context):
+    expected = [(f"note.yaml:{row['line']}: {row['key']}: ", row["text"]) for row in context.table]
+    assert len(context.mistakes) == len(expected), "\n".join(context.mistakes)
+    for found, (start, text) in zip(context.mistakes, expected, strict=True):
+        assert found.startswith(start), (found, start)
+        assert text in found, (found, text)
+
+
+@then('releases only mistake is at {key} and says "{text}"')
+def only_mistake(context, key, text):
+    assert len(context.mistakes) == 1, context.mistakes
+    assert f": {key}: " in context.mistakes[0], context.mistakes
+    assert text in context.mistakes[0], context.mistakes
+
+
+@then('releases {kind} "{text}" is {value}')
+def unit_value(context, kind, text, value):
+    parse = {"duration": parse_duration, "size": parse_size}[kind]
+    try:
+        found = parse(text)
+    except ValueError:
+        found = "refused"
+    if kind == "duration" and found != "refused":
+        found //= timedelta(milliseconds=1)
+    assert str(found) == value, found
+
+
+@then('releases encoded note has the SHA-256 of "{first}" and of "{second}" but not the keys')
+def keys_are_hashed(context, first, second):
+    encoded = messages.encode_note(context.note).decode()
+    for key in (first, second):
+        assert hashlib.sha256(key.encode()).hexdigest() in encoded
+        assert f'"{key}"' not in encoded
+
+
+@then("releases configuration differs only in the zone of e1 and its revision")
+def differs_only_in_zone(context):
+    before = msgspec.to_builtins(context.configuration)
+    after = msgspec.to_builtins(apply_note(context.configuration, context.note))
+    assert after["upstreams"]["e1"].pop("zone") == "ambato"
+    assert before["upstreams"]["e1"].pop("zone") == "quito"
+    assert (before.pop("revision"), after.pop("revision")) == (1, 2)
+    assert (before.pop("note_id"), after.pop("note_id")) == ("base", "change")
+    assert before == after
--- a/src/chervilrack/_internal/releases/check.py
+++ b/src/chervilrack/_internal/releases/check.py
@@ -37,7 +37,7 @@
     """
     document = read_note(text, file)
     if document.value is not None:
-        broken = _broken_ids(document)
+        broken = _broken_ids(document) if document.mistakes else None
         document.add(check_note(document.value, configuration, broken))
     return document.checked()
 
@@ -49,10 +49,11 @@
 ) -> list[Mistake]:
     """Return all mistakes of a note.
 
-    ``broken`` names items that could not be read. References to them are no mistakes, and
-    coverage of stages is not judged while upstreams are missing for this reason.
+    ``broken`` is set if parts of the note could not be read, and names the items among them.
+    References to them are no mistakes, and coverage of stages is not judged while upstreams are
+    missing for this reason.
     """
-    return list(_Check(note, configuration, broken or {}).run())
+    return list(_Check(note, configuration, broken).run())
 
 
 def _broken_ids(document: Document[ReleaseNote]) -> dict[Kind, list[str]]:
@@ -71,12 +72,13 @@
         self,
         note: ReleaseNote,
         configuration: Configuration,
-        broken: Mapping[Kind, Collection[str]],
+        broken: Mapping[Kind, Collection[str]] | None,
     ) -> None:
         self._note = note
         self._before = configuration
         self._after = apply_note(configuration, note)
-        self._broken = broken
+        self._is_whole = broken is None
+        self._broken = broken or {}
         # Where each item of the new configuration is named in the note.
         self._places: dict[tuple[str, str], Path] = {}
         self._withdrawn: dict[tuple[str, str], Path] = {}
@@ -127,7 +129,7 @@
                 if item_id not in present:
                     yield Mistake(path, f"expected an existing id, there is no '{item_id}'")
                 yield from self._named_twice(named, kind, item_id, path)
-        if not named and not self._broken:
+        if not named and self._is_whole:
             yield Mistake((), "expected at least one item that is added, changed or withdrawn")
 
     def _named_twice(
