Test membership with a state machine, situations and removed guards

Cause: the safety of permits and orders rests on the view protocol. Change: simulated network, platform, clocks and VM list; a Hypothesis state machine; 20 fixed situations; each of 13 guards is patched out and a named situation must fail. The state machine found three faults, now corrected: an entry of the VM list that meant an earlier VM counted for a running process; a writer without a release wrote a view beside a recorded release; a release counted as accepted while an earlier epoch with other witnesses was unsealed.

--- /dev/null
+++ b/features/support/membership_guards.py
@@ -0,0 +1,116 @@
+"""Patches that remove one guard of the membership core each."""
+
+from contextlib import contextmanager
+from unittest.mock import patch
+
+from chervilrack._internal.membership import confirmation, exchange, sealing, suspicion, vms
+from chervilrack._internal.membership.confirmation import Confirmation
+from chervilrack._internal.membership.exchange import Exchange
+from chervilrack._internal.membership.state import View
+from chervilrack._internal.membership.writing import ViewWriter
+
+
+def _validity_from_receipt():
+    original = Exchange.receive_reply
+
+    def receive_reply(self, sender, reply, view, now):
+        if reply.sent in self.confirmation._sends:
+            self.confirmation._sends[reply.sent] = now
+        original(self, sender, reply, view, now)
+
+    return patch.object(Exchange, "receive_reply", receive_reply)
+
+
+def _any_epoch():
+    """Remove the check at the witness and at the node; either of them is sufficient."""
+
+    def vote(self, witness, epoch, sent):
+        original(self, witness, self._epoch, sent)
+
+    original = Confirmation.vote
+    return _both(
+        patch.object(confirmation, "same_epoch", lambda view, heartbeat: True),
+        patch.object(Confirmation, "vote", vote),
+    )
+
+
+def _any_incarnation():
+    """Compare node ids only, at the witness and at the node."""
+    return patch.object(View, "has", lambda self, process: self.member(process.node) is not None)
+
+
+def _witness_of_any_run():
+    def confirms(view, witness, release, sender, heartbeat):
+        return (
+            any(other.node == witness.node for other in view.witnesses)
+            and heartbeat.epoch == view.epoch
+            and view.has(sender)
+            and heartbeat.release >= max(release, view.release)
+        )
+
+    def vote(self, witness, epoch, sent):
+        same = [other for other in self._witnesses if other.node == witness.node]
+        original(self, same[0] if same else witness, epoch, sent)
+
+    original = Confirmation.vote
+    return _both(
+        patch.object(exchange, "confirms", confirms), patch.object(Confirmation, "vote", vote)
+    )
+
+
+@contextmanager
+def _both(first, second):
+    with first, second:
+        yield
+
+
+def _no_read_back():
+    original = ViewWriter.finished
+
+    def finished(self, outcome, now):
+        view = original(self, outcome, now)
+        self._read_needed = False
+        return view
+
+    return patch.object(ViewWriter, "finished", finished)
+
+
+def _relay_full_validity():
+    ttl = confirmation.timedelta(seconds=2)
+    return patch.object(Confirmation, "remaining", lambda self, now: ttl)
+
+
+def _no_release_floor():
+    def confirms(view, witness, release, sender, heartbeat):
+        return (
+            witness in view.witnesses
+            and heartbeat.epoch == view.epoch
+            and view.has(sender)
+            and heartbeat.release >= release
+        )
+
+    return patch.object(exchange, "confirms", confirms)
+
+
+# Guard, and the patch that removes it. The feature names the test that must then fail.
+GUARDS = {
+    "epoch check": _any_epoch,
+    "release check": lambda: patch.object(
+        confirmation, "has_release", lambda release, heartbeat: True
+    ),
+    "release floor of the view": _no_release_floor,
+    "majority of confirmations": lambda: patch.object(confirmation, "majority", lambda count: 1),
+    "incarnation check of the node": _any_incarnation,
+    "incarnation check of the witness": _witness_of_any_run,
+    "validity from the send time": _validity_from_receipt,
+    "sealing by a majority": lambda: patch.object(
+        sealing, "enough_to_seal", lambda passed, who: passed >= 1
+    ),
+    "activation wait": lambda: patch.object(sealing, "wait_passed", lambda since, now, wait: True),
+    "removal by a majority": lambda: patch.object(
+        suspicion, "enough_missing", lambda votes, needed: votes >= 1
+    ),
+    "lag of the VM list": lambda: patch.object(vms, "describes", lambda seen, now, lag: True),
+    "read-back of a view write": _no_read_back,
+    "remaining validity of a relay": _relay_full_validity,
+}
--- a/src/chervilrack/_internal/membership/changes.py
+++ b/src/chervilrack/_internal/membership/changes.py
@@ -46,8 +46,6 @@
             member.peer_address,
             member.http_address,
             failures=failures,
-            replacement=earlier is not None
-            or (departed is not None and departed.incarnation != member.incarnation),
         )
 
     def mark_leaving(self, node: NodeId) -> None:
@@ -61,7 +59,6 @@
             member.http_address,
             MemberState.LEAVING,
             member.failures,
-            member.replacement,
         )
 
     def leave(self, node: NodeId) -> None:
--- a/src/chervilrack/_internal/membership/core.py
+++ b/src/chervilrack/_internal/membership/core.py
@@ -45,7 +45,8 @@
         self._vms = VmEvidence(settings)
         self._view: View | None = None
         self._mod_revision = 0
-        self._head_mod_revision: int | None = None
+        # A node that has applied no release expects that none is recorded.
+        self._head_mod_revision: int | None = 0
         self._active_epoch = Epoch(0)
         self._granted = False
         self._doubts: tuple[Doubt, ...] = ()
@@ -119,7 +120,11 @@
 
     @property
     def witness_release_majority(self) -> ReleaseRevision:
-        """Highest release that a majority of the view's witnesses has applied at its epoch."""
+        """Highest release without which no node can be confirmed any more.
+
+        A majority of witnesses of the view and of each unsealed epoch has applied it. It counts
+        as accepted only if the view is still at ``mod_revision`` when it is read afterwards.
+        """
         return self._exchange.release_majority(self._view) if self._view else ReleaseRevision(0)
 
     def may_act(self, now: timedelta) -> bool:
--- a/src/chervilrack/_internal/membership/exchange.py
+++ b/src/chervilrack/_internal/membership/exchange.py
@@ -136,9 +136,15 @@
         self.given.expire(horizon, now)
 
     def release_majority(self, view: View) -> ReleaseRevision:
-        """Return the highest release that a majority of the view's witnesses has applied."""
+        """Return the highest release that a majority of witnesses has applied.
+
+        This must hold for the view and for each epoch that is not sealed, because nodes can
+        still be confirmed there.
+        """
         own = {self._process: self.release}
-        return self.peers.release_majority(view.witnesses, view.epoch, own)
+        sets = [(view.epoch, view.witnesses)]
+        sets += [(item.epoch, item.witnesses) for item in self.sealing.unsealed]
+        return min(self.peers.release_majority(who, epoch, own) for epoch, who in sets)
 
     def _heartbeat(self, view: View, sent: int, now: timedelta) -> Heartbeat:
         witness = self._process in view.witnesses
--- a/src/chervilrack/_internal/membership/peers.py
+++ b/src/chervilrack/_internal/membership/peers.py
@@ -23,8 +23,11 @@
         self._known[process] = (now, max(epoch, old_epoch), max(release, old_release))
 
     def retain(self, view: View) -> None:
-        """Forget processes that are not members."""
-        self._known = {p: known for p, known in self._known.items() if view.has(p)}
+        """Forget processes that are neither members nor witnesses of an unsealed epoch."""
+        witnesses = {process for item in view.unsealed for process in item.witnesses}
+        self._known = {
+            p: known for p, known in self._known.items() if view.has(p) or p in witnesses
+        }
 
     def status(self, view: View, now: timedelta, myself: Process) -> tuple[PeerStatus, ...]:
         """Return one entry for each other member."""
@@ -43,14 +46,14 @@
     def release_majority(
         self, witnesses: Iterable[Process], epoch: Epoch, own: dict[Process, ReleaseRevision]
     ) -> ReleaseRevision:
-        """Return the highest release that a majority of witnesses applied at ``epoch``."""
+        """Return the highest release that a majority applied at ``epoch`` or a later one."""
         everyone = tuple(witnesses)
         releases = []
         for witness in everyone:
             known = self._known.get(witness)
             if witness in own:
                 releases.append(own[witness])
-            elif known is not None and known[1] == epoch:
+            elif known is not None and known[1] >= epoch:
                 releases.append(known[2])
         needed = majority(len(everyone))
         ordered = sorted(releases, reverse=True)
--- a/src/chervilrack/_internal/membership/state.py
+++ b/src/chervilrack/_internal/membership/state.py
@@ -1,5 +1,6 @@
 """Agreed view: the record under the platform key ``view``, and the settings of the slice."""
 
+from bisect import bisect_left
 from collections.abc import Iterator
 from dataclasses import dataclass
 from datetime import timedelta
@@ -44,7 +45,6 @@
     http_address: str
     state: MemberState = MemberState.ACTIVE
     failures: int = 0
-    replacement: bool = False
 
     @property
     def process(self) -> Process:
@@ -94,8 +94,9 @@
 class View(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Agreed membership of one epoch. Every change of the record raises the epoch by one.
 
-    ``release`` is the release that the writer had applied: witnesses confirm no node with an older
-    one, so that new witnesses cannot confirm a release that earlier witnesses refused.
+    ``members`` are sorted by node. ``release`` is the release that the writer had applied:
+    witnesses confirm no node with an older one, so that new witnesses cannot confirm a release
+    that earlier witnesses refused.
     """
 
     epoch: Epoch
@@ -110,7 +111,9 @@
 
     def member(self, node: NodeId) -> Member | None:
         """Return the member with this node id, or None."""
-        return next((member for member in self.members if member.node == node), None)
+        at = bisect_left(self.members, node, key=lambda member: member.node)
+        found = self.members[at : at + 1]
+        return found[0] if found and found[0].node == node else None
 
     def has(self, process: Process) -> bool:
         """Whether this run of the process is a member."""
