--- /dev/null
+++ b/features/helpers/execution_fakes.py
@@ -0,0 +1,135 @@
+"""Router, permits and telemetry with simple, observable behaviour."""
+
+from datetime import timedelta
+
+from chervilrack._internal.limits.port import Permit
+from chervilrack._internal.releases.state import LimitKind, Upstream, UpstreamKind, limit_kind
+from chervilrack._internal.routing.port import Estimate, RouteDecision
+
+ZERO = timedelta(0)
+
+
+def seconds(value):
+    return timedelta(seconds=value)
+
+
+def service_upstream(name, url="http://127.0.0.1:9", **fields):
+    values = {"team": "forge", "kind": UpstreamKind.SERVICE, "zone": "z", "service": "stock"}
+    return Upstream(id=name, url=url, **{**values, **fields})
+
+
+class FakeRouter:
+    """Chooses the candidate with the fewest attempts in flight, the first one if equal."""
+
+    def __init__(self, mean=0.1, spread=0.02):
+        self.expected = Estimate(seconds(mean), seconds(spread))
+        self.in_flight = {}
+        self.attempts = {}
+        self.verdicts = {}
+
+    def choose(self, candidates, context, now):
+        free = [one for one in candidates if one.id not in context.excluded]
+        if not free:
+            return None
+        best = min(free, key=lambda one: self.in_flight.get(one.id, 0))
+        return RouteDecision(best.id, "fewest in flight")
+
+    def started(self, attempt, upstream, context, now):
+        assert attempt not in self.attempts
+        self.attempts[attempt] = upstream
+        self.in_flight[upstream] = self.in_flight.get(upstream, 0) + 1
+
+    def finished(self, attempt, succeeded, service_time, now):
+        assert attempt not in self.verdicts
+        self.verdicts[attempt] = succeeded
+        self.in_flight[self.attempts[attempt]] -= 1
+
+    def estimate(self, upstream, context):
+        return self.expected
+
+    def stage_estimate(self, candidates, context):
+        return self.expected
+
+
+class FakePermits:
+    """Concurrency permits by pool; a pool without a capacity has no limit."""
+
+    def __init__(self, capacities=None):
+        self.capacities = dict(capacities or {})
+        self.used = {}
+        self.held = {}
+        self.later = []
+        self.returned = []
+        self.demand = {}
+        self.numbers = 0
+
+    def shortage(self, amounts, now):
+        self._expire(now)
+        return tuple(
+            pool
+            for pool, amount in amounts.items()
+            if pool in self.capacities and self.used.get(pool, 0) + amount > self.capacities[pool]
+        )
+
+    def try_acquire(self, amounts, now):
+        if self.shortage(amounts, now):
+            return None
+        self.numbers += 1
+        permit = Permit(self.numbers, dict(amounts))
+        self.held[permit.number] = permit
+        for pool, amount in amounts.items():
+            if limit_kind(pool) is LimitKind.CONCURRENCY:
+                self.used[pool] = self.used.get(pool, 0) + amount
+        return permit
+
+    def release(self, permit, now):
+        self._give_back(permit, "release")
+
+    def cancel(self, permit, now):
+        self._give_back(permit, "cancel")
+
+    def release_at(self, permit, at):
+        assert permit.number in self.held
+        self.returned.append(("release_at", at))
+        self.later.append((at, permit))
+
+    def set_demand(self, waiting, now):
+        self.demand = dict(waiting)
+
+    def _expire(self, now):
+        due = [entry for entry in self.later if entry[0] <= now]
+        for entry in due:
+            self.later.remove(entry)
+            self._take_back(entry[1])
+
+    def _give_back(self, permit, how):
+        self.returned.append((how, None))
+        self._take_back(permit)
+
+    def _take_back(self, permit):
+        del self.held[permit.number]  # KeyError: given back twice
+        for pool, amount in permit.amounts.items():
+            if limit_kind(pool) is LimitKind.CONCURRENCY:
+                self.used[pool] -= amount
+
+
+class FakeTelemetry:
+    """Keeps what is reported."""
+
+    def __init__(self):
+        self.decisions, self.stages, self.tokens = [], [], []
+
+    def decided(self, request_id, organisation, event):
+        self.decisions.append((request_id, organisation, event))
+
+    def action(self, action):
+        raise AssertionError("execution reports no actions")
+
+    def request_finished(self, *arguments):
+        raise AssertionError("the gateway reports finished requests")
+
+    def stage_finished(self, *arguments):
+        self.stages.append(arguments)
+
+    def token_times(self, *arguments):
+        self.tokens.append(arguments)
