Make the fake cluster keep its limits and cut reliably

Cause: On a busy machine the runs against the fake cluster failed: the sound fake exceeded limits because nothing held them, and the stop that is to cut a request sometimes met none. Both were faults of the fake, found when four test runs shared the machine (3 of 4 failed). Change: The fake takes permits for its upstreams, and the stop waits for a request to begin. Conclusion: The checks are unchanged.

--- a/features/support/fake_cluster.py
+++ b/features/support/fake_cluster.py
@@ -41,6 +41,11 @@
         self.ended = {upstream: {} for upstream in self.work}
         self.executions = {upstream: {} for upstream in self.work}
         self.outcomes = {}
+        self.permits = {
+            limit: threading.Semaphore(capacity)
+            for limit, capacity in self.profile.limit_capacities().items()
+            if limit.endswith("/concurrency")
+        }
         for number in range(3):
             self.start_node(self.profile.zone_of(number))
 
@@ -69,7 +74,11 @@
 
     def stop_node(self, node):
         server = self.running[node]
-        if self.defect != "cuts-at-stop":
+        if self.defect == "cuts-at-stop":
+            begun = server.begun
+            while server.begun == begun:
+                time.sleep(0.001)
+        else:
             self.leaving.add(node)
             time.sleep(LISTENER_LIFETIME_S)
             while server.in_flight:
@@ -139,6 +148,14 @@
             upstream = min(usable, key=lambda name: len(self.work[name]))
             if self.defect == "exceeds-limit":
                 upstream = usable[0]
+        with (
+            self.permits[f"team/{pool.team}/concurrency"],
+            self.permits[f"upstream/{upstream}/concurrency"],
+        ):
+            self._run_at(upstream, served_as, organisation, key)
+
+    def _run_at(self, upstream, served_as, organisation, key):
+        with self.lock:
             attempt = secrets.token_hex(4)
             arrival = WorkArrival(time.monotonic(), served_as, attempt, organisation, 10, key)
             self.work[upstream].append(arrival)
@@ -162,6 +179,7 @@
         self.resumed = threading.Event()
         self.resumed.set()
         self.in_flight = 0
+        self.begun = 0
         self.connections = set()
 
     def cut(self):
@@ -202,8 +220,11 @@
         organisation = self.headers["Authorization"].removeprefix("Bearer experiment-key-of-")
         self.served_as = secrets.token_hex(8)
         self.server.in_flight += 1
+        self.server.begun += 1
         try:
             self.server.resumed.wait()
+            if cluster.defect == "cuts-at-stop":
+                time.sleep(0.3)  # the stop falls into the time of a request
             if cluster.defect == "hangs" and body["seed"] % 5 == 0:
                 time.sleep(30)
             _, _, kind, name, *operation = self.path.split("/")
