--- a/src/chervilrack/_internal/peering/transport.py
+++ b/src/chervilrack/_internal/peering/transport.py
@@ -4,11 +4,16 @@
 thread owns all sockets; other threads hand messages over through a queue.
 """
 
+import heapq
+import itertools
 import logging
+import math
 import threading
-from collections import deque
+import time
+from collections import OrderedDict, deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
+from datetime import timedelta
 from types import TracebackType
 from typing import Self
 
@@ -29,6 +34,8 @@
 # Reconnects back off so that a returning VM is not flooded by all nodes at once.
 RECONNECT_MS = 50
 RECONNECT_MAX_MS = 1000
+# Nodes that introduced themselves and are not members yet; bounds what strangers can occupy.
+MAX_INTRODUCED = 1024
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 POLL_MS = 500
 
@@ -78,7 +85,12 @@
         self._context: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
         self._links: dict[str, zmq.Socket[bytes]] = {}
         self._addresses: dict[NodeId, str] = {}
+        self._introduced: OrderedDict[NodeId, str] = OrderedDict()
+        self._reply_to = ""
         self._blocked: frozenset[str] = frozenset()
+        self._delays: dict[str, float] = {}
+        self._delayed: list[tuple[float, int, str, bytes]] = []
+        self._sequence = itertools.count()
         self._outbox = _Outbox()
         self._counters = TrafficCounters()
         self._stopping = threading.Event()
@@ -140,13 +152,24 @@
         """Set the addresses of the nodes that messages can be sent to."""
         self._addresses = dict(addresses)
 
+    def introduce(self, reply_to: str) -> None:
+        """Add this address to every message, so that nodes can answer before this one is a member.
+
+        An empty address ends it.
+        """
+        self._reply_to = reply_to
+
     def block(self, addresses: frozenset[str]) -> None:
         """Drop messages to these addresses; cuts a link in one direction for tests."""
         self._blocked = addresses
 
+    def set_delays(self, delays: Mapping[str, timedelta]) -> None:
+        """Hold messages to these addresses back; emulates the latency between zones."""
+        self._delays = {address: delay.total_seconds() for address, delay in delays.items()}
+
     def send(self, to: NodeId, message: msgspec.Struct) -> None:
         """Queue a message for a peer; it is dropped if the peer's address is not known."""
-        address = self._addresses.get(to)
+        address = self._addresses.get(to) or self._introduced.get(to)
         if address is None:
             self._counters.dropped_messages += 1
             return
@@ -157,7 +180,7 @@
         if address in self._blocked:
             self._counters.dropped_messages += 1
             return
-        data = self._codec.encode(self._node, self._incarnation, message)
+        data = self._codec.encode(self._node, self._incarnation, message, self._reply_to)
         with self._outbox.lock:
             self._outbox.queue.append((address, data))
             must_wake = not self._outbox.wake_pending
@@ -174,10 +197,11 @@
         poller.register(self._inbound, zmq.POLLIN)
         poller.register(self._wake_receiver, zmq.POLLIN)
         while not self._stopping.is_set():
-            ready = dict(poller.poll(POLL_MS))
+            ready = dict(poller.poll(self._poll_time()))
             if self._wake_receiver in ready:
                 self._wake_receiver.recv()
                 self._flush()
+            self._send_delayed()
             if self._inbound in ready:
                 self._receive()
 
@@ -188,13 +212,31 @@
             self._outbox.wake_pending = False
         self._close_unused_links()
         for address, data in batch:
-            try:
-                self._link(address).send(data, zmq.NOBLOCK)
-            except zmq.ZMQError:
-                self._counters.dropped_messages += 1
-                continue
-            self._counters.sent_messages += 1
-            self._counters.sent_bytes += len(data)
+            delay = self._delays.get(address)
+            if delay:
+                entry = (time.monotonic() + delay, next(self._sequence), address, data)
+                heapq.heappush(self._delayed, entry)
+            else:
+                self._transmit(address, data)
+
+    def _poll_time(self) -> int:
+        if not self._delayed:
+            return POLL_MS
+        return max(0, math.ceil((self._delayed[0][0] - time.monotonic()) * 1000))
+
+    def _send_delayed(self) -> None:
+        while self._delayed and self._delayed[0][0] <= time.monotonic():
+            _, _, address, data = heapq.heappop(self._delayed)
+            self._transmit(address, data)
+
+    def _transmit(self, address: str, data: bytes) -> None:
+        try:
+            self._link(address).send(data, zmq.NOBLOCK)
+        except zmq.ZMQError:
+            self._counters.dropped_messages += 1
+            return
+        self._counters.sent_messages += 1
+        self._counters.sent_bytes += len(data)
 
     def _link(self, address: str) -> zmq.Socket[bytes]:
         link = self._links.get(address)
@@ -214,7 +256,7 @@
         return link
 
     def _close_unused_links(self) -> None:
-        known = set(self._addresses.values())
+        known = {*self._addresses.values(), *self._introduced.values()}
         if len(self._links) <= 2 * len(known) + 16:
             return
         for address in set(self._links) - known:
@@ -237,6 +279,10 @@
             self._counters.refused_messages += 1
             logger.warning("peering: message refused: %s", refusal)
             return
+        if envelope.reply_to:
+            self._introduced[envelope.sender] = envelope.reply_to
+            while len(self._introduced) > MAX_INTRODUCED:
+                self._introduced.popitem(last=False)
         try:
             self._handler(envelope)
         except Exception:
