Verify whole answers and test load, use and callers

Cause: The caller compared only the receipt and the number of tokens, and the stand-ins did not record when attempts end, so the use of a team's limit over several upstreams could not be computed. Conclusion: Limits of teams are checked from outside the nodes.

--- a/features/support/fake_cluster.py
+++ b/features/support/fake_cluster.py
@@ -9,6 +9,7 @@
 import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
+from chervilrack._internal.common.results import ResultCode
 from chervilrack._internal.experiments.testbed import (
     NodeInfo,
     NodeStatus,
@@ -17,16 +18,27 @@
     Submission,
     WorkArrival,
 )
-from chervilrack._internal.standins.upstreams.record import receipt
+from chervilrack._internal.experiments.verification import expected_output
 
 STAGE_S = 0.002
 LISTENER_LIFETIME_S = 0.3  # a stopping node's listener outlives the look-ups that name it
 
+REFUSALS = {
+    "refuses as not executed": (503, ResultCode.QUEUE_FULL.number, "no"),
+    "refuses as unknown": (409, ResultCode.ORDER_OUTCOME_UNKNOWN.number, "unknown"),
+    "refuses without retry": (504, ResultCode.DEADLINE_PASSED.number, "no"),
+}
+
 
 class FakeCluster:
-    """Test bed whose nodes answer at once. ``defect`` names the promise that it breaks."""
+    """Test bed whose nodes answer at once.
+
+    ``defect`` names the promise that it breaks; ``script`` says what happens to the first requests.
+    """
 
-    def __init__(self, options, defect="none"):
+    def __init__(self, options, defect="none", script=()):
+        self.script = list(script)
+        self.keys = []
         self.profile = options.profile
         self.defect = defect
         self.lock = threading.Lock()
@@ -225,6 +237,9 @@
             self.server.resumed.wait()
             if cluster.defect == "cuts-at-stop":
                 time.sleep(0.3)  # the stop falls into the time of a request
+            cluster.keys.append(self.headers.get("Idempotency-Key"))
+            if cluster.script and self._follow_script(cluster.script.pop(0)):
+                return
             if cluster.defect == "hangs" and body["seed"] % 5 == 0:
                 time.sleep(30)
             _, _, kind, name, *operation = self.path.split("/")
@@ -235,6 +250,21 @@
         finally:
             self.server.in_flight -= 1
 
+    def _follow_script(self, behaviour):
+        if behaviour in REFUSALS:
+            status, code, executed = REFUSALS[behaviour]
+            self._reply(status, {"code": code, "executed": executed}, {"Retry-After": "0"})
+            return True
+        if behaviour == "breaks the stream":
+            self.send_response(200)
+            self.send_header("X-Request-Id", self.served_as)
+            self.send_header("Transfer-Encoding", "chunked")
+            self.end_headers()
+            self._chunk(b'event: token\ndata: {"offset": 0, "text": "x", "tokens": 1}\n\n')
+        self.close_connection = True
+        self.connection.shutdown(socket.SHUT_RDWR)
+        return True
+
     def _pipeline(self, cluster, organisation, body):
         if cluster.defect == "refuses-truthfully" or (
             cluster.defect == "refuses-after-running" and body["seed"] % 3 == 0
@@ -246,8 +276,8 @@
         for pool in cluster.profile.stages:
             cluster.run(pool, self.served_as, organisation)
         named = "another" if cluster.defect == "misdelivers" else organisation
-        texts = [receipt(self.served_as, named)]
-        texts += [f" t{number}" for number in range(1, body["max_tokens"])]
+        text = expected_output(body, named, self.served_as)
+        texts = [part if not number else f" {part}" for number, part in enumerate(text.split(" "))]
         if not body.get("stream"):
             self._reply(200, {"choices": [{"text": "".join(texts)}]})
             return
@@ -292,9 +322,9 @@
 
 
 @contextlib.contextmanager
-def fake_cluster(options, defect="none"):
+def fake_cluster(options, defect="none", script=()):
     """Start a fake cluster; leaving the context stops it."""
-    cluster = FakeCluster(options, defect)
+    cluster = FakeCluster(options, defect, script)
     try:
         yield cluster
     finally:
--- a/src/chervilrack/_internal/experiments/verification.py
+++ b/src/chervilrack/_internal/experiments/verification.py
@@ -9,8 +9,14 @@
 from collections.abc import Mapping
 from typing import Any
 
+import msgspec
+import xxhash
+
 from chervilrack._internal.experiments.arrivals import Arrival
 from chervilrack._internal.standins.upstreams.record import receipt
+from chervilrack._internal.standins.upstreams.simple import Reranker, Retriever
+from chervilrack._internal.standins.upstreams.text import expected_text
+from chervilrack._internal.upstreams.completions import completion_body
 from chervilrack._internal.upstreams.prompts import BYTES_PER_TOKEN
 
 _WORDS = ("diary", "refill", "puzzle", "repair", "paper", "piece", "border", "sky", "lake", "week")
@@ -64,16 +70,26 @@
 
 
 def text_fits(arrival: Arrival, text: str, served_as: str) -> bool:
-    """Return whether generated text is whole and belongs to this request.
+    """Return whether generated text is whole and belongs to this request."""
+    body = request_body(arrival)
+    return text == expected_output(body, arrival.organisation, served_as)
+
+
+def expected_output(body: Mapping[str, Any], organisation: str, served_as: str) -> str:
+    """Return the text that the pipeline generates for a request with this body.
 
-    The first token is the receipt; each other one begins with a space.
+    It follows the stand-ins: the encoder's vector is a digest of the request's body, the documents
+    derive from the vector, and the engine's prompt holds the request's prompt and the documents.
     """
-    first, *others = text.split(" ")
-    return (
-        first == receipt(served_as, arrival.organisation)
-        and len(others) == arrival.output_tokens - 1
-        and all(others)
-    )
+    digest = xxhash.xxh3_128_digest(msgspec.json.encode(body, order="sorted"))
+    vector = [byte / 255 for byte in digest]
+    found = Retriever.documents(vector)
+    previous = {
+        "receipt": receipt(served_as, organisation),
+        "documents": Reranker.ranked(found),
+    }
+    prompt = completion_body({"input": body, "previous": previous})["prompt"]
+    return expected_text(prompt, body["seed"], served_as, organisation, body["max_tokens"])
 
 
 def find_value(answer: Any, name: str) -> Any:
--- a/src/chervilrack/_internal/standins/upstreams/record.py
+++ b/src/chervilrack/_internal/standins/upstreams/record.py
@@ -88,6 +88,7 @@
         self._violations: list[Violation] = []
         self._executions: Counter[tuple[str, str]] = Counter()
         self._running = 0
+        self._end_times: dict[str, float] = {}
         self._cut_off: list[CallIds] = []
         self._cancelled = 0
         self._refused = 0
@@ -119,6 +120,12 @@
         with self._lock:
             return dict(self._executions)
 
+    @property
+    def end_times(self) -> dict[str, float]:
+        """Time at which each attempt ended, by attempt id; running ones are missing."""
+        with self._lock:
+            return dict(self._end_times)
+
     @property
     def cut_off(self) -> list[CallIds]:
         """Requests that a stop or crash of the upstream interrupted."""
@@ -174,6 +181,7 @@
         """Count the end of a request."""
         with self._lock:
             self._running -= 1
+            self._end_times[ids.attempt] = time.monotonic()
             self._cancelled += cancelled
             if cut_off:
                 self._cut_off.append(ids)
@@ -214,11 +222,13 @@
                         "request": a.ids.request,
                         "attempt": a.ids.attempt,
                         "organisation": a.ids.organisation,
+                        "key": a.ids.key,
                         "tokens": a.tokens,
                         "after_withdrawal": a.after_withdrawal,
                     }
                     for a in self._arrivals
                 ],
+                "end_times": dict(self._end_times),
                 "cut_off": [ids.request for ids in self._cut_off],
                 "cancelled": self._cancelled,
                 "refused": self._refused,
--- a/src/chervilrack/_internal/standins/upstreams/simple.py
+++ b/src/chervilrack/_internal/standins/upstreams/simple.py
@@ -1,6 +1,6 @@
 """Emulated encoder, retriever, reranker and plain service."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import Any
 
 import msgspec
@@ -60,8 +60,13 @@
     def _result(self, exchange: Exchange, body: Mapping[str, Any]) -> dict[str, Any]:
         previous = body.get("previous") or body.get("input")
         vector = previous.get("vector") if isinstance(previous, dict) else previous
+        return {"documents": self.documents(vector)}
+
+    @staticmethod
+    def documents(vector: Any) -> list[str]:
+        """Return the documents that are retrieved for a vector."""
         seed = xxhash.xxh3_64_intdigest(msgspec.json.encode(vector, order="sorted"))
-        return {"documents": [f"doc-{(seed + 7919 * rank) % 100_000}" for rank in range(8)]}
+        return [f"doc-{(seed + 7919 * rank) % 100_000}" for rank in range(8)]
 
 
 class Reranker(_TimedUpstream):
@@ -72,10 +77,14 @@
     def _result(self, exchange: Exchange, body: Mapping[str, Any]) -> dict[str, Any]:
         previous = body.get("previous")
         documents = previous.get("documents", []) if isinstance(previous, dict) else []
-        ranked = sorted(
+        return {"documents": self.ranked(documents)}
+
+    @staticmethod
+    def ranked(documents: Iterable[Any]) -> list[Any]:
+        """Return documents in order of their score."""
+        return sorted(
             documents, key=lambda document: xxhash.xxh3_64_intdigest(str(document).encode())
         )
-        return {"documents": ranked}
 
 
 class PlainService(_TimedUpstream):
