--- a/features/steps/experiments_model_steps.py
+++ b/features/steps/experiments_model_steps.py
@@ -267,4 +267,4 @@
     arrival = context.standin_record.arrivals[0]
     assert ends[ended] >= arrival.time
     assert running not in ends
-    assert context.standin_record.as_dict()["end_times"] == ends
+    assert context.standin_record.as_dict()["ended"] == ends
--- a/src/chervilrack/_internal/standins/upstreams/record.py
+++ b/src/chervilrack/_internal/standins/upstreams/record.py
@@ -88,14 +88,14 @@
         self._violations: list[Violation] = []
         self._executions: Counter[tuple[str, str]] = Counter()
         self._running = 0
-        self._end_times: dict[str, float] = {}
-        self._cut_off: list[CallIds] = []
+                self._cut_off: list[CallIds] = []
         self._cancelled = 0
         self._refused = 0
         self._tokens_generated = 0
         self._tokens_prefilled = 0
         self._withdrawn_at: float | None = None
         self._stale_commands = 0
+        self._ended: dict[str, float] = {}
 
     @property
     def limits(self) -> Limits:
@@ -124,7 +124,7 @@
     def end_times(self) -> dict[str, float]:
         """Time at which each attempt ended, by attempt id; running ones are missing."""
         with self._lock:
-            return dict(self._end_times)
+            return dict(self._ended)
 
     @property
     def cut_off(self) -> list[CallIds]:
@@ -181,7 +181,7 @@
         """Count the end of a request."""
         with self._lock:
             self._running -= 1
-            self._end_times[ids.attempt] = time.monotonic()
+            self._ended[ids.attempt] = time.monotonic()
             self._cancelled += cancelled
             if cut_off:
                 self._cut_off.append(ids)
@@ -228,7 +228,7 @@
                     }
                     for a in self._arrivals
                 ],
-                "end_times": dict(self._end_times),
+                "ended": dict(self._ended),
                 "cut_off": [ids.request for ids in self._cut_off],
                 "cancelled": self._cancelled,
                 "refused": self._refused,
