--- a/src/chervilrack/_internal/cluster/fleet.py
+++ b/src/chervilrack/_internal/cluster/fleet.py
@@ -26,11 +26,18 @@
 class UpstreamFleet:
     """Emulated upstreams of a profile on one server; a context manager.
 
-    ``names`` selects some of them, so that several processes can share the work.
+    ``names`` selects some of them, so that several processes can share the work. ``report_lag_s``
+    is the age of their load reports and cache events.
     """
 
-    def __init__(self, profile: Profile, names: Iterable[UpstreamId] | None = None) -> None:
+    def __init__(
+        self,
+        profile: Profile,
+        names: Iterable[UpstreamId] | None = None,
+        report_lag_s: float = 0.0,
+    ) -> None:
         self._profile = profile
+        self._report_lag_s = report_lag_s
         everything = [name for pool in profile.pools for name in pool.upstreams]
         self._names = list(names) if names is not None else everything
         self._stack = ExitStack()
@@ -50,7 +57,7 @@
         with ExitStack() as stack:
             server = stack.enter_context(StandinServer())
             for name in self._names:
-                upstream = _create(self._profile, name, server)
+                upstream = _create(self._profile, name, server, self._report_lag_s)
                 self._upstreams[name] = stack.enter_context(upstream)
             self._stack = stack.pop_all()
         return self
@@ -64,13 +71,18 @@
         self._stack.close()
 
 
-def _create(profile: Profile, name: UpstreamId, server: StandinServer) -> EmulatedUpstream:
+def _create(
+    profile: Profile, name: UpstreamId, server: StandinServer, report_lag_s: float
+) -> EmulatedUpstream:
     pool = profile.pool_of(name)
-    return _FACTORIES[pool.kind](profile, pool, name, _options(pool, server))
-
-
-def _options(pool: Pool, server: StandinServer) -> dict[str, Any]:
-    return {"server": server, "limits": Limits(concurrency=pool.concurrency)}
+    options: dict[str, Any] = {
+        "server": server,
+        "limits": Limits(concurrency=pool.concurrency),
+        "load_lag": report_lag_s,
+    }
+    if pool.kind is UpstreamKind.ENGINE:
+        options["event_lag"] = report_lag_s
+    return _FACTORIES[pool.kind](profile, pool, name, options)
 
 
 def _engine(
--- a/src/chervilrack/_internal/commands/experiment.py
+++ b/src/chervilrack/_internal/commands/experiment.py
@@ -17,7 +17,7 @@
 from chervilrack._internal.experiments.result import RunResult, read_result, write_result
 from chervilrack._internal.experiments.runner import Experiment
 from chervilrack._internal.experiments.scenarios import SCENARIOS
-from chervilrack._internal.experiments.testbed import TEST_BEDS
+from chervilrack._internal.experiments.testbed import test_beds
 
 _NEW_FILE = click.Path(dir_okay=False, writable=True, path_type=Path)
 _EXISTING_FILE = click.Path(exists=True, dir_okay=False, path_type=Path)
@@ -92,7 +92,7 @@
     experiment = Experiment(
         scenario,
         load_profile(profile),
-        TEST_BEDS.get(test_bed),
+        test_beds().get(test_bed),
         seed=seed,
         duration_s=duration,
         load_processes=load_processes,
--- a/src/chervilrack/_internal/experiments/scenarios/base.py
+++ b/src/chervilrack/_internal/experiments/scenarios/base.py
@@ -16,6 +16,7 @@
 
     ``windows`` name parts of the run (fractions of its duration) whose goodput is reported.
     ``use_window`` is the part in which the mean use of the first limit is measured.
+    ``report_lag_s`` is the age of the load reports and cache events of upstreams.
     """
 
     summary: str
@@ -24,6 +25,7 @@
     bounds: tuple[Bound, ...] = ()
     windows: Mapping[str, tuple[float, float]] = field(default_factory=dict)
     use_window: tuple[float, float] = (0.1, 0.9)
+    report_lag_s: float = 0.0
 
 
 SCENARIOS: Registry[Callable[[Profile], Scenario]] = Registry("scenario")
--- a/src/chervilrack/_internal/standins/upstreams/record.py
+++ b/src/chervilrack/_internal/standins/upstreams/record.py
@@ -88,7 +88,7 @@
         self._violations: list[Violation] = []
         self._executions: Counter[tuple[str, str]] = Counter()
         self._running = 0
-                self._cut_off: list[CallIds] = []
+        self._cut_off: list[CallIds] = []
         self._cancelled = 0
         self._refused = 0
         self._tokens_generated = 0
