--- a/features/support/fake_cluster.py
+++ b/features/support/fake_cluster.py
@@ -9,6 +9,7 @@
 import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
+from chervilrack._internal.common.results import ResultCode
 from chervilrack._internal.experiments.testbed import (
     NodeInfo,
     NodeStatus,
@@ -17,16 +18,27 @@
     Submission,
     WorkArrival,
 )
-from chervilrack._internal.standins.upstreams.record import receipt
+from chervilrack._internal.experiments.verification import expected_output
 
 STAGE_S = 0.002
 LISTENER_LIFETIME_S = 0.3  # a stopping node's listener outlives the look-ups that name it
 
+REFUSALS = {
+    "refuses as not executed": (503, ResultCode.QUEUE_FULL.number, "no"),
+    "refuses as unknown": (409, ResultCode.ORDER_OUTCOME_UNKNOWN.number, "unknown"),
+    "refuses without retry": (504, ResultCode.DEADLINE_PASSED.number, "no"),
+}
+
 
 class FakeCluster:
-    """Test bed whose nodes answer at once. ``defect`` names the promise that it breaks."""
+    """Test bed whose nodes answer at once.
+
+    ``defect`` names the promise that it breaks; ``script`` says what happens to the first requests.
+    """
 
-    def __init__(self, options, defect="none"):
+    def __init__(self, options, defect="none", script=()):
+        self.script = list(script)
+        self.keys = []
         self.profile = options.profile
         self.defect = defect
         self.lock = threading.Lock()
@@ -41,6 +53,11 @@
         self.ended = {upstream: {} for upstream in self.work}
         self.executions = {upstream: {} for upstream in self.work}
         self.outcomes = {}
+        self.permits = {
+            limit: threading.Semaphore(capacity)
+            for limit, capacity in self.profile.limit_capacities().items()
+            if limit.endswith("/concurrency")
+        }
         for number in range(3):
             self.start_node(self.profile.zone_of(number))
 
@@ -69,7 +86,11 @@
 
     def stop_node(self, node):
         server = self.running[node]
-        if self.defect != "cuts-at-stop":
+        if self.defect == "cuts-at-stop":
+            begun = server.begun
+            while server.begun == begun:
+                time.sleep(0.001)
+        else:
             self.leaving.add(node)
             time.sleep(LISTENER_LIFETIME_S)
             while server.in_flight:
@@ -139,6 +160,14 @@
             upstream = min(usable, key=lambda name: len(self.work[name]))
             if self.defect == "exceeds-limit":
                 upstream = usable[0]
+        with (
+            self.permits[f"team/{pool.team}/concurrency"],
+            self.permits[f"upstream/{upstream}/concurrency"],
+        ):
+            self._run_at(upstream, served_as, organisation, key)
+
+    def _run_at(self, upstream, served_as, organisation, key):
+        with self.lock:
             attempt = secrets.token_hex(4)
             arrival = WorkArrival(time.monotonic(), served_as, attempt, organisation, 10, key)
             self.work[upstream].append(arrival)
@@ -162,6 +191,7 @@
         self.resumed = threading.Event()
         self.resumed.set()
         self.in_flight = 0
+        self.begun = 0
         self.connections = set()
 
     def cut(self):
@@ -202,8 +232,14 @@
         organisation = self.headers["Authorization"].removeprefix("Bearer experiment-key-of-")
         self.served_as = secrets.token_hex(8)
         self.server.in_flight += 1
+        self.server.begun += 1
         try:
             self.server.resumed.wait()
+            if cluster.defect == "cuts-at-stop":
+                time.sleep(0.3)  # the stop falls into the time of a request
+            cluster.keys.append(self.headers.get("Idempotency-Key"))
+            if cluster.script and self._follow_script(cluster.script.pop(0)):
+                return
             if cluster.defect == "hangs" and body["seed"] % 5 == 0:
                 time.sleep(30)
             _, _, kind, name, *operation = self.path.split("/")
@@ -214,6 +250,21 @@
         finally:
             self.server.in_flight -= 1
 
+    def _follow_script(self, behaviour):
+        if behaviour in REFUSALS:
+            status, code, executed = REFUSALS[behaviour]
+            self._reply(status, {"code": code, "executed": executed}, {"Retry-After": "0"})
+            return True
+        if behaviour == "breaks the stream":
+            self.send_response(200)
+            self.send_header("X-Request-Id", self.served_as)
+            self.send_header("Transfer-Encoding", "chunked")
+            self.end_headers()
+            self._chunk(b'event: token\ndata: {"offset": 0, "text": "x", "tokens": 1}\n\n')
+        self.close_connection = True
+        self.connection.shutdown(socket.SHUT_RDWR)
+        return True
+
     def _pipeline(self, cluster, organisation, body):
         if cluster.defect == "refuses-truthfully" or (
             cluster.defect == "refuses-after-running" and body["seed"] % 3 == 0
@@ -225,8 +276,8 @@
         for pool in cluster.profile.stages:
             cluster.run(pool, self.served_as, organisation)
         named = "another" if cluster.defect == "misdelivers" else organisation
-        texts = [receipt(self.served_as, named)]
-        texts += [f" t{number}" for number in range(1, body["max_tokens"])]
+        text = expected_output(body, named, self.served_as)
+        texts = [part if not number else f" {part}" for number, part in enumerate(text.split(" "))]
         if not body.get("stream"):
             self._reply(200, {"choices": [{"text": "".join(texts)}]})
             return
@@ -271,9 +322,9 @@
 
 
 @contextlib.contextmanager
-def fake_cluster(options, defect="none"):
+def fake_cluster(options, defect="none", script=()):
     """Start a fake cluster; leaving the context stops it."""
-    cluster = FakeCluster(options, defect)
+    cluster = FakeCluster(options, defect, script)
     try:
         yield cluster
     finally:
--- a/src/chervilrack/_internal/standins/upstreams/record.py
+++ b/src/chervilrack/_internal/standins/upstreams/record.py
@@ -120,6 +120,12 @@
         with self._lock:
             return dict(self._executions)
 
+    @property
+    def end_times(self) -> dict[str, float]:
+        """Time at which each attempt ended, by attempt id; running ones are missing."""
+        with self._lock:
+            return dict(self._ended)
+
     @property
     def cut_off(self) -> list[CallIds]:
         """Requests that a stop or crash of the upstream interrupted."""
