Show applied notes to operators

Cause: the merge of the release log had lost the property that lists its notes. Change: the property is back.

--- a/src/chervilrack/_internal/releases/core.py
+++ b/src/chervilrack/_internal/releases/core.py
@@ -153,6 +153,11 @@
         """Revision in force on this node."""
         return self._configuration.revision
 
+    @property
+    def records(self) -> tuple[NoteRecord, ...]:
+        """Notes applied here, oldest first, as far as they are kept."""
+        return tuple(self._history.values())
+
     @property
     def digest(self) -> str:
         """Digest of the notes that led to the configuration."""
