--- /dev/null
+++ b/features/support/orders_world.py
@@ -0,0 +1,225 @@
+"""Order executors on the simulated cluster of the membership tests."""
+
+from datetime import UTC, datetime, timedelta
+
+from features.support.membership_world import SETTINGS, MembershipWorld, Node
+
+from chervilrack._internal.membership import messages as shared
+from chervilrack._internal.membership.messages import MembershipMessage, WriteOutcome
+from chervilrack._internal.orders import messages as o
+from chervilrack._internal.orders.core import OrderExecutor
+from chervilrack._internal.orders.state import (
+    Order,
+    OrderResult,
+    OrderSettings,
+    RecordState,
+    decode_record,
+    partition_of,
+)
+
+EPOCH_START = datetime(2026, 1, 1, tzinfo=UTC)
+DEADLINE = timedelta(seconds=6)
+TO_ORDERS = (
+    shared.ViewAdopted,
+    shared.EpochActive,
+    shared.DoubtsChanged,
+    shared.OutageGrantChanged,
+)
+
+
+class OrdersNode(Node):
+    """Process with a membership core and an order executor."""
+
+    def __init__(self, name, number, run, world, address):
+        super().__init__(name, number, run, world, address)
+        self.orders = OrderExecutor(self.process, world.order_settings, self.core.may_act)
+
+
+class OrdersWorld(MembershipWorld):
+    """Records what upstreams received and what callers were told."""
+
+    node_class = OrdersNode
+
+    def __init__(self, nodes, seed, settings=SETTINGS, order_settings=None):
+        self.order_settings = order_settings or OrderSettings()
+        self.requests = {}
+        self.answers = {}
+        self.executions = {}
+        self.started = []
+        self.txn_sizes = []
+        self.upstream_steps = (0, 15)
+        self.unsent = 0.1
+        super().__init__(nodes, seed, settings)
+
+    @property
+    def wall(self):
+        return EPOCH_START + self.time
+
+    def submit(self, name, key, body=b"1", organisation="org", deadline=DEADLINE):
+        node = self.nodes[name]
+        request = f"r{len(self.requests)}"
+        order = Order(organisation, key, "payments", "pay", body, int(self.wall.timestamp()))
+        self.requests[request] = (node, order, self.steps)
+        event = o.OrderSubmitted(request, order, node.now(self) + deadline)
+        self.give_orders(node, event)
+        return request
+
+    def look_up(self, name, key, organisation="org"):
+        node = self.nodes[name]
+        request = f"q{len(self.requests)}"
+        self.requests[request] = (node, None, self.steps)
+        event = o.LookUp(request, organisation, key, node.now(self) + DEADLINE)
+        self.give_orders(node, event)
+        return request
+
+    def owner(self, key, organisation="org"):
+        """Return the node that executes a key according to the newest view."""
+        newest = max(self.nodes.values(), key=lambda node: node.core.epoch)
+        return newest.orders._partitions.owner(partition_of(organisation, key)).node
+
+    def key_owned_by(self, name):
+        return next(f"k{i}" for i in range(1000) if self.owner(f"k{i}") == name)
+
+    def give_orders(self, node, event):
+        for effect in node.orders.handle(event, node.now(self)):
+            self.carry_out(node, effect)
+
+    def deliver(self, node, sender, message):
+        if isinstance(message, MembershipMessage):
+            super().deliver(node, sender, message)
+        else:
+            self.give_orders(node, o.PeerMessage(sender.node, sender.incarnation, message))
+
+    def inform(self, node):
+        super().inform(node)
+        self.give_orders(node, shared.PlatformReachable(self.platform.reachable(node.name)))
+        self.give_orders(node, o.Tick(self.wall))
+
+    def carry_out(self, node, effect):
+        match effect:
+            case o.WriteTickets(txn=txn):
+                self.later(self.platform_delay(), node, lambda: self.write_tickets(node, txn))
+            case o.ReadPartition(partition=partition):
+                self.later(
+                    self.platform_delay(), node, lambda: self.read_partition(node, partition)
+                )
+            case o.RunOrder():
+                self.run_order(node, effect)
+            case o.AnswerOrder(request=request, result=result):
+                self.answer(request, result)
+            case shared.PartitionsOwned() | shared.OutageTicketsWritten():
+                self.give(node, effect)
+            case _:
+                super().carry_out(node, effect)
+        if isinstance(effect, TO_ORDERS):
+            self.give_orders(node, effect)
+
+    def write_tickets(self, node, txn):
+        self.txn_sizes.append(len(txn.compares) + len(txn.puts) + len(txn.deletes))
+        number = txn.number
+        if not self.platform.reachable(node.name):
+            outcome = self.rng.choice([WriteOutcome.NOT_APPLIED, WriteOutcome.UNKNOWN])
+            self.respond_orders(node, o.TicketsWritten(number, outcome))
+            return
+        before = dict(self.platform.items)
+        applied = self.platform.txn(
+            [(compare.key, compare.mod_revision) for compare in txn.compares],
+            [(put.key, put.value) for put in txn.puts],
+            txn.deletes,
+        )
+        self.check_records(before, txn, applied)
+        if self.platform.lose_responses:
+            self.platform.lose_responses -= 1
+            event = o.TicketsWritten(number, WriteOutcome.UNKNOWN)
+        elif applied:
+            event = o.TicketsWritten(number, WriteOutcome.APPLIED, self.platform.revision)
+        else:
+            event = o.TicketsWritten(number, WriteOutcome.CONFLICT)
+        self.respond_orders(node, event)
+
+    def check_records(self, before, txn, applied):
+        """A stored outcome is never changed, and no process replaces another's ticket."""
+        for put in txn.puts if applied else ():
+            if put.key in before:
+                old, new = decode_record(before[put.key][0]), decode_record(put.value)
+                assert old.state is not RecordState.DONE, f"an outcome was changed: {old} {new}"
+                if old.state is RecordState.TICKET:
+                    assert old.process == new.process, f"a ticket was replaced: {old} {new}"
+
+    def read_partition(self, node, partition):
+        if not self.platform.reachable(node.name):
+            return
+        self.platform.calls += 1
+        records = tuple(
+            (key, decode_record(value), mod)
+            for key, (value, mod) in sorted(self.platform.items.items())
+            if key.startswith(f"orders/{partition}/")
+        )
+        self.respond_orders(node, o.RecordsRead(partition, records, self.platform.revision))
+
+    def respond_orders(self, node, event):
+        if self.nodes.get(node.name) is node:
+            self.queue.append((self.steps, node.name, lambda n: self.give_orders(n, event)))
+
+    def run_order(self, node, effect):
+        assert node.core.may_act(node.now(self)), f"{node.name} runs an order unconfirmed"
+        self.started.append((node.name, effect.record_key))
+        sent = self.rng.random() >= self.unsent
+        if sent:
+            runs = self.executions.setdefault(effect.record_key, [])
+            runs.append((node.process, effect.order, self.steps))
+            assert len(runs) == 1, f"an order ran twice: {runs}"
+        result = OrderResult(body=b"done:" + effect.order.body)
+        if not sent:
+            result = OrderResult("NO_UPSTREAM", "none", "no", 503)
+        event = o.OrderRunFinished(effect.record_key, result, sent)
+        self.queue.append(
+            (
+                self.steps + self.rng.randint(*self.upstream_steps),
+                node.name,
+                lambda n: self.give_orders(n, event) if n is node else None,
+            )
+        )
+
+    def answer(self, request, result):
+        assert request not in self.answers, f"{request} was answered twice"
+        self.answers[request] = result
+        order = self.requests[request][1]
+        if order is not None and not result.code:
+            assert result.body == b"done:" + order.body, f"{request} got another response"
+
+    def check_answers(self):
+        """If all requests under a key were told that nothing ran, nothing ran."""
+        told = {}
+        for request, (_, order, _) in self.requests.items():
+            if order is not None:
+                result = self.answers.get(request)
+                told.setdefault(order.record_key, set()).add(result and result.executed)
+        for key, answers in told.items():
+            if answers == {"no"}:
+                assert key not in self.executions, f"{key} ran, but callers were told 'no'"
+
+    def check(self):
+        super().check()
+        self.check_answers()
+
+    def unanswered(self):
+        """Return requests at live processes that have no answer."""
+        return [
+            request
+            for request, (node, _, _) in self.requests.items()
+            if request not in self.answers and self.nodes.get(node.name) is node
+        ]
+
+    def in_progress(self):
+        return sum(node.orders.in_progress for node in self.nodes.values())
+
+    def run_until_answered(self, limit):
+        for _ in range(limit):
+            if not self.unanswered() and not self.in_progress():
+                return
+            self.step()
+        raise AssertionError(
+            f"unanswered after {limit} steps: {self.unanswered()}; "
+            f"in progress: {[n.orders._live for n in self.nodes.values()]}"
+        )
--- /dev/null
+++ b/src/chervilrack/_internal/orders/state.py
@@ -0,0 +1,236 @@
+"""Orders, their records on the platform, and the settings of the slice."""
+
+import hashlib
+from dataclasses import dataclass, field
+from datetime import timedelta
+from enum import Enum
+
+import msgspec
+import xxhash
+
+from chervilrack._internal.common.hashing import rendezvous_owner
+from chervilrack._internal.common.ids import (
+    Epoch,
+    IdempotencyKey,
+    Incarnation,
+    NodeId,
+    OrganisationId,
+    RequestId,
+    ServiceId,
+)
+from chervilrack._internal.common.results import Executed, Problem, ResultCode
+from chervilrack._internal.membership.state import Process, View
+
+RECORD_FORMAT = 1
+PARTITIONS = 64
+RECORD_PREFIX = "orders/"
+
+
+class RecordState(Enum):
+    """State of an order's record. Only ``NOT_EXECUTED`` may be followed by a new ticket."""
+
+    TICKET = "ticket"
+    DONE = "done"
+    NOT_EXECUTED = "not executed"
+
+
+class OrderResult(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
+    """Response to an order: the upstream's response, or a result code with ``executed``."""
+
+    code: str = ""
+    detail: str = ""
+    executed: str = Executed.YES.value
+    status: int = 200
+    body: bytes = b""
+
+    def problem(self) -> Problem | None:
+        """Return the failure as callers see it, or None for a response of the upstream."""
+        if not self.code:
+            return None
+        return Problem(ResultCode[self.code], self.detail, Executed(self.executed))
+
+
+def refusal(code: ResultCode, detail: str, executed: Executed = Executed.NO) -> OrderResult:
+    """Return a result that carries a result code."""
+    return OrderResult(code.name, detail, executed.value, code.http_status)
+
+
+def key_reused() -> OrderResult:
+    """Return the refusal of a second request under one key."""
+    return refusal(ResultCode.IDEMPOTENCY_KEY_REUSED, "the key belongs to another request")
+
+
+def outcome_unknown(detail: str) -> OrderResult:
+    """Return the answer for an order that may have been executed."""
+    return refusal(ResultCode.ORDER_OUTCOME_UNKNOWN, detail, Executed.UNKNOWN)
+
+
+class Order(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
+    """Non-idempotent request. ``created`` is in Unix seconds, when it was received."""
+
+    organisation: OrganisationId
+    key: IdempotencyKey
+    service: ServiceId
+    operation: str
+    body: bytes
+    created: int = 0
+
+    @property
+    def fingerprint(self) -> str:
+        """SHA-256 of service, operation and body; tells requests under one key apart."""
+        head = f"{self.service}\0{self.operation}\0".encode()
+        return hashlib.sha256(head + self.body).hexdigest()
+
+    @property
+    def record_key(self) -> str:
+        """Platform key of the order's record."""
+        return record_key(self.organisation, self.key)
+
+
+class Record(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Ticket or outcome of an order. ``attempt`` identifies the write of the ticket."""
+
+    state: RecordState
+    node: NodeId
+    incarnation: Incarnation
+    epoch: Epoch
+    attempt: str
+    fingerprint: str
+    created: int
+    result: OrderResult | None = None
+    format: int = RECORD_FORMAT
+
+    @property
+    def process(self) -> Process:
+        """Process that the ticket names."""
+        return Process(self.node, self.incarnation)
+
+
+def encode_record(record: Record) -> bytes:
+    """Return the JSON form of a record."""
+    return msgspec.json.encode(record)
+
+
+def decode_record(value: bytes) -> Record:
+    """Return the record stored as ``value``.
+
+    Raises msgspec.ValidationError for an unknown field, a wrong type or another format number.
+    """
+    record = msgspec.json.decode(value, type=Record)
+    if record.format != RECORD_FORMAT:
+        raise msgspec.ValidationError(
+            f"order record has format {record.format}; this version reads {RECORD_FORMAT}"
+        )
+    return record
+
+
+def record_key(organisation: OrganisationId, key: IdempotencyKey) -> str:
+    """Return the platform key for an organisation's idempotency key."""
+    digest = hashlib.sha256(f"{organisation}\0{key}".encode()).hexdigest()
+    return f"{RECORD_PREFIX}{partition_of(organisation, key)}/{digest}"
+
+
+def partition_of(organisation: OrganisationId, key: IdempotencyKey) -> int:
+    """Return the partition of an organisation's idempotency key."""
+    return xxhash.xxh3_64_intdigest(f"{organisation}\0{key}".encode()) % PARTITIONS
+
+
+def partition_of_record(key: str) -> int:
+    """Return the partition from a record's platform key."""
+    return int(key.split("/")[1])
+
+
+def partition_owner(view: View, partition: int) -> NodeId | None:
+    """Return the node that executes a partition's orders, or None without active members."""
+    owner = rendezvous_owner(
+        f"{RECORD_PREFIX}{partition}", [member.node for member in view.active()]
+    )
+    return NodeId(owner) if owner is not None else None
+
+
+@dataclass(frozen=True, slots=True)
+class OrderSettings:
+    """Times and sizes of order execution."""
+
+    max_operations: int = 128
+    # Group commits of all executors together stay below this share of the platform's writes.
+    group_writes_per_s: int = 200
+    min_group_wait: timedelta = timedelta(milliseconds=5)
+    write_retry: timedelta = timedelta(milliseconds=200)
+    read_retry: timedelta = timedelta(seconds=1)
+    # Longer than the platform silence of 2 s after which grants are given.
+    platform_patience: timedelta = timedelta(seconds=3)
+    forward_retry: timedelta = timedelta(seconds=1)
+    # An answer that left the executor at the deadline may still be on its way.
+    answer_grace: timedelta = timedelta(milliseconds=500)
+    retry_horizon: timedelta = timedelta(minutes=10)
+    retention: timedelta = timedelta(hours=1)
+    expiry_interval: timedelta = timedelta(minutes=1)
+
+    def group_wait(self, executors: int) -> timedelta:
+        """Return the time between group commits of one executor."""
+        share = timedelta(seconds=min(executors, PARTITIONS) / self.group_writes_per_s)
+        return max(self.min_group_wait, share)
+
+
+@dataclass(frozen=True, slots=True)
+class Waiter:
+    """Who waits for an order's result: a request here, or one of another process."""
+
+    request: RequestId
+    deadline: timedelta
+    forwarder: Process | None = None
+    number: int = 0
+
+
+class LiveState(Enum):
+    """State of an order in the executor's memory."""
+
+    QUEUED = "queued"
+    WRITING = "writing"
+    READING = "reading"
+    RUNNING = "running"
+    FINISHED = "finished"
+
+
+@dataclass(slots=True)
+class LiveOrder:
+    """Order in progress at this executor.
+
+    ``recorded`` is the platform revision of its own record, 0 while it is not known to exist.
+    ``replaces`` is the revision of the record that its ticket may replace, 0 for none.
+    """
+
+    order: Order
+    attempt: str
+    epoch: Epoch
+    queued_at: timedelta
+    state: LiveState = LiveState.QUEUED
+    waiters: list[Waiter] = field(default_factory=list)
+    replaces: int = 0
+    recorded: int = 0
+    dispatched: bool = False
+    in_group: bool = False
+    in_memory: bool = False
+    result: OrderResult | None = None
+    executed: bool = True
+
+    @property
+    def partition(self) -> int:
+        """Partition of the order."""
+        return partition_of(self.order.organisation, self.order.key)
+
+    @property
+    def deadline(self) -> timedelta:
+        """Latest deadline of those who wait."""
+        return max((waiter.deadline for waiter in self.waiters), default=timedelta(0))
+
+
+def same_request(first: str, second: str) -> bool:
+    """Whether two fingerprints belong to the same request."""
+    return first == second
+
+
+def may_run_in_memory(granted: bool, may_act: bool) -> bool:
+    """Whether an order may run without a ticket on the platform."""
+    return granted and may_act
