--- a/features/platform/adapters.feature
+++ b/features/platform/adapters.feature
@@ -110,3 +110,19 @@
       | name   | kind           |
       | etcd   | EtcdPlatform   |
       | memory | MemoryPlatform |
+
+  Scenario: a write goes to the next endpoint if the first cannot be reached
+    Given platform etcd adapter behind an endpoint that refuses connections
+    When platform key "a" is written as "1" if it is at revision 0
+    Then platform outcomes are succeeded
+
+  Scenario Outline: a watch during an outage of <outage> ms <result>
+    Given platform etcd adapter that reconnects watches for 600 ms
+    When platform watch of "a/" is opened
+    And platform faults are posted as {"unavailable_ms": <outage>}
+    Then platform watch <result>
+
+    Examples:
+      | outage | result                     |
+      | 200    | resumes                    |
+      | 60000  | raises PlatformUnavailable |
--- a/features/platform/standin.feature
+++ b/features/platform/standin.feature
@@ -54,3 +54,20 @@
       | the password     | succeeded       |
       | another password | PlatformRefused |
       | nothing          | PlatformRefused |
+
+  Scenario Outline: certificates are verified unless the settings say otherwise (<settings>)
+    Given platform stand-in with a certificate of its own
+    When platform client uses <settings>
+    Then platform outcomes are <outcome>
+
+    Examples:
+      | settings             | outcome             |
+      | its certificate      | succeeded           |
+      | public certificates  | PlatformUnavailable |
+      | no verification      | succeeded           |
+
+  Scenario: a watch works over TLS
+    Given platform stand-in with a certificate of its own
+    When platform client uses its certificate
+    And platform watch of "a" is opened
+    Then platform watch delivers a and no more
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -1,11 +1,18 @@
 """Steps for the platform service's adapters and its stand-in."""
 
 import socket
+import tempfile
 from contextlib import ExitStack
-from datetime import timedelta
+from datetime import UTC, datetime, timedelta
+from ipaddress import ip_address
+from pathlib import Path
 
 import urllib3
 from behave import given, then, when
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.x509.oid import NameOID
 
 from chervilrack._internal.common.clock import ManualClock
 from chervilrack._internal.exceptions import PlatformError, PlatformUnavailable, WatchCompacted
@@ -16,6 +23,7 @@
 from chervilrack._internal.standins.platform import PlatformStandIn, VmState
 
 SECOND = timedelta(seconds=1)
+LOOPBACK = ip_address("127.0.0.1")
 
 
 def _enter(context, manager):
@@ -38,10 +46,70 @@
         context.standin = context.faults = _enter(context, PlatformStandIn())
         context.platform = _client(context)
     else:
-        with socket.socket() as unused:
-            unused.bind(("127.0.0.1", 0))
-            address = f"http://127.0.0.1:{unused.getsockname()[1]}"
-        context.platform = EtcdPlatform(PlatformSettings(endpoints=(address,)))
+        context.platform = EtcdPlatform(PlatformSettings(endpoints=(_refusing_address(),)))
+
+
+def _refusing_address():
+    with socket.socket() as unused:
+        unused.bind(("127.0.0.1", 0))
+        return f"http://127.0.0.1:{unused.getsockname()[1]}"
+
+
+@given("platform etcd adapter behind an endpoint that refuses connections")
+def adapter_with_two_endpoints(context):
+    platform_adapter(context, "etcd")
+    endpoints = (_refusing_address(), context.standin.address)
+    context.platform = EtcdPlatform(PlatformSettings(endpoints=endpoints))
+
+
+@given("platform etcd adapter that reconnects watches for {duration:d} ms")
+def adapter_that_reconnects(context, duration):
+    platform_adapter(context, "etcd")
+    context.platform = _client(context, watch_reconnect=duration * SECOND / 1000)
+
+
+@then("platform watch resumes")
+def watch_resumes(context):
+    while context.standin.open_watches == 0:
+        next(context.batches)
+    context.platform.txn([], [Put("a/1", b"")])
+    watch_delivers(context, "a/1")
+
+
+@then("platform watch raises PlatformUnavailable")
+def watch_raises(context):
+    try:
+        while next(context.batches) is None:
+            pass
+    except PlatformUnavailable:
+        return
+    raise AssertionError("the watch delivered changes in an outage")
+
+
+@given("platform stand-in with a certificate of its own")
+def standin_with_certificate(context):
+    folder = _enter(context, tempfile.TemporaryDirectory())
+    key = ec.generate_private_key(ec.SECP256R1())
+    name = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, "stand-in")])
+    now = datetime.now(UTC)
+    certificate = (
+        x509.CertificateBuilder(name, name, key.public_key(), x509.random_serial_number())
+        .not_valid_before(now - SECOND)
+        .not_valid_after(now + 3600 * SECOND)
+        .add_extension(x509.SubjectAlternativeName([x509.IPAddress(LOOPBACK)]), critical=False)
+        .add_extension(x509.BasicConstraints(ca=True, path_length=None), critical=True)
+        .sign(key, hashes.SHA256())
+    )
+    pem = serialization.Encoding.PEM
+    context.certificate = Path(folder, "certificate.pem")
+    context.certificate.write_bytes(certificate.public_bytes(pem))
+    key_file = Path(folder, "key.pem")
+    key_file.write_bytes(
+        key.private_bytes(pem, serialization.PrivateFormat.PKCS8, serialization.NoEncryption())
+    )
+    standin = PlatformStandIn(tls=(str(context.certificate), str(key_file)))
+    context.standin = _enter(context, standin)
+    context.outcomes = []
 
 
 def _attempt(context, call):
@@ -299,6 +367,7 @@
 def standin_with_credentials(context):
     standin = PlatformStandIn(token="secret", users={"node": "word"})
     context.standin = _enter(context, standin)
+    context.certificate = None
     context.outcomes = []
 
 
@@ -312,6 +381,9 @@
             "the password": {"username": "node", "password": "word"},
             "another password": {"username": "node", "password": "wrong"},
             "nothing": {},
+            "its certificate": {"ca_file": str(context.certificate)},
+            "public certificates": {},
+            "no verification": {"verify_tls": False},
         }[credentials],
     )
     _attempt(context, lambda: context.platform.txn([], [Put("a", b"1")]))
--- a/features/steps/releases_steps.py
+++ b/features/steps/releases_steps.py
@@ -20,6 +20,7 @@
 from chervilrack._internal.releases import accept, core, messages
 from chervilrack._internal.releases.apply import apply_note
 from chervilrack._internal.releases.check import read_checked_note
+from chervilrack._internal.releases.measure import measure_release_scale
 from chervilrack._internal.releases.note import Added, ReleaseNote
 from chervilrack._internal.releases.state import Configuration, Limits, Team
 
@@ -335,3 +336,20 @@
     assert (before.pop("revision"), after.pop("revision")) == (1, 2)
     assert (before.pop("note_id"), after.pop("note_id")) == ("base", "change")
     assert before == after
+
+
+@then("releases scale measured twice with seed {seed:d} has equal sizes")
+def scale_is_measured(context, seed):
+    scales = ((5, 24), (50, 60))
+    runs = [
+        [
+            (row.organisations, row.snapshot_bytes, row.whole_note_bytes, row.change_record_bytes)
+            for row in measure_release_scale(seed, scales)
+        ]
+        for _ in range(2)
+    ]
+    assert runs[0] == runs[1], runs
+    small, large = runs[0]
+    assert small[1] < large[1]
+    assert small[2] < large[2]
+    assert small[3] == large[3], "the record of a change grows with the configuration"
--- a/src/chervilrack/_internal/platform/etcd_watch.py
+++ b/src/chervilrack/_internal/platform/etcd_watch.py
@@ -114,6 +114,7 @@
         return WatchBatch(changes, revision) if changes else None
 
     def _reconnect(self) -> Iterator[None]:
+        logger.info("platform: watch interrupted before revision %d", self._following)
         began = self._clock.monotonic()
         while True:
             try:
@@ -141,7 +142,7 @@
                     lines.put(line)
     except (HTTPError, OSError, ValueError, AttributeError) as error:
         # AttributeError: urllib3 drops its file object when another thread closes it.
-        logger.info("platform: watch interrupted: %s", error)
+        logger.debug("platform: watch response ended: %s", error)
     finally:
         lines.put(None)
         with suppress(OSError, HTTPError):
--- a/src/chervilrack/_internal/standins/platform.py
+++ b/src/chervilrack/_internal/standins/platform.py
@@ -15,6 +15,7 @@
 
 import msgspec
 from cheroot.server import Gateway, HTTPServer
+from cheroot.ssl.builtin import BuiltinSSLAdapter
 
 from chervilrack._internal.common.clock import Clock, SystemClock
 from chervilrack._internal.exceptions import PlatformRefused
@@ -70,7 +71,7 @@
 
     ``reads_per_s`` and ``writes_per_s`` are enforced over one second; calls beyond them get
     HTTP 429. If ``token`` is set, calls need it as a bearer token; ``users`` maps names to
-    passwords for ``/v3/auth/authenticate``.
+    passwords for ``/v3/auth/authenticate``. ``tls`` names the files of a certificate and its key.
     """
 
     def __init__(
@@ -81,6 +82,7 @@
         writes_per_s: float = WRITES_PER_S,
         token: str | None = None,
         users: Mapping[str, str] | None = None,
+        tls: tuple[str, str] | None = None,
         clock: Clock | None = None,
     ) -> None:
         self._clock = clock or SystemClock()
@@ -109,6 +111,8 @@
         self._server.max_request_body_size = _MAX_BODY_BYTES
         # cheroot notices a stop only after this interval; tests start and stop many servers.
         self._server.expiration_interval = 0.05
+        if tls is not None:
+            self._server.ssl_adapter = BuiltinSSLAdapter(*tls)
         self._thread = threading.Thread(target=self._server.serve, daemon=True)
 
     def __enter__(self) -> Self:
@@ -126,7 +130,8 @@
     def address(self) -> str:
         """URL of the server."""
         host, port = self._server.bind_addr[:2]
-        return f"http://{host}:{port}"
+        scheme = "http" if self._server.ssl_adapter is None else "https"
+        return f"{scheme}://{host}:{port}"
 
     @property
     def counts(self) -> CallCounts:
--- a/src/chervilrack/_internal/standins/watch_pump.py
+++ b/src/chervilrack/_internal/standins/watch_pump.py
@@ -2,6 +2,7 @@
 
 import json
 import socket
+import ssl
 import threading
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -128,7 +129,7 @@
                 sent = watch.connection.send(watch.unsent)
                 del watch.unsent[:sent]
             client_left = watch.connection.recv(1) == b""
-        except BlockingIOError:
+        except (BlockingIOError, ssl.SSLWantReadError, ssl.SSLWantWriteError):
             client_left = len(watch.unsent) > _MAX_UNSENT_BYTES
         except OSError:
             client_left = True
