Connect orders to the node

Cause: orders were refused because their executor was not connected. Change: order desk that carries out tickets, partition reads, runs and answers; a leaving node waits until every outcome is stored.

--- a/src/chervilrack/_internal/node/codec.py
+++ b/src/chervilrack/_internal/node/codec.py
@@ -2,6 +2,7 @@
 
 from chervilrack._internal.limits import messages as limits
 from chervilrack._internal.membership import messages as membership
+from chervilrack._internal.orders import messages as orders
 from chervilrack._internal.peering.envelope import MessageCodec
 from chervilrack._internal.releases import messages as releases
 
@@ -20,6 +21,9 @@
         ("releases.notes-reply", releases.NotesReply),
         ("releases.snapshot-request", releases.SnapshotRequest),
         ("releases.snapshot-part", releases.SnapshotPart),
+        ("orders.submit", orders.SubmitOrder),
+        ("orders.look-up", orders.LookUpOrder),
+        ("orders.answered", orders.OrderAnswered),
         ("limits.holdings", limits.HoldingReport),
         ("limits.allocations", limits.AllocationBatch),
     ):
--- a/src/chervilrack/_internal/node/daemon.py
+++ b/src/chervilrack/_internal/node/daemon.py
@@ -27,18 +27,19 @@
 from chervilrack._internal.limits.policies import limit_policies
 from chervilrack._internal.membership import messages as membership
 from chervilrack._internal.membership.core import Membership
-from chervilrack._internal.membership.state import Member, MemberState
+from chervilrack._internal.membership.state import Member, MemberState, Process
 from chervilrack._internal.node.codec import create_codec
 from chervilrack._internal.node.cores import NodeCores, seeded
 from chervilrack._internal.node.operations import NodeOperations
 from chervilrack._internal.node.options import NodeOptions
-from chervilrack._internal.node.order_desk import ClosedOrderDesk
+from chervilrack._internal.node.order_desk import NodeOrderDesk
 from chervilrack._internal.node.periodic import PeriodicAction
 from chervilrack._internal.node.platform_link import PlatformLink
 from chervilrack._internal.node.platform_worker import PlatformWorker
 from chervilrack._internal.node.reactor import Reactor
 from chervilrack._internal.node.reports import STEPS_PER_S, UpstreamReports
 from chervilrack._internal.observability.telemetry import NodeTelemetry
+from chervilrack._internal.orders.core import OrderExecutor
 from chervilrack._internal.peering.envelope import Envelope
 from chervilrack._internal.peering.transport import PeerTransport
 from chervilrack._internal.platform.port import PlatformService
@@ -76,7 +77,6 @@
         self._lock = threading.RLock()
         self._leaving = False
         self._receiving = False
-        self._orders: OrderDesk = ClosedOrderDesk()
 
     # Life cycle
 
@@ -113,6 +113,12 @@
         worker = stack.enter_context(
             PlatformWorker(self._platform, self._platform_reachable, seeded(options.seed, "watch"))
         )
+        executor = OrderExecutor(
+            Process(options.node, options.incarnation), options.orders, self._membership.may_act
+        )
+        self._orders = stack.enter_context(
+            NodeOrderDesk(self._cores, executor, worker, self._runner, self._clock)
+        )
         store = ReleaseStore(self._platform)
         link = PlatformLink(self._cores, worker, store)
         self._operations = NodeOperations(
@@ -210,11 +216,15 @@
         # Callers may hold a look-up answer that still names this node until it expires.
         time.sleep(LOOKUP_LIFETIME.total_seconds())
         self._server.stop_listening()
-        drained = self._wait(lambda: self._runner.in_flight == 0, LEAVE_TIMEOUT)
+        drained = self._wait(self._is_idle, LEAVE_TIMEOUT)
         self._cores.submit(self._membership, membership.Drained())
         self._wait(lambda: not self._membership.is_member, LEAVE_TIMEOUT)
         return drained
 
+    def _is_idle(self) -> bool:
+        """Whether no request is in progress and every outcome of an order is stored."""
+        return self._runner.in_flight == 0 and self._orders.in_progress == 0
+
     def _wait(self, condition: Any, limit: timedelta) -> bool:
         end = self._clock.monotonic() + limit
         while not condition():
@@ -237,9 +247,11 @@
 
     def _platform_reachable(self, reachable: bool) -> None:
         self._cores.submit(self._membership, membership.PlatformReachable(reachable))
+        self._orders.platform_reachable(reachable)
 
     def _tick(self) -> None:
         self._cores.tick()
+        self._orders.tick(self._clock.now())
         with self._lock:
             actions = self._router.drain_actions()
         for action in actions:
--- a/src/chervilrack/_internal/node/options.py
+++ b/src/chervilrack/_internal/node/options.py
@@ -6,6 +6,7 @@
 from chervilrack._internal.common.ids import Incarnation, NodeId, ZoneId
 from chervilrack._internal.gateway.server import HttpServerSettings
 from chervilrack._internal.membership.state import MembershipSettings
+from chervilrack._internal.orders.state import OrderSettings
 from chervilrack._internal.peering.keys import CurveKeys
 from chervilrack._internal.upstreams.connections import TlsSettings
 
@@ -26,6 +27,7 @@
     advertised_http: str | None = None
     advertised_peer: str | None = None
     membership: MembershipSettings = field(default_factory=MembershipSettings)
+    orders: OrderSettings = field(default_factory=OrderSettings)
     routing_policy: str = "chervilrack"
     limit_policy: str = "leased"
     operator_key_digests: tuple[str, ...] = ()
