Keep status calls from hiding limit reports

Cause: status rows were made with LimitHolder.holding, which marks a pool's state as reported; polling the status ten times a second kept demand from the limits' owners. Ruled out: number of load processes, idle time before the load. Change: status reads the pool.

--- a/src/chervilrack/_internal/node/operations.py
+++ b/src/chervilrack/_internal/node/operations.py
@@ -133,14 +133,14 @@
             }
 
     def _limit_rows(self) -> Iterator[Mapping[str, Any]]:
-        now = self._clock.monotonic()
         permits = self._cores.limits.permits
         for limit, capacity in sorted(self._cores.configuration.limit_capacities().items()):
-            holding = permits.holding(limit, now)
+            # Not ``holding``: that marks the state as reported to the limit's owner.
+            pool = permits.pool(limit)
             yield {
                 "limit": limit,
                 "capacity": capacity,
-                "held_here": holding.cap,
-                "in_use_here": holding.in_use,
-                "wanted_here": holding.want,
+                "held_here": pool.cap if pool else 0,
+                "in_use_here": pool.occupied if pool else 0,
+                "wanted_here": pool.want if pool else 0,
             }
