Follow releases over HTTP in a test; keep secrets out of messages

Cause: malformed responses of the platform raised KeyError, messages about misplaced keys repeated them, and no test joined acceptance, adapter, stand-in and release log. Change: malformed responses count as lost, values under key names are not shown, scenarios over the stand-in with lost responses and broken watches. Conclusion: a node follows an operator over HTTP through both faults.

--- a/features/releases/log.feature
+++ b/features/releases/log.feature
@@ -95,3 +95,14 @@
       | another version    | {"type": "releases/notes-request", "version": 2, "after": 1}    |
       | an unknown field   | {"type": "releases/notes-request", "after": 1, "extra": 1}      |
       | an unknown type    | {"type": "releases/other", "after": 1}                          |
+
+  Scenario Outline: a node follows an operator over HTTP while <fault>
+    Given releases operator and node that use the platform stand-in
+    When releases operator submits 9 notes while <fault>
+    Then releases node reaches revision 10 and the platform's digest
+
+    Examples:
+      | fault              |
+      | nothing fails      |
+      | responses are lost |
+      | watches break      |
--- a/features/releases/notes.feature
+++ b/features/releases/notes.feature
@@ -119,6 +119,18 @@
     When releases note has changed: {organisations: [{id: org1, keys: [{key: open sesame}, {key: 123456}]}]}
     Then releases encoded note has the SHA-256 of "open sesame" and of "123456" but not the keys
 
+  Scenario Outline: messages about a misplaced key do not repeat it (<keys>)
+    Given releases base configuration
+    When releases note has changed: {organisations: [{id: org1, keys: <keys>}]}
+    Then releases has mistakes that do not show "open sesame"
+
+    Examples:
+      | keys                                  |
+      | open sesame                           |
+      | [open sesame]                         |
+      | [{sha256: open sesame}]               |
+      | [{key: k, expires: open sesame}]      |
+
   Scenario: a note changes only what it names
     Given releases base configuration
     When releases note has changed: {upstreams: [{id: e1, zone: ambato}]}
--- a/features/steps/releases_steps.py
+++ b/features/steps/releases_steps.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import sys
+from contextlib import ExitStack
 from datetime import timedelta
 from pathlib import Path
 from unittest import mock
@@ -15,14 +16,17 @@
 from chervilrack._internal.common.results import Executed
 from chervilrack._internal.common.units import parse_duration, parse_size
 from chervilrack._internal.exceptions import InvalidDocumentError
+from chervilrack._internal.platform.etcd import EtcdPlatform
 from chervilrack._internal.platform.memory import MemoryPlatform
 from chervilrack._internal.platform.port import Compare
+from chervilrack._internal.platform.registry import PlatformSettings
 from chervilrack._internal.releases import accept, core, messages
 from chervilrack._internal.releases.apply import apply_note
 from chervilrack._internal.releases.check import read_checked_note
 from chervilrack._internal.releases.measure import measure_release_scale
 from chervilrack._internal.releases.note import Added, ReleaseNote
 from chervilrack._internal.releases.state import Configuration, Limits, Team
+from chervilrack._internal.standins.platform import PlatformStandIn
 
 sys.path.insert(0, str(Path(__file__).parent))  # behave runs step files without their directory
 from releases_machine import InterposedPlatform, ReleaseMachine, base_note, team_note
@@ -307,6 +311,12 @@
     assert text in context.mistakes[0], context.mistakes
 
 
+@then('releases has mistakes that do not show "{secret}"')
+def mistakes_do_not_show(context, secret):
+    assert context.mistakes
+    assert not [message for message in context.mistakes if secret in message]
+
+
 @then('releases {kind} "{text}" is {value}')
 def unit_value(context, kind, text, value):
     parse = {"duration": parse_duration, "size": parse_size}[kind]
@@ -353,3 +363,41 @@
     assert small[1] < large[1]
     assert small[2] < large[2]
     assert small[3] == large[3], "the record of a change grows with the configuration"
+
+
+@given("releases operator and node that use the platform stand-in")
+def standin_for_releases(context):
+    stack = ExitStack()
+    context.add_cleanup(stack.close)
+    context.standin = stack.enter_context(PlatformStandIn())
+    settings_for_both = PlatformSettings(endpoints=(context.standin.address,))
+    context.store = accept.ReleaseStore(EtcdPlatform(settings_for_both), snapshot_every=4)
+    context.log = core.ReleaseLog()
+    loaded = context.store.load()
+    _learn_from_platform(context.log, loaded)
+    node = EtcdPlatform(settings_for_both)
+    context.batches = stack.enter_context(node.watch(accept.PREFIX, loaded.watch_from))
+    context.store.accept(base_note()).unwrap()
+
+
+@when("releases operator submits {count:d} notes while {fault}")
+def submit_during_fault(context, count, fault):
+    for number in range(count):
+        if fault == "responses are lost":
+            context.standin.lose_responses(1)
+        elif fault == "watches break":
+            context.standin.break_watches()
+        context.store.accept(team_note(number, "t0", number + 1)).unwrap()
+
+
+@then("releases node reaches revision {revision:d} and the platform's digest")
+def node_reaches(context, revision):
+    while context.log.revision < revision:
+        batch = next(context.batches)
+        events = [accept.event_of(change) for change in batch.changes] if batch else []
+        for event in events:
+            if event is not None:
+                context.log.handle(event, timedelta(0))
+    loaded = context.store.load()
+    assert context.log.digest == loaded.digest
+    assert context.log.configuration == loaded.configuration
--- a/src/chervilrack/_internal/common/documents.py
+++ b/src/chervilrack/_internal/common/documents.py
@@ -24,6 +24,8 @@
 
 # The C loader is about ten times faster; it is absent where PyYAML was built without libyaml.
 _LOADER = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
+# Values under these keys can be secrets, so that messages do not repeat them.
+_SECRET_KEYS = frozenset(("key", "keys", "key_hashes", "password", "token"))
 _INVALID: Any = object()  # stands for a value that could not be read
 
 
@@ -158,7 +160,8 @@
         return self._scalar(node, expected, path, unit)
 
     def _wrong(self, path: Path, wanted: str, node: Node) -> Any:
-        self._document.mistakes.append(Mistake(path, f"expected {wanted}, found {_shown(node)}"))
+        found = "another value" if _SECRET_KEYS.intersection(path) else _shown(node)
+        self._document.mistakes.append(Mistake(path, f"expected {wanted}, found {found}"))
         return _INVALID
 
     def _union(self, node: Node, expected: inspect.UnionType, path: Path, unit: str) -> Any:
--- a/src/chervilrack/_internal/platform/etcd.py
+++ b/src/chervilrack/_internal/platform/etcd.py
@@ -74,13 +74,15 @@
     def get(self, key: str) -> KeyValue | None:
         """Return the key, or None if it is absent."""
         body = self._call("/v3/kv/range", {"key": wire.encode_bytes(key.encode())})
-        return next((wire.decode_item(item) for item in body.get("kvs", ())), None)
+        with _decoding(write=False):
+            return next((wire.decode_item(item) for item in body.get("kvs", ())), None)
 
     def range(self, prefix: str) -> RangeResult:
         """Return all keys that begin with ``prefix``."""
         body = self._call("/v3/kv/range", _key_range(prefix))
-        items = tuple(wire.decode_item(item) for item in body.get("kvs", ()))
-        return RangeResult(items, wire.revision_of(body))
+        with _decoding(write=False):
+            items = tuple(wire.decode_item(item) for item in body.get("kvs", ()))
+            return RangeResult(items, wire.revision_of(body))
 
     def txn(
         self, compares: Sequence[Compare], puts: Sequence[Put], deletes: Sequence[str] = ()
@@ -88,17 +90,21 @@
         """Apply all writes if every comparison holds."""
         check_writes(puts, deletes)
         body = self._call("/v3/kv/txn", wire.encode_txn(compares, puts, deletes), write=True)
-        return TxnResult(bool(body.get("succeeded", False)), wire.revision_of(body))
+        with _decoding(write=True):
+            return TxnResult(bool(body.get("succeeded", False)), wire.revision_of(body))
 
     def lease_grant(self, ttl: timedelta) -> int:
         """Create a lease and return its id; etcd counts whole seconds, so the time rounds up."""
         seconds = max(1, math.ceil(ttl.total_seconds()))
-        return int(self._call("/v3/lease/grant", {"TTL": str(seconds)}, write=True)["ID"])
+        body = self._call("/v3/lease/grant", {"TTL": str(seconds)}, write=True)
+        with _decoding(write=True):
+            return int(body["ID"])
 
     def lease_keepalive(self, lease: int) -> timedelta:
         """Renew a lease; return its remaining time, zero if it has expired."""
         body = self._call("/v3/lease/keepalive", {"ID": str(lease)}, write=True)
-        return timedelta(seconds=int(body.get("result", {}).get("TTL", 0)))
+        with _decoding(write=True):
+            return timedelta(seconds=int(body["result"].get("TTL", 0)))
 
     def lease_revoke(self, lease: int) -> None:
         """End a lease and delete its keys. Raises PlatformRefused if there is no such lease."""
@@ -123,7 +129,8 @@
     def list_vms(self) -> VmList:
         """Return the list of VMs from ``GET /v1/vms``."""
         body = self._call("/v1/vms", None)
-        return VmList(*(frozenset(body.get(name, ())) for name in ("live", "leaving", "gone")))
+        with _decoding(write=False):
+            return VmList(*(frozenset(body[name]) for name in ("live", "leaving", "gone")))
 
     def _call(self, path: str, body: Mapping[str, Any] | None, write: bool = False) -> wire.Json:
         renewed = False
@@ -245,6 +252,15 @@
     return PlatformUnavailable(f"the response was lost: {error}")
 
 
+@contextmanager
+def _decoding(write: bool) -> Iterator[None]:
+    """Report a response that does not follow the protocol like one that did not arrive."""
+    try:
+        yield
+    except (KeyError, ValueError, TypeError, AttributeError) as error:
+        raise _lost(error, write) from error
+
+
 def _failure(status: int, data: bytes, write: bool) -> PlatformError:
     """Return the error for a response with an error status."""
     try:
--- a/src/chervilrack/_internal/platform/etcd_watch.py
+++ b/src/chervilrack/_internal/platform/etcd_watch.py
@@ -88,7 +88,10 @@
                 self.close()
                 yield from self._reconnect()
                 continue
-            batch = self._batch(json.loads(line))
+            try:
+                batch = self._batch(json.loads(line))
+            except (KeyError, ValueError, TypeError, AttributeError) as error:
+                raise PlatformUnavailable(f"a watch response is malformed: {error!r}") from error
             if batch is not None:
                 yield batch
 
