--- a/src/chervilrack/_internal/releases/messages.py
+++ b/src/chervilrack/_internal/releases/messages.py
@@ -5,13 +5,14 @@
 """
 
 import hashlib
-from typing import Literal
+from collections.abc import Iterator
+from typing import Any, Literal
 
 import msgspec
 
 from chervilrack._internal.common.ids import NoteId, ReleaseRevision
 from chervilrack._internal.releases.note import ReleaseNote
-from chervilrack._internal.releases.state import Configuration
+from chervilrack._internal.releases.state import Configuration, Upstream
 
 
 class _Record(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
@@ -124,8 +125,27 @@
 
 
 def decode_snapshot(data: bytes) -> Snapshot:
-    """Return a snapshot. Raises msgspec.MsgspecError if it does not match the schema."""
-    return msgspec.msgpack.decode(data, type=Snapshot)
+    """Return a snapshot. Raises msgspec.MsgspecError if it does not match the schema.
+
+    Equal field values of upstreams are shared: thousands of upstreams name the same few models,
+    teams and zones, and each decoded copy would take memory on every node.
+    """
+    snapshot = msgspec.msgpack.decode(data, type=Snapshot)
+    seen: dict[Any, Any] = {}
+    shared = {
+        upstream.id: msgspec.structs.replace(
+            upstream,
+            **{name: seen.setdefault(value, value) for name, value in _shareable(upstream)},
+        )
+        for upstream in snapshot.configuration.upstreams.values()
+    }
+    configuration = msgspec.structs.replace(snapshot.configuration, upstreams=shared)
+    return msgspec.structs.replace(snapshot, configuration=configuration)
+
+
+def _shareable(upstream: Upstream) -> Iterator[tuple[str, Any]]:
+    for name in ("team", "zone", "limits", "models", "adapters", "service", "protocol"):
+        yield name, getattr(upstream, name)
 
 
 def split(data: bytes, size: int) -> list[bytes]:
