--- a/features/support/membership_world.py
+++ b/features/support/membership_world.py
@@ -100,6 +100,7 @@
         self.accepted = {}
         self.max_active = 0
         self.blocked = set()  # message types that do not arrive anywhere
+        self.blind = set()  # nodes that cannot read the view
         self.withheld = set()  # nodes that do not learn of releases
         self.views_written = 0
         for number in range(nodes):
@@ -200,7 +201,7 @@
             self.respond(node, m.ViewWriteFinished(m.WriteOutcome.CONFLICT))
 
     def read_view(self, node):
-        if not self.platform.reachable(node.name):
+        if not self.platform.reachable(node.name) or node.name in self.blind:
             return
         self.platform.calls += 1
         value, revision = self.platform.items.get("view", (b"", 0))
--- a/src/chervilrack/_internal/orders/core.py
+++ b/src/chervilrack/_internal/orders/core.py
@@ -11,7 +11,7 @@
 from chervilrack._internal.membership.state import Process, View
 from chervilrack._internal.orders import messages as m
 from chervilrack._internal.orders import state
-from chervilrack._internal.orders.forwarding import MILLISECOND, Forwarding, Refusals
+from chervilrack._internal.orders.forwarding import MILLISECOND, Forwarding, Received
 from chervilrack._internal.orders.groups import Group, Groups
 from chervilrack._internal.orders.partitions import Partitions
 from chervilrack._internal.orders.state import (
@@ -55,7 +55,7 @@
         self._partitions = Partitions(process, settings)
         self._groups = Groups(process, settings)
         self._forwarding = Forwarding(settings)
-        self._refusals = Refusals()
+        self._received = Received()
         self._live: dict[str, LiveOrder] = {}
         self._view: View | None = None
         self._mod_revision = 0
@@ -126,13 +126,13 @@
                 return [*self._forwarding.answered(sender.node, request, result)]
 
     def _on_forwarded(self, sender: Process, message: m.SubmitOrder, now: timedelta) -> Effects:
-        if message.to != self._process.incarnation or self._refusals.closed(sender, message):
+        if message.to != self._process.incarnation:
             return []
-        earlier = self._refusals.earlier(sender, message)
         deadline = now + message.remaining_ms * MILLISECOND
         waiter = Waiter(message.request, deadline, sender, message.number)
-        if earlier is not None:
-            return self._answer(waiter, earlier)
+        if not self._received.is_new(sender, message):
+            earlier = self._received.answer(sender, message.number)
+            return self._answer(waiter, earlier) if earlier is not None else []
         partition = partition_of(message.order.organisation, message.order.key)
         if not self._partitions.owns(partition):
             detail = "another node executes this order now"
@@ -148,8 +148,7 @@
         found = self._partitions.record(partition_of(order.organisation, order.key), key)
         if found is not None and found[0].state is not RecordState.NOT_EXECUTED:
             record = found[0]
-            unused = record.process == self._process and record.state is RecordState.TICKET
-            if not unused:
+            if not state.is_unused(record, self._process):
                 return self._answer_from_record(order, record, waiter, now)
         self._attempts += 1
         attempt = f"{self._process.node}/{self._process.incarnation}/{self._attempts}"
@@ -166,9 +165,7 @@
         if live.state is LiveState.FINISHED:
             if live.result is not None:
                 return self._answer(waiter, live.result)
-        elif (waiter.request, waiter.forwarder) not in {
-            (other.request, other.forwarder) for other in live.waiters
-        }:
+        else:
             live.waiters.append(waiter)
         return []
 
@@ -296,7 +293,7 @@
             detail = "another process recorded the order that ran here in an outage"
             del self._live[key]
             return [ActionTaken(PART, "conflict", key, detail)]
-        unused = record.process == self._process and record.state is RecordState.TICKET
+        unused = state.is_unused(record, self._process)
         if record.state is RecordState.NOT_EXECUTED or unused:
             if live.state in {LiveState.READING, LiveState.QUEUED}:
                 live.state, live.replaces = LiveState.QUEUED, mod
@@ -438,7 +435,6 @@
     def _answer(self, waiter: Waiter, result: OrderResult) -> Effects:
         if waiter.forwarder is None:
             return [m.AnswerOrder(waiter.request, result)]
-        if result.executed == Executed.NO.value:
-            self._refusals.note(waiter.forwarder, waiter.number, result)
+        self._received.note(waiter.forwarder, waiter.number, result)
         answer = m.OrderAnswered(waiter.forwarder.incarnation, waiter.request, result)
         return [Send(NodeId(waiter.forwarder.node), answer)]
--- a/src/chervilrack/_internal/orders/forwarding.py
+++ b/src/chervilrack/_internal/orders/forwarding.py
@@ -30,29 +30,38 @@
     number: int
 
 
-class Refusals:
-    """Refusals sent to other nodes, so that a late copy of a refused order does not run."""
+class Received:
+    """Orders from other nodes, so that a late or repeated copy is not taken for a new order.
+
+    A copy could otherwise run after its order was refused as not executed, or be refused after
+    its order ran and the partition moved to another node.
+    """
 
     def __init__(self) -> None:
         self._floor: dict[Process, int] = {}
-        self._sent: dict[Process, dict[int, OrderResult]] = {}
+        self._answers: dict[Process, dict[int, OrderResult | None]] = {}
 
-    def closed(self, sender: Process, message: SubmitOrder) -> bool:
-        """Whether the sender had already closed the order when it sent a later message."""
+    def is_new(self, sender: Process, message: SubmitOrder) -> bool:
+        """Note an order; return whether no copy of it was received and it is still open."""
         floor = max(message.floor, self._floor.get(sender, 0))
         self._floor[sender] = floor
-        sent = self._sent.get(sender, {})
-        for number in [number for number in sent if number < floor]:
-            del sent[number]
-        return message.number < floor
-
-    def earlier(self, sender: Process, message: SubmitOrder) -> OrderResult | None:
-        """Return the refusal that was sent for another copy of this message."""
-        return self._sent.get(sender, {}).get(message.number)
+        answers = self._answers.setdefault(sender, {})
+        for number in [number for number in answers if number < floor]:
+            del answers[number]
+        if message.number < floor or message.number in answers:
+            return False
+        answers[message.number] = None
+        return True
+
+    def answer(self, sender: Process, number: int) -> OrderResult | None:
+        """Return the answer that was sent for an order, None if there is none yet."""
+        return self._answers.get(sender, {}).get(number)
 
     def note(self, sender: Process, number: int, result: OrderResult) -> None:
-        """Remember a refusal until the sender has closed the order."""
-        self._sent.setdefault(sender, {})[number] = result
+        """Remember an answer until the sender has closed the order."""
+        answers = self._answers.get(sender, {})
+        if number in answers:
+            answers[number] = result
 
 
 class Forwarding:
--- a/src/chervilrack/_internal/orders/state.py
+++ b/src/chervilrack/_internal/orders/state.py
@@ -226,6 +226,14 @@
         return max((waiter.deadline for waiter in self.waiters), default=timedelta(0))
 
 
+def is_unused(record: Record, process: Process) -> bool:
+    """Whether a ticket without an order in memory may be replaced.
+
+    It names this process, which therefore knows that it has not dispatched it.
+    """
+    return record.state is RecordState.TICKET and record.process == process
+
+
 def same_request(first: str, second: str) -> bool:
     """Whether two fingerprints belong to the same request."""
     return first == second
