--- a/src/chervilrack/_internal/limits/ledger.py
+++ b/src/chervilrack/_internal/limits/ledger.py
@@ -244,32 +244,42 @@
         return sorted(members, key=key)
 
     def _recall(self, targets: dict[NodeId, int], usable: int, now: timedelta) -> set[NodeId]:
-        """Lower allocations, idle permits first, as far as others lack their fair share."""
-        needed = 0
+        """Lower allocations where others lack their fair share.
+
+        Permits that their node does not want are recalled for every lack. Permits in use are
+        recalled only for a lack beyond the tolerance, so that they do not move back and forth.
+        """
+        lacking = firm = 0
         for node, target in targets.items():
             short = target - self._accounts[node].amount
-            if short > 0 and short * TOLERANCE >= target:
-                needed += short
+            if short > 0:
+                lacking += short
+                firm += short if short * TOLERANCE >= target else 0
         held = sum(account.amount for account in self._accounts.values())
-        needed -= max(0, usable - held)
+        coming = max(0, usable - held)
         changed: set[NodeId] = set()
-        if needed <= 0:
+        if lacking <= coming:
             return changed
+        lacking -= coming
+        firm -= coming
         surplus = {
             node: account.amount - targets.get(node, 0)
             for node, account in self._accounts.items()
             if account.amount > targets.get(node, 0)
         }
         for node in sorted(surplus, key=lambda name: (-surplus[name], name)):
-            if needed <= 0:
-                break
             account = self._accounts[node]
-            cut = min(needed, surplus[node])
+            idle = max(0, account.amount - max(account.want, targets.get(node, 0)))
+            cut = max(min(lacking, idle), min(firm, surplus[node]))
+            if cut <= 0:
+                continue
+            # An allocation under the lowered capacity lets a node dispatch again.
             amount = account.amount - cut
-            if account.suspended:
+            if self._excess:
                 amount = min(amount, self._without_excess(account))
             self._issue(account, amount, now)
-            needed -= cut
+            lacking -= cut
+            firm -= cut
             changed.add(node)
         return changed
 
@@ -290,8 +300,9 @@
             free -= max(0, amount - account.charge)
             self._issue(account, amount, now)
             changed.add(node)
-        if not changed and free > 0:
-            changed = self._spread(free, usable, now)
+        satisfied = all(targets[node] <= self._accounts[node].amount for node in targets)
+        if satisfied and free > 0:
+            changed |= self._spread(free, usable, now)
         return changed
 
     def _spread(self, free: int, usable: int, now: timedelta) -> set[NodeId]:
--- a/src/chervilrack/_internal/limits/service.py
+++ b/src/chervilrack/_internal/limits/service.py
@@ -78,6 +78,8 @@
         self._epoch = Epoch(-1)
         self._members: frozenset[NodeId] = frozenset()
         self._active: frozenset[NodeId] = frozenset()
+        self._active_epoch = Epoch(-1)
+        self._active_since = timedelta(0)
         self._owners: dict[LimitId, NodeId] = {}
         self._ledgers: dict[LimitId, LimitLedger] = {}
         self._to_plan: set[LimitId] = set()
@@ -189,9 +191,16 @@
             self._due(limit)
 
     def _activate(self, epoch: Epoch, now: timedelta) -> None:
+        if epoch > self._active_epoch:
+            self._active_epoch = epoch
+            self._active_since = now
+            self._time_quarantine()
+
+    def _time_quarantine(self) -> None:
+        """Set the end of the quarantine if an epoch without the removed node is active."""
         quarantine = self._quarantine
-        if quarantine is not None and quarantine.ends is None and epoch >= quarantine.epoch:
-            quarantine.ends = now + MAX_ATTEMPT_TIME
+        if quarantine and quarantine.ends is None and self._active_epoch >= quarantine.epoch:
+            quarantine.ends = self._active_since + MAX_ATTEMPT_TIME
 
     def _receive(self, sender: NodeId, message: msgspec.Struct, now: timedelta) -> None:
         match message:
@@ -241,6 +250,7 @@
             return
         if self._quarantine is None or self._quarantine.epoch < removal.epoch:
             self._quarantine = _Quarantine(removal.epoch)
+            self._time_quarantine()
         if self._quarantine.epoch == removal.epoch and removal.remaining is not None:
             ends = now + timedelta(seconds=removal.remaining)
             if self._quarantine.ends is None or ends < self._quarantine.ends:
--- a/src/chervilrack/_internal/limits/sharing.py
+++ b/src/chervilrack/_internal/limits/sharing.py
@@ -22,11 +22,15 @@
     """
     shares = [0] * len(claims)
     left = capacity
+    served = list(claims)
     for index, claim in enumerate(claims):
         first = min(claim.want, max(1, claim.chunk))
         if first <= left:
             shares[index] = first
             left -= first
+        else:
+            served[index] = Claim(0)
+    claims = served
     if left <= 0:
         return shares
     if sum(claim.want for claim in claims) <= capacity:
--- a/src/chervilrack/_internal/routing/router.py
+++ b/src/chervilrack/_internal/routing/router.py
@@ -81,7 +81,8 @@
             return RouteDecision(probe.id, "probe on probation")
         if not sample:
             return None
-        scores = [(self._score(c, context, matches, now), c) for c in sample]
+        mean, _ = self._times.expected(context.stage, context.tokens)
+        scores = [(self._score(c, context, matches, mean, now), c) for c in sample]
         best, chosen = min(scores, key=lambda pair: pair[0].seconds)
         return RouteDecision(chosen.id, self._reason(best, chosen, len(scores), len(candidates)))
 
@@ -266,10 +267,10 @@
         candidate: Upstream,
         context: RouteContext,
         matches: dict[UpstreamId, float],
+        mean: float,
         now: timedelta,
     ) -> _Score:
         settings = self._settings
-        mean, _ = self._times.expected(context.stage, context.tokens)
         service = mean * self._times.factor(context.stage, candidate.id)
         load = self._loads.expected(candidate.id, now)
         prefix = matches.get(candidate.id, 0.0)
