--- a/src/chervilrack/_internal/routing/router.py
+++ b/src/chervilrack/_internal/routing/router.py
@@ -71,6 +71,7 @@
         """
         if not candidates:
             return None
+        self._times.advance(now)
         self._introduce(candidates, context.stage, now)
         matches = self._prefixes.match(context.prefix_hashes, now) if context.prefix_hashes else {}
         if len(candidates) <= self._settings.scan_limit:
--- a/src/chervilrack/_internal/routing/settings.py
+++ b/src/chervilrack/_internal/routing/settings.py
@@ -34,7 +34,7 @@
     eject_forgiven: timedelta = timedelta(minutes=5)
     # 3 times the peers' median is beyond the spread between healthy engines of one model.
     outlier_ratio: float = 3.0
-    outlier_samples: int = 8
+    outlier_samples: int = 5
     probation_successes: int = 3
     slow_start: timedelta = timedelta(seconds=10)
     slow_start_share: float = 0.1
--- a/src/chervilrack/_internal/routing/times.py
+++ b/src/chervilrack/_internal/routing/times.py
@@ -16,6 +16,8 @@
 # is assumed to be as fast as its peers until three attempts say otherwise.
 STAGE_PRIOR = 1.0
 UPSTREAM_PRIOR = 3.0
+# Seconds after which an upstream's pace counts half without new attempts.
+PACE_HALF_LIFE = 10.0
 # Shortest predicted time; avoids divisions by zero for instantaneous stages.
 SHORTEST = 1e-4
 
@@ -70,10 +72,16 @@
     weight: float = 0.0
     total: float = 0.0
     samples: int = 0
+    at: timedelta = timedelta(0)
 
-    @property
-    def factor(self) -> float:
-        return (self.total + UPSTREAM_PRIOR) / (self.weight + UPSTREAM_PRIOR)
+    def kept(self, now: timedelta) -> float:
+        """Return the part of the weight that is left at ``now``."""
+        return float(0.5 ** (max(0.0, (now - self.at).total_seconds()) / PACE_HALF_LIFE))
+
+    def factor(self, now: timedelta) -> float:
+        """Return the factor; without new attempts it returns to 1, so that it is tried again."""
+        kept = self.kept(now)
+        return (self.total * kept + UPSTREAM_PRIOR) / (self.weight * kept + UPSTREAM_PRIOR)
 
 
 class ServiceTimes:
@@ -84,9 +92,14 @@
             settings.prior_mean.total_seconds(),
             settings.prior_spread.total_seconds(),
         )
+        self._now = timedelta(0)
         self._stages: dict[StageId, TokenRegression] = {}
         self._paces: dict[StageId, dict[UpstreamId, _Pace]] = {}
 
+    def advance(self, now: timedelta) -> None:
+        """Set the time for which factors are computed."""
+        self._now = now
+
     def observe(
         self, stage: StageId, upstream: UpstreamId, tokens: int, service_time: timedelta
     ) -> None:
@@ -98,17 +111,19 @@
             regression.add(tokens, seconds)
         expected, _ = regression.predict(tokens)
         pace = self._paces.setdefault(stage, {}).setdefault(upstream, _Pace())
-        pace.weight = pace.weight * UPSTREAM_MEMORY + 1.0
-        pace.total = pace.total * UPSTREAM_MEMORY + seconds / expected
+        kept = UPSTREAM_MEMORY * pace.kept(self._now)
+        pace.weight = pace.weight * kept + 1.0
+        pace.total = pace.total * kept + seconds / expected
         pace.samples += 1
+        pace.at = self._now
         # The expectation describes a typical upstream: a straggler's times enter it without the
         # straggler's own factor.
-        regression.add(tokens, seconds / max(1.0, pace.factor))
+        regression.add(tokens, seconds / max(1.0, pace.factor(self._now)))
 
     def factor(self, stage: StageId, upstream: UpstreamId) -> float:
         """Return the upstream's service time relative to its peers; 1 if unknown."""
         pace = self._paces.get(stage, {}).get(upstream)
-        return 1.0 if pace is None else pace.factor
+        return 1.0 if pace is None else pace.factor(self._now)
 
     def samples(self, stage: StageId, upstream: UpstreamId) -> int:
         """Return the number of attempts observed since the last ``forget``."""
@@ -118,7 +133,7 @@
     def factors(self, stage: StageId, enough: int) -> list[float]:
         """Return the factors of all upstreams of a stage with at least ``enough`` attempts."""
         paces = self._paces.get(stage, {})
-        return [pace.factor for pace in paces.values() if pace.samples >= enough]
+        return [pace.factor(self._now) for pace in paces.values() if pace.samples >= enough]
 
     def forget(self, upstream: UpstreamId) -> None:
         """Drop what is known about an upstream's pace."""
--- a/src/chervilrack/_internal/routing/tracking.py
+++ b/src/chervilrack/_internal/routing/tracking.py
@@ -67,6 +67,7 @@
         if record is None:
             return
         self._loads.get(record.upstream).change(-1, now)
+        self._times.advance(now)
         if succeeded:
             self._times.observe(
                 record.context.stage, record.upstream, record.context.tokens, service_time
