Measure the cost of execution per stage call

Cause: The overhead per request has to be known, and records counted an answered request as running until its last byte was written, which could show a breach that was none.

--- a/features/execution/runner.feature
+++ b/features/execution/runner.feature
@@ -139,3 +139,8 @@
     Given execution a node with 2 engines and one of each other upstream
     When execution both engines refuse and a pipeline of four stages runs
     Then execution it is rejected as UPSTREAM_REFUSED with executed yes
+
+  Scenario: execution measurement compares the same call through the runner and made directly
+    # Guards against a measurement that no longer runs or compares different things.
+    When execution 20 pairs of calls are measured
+    Then execution the figures are of 20 pairs and fit each other
--- a/features/steps/execution_runner_steps.py
+++ b/features/steps/execution_runner_steps.py
@@ -13,6 +13,7 @@
 
 from chervilrack._internal.common.results import Executed
 from chervilrack._internal.exceptions import StreamBroken
+from chervilrack._internal.execution.measure import measure
 from chervilrack._internal.execution.streams import TokenAssembler
 from chervilrack._internal.releases.state import Limits
 from chervilrack._internal.standins.upstreams.record import receipt
@@ -390,3 +391,16 @@
     problem = context.outcome.err_value
     assert problem.code.name == code, problem
     assert problem.executed.value == executed, problem
+
+
+@when("execution {pairs:d} pairs of calls are measured")
+def measure_pairs(context, pairs):
+    context.figures = measure(pairs)
+
+
+@then("execution the figures are of {pairs:d} pairs and fit each other")
+def figures_fit(context, pairs):
+    figures = context.figures
+    assert figures.pairs == pairs
+    assert 0 < figures.direct_cpu_ms <= figures.direct_ms * 1.5, figures
+    assert figures.ratio > 0, figures
--- a/src/chervilrack/_internal/execution/runner.py
+++ b/src/chervilrack/_internal/execution/runner.py
@@ -12,7 +12,7 @@
 from result import Err, Ok, Result
 
 from chervilrack._internal.common.clock import Clock
-from chervilrack._internal.common.ids import AttemptId, RequestId
+from chervilrack._internal.common.ids import AttemptId, RequestId, UpstreamId
 from chervilrack._internal.common.results import Executed, Problem, ResultCode
 from chervilrack._internal.exceptions import StreamBroken
 from chervilrack._internal.execution.outcomes import after_stages, stream_problem
@@ -79,7 +79,8 @@
     protects the cores and must be reentrant, as it is shared with the node's other cores.
     ``may_act`` tells whether this node is confirmed; it is asked directly before each call, and
     the clients ask it again on the open connection. As a context manager the runner ticks itself;
-    otherwise ``tick`` has to be called about every 10 ms.
+    otherwise ``tick`` has to be called about every 10 ms. ``load_reported`` gets the loads that
+    answers carry; it is called without the lock.
     """
 
     def __init__(
@@ -93,6 +94,7 @@
         may_act: Callable[[], bool],
         telemetry: Telemetry,
         hedge_threads: int = 16,
+        load_reported: Callable[[UpstreamId, Mapping[str, float]], None] | None = None,
     ) -> None:
         self._scheduler = scheduler
         self._planner = planner
@@ -101,6 +103,7 @@
         self._clock = clock
         self._may_act = may_act
         self._telemetry = telemetry
+        self._load_reported = load_reported
         self._slots: dict[TaskId, _Slot] = {}
         self._requests: dict[RequestId, _Request] = {}
         self._hedges = ThreadPoolExecutor(hedge_threads, thread_name_prefix="hedge")
@@ -315,7 +318,9 @@
         if isinstance(outcome, Err):
             self._finish(dispatch, service_time, outcome.err_value)
         else:
-            slot.answers[dispatch.attempt] = outcome.ok_value
+            answer = slot.answers[dispatch.attempt] = outcome.ok_value
+            if answer.load and self._load_reported is not None:
+                self._load_reported(dispatch.upstream.id, answer.load)
             self._finish(dispatch, service_time, None)
         self._report(dispatch, slot, service_time)
 
--- a/src/chervilrack/_internal/standins/upstreams/engine.py
+++ b/src/chervilrack/_internal/standins/upstreams/engine.py
@@ -189,6 +189,8 @@
             reason = "length" if offset == last else None
             choice = {"index": 0, "text": text, "finish_reason": reason}
             chunk = {"id": ids.request, "choices": [choice], "token_offset": offset, "tokens": 1}
+            if reason is not None:
+                self._end(exchange, ids)
             exchange.write(b"data: " + msgspec.json.encode(chunk) + b"\n\n")
         exchange.write(b"data: [DONE]\n\n")
 
