--- a/features/standins/upstreams.feature
+++ b/features/standins/upstreams.feature
@@ -136,3 +136,8 @@
     Given standins a weight store with 2 requests/s and an engine that uses it
     When standins the engine is told to load 3 models
     Then standins all 3 are loaded and the store had refused some requests
+
+  Scenario: standins host process serves a specification and finishes work when it is stopped
+    # Guards against experiments whose upstreams cut off work because their process ends.
+    When standins a host process with one upstream of each kind is stopped while a request runs
+    Then standins the running one is answered and the process ends with status 0
--- a/features/steps/standins_steps.py
+++ b/features/steps/standins_steps.py
@@ -3,12 +3,12 @@
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
-from contextlib import ExitStack
 from datetime import timedelta
 
 import msgspec
 import urllib3
 from behave import given, then, when
+from features.helpers.standin_calls import call, enter, send, wait_for
 
 from chervilrack._internal.exceptions import StreamBroken
 from chervilrack._internal.releases.state import Limits
@@ -18,50 +18,10 @@
 from chervilrack._internal.standins.upstreams.text import token_text
 from chervilrack._internal.standins.upstreams.weights import WeightStore
 from chervilrack._internal.upstreams.commands import Target, UpstreamCommands
-from chervilrack._internal.upstreams.connections import ConnectionPools
-from chervilrack._internal.upstreams.port import FailureKind, UpstreamCall
+from chervilrack._internal.upstreams.port import FailureKind
 from chervilrack._internal.upstreams.prompts import BLOCK_TOKENS, BYTES_PER_TOKEN, prefix_hashes
-from chervilrack._internal.upstreams.protocols import create_clients
 
 FAST = EngineTiming(prefill_token=0.0, decode_token=0.002, load_time=0.0)
-PATIENCE_S = 20  # only bounds a failing run; nothing passes because of it
-
-
-def _enter(context, upstream):
-    if not hasattr(context, "standins_stack"):
-        context.standins_stack = ExitStack()
-        context.add_cleanup(context.standins_stack.close)
-        context.pools = context.standins_stack.enter_context(ConnectionPools())
-        context.clients = create_clients(context.pools)
-    return context.standins_stack.enter_context(upstream)
-
-
-def _call(upstream, number, body, path="/operations/look", **fields):
-    if isinstance(upstream, ModelEngine):
-        path = "/v1/completions"
-    values = {
-        "upstream": upstream.name,
-        "base_url": upstream.address,
-        "path": path,
-        "request_id": f"r-{number}",
-        "attempt_id": f"{upstream.name}-a-{number}",
-        "organisation": "guild",
-        "body": body,
-        "deadline": timedelta(seconds=PATIENCE_S),
-    }
-    return UpstreamCall(**{**values, **fields})
-
-
-def _send(context, upstream, number, body, **fields):
-    protocol = "openai-completions" if isinstance(upstream, ModelEngine) else "json"
-    return context.clients[protocol].call(_call(upstream, number, body, **fields))
-
-
-def _wait_for(condition):
-    end = time.monotonic() + PATIENCE_S
-    while not condition():
-        assert time.monotonic() < end, "the expected state did not come"
-        time.sleep(0.005)
 
 
 def _blocks(count, letter):
@@ -70,37 +30,37 @@
 
 @given("standins an engine with {slots:d} slots")
 def engine_with_slots(context, slots):
-    context.upstream = _enter(context, ModelEngine("engine", slots=slots, timing=FAST))
+    context.upstream = enter(context, ModelEngine("engine", slots=slots, timing=FAST))
 
 
 @given("standins an engine whose cache holds {blocks:d} blocks")
 def engine_with_cache(context, blocks):
-    context.upstream = _enter(context, ModelEngine("engine", cache_blocks=blocks, timing=FAST))
+    context.upstream = enter(context, ModelEngine("engine", cache_blocks=blocks, timing=FAST))
 
 
 @given("standins an engine whose events are {late:d} ms late and lack every third")
 def engine_with_events(context, late):
     engine = ModelEngine("engine", timing=FAST, event_lag=late / 1000, event_gap=3)
-    context.upstream = _enter(context, engine)
+    context.upstream = enter(context, engine)
 
 
 @given("standins an engine with the limit {kind} of {limit:d}")
 def engine_with_limit(context, kind, limit):
     engine = ModelEngine("engine", timing=FAST, limits=Limits(**{kind: limit}))
-    context.upstream = _enter(context, engine)
+    context.upstream = enter(context, engine)
 
 
 @given("standins a plain service that reports its load {late:d} ms late")
 def service_with_lag(context, late):
     service = PlainService("service", service_time=0.02, load_lag=late / 1000)
-    context.upstream = _enter(context, service)
+    context.upstream = enter(context, service)
 
 
 @given("standins {count:d} services on one server of which one refuses")
 def shared_services(context, count):
-    server = _enter(context, StandinServer())
+    server = enter(context, StandinServer())
     context.services = [
-        _enter(context, PlainService(f"s{number}", service_time=0.001, server=server))
+        enter(context, PlainService(f"s{number}", service_time=0.001, server=server))
         for number in range(count)
     ]
     context.services[3].set_faults(refuse=True)
@@ -109,16 +69,16 @@
 @given("standins a weight store with {rate:d} requests/s and an engine that uses it")
 def weight_store(context, rate):
     store = WeightStore("store", requests_per_s=rate, transfer_time=0.01)
-    context.store = _enter(context, store)
+    context.store = enter(context, store)
     engine = ModelEngine("engine", timing=FAST, weight_store=context.store.address)
-    context.upstream = _enter(context, engine)
+    context.upstream = enter(context, engine)
 
 
 @when("standins a stream of {tokens:d} tokens is read from offset {offset:d}")
 def read_stream(context, tokens, offset):
     body = {"prompt": "tell", "seed": 3, "max_tokens": tokens}
-    call = _call(context.upstream, 1, body, resume_offset=offset)
-    with context.clients["openai-completions"].stream(call) as opened:
+    sent = call(context.upstream, 1, body, resume_offset=offset)
+    with context.clients["openai-completions"].stream(sent) as opened:
         context.chunks = list(opened.ok_value)
     context.tokens = tokens
 
@@ -141,8 +101,8 @@
     with ThreadPoolExecutor(5) as pool:
         for number, priority in enumerate((0, 0, 0, 2, 1)):
             body = {"prompt": "p", "max_tokens": 2}
-            pool.submit(_send, context, context.upstream, number, body, priority=priority)
-            _wait_for(lambda count=number + 1: len(record.arrivals) == count)
+            pool.submit(send, context, context.upstream, number, body, priority=priority)
+            wait_for(lambda count=number + 1: len(record.arrivals) == count)
         context.upstream.set_faults()
 
 
@@ -156,9 +116,9 @@
 @when("standins one request and then six at a time are generated")
 def crowd(context):
     body = {"prompt": "p", "max_tokens": 40}
-    alone = _send(context, context.upstream, 0, body).ok_value.service_time
+    alone = send(context, context.upstream, 0, body).ok_value.service_time
     with ThreadPoolExecutor(6) as pool:
-        outcomes = list(pool.map(lambda n: _send(context, context.upstream, n, body), range(1, 7)))
+        outcomes = list(pool.map(lambda n: send(context, context.upstream, n, body), range(1, 7)))
     context.alone = alone
     context.crowded = min(outcome.ok_value.service_time for outcome in outcomes)
 
@@ -174,7 +134,7 @@
     for number, letter in enumerate("aaba"):
         before = context.upstream.record.as_dict()["tokens_prefilled"]
         body = {"prompt": _blocks(3, letter) + "end!", "max_tokens": 1}
-        assert _send(context, context.upstream, number, body).is_ok()
+        assert send(context, context.upstream, number, body).is_ok()
         context.prefilled.append(context.upstream.record.as_dict()["tokens_prefilled"] - before)
 
 
@@ -188,13 +148,13 @@
 def export_prefix(context):
     prompt = _blocks(2, "k")
     body = {"prompt": prompt + "end!", "max_tokens": 1}
-    assert _send(context, context.upstream, 1, body).is_ok()
-    context.other = _enter(context, ModelEngine("other", timing=FAST))
+    assert send(context, context.upstream, 1, body).is_ok()
+    context.other = enter(context, ModelEngine("other", timing=FAST))
     for prefix in prefix_hashes(prompt):
         held = urllib3.request("GET", f"{context.upstream.address}/kv/{prefix}").json()
         status = urllib3.request("POST", f"{context.other.address}/kv", json=held).status
         assert status == 200
-    assert _send(context, context.other, 2, body).is_ok()
+    assert send(context, context.other, 2, body).is_ok()
     assert urllib3.request("GET", f"{context.upstream.address}/kv/1").status == 404
 
 
@@ -206,7 +166,7 @@
 @when("standins a prompt of {count:d} blocks is sent")
 def one_prompt(context, count):
     body = {"prompt": _blocks(count, "e"), "max_tokens": 1}
-    assert _send(context, context.upstream, 1, body).is_ok()
+    assert send(context, context.upstream, 1, body).is_ok()
 
 
 @then("standins no event is visible at first and {visible:d} of {count:d} later")
@@ -222,8 +182,8 @@
 
 @when("standins a client leaves a stream of {tokens:d} tokens after {read:d}")
 def leave_stream(context, tokens, read):
-    call = _call(context.upstream, 1, {"prompt": "p", "max_tokens": tokens})
-    with context.clients["openai-completions"].stream(call) as opened:
+    sent = call(context.upstream, 1, {"prompt": "p", "max_tokens": tokens})
+    with context.clients["openai-completions"].stream(sent) as opened:
         for number, _chunk in enumerate(opened.ok_value, start=1):
             if number == read:
                 break
@@ -231,9 +191,9 @@
 
 @then("standins fewer than {most:d} tokens are generated and the slot is free")
 def stopped(context, most):
-    _wait_for(lambda: context.upstream.record.running == 0)
+    wait_for(lambda: context.upstream.record.running == 0)
     assert context.upstream.record.tokens_generated < most
-    assert _send(context, context.upstream, 2, {"prompt": "p", "max_tokens": 1}).is_ok()
+    assert send(context, context.upstream, 2, {"prompt": "p", "max_tokens": 1}).is_ok()
 
 
 @when("standins {count:d} requests hang there")
@@ -243,8 +203,8 @@
     context.add_cleanup(pool.shutdown)
     context.add_cleanup(context.upstream.set_faults)
     for number in range(count):
-        pool.submit(_send, context, context.upstream, number, {})
-    _wait_for(lambda: context.upstream.record.running == count)
+        pool.submit(send, context, context.upstream, number, {})
+    wait_for(lambda: context.upstream.record.running == count)
 
 
 @then("standins the load report shows {first:d} at first and {later:d} later")
@@ -261,8 +221,8 @@
     body = {"prompt": "p" * BYTES_PER_TOKEN * 4, "max_tokens": tokens - 4}
     with ThreadPoolExecutor(count) as pool:
         for number in range(count):
-            pool.submit(_send, context, context.upstream, number, body)
-        _wait_for(lambda: context.upstream.record.running == count)
+            pool.submit(send, context, context.upstream, number, body)
+        wait_for(lambda: context.upstream.record.running == count)
         context.upstream.set_faults()
 
 
@@ -283,7 +243,7 @@
     answer = urllib3.request("POST", f"{context.upstream.address}/faults", body=fault)
     known = "unknown" not in fault
     assert answer.status == (200 if known else 400), answer.status
-    context.outcome = _send(context, context.upstream, 1, {}, deadline=timedelta(milliseconds=400))
+    context.outcome = send(context, context.upstream, 1, {}, deadline=timedelta(milliseconds=400))
 
 
 @then("standins the request {outcome}")
@@ -305,9 +265,9 @@
 @when("standins a stream of {tokens:d} tokens is broken off after {kept:d}")
 def break_off(context, tokens, kept):
     context.upstream.set_faults(break_after=kept)
-    call = _call(context.upstream, 1, {"prompt": "p", "max_tokens": tokens})
+    sent = call(context.upstream, 1, {"prompt": "p", "max_tokens": tokens})
     context.chunks, context.broke = [], False
-    with context.clients["openai-completions"].stream(call) as opened:
+    with context.clients["openai-completions"].stream(sent) as opened:
         try:
             context.chunks.extend(opened.ok_value)
         except StreamBroken:
@@ -326,12 +286,12 @@
     service = context.upstream
     service.set_faults(hang=True)
     with ThreadPoolExecutor(2) as pool:
-        running = pool.submit(_send, context, service, 1, {})
-        _wait_for(lambda: service.record.running == 1)
+        running = pool.submit(send, context, service, 1, {})
+        wait_for(lambda: service.record.running == 1)
         stopping = pool.submit(service.stop_gracefully)
         commands = UpstreamCommands(context.pools)
-        _wait_for(lambda: commands.drain_status(service.address).ok_value.draining)
-        context.new = _send(context, service, 2, {})
+        wait_for(lambda: commands.drain_status(service.address).ok_value.draining)
+        context.new = send(context, service, 2, {})
         service.set_faults()
         context.running = running.result()
         context.all_ended = stopping.result()
@@ -354,11 +314,11 @@
     service = context.upstream
     service.set_faults(hang=True)
     with ThreadPoolExecutor(1) as pool:
-        running = pool.submit(_send, context, service, 1, {})
-        _wait_for(lambda: service.record.running == 1)
+        running = pool.submit(send, context, service, 1, {})
+        wait_for(lambda: service.record.running == 1)
         service.set_faults(crash=True)
         context.outcome = running.result()
-    _wait_for(lambda: service.record.running == 0)
+    wait_for(lambda: service.record.running == 0)
 
 
 @then("standins the record names the cut-off request")
@@ -372,7 +332,7 @@
     for number in range(3):
         if number == 2:
             urllib3.request("POST", f"{context.upstream.address}/withdraw")
-        sent = _send(context, context.upstream, 1, {}, idempotency_key="k")
+        sent = send(context, context.upstream, 1, {}, idempotency_key="k")
         assert sent.is_ok()
 
 
@@ -387,7 +347,7 @@
 
 @when("standins each of them gets a request")
 def one_each(context):
-    context.outcomes = [_send(context, service, 1, {}) for service in context.services]
+    context.outcomes = [send(context, service, 1, {}) for service in context.services]
 
 
 @then("standins only that one refused and each record has one arrival")
@@ -415,7 +375,7 @@
         report = commands.models(context.upstream.address).ok_value["models"]
         return all(f"big-{number}" in report for number in range(count))
 
-    _wait_for(loaded)
+    wait_for(loaded)
     assert len(context.store.record.arrivals) > count
     assert threading.active_count() < 200
     assert msgspec.json.encode(context.store.record.as_dict())
