--- a/src/chervilrack/_internal/commands/experiment.py
+++ b/src/chervilrack/_internal/commands/experiment.py
@@ -139,5 +139,9 @@
     click.echo(format_table(cost_rows(result)))
     click.echo("bounds:")
     click.echo(format_table(bound_rows(result.bounds)))
+    if result.endings:
+        click.echo("requests without an answer in time:")
+        rows = [{"requests": count, "ending": name} for name, count in result.endings.items()]
+        click.echo(format_table(rows))
     for line in (*result.unexpected, *result.violations):
         click.echo(f"  {line}")
--- a/src/chervilrack/_internal/experiments/evaluate.py
+++ b/src/chervilrack/_internal/experiments/evaluate.py
@@ -1,5 +1,6 @@
 """Turns the records of a run into its result."""
 
+import re
 from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
@@ -127,6 +128,7 @@
         load_generator_lag_ms=_percentiles(
             record.started_at - record.intended_at for record in records
         ),
+        endings=_endings(records),
         violations=tuple(_line(violation) for violation in violations[:_MAX_LISTED]),
         unexpected=evidence.unexpected,
     )
@@ -220,6 +222,17 @@
     return answered / (end - start)
 
 
+def _endings(records: Iterable[CallRecord]) -> dict[str, int]:
+    counts: Counter[str] = Counter()
+    for record in records:
+        if record.outcome is not Outcome.ANSWERED:
+            codes = f" {record.refusals[-1].code}" if record.refusals else ""
+            # Numbers in details (addresses, durations) differ by request.
+            detail = re.sub(r"\d+", "#", record.detail)
+            counts[f"{record.outcome.value}{codes}: {detail}"] += 1
+    return dict(counts.most_common(_MAX_LISTED))
+
+
 def _percentiles(seconds: Iterable[float]) -> Percentiles:
     return LatencyRecorder(seconds).percentiles()
 
--- a/src/chervilrack/_internal/experiments/merge.py
+++ b/src/chervilrack/_internal/experiments/merge.py
@@ -1,5 +1,6 @@
 """Takes the results of several rounds together."""
 
+from collections import Counter
 from collections.abc import Mapping, Sequence
 
 import msgspec
@@ -64,6 +65,10 @@
     for name in _PERCENTILES:
         parts = [getattr(result, name) for result in results]
         changed[name] = Percentiles(*_mean_fields(parts, Percentiles))
+    endings: Counter[str] = Counter()
+    for result in results:
+        endings.update(result.endings)
+    changed["endings"] = dict(endings.most_common())
     lags = [result.release_lag_s for result in results if result.release_lag_s is not None]
     changed["release_lag_s"] = max(lags, default=None)
     changed["outcomes"] = Outcomes(
--- a/src/chervilrack/_internal/experiments/result.py
+++ b/src/chervilrack/_internal/experiments/result.py
@@ -98,6 +98,7 @@
     control: ControlUse
     goodput_rps: Mapping[str, float]
     load_generator_lag_ms: Percentiles
+    endings: Mapping[str, int] = {}
     violations: tuple[str, ...] = ()
     unexpected: tuple[str, ...] = ()
     bounds: tuple[BoundReport, ...] = ()
