--- a/src/chervilrack/_internal/experiments/local_bed.py
+++ b/src/chervilrack/_internal/experiments/local_bed.py
@@ -168,6 +168,10 @@
         with self._lock:
             return [info for info, _ in self._nodes.values()]
 
+    def process(self, node: NodeId) -> psutil.Process:
+        """Return the operating system's process of a node."""
+        return self._nodes[node][1].process
+
     def start_node(self, zone: ZoneId) -> NodeInfo:
         """Start a node and wait until it is ready."""
         info = self._launch(zone)
