Return exit statuses from the process; separate status from overhead

Cause: `experiment run` ended with 0 although a bound was missed, because the entry point ignored the status that click returns. A node that leaves answers no command, which stalled the release monitor: a planned stop was reported with a release lag of 5.4 s. Change: Exit with the returned status. Read releases over HTTP only, and the overhead by a call of its own that skips leaving nodes. Conclusion: The release lag measured before this change is void.

--- a/features/history/checker.feature
+++ b/features/history/checker.feature
@@ -64,3 +64,8 @@
     Lines that mix would make the history of a run unreadable.
     When history is recorded by 3 processes with 2 threads of 200 events each
     Then history file holds 1200 events
+
+  Scenario: the process ends with the status of the check
+    An entry point that drops the status would report every history as good.
+    When history check process runs on a file that runs an order twice
+    Then history process ends with status 6
--- a/features/steps/history_steps.py
+++ b/features/steps/history_steps.py
@@ -1,6 +1,8 @@
 """Steps for recorded histories."""
 
 import multiprocessing
+import subprocess
+import sys
 import tempfile
 import threading
 from pathlib import Path
@@ -286,8 +288,7 @@
     assert len(context.runs) >= 10 * len(Promise)
 
 
-@when("history check command runs on a file that {kind}")
-def run_command(context, kind):
+def _write_history(folder, kind):
     events = _order_history()
     if kind == "runs an order twice":
         events = CHANGES["second-execution"](events)
@@ -298,10 +299,29 @@
         lines.insert(1, b'{"event":"dance","at":1.0}\n')
     elif kind == "has a line cut short":
         lines[1:] = [lines[1][:20]]
+    path = Path(folder) / "run.jsonl"
+    path.write_bytes(b"".join(lines))
+    return str(path)
+
+
+@when("history check command runs on a file that {kind}")
+def run_command(context, kind):
     with tempfile.TemporaryDirectory() as folder:
-        path = Path(folder) / "run.jsonl"
-        path.write_bytes(b"".join(lines))
-        context.outcome = CliRunner().invoke(cli, ["history", "check", str(path)])
+        path = _write_history(folder, kind)
+        context.outcome = CliRunner().invoke(cli, ["history", "check", path])
+
+
+@when("history check process runs on a file that {kind}")
+def run_process(context, kind):
+    with tempfile.TemporaryDirectory() as folder:
+        command = [sys.executable, "-m", "chervilrack", "history", "check"]
+        command.append(_write_history(folder, kind))
+        context.process = subprocess.run(command, check=False, capture_output=True)
+
+
+@then("history process ends with status {status:d}")
+def check_process(context, status):
+    assert context.process.returncode == status, context.process
 
 
 @then('history command ends with status {status:d} and prints "{text}"')
--- a/features/steps/testbed_steps.py
+++ b/features/steps/testbed_steps.py
@@ -76,7 +76,7 @@
 def has_status(context, node):
     status = context.bed.status(node)
     assert (status.node, status.revision, status.note) == (node, 1, "initial"), status
-    assert status.rss_mb > 0
+    assert context.bed.overhead(node).rss_mb > 0
 
 
 @when("testbed kills {node} and starts a node in its zone")
--- a/features/support/fake_cluster.py
+++ b/features/support/fake_cluster.py
@@ -12,6 +12,7 @@
 from chervilrack._internal.common.results import ResultCode
 from chervilrack._internal.experiments.testbed import (
     NodeInfo,
+    NodeOverhead,
     NodeStatus,
     PlatformCalls,
     StandinRecord,
@@ -137,7 +138,10 @@
         revision = self.revision
         if self.defect == "reverts-release" and next(self.polls) % 2:
             revision -= 1
-        return NodeStatus(node, "i", revision, self.notes.get(revision), 1.0, 10.0, 0, 1.0)
+        return NodeStatus(node, "i", revision, self.notes.get(revision))
+
+    def overhead(self, node):
+        return NodeOverhead(1.0, 10.0, 0, time.monotonic())
 
     def records(self):
         with self.lock:
--- a/src/chervilrack/_internal/cli/main.py
+++ b/src/chervilrack/_internal/cli/main.py
@@ -61,7 +61,9 @@
 def main() -> None:
     """Run the command line and translate errors into exit statuses."""
     try:
-        cli(standalone_mode=False)
+        # Without standalone mode click returns the status that a command exits with.
+        status = cli(standalone_mode=False)
+        sys.exit(status if isinstance(status, int) else ExitStatus.SUCCESS)
     except click.exceptions.Exit as done:
         sys.exit(done.exit_code)
     except click.Abort:
--- a/src/chervilrack/_internal/experiments/local_bed.py
+++ b/src/chervilrack/_internal/experiments/local_bed.py
@@ -24,6 +24,7 @@
 from chervilrack._internal.experiments.testbed import (
     TEST_BEDS,
     NodeInfo,
+    NodeOverhead,
     NodeStatus,
     PlatformCalls,
     PlatformFaults,
@@ -77,7 +78,7 @@
                 self._popen.stdin.write(line + "\n")
                 self._popen.stdin.flush()
                 answer = self._popen.stdout.readline()
-            except OSError as error:
+            except (OSError, ValueError) as error:
                 raise TestBedError(f"process {self._popen.pid} does not answer: {error}") from None
         if not answer:
             raise TestBedError(f"process {self._popen.pid} has ended")
@@ -121,6 +122,7 @@
         self._addresses: dict[UpstreamId, str] = {}
         self._nodes: dict[NodeId, tuple[NodeInfo, _Process]] = {}
         self._paused: set[NodeId] = set()
+        self._leaving: set[NodeId] = set()
         self._cut: frozenset[NodeId] = frozenset()
         self._notes: dict[int, str] = {}
         self._count = 0
@@ -212,6 +214,7 @@
         """Begin a planned stop and wait until the node's process has ended."""
         _, process = self._nodes[node]
         self._platform.set_vm(node, VmState.LEAVING)
+        self._leaving.add(node)
         process.command(NodeCommand(leave=True))
         with self._lock:
             del self._nodes[node]
@@ -243,7 +246,8 @@
             nodes = dict(self._nodes)
         delay = self._profile.between_zones_ms / 1000
         for name, (info, process) in nodes.items():
-            if name in self._paused:
+            # A leaving node answers no command until it has left.
+            if name in self._paused | self._leaving:
                 continue
             others = [(other, entry) for other, entry in nodes.items() if other != name]
             process.command(
@@ -309,7 +313,8 @@
 
     def submit_release(self, note: Mapping[str, Any], at: NodeId | None = None) -> Submission:
         """Submit a release note and wait until it is accepted or refused."""
-        running = [info for info in self.nodes() if info.node not in self._paused]
+        away = self._paused | self._leaving
+        running = [info for info in self.nodes() if info.node not in away]
         info = next((entry for entry in running if entry.node == at), running[0])
         client = NodeClient(info.address, self._key)
         try:
@@ -329,17 +334,25 @@
             if release not in self._notes:
                 for known in self._operator(info, "releases"):
                     self._notes[known["revision"]] = known["note"]["id"]
+        except (urllib3.exceptions.HTTPError, TestBedError):
+            return None
+        incarnation = process.started["incarnation"]
+        return NodeStatus(node, incarnation, release, self._notes.get(release))
+
+    def overhead(self, node: NodeId) -> NodeOverhead | None:
+        """Return a node's overhead so far, or None if the node does not answer."""
+        entry = self._nodes.get(node)
+        if entry is None or node in self._paused | self._leaving:
+            return None
+        process = entry[1]
+        try:
             with process.process.oneshot():
                 times = process.process.cpu_times()
                 memory = process.process.memory_info().rss
             counted = process.command(NodeCommand())["peer_bytes"]
-        except (urllib3.exceptions.HTTPError, psutil.Error, TestBedError):
+        except (psutil.Error, TestBedError):
             return None
-        return NodeStatus(
-            node=node,
-            incarnation=process.started["incarnation"],
-            revision=release,
-            note=self._notes.get(release),
+        return NodeOverhead(
             cpu_s=times.user + times.system,
             rss_mb=memory / 1e6,
             control_bytes=counted,
--- a/src/chervilrack/_internal/experiments/monitor.py
+++ b/src/chervilrack/_internal/experiments/monitor.py
@@ -9,7 +9,7 @@
 from chervilrack._internal.common.ids import Incarnation, NodeId, NoteId, ReleaseRevision
 from chervilrack._internal.experiments.faults import FaultLog
 from chervilrack._internal.experiments.result import ControlUse
-from chervilrack._internal.experiments.testbed import NodeStatus, TestBed
+from chervilrack._internal.experiments.testbed import NodeOverhead, TestBed
 from chervilrack._internal.history.events import Event, ReleaseAccepted, ReleaseApplied
 from chervilrack._internal.history.recorder import EventSink
 
@@ -90,20 +90,20 @@
     return max(lags, default=None) if accepted else None
 
 
-def statuses(bed: TestBed) -> dict[NodeId, NodeStatus]:
-    """Return the status of every node that answers."""
-    found = [bed.status(info.node) for info in bed.nodes()]
-    return {status.node: status for status in found if status is not None}
+def overheads(bed: TestBed) -> dict[NodeId, NodeOverhead]:
+    """Return the overhead of every node that answers."""
+    found = {info.node: bed.overhead(info.node) for info in bed.nodes()}
+    return {node: overhead for node, overhead in found.items() if overhead is not None}
 
 
 def control_use(
-    before: Mapping[NodeId, NodeStatus], after: Mapping[NodeId, NodeStatus]
+    before: Mapping[NodeId, NodeOverhead], after: Mapping[NodeId, NodeOverhead]
 ) -> ControlUse:
     """Return the mean overhead per node between two times without requests."""
     pairs = [
-        (before[node], status)
-        for node, status in after.items()
-        if node in before and status.uptime_s > before[node].uptime_s
+        (before[node], late)
+        for node, late in after.items()
+        if node in before and late.uptime_s > before[node].uptime_s
     ]
     if not pairs:
         return ControlUse()
--- a/src/chervilrack/_internal/experiments/runner.py
+++ b/src/chervilrack/_internal/experiments/runner.py
@@ -19,8 +19,8 @@
 from chervilrack._internal.experiments.monitor import (
     ReleaseMonitor,
     control_use,
+    overheads,
     release_lag_s,
-    statuses,
 )
 from chervilrack._internal.experiments.profile import Profile
 from chervilrack._internal.experiments.result import PlatformUse, RunResult
@@ -128,9 +128,9 @@
         for limit, capacity in self._profile.limit_capacities().items():
             history.record(LimitInForce(at=begun, limit=limit, capacity=capacity))
         time.sleep(self._idle_s)
-        before = statuses(bed)
+        before = overheads(bed)
         time.sleep(self._idle_s)
-        idle = control_use(before, statuses(bed))
+        idle = control_use(before, overheads(bed))
         context = FaultContext(bed, seed, history)
         known: dict[str, NodeInfo] = {info.node: info for info in bed.nodes()}
         calls = bed.platform_calls()
--- a/src/chervilrack/_internal/experiments/testbed.py
+++ b/src/chervilrack/_internal/experiments/testbed.py
@@ -21,15 +21,21 @@
 
 @dataclass(frozen=True, slots=True)
 class NodeStatus:
-    """What a node reports and what the operating system measured about it since its start.
-
-    ``control_bytes`` counts the bytes of messages to other nodes and to the platform service.
-    """
+    """Release that a node reports as in force; ``note`` is the note's id, if it is known."""
 
     node: NodeId
     incarnation: str
     revision: int
     note: str | None
+
+
+@dataclass(frozen=True, slots=True)
+class NodeOverhead:
+    """What was measured about a node's process since its start.
+
+    ``control_bytes`` counts the bytes of messages from and to other nodes.
+    """
+
     cpu_s: float
     rss_mb: float
     control_bytes: int
@@ -169,6 +175,9 @@
     def status(self, node: NodeId) -> NodeStatus | None:
         """Return a node's status, or None if the node does not answer."""
 
+    def overhead(self, node: NodeId) -> NodeOverhead | None:
+        """Return a node's overhead so far, or None if the node does not answer."""
+
     def records(self) -> Sequence[StandinRecord]:
         """Return the records of all upstream stand-ins, withdrawn ones included."""
 
