Shorten runs of tests and cover the missing plotting library

Cause: features/experiments took 40 s of its 45 s. Change: The time before the first arrival is a parameter of an experiment; tests use 0.4 s.

--- a/features/experiments/runs.feature
+++ b/features/experiments/runs.feature
@@ -77,6 +77,8 @@
       | baseline                     |
     And experiments command "report" prints a row for nominal
     And experiments command "report --bounds" prints a row for limit_violations
+    When experiments report draws a plot without the plotting library
+    Then experiments command fails and prints "pip install 'chervilrack[plots]'"
 
   Scenario Outline: <mistake> is refused with a helpful message
     When experiments command is called with <arguments>
--- a/features/steps/experiments_steps.py
+++ b/features/steps/experiments_steps.py
@@ -3,9 +3,11 @@
 import functools
 import json
 import shlex
+import sys
 import tempfile
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
+from unittest import mock
 
 from behave import then, when
 from click.testing import CliRunner
@@ -20,6 +22,7 @@
 from chervilrack._internal.experiments.testbed import TEST_BEDS
 
 PARALLEL_RUNS = 8  # the runs mostly wait
+START_DELAY_S = 0.4  # load processes that start later only send their first requests late
 OUTCOMES = ("answered", "late", "refused_not_executed", "failed", "unknown")
 TEST_BEDS.register("fake")(fake_cluster)
 
@@ -33,6 +36,7 @@
         duration_s=float(seconds),
         load_processes=1,
         idle_s=0.05,
+        start_delay_s=START_DELAY_S,
     )
     return experiment.run("chervilrack")
 
@@ -95,6 +99,7 @@
         duration_s=0.5,
         load_processes=1,
         idle_s=0.01,
+        start_delay_s=START_DELAY_S,
     )
     context.result = experiment.run("chervilrack", [first, second])
 
@@ -156,3 +161,9 @@
     message = str(error) if isinstance(error, ChervilrackError) else context.outcome.output
     assert context.outcome.exit_code != 0
     assert text in message, message
+
+
+@when("experiments report draws a plot without the plotting library")
+def plot_without_library(context):
+    with mock.patch.dict(sys.modules, {"matplotlib": None}):
+        context.outcome = _invoke("report", str(context.out), "--plot", "/dev/null")
--- a/src/chervilrack/_internal/experiments/runner.py
+++ b/src/chervilrack/_internal/experiments/runner.py
@@ -62,6 +62,7 @@
         duration_s: float,
         load_processes: int = 2,
         idle_s: float = IDLE_S,
+        start_delay_s: float = START_DELAY_S,
         history_path: Path | None = None,
     ) -> None:
         self._name = scenario_name
@@ -71,6 +72,7 @@
         self._duration_s = duration_s
         self._load_processes = load_processes
         self._idle_s = idle_s
+        self._start_delay_s = start_delay_s
         self._history_path = history_path
 
     def run(self, policy: str, baselines: Sequence[str] = ()) -> RunResult:
@@ -134,21 +136,21 @@
         context = FaultContext(bed, seed, history)
         known: dict[str, NodeInfo] = {info.node: info for info in bed.nodes()}
         calls = bed.platform_calls()
-        started_at = time.monotonic() + START_DELAY_S
+        started_at = time.monotonic() + self._start_delay_s
         load = LoadGenerator(folder, history_path, self._load_processes)
         try:
             load.start(self._plan(bed, arrivals, started_at))
             with ReleaseMonitor(bed, history):
                 faults = _FaultThread(scenario.faults, context, started_at, self._duration_s)
                 faults.start()
-                wait_s = START_DELAY_S + self._duration_s + self._profile.deadline_s + WAIT_S
+                wait_s = self._start_delay_s + self._duration_s + self._profile.deadline_s + WAIT_S
                 records = load.wait(wait_s)
                 faults.finish()
         finally:
             load.close()
         ended_at = time.monotonic()
         later = bed.platform_calls()
-        seconds = ended_at - started_at + START_DELAY_S
+        seconds = ended_at - started_at + self._start_delay_s
         known.update({info.node: info for info in bed.nodes()})
         events: list[Event] = read_history(history_path)
         running = [info.node for info in bed.nodes()]
