Let the data outweigh the prior of token slopes; wait for signals in a test

The test bed's test read a process's state before the kernel had stopped it. Change: the assumed noise fades with observations; the step polls until the state changes.

--- a/features/steps/testbed_steps.py
+++ b/features/steps/testbed_steps.py
@@ -1,5 +1,6 @@
 """Steps for the test bed with node processes."""
 
+import time
 from contextlib import ExitStack
 
 import msgspec
@@ -12,6 +13,8 @@
 from chervilrack._internal.experiments.runner import Experiment
 from chervilrack._internal.experiments.testbed import TestBedOptions
 
+SIGNAL_LIMIT_S = 20
+
 
 def _profile(nodes):
     return msgspec.structs.replace(load_profile("paramo"), nodes=nodes)
@@ -55,16 +58,24 @@
     context.processes = {info.node: context.bed.process(info.node) for info in context.bed.nodes()}
 
 
+def _await_stopped(process, stopped):
+    """Wait for a signal to take effect; the kernel delivers it some time after the call."""
+    limit = time.monotonic() + SIGNAL_LIMIT_S
+    while (process.status() == psutil.STATUS_STOPPED) != stopped:
+        assert time.monotonic() < limit, process.status()
+        time.sleep(0.01)
+
+
 @when("testbed pauses {node}")
 def pause(context, node):
     context.bed.pause_node(node)
-    assert context.processes[node].status() == psutil.STATUS_STOPPED
+    _await_stopped(context.processes[node], stopped=True)
 
 
 @when("testbed resumes {node}")
 def resume(context, node):
     context.bed.resume_node(node)
-    assert context.processes[node].status() != psutil.STATUS_STOPPED
+    _await_stopped(context.processes[node], stopped=False)
 
 
 @then("testbed has no status of {node}")
--- a/src/chervilrack/_internal/routing/times.py
+++ b/src/chervilrack/_internal/routing/times.py
@@ -22,8 +22,10 @@
 SHORTEST = 1e-4
 # Spread of slopes among usual engines, in seconds per token. Without this prior, three requests
 # of similar sizes gave slopes that predicted 20 s for a prompt that took 0.9 s.
-PROMPT_SLOPE_SPREAD = 0.0003
+PROMPT_SLOPE_SPREAD = 0.0005
 OUTPUT_SLOPE_SPREAD = 0.02
+# Observations after which the assumed noise counts half; engines of any speed are learned then.
+NOISE_PRIOR = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,8 +82,9 @@
 
         Ridge regression: few observations, or sizes that vary together, leave the slopes near 0.
         """
-        pp = self._pp + self._noise / PROMPT_SLOPE_SPREAD**2
-        oo = self._oo + self._noise / OUTPUT_SLOPE_SPREAD**2
+        noise = self._noise * NOISE_PRIOR / (self._weight + NOISE_PRIOR)
+        pp = self._pp + noise / PROMPT_SLOPE_SPREAD**2
+        oo = self._oo + noise / OUTPUT_SLOPE_SPREAD**2
         determinant = pp * oo - self._po * self._po
         prompt = (self._py * oo - self._oy * self._po) / determinant
         output = (self._oy * pp - self._py * self._po) / determinant
