--- a/features/releases/notes.feature
+++ b/features/releases/notes.feature
@@ -71,11 +71,23 @@
       | changed: {pipelines: [{id: answer, stages: []}]}           | changed.pipelines[0].stages | at least one stage   |
       | changed: {upstreams: [{id: e1, url: "10.0.0.1:80"}]}       | changed.upstreams[0].url | expected a URL          |
       | changed: {upstreams: [{id: e1, service: orders}]}          | changed.upstreams[0].service | no service for kind engine |
+      | changed: {pipelines: [{id: answer, stages: [{id: w, kind: engine}, {id: w, kind: engine}]}]} | changed.pipelines[0].stages[1].id | 'w' is repeated |
+      | changed: {pipelines: [{id: answer, stages: [{id: w, kind: engine, max_tokens: -1}]}]} | changed.pipelines[0].stages[0].max_tokens | found -1 |
+      | changed: {pipelines: [{id: answer, stages: [{id: w, kind: service}]}]} | changed.pipelines[0].stages[0].kind | other than service |
+      | changed: {services: [{id: orders, operations: []}]}        | changed.services[0].operations | at least one operation |
+      | changed: {services: [{id: orders, operations: [{name: a}, {name: a}]}]} | changed.services[0].operations | 'a' is repeated |
+      | changed: {upstreams: [{id: o1, models: [m1]}]}             | changed.upstreams[0].models | no models for kind service |
+      | added: {upstreams: [{id: o2, team: forge, kind: service, url: "http://10.0.0.4:80", zone: quito}]} | added.upstreams[0].service | id of a service, is missing |
       | changed: {organisations: [{id: org1, weight: 0}]}          | changed.organisations[0].weight | above 0          |
       | changed: {organisations: [{id: org1, keys: []}]}           | changed.organisations[0].keys | at least one key   |
       | changed: {organisations: [{id: org1, keys: [{sha256: abc}]}]} | changed.organisations[0].keys[0].sha256 | 64 lower-case |
       | added: {organisations: [{id: org2, keys: [{key: secret1}]}]} | added.organisations[0].keys[0] | organisation 'org1' has the same |
 
+  Scenario: a note that did not come from YAML is checked too
+    Given releases base configuration
+    When releases note arrives as JSON {"id": "n", "changed": {"models": [{"id": "m1", "size": -1}]}}
+    Then releases only mistake is at changed.models[0].size and says "at least 0B"
+
   Scenario Outline: a mistake of form is found (<text>)
     Given releases base configuration
     When releases note has <body>
--- a/features/settings/node.feature
+++ b/features/settings/node.feature
@@ -75,6 +75,7 @@
       | peer.listen              | 0.0.0.0:8080     | peer.listen              | another address than http.listen |
       | platform.adapter         | zookeeper        | platform.adapter         | one of etcd, memory        |
       | platform.endpoints       | []               | platform.endpoints       | at least one URL           |
+      | platform.endpoints       | ["http://a:b@10.0.0.3:2379"] | platform.endpoints[0] | no credentials     |
       | platform.connect_timeout | 3s               | platform.connect_timeout | at most platform.request_timeout |
       | platform.watch_silence   | 0s               | platform.watch_silence   | above 0s                   |
       | platform.token_file      | token            | platform.token_file      | either token_file or username |
--- a/features/steps/releases_steps.py
+++ b/features/steps/releases_steps.py
@@ -12,6 +12,7 @@
 from hypothesis import Phase, settings
 from hypothesis.stateful import run_state_machine_as_test
 
+from chervilrack._internal.common.documents import format_path
 from chervilrack._internal.common.effects import Send
 from chervilrack._internal.common.results import Executed
 from chervilrack._internal.common.units import parse_duration, parse_size
@@ -22,7 +23,7 @@
 from chervilrack._internal.platform.registry import PlatformSettings
 from chervilrack._internal.releases import accept, core, messages
 from chervilrack._internal.releases.apply import apply_note
-from chervilrack._internal.releases.check import read_checked_note
+from chervilrack._internal.releases.check import check_note, read_checked_note
 from chervilrack._internal.releases.measure import measure_release_scale
 from chervilrack._internal.releases.note import Added, ReleaseNote
 from chervilrack._internal.releases.state import Configuration, Limits, Team
@@ -295,6 +296,13 @@
     read_note_text(context)
 
 
+@when("releases note arrives as JSON {body}")
+def note_from_json(context, body):
+    note = msgspec.json.decode(body, type=ReleaseNote)
+    found = check_note(note, context.configuration)
+    context.mistakes = [f"note: {format_path(item.path)}: {item.text}" for item in found]
+
+
 @then("releases mistakes are")
 def mistakes_are(context):
     expected = [(f"note.yaml:{row['line']}: {row['key']}: ", row["text"]) for row in context.table]
