Reject work early only if its optimistic time does not fit

Change: the spread of a prediction grows with the distance from the sizes seen; early rejection compares the mean less the spread with the remaining time.

--- a/src/chervilrack/_internal/execution/backlog.py
+++ b/src/chervilrack/_internal/execution/backlog.py
@@ -5,8 +5,10 @@
 from enum import Enum
 
 from chervilrack._internal.common.results import Executed, Problem, ResultCode
+from chervilrack._internal.execution.deadlines import optimistic
 from chervilrack._internal.execution.fair_queue import FairQueue
 from chervilrack._internal.execution.tasks import Task
+from chervilrack._internal.routing.port import Estimate
 
 _ZERO = timedelta(0)
 _INTERVAL_WEIGHT = 0.1  # weight of one new interval between dispatches in their mean
@@ -63,12 +65,14 @@
         return task
 
     def admit(
-        self, task: Task, mean: timedelta, now: timedelta, bounds: QueueBounds
+        self, task: Task, estimate: Estimate, now: timedelta, bounds: QueueBounds
     ) -> Admission | Problem:
         """Decide whether a task is taken or rejected as not executed.
 
-        ``mean`` is the expected service time.
+        A task is rejected only if even its optimistic service time does not fit: a prediction for
+        sizes that were not seen yet is uncertain, and a rejection cannot be taken back.
         """
+        mean, shortest = estimate.mean, optimistic(estimate)
         remaining = task.deadline - now
         if remaining <= _ZERO:
             detail = "no time is left for this stage"
@@ -77,12 +81,12 @@
         if len(self.queue) >= bounds.length or wait > bounds.delay:
             detail = "the expected wait in the queue is too long"
             return Problem(ResultCode.QUEUE_FULL, detail, Executed.NO, wait)
-        if wait + mean <= remaining:
+        if wait + shortest <= remaining:
             return Admission.NORMAL
         if self.may_probe(now):
             return Admission.PROBE
         detail = (
-            f"the expected wait of {_ms(wait)} and service time of {_ms(mean)} exceed the "
+            f"the expected wait of {_ms(wait)} and service time of {_ms(shortest)} exceed the "
             f"remaining {_ms(remaining)}"
         )
         return Problem(ResultCode.DEADLINE_UNREACHABLE, detail, Executed.NO, wait)
--- a/src/chervilrack/_internal/execution/scheduler.py
+++ b/src/chervilrack/_internal/execution/scheduler.py
@@ -137,7 +137,7 @@
             effects.append(Refuse(task.id, Problem(ResultCode.NO_UPSTREAM, detail)))
             return
         estimate = self._router.stage_estimate(candidates, task.context)
-        admission = group.admit(task, estimate.mean, now, self._bounds)
+        admission = group.admit(task, estimate, now, self._bounds)
         if isinstance(admission, Problem):
             effects.append(Refuse(task.id, admission))
             return
--- a/src/chervilrack/_internal/routing/times.py
+++ b/src/chervilrack/_internal/routing/times.py
@@ -82,9 +82,7 @@
 
         Ridge regression: few observations, or sizes that vary together, leave the slopes near 0.
         """
-        noise = self._noise * NOISE_PRIOR / (self._weight + NOISE_PRIOR)
-        pp = self._pp + noise / PROMPT_SLOPE_SPREAD**2
-        oo = self._oo + noise / OUTPUT_SLOPE_SPREAD**2
+        pp, oo = self._regularised()
         determinant = pp * oo - self._po * self._po
         prompt = (self._py * oo - self._oy * self._po) / determinant
         output = (self._oy * pp - self._py * self._po) / determinant
@@ -95,13 +93,26 @@
         return prompt, output
 
     def predict(self, size: WorkSize) -> tuple[float, float]:
-        """Return the expected time and its standard deviation in seconds."""
+        """Return the expected time and its standard deviation in seconds.
+
+        The deviation grows with the distance from the sizes seen, because the slopes are uncertain.
+        """
         per_prompt, per_output = self.slopes
         prompt, output = self._mean or (float(size.prompt), float(size.output))
-        more = per_prompt * (size.prompt - prompt) + per_output * (size.output - output)
+        dp, do = size.prompt - prompt, size.output - output
+        mean = self._mean_y + per_prompt * dp + per_output * do
         explained = per_prompt * self._py + per_output * self._oy
-        residual = max(0.0, self._yy - explained)
-        return max(SHORTEST, self._mean_y + more), math.sqrt(residual / self._weight)
+        scatter = max(0.0, self._yy - explained) / self._weight
+        pp, oo = self._regularised()
+        variance = scatter * (1.0 + dp * dp / pp + do * do / oo)
+        return max(SHORTEST, mean), math.sqrt(variance)
+
+    def _regularised(self) -> tuple[float, float]:
+        noise = self._noise * NOISE_PRIOR / (self._weight + NOISE_PRIOR)
+        return (
+            self._pp + noise / PROMPT_SLOPE_SPREAD**2,
+            self._oo + noise / OUTPUT_SLOPE_SPREAD**2,
+        )
 
 
 @dataclass(slots=True)
