Measure the cost of membership per role

Change: `measure_membership` runs real cores that exchange encoded messages and returns one row for each size and role.

--- /dev/null
+++ b/src/chervilrack/_internal/membership/measure.py
@@ -0,0 +1,168 @@
+"""Measures what the membership protocol costs each node, with real cores and encoded messages."""
+
+import random
+import time
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass
+from datetime import timedelta
+
+import msgspec
+
+from chervilrack._internal.common.effects import Send
+from chervilrack._internal.common.ids import Epoch, Incarnation, NodeId, ZoneId
+from chervilrack._internal.membership import messages as m
+from chervilrack._internal.membership.core import Membership
+from chervilrack._internal.membership.state import Member, MembershipSettings, View
+from chervilrack._internal.membership.witnesses import choose_witnesses, zone_relays
+
+TICK = timedelta(milliseconds=100)
+WARM_UP_TICKS = 50
+
+
+@dataclass(frozen=True, slots=True)
+class MembershipCost:
+    """Steady cost of one role: means over its nodes, and the largest CPU share of a node.
+
+    Rates are per second of protocol time, sent and received added. CPU is in percent of a core
+    and covers the core's decisions and the encoding and decoding of messages, no transport.
+    """
+
+    members: int
+    role: str
+    nodes: int
+    messages_per_s: float
+    bytes_per_s: float
+    cpu_percent: float
+    cpu_percent_max: float
+
+
+class _Node:
+    """Core of one member with its counters."""
+
+    def __init__(self, member: Member, settings: MembershipSettings, seed: int) -> None:
+        self.member = member
+        self.core = Membership(member, settings, random.Random(seed))
+        self.reset()
+
+    def reset(self) -> None:
+        self.messages = 0
+        self.bytes = 0
+        self.cpu = 0.0
+
+
+class _Fleet:
+    """Members of one view that exchange encoded messages without delay."""
+
+    def __init__(self, members: int, zones: int) -> None:
+        settings = MembershipSettings()
+        everyone = tuple(
+            Member(
+                NodeId(f"node-{number:04}"),
+                Incarnation(f"{number:016x}"),
+                ZoneId(f"zone-{number % zones:02}"),
+                f"10.0.{number // 250}.{number % 250}:7000",
+                f"10.0.{number // 250}.{number % 250}:8000",
+            )
+            for number in range(members)
+        )
+        witnesses = choose_witnesses(everyone, settings.max_witnesses)
+        self.view = View(Epoch(1), everyone, witnesses)
+        self.nodes = {
+            member.node: _Node(member, settings, number) for number, member in enumerate(everyone)
+        }
+        self.relays = {
+            process.node
+            for zone in {member.zone for member in everyone}
+            for process in zone_relays(self.view, zone, settings.relays_per_zone)
+            if members > settings.relay_threshold
+        }
+        self.now = timedelta(0)
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder: msgspec.msgpack.Decoder[m.MembershipMessage] = msgspec.msgpack.Decoder(
+            m.MembershipMessage
+        )
+        self._queue: deque[tuple[NodeId, NodeId, bytes]] = deque()
+        for node in self.nodes.values():
+            self._give(node, m.ViewLearned(self.view, 1))
+
+    def run(self, ticks: int) -> None:
+        """Advance all cores by ``ticks`` of 100 ms."""
+        for _ in range(ticks):
+            self.now += TICK
+            for node in self.nodes.values():
+                self._give(node, m.Tick())
+            while self._queue:
+                sender, to, data = self._queue.popleft()
+                self._deliver(self.nodes[to], self.nodes[sender].member, data)
+
+    def role(self, node: NodeId) -> str:
+        """Return the role of a node; a witness that is also a relay counts as witness."""
+        if any(process.node == node for process in self.view.witnesses):
+            return "witness"
+        return "relay" if node in self.relays else "node"
+
+    def _deliver(self, node: _Node, sender: Member, data: bytes) -> None:
+        start = time.process_time()
+        message = self._decoder.decode(data)
+        node.cpu += time.process_time() - start
+        node.messages += 1
+        node.bytes += len(data)
+        self._give(node, m.PeerMessage(sender.node, sender.incarnation, message))
+
+    def _give(self, node: _Node, event: m.MembershipEvent) -> None:
+        start = time.process_time()
+        effects = node.core.handle(event, self.now)
+        encoded = [
+            (effect.to, self._encoder.encode(effect.message))
+            for effect in effects
+            if isinstance(effect, Send)
+        ]
+        node.cpu += time.process_time() - start
+        for to, data in encoded:
+            node.messages += 1
+            node.bytes += len(data)
+            self._queue.append((node.member.node, to, data))
+
+
+def measure_membership(
+    sizes: Iterable[int] = (6, 12, 25, 50, 100, 390), seconds: int = 20
+) -> list[MembershipCost]:
+    """Return the steady cost of each role for views of ``sizes`` members.
+
+    Up to 12 members use three zones, larger views one zone for about 16 members, at most 24.
+    Raises RuntimeError if a node is not confirmed, because the figures would mean nothing.
+    """
+    rows: list[MembershipCost] = []
+    for size in sizes:
+        fleet = _Fleet(size, max(3, min(24, size // 16)))
+        fleet.run(WARM_UP_TICKS)
+        for node in fleet.nodes.values():
+            node.reset()
+        fleet.run(round(seconds / TICK.total_seconds()))
+        rows += _rows(fleet, seconds)
+    return rows
+
+
+def _rows(fleet: _Fleet, seconds: int) -> list[MembershipCost]:
+    now = fleet.now
+    if not all(node.core.may_act(now) for node in fleet.nodes.values()):
+        raise RuntimeError(f"not all of {len(fleet.nodes)} nodes are confirmed")
+    rows = []
+    for role in ("witness", "relay", "node"):
+        nodes = [node for name, node in fleet.nodes.items() if fleet.role(name) == role]
+        if not nodes:
+            continue
+        scale = 1 / (len(nodes) * seconds)
+        rows.append(
+            MembershipCost(
+                members=len(fleet.nodes),
+                role=role,
+                nodes=len(nodes),
+                messages_per_s=sum(node.messages for node in nodes) * scale,
+                bytes_per_s=sum(node.bytes for node in nodes) * scale,
+                cpu_percent=100 * sum(node.cpu for node in nodes) * scale,
+                cpu_percent_max=100 * max(node.cpu for node in nodes) / seconds,
+            )
+        )
+    return rows
