Send differences between views

Change: a node that follows one of the last 16 views gets only the difference; the simulated cluster checks that every adopted view equals the one written for its epoch.

--- a/features/support/membership_scenarios.py
+++ b/features/support/membership_scenarios.py
@@ -44,7 +44,7 @@
     world.platform.cut.add(victim)
     other = next(n for n in world.nodes if n != victim and n != witnesses(world)[0])
     world.cuts |= {(name, victim) for name in world.nodes if name != victim}
-    world.blocked.add(m.ViewPush)
+    world.blocked |= {m.ViewPush, m.ViewDelta}
     world.cuts.clear()
     world.crash(other)
     world.run_steps(120)
--- a/features/support/membership_world.py
+++ b/features/support/membership_world.py
@@ -103,6 +103,7 @@
         self.blind = set()  # nodes that cannot read the view
         self.withheld = set()  # nodes that do not learn of releases
         self.views_written = 0
+        self.written_views = {}
         for number in range(nodes):
             self.start(number)
 
@@ -148,6 +149,8 @@
             case m.ViewAdopted(view=view, previous=previous):
                 assert previous is None or view.epoch > previous.epoch, "an epoch went back"
                 assert view.epoch > node.epochs[-1], "an epoch went back"
+                # Guards against differences between views that are applied wrongly.
+                assert view == self.written_views[view.epoch], "not the view of this epoch"
                 node.epochs.append(view.epoch)
             case m.EpochActive(epoch=epoch):
                 self.max_active = max(self.max_active, epoch)
@@ -191,6 +194,9 @@
             compares.append(("release/head", effect.head_mod_revision))
         applied = self.platform.txn(compares, [("view", encode_view(effect.view))])
         self.views_written += applied
+        if applied:
+            assert effect.view.epoch not in self.written_views, "an epoch was written twice"
+            self.written_views[effect.view.epoch] = effect.view
         if self.platform.lose_responses:
             self.platform.lose_responses -= 1
             self.respond(node, m.ViewWriteFinished(m.WriteOutcome.UNKNOWN))
--- a/src/chervilrack/_internal/membership/core.py
+++ b/src/chervilrack/_internal/membership/core.py
@@ -9,6 +9,7 @@
 from chervilrack._internal.common.ids import Epoch, NodeId, ReleaseRevision
 from chervilrack._internal.membership import messages as m
 from chervilrack._internal.membership.changes import ViewChange, first_view
+from chervilrack._internal.membership.deltas import ViewHistory, apply_delta
 from chervilrack._internal.membership.exchange import Exchange
 from chervilrack._internal.membership.joining import Joining
 from chervilrack._internal.membership.state import (
@@ -43,6 +44,7 @@
         self._joining = Joining(member.node, settings, rng)
         self._writer = ViewWriter(settings, rng)
         self._vms = VmEvidence(settings)
+        self._history = ViewHistory()
         self._view: View | None = None
         self._mod_revision = 0
         # A node that has applied no release expects that none is recorded.
@@ -176,8 +178,15 @@
                 return self._request_view(sender.node, epoch, now)
             case m.ViewRequest(epoch=epoch):
                 return self._push_view(sender.node, epoch)
-            case m.ViewPush(view=view, mod_revision=mod_revision):
-                return self._adopt(view, mod_revision, now)
+            case m.ViewDelta() | m.ViewPush() as push:
+                return self._on_push(push, now)
+
+    def _on_push(self, push: m.ViewDelta | m.ViewPush, now: timedelta) -> Effects:
+        if isinstance(push, m.ViewPush):
+            return self._adopt(push.view, push.mod_revision, now)
+        if self._view is None or push.base != self._view.epoch:
+            return []
+        return self._adopt(apply_delta(self._view, push), push.mod_revision, now)
 
     def _on_heartbeat(self, sender: Process, heartbeat: m.Heartbeat, now: timedelta) -> Effects:
         if self._view is None:
@@ -254,6 +263,7 @@
         if previous is not None and view.epoch <= previous.epoch:
             return []
         self._view, self._mod_revision = view, mod_revision
+        self._history.add(view)
         self._request_at = None
         own = view.member(self._process.node)
         if self.is_member:
@@ -362,7 +372,8 @@
     def _push_view(self, node: NodeId, epoch: Epoch) -> Effects:
         if self._view is None or self._view.epoch <= epoch:
             return []
-        return [Send(node, m.ViewPush(self._view, self._mod_revision))]
+        delta = self._history.delta(epoch, self._mod_revision)
+        return [Send(node, delta or m.ViewPush(self._view, self._mod_revision))]
 
     def _write_id(self) -> str:
         prefix = f"{self._process.node}/{self._process.incarnation}"
--- /dev/null
+++ b/src/chervilrack/_internal/membership/deltas.py
@@ -0,0 +1,67 @@
+"""Differences between views, so that a change does not send the whole record to every node."""
+
+from chervilrack._internal.membership.messages import ViewDelta
+from chervilrack._internal.membership.state import View
+
+VIEWS_KEPT = 16  # a node further behind gets the whole view
+
+
+class ViewHistory:
+    """The last views that this node followed."""
+
+    def __init__(self) -> None:
+        self._views: list[View] = []
+        self._deltas: dict[int, ViewDelta | None] = {}
+
+    def add(self, view: View) -> None:
+        """Note the view that is followed now."""
+        self._views = [*self._views, view][-VIEWS_KEPT:]
+        self._deltas.clear()
+
+    def delta(self, epoch: int, mod_revision: int) -> ViewDelta | None:
+        """Return the difference between the view of ``epoch`` and the newest, if it is known."""
+        if epoch not in self._deltas:
+            base = next((view for view in self._views if view.epoch == epoch), None)
+            found = difference(base, self._views[-1], mod_revision) if base else None
+            self._deltas[epoch] = found
+        return self._deltas[epoch]
+
+
+def difference(base: View, view: View, mod_revision: int) -> ViewDelta | None:
+    """Return the message that turns ``base`` into ``view``, None if it would not."""
+    before = {member.node: member for member in base.members}
+    after = {member.node: member for member in view.members}
+    known = set(base.departed)
+    delta = ViewDelta(
+        base=base.epoch,
+        epoch=view.epoch,
+        mod_revision=mod_revision,
+        changed=tuple(member for member in view.members if before.get(member.node) != member),
+        removed=tuple(node for node in before if node not in after),
+        witnesses=view.witnesses if view.witnesses != base.witnesses else None,
+        forgotten=tuple(item for item in base.departed if item not in view.departed),
+        departed=tuple(item for item in view.departed if item not in known),
+        unsealed=view.unsealed,
+        doubtful=view.doubtful,
+        release=view.release,
+        written_by=view.written_by,
+    )
+    return delta if apply_delta(base, delta) == view else None
+
+
+def apply_delta(base: View, delta: ViewDelta) -> View:
+    """Return the view that results from ``base``; an epoch identifies one view."""
+    members = {member.node: member for member in base.members if member.node not in delta.removed}
+    members.update((member.node, member) for member in delta.changed)
+    forgotten = set(delta.forgotten)
+    kept = tuple(item for item in base.departed if item not in forgotten)
+    return View(
+        epoch=delta.epoch,
+        members=tuple(member for _, member in sorted(members.items())),
+        witnesses=base.witnesses if delta.witnesses is None else delta.witnesses,
+        departed=kept + delta.departed,
+        unsealed=delta.unsealed,
+        doubtful=delta.doubtful,
+        release=delta.release,
+        written_by=delta.written_by,
+    )
--- a/src/chervilrack/_internal/membership/measure.py
+++ b/src/chervilrack/_internal/membership/measure.py
@@ -13,7 +13,13 @@
 from chervilrack._internal.common.ids import Epoch, Incarnation, NodeId, ZoneId
 from chervilrack._internal.membership import messages as m
 from chervilrack._internal.membership.core import Membership
-from chervilrack._internal.membership.state import Member, MembershipSettings, View
+from chervilrack._internal.membership.state import (
+    Departed,
+    Member,
+    MembershipSettings,
+    UnsealedEpoch,
+    View,
+)
 from chervilrack._internal.membership.witnesses import choose_witnesses, zone_relays
 
 TICK = timedelta(milliseconds=100)
@@ -37,6 +43,16 @@
     cpu_percent_max: float
 
 
+@dataclass(frozen=True, slots=True)
+class ViewChangeCost:
+    """Cost of one removal. Bytes are sent and received, above the steady rate of the role."""
+
+    members: int
+    role: str
+    bytes_per_change: float
+    ticks_until_adopted: int
+
+
 class _Node:
     """Core of one member with its counters."""
 
@@ -94,7 +110,32 @@
                 self._give(node, m.Tick())
             while self._queue:
                 sender, to, data = self._queue.popleft()
-                self._deliver(self.nodes[to], self.nodes[sender].member, data)
+                if to in self.nodes:
+                    self._deliver(self.nodes[to], self.nodes[sender].member, data)
+
+    def reset(self) -> None:
+        """Set all counters to zero."""
+        for node in self.nodes.values():
+            node.reset()
+
+    def remove_last(self) -> Epoch:
+        """Stop the last member that has no role and tell the witnesses of the next view."""
+        name = [name for name in self.nodes if self.role(name) == "node"][-1]
+        del self.nodes[name]
+        members = tuple(member for member in self.view.members if member.node != name)
+        unsealed = (UnsealedEpoch(self.view.epoch, self.view.witnesses),)
+        departed = (Departed(name, Incarnation("0"), Epoch(2), 1),)
+        view = View(Epoch(2), members, self.view.witnesses, departed, unsealed)
+        for witness in self.view.witnesses:
+            self._give(self.nodes[witness.node], m.ViewLearned(view, 2))
+        return view.epoch
+
+    def bytes_by_role(self) -> dict[str, float]:
+        """Return the mean bytes of the nodes of each role since the last reset."""
+        totals: dict[str, list[int]] = {}
+        for name, node in self.nodes.items():
+            totals.setdefault(self.role(name), []).append(node.bytes)
+        return {role: sum(values) / len(values) for role, values in totals.items()}
 
     def role(self, node: NodeId) -> str:
         """Return the role of a node; a witness that is also a relay counts as witness."""
@@ -137,8 +178,7 @@
     for size in sizes:
         fleet = _Fleet(size, max(3, min(24, size // 16)))
         fleet.run(WARM_UP_TICKS)
-        for node in fleet.nodes.values():
-            node.reset()
+        fleet.reset()
         fleet.run(round(seconds / TICK.total_seconds()))
         rows += _rows(fleet, seconds)
     return rows
@@ -166,3 +206,30 @@
             )
         )
     return rows
+
+
+def measure_view_change(members: int = 390) -> list[ViewChangeCost]:
+    """Return what the removal of one member costs each role.
+
+    The witnesses learn the new view from their watch; all others learn it from peers.
+    At least 8 members are needed: one must be no witness. Raises RuntimeError if a node has
+    not adopted the view after 5 s.
+    """
+    fleet = _Fleet(members, max(3, min(24, members // 16)))
+    fleet.run(WARM_UP_TICKS)
+    fleet.reset()
+    fleet.run(WARM_UP_TICKS)
+    steady = fleet.bytes_by_role()
+    fleet.reset()
+    epoch = fleet.remove_last()
+    adopted = 0
+    for tick in range(1, WARM_UP_TICKS + 1):
+        fleet.run(1)
+        if not adopted and all(node.core.epoch == epoch for node in fleet.nodes.values()):
+            adopted = tick
+    if not adopted:
+        raise RuntimeError("a node has not adopted the view")
+    changed = fleet.bytes_by_role()
+    return [
+        ViewChangeCost(members, role, changed[role] - steady[role], adopted) for role in changed
+    ]
--- a/src/chervilrack/_internal/membership/messages.py
+++ b/src/chervilrack/_internal/membership/messages.py
@@ -8,7 +8,15 @@
 
 from chervilrack._internal.common.effects import ActionTaken, Send
 from chervilrack._internal.common.ids import Epoch, Incarnation, NodeId, ReleaseRevision
-from chervilrack._internal.membership.state import Doubt, Holder, View
+from chervilrack._internal.membership.state import (
+    Departed,
+    Doubt,
+    Holder,
+    Member,
+    Process,
+    UnsealedEpoch,
+    View,
+)
 
 
 class Silence(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
@@ -77,6 +85,27 @@
     mod_revision: int
 
 
+class ViewDelta(msgspec.Struct, frozen=True, array_like=True, tag="vd", forbid_unknown_fields=True):
+    """Difference between the view of the epoch ``base`` and a later one.
+
+    ``witnesses`` is None if they did not change; ``forgotten`` and ``departed`` are the entries
+    of ``departed`` that were dropped and added.
+    """
+
+    base: Epoch
+    epoch: Epoch
+    mod_revision: int
+    changed: tuple[Member, ...]
+    removed: tuple[NodeId, ...]
+    witnesses: tuple[Process, ...] | None
+    forgotten: tuple[Departed, ...]
+    departed: tuple[Departed, ...]
+    unsealed: tuple[UnsealedEpoch, ...]
+    doubtful: tuple[Doubt, ...]
+    release: ReleaseRevision
+    written_by: str
+
+
 class ViewAnnounce(
     msgspec.Struct, frozen=True, array_like=True, tag="va", forbid_unknown_fields=True
 ):
@@ -85,7 +114,7 @@
     epoch: Epoch
 
 
-MembershipMessage = Heartbeat | HeartbeatReply | ViewRequest | ViewPush | ViewAnnounce
+MembershipMessage = Heartbeat | HeartbeatReply | ViewRequest | ViewPush | ViewDelta | ViewAnnounce
 
 
 class WriteOutcome(Enum):
