Index orders in progress by state

Cause: each event scanned all orders in progress. Change: `LiveOrders` keeps an index by state; events that concern one order only advance new orders; expiry continues at once while a full transaction of records is old.

--- a/src/chervilrack/_internal/orders/core.py
+++ b/src/chervilrack/_internal/orders/core.py
@@ -13,17 +13,15 @@
 from chervilrack._internal.orders import state
 from chervilrack._internal.orders.forwarding import MILLISECOND, Forwarding, Received
 from chervilrack._internal.orders.groups import Group, Groups
+from chervilrack._internal.orders.live import LiveOrder, LiveOrders, LiveState, Waiter
 from chervilrack._internal.orders.partitions import Partitions
 from chervilrack._internal.orders.state import (
     PARTITIONS,
-    LiveOrder,
-    LiveState,
     Order,
     OrderResult,
     OrderSettings,
     Record,
     RecordState,
-    Waiter,
     key_reused,
     outcome_unknown,
     partition_of,
@@ -34,6 +32,8 @@
 
 PART = "orders"
 Effects = list[m.OrderEffect]
+# After these events only new orders can go on.
+CONCERN_ONE_ORDER = (m.OrderSubmitted, m.LookUp, m.OrderRunFinished, m.PeerMessage)
 
 
 class OrderExecutor:
@@ -56,7 +56,8 @@
         self._groups = Groups(process, settings)
         self._forwarding = Forwarding(settings)
         self._received = Received()
-        self._live: dict[str, LiveOrder] = {}
+        self._live = LiveOrders()
+        self._fresh: list[str] = []
         self._view: View | None = None
         self._mod_revision = 0
         self._granted = False
@@ -64,7 +65,7 @@
         self._report_written = False
         self._reported_mask = 0
         self._attempts = 0
-        self._expire_at: timedelta | None = None
+        self._expire_at = timedelta(0)
         self._read_at = timedelta(0)
         self._handlers: dict[type, Callable[[Any, timedelta], Effects]] = {
             m.OrderSubmitted: self._on_submitted,
@@ -89,7 +90,7 @@
     def handle(self, event: m.OrderEvent, now: timedelta) -> Effects:
         """Take in one event and return the effects to carry out."""
         effects = self._handlers[type(event)](event, now)
-        return effects + self._advance(now)
+        return effects + self._advance(type(event) not in CONCERN_ONE_ORDER, now)
 
     def _on_submitted(self, event: m.OrderSubmitted, now: timedelta) -> Effects:
         partition = partition_of(event.order.organisation, event.order.key)
@@ -145,7 +146,8 @@
         live = self._live.get(key)
         if live is not None:
             return self._join(live, order, waiter)
-        found = self._partitions.record(partition_of(order.organisation, order.key), key)
+        partition = partition_of(order.organisation, order.key)
+        found = self._partitions.record(partition, key)
         if found is not None and found[0].state is not RecordState.NOT_EXECUTED:
             record = found[0]
             if not state.is_unused(record, self._process):
@@ -153,9 +155,10 @@
         self._attempts += 1
         attempt = f"{self._process.node}/{self._process.incarnation}/{self._attempts}"
         epoch = self._view.epoch if self._view else Epoch(0)
-        live = LiveOrder(order, attempt, epoch, now, waiters=[waiter])
+        live = LiveOrder(order, attempt, epoch, now, partition, waiters=[waiter])
         live.replaces = found[1] if found is not None else 0
-        self._live[key] = live
+        self._live.add(key, live)
+        self._fresh.append(key)
         return []
 
     def _join(self, live: LiveOrder, order: Order, waiter: Waiter) -> Effects:
@@ -203,9 +206,9 @@
         if group is None:
             return []
         if event.outcome is shared.WriteOutcome.NOT_APPLIED:
-            for live, _ in group.written.values():
+            for key, (live, _) in group.written.items():
                 if live.state is LiveState.WRITING:
-                    live.state = LiveState.QUEUED
+                    self._live.move(key, LiveState.QUEUED)
             return []
         if event.outcome is not shared.WriteOutcome.APPLIED:
             return self._read_back(group, now)
@@ -219,9 +222,9 @@
     def _read_back(self, group: Group, now: timedelta) -> Effects:
         """Find out what is recorded after a lost response or a failed comparison."""
         partitions = {partition_of_record(key) for key in group.deleted}
-        for live, _ in group.written.values():
+        for key, (live, _) in group.written.items():
             if live.state is LiveState.WRITING:
-                live.state = LiveState.READING
+                self._live.move(key, LiveState.READING)
             partitions.add(live.partition)
         return [self._partitions.read(partition, now) for partition in sorted(partitions)]
 
@@ -232,9 +235,9 @@
         live.recorded, live.replaces = revision, 0
         self._partitions.store(live.partition, key, record, revision)
         if record.state is not RecordState.TICKET:
-            del self._live[key]
+            self._live.remove(key)
             return []
-        live.in_memory = False
+        self._live.set_in_memory(key, False)
         if live.state in {LiveState.WRITING, LiveState.READING, LiveState.QUEUED}:
             return self._dispatch(key, live, now)
         return []
@@ -244,13 +247,13 @@
         if live.dispatched:
             return []
         if now >= live.deadline or not self._may_act(now):
-            return self._not_executed(live, "this node may not start work any more")
-        live.state = LiveState.RUNNING
+            return self._not_executed(key, live, "this node may not start work any more")
+        self._live.move(key, LiveState.RUNNING)
         live.dispatched = True
         return [m.RunOrder(live.order, key, live.deadline)]
 
-    def _not_executed(self, live: LiveOrder, detail: str) -> Effects:
-        live.state = LiveState.FINISHED
+    def _not_executed(self, key: str, live: LiveOrder, detail: str) -> Effects:
+        self._live.move(key, LiveState.FINISHED)
         live.executed = False
         live.result = refusal(ResultCode.ORDER_NOT_RECORDED, detail)
         return self._answer_all(live, live.result)
@@ -259,7 +262,7 @@
         live = self._live.get(event.record_key)
         if live is None or live.state is not LiveState.RUNNING:
             return []
-        live.state = LiveState.FINISHED
+        self._live.move(event.record_key, LiveState.FINISHED)
         live.executed = event.sent
         live.result = event.result
         return self._answer_all(live, event.result)
@@ -268,15 +271,16 @@
         self._partitions.load(event)
         records = {key: (record, mod) for key, record, mod in event.records}
         effects: Effects = []
-        for key, live in list(self._live.items()):
+        for key, live in self._live:
             if live.partition == event.partition and not live.in_group:
                 found = records.get(key)
                 if found is not None:
                     effects += self._compare(key, live, found, now)
                 elif live.state is LiveState.READING:
-                    live.state, live.replaces = LiveState.QUEUED, 0
+                    self._live.move(key, LiveState.QUEUED)
+                    live.replaces = 0
                 elif live.state is LiveState.FINISHED and 0 < live.recorded <= event.revision:
-                    del self._live[key]
+                    self._live.remove(key)
                     effects.append(ActionTaken(PART, "drop", key, "its record has expired"))
         return effects
 
@@ -291,14 +295,15 @@
             return self._recorded(key, live, record, mod, now)
         if live.dispatched:
             detail = "another process recorded the order that ran here in an outage"
-            del self._live[key]
+            self._live.remove(key)
             return [ActionTaken(PART, "conflict", key, detail)]
         unused = state.is_unused(record, self._process)
         if record.state is RecordState.NOT_EXECUTED or unused:
             if live.state in {LiveState.READING, LiveState.QUEUED}:
-                live.state, live.replaces = LiveState.QUEUED, mod
+                self._live.move(key, LiveState.QUEUED)
+                live.replaces = mod
             return []
-        del self._live[key]
+        self._live.remove(key)
         effects: Effects = []
         for waiter in live.waiters:
             effects += self._answer_from_record(live.order, record, waiter, now)
@@ -306,20 +311,19 @@
 
     def _on_tick(self, event: m.Tick, now: timedelta) -> Effects:
         effects: Effects = [*self._forwarding.tick(now)]
-        reading = {
-            live.partition for live in self._live.values() if live.state is LiveState.READING
-        }
         if now >= self._read_at:
             self._read_at = now + self._settings.read_retry
+            reading = {live.partition for _, live in self._live.in_state(LiveState.READING)}
             effects += [self._partitions.read(partition, now) for partition in sorted(reading)]
-        if self._expire_at is None or now >= self._expire_at:
-            self._expire_at = now + self._settings.expiry_interval
-            before = int((event.wall - self._settings.retention).timestamp())
-            effects += self._expire(before)
+        if now >= self._expire_at:
+            effects += self._expire(int((event.wall - self._settings.retention).timestamp()), now)
         return effects
 
-    def _expire(self, before: int) -> Effects:
-        expired = self._partitions.expired(before, self._settings.max_operations // 2)
+    def _expire(self, before: int, now: timedelta) -> Effects:
+        limit = self._settings.max_operations // 2
+        expired = self._partitions.expired(before, limit)
+        if len(expired) < limit:
+            self._expire_at = now + self._settings.expiry_interval
         free = [item for item in expired if item[0] not in self._live]
         txn = self._groups.delete(free) if self._reachable else None
         return [m.WriteTickets(txn)] if txn is not None else []
@@ -331,8 +335,8 @@
         self._report_written = self._report_written or self._granted
         self._granted = False
         effects: Effects = [*self._forwarding.adopt(event.view)]
-        for key, live in list(self._live.items()):
-            if live.state is LiveState.QUEUED and not self._partitions.owns(live.partition):
+        for key, live in self._live.in_state(LiveState.QUEUED):
+            if not self._partitions.owns(live.partition):
                 effects += self._refuse(key, live, "another node executes this order now")
         return effects
 
@@ -354,16 +358,19 @@
         self._reachable = event.reachable
         return []
 
-    def _advance(self, now: timedelta) -> Effects:
-        """Carry all orders on as far as possible after an event."""
+    def _advance(self, everything: bool, now: timedelta) -> Effects:
+        """Carry new orders, or all of them, on as far as possible."""
         effects: Effects = []
-        for key, live in list(self._live.items()):
-            if live.state in {LiveState.QUEUED, LiveState.READING}:
+        fresh, self._fresh = self._fresh, []
+        if everything:
+            fresh = [key for key, _ in self._live.in_state(LiveState.QUEUED, LiveState.READING)]
+        for key in fresh:
+            live = self._live.get(key)
+            if live is not None and live.state in {LiveState.QUEUED, LiveState.READING}:
                 effects += self._advance_queued(key, live, now)
         effects += self._partitions.reads(now)
         effects += self._write(now)
-        unwritten = any(live.in_memory for live in self._live.values())
-        if self._report_written and not self._granted and not unwritten:
+        if self._report_written and not self._granted and not self._live.in_memory:
             self._report_written = False
             effects.append(shared.OutageTicketsWritten())
         mask = self._partitions.ready_mask
@@ -381,13 +388,13 @@
         if found is not None and found[1] != live.replaces:
             return self._compare(key, live, found, now)
         if found is None and self._partitions.doubtful(live.partition, now):
-            del self._live[key]
+            self._live.remove(key)
             return self._answer_all(live, outcome_unknown("records of an outage are missing"))
         return [] if self._reachable else self._advance_in_outage(key, live, now)
 
     def _advance_in_outage(self, key: str, live: LiveOrder, now: timedelta) -> Effects:
         if state.may_run_in_memory(self._granted, self._may_act(now)):
-            live.in_memory = True
+            self._live.set_in_memory(key, True)
             return self._dispatch(key, live, now)
         if now - live.queued_at >= self._settings.platform_patience:
             return self._refuse(key, live, "the platform is away", ResultCode.PLATFORM_AWAY)
@@ -396,26 +403,28 @@
     def _write(self, now: timedelta) -> Effects:
         if self._view is None or not self._groups.due(now):
             return []
-        waiting = [live for live in self._live.values() if not live.in_group]
-        unwritten = [live for live in waiting if live.in_memory]
+        unwritten = [live for live in self._live.in_memory if not live.in_group]
         finished = [
             live
-            for live in waiting
-            if live.state is LiveState.FINISHED and not live.in_memory and live.recorded
+            for _, live in self._live.in_state(LiveState.FINISHED)
+            if not live.in_group and not live.in_memory and live.recorded
         ]
         tickets = [
             live
-            for live in waiting
-            # Tickets of an outage are written before any new one.
-            if live.state is LiveState.QUEUED
-            and not unwritten
-            and self._reachable
-            and self._partitions.ready(live.partition)
-            and self._may_act(now)
+            for _, live in self._live.in_state(LiveState.QUEUED)
+            if self._partitions.ready(live.partition)
         ]
+        if unwritten or not self._reachable or not self._may_act(now):
+            tickets = []  # tickets of an outage are written before any new one
         executors = min(PARTITIONS, sum(1 for _ in self._view.active()))
         txn = self._groups.build(tickets, unwritten + finished, self._mod_revision, executors, now)
-        return [m.WriteTickets(txn)] if txn is not None else []
+        if txn is None:
+            return []
+        for put in txn.puts:
+            live = self._live.get(put.key)
+            if live is not None and live.state is LiveState.QUEUED:
+                self._live.move(put.key, LiveState.WRITING)
+        return [m.WriteTickets(txn)]
 
     def _refuse(
         self,
@@ -425,7 +434,7 @@
         code: ResultCode = ResultCode.ORDER_NOT_RECORDED,
     ) -> Effects:
         """Refuse an order that has not been dispatched and now never will be."""
-        del self._live[key]
+        self._live.remove(key)
         return self._answer_all(live, refusal(code, detail))
 
     def _answer_all(self, live: LiveOrder, result: OrderResult) -> Effects:
--- a/src/chervilrack/_internal/orders/groups.py
+++ b/src/chervilrack/_internal/orders/groups.py
@@ -4,10 +4,9 @@
 from datetime import timedelta
 
 from chervilrack._internal.membership.state import VIEW_KEY, Process
+from chervilrack._internal.orders.live import LiveOrder, LiveState
 from chervilrack._internal.orders.messages import TicketTxn
 from chervilrack._internal.orders.state import (
-    LiveOrder,
-    LiveState,
     OrderSettings,
     Record,
     RecordState,
@@ -72,8 +71,6 @@
             puts.append(Put(key, encode_record(record)))
             group.written[key] = (live, record)
             live.in_group = True
-            if live.state is LiveState.QUEUED:
-                live.state = LiveState.WRITING
         return TicketTxn(group.number, tuple(compares), tuple(puts))
 
     def delete(self, items: Iterable[tuple[str, int]]) -> TicketTxn | None:
--- a/src/chervilrack/_internal/orders/state.py
+++ b/src/chervilrack/_internal/orders/state.py
@@ -1,7 +1,7 @@
 """Orders, their records on the platform, and the settings of the slice."""
 
 import hashlib
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
 
@@ -15,7 +15,6 @@
     Incarnation,
     NodeId,
     OrganisationId,
-    RequestId,
     ServiceId,
 )
 from chervilrack._internal.common.results import Executed, Problem, ResultCode
@@ -173,59 +172,6 @@
         return max(self.min_group_wait, share)
 
 
-@dataclass(frozen=True, slots=True)
-class Waiter:
-    """Who waits for an order's result: a request here, or one of another process."""
-
-    request: RequestId
-    deadline: timedelta
-    forwarder: Process | None = None
-    number: int = 0
-
-
-class LiveState(Enum):
-    """State of an order in the executor's memory."""
-
-    QUEUED = "queued"
-    WRITING = "writing"
-    READING = "reading"
-    RUNNING = "running"
-    FINISHED = "finished"
-
-
-@dataclass(slots=True)
-class LiveOrder:
-    """Order in progress at this executor.
-
-    ``recorded`` is the platform revision of its own record, 0 while it is not known to exist.
-    ``replaces`` is the revision of the record that its ticket may replace, 0 for none.
-    """
-
-    order: Order
-    attempt: str
-    epoch: Epoch
-    queued_at: timedelta
-    state: LiveState = LiveState.QUEUED
-    waiters: list[Waiter] = field(default_factory=list)
-    replaces: int = 0
-    recorded: int = 0
-    dispatched: bool = False
-    in_group: bool = False
-    in_memory: bool = False
-    result: OrderResult | None = None
-    executed: bool = True
-
-    @property
-    def partition(self) -> int:
-        """Partition of the order."""
-        return partition_of(self.order.organisation, self.order.key)
-
-    @property
-    def deadline(self) -> timedelta:
-        """Latest deadline of those who wait."""
-        return max((waiter.deadline for waiter in self.waiters), default=timedelta(0))
-
-
 def is_unused(record: Record, process: Process) -> bool:
     """Whether a ticket without an order in memory may be replaced.
 
