Run the state machines with relays too, and bound memory and work of the cores

Cause: with 3 to 7 nodes the state machines never used relays; some tables grew with every restart of a node; several sums over partitions and members ran for each event. Change: half of the runs use relays and changing witnesses; tables drop processes that are not members; readiness and own membership are computed when they change.

--- a/features/support/membership_machine.py
+++ b/features/support/membership_machine.py
@@ -1,6 +1,8 @@
 """Hypothesis state machine over several membership cores."""
 
-from features.support.membership_world import MembershipWorld
+from dataclasses import replace
+
+from features.support.membership_world import SETTINGS, MembershipWorld
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
 
@@ -8,6 +10,10 @@
 SETTLE_LIMIT = 1200
 
 
+# Few nodes in three zones with relays and changing witnesses, as above 12 members.
+RELAYS = replace(SETTINGS, relay_threshold=3, relays_per_zone=1, max_witnesses=3)
+
+
 class MembershipMachine(RuleBasedStateMachine):
     """Faults are chosen by Hypothesis; message order and loss by the world's seed."""
 
@@ -17,9 +23,14 @@
         super().__init__()
         self.world = None
 
-    @initialize(nodes=st.integers(3, 7), seed=st.integers(0, 2**16), settled=st.booleans())
-    def start(self, nodes, seed, settled):
-        self.world = self.world_class(nodes, seed)
+    @initialize(
+        nodes=st.integers(3, 7),
+        seed=st.integers(0, 2**16),
+        settled=st.booleans(),
+        settings=st.sampled_from([SETTINGS, RELAYS]),
+    )
+    def start(self, nodes, seed, settled, settings):
+        self.world = self.world_class(nodes, seed, settings)
         if settled:
             self.world.run_until_settled(SETTLE_LIMIT)
 
--- a/features/support/orders_world.py
+++ b/features/support/orders_world.py
@@ -44,6 +44,7 @@
         self.order_settings = order_settings or OrderSettings()
         self.requests = {}
         self.answers = {}
+        self.answers_changed = False
         self.executions = {}
         self.started = []
         self.txn_sizes = []
@@ -164,6 +165,7 @@
     def run_order(self, node, effect):
         assert node.core.may_act(node.now(self)), f"{node.name} runs an order unconfirmed"
         self.started.append((node.name, effect.record_key))
+        self.answers_changed = True
         sent = self.rng.random() >= self.unsent
         if sent:
             runs = self.executions.setdefault(effect.record_key, [])
@@ -184,6 +186,7 @@
     def answer(self, request, result):
         assert request not in self.answers, f"{request} was answered twice"
         self.answers[request] = result
+        self.answers_changed = True
         order = self.requests[request][1]
         if order is not None and not result.code:
             assert result.body == b"done:" + order.body, f"{request} got another response"
@@ -201,7 +204,9 @@
 
     def check(self):
         super().check()
-        self.check_answers()
+        if self.answers_changed:
+            self.answers_changed = False
+            self.check_answers()
 
     def unanswered(self):
         """Return requests at live processes that have no answer."""
--- a/src/chervilrack/_internal/membership/core.py
+++ b/src/chervilrack/_internal/membership/core.py
@@ -46,6 +46,7 @@
         self._vms = VmEvidence(settings)
         self._history = ViewHistory()
         self._view: View | None = None
+        self._is_member = False
         self._mod_revision = 0
         # A node that has applied no release expects that none is recorded.
         self._head_mod_revision: int | None = 0
@@ -108,7 +109,7 @@
     @property
     def is_member(self) -> bool:
         """Whether the view names this run of the process."""
-        return self._view is not None and self._view.has(self._process)
+        return self._is_member
 
     @property
     def is_witness(self) -> bool:
@@ -263,6 +264,7 @@
         if previous is not None and view.epoch <= previous.epoch:
             return []
         self._view, self._mod_revision = view, mod_revision
+        self._is_member = view.has(self._process)
         self._history.add(view)
         self._request_at = None
         own = view.member(self._process.node)
--- a/src/chervilrack/_internal/membership/exchange.py
+++ b/src/chervilrack/_internal/membership/exchange.py
@@ -131,9 +131,9 @@
 
     def housekeeping(self, view: View, now: timedelta) -> None:
         """Drop state that can no longer be used."""
-        self.sealing.forget({member.node for member in view.members}, now)
+        self.sealing.forget(view, now)
         horizon = self._settings.retry_horizon * (1 + self._settings.clock_margin)
-        self.given.expire(horizon, now)
+        self.given.expire(view, horizon, now)
 
     def release_majority(self, view: View) -> ReleaseRevision:
         """Return the highest release that a majority of witnesses has applied.
--- a/src/chervilrack/_internal/membership/grants.py
+++ b/src/chervilrack/_internal/membership/grants.py
@@ -76,13 +76,15 @@
         self._asked[sender] = now
         return True
 
-    def expire(self, horizon: timedelta, now: timedelta) -> None:
+    def expire(self, view: View, horizon: timedelta, now: timedelta) -> None:
         """Drop grants not asked for during ``horizon``: callers no longer repeat such orders."""
         for process in [p for p, at in self._asked.items() if now - at > horizon]:
             del self._asked[process]
             self._held.pop(process, None)
             self._written.pop(process, None)
             self._released.pop(process, None)
+        for process in [p for p in self._written if not view.has(p) and p not in self._asked]:
+            del self._written[process]
 
 
 class OwnGrant:
--- a/src/chervilrack/_internal/membership/sealing.py
+++ b/src/chervilrack/_internal/membership/sealing.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 from datetime import timedelta
 
-from chervilrack._internal.common.ids import Epoch, NodeId
+from chervilrack._internal.common.ids import Epoch
 from chervilrack._internal.membership.state import (
     Doubt,
     Holder,
@@ -34,6 +34,7 @@
         self._written: dict[Process, int] = {}
         # Without this a doubt would start again with every view that still repeats it.
         self._closed: set[Epoch] = set()
+        self._doubted: set[Process] = set()
 
     @property
     def sealed_through(self) -> Epoch:
@@ -102,7 +103,7 @@
             else:
                 del self._doubts[epoch]
 
-    def forget(self, live: set[NodeId], now: timedelta) -> None:
+    def forget(self, view: View, now: timedelta) -> None:
         """Drop doubts past the retry horizon and evidence that can no longer be used."""
         horizon = self._settings.retry_horizon * (1 + self._settings.clock_margin)
         for epoch, (_, since) in list(self._doubts.items()):
@@ -112,8 +113,9 @@
                 self._closed.add(epoch)
         self._closed = {epoch for epoch in self._closed if epoch > self._epoch - CLOSED_KEPT}
         needed = self.sealing_witnesses | {p for who in self._lost.values() for p in who}
+        needed |= self._doubted
         for table in (self._adopted, self._held, self._written):
-            for process in [p for p in table if p.node not in live and p not in needed]:
+            for process in [p for p in table if not view.has(p) and p not in needed]:
                 del table[process]
 
     def active(self, now: timedelta) -> bool:
@@ -152,6 +154,7 @@
         since = self._doubts.pop(epoch, (None, now))[1]
         if holders or lost:
             self._doubts[epoch] = (Doubt(epoch, tuple(holders.values()), lost), since)
+            self._doubted.update(holders)
         if not lost:
             del self._lost[epoch]
             self._closed.add(epoch)
@@ -161,6 +164,7 @@
         known = doubt.epoch in self._doubts or doubt.epoch in self._closed
         if not known and (holders or doubt.lost):
             self._doubts[doubt.epoch] = (Doubt(doubt.epoch, holders, doubt.lost), now)
+            self._doubted.update(item.process for item in holders)
 
     def _is_written(self, holder: Holder) -> bool:
         return self._written.get(holder.process, -1) > holder.sent
--- a/src/chervilrack/_internal/orders/core.py
+++ b/src/chervilrack/_internal/orders/core.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from chervilrack._internal.common.effects import ActionTaken, Send
-from chervilrack._internal.common.ids import Epoch, NodeId
+from chervilrack._internal.common.ids import Epoch
 from chervilrack._internal.common.results import Executed, ResultCode
 from chervilrack._internal.membership import messages as shared
 from chervilrack._internal.membership.state import Process, View
@@ -304,10 +304,8 @@
                 live.replaces = mod
             return []
         self._live.remove(key)
-        effects: Effects = []
-        for waiter in live.waiters:
-            effects += self._answer_from_record(live.order, record, waiter, now)
-        return effects
+        answers = [self._answer_from_record(live.order, record, w, now) for w in live.waiters]
+        return [effect for effects in answers for effect in effects]
 
     def _on_tick(self, event: m.Tick, now: timedelta) -> Effects:
         effects: Effects = [*self._forwarding.tick(now)]
@@ -334,6 +332,7 @@
         # The grant was given at the epoch before; the membership core tells so after this event.
         self._report_written = self._report_written or self._granted
         self._granted = False
+        self._received.adopt(event.view, self._settings.retry_horizon, now)
         effects: Effects = [*self._forwarding.adopt(event.view)]
         for key, live in self._live.in_state(LiveState.QUEUED):
             if not self._partitions.owns(live.partition):
@@ -401,7 +400,7 @@
         return []
 
     def _write(self, now: timedelta) -> Effects:
-        if self._view is None or not self._groups.due(now):
+        if self._view is None or not len(self._live) or not self._groups.due(now):
             return []
         unwritten = [live for live in self._live.in_memory if not live.in_group]
         finished = [
@@ -446,4 +445,4 @@
             return [m.AnswerOrder(waiter.request, result)]
         self._received.note(waiter.forwarder, waiter.number, result)
         answer = m.OrderAnswered(waiter.forwarder.incarnation, waiter.request, result)
-        return [Send(NodeId(waiter.forwarder.node), answer)]
+        return [Send(waiter.forwarder.node, answer)]
--- a/src/chervilrack/_internal/orders/forwarding.py
+++ b/src/chervilrack/_internal/orders/forwarding.py
@@ -40,6 +40,7 @@
     def __init__(self) -> None:
         self._floor: dict[Process, int] = {}
         self._answers: dict[Process, dict[int, OrderResult | None]] = {}
+        self._absent: dict[Process, timedelta] = {}
 
     def is_new(self, sender: Process, message: SubmitOrder) -> bool:
         """Note an order; return whether no copy of it was received and it is still open."""
@@ -53,6 +54,18 @@
         answers[message.number] = None
         return True
 
+    def adopt(self, view: View, horizon: timedelta, now: timedelta) -> None:
+        """Forget senders that have not been members for the retry horizon.
+
+        A removed process may join again, so its orders are kept until no copy can be on its way.
+        """
+        absent = [process for process in self._answers if not view.has(process)]
+        self._absent = {process: self._absent.get(process, now) for process in absent}
+        for process, since in self._absent.items():
+            if now - since > horizon:
+                del self._answers[process]
+                self._floor.pop(process, None)
+
     def answer(self, sender: Process, number: int) -> OrderResult | None:
         """Return the answer that was sent for an order, None if there is none yet."""
         return self._answers.get(sender, {}).get(number)
--- a/src/chervilrack/_internal/orders/partitions.py
+++ b/src/chervilrack/_internal/orders/partitions.py
@@ -41,12 +41,13 @@
         self._view: View | None = None
         self._owners: list[Process | None] = [None] * PARTITIONS
         self._owned: dict[int, Owned] = {}
+        self._ready_mask = 0
         self._doubts: dict[Epoch, tuple[Doubt, timedelta]] = {}
 
     @property
     def ready_mask(self) -> int:
         """Bit set of the partitions in which orders may run."""
-        return sum(1 << number for number, owned in self._owned.items() if _ready(owned))
+        return self._ready_mask
 
     def owner(self, partition: int) -> Process | None:
         """Return the process that executes a partition at the current view."""
@@ -58,8 +59,7 @@
 
     def ready(self, partition: int) -> bool:
         """Whether earlier owners cannot act any more and their records were read."""
-        owned = self._owned.get(partition)
-        return owned is not None and _ready(owned)
+        return bool(self._ready_mask >> partition & 1)
 
     def adopt(self, view: View, mod_revision: int) -> None:
         """Follow a view; partitions that stay here keep their records.
@@ -77,12 +77,14 @@
             if self._owners[partition] == self._process:
                 kept = before.get(partition)
                 self._owned[partition] = kept or Owned(view.epoch, mod_revision)
+        self._update_ready()
 
     def activate(self, epoch: Epoch) -> None:
         """Note that no earlier owner is confirmed any more at ``epoch`` or before."""
         for owned in self._owned.values():
             if owned.since <= epoch:
                 owned.active = True
+        self._update_ready()
 
     def set_doubts(self, doubts: Iterable[Doubt], now: timedelta) -> None:
         """Replace the doubts; each counts from when it was first seen here."""
@@ -92,6 +94,7 @@
         for owned in self._owned.values():
             if any(epoch < owned.since for epoch in cleared):
                 owned.loaded = False  # the missing tickets have been written meanwhile
+        self._update_ready()
         self._doubts = {
             doubt.epoch: (doubt, old[doubt.epoch][1] if doubt.epoch in old else now)
             for doubt in new.values()
@@ -109,6 +112,8 @@
 
     def reads(self, now: timedelta) -> list[ReadPartition]:
         """Return the reads of partitions that are not loaded."""
+        if self._ready_mask.bit_count() == len(self._owned):
+            return []
         due = [
             number
             for number, owned in self._owned.items()
@@ -140,6 +145,7 @@
                     known[key] = (record, mod)  # written here after the read
             owned.records = known
             owned.loaded = True
+            self._update_ready()
 
     def record(self, partition: int, key: str) -> tuple[Record, int] | None:
         """Return a record and its revision, or None."""
@@ -176,12 +182,16 @@
         found = (
             (key, mod)
             for owned in self._owned.values()
-            if _ready(owned)
+            if owned.active and owned.loaded
             for key, (record, mod) in owned.records.items()
             if record.created < before
         )
         return [item for item, _ in zip(found, range(limit), strict=False)]
 
+    def _update_ready(self) -> None:
+        ready = [number for number, owned in self._owned.items() if owned.active and owned.loaded]
+        self._ready_mask = sum(1 << number for number in ready)
+
     def _held_elsewhere(self, doubt: Doubt, partition: int) -> bool:
         return any(
             holder.partitions >> partition & 1 and holder.process != self._process
@@ -189,10 +199,6 @@
         )
 
 
-def _ready(owned: Owned) -> bool:
-    return owned.active and owned.loaded
-
-
 def within_horizon(since: timedelta, now: timedelta, horizon: timedelta) -> bool:
     """Whether callers may still repeat an order that ran before ``since``."""
     return now - since <= horizon
