Quarantine only the departed members' share where the owner stays

Cause: after each failure all permits that no survivor had reported were unusable for 7 s, idle ones included. Change: ViewAdopted may name the departed members; an owner that stays knows what it allocated to them and quarantines no more. The state machine loads all nodes at once; new tables cover work that needs two pools, and crashes.

--- a/features/limits/sharing.feature
+++ b/features/limits/sharing.feature
@@ -40,6 +40,19 @@
       | 1     | requests_per_s | 1      | 30      | 2      |
       | 3000  | tokens_per_s   | 1000   | 20      | 4      |
 
+  Scenario Outline: work that needs <first> permits of one limit and one of <second> of another
+    Given limits of <first> concurrency at 7 nodes with policy "leased"
+    And limits of <second> for a second pool that all work needs
+    When limits all nodes get 500 requests of 1 permits and 20 s pass
+    Then limits every node was served at least <served> times
+    And limits are held and at most <first> permits are out
+
+    Examples: nodes must not keep one permit each while they wait for the other
+      | first | second | served |
+      | 1     | 1      | 10     |
+      | 2     | 3      | 20     |
+      | 20    | 1      | 10     |
+
   Scenario: nothing is sent while demand does not change
     Given limits of 100 concurrency at 7 nodes with policy "leased"
     When limits node 2 gets 200 requests of 1 permits and 2 s pass
@@ -57,6 +70,22 @@
       | 20  | 2   |
       | 7   | 40  |
 
+  Scenario Outline: node <crashed> of 5 crashes with 12 of 60 permits in use
+    Given limits of 60 concurrency at 5 nodes with policy "leased"
+    When limits node <crashed> gets 12 requests of 1 permits and 1 s pass
+    And limits node <crashed> crashes and is removed
+    And limits node <busy> gets 100 requests of 1 permits and 1 s pass
+    Then limits node <busy> may use at least <soon> permits
+    And limits are held and at most 48 permits are out
+    When limits node <busy> gets 1 requests of 1 permits and 8 s pass
+    Then limits node <busy> may use at least 57 permits
+
+    Examples: the owner is n0; if it crashes, the next one cannot tell its share from idle permits
+      | crashed | busy | soon |
+      | 1       | 2    | 40   |
+      | 2       | 0    | 40   |
+      | 0       | 3    | 21   |
+
   Scenario Outline: policy <policy> with a limit of 9 at 7 nodes
     Given limits of 9 concurrency at 7 nodes with policy "<policy>"
     Then limits node 0 may use at least <first> permits
--- a/features/steps/limits_cluster.py
+++ b/features/steps/limits_cluster.py
@@ -16,7 +16,7 @@
     ViewAdopted,
 )
 from chervilrack._internal.limits.policies import limit_policies
-from chervilrack._internal.releases.state import Configuration, Limits, Team
+from chervilrack._internal.releases.state import Configuration, Limits, Team, Upstream, UpstreamKind
 
 LONGEST_ATTEMPT = 7.0
 # Transfer times of requests to the upstream differ by up to this much.
@@ -24,6 +24,7 @@
 TICK = 0.1
 # Set apart from the implementation's window: what the upstream counts.
 WINDOW = 1.0
+SECOND = LimitId("upstream/u/concurrency")
 
 
 @dataclass
@@ -42,6 +43,7 @@
     members: frozenset
     active: frozenset
     removed: bool
+    departed: frozenset = frozenset()
 
 
 @dataclass
@@ -67,6 +69,7 @@
         self.kind = kind
         self.limit = LimitId(f"team/t/{kind}")
         self.policy = policy
+        self.second = None  # capacity of another pool of which each attempt needs one permit
         self.now = 0.0
         self.tick = tick
         self.queue = []
@@ -124,13 +127,17 @@
         removed = node.view is not None and any(
             v.removed for v in self.views if v.epoch > node.view.epoch
         )
+        next_view = node.view is not None and view.epoch == node.view.epoch + 1
+        departed = view.departed if next_view else None
         node.view = view
-        self.event(node, ViewAdopted(view.epoch, view.members, view.active, removed))
+        event = ViewAdopted(view.epoch, view.members, view.active, removed, departed)
+        self.event(node, event)
 
-    def change_view(self, members, active=None, removed=False):
+    def change_view(self, members, active=None, removed=False, replaced=()):
         members = frozenset(members)
+        departed = (self.view.members - members) | frozenset(replaced)
         active = frozenset(active or members) & members or members
-        self.view = View(self.view.epoch + 1, members, active, removed)
+        self.view = View(self.view.epoch + 1, members, active, removed, departed)
         self.views.append(self.view)
 
     def activate(self):
@@ -159,7 +166,19 @@
 
     def configuration(self, revision):
         limits = Limits(**{self.kind: self.limits[revision]})
-        return Configuration(revision=revision, teams={"t": Team("t", limits)})
+        upstreams = {}
+        if self.second is not None:
+            upstream = Upstream(
+                "u", "t", UpstreamKind.ENGINE, "http://u", "z", Limits(concurrency=self.second)
+            )
+            upstreams["u"] = upstream
+        return Configuration(revision=revision, teams={"t": Team("t", limits)}, upstreams=upstreams)
+
+    def amounts(self, permits, attempts=1):
+        amounts = {self.limit: permits}
+        if self.second is not None:
+            amounts[SECOND] = attempts
+        return amounts
 
     # Time and messages
 
@@ -229,12 +248,13 @@
         now = self.local(node)
         while node.backlog:
             amount = node.backlog[0]
-            permit = permits.try_acquire({self.limit: amount}, now)
+            permit = permits.try_acquire(self.amounts(amount), now)
             if permit is None:
                 break
             node.backlog.pop(0)
             self.dispatch(node, amount, permit)
-        permits.set_demand({self.limit: sum(node.backlog)} if node.backlog else {}, now)
+        waiting = self.amounts(sum(node.backlog), len(node.backlog)) if node.backlog else {}
+        permits.set_demand(waiting, now)
 
     def dispatch(self, node, amount, permit):
         self.dispatched += 1
--- a/features/steps/limits_machine.py
+++ b/features/steps/limits_machine.py
@@ -35,6 +35,15 @@
     def demand(self, index, requests):
         self.cluster.demand(self.pick(index), requests, self.amount)
 
+    @rule(
+        requests=st.integers(1, 30),
+        durations=st.sampled_from(((0.01, 0.03), (0.02, 3.0), (3.0, 7.0))),
+    )
+    def demand_everywhere(self, requests, durations):
+        self.cluster.attempt_time = durations
+        for name in self.cluster.nodes:
+            self.cluster.demand(name, requests, self.amount)
+
     @rule(seconds=st.sampled_from((0.02, 0.1, 0.3, 1.0, 2.5)))
     def pass_time(self, seconds):
         self.cluster.advance(seconds)
@@ -84,7 +93,9 @@
             cluster.nodes[name].crashed = True
         replaced = name in cluster.view.members
         cluster.start(name)
-        self.change(cluster.view.members | {name}, replaced, delays)
+        self.change(
+            cluster.view.members | {name}, replaced, delays, replaced={name} if replaced else ()
+        )
 
     def restartable(self, node):
         return node.crashed or (node.name not in self.cluster.view.members and not node.running)
@@ -99,12 +110,12 @@
         if len(view.active) > 1:
             self.change(view.members, False, delays, view.active - {leaving})
 
-    def change(self, members, removed, delays, active=None):
+    def change(self, members, removed, delays, active=None, replaced=()):
         cluster = self.cluster
         active = (
             cluster.view.active | (members - cluster.view.members) if active is None else active
         )
-        cluster.change_view(members, active, removed)
+        cluster.change_view(members, active, removed, replaced)
         for number, name in enumerate(sorted(cluster.nodes)):
             cluster.at(delays[number % len(delays)], lambda name=name: cluster.adopt(name))
 
--- a/features/steps/limits_steps.py
+++ b/features/steps/limits_steps.py
@@ -43,6 +43,15 @@
     context.cluster.advance(1.0)
 
 
+@given("limits of {limit:d} for a second pool that all work needs")
+def second_pool(context, limit):
+    context.cluster.second = limit
+    context.cluster.release(context.limit)
+    for name in context.cluster.nodes:
+        context.cluster.apply_release(name)
+    context.cluster.advance(1.0)
+
+
 @when(
     "limits node {number:d} gets {requests:d} requests of {amount:d} permits and {seconds:g} s pass"
 )
@@ -72,6 +81,19 @@
     context.cluster.advance(seconds)
 
 
+@when("limits node {number:d} crashes and is removed")
+def crash_and_remove(context, number):
+    cluster = context.cluster
+    name = f"n{number}"
+    cluster.nodes[name].crashed = True
+    cluster.change_view(cluster.view.members - {name}, removed=True)
+    for node in cluster.view.members:
+        cluster.adopt(node)
+    cluster.activate()
+    for node in cluster.view.members:
+        cluster.tell_active(node)
+
+
 @then("limits node {number:d} may use at least {permits:d} permits")
 def node_may_use(context, number, permits):
     assert context.cluster.cap(f"n{number}") >= permits, context.cluster.caps()
--- a/src/chervilrack/_internal/limits/ledger.py
+++ b/src/chervilrack/_internal/limits/ledger.py
@@ -1,5 +1,6 @@
 """Ledger of one limit at its owner: what each node may occupy."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -65,8 +66,10 @@
     that was dispatched before a release lowered the capacity; nobody is allocated more then.
     """
 
-    def __init__(self, limit: LimitId) -> None:
+    def __init__(self, limit: LimitId, departed_charge: int | None = None) -> None:
         self._limit = limit
+        self._departed_charge = departed_charge
+        self._configured = False
         self._capacity: int | None = None
         self._appeared_at = ReleaseRevision(0)
         self._quarantined: int | None = None
@@ -113,6 +116,9 @@
         if old is None:
             self._appeared_at = revision
             self._quarantined = None
+            if self._configured:
+                self._departed_charge = None
+            self._configured = True
         elif capacity >= old:
             return set()
         # Holders refuse allocations computed under the higher limit.
@@ -166,6 +172,16 @@
     def _is_newer(account: Account, sequence: int) -> bool:
         return sequence > account.sequence
 
+    def charge_of(self, departed: Iterable[NodeId]) -> int | None:
+        """Return what departed members may still occupy, earlier ones included.
+
+        None before the first plan of the epoch, when not all holdings are known.
+        """
+        if self._quarantined is None:
+            return None
+        accounts = [self._accounts.get(node) for node in departed]
+        return self._quarantined + sum(account.charge for account in accounts if account)
+
     def has_all_reports(self, members: frozenset[NodeId]) -> bool:
         """Tell whether every member reported since the limit exists."""
         if len(self._accounts) < len(members):
@@ -185,7 +201,9 @@
         self._planned_at = now
         if quarantine:
             if self._quarantined is None:
-                self._quarantined = max(0, self._capacity - self.charged)
+                rest = max(0, self._capacity - self.charged)
+                known = self._departed_charge
+                self._quarantined = rest if known is None else min(rest, known)
         else:
             self._quarantined = 0
         changed = self._resume(now)
--- a/src/chervilrack/_internal/limits/messages.py
+++ b/src/chervilrack/_internal/limits/messages.py
@@ -87,13 +87,16 @@
     """The node adopted a view.
 
     ``removed`` states that since this node's previous view a member was removed without a planned
-    leave, or was replaced by a newer incarnation.
+    leave, or was replaced by a newer incarnation. ``departed`` names these members if they are
+    known and the previous view is the one just before; an owner that stays then quarantines only
+    what it had allocated to them.
     """
 
     epoch: Epoch
     members: frozenset[NodeId]
     active_members: frozenset[NodeId]
     removed: bool = False
+    departed: frozenset[NodeId] | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/chervilrack/_internal/limits/service.py
+++ b/src/chervilrack/_internal/limits/service.py
@@ -171,12 +171,13 @@
     def _adopt_view(self, event: ViewAdopted, now: timedelta) -> None:
         if event.epoch <= self._epoch:
             return
+        departed = event.departed if event.epoch == self._epoch + 1 else None
+        before, self._ledgers = self._ledgers, {}
         self._epoch = event.epoch
         self._members = event.members
         self._move_owners(event.active_members)
         if event.removed:
             self._quarantine = _Quarantine(event.epoch)
-        self._ledgers.clear()
         self._to_plan.clear()
         self._outbox.clear()
         self._local.clear()
@@ -190,7 +191,10 @@
         self._reports = {owner: _Reports(complete_due=True) for owner in owners}
         for limit, capacity in self._capacities.items():
             if self._owner(limit) == self._node:
-                self._ledger(limit).configure(capacity, self._configuration.revision, now)
+                old = before.get(limit)
+                charge = old.charge_of(departed) if old and departed is not None else None
+                ledger = self._ledgers[limit] = LimitLedger(limit, charge)
+                ledger.configure(capacity, self._configuration.revision, now)
                 self._to_plan.add(limit)
 
     def _move_owners(self, active: frozenset[NodeId]) -> None:
