Keep nodes from following the same stale load reports

Change: a report's difference from the mean fades within a service time, own attempts stand for others by the ratio that reports show, deviations of service time within their noise and scores within 3 % count as equal. A fleet simulation compares the policies.

--- a/features/routing/choice.feature
+++ b/features/routing/choice.feature
@@ -16,7 +16,7 @@
     When routing has <own> requests in flight at engine 0
     And routing waits 1 s
     And routing has <other> requests in flight at engine 1
-    And routing engine 0 reports load <load> of 0.2 s ago
+    And routing engine 0 reports load <load> of 0.02 s ago
     Then routing engine 0 gets <low> to <high> of 100 decisions
 
     Examples: counted twice, engine 0 would have load 8 in the first row
@@ -33,7 +33,7 @@
     And routing engine 4 reports load 3 of 0.5 s ago
     And routing engine 5 reports load 3 of 0.5 s ago
     And routing engine 0 reports load 0 of 0.5 s ago
-    Then routing engine 0 gets 60 to 140 of 300 decisions
+    Then routing engine 0 gets 20 to 100 of 300 decisions
 
   Scenario Outline: engine 2 holds the prefix and has <queue> requests in flight
     Given routing with policy "chervilrack" over 6 engines in 1 zones
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 
 from behave import given, then, when
+from routing_fleet import Fleet
 
 from chervilrack._internal.releases.state import Limits, Upstream, UpstreamKind
 from chervilrack._internal.routing.affinity import CacheEvent
@@ -142,6 +143,7 @@
 @when("routing waits {seconds:g} s")
 def wait(context, seconds):
     context.sim.now += timedelta(seconds=seconds)
+    context.sim.finish_due()
 
 
 @when('routing engine {number:d} sends cache events "{events}"')
@@ -237,3 +239,24 @@
     measured = measure_decision_time([int(size) for size in sizes.split(",")], 1)
     assert len(measured) == rows
     assert all(row.median_us > 0 for row in measured)
+
+
+@when("routing runs {nodes:d} nodes at {rate:d}/s, lag {lag:g} s, engine 1 slower by {factor:g}")
+def run_fleets(context, nodes, rate, lag, factor):
+    context.fleets = {}
+    for policy in routing_policies:
+        fleet = Fleet(policy, nodes, 6, rate, lag, {1: factor}, seed=1)
+        fleet.run(10.0)
+        context.fleets[policy] = fleet
+
+
+@then("routing with the default has at most {percent:d} % of the 99th percentile of {policy}")
+def compare_latency(context, percent, policy):
+    ours = context.fleets["chervilrack"].percentile(99)
+    theirs = context.fleets[policy].percentile(99)
+    assert ours * 100 <= theirs * percent, (ours, theirs)
+
+
+@then("routing with the default queues at most {attempts:d} attempts at one engine")
+def compare_peak(context, attempts):
+    assert context.fleets["chervilrack"].peak <= attempts, context.fleets["chervilrack"].peak
--- a/src/chervilrack/_internal/routing/load.py
+++ b/src/chervilrack/_internal/routing/load.py
@@ -1,6 +1,5 @@
 """Load of upstreams: this node's work in flight and lagging reports of the upstreams."""
 
-import math
 from collections import deque
 from datetime import timedelta
 
@@ -12,6 +11,11 @@
 # Weight of one report in the mean over all upstreams.
 MEAN_WEIGHT = 0.1
 
+# Reports before the ratio of own to others' attempts is used.
+ENOUGH_REPORTS = 20
+# Below this mean of own attempts the ratio to the others' is not meaningful.
+SMALLEST_MEAN = 0.1
+
 _ZERO = timedelta(0)
 
 
@@ -46,14 +50,19 @@
 class LoadTable:
     """Loads of all upstreams.
 
-    The part of a report that is due to other nodes decays towards the mean of all upstreams:
-    an old report says little about this upstream in particular.
+    A report of many nodes' work is old by the time it arrives, and all nodes see the same one.
+    Only its difference from the mean of all upstreams counts, and fades; otherwise the nodes
+    follow it together. The node's own attempts are up to date and a sample of all nodes' attempts:
+    each stands for up to ``own_weight`` attempts, by the ratio that reports show.
     """
 
     def __init__(self, settings: RouterSettings) -> None:
-        self._decay = math.log(2) / settings.load_half_life.total_seconds()
+        self._half_life = settings.load_half_life
+        self._own_weight = settings.own_weight
         self._loads: dict[UpstreamId, UpstreamLoad] = {}
         self._mean_others = 0.0
+        self._mean_own = 0.0
+        self._reports = 0
 
     def get(self, upstream: UpstreamId) -> UpstreamLoad:
         """Return the load of one upstream."""
@@ -68,17 +77,33 @@
         taken_at = now - max(age, _ZERO)
         if age > OLDEST_REPORT or (load.reported_at is not None and taken_at < load.reported_at):
             return
-        load.others = max(0.0, attempts - load.in_flight_at(taken_at))
+        own = load.in_flight_at(taken_at)
+        load.others = max(0.0, attempts - own)
         load.reported_at = taken_at
         self._mean_others += MEAN_WEIGHT * (load.others - self._mean_others)
+        self._reports += 1
+        self._mean_own += MEAN_WEIGHT * (own - self._mean_own)
+
+    def expected(self, upstream: UpstreamId, service: float, now: timedelta) -> float:
+        """Return the expected load of an upstream, up to a constant common to all.
 
-    def expected(self, upstream: UpstreamId, now: timedelta) -> float:
-        """Return the expected number of attempts at an upstream."""
+        ``service`` is the expected service time of its attempts in seconds: after that time the
+        attempts that a report counted have ended.
+        """
         load = self._loads.get(upstream)
         if load is None:
-            return self._mean_others
-        if load.reported_at is None:
-            return load.in_flight + self._mean_others
-        age = max(0.0, (now - load.reported_at).total_seconds())
-        kept = math.exp(-self._decay * age)
-        return load.in_flight + load.others * kept + self._mean_others * (1.0 - kept)
+            return 0.0
+        expected = load.in_flight * self._scale
+        if load.reported_at is not None:
+            age = max(0.0, (now - load.reported_at).total_seconds())
+            kept = 0.5 ** (age / (self._half_life * service))
+            expected += (load.others - self._mean_others) * kept
+        return max(0.0, expected)
+
+    @property
+    def _scale(self) -> float:
+        """Attempts of all nodes for which one attempt of this node stands."""
+        if self._reports < ENOUGH_REPORTS:
+            return 1.0
+        ratio = self._mean_others / max(self._mean_own, SMALLEST_MEAN)
+        return min(1.0 + ratio, self._own_weight)
--- a/src/chervilrack/_internal/routing/router.py
+++ b/src/chervilrack/_internal/routing/router.py
@@ -16,6 +16,9 @@
 
 # Candidates with a cached prefix that are scored besides the sample.
 AFFINITY_CANDIDATES = 2
+# Scores this close are equal. The sample is in random order, so that nodes with the same stale
+# information do not all follow a negligible difference.
+NEAR_TIE = 0.03
 # Draws per wanted sample before all candidates are examined.
 DRAWS = 8
 
@@ -84,7 +87,8 @@
             return None
         mean, _ = self._times.expected(context.stage, context.tokens)
         scores = [(self._score(c, context, matches, mean, now), c) for c in sample]
-        best, chosen = min(scores, key=lambda pair: pair[0].seconds)
+        enough = min(score.seconds for score, _ in scores) * (1.0 + NEAR_TIE)
+        best, chosen = next(pair for pair in scores if pair[0].seconds <= enough)
         return RouteDecision(chosen.id, self._reason(best, chosen, len(scores), len(candidates)))
 
     def cache_event(self, upstream: UpstreamId, event: CacheEvent, now: timedelta) -> None:
@@ -218,9 +222,7 @@
             yield items[int(self._rng.random() * len(items))]
 
     def _pick(self, candidates: list[Upstream], count: int) -> list[Upstream]:
-        if len(candidates) <= count:
-            return list(candidates)
-        return self._rng.sample(candidates, count)
+        return self._rng.sample(candidates, min(count, len(candidates)))
 
     # Health
 
@@ -273,7 +275,7 @@
     ) -> _Score:
         settings = self._settings
         service = mean * self._times.factor(context.stage, candidate.id)
-        load = self._loads.expected(candidate.id, now)
+        load = self._loads.expected(candidate.id, mean, now)
         prefix = matches.get(candidate.id, 0.0)
         parallel = candidate.limits.concurrency or settings.parallelism
         seconds = service * (1.0 + load / parallel - settings.prefix_saving * prefix)
--- a/src/chervilrack/_internal/routing/settings.py
+++ b/src/chervilrack/_internal/routing/settings.py
@@ -8,9 +8,9 @@
 class RouterSettings:
     """Tuning of health, load and affinity. The defaults suit stages of 20 ms to 6 s."""
 
-    # With lagging load reports two samples avoid that all nodes pick the same upstream; more
+    # With lagging load reports a few samples avoid that all nodes pick the same upstream; many
     # samples bring that back (Mitzenmacher, "How useful is old information?", 2000).
-    samples: int = 2
+    samples: int = 3
     # Up to this number all candidates are examined for zone and health; above, samples of them.
     scan_limit: int = 48
     # Attempts that an upstream without a concurrency limit runs side by side.
@@ -25,8 +25,13 @@
     # Relative cost of loading what an engine does not hold.
     adapter_cost: float = 0.5
     model_cost: float = 4.0
-    # Half of a load report's information is lost after this time.
-    load_half_life: timedelta = timedelta(milliseconds=700)
+    # Half of a load report's information is lost after this many service times. Longer memory
+    # makes all nodes follow the same stale report.
+    load_half_life: float = 0.5
+    # Attempts of all nodes for which one attempt in flight of this node stands at most. Without
+    # it, 20 nodes follow their reports and noise, and queues become longer than with
+    # least-outstanding.
+    own_weight: float = 8.0
     eject_failures: int = 3
     eject_time: timedelta = timedelta(seconds=5)
     eject_time_longest: timedelta = timedelta(seconds=120)
--- a/src/chervilrack/_internal/routing/times.py
+++ b/src/chervilrack/_internal/routing/times.py
@@ -18,6 +18,8 @@
 UPSTREAM_PRIOR = 3.0
 # Seconds after which an upstream's pace counts half without new attempts.
 PACE_HALF_LIFE = 10.0
+# Standard errors of an upstream's pace that count as noise.
+NOISE = 1.5
 # Shortest predicted time; avoids divisions by zero for instantaneous stages.
 SHORTEST = 1e-4
 
@@ -29,7 +31,7 @@
     prediction is the mean.
     """
 
-    __slots__ = ("_mean_x", "_mean_y", "_weight", "_xx", "_xy", "_yy")
+    __slots__ = ("_mean_x", "_mean_y", "_weight", "_xx", "_xy", "_yy", "variation")
 
     def __init__(self, mean: float, spread: float) -> None:
         self._weight = STAGE_PRIOR
@@ -38,6 +40,8 @@
         self._xx = 0.0
         self._xy = 0.0
         self._yy = spread * spread * STAGE_PRIOR
+        # Standard deviation relative to the mean, for an attempt of typical size.
+        self.variation = spread / mean
 
     def add(self, tokens: int, seconds: float) -> None:
         """Add one observation (West's weighted update of means and co-moments, 1979)."""
@@ -51,6 +55,8 @@
         self._xx = self._xx * STAGE_MEMORY + dx * (tokens - self._mean_x)
         self._xy = self._xy * STAGE_MEMORY + dx * (seconds - self._mean_y)
         self._yy = self._yy * STAGE_MEMORY + dy * (seconds - self._mean_y)
+        mean, spread = self.predict(int(self._mean_x))
+        self.variation = spread / mean
 
     @property
     def per_token(self) -> float:
@@ -121,9 +127,17 @@
         regression.add(tokens, seconds / max(1.0, pace.factor(self._now)))
 
     def factor(self, stage: StageId, upstream: UpstreamId) -> float:
-        """Return the upstream's service time relative to its peers; 1 if unknown."""
+        """Return the upstream's service time relative to its peers; 1 if unknown.
+
+        Only the part of a deviation that exceeds the noise of its observations counts.
+        """
         pace = self._paces.get(stage, {}).get(upstream)
-        return 1.0 if pace is None else pace.factor(self._now)
+        if pace is None:
+            return 1.0
+        deviation = pace.factor(self._now) - 1.0
+        weight = pace.weight * pace.kept(self._now) + UPSTREAM_PRIOR
+        noise = NOISE * self._stages[stage].variation / math.sqrt(weight)
+        return 1.0 + math.copysign(max(0.0, abs(deviation) - noise), deviation)
 
     def samples(self, stage: StageId, upstream: UpstreamId) -> int:
         """Return the number of attempts observed since the last ``forget``."""
