--- a/src/chervilrack/_internal/routing/times.py
+++ b/src/chervilrack/_internal/routing/times.py
@@ -18,6 +18,8 @@
 UPSTREAM_PRIOR = 3.0
 # Seconds after which an upstream's pace counts half without new attempts.
 PACE_HALF_LIFE = 10.0
+# Standard errors of an upstream's pace that count as noise.
+NOISE = 1.5
 # Shortest predicted time; avoids divisions by zero for instantaneous stages.
 SHORTEST = 1e-4
 # Spread of slopes among usual engines, in seconds per token. Without this prior, three requests
@@ -49,7 +51,10 @@
     were predicted to take many seconds and were refused.
     """
 
-    __slots__ = ("_mean", "_mean_y", "_noise", "_oo", "_oy", "_po", "_pp", "_py", "_weight", "_yy")
+    __slots__ = (
+        "_mean", "_mean_y", "_noise", "_oo", "_oy", "_po", "_pp", "_py", "_weight", "_yy",
+        "variation",
+    )  # fmt: skip
 
     def __init__(self, mean: float, spread: float) -> None:
         self._weight = STAGE_PRIOR
@@ -58,6 +63,8 @@
         self._noise = spread * spread
         self._pp = self._po = self._oo = self._py = self._oy = 0.0
         self._yy = spread * spread * STAGE_PRIOR
+        # Standard deviation relative to the mean, for an attempt of typical size.
+        self.variation = spread / mean
 
     def add(self, size: WorkSize, seconds: float) -> None:
         """Add one observation (West's weighted update of means and co-moments, 1979)."""
@@ -75,6 +82,8 @@
         self._py = self._py * STAGE_MEMORY + dp * new_y
         self._oy = self._oy * STAGE_MEMORY + do * new_y
         self._yy = self._yy * STAGE_MEMORY + dy * new_y
+        mean, spread = self.predict(WorkSize(round(prompt), round(output)))
+        self.variation = spread / mean
 
     @property
     def slopes(self) -> tuple[float, float]:
@@ -171,9 +180,17 @@
         regression.add(size, seconds / max(1.0, pace.factor(self._now)))
 
     def factor(self, stage: StageId, upstream: UpstreamId) -> float:
-        """Return the upstream's service time relative to its peers; 1 if unknown."""
+        """Return the upstream's service time relative to its peers; 1 if unknown.
+
+        Only the part of a deviation that exceeds the noise of its observations counts.
+        """
         pace = self._paces.get(stage, {}).get(upstream)
-        return 1.0 if pace is None else pace.factor(self._now)
+        if pace is None:
+            return 1.0
+        deviation = pace.factor(self._now) - 1.0
+        weight = pace.weight * pace.kept(self._now) + UPSTREAM_PRIOR
+        noise = NOISE * self._stages[stage].variation / math.sqrt(weight)
+        return 1.0 + math.copysign(max(0.0, abs(deviation) - noise), deviation)
 
     def samples(self, stage: StageId, upstream: UpstreamId) -> int:
         """Return the number of attempts observed since the last ``forget``."""
