Tick less often while a node is idle

Cause: Ticks every 10 ms cost 1.4 % of a core in an idle node. Change: Add Ticker, which ticks every second while nothing waits or runs.

--- a/src/chervilrack/_internal/execution/runner.py
+++ b/src/chervilrack/_internal/execution/runner.py
@@ -1,6 +1,5 @@
 """Runs requests: connects the scheduler to callers' threads and to upstreams."""
 
-import logging
 import threading
 from collections.abc import Callable, Iterator, Mapping
 from concurrent.futures import ThreadPoolExecutor
@@ -33,6 +32,7 @@
     TaskId,
     Tick,
 )
+from chervilrack._internal.execution.ticker import Ticker
 from chervilrack._internal.execution.work import PipelinePlan, StageWork, WorkPlanner
 from chervilrack._internal.observability.port import Telemetry
 from chervilrack._internal.upstreams.port import (
@@ -44,9 +44,6 @@
     UpstreamClient,
 )
 
-logger = logging.getLogger(__name__)
-
-_TICK_S = 0.01
 # The scheduler ends every task by its deadline; this only bounds the wait if ticks have stopped.
 _LOST_TASK_GRACE = timedelta(seconds=5)
 
@@ -107,16 +104,14 @@
         self._slots: dict[TaskId, _Slot] = {}
         self._requests: dict[RequestId, _Request] = {}
         self._hedges = ThreadPoolExecutor(hedge_threads, thread_name_prefix="hedge")
-        self._stopping = threading.Event()
-        self._ticker = threading.Thread(target=self._tick_until_stopped, name="ticker", daemon=True)
+        self._ticker = Ticker(self.tick, lambda: scheduler.idle)
 
     def __enter__(self) -> Self:
-        self._ticker.start()
+        self._ticker.__enter__()
         return self
 
     def __exit__(self, *_exception: object) -> None:
-        self._stopping.set()
-        self._ticker.join()
+        self._ticker.__exit__()
         self._hedges.shutdown(wait=False, cancel_futures=False)
 
     @property
@@ -281,6 +276,7 @@
             state.task = task.id
             self._slots[task.id] = slot
             self._handle(Submit(task))
+        self._ticker.wake()
         return slot
 
     def _next(self, slot: _Slot, task: Task) -> Dispatch | Complete | Refuse:
@@ -437,11 +433,3 @@
         slot = self._slots.get(effect.task)
         if slot is not None:
             slot.cancelled.add(effect.attempt)
-
-    def _tick_until_stopped(self) -> None:
-        while not self._stopping.wait(_TICK_S):
-            try:
-                self.tick()
-            except Exception:
-                # Without ticks no late request would be ended, so the thread has to go on.
-                logger.exception("execution: a tick failed")
--- a/src/chervilrack/_internal/execution/scheduler.py
+++ b/src/chervilrack/_internal/execution/scheduler.py
@@ -104,6 +104,11 @@
         """Attempts in progress, superseded ones included."""
         return len(self._attempts)
 
+    @property
+    def idle(self) -> bool:
+        """Whether no task is waiting or running and no attempt is in progress."""
+        return not self._active and not self._attempts
+
     def handle(self, event: Event, now: timedelta) -> list[Effect]:
         """Take one event and return what is to be done, in this order."""
         effects: list[Effect] = []
--- /dev/null
+++ b/src/chervilrack/_internal/execution/ticker.py
@@ -0,0 +1,49 @@
+"""Thread that lets time pass for the scheduler while there is work."""
+
+import logging
+import threading
+from collections.abc import Callable
+from typing import Self
+
+logger = logging.getLogger(__name__)
+
+_TICK_S = 0.01
+# Ticks every 10 ms cost more than one per cent of a core, so an idle node ticks less often.
+_IDLE_TICK_S = 1.0
+
+
+class Ticker:
+    """Context manager that calls ``tick`` about every 10 ms, or every second while ``idle``."""
+
+    def __init__(self, tick: Callable[[], None], idle: Callable[[], bool]) -> None:
+        self._tick = tick
+        self._idle = idle
+        self._stopping = threading.Event()
+        self._awake = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="ticker", daemon=True)
+
+    def __enter__(self) -> Self:
+        self._thread.start()
+        return self
+
+    def __exit__(self, *_exception: object) -> None:
+        self._stopping.set()
+        self._awake.set()
+        self._thread.join()
+
+    def wake(self) -> None:
+        """Tick often again; called after work has been added."""
+        if not self._awake.is_set():
+            self._awake.set()
+
+    def _run(self) -> None:
+        while not self._stopping.wait(_TICK_S):
+            try:
+                self._tick()
+            except Exception:
+                # Without ticks no late request would be ended, so the thread has to go on.
+                logger.exception("execution: a tick failed")
+            if self._idle():
+                self._awake.clear()
+                if self._idle():  # work may have been added before the flag was cleared
+                    self._awake.wait(_IDLE_TICK_S)
