--- a/features/execution/scheduler.feature
+++ b/features/execution/scheduler.feature
@@ -56,12 +56,31 @@
       | 2       | 2.5       | DEADLINE_UNREACHABLE |
       | 4       | 60        | QUEUE_FULL           |
 
+  Scenario: execution scheduler expects no long wait because work ends in batches
+    # Guards against rejections between two batches, when nothing is dispatched for a while.
+    Given execution a scheduler with 8 permit
+    And execution a service time of 1 s
+    When execution 8 tasks at a time end every second and one comes between with 3 s
+    Then execution it is queued
+
   Scenario: execution scheduler does not send a waiting task past its deadline
     # Guards against a dispatch between the deadline and the next tick.
     Given execution a scheduler with 1 permit
     When execution the permit comes free when a waiting task is past its deadline
     Then execution it is DEADLINE_PASSED
 
+  Scenario Outline: execution scheduler with <left> ms left in the queue: <outcome>
+    # Guards against work that starts although it probably misses its deadline (100 ms, spread 20),
+    # which costs a permit for a second longer than rejected work.
+    Given execution a scheduler with 1 permit
+    When execution the permit comes free when a waiting task has <left> ms left
+    Then execution it is <outcome>
+
+    Examples:
+      | left | outcome              |
+      | 121  | queued               |
+      | 119  | DEADLINE_UNREACHABLE |
+
   Scenario: execution scheduler tries a stage again whose estimate exceeds every deadline
     # Guards against an estimate that stays wrong because nothing is measured any more.
     Given execution a scheduler with 8 permit
@@ -161,6 +180,7 @@
     Examples:
       | left | attempts |
       | 500  | 2        |
+      | 110  | 1        |
       | 50   | 1        |
 
   Scenario: execution scheduler states the demand of waiting work
--- a/src/chervilrack/_internal/execution/backlog.py
+++ b/src/chervilrack/_internal/execution/backlog.py
@@ -5,7 +5,7 @@
 from enum import Enum
 
 from chervilrack._internal.common.results import Executed, Problem, ResultCode
-from chervilrack._internal.execution.deadlines import optimistic
+from chervilrack._internal.execution.deadlines import likely
 from chervilrack._internal.execution.fair_queue import FairQueue
 from chervilrack._internal.execution.tasks import Task
 from chervilrack._internal.routing.port import Estimate
@@ -67,26 +67,23 @@
     def admit(
         self, task: Task, estimate: Estimate, now: timedelta, bounds: QueueBounds
     ) -> Admission | Problem:
-        """Decide whether a task is taken or rejected as not executed.
-
-        A task is rejected only if even its optimistic service time does not fit: a prediction for
-        sizes that were not seen yet is uncertain, and a rejection cannot be taken back.
-        """
-        mean, shortest = estimate.mean, optimistic(estimate)
+        """Decide whether a task is taken or rejected as not executed."""
         remaining = task.deadline - now
         if remaining <= _ZERO:
             detail = "no time is left for this stage"
             return Problem(ResultCode.DEADLINE_PASSED, detail, Executed.NO)
-        wait = self.expected_wait(task, mean, now, min(remaining - mean, bounds.delay))
+        needed = likely(estimate)
+        enough = min(remaining - needed, bounds.delay)
+        wait = self.expected_wait(task, estimate.mean, now, enough)
         if len(self.queue) >= bounds.length or wait > bounds.delay:
             detail = "the expected wait in the queue is too long"
             return Problem(ResultCode.QUEUE_FULL, detail, Executed.NO, wait)
-        if wait + shortest <= remaining:
+        if wait + needed <= remaining:
             return Admission.NORMAL
         if self.may_probe(now):
             return Admission.PROBE
         detail = (
-            f"the expected wait of {_ms(wait)} and service time of {_ms(shortest)} exceed the "
+            f"the expected wait of {_ms(wait)} and service time of {_ms(needed)} exceed the "
             f"remaining {_ms(remaining)}"
         )
         return Problem(ResultCode.DEADLINE_UNREACHABLE, detail, Executed.NO, wait)
@@ -104,9 +101,10 @@
         interval = self._interval
         if interval is None:
             interval = mean / max(1, self.running)
-        # While nothing is dispatched, the time since the last dispatch is the better guess.
+        # If nothing has been dispatched for longer than the service time, that is the better
+        # guess. Shorter gaps are normal, as work often ends in batches.
         last = self._last_dispatch
-        stalled = now - max(self._waiting_since, _ZERO if last is None else last)
+        stalled = now - max(self._waiting_since, _ZERO if last is None else last) - mean
         interval = max(interval, stalled)
         most = interval * len(self.queue)
         return most if most <= enough else interval * self.queue.ahead(task)
--- a/src/chervilrack/_internal/routing/times.py
+++ b/src/chervilrack/_internal/routing/times.py
@@ -27,7 +27,7 @@
 PROMPT_SLOPE_SPREAD = 0.0005
 OUTPUT_SLOPE_SPREAD = 0.02
 # Observations after which the assumed noise counts half; engines of any speed are learned then.
-NOISE_PRIOR = 10.0
+NOISE_PRIOR = 4.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,17 +104,28 @@
     def predict(self, size: WorkSize) -> tuple[float, float]:
         """Return the expected time and its standard deviation in seconds.
 
-        The deviation grows with the distance from the sizes seen, because the slopes are uncertain.
+        Away from the sizes seen the slopes are uncertain; their standard error is subtracted, so
+        that work of a new size is tried rather than rejected on a guess.
         """
         per_prompt, per_output = self.slopes
         prompt, output = self._mean or (float(size.prompt), float(size.output))
         dp, do = size.prompt - prompt, size.output - output
-        mean = self._mean_y + per_prompt * dp + per_output * do
-        explained = per_prompt * self._py + per_output * self._oy
-        scatter = max(0.0, self._yy - explained) / self._weight
+        scatter = self._residual(per_prompt, per_output) / self._weight
         pp, oo = self._regularised()
-        variance = scatter * (1.0 + dp * dp / pp + do * do / oo)
-        return max(SHORTEST, mean), math.sqrt(variance)
+        doubt = math.sqrt(scatter * (dp * dp / pp + do * do / oo))
+        more = per_prompt * dp + per_output * do
+        sure = max(0.0, more - doubt) if more > 0 else more
+        return max(SHORTEST, self._mean_y + sure), math.sqrt(scatter)
+
+    def _residual(self, per_prompt: float, per_output: float) -> float:
+        """Return the sum of squared deviations from the line with these slopes."""
+        crossed = per_prompt * self._py + per_output * self._oy
+        squared = (
+            per_prompt * per_prompt * self._pp
+            + 2 * per_prompt * per_output * self._po
+            + per_output * per_output * self._oo
+        )
+        return max(0.0, self._yy - 2 * crossed + squared)
 
     def _regularised(self) -> tuple[float, float]:
         noise = self._noise * NOISE_PRIOR / (self._weight + NOISE_PRIOR)
