Count goodput of the pipeline only

Change: Goodput counts the pipeline's answers. Add tests that evaluate evidence written by hand, also for requests that hang.

--- a/features/experiments/model.feature
+++ b/features/experiments/model.feature
@@ -78,3 +78,30 @@
     Without ends the use of a team's limit over several upstreams cannot be computed.
     When experiments stand-in record sees attempts a-1 and a-2 arrive and a-1 end
     Then experiments stand-in record has an end of a-1 after its arrival and none of a-2
+
+  Scenario: goodput counts whole answers of the pipeline within the named part of a run
+    Answers of plain services, which are far from their limits, would hide an overloaded pipeline.
+    Given experiments evidence of these requests in a run of 100 s
+      | at | target  | outcome              |
+      | 15 | answers | answered             |
+      | 20 | answers | answered             |
+      | 25 | stock   | answered             |
+      | 30 | answers | late                 |
+      | 39 | answers | refused_not_executed |
+      | 60 | answers | answered             |
+      | 70 | stock   | answered             |
+    When experiments evidence of overload is evaluated
+    Then experiments goodput is 2 answers in 30 s of capacity and 1 answer in 50 s of overload
+    And experiments attainment is 5 of 7 and that of stock 1
+
+  Scenario Outline: a request that hangs at a node which <state> counts as <lost> lost results
+    A node that a scenario pauses cannot answer; any other node has to.
+    Given experiments evidence of a request that hangs at a node which <state>
+    When experiments evidence of nominal is evaluated
+    Then experiments lost results are <lost>
+
+    Examples:
+      | state                     | lost |
+      | has no fault              | 1    |
+      | is paused meanwhile       | 0    |
+      | was paused long before it | 1    |
--- a/src/chervilrack/_internal/experiments/evaluate.py
+++ b/src/chervilrack/_internal/experiments/evaluate.py
@@ -122,7 +122,13 @@
         platform=evidence.platform,
         control=evidence.control,
         goodput_rps={
-            name: _goodput(records, evidence.started_at, start * duration_s, end * duration_s)
+            name: _goodput(
+                # Plain services are far from their limits; their answers would hide a loss.
+                [record for record in records if record.target == profile.pipeline],
+                evidence.started_at,
+                start * duration_s,
+                end * duration_s,
+            )
             for name, (start, end) in scenario.windows.items()
         },
         load_generator_lag_ms=_percentiles(
