Test the callers' endpoint look-up

Cause: Nothing tested that callers keep a look-up answer for its lifetime. Change: Count look-ups at the fake cluster; test lifetime, failed nodes and unreachable look-ups.

--- a/features/experiments/model.feature
+++ b/features/experiments/model.feature
@@ -105,3 +105,19 @@
       | has no fault              | 1    |
       | is paused meanwhile       | 0    |
       | was paused long before it | 1    |
+
+  Scenario Outline: <lookups> look-ups serve <requests> requests while an answer lives for <lifetime> s
+    Callers that ask before each request would double the load; callers that never ask again would
+    keep connecting to nodes that have left.
+    When experiments look up addresses <requests> times with a lifetime of <lifetime> s
+    Then experiments have asked <lookups> times
+
+    Examples:
+      | requests | lifetime | lookups |
+      | 20       | 60       | 1       |
+      | 20       | 0        | 20      |
+
+  Scenario: a failed node is tried last, and an unreachable look-up keeps the last answer
+    When experiments look up addresses, forget the first and lose all nodes
+    Then experiments still know all addresses with the forgotten one last
+    And experiments callers without an earlier answer get an error
--- a/features/steps/experiments_model_steps.py
+++ b/features/steps/experiments_model_steps.py
@@ -11,7 +11,7 @@
 from chervilrack._internal.experiments.arrivals import Arrival, generate_arrivals
 from chervilrack._internal.experiments.bounds import misses_of_baseline
 from chervilrack._internal.experiments.callers import Caller
-from chervilrack._internal.experiments.lookup import EndpointCache
+from chervilrack._internal.experiments.lookup import EndpointCache, NoEndpointError
 from chervilrack._internal.experiments.profile import load_profile
 from chervilrack._internal.experiments.result import (
     ControlUse,
@@ -268,3 +268,48 @@
     assert ends[ended] >= arrival.time
     assert running not in ends
     assert context.standin_record.as_dict()["ended"] == ends
+
+
+@when("experiments look up addresses {requests:d} times with a lifetime of {lifetime:g} s")
+def look_up_often(context, requests, lifetime):
+    options = TestBedOptions(load_profile("paramo"), "chervilrack", 1)
+    with fake_cluster(options) as cluster, urllib3.PoolManager() as pool:
+        cluster.lifetime_s = lifetime
+        endpoints = EndpointCache(pool, "quito", [info.address for info in cluster.nodes()])
+        for _ in range(requests):
+            endpoints.addresses()
+        context.lookups = cluster.lookups
+
+
+@then("experiments have asked {lookups:d} times")
+def check_lookups(context, lookups):
+    assert context.lookups == lookups
+
+
+@when("experiments look up addresses, forget the first and lose all nodes")
+def lose_nodes(context):
+    options = TestBedOptions(load_profile("paramo"), "chervilrack", 1)
+    with urllib3.PoolManager() as pool:
+        with fake_cluster(options) as cluster:
+            cluster.lifetime_s = 0.0
+            bootstrap = [info.address for info in cluster.nodes()]
+            endpoints = EndpointCache(pool, "quito", bootstrap)
+            context.first = endpoints.addresses()
+            endpoints.forget(context.first[0])
+        context.later = endpoints.addresses()
+        fresh = EndpointCache(pool, "quito", bootstrap)
+        try:
+            fresh.addresses()
+            context.error = None
+        except NoEndpointError as error:
+            context.error = error
+
+
+@then("experiments still know all addresses with the forgotten one last")
+def check_kept(context):
+    assert context.later == (*context.first[1:], context.first[0])
+
+
+@then("experiments callers without an earlier answer get an error")
+def check_no_endpoint(context):
+    assert context.error is not None
--- a/features/support/fake_cluster.py
+++ b/features/support/fake_cluster.py
@@ -40,6 +40,8 @@
     def __init__(self, options, defect="none", script=()):
         self.script = list(script)
         self.keys = []
+        self.lookups = 0
+        self.lifetime_s = 0.1
         self.profile = options.profile
         self.defect = defect
         self.lock = threading.Lock()
@@ -227,8 +229,11 @@
 
     def do_GET(self):
         cluster = self.server.cluster
+        cluster.lookups += 1
         staying = [info for info in cluster.nodes() if info.node not in cluster.leaving]
-        self._reply(200, {"addresses": [info.address for info in staying], "lifetime_s": 0.1})
+        self._reply(
+            200, {"addresses": [info.address for info in staying], "lifetime_s": cluster.lifetime_s}
+        )
 
     def do_POST(self):
         cluster = self.server.cluster
