Record raised limits before their submission

Cause: A run of limit-tightened reported 7 violations within 150 ms of the release that raised the limit again: nodes used the raised limit before the operator heard of its acceptance, and only then it was recorded. Change: Record raised limits before the submission and restore them if it is refused; lowered ones still count from acceptance. Conclusion: The 7 violations were an error of the experiment, not of the nodes.

--- a/features/experiments/model.feature
+++ b/features/experiments/model.feature
@@ -121,3 +121,15 @@
     When experiments look up addresses, forget the first and lose all nodes
     Then experiments still know all addresses with the forgotten one last
     And experiments callers without an earlier answer get an error
+
+  Scenario Outline: a note that <verdict> and sets a limit of 20 to <capacity> is recorded as <events>
+    Nodes use a raised limit before the operator hears of it, which is no violation.
+    When experiments submit a note that sets the limit to <capacity> and <verdict>
+    Then experiments history of the limit is <events>
+
+    Examples:
+      | verdict     | capacity | events             |
+      | is accepted | 30       | 30, submission     |
+      | is accepted | 12       | submission, 12     |
+      | is refused  | 30       | 30, submission, 20 |
+      | is refused  | 12       | submission         |
--- a/features/steps/experiments_evidence_steps.py
+++ b/features/steps/experiments_evidence_steps.py
@@ -4,11 +4,13 @@
 
 from chervilrack._internal.experiments.callers import CallRecord, Outcome
 from chervilrack._internal.experiments.evaluate import RunEvidence, evaluate
-from chervilrack._internal.experiments.faults import FaultLog
+from chervilrack._internal.experiments.faults import FaultContext, FaultLog
 from chervilrack._internal.experiments.profile import load_profile
 from chervilrack._internal.experiments.result import ControlUse, PlatformUse
 from chervilrack._internal.experiments.scenarios import SCENARIOS
-from chervilrack._internal.experiments.testbed import NodeInfo
+from chervilrack._internal.experiments.testbed import NodeInfo, Submission
+from chervilrack._internal.history.events import LimitInForce
+from chervilrack._internal.history.recorder import MemoryRecorder
 
 START = 1000.0
 NODE = NodeInfo("node-1", "quito", "http://127.0.0.1:1")
@@ -98,3 +100,35 @@
 @then("experiments lost results are {lost:d}")
 def check_lost(context, lost):
     assert context.result.lost_results == lost
+
+
+class _Operator:
+    """Test bed that only takes release notes and notes when it got one."""
+
+    def __init__(self, history, accepts):
+        self.profile = load_profile("paramo")
+        self.history = history
+        self.accepts = accepts
+
+    def submit_release(self, note, at=None):
+        self.history.record("submission")
+        return Submission(self.accepts, 2 if self.accepts else None, note["id"])
+
+
+@when("experiments submit a note that sets the limit to {capacity:d} and {verdict}")
+def submit_note(context, capacity, verdict):
+    context.history = MemoryRecorder()
+    bed = _Operator(context.history, accepts=verdict == "is accepted")
+    operator = FaultContext(bed, 1, context.history)
+    team = {"id": "models", "limits": {"concurrency": capacity}}
+    operator.submit(operator.note(changed={"teams": [team]}))
+
+
+@then("experiments history of the limit is {events}")
+def check_events(context, events):
+    found = [
+        str(getattr(event, "capacity", event))
+        for event in context.history.events
+        if event == "submission" or isinstance(event, LimitInForce)
+    ]
+    assert found == events.split(", "), found
--- a/src/chervilrack/_internal/experiments/faults.py
+++ b/src/chervilrack/_internal/experiments/faults.py
@@ -88,7 +88,7 @@
         self._log = FaultLog()
         self._unexpected: list[str] = []
         self._notes = 0
-        self._withdrawn: set[UpstreamId] = set()
+        self._capacities = bed.profile.limit_capacities()
         self._lock = threading.Lock()
 
     @property
@@ -159,13 +159,25 @@
             return {"id": f"experiment-{self._notes}", **changes}
 
     def submit(self, note: Mapping[str, Any], at: NodeId | None = None) -> Submission:
-        """Submit a note and record its acceptance with the withdrawals and limits in it."""
+        """Submit a note and record its acceptance with the withdrawals and limits in it.
+
+        Nodes may use what a note adds or raises before the operator hears of its acceptance, so
+        that is recorded before the submission; what it withdraws or lowers counts from acceptance.
+        """
+        changes = _changed_limits(note)
+        raised = {
+            limit: capacity
+            for limit, capacity in changes.items()
+            if capacity > self._capacities.get(limit, capacity)
+        }
         for upstream in note.get("added", {}).get("upstreams", ()):
             self._history.record(UpstreamAdded(at=time.monotonic(), upstream=upstream["id"]))
+        self._record_limits(raised)
         submission = self._bed.submit_release(note, at)
-        now = time.monotonic()
         if not submission.accepted or submission.revision is None:
+            self._record_limits({limit: self._capacities[limit] for limit in raised})
             return submission
+        now = time.monotonic()
         self._history.record(
             ReleaseAccepted(
                 at=now, revision=ReleaseRevision(submission.revision), note=NoteId(submission.note)
@@ -173,13 +185,25 @@
         )
         for upstream in note.get("withdrawn", {}).get("upstreams", ()):
             self._history.record(WithdrawalAccepted(at=now, upstream=UpstreamId(upstream)))
-        for team in note.get("changed", {}).get("teams", ()):
-            for kind, capacity in Limits(**team.get("limits", {})).items():
-                limit: LimitId = limit_id("team", team["id"], kind)
-                self._history.record(LimitInForce(at=now, limit=limit, capacity=capacity))
+        self._record_limits(
+            {limit: capacity for limit, capacity in changes.items() if limit not in raised}
+        )
+        self._capacities.update(changes)
         return submission
 
+    def _record_limits(self, capacities: Mapping[LimitId, int]) -> None:
+        for limit, capacity in capacities.items():
+            self._history.record(LimitInForce(at=time.monotonic(), limit=limit, capacity=capacity))
+
     def must_submit(self, note: Mapping[str, Any]) -> None:
         """Submit a note that has to be accepted."""
         submission = self.submit(note)
         self.expect(submission.accepted, f"note {note['id']} was not accepted")
+
+
+def _changed_limits(note: Mapping[str, Any]) -> dict[LimitId, int]:
+    return {
+        limit_id("team", team["id"], kind): capacity
+        for team in note.get("changed", {}).get("teams", ())
+        for kind, capacity in Limits(**team.get("limits", {})).items()
+    }
