--- a/features/experiments/model.feature
+++ b/features/experiments/model.feature
@@ -78,3 +78,58 @@
     Without ends the use of a team's limit over several upstreams cannot be computed.
     When experiments stand-in record sees attempts a-1 and a-2 arrive and a-1 end
     Then experiments stand-in record has an end of a-1 after its arrival and none of a-2
+
+  Scenario: goodput counts whole answers of the pipeline within the named part of a run
+    Answers of plain services, which are far from their limits, would hide an overloaded pipeline.
+    Given experiments evidence of these requests in a run of 100 s
+      | at | target  | outcome              |
+      | 15 | answers | answered             |
+      | 20 | answers | answered             |
+      | 25 | stock   | answered             |
+      | 30 | answers | late                 |
+      | 39 | answers | refused_not_executed |
+      | 60 | answers | answered             |
+      | 70 | stock   | answered             |
+    When experiments evidence of overload is evaluated
+    Then experiments goodput is 2 answers in 30 s of capacity and 1 answer in 50 s of overload
+    And experiments attainment is 5 of 7 and that of stock 1
+
+  Scenario Outline: a request that hangs at a node which <state> counts as <lost> lost results
+    A node that a scenario pauses cannot answer; any other node has to.
+    Given experiments evidence of a request that hangs at a node which <state>
+    When experiments evidence of nominal is evaluated
+    Then experiments lost results are <lost>
+
+    Examples:
+      | state                     | lost |
+      | has no fault              | 1    |
+      | is paused meanwhile       | 0    |
+      | was paused long before it | 1    |
+
+  Scenario Outline: <lookups> look-ups serve <requests> requests while an answer lives for <lifetime> s
+    Callers that ask before each request would double the load; callers that never ask again would
+    keep connecting to nodes that have left.
+    When experiments look up addresses <requests> times with a lifetime of <lifetime> s
+    Then experiments have asked <lookups> times
+
+    Examples:
+      | requests | lifetime | lookups |
+      | 20       | 60       | 1       |
+      | 20       | 0        | 20      |
+
+  Scenario: a failed node is tried last, and an unreachable look-up keeps the last answer
+    When experiments look up addresses, forget the first and lose all nodes
+    Then experiments still know all addresses with the forgotten one last
+    And experiments callers without an earlier answer get an error
+
+  Scenario Outline: a note that <verdict> and sets a limit of 20 to <capacity> is recorded as <events>
+    Nodes use a raised limit before the operator hears of it, which is no violation.
+    When experiments submit a note that sets the limit to <capacity> and <verdict>
+    Then experiments history of the limit is <events>
+
+    Examples:
+      | verdict     | capacity | events             |
+      | is accepted | 30       | 30, submission     |
+      | is accepted | 12       | submission, 12     |
+      | is refused  | 30       | 30, submission, 20 |
+      | is refused  | 12       | submission         |
