Register and route all messages of each slice; isolate failed effects

Ruled out: the machine's load, the change of early rejection. Change: codec and routes take the slices' own unions; the reactor counts a failed effect and goes on with the next.

--- a/src/chervilrack/_internal/cluster/local.py
+++ b/src/chervilrack/_internal/cluster/local.py
@@ -43,6 +43,11 @@
         self._nodes: list[Node] = []
         self._operator_key = secrets.token_urlsafe(16)
 
+    @property
+    def profile(self) -> Profile:
+        """Profile of the cluster."""
+        return self._profile
+
     @property
     def nodes(self) -> Sequence[Node]:
         """Nodes of the cluster."""
--- a/src/chervilrack/_internal/node/cores.py
+++ b/src/chervilrack/_internal/node/cores.py
@@ -15,12 +15,12 @@
 from chervilrack._internal.membership import messages as member_messages
 from chervilrack._internal.membership.core import Membership
 from chervilrack._internal.membership.state import View
+from chervilrack._internal.node.codec import message_types
 from chervilrack._internal.node.reactor import DecisionCore, Reactor
 from chervilrack._internal.observability.port import Telemetry
 from chervilrack._internal.peering.envelope import Envelope
 from chervilrack._internal.peering.transport import PeerTransport
 from chervilrack._internal.releases import core as release_core
-from chervilrack._internal.releases import messages as release_messages
 from chervilrack._internal.releases.state import Configuration
 
 # Up to this many members all nodes exchange heartbeats and release announcements directly.
@@ -122,6 +122,10 @@
         """Set the handler of one type of message from other nodes."""
         self._message_routes[message] = handler
 
+    def routes_to(self, message: type[msgspec.Struct]) -> bool:
+        """Whether a type of message from other nodes has a handler."""
+        return message in self._message_routes
+
     def receive(self, envelope: Envelope) -> None:
         """Take in a message from another node."""
         self._message_routes[type(envelope.message)](envelope)
@@ -144,25 +148,16 @@
         self._reactor.submit(self._releases, release_core.Tick())
 
     def _route_messages(self) -> None:
-        routes: dict[Callable[[Envelope], None], tuple[type[msgspec.Struct], ...]] = {
-            self._receive_heartbeat: (member_messages.Heartbeat, member_messages.HeartbeatReply),
-            self._receive_membership: (
-                member_messages.ViewAnnounce,
-                member_messages.ViewRequest,
-                member_messages.ViewPush,
-            ),
-            self._receive_limits: (limit_messages.HoldingReport, limit_messages.AllocationBatch),
-            self._receive_release: (
-                release_messages.ReleaseAnnouncement,
-                release_messages.NotesRequest,
-                release_messages.NotesReply,
-                release_messages.SnapshotRequest,
-                release_messages.SnapshotPart,
-            ),
+        routes = {
+            "membership": self._receive_membership,
+            "limits": self._receive_limits,
+            "releases": self._receive_release,
         }
-        for handler, kinds in routes.items():
-            for kind in kinds:
+        for part, handler in routes.items():
+            for kind in message_types(part):
                 self.route(kind, handler)
+        for kind in (member_messages.Heartbeat, member_messages.HeartbeatReply):
+            self.route(kind, self._receive_heartbeat)
 
     def _receive_heartbeat(self, envelope: Envelope) -> None:
         self._receive_membership(envelope)
--- a/src/chervilrack/_internal/node/daemon.py
+++ b/src/chervilrack/_internal/node/daemon.py
@@ -281,6 +281,11 @@
         """Transport to the other nodes."""
         return self._transport
 
+    @property
+    def clock(self) -> Clock:
+        """Clock of the node's decisions."""
+        return self._clock
+
     @property
     def telemetry(self) -> NodeTelemetry:
         """Metrics, attainment and explanations of this node."""
--- a/src/chervilrack/_internal/node/order_desk.py
+++ b/src/chervilrack/_internal/node/order_desk.py
@@ -17,6 +17,7 @@
 from chervilrack._internal.exceptions import PlatformError, PlatformOutcomeUnknown
 from chervilrack._internal.execution.port import Executor, ServiceRequest
 from chervilrack._internal.membership import messages as member_messages
+from chervilrack._internal.node.codec import message_types
 from chervilrack._internal.node.cores import NodeCores
 from chervilrack._internal.node.platform_worker import PlatformWorker
 from chervilrack._internal.orders import messages as order_messages
@@ -74,11 +75,7 @@
         cores.on_epoch_active(self._tell_core)
         for kind in (member_messages.DoubtsChanged, member_messages.OutageGrantChanged):
             cores.reactor.on(kind, self._tell_core)
-        for message in (
-            order_messages.SubmitOrder,
-            order_messages.LookUpOrder,
-            order_messages.OrderAnswered,
-        ):
+        for message in message_types("orders"):
             cores.route(message, self._receive)
 
     def __enter__(self) -> Self:
--- a/src/chervilrack/_internal/node/reactor.py
+++ b/src/chervilrack/_internal/node/reactor.py
@@ -38,6 +38,12 @@
         self._handlers: dict[type, Callable[[Any], None]] = {}
         self._events: deque[tuple[DecisionCore, Any]] = deque()
         self._running = False
+        self._failures = 0
+
+    @property
+    def failures(self) -> int:
+        """Events and effects that raised an exception; more than 0 is a fault of this node."""
+        return self._failures
 
     @property
     def lock(self) -> threading.RLock:
@@ -67,13 +73,19 @@
                 effects = core.handle(event, self._clock.monotonic())
             except Exception:
                 # One bad event must not stop the heartbeats of this node.
+                self._failures += 1
                 logger.exception("node: handling %s failed", type(event).__name__)
                 continue
             for effect in effects:
                 self._carry_out(effect)
 
     def _carry_out(self, effect: Any) -> None:
-        handler = self._handlers.get(type(effect))
-        if handler is None:
-            raise UnhandledEffect(f"no handler for {type(effect).__name__}")
-        handler(effect)
+        try:
+            handler = self._handlers.get(type(effect))
+            if handler is None:
+                raise UnhandledEffect(f"no handler for {type(effect).__name__}")
+            handler(effect)
+        except Exception:
+            # The effects behind a failed one belong to other nodes and requests.
+            self._failures += 1
+            logger.exception("node: carrying out %s failed", type(effect).__name__)
--- a/src/chervilrack/_internal/routing/times.py
+++ b/src/chervilrack/_internal/routing/times.py
@@ -27,7 +27,7 @@
 PROMPT_SLOPE_SPREAD = 0.0005
 OUTPUT_SLOPE_SPREAD = 0.02
 # Observations after which the assumed noise counts half; engines of any speed are learned then.
-NOISE_PRIOR = 4.0
+NOISE_PRIOR = 3.0
 
 
 @dataclass(frozen=True, slots=True)
