--- a/features/membership/situations.feature
+++ b/features/membership/situations.feature
@@ -9,6 +9,7 @@
       | stale view |
       | new witnesses without release |
       | release withheld from node |
+      | acceptance behind relays |
       | restart in outage |
       | restarted witness |
       | minority with platform |
--- a/features/orders/situations.feature
+++ b/features/orders/situations.feature
@@ -17,6 +17,7 @@
       | lost ticket write |
       | lost ticket response |
       | outage and flush |
+      | outage with relays |
       | executor crash in outage |
       | cut off executor flushes late |
       | platform away from executor only |
--- a/features/support/membership_scenarios.py
+++ b/features/support/membership_scenarios.py
@@ -78,6 +78,15 @@
     assert victim not in acting(world)
 
 
+def acceptance_behind_relays():
+    """A node that talks only to relays learns which release is accepted."""
+    world = settled_world(16)
+    world.record_release()
+    world.run_steps(80)
+    known = {node.core.witness_release_majority for node in world.nodes.values()}
+    assert known == {1}, known
+
+
 def restart_in_outage():
     """A node that starts in an outage learns the view from peers and does not act."""
     world = settled_world(5)
@@ -333,6 +342,7 @@
         stale_view,
         new_witnesses_without_release,
         release_withheld_from_node,
+        acceptance_behind_relays,
         restart_in_outage,
         restarted_witness,
         minority_with_platform,
--- a/features/support/orders_scenarios.py
+++ b/features/support/orders_scenarios.py
@@ -198,6 +198,19 @@
     assert all(not node.core._exchange.given.held for node in world.nodes.values())
 
 
+def outage_with_relays():
+    """Executors that normally talk only to relays get grants and give them back."""
+    world = settled_world(16)
+    outage(world)
+    requests = [world.submit(f"n{number % 16}", f"k{number}") for number in range(60)]
+    world.run_steps(60)
+    assert codes(world, *requests) == [""] * 60
+    world.platform.up = True
+    world.run_steps(100)
+    assert len(records(world)) == 60
+    assert all(not node.core._exchange.given.held for node in world.nodes.values())
+
+
 def executor_crash_in_outage():
     """Orders of a granted executor that is lost are unknown until the retry horizon."""
     horizon = timedelta(seconds=30)
@@ -378,6 +391,7 @@
         lost_ticket_write,
         lost_ticket_response,
         outage_and_flush,
+        outage_with_relays,
         executor_crash_in_outage,
         cut_off_executor_flushes_late,
         platform_away_from_executor_only,
--- a/src/chervilrack/_internal/membership/exchange.py
+++ b/src/chervilrack/_internal/membership/exchange.py
@@ -18,6 +18,10 @@
 from chervilrack._internal.membership.suspicion import Suspicion
 from chervilrack._internal.membership.witnesses import zone_relays
 
+# Only witnesses give grants. They are told some more times that all tickets were written,
+# because a heartbeat can be lost.
+GRANT_LINGER = timedelta(seconds=10)
+
 
 class Exchange:
     """State of this node's heartbeats as sender, witness and relay."""
@@ -38,6 +42,8 @@
         self._vouches: dict[Process, tuple[NodeId, ...]] = {}
         self._next_witness = self._next_relay = timedelta(0)
         self._was_confirmed = False
+        self._accepted = ReleaseRevision(0)
+        self._grant_until = timedelta(0)
 
     def adopt(self, view: View, previous: View | None, now: timedelta) -> None:
         """Follow ``view``; the next heartbeats are due at once."""
@@ -51,6 +57,7 @@
         self._vouches = _relay_zones(view, self._settings) if self._large(view) else {}
         self._relays = tuple(p for p in self._vouches if self._process.node in self._vouches[p])
         self._next_witness = self._next_relay = now
+        self._accepted = ReleaseRevision(0)
 
     def announcements(self, view: View) -> list[Send]:
         """Return the hints that spread a view quickly: witnesses to relays, relays to nodes."""
@@ -80,6 +87,8 @@
         self._restart_suspicion(now)
         sent = self.confirmation.sent(now)
         self.own_grant.update(self.contact.away(now), sent)
+        if not self.own_grant.no_tickets:
+            self._grant_until = now + GRANT_LINGER
         heartbeat = self._heartbeat(view, sent, now)
         if self._process in view.witnesses:
             self._answer_own(view, heartbeat, now)
@@ -103,6 +112,7 @@
             release=self.release,
             sent=heartbeat.sent,
             sealed=self.sealing.sealed_through,
+            accepted=self.release_majority(view),
             confirmed=confirmed,
             remaining=self._relay_remaining(sender, heartbeat, view, now) // MICROSECOND,
             granted=self.given.receive(sender, heartbeat, allowed, now),
@@ -118,6 +128,8 @@
         self.peers.heard(sender, reply.epoch, reply.release, now)
         self.sealing.heard(sender, reply.epoch, reply.held, now)
         self.sealing.learn(Epoch(min(reply.sealed, view.epoch - 1)), reply.doubtful, now)
+        if reply.epoch == view.epoch:
+            self._accepted = max(self._accepted, reply.accepted)
         for holder in reply.written:
             self.sealing.tickets_written(holder.process, holder.sent)
         if reply.to != self._process.incarnation or not view.has(self._process):
@@ -144,7 +156,8 @@
         own = {self._process: self.release}
         sets = [(view.epoch, view.witnesses)]
         sets += [(item.epoch, item.witnesses) for item in self.sealing.unsealed]
-        return min(self.peers.release_majority(who, epoch, own) for epoch, who in sets)
+        found = min(self.peers.release_majority(who, epoch, own) for epoch, who in sets)
+        return max(found, self._accepted)
 
     def _heartbeat(self, view: View, sent: int, now: timedelta) -> Heartbeat:
         witness = self._process in view.witnesses
@@ -189,7 +202,10 @@
         return self.confirmation.remaining(now)
 
     def _reaches_witnesses(self, view: View, now: timedelta) -> bool:
-        """Whether to send to the witnesses directly: everyone but nodes served by relays."""
+        """Whether to send to the witnesses directly: everyone but nodes served by relays.
+
+        The latter also do so while they need or have a grant.
+        """
         until = self.confirmation.until
         unserved = until is None or until - now < self._settings.confirmation_ttl / 8
         return (
@@ -197,6 +213,7 @@
             or self._process in view.witnesses
             or self._process in self.sealing.sealing_witnesses
             or unserved
+            or now < self._grant_until
         )
 
     def _restart_suspicion(self, now: timedelta) -> None:
--- a/src/chervilrack/_internal/membership/messages.py
+++ b/src/chervilrack/_internal/membership/messages.py
@@ -53,7 +53,9 @@
     """Answer to a heartbeat; ``sent`` is copied from it.
 
     ``confirmed`` is the vote of a witness. ``remaining`` is a relay's own validity in
-    microseconds, 0 if it does not confirm. ``written`` are grants whose tickets were written.
+    microseconds, 0 if it does not confirm. ``accepted`` is the sender's
+    ``witness_release_majority``, which nodes behind relays cannot find out. ``written`` are
+    grants whose tickets were written.
     """
 
     to: Incarnation
@@ -61,6 +63,7 @@
     release: ReleaseRevision
     sent: int
     sealed: Epoch
+    accepted: ReleaseRevision = ReleaseRevision(0)
     confirmed: bool = False
     remaining: int = 0
     granted: bool = False
