--- a/features/support/membership_world.py
+++ b/features/support/membership_world.py
@@ -248,7 +248,8 @@
         newer = self.platform.mod_revision("view") > node.core.mod_revision
         if reachable and newer and node.core.is_witness and self.rng.random() < 0.5:
             self.read_view(node)
-        if reachable and self.steps % 10 == 0:
+        reads_list = node.core.is_witness or not node.core.may_act(node.now(self))
+        if reachable and reads_list and self.steps % 10 == 0:
             self.give(node, m.VmListLearned(frozenset(self.gone_listed)))
 
     def update_vm_list(self):
