Keep an order that ran in an outage until its outcome is recorded

Cause: an order that ran on a ticket in memory under a key recorded as not executed was taken for a conflict when the flush was not applied and the record was read back. The executor forgot it and ran the key again. Change: a record that may be replaced never ends an order in progress; those who wait for an order that ends in a real conflict are told that the outcome is unknown.

--- a/features/orders/situations.feature
+++ b/features/orders/situations.feature
@@ -18,6 +18,7 @@
       | lost ticket response |
       | outage and flush |
       | outage with relays |
+      | lost flush over free key |
       | executor crash in outage |
       | cut off executor flushes late |
       | platform away from executor only |
--- a/features/support/orders_scenarios.py
+++ b/features/support/orders_scenarios.py
@@ -211,6 +211,38 @@
     assert all(not node.core._exchange.given.held for node in world.nodes.values())
 
 
+def lost_flush_over_free_key():
+    """An order that ran in an outage under a free key is kept until its outcome is recorded."""
+    world = settled_world()
+    executor = world.owner("key")
+    world.unsent = 1
+    world.submit(executor, "key")
+    world.run_until_answered(LIMIT)
+    world.unsent = 0
+    outage(world)
+    world.submit(executor, "key")
+    world.run_steps(20)
+    assert len(world.started) == 2
+    write, lost = world.write_tickets, []
+
+    def write_once_lost(node, txn):
+        if lost:
+            return write(node, txn)
+        lost.append(txn)
+        event = o.TicketsWritten(txn.number, shared.WriteOutcome.UNKNOWN)
+        return world.respond_orders(node, event)
+
+    world.write_tickets = write_once_lost
+    world.platform.up = True
+    world.run_steps(30)
+    assert lost
+    again = world.submit(other_than(world, executor), "key")
+    world.run_until_answered(LIMIT)
+    assert codes(world, again) == [""]
+    assert len(world.started) == 2
+    assert records(world)[record_key("org", "key")].state is RecordState.DONE
+
+
 def executor_crash_in_outage():
     """Orders of a granted executor that is lost are unknown until the retry horizon."""
     horizon = timedelta(seconds=30)
@@ -392,6 +424,7 @@
         lost_ticket_response,
         outage_and_flush,
         outage_with_relays,
+        lost_flush_over_free_key,
         executor_crash_in_outage,
         cut_off_executor_flushes_late,
         platform_away_from_executor_only,
--- a/src/chervilrack/_internal/orders/core.py
+++ b/src/chervilrack/_internal/orders/core.py
@@ -195,9 +195,8 @@
                 return live.result, []
             return refusal(ResultCode.ORDER_IN_PROGRESS, "ask again", Executed.UNKNOWN), []
         result = self._partitions.look_up(partition, key, now)
-        if result.executed != Executed.UNKNOWN.value:
-            return result, []
-        return result, [*self._partitions.refresh(partition, now)]
+        unknown = result.executed == Executed.UNKNOWN.value
+        return result, [*self._partitions.refresh(partition, now)] if unknown else []
 
     def _on_written(self, event: m.TicketsWritten, now: timedelta) -> Effects:
         group = self._groups.finished(
@@ -293,19 +292,21 @@
             return []  # read before the last write
         if record.attempt == live.attempt:
             return self._recorded(key, live, record, mod, now)
+        if record.state is RecordState.NOT_EXECUTED or state.is_unused(record, self._process):
+            live.replaces = mod
+            if live.state is LiveState.READING:
+                self._live.move(key, LiveState.QUEUED)
+            return []
         if live.dispatched:
             detail = "another process recorded the order that ran here in an outage"
             self._live.remove(key)
-            return [ActionTaken(PART, "conflict", key, detail)]
-        unused = state.is_unused(record, self._process)
-        if record.state is RecordState.NOT_EXECUTED or unused:
-            if live.state in {LiveState.READING, LiveState.QUEUED}:
-                self._live.move(key, LiveState.QUEUED)
-                live.replaces = mod
-            return []
+            answers = self._answer_all(live, outcome_unknown(detail))
+            return [ActionTaken(PART, "conflict", key, detail), *answers]
         self._live.remove(key)
-        answers = [self._answer_from_record(live.order, record, w, now) for w in live.waiters]
-        return [effect for effects in answers for effect in effects]
+        effects: Effects = []
+        for waiter in live.waiters:
+            effects += self._answer_from_record(live.order, record, waiter, now)
+        return effects
 
     def _on_tick(self, event: m.Tick, now: timedelta) -> Effects:
         effects: Effects = [*self._forwarding.tick(now)]
