--- a/features/orders/situations.feature
+++ b/features/orders/situations.feature
@@ -17,6 +17,8 @@
       | lost ticket write |
       | lost ticket response |
       | outage and flush |
+      | outage with relays |
+      | lost flush over free key |
       | executor crash in outage |
       | cut off executor flushes late |
       | platform away from executor only |
