--- a/features/steps/limits_cluster.py
+++ b/features/steps/limits_cluster.py
@@ -24,6 +24,8 @@
 TICK = 0.1
 # Set apart from the implementation's window: what the upstream counts.
 WINDOW = 1.0
+# Nodes keep time in microseconds.
+ROUNDING = 2e-6
 SECOND = LimitId("upstream/u/concurrency")
 
 
@@ -281,7 +283,7 @@
                 self.work(node)
 
     def occupied(self, instant):
-        return sum(work.amount for work in self.in_flight if work.until > instant)
+        return sum(work.amount for work in self.in_flight if work.until > instant + ROUNDING)
 
     def limit_in_force(self):
         """Return the highest limit of any node that may act, None if one has no limit."""
--- a/features/steps/limits_machine.py
+++ b/features/steps/limits_machine.py
@@ -92,7 +92,11 @@
         if name in cluster.nodes:
             cluster.nodes[name].crashed = True
         replaced = name in cluster.view.members
+        # A node with an older release than all others is not confirmed.
+        known = [n.revision for n in cluster.nodes.values() if not n.crashed]
         cluster.start(name)
+        for _ in range(max(cluster.active_revision, min(known, default=1))):
+            cluster.apply_one(name)
         self.change(
             cluster.view.members | {name}, replaced, delays, replaced={name} if replaced else ()
         )
