Count releases between nodes' revisions as in force in the limits oracle

Change: the limit in force is the highest from the oldest to the newest revision at work. Conclusion: once all nodes have the newest release the check is as strict as before.

--- a/features/steps/limits_cluster.py
+++ b/features/steps/limits_cluster.py
@@ -286,9 +286,15 @@
         return sum(work.amount for work in self.in_flight if work.until > instant + ROUNDING)
 
     def limit_in_force(self):
-        """Return the highest limit of any node that may act, None if one has no limit."""
-        limits = [self.limits[n.revision] for n in self.nodes.values() if self.may_act(n)]
-        return None if None in limits else max(limits, default=0)
+        """Return the highest limit between the oldest and the newest release at work, or None.
+
+        A release that the others skip at once may have been used by a node meanwhile.
+        """
+        revisions = [node.revision for node in self.nodes.values() if self.may_act(node)]
+        if not revisions:
+            return 0
+        limits = self.limits[min(revisions) : max(revisions) + 1]
+        return None if None in limits else max(limits)
 
     def check(self, node, arrived):
         self.in_flight = [work for work in self.in_flight if work.until > self.now]
