Quarantine conservatively after a recent tightening

Change: the full charge of known departed members is quarantined; otherwise, if some node is still suspended, nothing is allocated until the quarantine ends.

--- a/src/chervilrack/_internal/limits/holder.py
+++ b/src/chervilrack/_internal/limits/holder.py
@@ -224,11 +224,12 @@
         return due
 
     def occupied_limits(self) -> list[LimitId]:
-        """Return the limited pools with a cap, occupied permits or demand."""
+        """Return the limited pools with a cap, occupied permits, demand or a suspension."""
         return [
             pool.limit
             for pool in self._pools.values()
-            if pool.capacity is not None and (pool.cap or pool.occupied or pool.want)
+            if pool.capacity is not None
+            and (pool.cap or pool.occupied or pool.want or pool.suspended)
         ]
 
     def limited(self, limit: LimitId) -> bool:
--- a/src/chervilrack/_internal/limits/ledger.py
+++ b/src/chervilrack/_internal/limits/ledger.py
@@ -70,6 +70,7 @@
         self._limit = limit
         self._departed_charge = departed_charge
         self._configured = False
+        self._lowered = False
         self._capacity: int | None = None
         self._appeared_at = ReleaseRevision(0)
         self._quarantined: int | None = None
@@ -118,9 +119,11 @@
             self._quarantined = None
             if self._configured:
                 self._departed_charge = None
+                self._lowered = True
             self._configured = True
         elif capacity >= old:
             return set()
+        self._lowered = self._lowered or old is not None
         # Holders refuse allocations computed under the higher limit.
         pending = {node for node, account in self._accounts.items() if account.unacknowledged}
         excess = self._excess
@@ -201,13 +204,11 @@
         self._planned_at = now
         if quarantine:
             if self._quarantined is None:
-                rest = max(0, self._capacity - self.charged)
-                known = self._departed_charge
-                self._quarantined = rest if known is None else min(rest, known)
+                self._quarantined = self._to_quarantine(self._capacity)
         else:
             self._quarantined = 0
         changed = self._resume(now)
-        usable = self._capacity - self.quarantined
+        usable = max(0, self._capacity - self.quarantined)
         nodes = self._by_priority(members, now)
         floor = 1 if usable >= KEEP_ONE * len(nodes) else 0
         claims = [
@@ -219,6 +220,18 @@
         changed |= self._grant(targets, usable, now)
         return changed
 
+    def _to_quarantine(self, capacity: int) -> int:
+        """Return the permits that removed nodes' work may occupy.
+
+        If some node is suspended, the capacity was lowered or the limit appeared a short time ago,
+        and removed nodes may run more than the capacity leaves. Nothing is allocated then.
+        """
+        if self._departed_charge is not None:
+            return self._departed_charge
+        if self._lowered or any(account.suspended for account in self._accounts.values()):
+            return capacity
+        return max(0, capacity - self.charged)
+
     @property
     def starving(self) -> bool:
         """Whether work waits at a node whose allocation does not serve a single attempt."""
--- a/src/chervilrack/_internal/limits/pool.py
+++ b/src/chervilrack/_internal/limits/pool.py
@@ -131,13 +131,14 @@
         elif old is None:
             self.cap = 0
             self.tightened_at = revision
+            self.suspended = self._occupied > 0
         elif capacity < old:
             self.tightened_at = revision
             if self.allocation_revision < revision:
                 self.cap = self.cap * capacity // old if old else 0
                 # Other nodes may still run more work than their scaled share. Nothing is
                 # dispatched until the owner has counted it.
-                self.suspended = self.cap > 0
+                self.suspended = self.cap > 0 or self._occupied > 0
         return True
 
     def adopt(self, version: int, amount: int, revision: ReleaseRevision) -> None:
