Carry the latest removal on every limits report

Change: every report carries the removal while its quarantine lasts. Conclusion: an owner knows of the removal before it has reports of all members.

--- a/src/chervilrack/_internal/limits/service.py
+++ b/src/chervilrack/_internal/limits/service.py
@@ -397,7 +397,8 @@
             sequence=self._sequence,
             holdings=tuple(self._holder.holding(limit, now) for limit in sorted(limits)),
             complete=reports.complete_due,
-            removal=self._removal(now) if reports.complete_due else None,
+            # On every report: the owner may allocate before the complete one arrives.
+            removal=self._removal(now),
         )
         reports.due = set()
         reports.complete_due = False
