Reject requests whose tokens exceed every limit

Cause: Such a request could never get permits and held up its queue until its deadline. Change: The planner compares its tokens with the limits of all candidates and their teams.

--- a/features/execution/runner.feature
+++ b/features/execution/runner.feature
@@ -134,6 +134,20 @@
       | an unknown operation | UNKNOWN_SERVICE  |
       | a passed deadline    | DEADLINE_PASSED  |
 
+  Scenario Outline: execution runner takes <tokens> tokens under limits of <upstream> and <team>
+    # Guards against a request that can never be sent and holds up all others until its deadline.
+    Given execution a node with 2 engines and one of each other upstream
+    And execution tokens limited to <upstream> for each upstream and <team> for the team
+    When execution a pipeline with a prompt of 10 tokens and <tokens> output tokens runs
+    Then execution it is <outcome>
+
+    Examples:
+      | tokens | upstream | team | outcome                                      |
+      | 20     | 30       | 60   | answered                                     |
+      | 20     | none     | none | answered                                     |
+      | 21     | 30       | 60   | rejected as BODY_TOO_LARGE with executed no  |
+      | 21     | 60       | 30   | rejected as BODY_TOO_LARGE with executed no  |
+
   Scenario: execution runner says that a later stage's rejection follows executed work
     # Guards against "executed: no" after the first stages have run.
     Given execution a node with 2 engines and one of each other upstream
--- a/features/execution/scheduler.feature
+++ b/features/execution/scheduler.feature
@@ -45,7 +45,7 @@
     Given execution a scheduler with 1 permit
     And execution a service time of 1 s
     When execution <waiting> tasks wait and one with <remaining> s arrives
-    Then execution it is <outcome>
+    Then execution the last task is <outcome>
 
     Examples:
       | waiting | remaining | outcome              |
@@ -61,20 +61,20 @@
     Given execution a scheduler with 8 permit
     And execution a service time of 1 s
     When execution 8 tasks at a time end every second and one comes between with 3 s
-    Then execution it is queued
+    Then execution the last task is queued
 
   Scenario: execution scheduler does not send a waiting task past its deadline
     # Guards against a dispatch between the deadline and the next tick.
     Given execution a scheduler with 1 permit
     When execution the permit comes free when a waiting task is past its deadline
-    Then execution it is DEADLINE_PASSED
+    Then execution the last task is DEADLINE_PASSED
 
   Scenario Outline: execution scheduler with <left> ms left in the queue: <outcome>
     # Guards against work that starts although it probably misses its deadline (100 ms, spread 20),
     # which costs a permit for a second longer than rejected work.
     Given execution a scheduler with 1 permit
     When execution the permit comes free when a waiting task has <left> ms left
-    Then execution it is <outcome>
+    Then execution the last task is <outcome>
 
     Examples:
       | left | outcome              |
--- a/features/steps/execution_runner_steps.py
+++ b/features/steps/execution_runner_steps.py
@@ -1,6 +1,7 @@
 """Steps for the pipeline runner and the assembly of streams."""
 
 from concurrent.futures import ThreadPoolExecutor
+from dataclasses import replace
 from datetime import timedelta
 
 import msgspec
@@ -16,11 +17,12 @@
 from chervilrack._internal.execution.deadlines import divide
 from chervilrack._internal.execution.measure import measure
 from chervilrack._internal.execution.streams import TokenAssembler
-from chervilrack._internal.releases.state import Limits
+from chervilrack._internal.releases.state import Limits, Team
 from chervilrack._internal.routing.port import Estimate
 from chervilrack._internal.standins.upstreams.record import receipt
 from chervilrack._internal.standins.upstreams.text import expected_text, token_text
 from chervilrack._internal.upstreams.port import TokenChunk
+from chervilrack._internal.upstreams.prompts import BYTES_PER_TOKEN
 
 
 @given("execution a node with {engines:d} engines and one of each other upstream")
@@ -380,6 +382,32 @@
     context.outcome = node.runner.run_service(request)
 
 
+@given("execution tokens limited to {upstream} for each upstream and {team} for the team")
+def limit_tokens(context, upstream, team):
+    node = context.node
+    own, shared = (None if one == "none" else int(one) for one in (upstream, team))
+    upstreams = {
+        name: msgspec.structs.replace(one, limits=Limits(tokens_per_s=own))
+        for name, one in node.configuration.upstreams.items()
+    }
+    teams = {"forge": Team("forge", Limits(tokens_per_s=shared))}
+    node.configuration = msgspec.structs.replace(
+        node.configuration, upstreams=upstreams, teams=teams
+    )
+
+
+@when("execution a pipeline with a prompt of {prompt:d} tokens and {tokens:d} output tokens runs")
+def run_sized(context, prompt, tokens):
+    request = context.node.pipeline_request(tokens=tokens)
+    body = {**request.body, "prompt": "p" * prompt * BYTES_PER_TOKEN}
+    context.outcome = context.node.runner.run_pipeline(replace(request, body=body))
+
+
+@then("execution it is answered")
+def is_answered(context):
+    assert context.outcome.is_ok(), context.outcome
+
+
 @when("execution both engines refuse and a pipeline of four stages runs")
 def both_refuse(context):
     for engine in context.node.engines:
--- a/features/steps/execution_scheduler_steps.py
+++ b/features/steps/execution_scheduler_steps.py
@@ -296,7 +296,7 @@
     context.last = bench.submit(time)
 
 
-@then("execution it is {outcome}")
+@then("execution the last task is {outcome}")
 def admitted(context, outcome):
     refusals = context.bench.of(Refuse, context.last)
     if outcome == "queued":
--- a/src/chervilrack/_internal/execution/candidates.py
+++ b/src/chervilrack/_internal/execution/candidates.py
@@ -30,6 +30,19 @@
             )
         return found
 
+    def most_tokens(self, group: Group) -> int | None:
+        """Return the most tokens that one request may take, None if nothing limits them."""
+        teams = self._configuration().teams
+        most = 0
+        for upstream in self(group):
+            team = teams.get(upstream.team)
+            limits = [upstream.limits.tokens_per_s, team.limits.tokens_per_s if team else None]
+            set_limits = [limit for limit in limits if limit is not None]
+            if not set_limits:
+                return None
+            most = max(most, min(set_limits))
+        return most
+
 
 def serves(upstream: Upstream, group: Group) -> bool:
     """Return whether an upstream can do the work of a group.
--- a/src/chervilrack/_internal/execution/runner.py
+++ b/src/chervilrack/_internal/execution/runner.py
@@ -266,6 +266,8 @@
 
     def _submit(self, work: StageWork, state: _Request) -> _Slot | Problem:
         task = work.task
+        if work.problem is not None:
+            return work.problem
         slot = _Slot(work)
         if not self._may_act():
             detail = "this node may not start work at the moment"
--- a/src/chervilrack/_internal/execution/work.py
+++ b/src/chervilrack/_internal/execution/work.py
@@ -38,7 +38,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StageWork:
-    """A task with what is sent for it."""
+    """A task with what is sent for it; ``problem`` is set if it can never be sent."""
 
     task: Task
     path: str
@@ -46,6 +46,7 @@
     priority: int
     priority_class: str
     idempotency_key: IdempotencyKey | None = None
+    problem: Problem | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,7 +117,14 @@
             idempotent=stage.idempotent,
         )
         priority = CLASS_PRIORITIES.get(request.priority_class, CLASS_PRIORITIES["standard"])
-        return StageWork(task, PATHS[stage.kind], body, priority, request.priority_class)
+        return StageWork(
+            task,
+            PATHS[stage.kind],
+            body,
+            priority,
+            request.priority_class,
+            problem=self._too_large(group, tokens),
+        )
 
     def service(self, request: ServiceRequest) -> Result[StageWork, Problem]:
         """Make the task of one call of a plain service."""
@@ -154,6 +162,19 @@
             )
         )
 
+    def _too_large(self, group: Group, tokens: int) -> Problem | None:
+        """Return the problem of work whose tokens exceed every limit.
+
+        At the head of its queue it would hold up everything behind it until its deadline.
+        """
+        if not tokens or not self._candidates(group):
+            return None
+        most = self._candidates.most_tokens(group)
+        if most is None or tokens <= most:
+            return None
+        detail = f"the request needs {tokens} tokens, but the limits allow {most} per second"
+        return Problem(ResultCode.BODY_TOO_LARGE, detail)
+
     def _estimate(self, group: Group, context: RouteContext) -> Estimate:
         candidates = self._candidates(group)
         if not candidates:
