Keep a CR LF pair together across an empty piece

Cause: The long run of the parser property found that an empty piece between CR and LF made the event parser count two line ends. The client never feeds empty pieces.

--- a/features/steps/execution_runner_steps.py
+++ b/features/steps/execution_runner_steps.py
@@ -149,7 +149,7 @@
         lambda one: TokenChunk(one[0], whole[one[0] : one[0] + one[1]], one[1])
     )
 
-    @settings(max_examples=400)
+    @settings(max_examples=6 * settings.default.max_examples)
     @for_all(st.lists(st.lists(chunk, max_size=6), max_size=4))
     def check(attempts):
         text, _broken = _assemble(attempts)
--- a/features/steps/execution_scheduler_steps.py
+++ b/features/steps/execution_scheduler_steps.py
@@ -105,7 +105,7 @@
         max_size=5,
     )
 
-    @settings(max_examples=100)
+    @settings(max_examples=2 * settings.default.max_examples)
     @for_all(organisations)
     def check(backlogs):
         bench = Bench(1)
--- a/src/chervilrack/_internal/upstreams/sse.py
+++ b/src/chervilrack/_internal/upstreams/sse.py
@@ -28,7 +28,9 @@
 
         Raises MalformedStreamError for an event that is too large or not UTF-8.
         """
-        if self._after_cr and piece:
+        if not piece:
+            return []
+        if self._after_cr:
             # The line feed of a CR LF pair that was split between two pieces ends no further line.
             piece = piece[1:] if piece[:1] == b"\n" else piece
             self._after_cr = False
