--- a/features/steps/execution_scheduler_steps.py
+++ b/features/steps/execution_scheduler_steps.py
@@ -105,7 +105,7 @@
         max_size=5,
     )
 
-    @settings(max_examples=100)
+    @settings(max_examples=2 * settings.default.max_examples)
     @for_all(organisations)
     def check(backlogs):
         bench = Bench(1)
@@ -296,7 +296,7 @@
     context.last = bench.submit(time)
 
 
-@then("execution it is {outcome}")
+@then("execution the last task is {outcome}")
 def admitted(context, outcome):
     refusals = context.bench.of(Refuse, context.last)
     if outcome == "queued":
