Add the commands node and settings check

Cause: A node could be started only inside the quickstart or an experiment, and settings files could not be checked from the command line. `chervilrack settings check FILE` prints all mistakes. The default of `limit_policy` is `leased`, the registered name; `chervilrack` was not registered, so a node with default settings could not start. Wrong documents exit with 3 and unreachable nodes with 5.

--- a/src/chervilrack/_internal/cli/client.py
+++ b/src/chervilrack/_internal/cli/client.py
@@ -6,16 +6,12 @@
 import click
 import urllib3
 
-from chervilrack._internal.exceptions import ChervilrackError
+from chervilrack._internal.exceptions import ChervilrackError, NodeUnreachable
 
 CONNECT_TIMEOUT_S = 2.0
 READ_TIMEOUT_S = 15.0
 
 
-class NodeUnreachable(ChervilrackError):
-    """The node did not answer."""
-
-
 class NodeRefused(ChervilrackError):
     """The node answered with a problem document."""
 
--- a/src/chervilrack/_internal/cli/main.py
+++ b/src/chervilrack/_internal/cli/main.py
@@ -8,11 +8,13 @@
 
 import chervilrack
 from chervilrack._internal.cli.status_codes import ExitStatus
-from chervilrack._internal.exceptions import ChervilrackError
+from chervilrack._internal.exceptions import ChervilrackError, InvalidDocumentError, NodeUnreachable
 from chervilrack._internal.observability.logs import LogFormat, configure_logging
 
 # Name of a subcommand -> module and attribute below ``_internal.commands``.
 _COMMANDS: Mapping[str, tuple[str, str]] = {
+    "node": ("node", "node"),
+    "settings": ("settings", "settings_command"),
     "explain": ("explain", "explain"),
     "quickstart": ("quickstart", "quickstart"),
     "status": ("status", "status"),
@@ -71,6 +73,12 @@
     except click.ClickException as error:
         error.show()
         sys.exit(error.exit_code)
+    except InvalidDocumentError as error:
+        click.echo(str(error), err=True)
+        sys.exit(ExitStatus.INVALID_DOCUMENT)
+    except NodeUnreachable as error:
+        click.echo(f"error: {error}", err=True)
+        sys.exit(ExitStatus.UNREACHABLE)
     except ChervilrackError as error:
         click.echo(f"error: {error}", err=True)
         sys.exit(ExitStatus.FAILED)
--- a/src/chervilrack/_internal/exceptions.py
+++ b/src/chervilrack/_internal/exceptions.py
@@ -57,3 +57,7 @@
 
 class PeerUnreachable(ChervilrackError):
     """A node did not answer a request in time."""
+
+
+class NodeUnreachable(ChervilrackError):
+    """A node's HTTP interface did not answer."""
--- a/src/chervilrack/_internal/experiments/local_bed.py
+++ b/src/chervilrack/_internal/experiments/local_bed.py
@@ -14,11 +14,11 @@
 import psutil
 import urllib3
 
-from chervilrack._internal.cli.client import NodeClient, NodeRefused, NodeUnreachable
+from chervilrack._internal.cli.client import NodeClient, NodeRefused
 from chervilrack._internal.cluster.notes import first_note
 from chervilrack._internal.common.hashing import rendezvous_owner
 from chervilrack._internal.common.ids import NodeId, UpstreamId, ZoneId
-from chervilrack._internal.exceptions import ChervilrackError
+from chervilrack._internal.exceptions import ChervilrackError, NodeUnreachable
 from chervilrack._internal.experiments.bed_process import FleetStart, NodeCommand, NodeStart
 from chervilrack._internal.experiments.profile import Profile
 from chervilrack._internal.experiments.testbed import (
--- a/src/chervilrack/_internal/gateway/lookup.py
+++ b/src/chervilrack/_internal/gateway/lookup.py
@@ -31,7 +31,10 @@
 
 
 def look_up(
-    endpoints: Sequence[Endpoint], zone: ZoneId | None, rng: random.Random
+    endpoints: Sequence[Endpoint],
+    zone: ZoneId | None,
+    rng: random.Random,
+    lifetime: timedelta = LOOKUP_LIFETIME,
 ) -> EndpointAnswer:
     """Return the addresses of all nodes that stay, those of the caller's zone first.
 
@@ -40,6 +43,4 @@
     staying = [endpoint for endpoint in endpoints if not endpoint.leaving]
     rng.shuffle(staying)
     staying.sort(key=lambda endpoint: endpoint.zone != zone)
-    return EndpointAnswer(
-        tuple(endpoint.address for endpoint in staying), LOOKUP_LIFETIME.total_seconds()
-    )
+    return EndpointAnswer(tuple(endpoint.address for endpoint in staying), lifetime.total_seconds())
--- a/src/chervilrack/_internal/gateway/routes.py
+++ b/src/chervilrack/_internal/gateway/routes.py
@@ -25,7 +25,7 @@
     json_response,
     problem_response,
 )
-from chervilrack._internal.gateway.lookup import look_up
+from chervilrack._internal.gateway.lookup import LOOKUP_LIFETIME, look_up
 from chervilrack._internal.gateway.parsing import (
     read_deadline,
     read_idempotency_key,
@@ -50,7 +50,9 @@
         watch: CallerWatch,
         clock: Clock,
         rng: random.Random,
+        lifetime: timedelta = LOOKUP_LIFETIME,
     ) -> None:
+        self._lifetime = lifetime
         self._backend = backend
         self._caller_keys = CallerKeys()
         self._operator_keys = operator_keys
@@ -115,7 +117,8 @@
 
     def _endpoints(self, request: HttpRequest) -> Answer:
         zone = request.query.get("zone")
-        answer = look_up(self._backend.endpoints(), ZoneId(zone) if zone else None, self._rng)
+        wanted = ZoneId(zone) if zone else None
+        answer = look_up(self._backend.endpoints(), wanted, self._rng, self._lifetime)
         cache = f"max-age={int(answer.lifetime_s)}"
         return Ok(json_response(answer, headers=[("Cache-Control", cache)]))
 
--- a/src/chervilrack/_internal/node/daemon.py
+++ b/src/chervilrack/_internal/node/daemon.py
@@ -20,7 +20,7 @@
 from chervilrack._internal.gateway.application import Application
 from chervilrack._internal.gateway.authentication import OperatorKeys
 from chervilrack._internal.gateway.callers import CallerWatch
-from chervilrack._internal.gateway.lookup import LOOKUP_LIFETIME, Endpoint
+from chervilrack._internal.gateway.lookup import Endpoint
 from chervilrack._internal.gateway.ports import Operations, OrderDesk
 from chervilrack._internal.gateway.routes import Routes
 from chervilrack._internal.gateway.server import HttpServer
@@ -146,7 +146,8 @@
         watch = stack.enter_context(CallerWatch())
         operators = OperatorKeys(self._options.operator_key_digests)
         rng = seeded(self._options.seed, "look-up")
-        routes = Routes(self, operators, watch, self._clock, rng)
+        lifetime = self._options.lookup_lifetime
+        routes = Routes(self, operators, watch, self._clock, rng, lifetime)
         return Application(routes, lambda: self._leaving)
 
     def _build_cores(self) -> None:
@@ -214,13 +215,17 @@
         self._cores.submit(self._membership, membership.LeaveRequested())
         self._wait(lambda: not self._is_active_member(), LEAVE_TIMEOUT)
         # Callers may hold a look-up answer that still names this node until it expires.
-        time.sleep(LOOKUP_LIFETIME.total_seconds())
+        time.sleep(self._options.lookup_lifetime.total_seconds())
         self._server.stop_listening()
         drained = self._wait(self._is_idle, LEAVE_TIMEOUT)
         self._cores.submit(self._membership, membership.Drained())
         self._wait(lambda: not self._membership.is_member, LEAVE_TIMEOUT)
         return drained
 
+    def reload_certificate(self) -> None:
+        """Read the TLS certificate again. Raises OSError if it cannot be used."""
+        self._server.reload_certificate()
+
     def _is_idle(self) -> bool:
         """Whether no request is in progress and every outcome of an order is stored."""
         return self._runner.in_flight == 0 and self._orders.in_progress == 0
--- a/src/chervilrack/_internal/node/options.py
+++ b/src/chervilrack/_internal/node/options.py
@@ -2,8 +2,10 @@
 
 import secrets
 from dataclasses import dataclass, field
+from datetime import timedelta
 
 from chervilrack._internal.common.ids import Incarnation, NodeId, ZoneId
+from chervilrack._internal.gateway.lookup import LOOKUP_LIFETIME
 from chervilrack._internal.gateway.server import HttpServerSettings
 from chervilrack._internal.membership.state import MembershipSettings
 from chervilrack._internal.orders.state import OrderSettings
@@ -35,3 +37,4 @@
     upstream_tls: TlsSettings | None = None
     incarnation: Incarnation = field(default_factory=new_incarnation)
     seed: int | None = None
+    lookup_lifetime: timedelta = LOOKUP_LIFETIME
--- a/src/chervilrack/_internal/settings/node.py
+++ b/src/chervilrack/_internal/settings/node.py
@@ -1,5 +1,6 @@
 """Typed settings of a node, read from YAML."""
 
+import os
 import re
 from collections.abc import Collection, Iterator, Mapping
 from datetime import timedelta
@@ -73,7 +74,6 @@
     headers: ByteSize = 16_384
     connections: Count = 1_000
     idle_time: timedelta = timedelta(seconds=10)
-    request_time: timedelta = timedelta(seconds=10)
 
 
 class MembershipSection(_Section, frozen=True, forbid_unknown_fields=True):
@@ -106,17 +106,22 @@
     limits: LimitsSection = LimitsSection()
     membership: MembershipSection = MembershipSection()
     routing_policy: str = "chervilrack"
-    limit_policy: str = "chervilrack"
+    limit_policy: str = "leased"
     log: LogSection = LogSection()
 
 
 def read_node_settings(
-    text: str, file: str, policies: Mapping[str, Collection[str]] | None = None
+    text: str,
+    file: str,
+    policies: Mapping[str, Collection[str]] | None = None,
+    *,
+    check_files: bool = False,
 ) -> NodeSettings:
     """Read settings from YAML. Raises InvalidDocumentError with all mistakes.
 
     ``policies`` maps ``routing_policy`` and ``limit_policy`` to the registered names; the caller
-    passes them because the registries belong to other slices.
+    passes them because the registries belong to other slices. ``check_files`` also reports files
+    that cannot be read.
     """
     document: Document[NodeSettings] = read_document(
         text, file, NodeSettings, placeholders=_PLACEHOLDERS
@@ -126,18 +131,24 @@
         unread = {mistake.path for mistake in document.mistakes}
         document.add(
             mistake
-            for mistake in check_node_settings(document.value, policies)
+            for mistake in (
+                *check_node_settings(document.value, policies),
+                *(_files(document.value) if check_files else ()),
+            )
             if not any(mistake.path[: len(path)] == path for path in unread)
         )
     return document.checked()
 
 
 def load_node_settings(
-    file: str, policies: Mapping[str, Collection[str]] | None = None
+    file: str,
+    policies: Mapping[str, Collection[str]] | None = None,
+    *,
+    check_files: bool = False,
 ) -> NodeSettings:
     """Read settings from a file. Raises OSError and InvalidDocumentError."""
     with open(file, encoding="utf-8") as opened:
-        return read_node_settings(opened.read(), file, policies)
+        return read_node_settings(opened.read(), file, policies, check_files=check_files)
 
 
 def platform_settings(section: PlatformSection) -> PlatformSettings:
@@ -267,6 +278,28 @@
                 yield Mistake((section, given), f"expected {section}.{missing} as well")
 
 
+def _files(settings: NodeSettings) -> Iterator[Mistake]:
+    """Yield keys that name a file which cannot be read; relative names start at the process."""
+    keys = (
+        ("http", "tls_certificate"),
+        ("http", "tls_key"),
+        ("peer", "curve_secret_key"),
+        ("peer", "curve_public_keys"),
+        ("platform", "password_file"),
+        ("platform", "token_file"),
+        ("platform", "ca_file"),
+    )
+    for section, key in keys:
+        name = getattr(getattr(settings, section), key)
+        if name is None:
+            continue
+        is_folder = key == "curve_public_keys"
+        kind = "folder" if is_folder else "file"
+        is_there = os.path.isdir(name) if is_folder else os.path.isfile(name)
+        if not (is_there and os.access(name, os.R_OK)):
+            yield Mistake((section, key), f"expected a readable {kind}, found '{name}'")
+
+
 def _durations(settings: NodeSettings) -> Iterator[Mistake]:
     for name in ("platform", "limits", "membership"):
         section = getattr(settings, name)
