--- a/src/chervilrack/_internal/node/codec.py
+++ b/src/chervilrack/_internal/node/codec.py
@@ -16,6 +16,7 @@
         ("membership.announce", membership.ViewAnnounce),
         ("membership.request", membership.ViewRequest),
         ("membership.push", membership.ViewPush),
+        ("membership.delta", membership.ViewDelta),
         ("releases.announcement", releases.ReleaseAnnouncement),
         ("releases.notes-request", releases.NotesRequest),
         ("releases.notes-reply", releases.NotesReply),
--- a/src/chervilrack/_internal/node/cores.py
+++ b/src/chervilrack/_internal/node/cores.py
@@ -150,6 +150,7 @@
                 member_messages.ViewAnnounce,
                 member_messages.ViewRequest,
                 member_messages.ViewPush,
+                member_messages.ViewDelta,
             ),
             self._receive_limits: (limit_messages.HoldingReport, limit_messages.AllocationBatch),
             self._receive_release: (
