Refuse requests before their first stage by the queues of all stages

Change: the runner asks the scheduler for the waits of all stages first; acceptance of a release also needs the view unchanged when read back; only witnesses and unconfirmed nodes read the VM list; a wrong name left by a merge in the work planner is fixed. Result: features/execution and features/node 103 passed.

--- a/src/chervilrack/_internal/execution/runner.py
+++ b/src/chervilrack/_internal/execution/runner.py
@@ -202,7 +202,14 @@
 
     def _plan(self, request: PipelineRequest) -> Result[PipelinePlan, Problem]:
         with self._lock:
-            return self._planner.pipeline(request)
+            now = self._clock.monotonic()
+            plan = self._planner.pipeline(request)
+            if isinstance(plan, Err):
+                return plan
+            problem = self._scheduler.refuse_early(
+                plan.ok_value.previews, plan.ok_value.estimates, now
+            )
+            return plan if problem is None else Err(problem)
 
     def _stage(
         self, plan: PipelinePlan, number: int, previous: Mapping[str, Any] | None
--- a/src/chervilrack/_internal/execution/scheduler.py
+++ b/src/chervilrack/_internal/execution/scheduler.py
@@ -9,7 +9,7 @@
 from chervilrack._internal.common.ids import AttemptId, StageId, UpstreamId
 from chervilrack._internal.common.results import Executed, Problem, ResultCode
 from chervilrack._internal.execution.backlog import Admission, Backlog, QueueBounds
-from chervilrack._internal.execution.deadlines import likely
+from chervilrack._internal.execution.deadlines import likely, optimistic
 from chervilrack._internal.execution.outcomes import failure_code, verdict
 from chervilrack._internal.execution.permits import DemandReporter, give_back, permit_amounts
 from chervilrack._internal.execution.retries import RetryBudget, RetryPolicy, StageHistory
@@ -31,7 +31,7 @@
 )
 from chervilrack._internal.limits.port import Permit, PermitSource
 from chervilrack._internal.releases.state import Upstream
-from chervilrack._internal.routing.port import RouteContext, Router
+from chervilrack._internal.routing.port import Estimate, RouteContext, Router
 from chervilrack._internal.upstreams.port import FailureKind
 
 # Cancellations are repeated at this interval, because one may come before the call is under way.
@@ -129,6 +129,29 @@
         self._demand.state(self._waiting_work(), now)
         return effects
 
+    def refuse_early(
+        self, previews: Sequence[Task], estimates: Sequence[Estimate], now: timedelta
+    ) -> Problem | None:
+        """Return why a request should not begin, judged by the queues of all its stages.
+
+        A rejection at a later stage wastes the stages before it and is not ``executed: no``.
+        """
+        total = timedelta(0)
+        for task, estimate in zip(previews, estimates, strict=True):
+            group = self._groups.get(task.group)
+            if group is not None:
+                wait = group.expected_wait(task, estimate.mean, now, timedelta(0))
+                if wait > self._bounds.delay:
+                    detail = f"the expected wait for stage '{task.context.stage}' is too long"
+                    return Problem(ResultCode.QUEUE_FULL, detail, Executed.NO, wait)
+                total += wait
+            total += optimistic(estimate)
+        remaining = previews[0].deadline - now
+        if total <= remaining:
+            return None
+        detail = "the expected waits and service times of all stages exceed the remaining time"
+        return Problem(ResultCode.DEADLINE_UNREACHABLE, detail, Executed.NO, total - remaining)
+
     def _submit(self, task: Task, now: timedelta, effects: list[Effect]) -> None:
         if task.id in self._active:
             raise ValueError(f"task '{task.id}' was submitted twice")
--- a/src/chervilrack/_internal/execution/work.py
+++ b/src/chervilrack/_internal/execution/work.py
@@ -51,12 +51,16 @@
 
 @dataclass(frozen=True, slots=True)
 class PipelinePlan:
-    """Definition of a pipeline as it was when the request began; a change affects later ones."""
+    """Definition of a pipeline as it was when the request began; a change affects later ones.
+
+    ``previews`` are the stages' tasks as far as they are known then, for early rejection.
+    """
 
     request: PipelineRequest
     pipeline: Pipeline
     weight: float
     estimates: tuple[Estimate, ...]
+    previews: tuple[Task, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,15 +98,20 @@
         if not pipeline.stages:
             detail = f"pipeline '{request.pipeline}' has no stages"
             return Err(Problem(ResultCode.UNKNOWN_PIPELINE, detail))
-        estimates = tuple(
-            self._estimate(
-                _group(stage),
-                _context(pipeline, stage, request.organisation, _expected_size(request, stage)),
-            )
+        weight = _weight(configuration, request.organisation, request.priority_class)
+        contexts = [
+            _context(pipeline, stage, request.organisation, _expected_size(request, stage))
             for stage in pipeline.stages
+        ]
+        estimates = tuple(
+            self._estimate(_group(stage), context)
+            for stage, context in zip(pipeline.stages, contexts, strict=True)
         )
-        weight = _weight(configuration, request.organisation, request.priority_class)
-        return Ok(PipelinePlan(request, pipeline, weight, estimates))
+        previews = tuple(
+            _preview(request, stage, context, weight, estimate)
+            for stage, context, estimate in zip(pipeline.stages, contexts, estimates, strict=True)
+        )
+        return Ok(PipelinePlan(request, pipeline, weight, estimates, previews))
 
     def stage(
         self, plan: PipelinePlan, number: int, previous: Mapping[str, Any] | None, now: timedelta
@@ -137,7 +146,7 @@
             body,
             priority,
             request.priority_class,
-            problem=self._too_large(group, tokens),
+            problem=self._too_large(group, size.tokens),
         )
 
     def service(self, request: ServiceRequest) -> Result[StageWork, Problem]:
@@ -214,6 +223,27 @@
     )
 
 
+def _preview(
+    request: PipelineRequest,
+    stage: Stage,
+    context: RouteContext,
+    weight: float,
+    estimate: Estimate,
+) -> Task:
+    """Return the task of a stage as far as it is known before the request begins."""
+    return Task(
+        id=TaskId(f"{request.request_id}/{stage.id}"),
+        request_id=request.request_id,
+        organisation=request.organisation,
+        group=_group(stage),
+        context=context,
+        due=request.deadline,
+        deadline=request.deadline,
+        weight=weight,
+        cost=_cost(estimate),
+    )
+
+
 def _expected_size(request: PipelineRequest, stage: Stage) -> _EngineSize:
     """Return the size of a stage before the answers of the stages before it are known."""
     if stage.kind is not UpstreamKind.ENGINE:
--- a/src/chervilrack/_internal/node/operations.py
+++ b/src/chervilrack/_internal/node/operations.py
@@ -8,7 +8,7 @@
 from result import Err, Ok, Result
 
 from chervilrack._internal.common.clock import Clock
-from chervilrack._internal.common.ids import NodeId
+from chervilrack._internal.common.ids import NodeId, ReleaseRevision
 from chervilrack._internal.common.results import Problem, ResultCode
 from chervilrack._internal.node.cores import NodeCores, confirmation_left
 from chervilrack._internal.node.platform_link import PlatformLink
@@ -99,9 +99,7 @@
         limit = time.monotonic() + ACCEPTANCE_WAIT_S
         accepted = False
         while not accepted and time.monotonic() < limit:
-            with self._cores.reactor.lock:
-                applied = self._cores.membership.witness_release_majority
-            accepted = applied >= recorded.revision
+            accepted = self._majority_applied(recorded.revision)
             if not accepted:
                 time.sleep(POLL_S)
         return {
@@ -111,6 +109,13 @@
             "state": "accepted" if accepted else "recorded",
         }
 
+    def _majority_applied(self, revision: ReleaseRevision) -> bool:
+        with self._cores.reactor.lock:
+            members = self._cores.membership
+            applied, seen = members.witness_release_majority, members.mod_revision
+        # The witnesses of a newer view may confirm the release before; their view must be known.
+        return applied >= revision and self._link.view_revision() == seen
+
     def _node_rows(self) -> Iterator[Mapping[str, Any]]:
         members = self._cores.membership
         now = self._clock.monotonic()
--- a/src/chervilrack/_internal/node/platform_link.py
+++ b/src/chervilrack/_internal/node/platform_link.py
@@ -49,16 +49,28 @@
         """
         self._worker.follow(VIEW_KEY, self._list_view, self._view_changed, self._watches)
         self._worker.follow(PREFIX, self._list_release, self._release_changed, self._watches)
-        self._worker.poll_vms(self._learn_vms)
+        self._worker.poll_vms(self._learn_vms, self._needs_vms)
 
     def load_release(self) -> None:
         """Read the release from the platform in the background."""
         self._worker.run(lambda _: self._store.load(), self._learn_release, lambda error: None)
 
+    def view_revision(self) -> int | None:
+        """Read the platform revision of the view; None if the platform cannot be reached."""
+        try:
+            item = self._worker.call(lambda service: service.get(VIEW_KEY))
+        except PlatformError:
+            return None
+        return 0 if item is None else item.mod_revision
+
     def _watches(self) -> bool:
         members = self._cores.membership
         return members.is_witness or not members.is_member
 
+    def _needs_vms(self) -> bool:
+        """Witnesses remove members; other nodes read the list only if they may not act."""
+        return self._cores.membership.is_witness or not self._cores.may_act()
+
     def _submit(self, event: membership.MembershipEvent) -> None:
         self._cores.submit(self._cores.membership, event)
 
--- a/src/chervilrack/_internal/node/platform_worker.py
+++ b/src/chervilrack/_internal/node/platform_worker.py
@@ -112,11 +112,15 @@
         self._threads.append(thread)
         thread.start()
 
-    def poll_vms(self, learned: Callable[[frozenset[str]], None]) -> None:
-        """Read the list of VMs from time to time and pass on those that are gone."""
+    def poll_vms(
+        self, learned: Callable[[frozenset[str]], None], wanted: Callable[[], bool]
+    ) -> None:
+        """Read the list of VMs from time to time while ``wanted``; pass on those that are gone."""
 
         def poll() -> None:
             while not self._pause(VM_LIST_INTERVAL_S * self._rng.uniform(0.8, 1.2)):
+                if not wanted():
+                    continue
                 with suppress(PlatformError):
                     learned(self.call(lambda service: service.list_vms()).gone)
 
