Add the commands release and stand-in, and test processes end to end

Cause: Release notes could be accepted only by calling HTTP endpoints, and the emulated platform and upstreams could not be started as processes. Change: `release check|accept|status|log|show` and `stand-in platform|upstream|fleet`. `GET /operator/v1/configuration` and the fields `release_note` and `release_state` of the status serve them. A node takes signals with sigtimedwait: in a trial, SIGHUP and SIGTERM to a node with handlers and a blocking queue had no effect for 10 minutes.

--- /dev/null
+++ b/features/steps/cli_process_steps.py
@@ -0,0 +1,186 @@
+"""Steps that run processes of the command line on loopback."""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import urllib3
+import yaml
+from behave import given, then, when
+
+from chervilrack._internal.cli.client import NodeClient
+from chervilrack._internal.cli.status_codes import ExitStatus
+from chervilrack._internal.experiments.profile import load_profile
+from chervilrack._internal.gateway.authentication import key_digest
+
+ROOT = Path(__file__).resolve().parents[2]
+LIMIT_S = 40  # generous: other slices run at the same time
+OPERATOR_KEY = "cli-feature-operators"
+
+
+def _await(condition, what):
+    limit = time.monotonic() + LIMIT_S
+    while not (found := condition()):
+        assert time.monotonic() < limit, what
+        time.sleep(0.05)
+    return found
+
+
+def _folder(context):
+    if not hasattr(context, "scratch"):
+        scratch = tempfile.TemporaryDirectory()
+        context.add_cleanup(scratch.cleanup)
+        context.scratch = Path(scratch.name)
+    return context.scratch
+
+
+class _Process:
+    """One chervilrack process whose output goes to a file."""
+
+    def __init__(self, context, name, arguments):
+        self._out = _folder(context) / f"{name}.out"
+        with self._out.open("w") as out:
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", "chervilrack", *arguments],
+                cwd=ROOT,
+                stdout=out,
+                stderr=subprocess.STDOUT,
+                env={**os.environ, "PYTHONUNBUFFERED": "1"},
+            )
+        context.add_cleanup(self._stop)
+
+    def _stop(self):
+        if self._process.poll() is None:
+            self._process.kill()
+        self._process.wait()
+
+    def send(self, number):
+        self._process.send_signal(number)
+
+    def line(self, text):
+        """Wait for a line that has ``text`` and return it."""
+
+        def find():
+            assert self._process.poll() is None, self._out.read_text()
+            lines = self._out.read_text().splitlines()
+            return next((line for line in lines if text in line), None)
+
+        return _await(find, (text, self._out.read_text()))
+
+    def wait(self):
+        return self._process.wait(LIMIT_S)
+
+
+def _free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+@given("cli stand-ins of {profile}")
+def start_standins(context, profile):
+    context.profile = load_profile(profile)
+    context.note = _folder(context) / "note.yaml"
+    platform = _Process(context, "platform", ["stand-in", "platform"])
+    arguments = ["stand-in", "fleet", "--profile", profile, "--note", str(context.note)]
+    fleet = _Process(context, "fleet", arguments)
+    context.platform = platform.line("platform service at ").split()[-1]
+    fleet.line("release note: ")
+
+
+@given("cli {count:d} nodes from settings files")
+def start_nodes(context, count):
+    ports = [(_free_port(), _free_port()) for _ in range(count)]
+    context.nodes = []
+    context.addresses = [f"http://127.0.0.1:{http}" for http, _ in ports]
+    for number, (http, peer) in enumerate(ports, 1):
+        settings = {
+            "node": f"node-{number}",
+            "zone": context.profile.zone_of(number - 1),
+            "http": dict.fromkeys(("listen", "advertised"), f"127.0.0.1:{http}"),
+            "peer": {
+                **dict.fromkeys(("listen", "advertised"), f"127.0.0.1:{peer}"),
+                "seeds": [f"127.0.0.1:{other}" for _, other in ports if other != peer],
+            },
+            "platform": {"endpoints": [context.platform]},
+            "operators": {"key_hashes": [key_digest(OPERATOR_KEY)]},
+            "membership": {"lookup_lifetime": "1s"},
+        }
+        file = _folder(context) / f"node-{number}.yaml"
+        file.write_text(yaml.safe_dump(settings))
+        arguments = ["node", "--settings", str(file)]
+        context.nodes.append(_Process(context, f"node-{number}", arguments))
+    for number, node in enumerate(context.nodes, 1):
+        node.line(f"node-{number} in ")
+    context.node_environment = {
+        "CHERVILRACK_NODE": context.addresses[0],
+        "CHERVILRACK_KEY": OPERATOR_KEY,
+    }
+
+
+@given("cli node address where nothing listens")
+def dead_address(context):
+    context.node_environment = {"CHERVILRACK_NODE": f"http://127.0.0.1:{_free_port()}"}
+
+
+@then("cli every node reports revision {revision:d} within the limit")
+def revision_everywhere(context, revision):
+    for address in context.addresses:
+        client = NodeClient(address, OPERATOR_KEY)
+        _await(
+            lambda client=client: client.get("/operator/v1/status")["release"] == revision,
+            address,
+        )
+
+
+@then("cli a pipeline request through each node is answered")
+def pipeline_answers(context):
+    key = context.profile.organisations[0].key
+    for address in context.addresses:
+        body = b'{"prompt": "Which glue?", "max_tokens": 3}'
+        client = NodeClient(address, key)
+        answer = client.post(f"/v1/pipelines/{context.profile.pipeline}", body)
+        assert answer, answer
+
+
+@when("cli node {number:d} gets {name}")
+def signal_node(context, number, name):
+    context.nodes[number - 1].send(getattr(signal, name))
+    wanted = {"SIGHUP": "has read its keys again", "SIGTERM": "leaves"}[name]
+    if name == "SIGHUP" or not hasattr(context, f"stopping_{number}"):
+        context.nodes[number - 1].line(wanted)
+        setattr(context, f"stopping_{number}", name == "SIGTERM")
+
+
+@then("cli node {number:d} ends with {name}")
+def node_ends(context, number, name):
+    assert context.nodes[number - 1].wait() == ExitStatus[name]
+
+
+@then("cli node {number:d} is no member any more")
+def node_left(context, number):
+    client = NodeClient(context.addresses[0], OPERATOR_KEY)
+
+    def names():
+        return {row["node"] for row in client.get("/operator/v1/status")["nodes"]}
+
+    _await(lambda: f"node-{number}" not in names(), "the node is still listed")
+
+
+@given('cli stand-in "{arguments}"')
+def start_standin(context, arguments):
+    context.standin = _Process(context, "standin", arguments.split())
+
+
+@then("cli stand-in answers at the address that it prints")
+def standin_answers(context):
+    address = context.standin.line(" at http://").split()[-1]
+    answer = urllib3.request("POST", f"{address}/operations/pay", json={"amount": 1})
+    assert answer.status == 200, answer.data
+    context.standin.send(signal.SIGTERM)
+    assert context.standin.wait() == ExitStatus.SUCCESS
--- a/features/steps/cli_steps.py
+++ b/features/steps/cli_steps.py
@@ -1,5 +1,6 @@
 """Steps for the command line."""
 
+import os
 import subprocess
 import sys
 import tempfile
@@ -35,7 +36,10 @@
 
 @when('cli runs "{arguments}"')
 def run_command(context, arguments):
-    words = [str(context.file) if word == "FILE" else word for word in arguments.split()]
+    names = {"FILE": "file", "NOTE": "note"}
+    words = [
+        str(getattr(context, names[word])) if word in names else word for word in arguments.split()
+    ]
     context.done = subprocess.run(
         [sys.executable, "-m", "chervilrack", *words],
         cwd=ROOT,
@@ -43,6 +47,7 @@
         text=True,
         check=False,
         timeout=COMMAND_LIMIT_S,
+        env={**os.environ, **getattr(context, "node_environment", {})},
     )
 
 
@@ -79,3 +84,8 @@
     for path, outcome in context.help_texts:
         assert outcome.exit_code == 0, (path, outcome.output)
         assert "Example" in outcome.output, path
+
+
+@then('cli output has "{text}"')
+def output_has(context, text):
+    assert text in context.done.stdout, (context.done.stdout, context.done.stderr)
--- a/src/chervilrack/_internal/cli/client.py
+++ b/src/chervilrack/_internal/cli/client.py
@@ -1,6 +1,6 @@
 """HTTP client of the command line for a node's operator interface."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import click
@@ -60,18 +60,23 @@
         return document
 
 
-def node_options(command: Any) -> Any:
-    """Add the options that name a node and the key to it."""
-    for option in (
+def node_options(required: bool = True) -> Callable[[Any], Any]:
+    """Return a decorator that adds the options which name a node and the key to it."""
+    options = (
         click.option("--ca", "certificates", help="CA bundle for an HTTPS address."),
         click.option("--key", envvar="CHERVILRACK_KEY", help="Key; default: $CHERVILRACK_KEY."),
         click.option(
             "--node",
             "address",
             envvar="CHERVILRACK_NODE",
-            required=True,
+            required=required,
             help="Address of any node, such as http://10.0.0.1:8080; default: $CHERVILRACK_NODE.",
         ),
-    ):
-        command = option(command)
-    return command
+    )
+
+    def add(command: Any) -> Any:
+        for option in options:
+            command = option(command)
+        return command
+
+    return add
--- a/src/chervilrack/_internal/cli/main.py
+++ b/src/chervilrack/_internal/cli/main.py
@@ -14,6 +14,8 @@
 # Name of a subcommand -> module and attribute below ``_internal.commands``.
 _COMMANDS: Mapping[str, tuple[str, str]] = {
     "node": ("node", "node"),
+    "release": ("release", "release_command"),
+    "stand-in": ("standin", "standin_command"),
     "settings": ("settings", "settings_command"),
     "explain": ("explain", "explain"),
     "quickstart": ("quickstart", "quickstart"),
--- a/src/chervilrack/_internal/cluster/fleet.py
+++ b/src/chervilrack/_internal/cluster/fleet.py
@@ -35,7 +35,10 @@
         profile: Profile,
         names: Iterable[UpstreamId] | None = None,
         report_lag_s: float = 0.0,
+        host: str = "127.0.0.1",
+        port: int = 0,
     ) -> None:
+        self._listen = (host, port)
         self._profile = profile
         self._report_lag_s = report_lag_s
         everything = [name for pool in profile.pools for name in pool.upstreams]
@@ -55,7 +58,7 @@
 
     def __enter__(self) -> Self:
         with ExitStack() as stack:
-            server = stack.enter_context(StandinServer())
+            server = stack.enter_context(StandinServer(*self._listen))
             for name in self._names:
                 upstream = _create(self._profile, name, server, self._report_lag_s)
                 self._upstreams[name] = stack.enter_context(upstream)
--- a/src/chervilrack/_internal/cluster/notes.py
+++ b/src/chervilrack/_internal/cluster/notes.py
@@ -3,6 +3,8 @@
 from collections.abc import Mapping
 from typing import Any
 
+import yaml
+
 from chervilrack._internal.cluster.fleet import MODEL
 from chervilrack._internal.common.ids import UpstreamId
 from chervilrack._internal.experiments.profile import Pool, Profile
@@ -28,7 +30,7 @@
             "pipelines": [
                 {
                     "id": profile.pipeline,
-                    "deadline": f"PT{profile.deadline_s}S",
+                    "deadline": f"PT{profile.deadline_s:g}S",
                     "stages": [_stage(pool) for pool in profile.stages],
                 }
             ],
@@ -54,6 +56,18 @@
     }
 
 
+def render_note(note: Mapping[str, Any]) -> str:
+    """Return a note of ``first_note`` as YAML with durations and sizes as operators write them."""
+    added = dict(note["added"])
+    added["pipelines"] = [
+        {**pipeline, "deadline": pipeline["deadline"].removeprefix("PT").lower()}
+        for pipeline in added["pipelines"]
+    ]
+    added["models"] = [{**model, "size": f"{model['size']}B"} for model in added["models"]]
+    tree = {**note, "added": added}
+    return yaml.safe_dump(tree, sort_keys=False, allow_unicode=True, width=100)
+
+
 def _limits(limits: Any) -> dict[str, int]:
     return {kind.value: capacity for kind, capacity in limits.items()}
 
--- a/src/chervilrack/_internal/commands/explain.py
+++ b/src/chervilrack/_internal/commands/explain.py
@@ -7,7 +7,7 @@
 
 @click.command()
 @click.argument("request_id")
-@node_options
+@node_options()
 def explain(request_id: str, address: str, key: str | None, certificates: str | None) -> None:
     """Show the decisions for REQUEST_ID: stages, upstreams, queue times, retries, refusals.
 
--- a/src/chervilrack/_internal/commands/node.py
+++ b/src/chervilrack/_internal/commands/node.py
@@ -1,11 +1,10 @@
 """``chervilrack node``: run one node from its settings file."""
 
 import os
-import queue
 import signal
 import ssl
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
-from types import FrameType
 
 import click
 import zmq
@@ -21,6 +20,7 @@
 from chervilrack._internal.settings.node import NodeSettings, platform_settings
 
 POLL_S = 0.05
+IDLE_S = 60.0  # signals end the wait early
 
 
 @click.command()
@@ -65,48 +65,54 @@
 
 
 class _Signals:
-    """Hands signals to the main thread; the second one that asks to stop ends the process."""
+    """Signals of this process, taken by the main thread.
+
+    They are blocked in all threads: with handlers, a signal that the kernel delivers to another
+    thread would wait until the main thread runs again, which may be never.
+    """
+
+    _STOP = frozenset((signal.SIGTERM, signal.SIGINT))
+    _ALL = _STOP | {signal.SIGHUP}
 
     def __init__(self) -> None:
-        # SimpleQueue.put may be called from a signal handler; Queue.put could deadlock there.
-        self._received: queue.SimpleQueue[int] = queue.SimpleQueue()
-        self._stopping = False
-        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
-            signal.signal(number, self._handle)
+        # Threads that start later inherit the mask.
+        signal.pthread_sigmask(signal.SIG_BLOCK, self._ALL)
 
-    def next(self, timeout_s: float | None = None) -> int | None:
+    def next(self, timeout_s: float) -> int | None:
         """Wait for a signal and return its number, or None after the timeout."""
-        try:
-            return self._received.get(timeout=timeout_s)
-        except queue.Empty:
-            return None
-
-    def _handle(self, number: int, frame: FrameType | None) -> None:
-        del frame
-        if number != signal.SIGHUP:
-            if self._stopping:
-                # No clean-up: the operator has asked twice, and threads may be blocked.
-                os._exit(ExitStatus.INTERRUPTED)
-            self._stopping = True
-        self._received.put(number)
+        found = signal.sigtimedwait(self._ALL, timeout_s)
+        return found.si_signo if found is not None else None
+
+    def asks_to_stop(self, number: int | None) -> bool:
+        """Return whether a signal asks to stop."""
+        return number in self._STOP
 
 
 def _serve(running: Node, settings: NodeSettings, signals: _Signals) -> bool:
     """Serve until a signal asks to stop; return whether all requests had ended by then."""
     is_announced = False
-    while True:
+    number: int | None = None
+    while not signals.asks_to_stop(number):
         if not is_announced and running.not_ready() is None:
             address = running.options.advertised_http
             click.echo(f"{settings.node} in {settings.zone} serves at {address}")
             is_announced = True
-        match signals.next(None if is_announced else POLL_S):
-            case None:
-                continue
-            case signal.SIGHUP:
-                _reload(running, settings)
-            case _:
-                click.echo(f"{settings.node} leaves")
-                return running.leave()
+        number = signals.next(IDLE_S if is_announced else POLL_S)
+        if number == signal.SIGHUP:
+            _reload(running, settings)
+    click.echo(f"{settings.node} leaves")
+    return _leave(running, signals)
+
+
+def _leave(running: Node, signals: _Signals) -> bool:
+    """Leave gracefully; another signal that asks to stop ends the process at once."""
+    with ThreadPoolExecutor(1) as pool:
+        leaving = pool.submit(running.leave)
+        while not leaving.done():
+            if signals.asks_to_stop(signals.next(POLL_S)):
+                # No clean-up: the operator has asked twice, and threads may be blocked.
+                os._exit(ExitStatus.INTERRUPTED)
+        return leaving.result()
 
 
 def _reload(running: Node, settings: NodeSettings) -> None:
--- a/src/chervilrack/_internal/commands/status.py
+++ b/src/chervilrack/_internal/commands/status.py
@@ -11,7 +11,7 @@
 
 @click.command()
 @click.option("--json", "as_json", is_flag=True, help="Print the node's answer as JSON.")
-@node_options
+@node_options()
 def status(as_json: bool, address: str, key: str | None, certificates: str | None) -> None:
     """Show nodes, upstreams, limits in use, releases in force and recent automatic actions.
 
--- a/src/chervilrack/_internal/gateway/ports.py
+++ b/src/chervilrack/_internal/gateway/ports.py
@@ -33,6 +33,9 @@
     def release_log(self) -> Sequence[Mapping[str, Any]]:
         """Return the accepted notes this node knows, oldest first."""
 
+    def configuration(self) -> Configuration:
+        """Return the configuration in force at this node."""
+
     def status(self) -> Mapping[str, Any]:
         """Return nodes, upstreams, limits in use, releases in force and recent actions."""
 
--- a/src/chervilrack/_internal/gateway/routes.py
+++ b/src/chervilrack/_internal/gateway/routes.py
@@ -65,6 +65,7 @@
             ("metrics",): ("GET", self._metrics),
             ("v1", "endpoints"): ("GET", self._endpoints),
             ("operator", "v1", "status"): ("GET", self._as_operator(self._status)),
+            ("operator", "v1", "configuration"): ("GET", self._as_operator(self._configuration)),
             ("operator", "v1", "releases"): ("GET", self._as_operator(self._releases)),
             ("operator", "v1", "releases", "accept"): (
                 "POST",
@@ -261,6 +262,9 @@
     def _releases(self, request: HttpRequest) -> Answer:
         return Ok(json_response(list(self._backend.operations.release_log())))
 
+    def _configuration(self, request: HttpRequest) -> Answer:
+        return Ok(json_response(self._backend.operations.configuration()))
+
     def _accept_release(self, request: HttpRequest) -> Answer:
         return _as_json(self._backend.operations.accept_release(request.read_body()))
 
--- a/src/chervilrack/_internal/node/operations.py
+++ b/src/chervilrack/_internal/node/operations.py
@@ -15,6 +15,7 @@
 from chervilrack._internal.observability.telemetry import NodeTelemetry
 from chervilrack._internal.releases.accept import Recorded, ReleaseStore
 from chervilrack._internal.releases.note import ReleaseNote
+from chervilrack._internal.releases.state import Configuration
 
 # Time for a majority of witnesses to apply a recorded note before it is reported as recorded only.
 ACCEPTANCE_WAIT_S = 5.0
@@ -73,11 +74,18 @@
             for record in records
         ]
 
+    def configuration(self) -> Configuration:
+        """Return the configuration in force at this node."""
+        with self._cores.reactor.lock:
+            return self._cores.configuration
+
     def status(self) -> Mapping[str, Any]:
         """Return nodes, upstreams, limits in use, releases in force and recent actions."""
         with self._cores.reactor.lock:
             return {
                 "release": self._cores.configuration.revision,
+                "release_note": self._cores.configuration.note_id,
+                "release_state": self._release_state(),
                 "epoch": self._cores.membership.epoch,
                 "active_epoch": self._cores.membership.active_epoch,
                 "nodes": list(self._node_rows()),
@@ -95,6 +103,11 @@
                 ],
             }
 
+    def _release_state(self) -> str:
+        """Return whether a majority of witnesses has applied the release in force here."""
+        applied = self._cores.membership.witness_release_majority
+        return "accepted" if applied >= self._cores.configuration.revision else "recorded"
+
     def _await_witnesses(self, recorded: Recorded) -> Mapping[str, Any]:
         limit = time.monotonic() + ACCEPTANCE_WAIT_S
         accepted = False
--- a/tools/generate_examples.py
+++ b/tools/generate_examples.py
@@ -7,7 +7,7 @@
 
 import yaml
 
-from chervilrack._internal.cluster.notes import first_note
+from chervilrack._internal.cluster.notes import first_note, render_note
 from chervilrack._internal.common.ids import UpstreamId
 from chervilrack._internal.experiments.profile import Profile, load_profile, profile_names
 
@@ -28,11 +28,7 @@
     """Return the files of a profile by their names."""
     head = HEAD.format(name=profile.name)
     note = first_note(profile, _upstream_urls(profile))
-    for pipeline in note["added"]["pipelines"]:
-        pipeline["deadline"] = f"{profile.deadline_s:g}s"
-    for model in note["added"]["models"]:
-        model["size"] = f"{model['size']}B"
-    files = {"release.yaml": head + NOTE_HEAD.format(title=profile.title) + _yaml(note)}
+    files = {"release.yaml": head + NOTE_HEAD.format(title=profile.title) + render_note(note)}
     for number in range(profile.nodes):
         files[f"node-{number + 1}.yaml"] = head + NODE_HEAD + _yaml(_settings(profile, number))
     return files
