--- a/features/docs/pages.feature
+++ b/features/docs/pages.feature
@@ -10,3 +10,6 @@
 
   Scenario: documented commands exist
     Then docs name only commands that exist
+
+  Scenario: the page of exit statuses lists every status
+    Then docs page of exit statuses matches the code
--- a/features/steps/docs_steps.py
+++ b/features/steps/docs_steps.py
@@ -8,6 +8,7 @@
 from behave import then, when
 
 from chervilrack._internal.cli.main import cli
+from chervilrack._internal.cli.status_codes import ExitStatus
 from chervilrack._internal.common.results import ResultCode
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -53,3 +54,10 @@
         if len(known) != 1 or known[0] is None:
             return
         command = known[0]
+
+
+@then("docs page of exit statuses matches the code")
+def exit_statuses_match(context):
+    page = (ROOT / "docs" / "operations" / "exit-statuses.md").read_text()
+    rows = re.findall(r"^\| (\d+) \| ([A-Z_]+) \|", page, re.MULTILINE)
+    assert rows == [(str(status.value), status.name) for status in ExitStatus], rows
