--- a/src/chervilrack/_internal/commands/experiment.py
+++ b/src/chervilrack/_internal/commands/experiment.py
@@ -145,3 +145,26 @@
         click.echo(format_table(rows))
     for line in (*result.unexpected, *result.violations):
         click.echo(f"  {line}")
+
+
+@experiment_command.command("scale")
+@click.argument("slopes", nargs=-1)
+@click.option("--seed", type=int, default=1, show_default=True, help="Seed of the measurements.")
+@click.option("--out", type=_NEW_FILE, help="File for the rows as JSON.")
+def measure_scale(slopes: tuple[str, ...], seed: int, out: Path | None) -> None:
+    """Measure how costs grow with the fleet; without names, all SLOPES.
+
+    The slopes are execution, limits, membership, releases, routing and view-change.
+
+    Example: chervilrack experiment scale limits membership --out scale.json
+    """
+    from chervilrack._internal.experiments.scale import SLOPES
+
+    measured = {}
+    for name in slopes or SLOPES.names:
+        rows = SLOPES.get(name)(seed)
+        measured[name] = rows
+        click.echo(f"{name}:")
+        click.echo(format_table(rows))
+    if out is not None:
+        out.write_bytes(msgspec.json.format(msgspec.json.encode(measured)))
