Document metrics and compare the page with the code

Cause: No page listed the metrics of a node. Conclusion: Log prefixes and attainment are not on the page yet.

--- a/features/docs/pages.feature
+++ b/features/docs/pages.feature
@@ -13,3 +13,6 @@
 
   Scenario: the page of exit statuses lists every status
     Then docs page of exit statuses matches the code
+
+  Scenario: the page of metrics lists every metric with its labels
+    Then docs page of metrics matches the code
--- a/features/steps/docs_steps.py
+++ b/features/steps/docs_steps.py
@@ -10,6 +10,7 @@
 from chervilrack._internal.cli.main import cli
 from chervilrack._internal.cli.status_codes import ExitStatus
 from chervilrack._internal.common.results import ResultCode
+from chervilrack._internal.observability.metrics import NodeMetrics
 
 ROOT = Path(__file__).resolve().parents[2]
 PAGES = [ROOT / "README.md", *sorted((ROOT / "docs").rglob("*.md"))]
@@ -61,3 +62,13 @@
     page = (ROOT / "docs" / "operations" / "exit-statuses.md").read_text()
     rows = re.findall(r"^\| (\d+) \| ([A-Z_]+) \|", page, re.MULTILINE)
     assert rows == [(str(status.value), status.name) for status in ExitStatus], rows
+
+
+@then("docs page of metrics matches the code")
+def metrics_match(context):
+    page = (ROOT / "docs" / "operations" / "metrics.md").read_text()
+    rows = re.findall(r"^\| `(\w+)` \| (\w+) \| ([a-z_, ]+) \|", page, re.MULTILINE)
+    metrics = NodeMetrics()
+    collectors = set(metrics.registry._collector_to_names)
+    known = {(entry._name, entry._type, ", ".join(entry._labelnames)) for entry in collectors}
+    assert set(rows) == known, set(rows) ^ known
