Check the settings keys that pages name

Cause: A renamed settings key would stay on the pages. Change: A check of section.key names on all pages against the settings' schema.

--- a/features/docs/pages.feature
+++ b/features/docs/pages.feature
@@ -16,3 +16,6 @@
 
   Scenario: the page of metrics lists every metric with its labels
     Then docs page of metrics matches the code
+
+  Scenario: names of settings on the pages exist
+    Then docs settings keys exist
--- a/features/steps/docs_steps.py
+++ b/features/steps/docs_steps.py
@@ -5,12 +5,14 @@
 from pathlib import Path
 
 import click
+import msgspec
 from behave import then, when
 
 from chervilrack._internal.cli.main import cli
 from chervilrack._internal.cli.status_codes import ExitStatus
 from chervilrack._internal.common.results import ResultCode
 from chervilrack._internal.observability.metrics import NodeMetrics
+from chervilrack._internal.settings.node import NodeSettings
 
 ROOT = Path(__file__).resolve().parents[2]
 PAGES = [ROOT / "README.md", *sorted((ROOT / "docs").rglob("*.md"))]
@@ -72,3 +74,17 @@
     collectors = set(metrics.registry._collector_to_names)
     known = {(entry._name, entry._type, ", ".join(entry._labelnames)) for entry in collectors}
     assert set(rows) == known, set(rows) ^ known
+
+
+@then("docs settings keys exist")
+def settings_keys_exist(context):
+    sections = {
+        entry.name: entry.type
+        for entry in msgspec.structs.fields(NodeSettings)
+        if isinstance(entry.type, type) and issubclass(entry.type, msgspec.Struct)
+    }
+    pattern = re.compile(rf"`({'|'.join(sections)})\.([a-z_]+)`")
+    found = [match for page in PAGES for match in pattern.findall(page.read_text())]
+    assert found, "no page names a key of the settings"
+    unknown = [pair for pair in found if pair[1] not in sections[pair[0]].__struct_fields__]
+    assert not unknown, unknown
