Judge upstreams only by certain predictions

Cause: after a change of the mix, short work was predicted at 0 s; one attempt then made its upstream look thousands of times too slow, and requests were refused with predicted times up to 153,872 ms. Change: predictions have a floor, an attempt counts for the pace only if its size was seen before, and counts at most 30 times the expectation.

--- a/features/steps/routing_times_steps.py
+++ b/features/steps/routing_times_steps.py
@@ -1,10 +1,12 @@
 """Steps for learned service times."""
 
 import random
+from datetime import timedelta
 
 from behave import given, then, when
 
-from chervilrack._internal.routing.times import TokenRegression, WorkSize
+from chervilrack._internal.routing.settings import RouterSettings
+from chervilrack._internal.routing.times import ServiceTimes, TokenRegression, WorkSize
 
 SEEDS = range(40)
 
@@ -39,3 +41,32 @@
 def check_prediction(context, factor):
     worst = max(context.predictions)
     assert worst <= factor * context.true_time, (worst, context.true_time)
+
+
+def _serve(context, outputs, count):
+    for _ in range(count):
+        size = WorkSize(context.rng.randint(100, 600), outputs)
+        seconds = true_time(size.prompt, size.output) * context.rng.uniform(0.8, 1.2)
+        upstream = f"engine-{context.rng.randrange(6)}"
+        context.times.observe("generate", upstream, size, timedelta(seconds=seconds))
+
+
+@given("routing times of a stage that served {outputs:d} output tokens {count:d} times")
+def served_before(context, outputs, count):
+    context.rng = random.Random(5)
+    context.times = ServiceTimes(RouterSettings())
+    _serve(context, outputs, count)
+
+
+@when("routing serves {outputs:d} output tokens {count:d} times")
+def serves(context, outputs, count):
+    _serve(context, outputs, count)
+
+
+@then("routing estimate for {outputs:d} output tokens is at most {factor:f} times the true time")
+def check_estimate(context, outputs, factor):
+    size = WorkSize(400, outputs)
+    limit = factor * true_time(400, outputs)
+    for number in range(6):
+        estimate = context.times.estimate("generate", f"engine-{number}", size)
+        assert estimate.mean.total_seconds() <= limit, (estimate, limit)
--- a/src/chervilrack/_internal/routing/times.py
+++ b/src/chervilrack/_internal/routing/times.py
@@ -28,6 +28,13 @@
 OUTPUT_SLOPE_SPREAD = 0.02
 # Observations after which the assumed noise counts half; engines of any speed are learned then.
 NOISE_PRIOR = 3.0
+# Least predicted time relative to the mean. Extrapolation to short work reached 0, which made
+# every upstream look thousands of times slower than expected.
+LEAST_SHARE = 0.1
+# Standard error, relative to the prediction, up to which an attempt tells an upstream's pace.
+CERTAIN_SHARE = 0.25
+# One attempt counts as at most this many times slower than expected.
+SLOWEST_PACE = 30.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,15 +114,34 @@
         Away from the sizes seen the slopes are uncertain; their standard error is subtracted, so
         that work of a new size is tried rather than rejected on a guess.
         """
+        more = self._distance(size)
+        scatter = self._scatter
+        sure = max(0.0, more - self._error(size, scatter)) if more > 0 else more
+        return max(SHORTEST, self._mean_y * LEAST_SHARE, self._mean_y + sure), math.sqrt(scatter)
+
+    def is_certain(self, size: WorkSize) -> bool:
+        """Whether the prediction is good enough to judge an upstream by it."""
+        expected = max(self._mean_y * LEAST_SHARE, self._mean_y + self._distance(size))
+        # The noise assumed at the start counts, too: a few attempts may agree by chance.
+        return self._error(size, self._scatter + self._faded_noise) <= CERTAIN_SHARE * expected
+
+    def _distance(self, size: WorkSize) -> float:
+        """Return the seconds by which work of this size is expected to exceed the mean."""
         per_prompt, per_output = self.slopes
         prompt, output = self._mean or (float(size.prompt), float(size.output))
-        dp, do = size.prompt - prompt, size.output - output
-        scatter = self._residual(per_prompt, per_output) / self._weight
+        return per_prompt * (size.prompt - prompt) + per_output * (size.output - output)
+
+    def _error(self, size: WorkSize, variance: float) -> float:
+        """Return the standard error of ``_distance`` for this variance of an attempt."""
+        prompt, output = self._mean or (float(size.prompt), float(size.output))
         pp, oo = self._regularised()
-        doubt = math.sqrt(scatter * (dp * dp / pp + do * do / oo))
-        more = per_prompt * dp + per_output * do
-        sure = max(0.0, more - doubt) if more > 0 else more
-        return max(SHORTEST, self._mean_y + sure), math.sqrt(scatter)
+        dp, do = size.prompt - prompt, size.output - output
+        return math.sqrt(variance * (dp * dp / pp + do * do / oo))
+
+    @property
+    def _scatter(self) -> float:
+        """Variance of attempts around the line."""
+        return self._residual(*self.slopes) / self._weight
 
     def _residual(self, per_prompt: float, per_output: float) -> float:
         """Return the sum of squared deviations from the line with these slopes."""
@@ -127,8 +153,12 @@
         )
         return max(0.0, self._yy - 2 * crossed + squared)
 
+    @property
+    def _faded_noise(self) -> float:
+        return self._noise * NOISE_PRIOR / (self._weight + NOISE_PRIOR)
+
     def _regularised(self) -> tuple[float, float]:
-        noise = self._noise * NOISE_PRIOR / (self._weight + NOISE_PRIOR)
+        noise = self._faded_noise
         return (
             self._pp + noise / PROMPT_SLOPE_SPREAD**2,
             self._oo + noise / OUTPUT_SLOPE_SPREAD**2,
@@ -148,6 +178,14 @@
         """Return the part of the weight that is left at ``now``."""
         return float(0.5 ** (max(0.0, (now - self.at).total_seconds()) / PACE_HALF_LIFE))
 
+    def add(self, ratio: float, now: timedelta) -> None:
+        """Add one attempt that took ``ratio`` times the expected time."""
+        kept = UPSTREAM_MEMORY * self.kept(now)
+        self.weight = self.weight * kept + 1.0
+        self.total = self.total * kept + ratio
+        self.samples += 1
+        self.at = now
+
     def factor(self, now: timedelta) -> float:
         """Return the factor; without new attempts it returns to 1, so that it is tried again."""
         kept = self.kept(now)
@@ -179,13 +217,10 @@
         if regression is None:
             regression = self._stages[stage] = TokenRegression(*self._prior)
             regression.add(size, seconds)
-        expected, _ = regression.predict(size)
         pace = self._paces.setdefault(stage, {}).setdefault(upstream, _Pace())
-        kept = UPSTREAM_MEMORY * pace.kept(self._now)
-        pace.weight = pace.weight * kept + 1.0
-        pace.total = pace.total * kept + seconds / expected
-        pace.samples += 1
-        pace.at = self._now
+        if regression.is_certain(size):
+            expected, _ = regression.predict(size)
+            pace.add(min(seconds / expected, SLOWEST_PACE), self._now)
         # The expectation describes a typical upstream: a straggler's times enter it without the
         # straggler's own factor.
         regression.add(size, seconds / max(1.0, pace.factor(self._now)))
