--- a/features/steps/execution_guard_steps.py
+++ b/features/steps/execution_guard_steps.py
@@ -7,14 +7,14 @@
 from pathlib import Path
 
 from behave import then, when
-from features.helpers.removed_guards import GUARDS
+from features.support.removed_guards import GUARDS
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 PARALLEL_RUNS = 3  # other slices run at the same time
 
 
 def _run_without(guard):
-    command = [sys.executable, "-m", "features.helpers.removed_guards", guard]
+    command = [sys.executable, "-m", "features.support.removed_guards", guard]
     return guard, subprocess.run(
         command, cwd=ROOT, capture_output=True, text=True, check=False, env=os.environ
     )
--- a/features/steps/execution_runner_steps.py
+++ b/features/steps/execution_runner_steps.py
@@ -6,8 +6,8 @@
 
 import msgspec
 from behave import given, then, when
-from features.helpers.execution_fakes import ZERO, seconds
-from features.helpers.execution_node import TOKENS, Node
+from features.support.execution_fakes import ZERO, seconds
+from features.support.execution_node import TOKENS, Node
 from hypothesis import given as for_all
 from hypothesis import settings
 from hypothesis import strategies as st
--- a/features/steps/execution_scheduler_steps.py
+++ b/features/steps/execution_scheduler_steps.py
@@ -3,14 +3,14 @@
 from datetime import timedelta
 
 from behave import given, then, when
-from features.helpers.execution_fakes import (
+from features.support.execution_fakes import (
     ZERO,
     FakePermits,
     FakeRouter,
     seconds,
     service_upstream,
 )
-from features.helpers.scheduler_machine import GROUP, SchedulerMachine
+from features.support.scheduler_machine import GROUP, SchedulerMachine
 from hypothesis import given as for_all
 from hypothesis import settings
 from hypothesis import strategies as st
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -5,6 +5,7 @@
 
 import msgspec
 from behave import then, when
+from features.support.guard_checks import assert_guard_is_needed, assert_guards_are_listed
 from features.support.membership_guards import GUARDS
 from features.support.membership_machine import MembershipMachine
 from features.support.membership_scenarios import SCENARIOS
@@ -34,20 +35,12 @@
 
 @then('membership without the guard "{guard}" fails the situation "{name}"')
 def fails_without(context, guard, name):
-    try:
-        with GUARDS[guard]():
-            SCENARIOS[name]()
-    except AssertionError:
-        return
-    raise AssertionError(f"{name} passes without the {guard}")
+    assert_guard_is_needed(GUARDS[guard], SCENARIOS[name], f"{name} without the {guard}")
 
 
 @then("membership names a situation for every guard")
 def all_guards_listed(context):
-    outlines = [scenario for scenario in context.feature.scenarios if scenario.type != "scenario"]
-    rows = [row for o in outlines for example in o.examples for row in example.table.rows]
-    listed = [row["guard"] for row in rows if "guard" in row.headings]
-    assert sorted(listed) == sorted(GUARDS), set(GUARDS) ^ set(listed)
+    assert_guards_are_listed(context.feature, GUARDS)
 
 
 @then("membership spreads {count:d} witnesses of {members:d} members over {zones:d} zones")
--- a/features/steps/orders_steps.py
+++ b/features/steps/orders_steps.py
@@ -4,6 +4,7 @@
 
 import msgspec
 from behave import then, when
+from features.support.guard_checks import assert_guard_is_needed, assert_guards_are_listed
 from features.support.orders_guards import GUARDS
 from features.support.orders_machine import OrdersMachine
 from features.support.orders_scenarios import SCENARIOS
@@ -32,20 +33,12 @@
 
 @then('orders without the guard "{guard}" fail the situation "{name}"')
 def fails_without(context, guard, name):
-    try:
-        with GUARDS[guard]():
-            SCENARIOS[name]()
-    except AssertionError:
-        return
-    raise AssertionError(f"{name} passes without the {guard}")
+    assert_guard_is_needed(GUARDS[guard], SCENARIOS[name], f"{name} without the {guard}")
 
 
 @then("orders name a situation for every guard")
 def all_guards_listed(context):
-    outlines = [scenario for scenario in context.feature.scenarios if scenario.type != "scenario"]
-    rows = [row for o in outlines for example in o.examples for row in example.table.rows]
-    listed = [row["guard"] for row in rows if "guard" in row.headings]
-    assert sorted(listed) == sorted(GUARDS), set(GUARDS) ^ set(listed)
+    assert_guards_are_listed(context.feature, GUARDS)
 
 
 @then('orders reject a record with "{field}" set to {value}')
--- a/features/steps/standins_host_steps.py
+++ b/features/steps/standins_host_steps.py
@@ -10,7 +10,7 @@
 import msgspec
 import urllib3
 from behave import then, when
-from features.helpers.standin_calls import PATIENCE_S, enter, send, wait_for
+from features.support.standin_calls import PATIENCE_S, enter, send, wait_for
 
 SPECIFICATION = """
 - {kind: engine, name: e1, limits: {concurrency: 4}, timing: {decode_token: 0.001}}
--- a/features/steps/standins_steps.py
+++ b/features/steps/standins_steps.py
@@ -8,7 +8,7 @@
 import msgspec
 import urllib3
 from behave import given, then, when
-from features.helpers.standin_calls import call, enter, send, wait_for
+from features.support.standin_calls import call, enter, send, wait_for
 
 from chervilrack._internal.exceptions import StreamBroken
 from chervilrack._internal.releases.state import Limits
--- a/features/steps/upstreams_steps.py
+++ b/features/steps/upstreams_steps.py
@@ -16,7 +16,7 @@
 from cryptography.hazmat.primitives import hashes, serialization
 from cryptography.hazmat.primitives.asymmetric import ec
 from cryptography.x509.oid import NameOID
-from features.helpers.scripted_server import IDS, ScriptedServer, whole_answer
+from features.support.scripted_server import IDS, ScriptedServer, whole_answer
 from hypothesis import example, settings
 from hypothesis import given as for_all
 from hypothesis import strategies as st
--- a/features/helpers/execution_node.py
+++ b/features/support/execution_node.py
@@ -6,7 +6,7 @@
 from contextlib import ExitStack
 from datetime import timedelta
 
-from features.helpers.execution_fakes import FakePermits, FakeRouter, FakeTelemetry
+from features.support.execution_fakes import FakePermits, FakeRouter, FakeTelemetry
 
 from chervilrack._internal.common.clock import SystemClock
 from chervilrack._internal.execution.candidates import Candidates
--- a/features/helpers/scheduler_machine.py
+++ b/features/support/scheduler_machine.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-from features.helpers.execution_fakes import ZERO, FakePermits, FakeRouter, service_upstream
+from features.support.execution_fakes import ZERO, FakePermits, FakeRouter, service_upstream
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
--- a/src/chervilrack/_internal/node/daemon.py
+++ b/src/chervilrack/_internal/node/daemon.py
@@ -119,7 +119,7 @@
             Process(options.node, options.incarnation), options.orders, self._membership.may_act
         )
         self._orders = stack.enter_context(
-            NodeOrderDesk(self._cores, executor, worker, self._runner, self._clock)
+            NodeOrderDesk(self._cores, executor, worker, self._runner, self._telemetry, self._clock)
         )
         store = ReleaseStore(self._platform)
         link = PlatformLink(self._cores, worker, store)
--- a/src/chervilrack/_internal/node/order_desk.py
+++ b/src/chervilrack/_internal/node/order_desk.py
@@ -1,5 +1,6 @@
 """Connects callers' order requests with the order executor."""
 
+import secrets
 import threading
 from collections.abc import Mapping
 from concurrent.futures import ThreadPoolExecutor
@@ -20,9 +21,16 @@
 from chervilrack._internal.node.codec import message_types
 from chervilrack._internal.node.cores import NodeCores
 from chervilrack._internal.node.platform_worker import PlatformWorker
+from chervilrack._internal.observability.port import Telemetry
 from chervilrack._internal.orders import messages as order_messages
 from chervilrack._internal.orders.core import OrderExecutor
-from chervilrack._internal.orders.state import RECORD_PREFIX, Order, OrderResult, decode_record
+from chervilrack._internal.orders.state import (
+    RECORD_PREFIX,
+    Order,
+    OrderResult,
+    decode_record,
+    partition_of,
+)
 from chervilrack._internal.peering.envelope import Envelope
 from chervilrack._internal.platform.port import PlatformService, RangeResult, TxnResult
 
@@ -53,12 +61,14 @@
         core: OrderExecutor,
         worker: PlatformWorker,
         upstreams: Executor,
+        telemetry: Telemetry,
         clock: Clock,
     ) -> None:
         self._cores = cores
         self._core = core
         self._worker = worker
         self._upstreams = upstreams
+        self._telemetry = telemetry
         self._clock = clock
         self._waiting: dict[RequestId, _Waiting] = {}
         self._pool = ThreadPoolExecutor(ORDER_THREADS, thread_name_prefix="order")
@@ -105,15 +115,19 @@
             body=msgspec.json.encode(request.body),
             created=int(self._clock.now().timestamp()),
         )
+        partition = partition_of(order.organisation, order.key)
+        self._explain(request, f"order of partition {partition} for {request.service}")
         event = order_messages.OrderSubmitted(request.request_id, order, request.deadline)
-        return self._await(request.request_id, event, request.deadline)
+        outcome = self._await(request.request_id, event, request.deadline)
+        self._explain(request, _describe(outcome))
+        return outcome
 
     def look_up(
         self, organisation: OrganisationId, key: IdempotencyKey
     ) -> Result[Mapping[str, Any], Problem]:
         """Return the stored outcome of an order of this organisation."""
         deadline = self._clock.monotonic() + LOOK_UP_TIME
-        request = RequestId(f"look-up-{threading.get_ident()}-{deadline.total_seconds()}")
+        request = RequestId(f"look-up-{secrets.token_hex(8)}")
         event = order_messages.LookUp(request, organisation, key, deadline)
         return self._await(request, event, deadline)
 
@@ -125,6 +139,9 @@
         """Tell the executor whether the platform was reached."""
         self._cores.submit(self._core, member_messages.PlatformReachable(reachable))
 
+    def _explain(self, request: ServiceRequest, event: str) -> None:
+        self._telemetry.decided(request.request_id, request.organisation, event)
+
     def _await(
         self,
         request: RequestId,
@@ -224,6 +241,13 @@
         self._cores.submit(self._core, finished)
 
 
+def _describe(outcome: Result[Mapping[str, Any], Problem]) -> str:
+    if isinstance(outcome, Ok):
+        return "answered with the order's outcome"
+    problem = outcome.err_value
+    return f"{problem.code.number}, executed {problem.executed.value}: {problem.detail}"
+
+
 def _as_result(outcome: Result[Mapping[str, Any], Problem]) -> tuple[OrderResult, bool]:
     """Return the result to be stored, and whether the order may have been executed."""
     if isinstance(outcome, Ok):
