Measure a stage call with the real telemetry

Cause: the measurement had a twin of the Telemetry port that dropped everything, so its figure left telemetry out.

--- a/src/chervilrack/_internal/execution/measure.py
+++ b/src/chervilrack/_internal/execution/measure.py
@@ -20,14 +20,12 @@
 import urllib3
 
 from chervilrack._internal.common.clock import SystemClock
-from chervilrack._internal.common.effects import ActionTaken
 from chervilrack._internal.common.ids import (
     AttemptId,
     LimitId,
     OrganisationId,
     RequestId,
     ServiceId,
-    StageId,
     TeamId,
     UpstreamId,
     ZoneId,
@@ -38,6 +36,7 @@
 from chervilrack._internal.execution.scheduler import Scheduler
 from chervilrack._internal.execution.work import WorkPlanner
 from chervilrack._internal.limits.port import Permit
+from chervilrack._internal.observability.telemetry import NodeTelemetry
 from chervilrack._internal.releases.state import (
     Configuration,
     Operation,
@@ -127,43 +126,6 @@
         """Ignore the demand."""
 
 
-class _NoTelemetry:
-    """Drops everything."""
-
-    def decided(self, request_id: RequestId, organisation: OrganisationId, event: str) -> None:
-        """Drop the entry."""
-
-    def action(self, action: ActionTaken) -> None:
-        """Drop the action."""
-
-    def request_finished(
-        self,
-        organisation: OrganisationId,
-        priority_class: str,
-        target: str,
-        outcome: str,
-        duration: timedelta,
-    ) -> None:
-        """Drop the request."""
-
-    def stage_finished(
-        self,
-        stage: StageId,
-        priority_class: str,
-        team: TeamId,
-        upstream: UpstreamId,
-        queue_time: timedelta,
-        service_time: timedelta,
-        tokens: int,
-    ) -> None:
-        """Drop the attempt."""
-
-    def token_times(
-        self, priority_class: str, first: timedelta, between: tuple[timedelta, ...]
-    ) -> None:
-        """Drop the times."""
-
-
 def _timed(action: Callable[[], None]) -> tuple[float, float]:
     """Return the milliseconds and the calling thread's CPU milliseconds of one action."""
     cpu, wall = time.thread_time(), time.perf_counter()
@@ -200,7 +162,7 @@
             lock=threading.RLock(),
             clock=clock,
             may_act=lambda: True,
-            telemetry=_NoTelemetry(),
+            telemetry=NodeTelemetry(clock),
         )
         direct_pool = urllib3.connection_from_url(service.address)
 
