--- a/Makefile
+++ b/Makefile
@@ -1,15 +1,15 @@
 # VENV may name a shared environment; the default is created on first use.
 VENV ?= .venv
 PY := $(VENV)/bin/python
-STAMP := $(VENV)/.installed-$(shell sha256sum requirements.txt | cut -c1-12)
+STAMP := $(VENV)/.installed-$(shell sha256sum requirements.txt requirements-dev.txt | sha256sum | cut -c1-12)
 export PYTHONPATH := $(CURDIR)/src
 
 .PHONY: run test lint format fuzz setup
 setup: $(STAMP)
 
-$(STAMP): requirements.txt
+$(STAMP): requirements.txt requirements-dev.txt
 	@test -x $(PY) || python3 -m venv $(VENV)
-	@$(PY) -m pip install --quiet --disable-pip-version-check -r requirements.txt
+	@$(PY) -m pip install --quiet --disable-pip-version-check -r requirements-dev.txt
 	@touch $@
 
 run: $(STAMP)
--- /dev/null
+++ b/deploy/node.py
@@ -0,0 +1,10 @@
+"""Entry point on the platform: runs the package from the source tree."""
+
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
+
+from chervilrack.platform.run import main  # noqa: E402
+
+main()
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -13,10 +13,10 @@
 
 from chervilrack._internal.common.clock import ManualClock
 from chervilrack._internal.exceptions import PlatformError, PlatformUnavailable, WatchCompacted
-from chervilrack._internal.platform.etcd import EtcdPlatform
-from chervilrack._internal.platform.memory import MemoryPlatform
-from chervilrack._internal.platform.port import Compare, Put, VmList
-from chervilrack._internal.platform.registry import PlatformSettings, open_platform
+from chervilrack._internal.kvstore.etcd import EtcdPlatform
+from chervilrack._internal.kvstore.memory import MemoryPlatform
+from chervilrack._internal.kvstore.port import Compare, Put, VmList
+from chervilrack._internal.kvstore.registry import PlatformSettings, open_platform
 from chervilrack._internal.standins.platform import PlatformStandIn, VmState
 
 SECOND = timedelta(seconds=1)
--- a/features/steps/releases_machine.py
+++ b/features/steps/releases_machine.py
@@ -10,7 +10,7 @@
 from chervilrack._internal.common.effects import ActionTaken, Send
 from chervilrack._internal.common.results import Executed, ResultCode
 from chervilrack._internal.exceptions import PlatformError
-from chervilrack._internal.platform.memory import MemoryPlatform
+from chervilrack._internal.kvstore.memory import MemoryPlatform
 from chervilrack._internal.releases import accept, core, messages
 from chervilrack._internal.releases.note import (
     Added,
--- a/features/steps/releases_steps.py
+++ b/features/steps/releases_steps.py
@@ -17,10 +17,10 @@
 from chervilrack._internal.common.results import Executed
 from chervilrack._internal.common.units import parse_duration, parse_size
 from chervilrack._internal.exceptions import InvalidDocumentError
-from chervilrack._internal.platform.etcd import EtcdPlatform
-from chervilrack._internal.platform.memory import MemoryPlatform
-from chervilrack._internal.platform.port import Compare
-from chervilrack._internal.platform.registry import PlatformSettings
+from chervilrack._internal.kvstore.etcd import EtcdPlatform
+from chervilrack._internal.kvstore.memory import MemoryPlatform
+from chervilrack._internal.kvstore.port import Compare
+from chervilrack._internal.kvstore.registry import PlatformSettings
 from chervilrack._internal.releases import accept, core, messages
 from chervilrack._internal.releases.apply import apply_note
 from chervilrack._internal.releases.check import check_note, read_checked_note
--- /dev/null
+++ b/src/chervilrack/_internal/balancing/__init__.py
@@ -0,0 +1,1 @@
+"""Chooses the upstream of a pass-through request from load, prompt caches and health."""
--- /dev/null
+++ b/src/chervilrack/_internal/balancing/state.py
@@ -0,0 +1,113 @@
+"""What one node knows about the load and health of upstreams, and its settings."""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+import msgspec
+
+from chervilrack._internal.common.ids import UpstreamId
+
+_ZERO = timedelta(0)
+
+
+@dataclass(frozen=True, slots=True)
+class BalancingSettings:
+    """Tuning of the choice of upstreams."""
+
+    # Prompt tokens an engine reads in a second; the engines' sheet says 38.4 in a millisecond.
+    prefill_tokens_per_s: float = 38_400.0
+    # Time that one more running request adds to the wait of a new one: prompts are read in
+    # chunks of 4096 tokens between the tokens of the requests that run.
+    running_cost: timedelta = timedelta(milliseconds=4)
+    # Extra cost of another zone for a request: two crossings of 1.4 ms.
+    zone_cost: timedelta = timedelta(milliseconds=3)
+    # Failures in a row after which an upstream gets no work for a while.
+    eject_failures: int = 2
+    eject_time: timedelta = timedelta(seconds=1)
+    eject_time_longest: timedelta = timedelta(seconds=6)
+    # Share of a service's upstreams that always stay in use.
+    usable_floor: float = 0.5
+    # Weight of one observation in an upstream's pace.
+    pace_weight: float = 0.3
+    # Time in which a pace without new observations moves half way back to normal.
+    pace_half_life: timedelta = timedelta(seconds=4)
+    # Peers that report an upstream as failing before this node avoids it without own evidence.
+    suspecting_peers: int = 2
+    cached_parts: int = 4096
+
+
+class UpstreamReport(msgspec.Struct, frozen=True, array_like=True):
+    """One node's view of one upstream: its own work there and its own evidence of failures."""
+
+    upstream: str
+    in_flight: int
+    tokens: int
+    suspected: bool
+    pace: float
+
+
+@dataclass(slots=True)
+class UpstreamStatus:
+    """State of one upstream as one node sees it.
+
+    ``tokens`` are prompt tokens of own requests that have not produced a first event. ``pace`` is
+    the ratio of observed to expected times. ``others`` hold the reports of other nodes.
+    """
+
+    in_flight: int = 0
+    tokens: int = 0
+    failures: int = 0
+    ejections: int = 0
+    ejected_until: timedelta = _ZERO
+    probing: bool = False
+    last_success: timedelta | None = None
+    pace: float = 1.0
+    pace_at: timedelta = _ZERO
+    cached: OrderedDict[str, timedelta] = field(default_factory=OrderedDict)
+
+
+@dataclass(frozen=True, slots=True)
+class OthersView:
+    """Sum of other nodes' reports about one upstream."""
+
+    in_flight: int = 0
+    tokens: int = 0
+    suspecting: int = 0
+    pace: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class Work:
+    """One request to be placed.
+
+    ``tokens`` is the prompt; ``parts`` its shared parts in order, with their sizes. ``session``
+    is the last shared part: requests of one session go to the same engine where they can.
+    """
+
+    tokens: int = 0
+    parts: tuple[tuple[str, int], ...] = ()
+
+    @property
+    def session(self) -> str | None:
+        """The last shared part, None for work without a prompt."""
+        return self.parts[-1][0] if self.parts else None
+
+    @property
+    def shared_tokens(self) -> int:
+        """Tokens of all shared parts."""
+        return sum(tokens for _, tokens in self.parts)
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """Choice of an upstream, and the figures that decided it.
+
+    ``wait`` is the expected time until the first byte, ``usual`` the same at the usual pace.
+    """
+
+    upstream: UpstreamId
+    reason: str
+    wait: timedelta
+    usual: timedelta
+    candidates: int
--- /dev/null
+++ b/src/chervilrack/_internal/batching/core.py
@@ -0,0 +1,381 @@
+"""Queue of one stage service: forms calls from the pieces of many requests.
+
+A call takes a fixed time and a little more for each piece, and an upstream runs one call at a
+time, so that full calls are the capacity. A free upstream takes the most urgent pieces at once;
+while all are busy, pieces gather.
+"""
+
+import itertools
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+
+from chervilrack._internal.balancing.core import Balancer
+from chervilrack._internal.balancing.state import Work
+from chervilrack._internal.batching.state import (
+    Call,
+    Deliver,
+    FreeResults,
+    KeptResult,
+    Order,
+    OrderId,
+    Piece,
+    StartCall,
+)
+from chervilrack._internal.catalogue.state import BatchSpec, UpstreamEntry
+from chervilrack._internal.common.ids import ServiceId, UpstreamId
+from chervilrack._internal.forwarding.dialect import PieceFailure
+
+BatchEffect = StartCall | Deliver | FreeResults
+
+_ZERO = timedelta(0)
+_NO_TOKENS = Work()
+
+
+@dataclass(frozen=True, slots=True)
+class BatchingSettings:
+    """Tuning of the queues."""
+
+    # Calls of one piece before it counts as failed.
+    max_attempts: int = 3
+    # A call that takes this many times its expected time, and this much longer, is repeated
+    # elsewhere. Upstreams of one service differ by a factor of about 1.3.
+    straggler_ratio: float = 1.8
+    straggler_slack: timedelta = timedelta(milliseconds=150)
+    # Pace from which an upstream is used only when the others cannot take the queue.
+    slow_pace: float = 2.0
+    # A call is given up after this many times its expected time, and this much longer.
+    timeout_ratio: float = 4.0
+    timeout_slack: timedelta = timedelta(seconds=1)
+    # Time before the deadline at which a piece that missed its target has to be done.
+    late_margin: timedelta = timedelta(milliseconds=1500)
+
+
+@dataclass(slots=True)
+class _Upstream:
+    entry: UpstreamEntry
+    call: int | None
+    kept: dict[str, KeptResult]
+    full_until: timedelta = _ZERO
+
+
+class StageQueue:
+    """Queue and calls of one stage service at its owner."""
+
+    def __init__(
+        self,
+        service: ServiceId,
+        balancer: Balancer,
+        settings: BatchingSettings | None = None,
+        call_numbers: Iterable[int] | None = None,
+    ) -> None:
+        self.service = service
+        self._balancer = balancer
+        self._settings = settings or BatchingSettings()
+        self._numbers = iter(call_numbers or itertools.count(1))
+        self._spec: BatchSpec | None = None
+        self._upstreams: dict[UpstreamId, _Upstream] = {}
+        self._orders: dict[OrderId, Order] = {}
+        self._waiting: list[Piece] = []
+        self._calls: dict[int, Call] = {}
+
+    @property
+    def waiting(self) -> int:
+        """Pieces that wait for a call."""
+        return len(self._waiting)
+
+    @property
+    def calls(self) -> int:
+        """Calls in progress."""
+        return len(self._calls)
+
+    def configure(self, spec: BatchSpec, entries: Sequence[UpstreamEntry]) -> None:
+        """Set the service's figures and the upstreams that may be called."""
+        self._spec = spec
+        known = {entry.id: entry for entry in entries}
+        for upstream in [name for name in self._upstreams if name not in known]:
+            del self._upstreams[upstream]
+        for entry in entries:
+            found = self._upstreams.get(entry.id)
+            if found is None:
+                self._upstreams[entry.id] = _Upstream(entry, None, {})
+            else:
+                found.entry = entry
+
+    def submit(self, order: Order, now: timedelta) -> list[BatchEffect]:
+        """Queue the pieces of an order; one that is known already is ignored."""
+        if order.id in self._orders:
+            return []
+        self._orders[order.id] = order
+        self._waiting += [Piece(order, segment) for segment in sorted(order.open_segments)]
+        return self.dispatch(now)
+
+    def expected_wait(self, now: timedelta) -> timedelta:
+        """Return the expected time until a piece queued now has its result."""
+        if self._spec is None or not self._upstreams:
+            return _ZERO
+        spec = self._spec
+        full_call = spec.call_time + spec.batch * spec.item_time
+        free = sum(1 for upstream in self._upstreams.values() if upstream.call is None)
+        if free:
+            return spec.call_time + spec.item_time
+        calls_ahead = len(self._waiting) / max(1, spec.batch) / len(self._upstreams)
+        return full_call * (0.5 + calls_ahead) + full_call
+
+    def drop(self, order_id: OrderId) -> None:
+        """Forget an order whose request ended."""
+        order = self._orders.pop(order_id, None)
+        if order is not None:
+            order.open_segments.clear()
+            self._waiting = [piece for piece in self._waiting if piece.order is not order]
+
+    def release(self, handles: Sequence[tuple[str, str]], now: timedelta) -> list[BatchEffect]:
+        """Free results, given as pairs of maker address and handle."""
+        by_address: dict[str, list[str]] = {}
+        for address, handle in handles:
+            by_address.setdefault(address, []).append(handle)
+        for upstream in self._upstreams.values():
+            for handle in by_address.get(upstream.entry.address, ()):
+                upstream.kept.pop(handle, None)
+        effects: list[BatchEffect] = [
+            FreeResults(address, tuple(found)) for address, found in by_address.items()
+        ]
+        return effects + self.dispatch(now)
+
+    def call_ended(
+        self, call_id: int, results: Sequence[str | PieceFailure], now: timedelta
+    ) -> list[BatchEffect]:
+        """Take the results of a call, one for each of its pieces."""
+        call = self._finish(call_id)
+        if call is None:
+            return []
+        self._balancer.succeeded(call.upstream, now)
+        self._balancer.observe_pace(call.upstream, call.expected, now - call.started, now)
+        upstream = self._upstreams.get(call.upstream)
+        delivered: dict[OrderId, list[tuple[int, str | PieceFailure]]] = {}
+        unwanted: list[str] = []
+        for piece, result in zip(call.pieces, results, strict=True):
+            piece.sent -= 1
+            if isinstance(result, str):
+                self._keep(upstream, result, piece.order.result_size, now)
+                if not piece.is_open:
+                    unwanted.append(result)
+                    continue
+            elif not piece.is_open or self._retry(piece, result, upstream, now):
+                continue
+            self._close(piece, result, delivered)
+        effects: list[BatchEffect] = _deliveries(delivered)
+        if unwanted:
+            return effects + self.release([(call.address, handle) for handle in unwanted], now)
+        return effects + self.dispatch(now)
+
+    def call_failed(
+        self, call_id: int, reason: str, now: timedelta, certain: bool, not_executed: bool
+    ) -> list[BatchEffect]:
+        """Take the failure of a whole call; ``certain`` means that the upstream is not there."""
+        call = self._finish(call_id)
+        if call is None:
+            return []
+        if not not_executed:
+            self._balancer.failed(call.upstream, now, reason, certain)
+        else:
+            # The upstream runs a call of somebody else; its queue is short.
+            upstream = self._upstreams.get(call.upstream)
+            if upstream is not None:
+                upstream.full_until = now + (self._spec.call_time if self._spec else _ZERO) / 2
+        delivered: dict[OrderId, list[tuple[int, str | PieceFailure]]] = {}
+        for piece in call.pieces:
+            piece.sent -= 1
+            if not piece.is_open or piece.sent > 0:
+                continue
+            if not_executed:
+                piece.attempts -= 1
+            if piece.attempts >= self._settings.max_attempts:
+                self._close(piece, PieceFailure.ERROR, delivered)
+            elif piece not in self._waiting:
+                self._waiting.append(piece)
+        return [*_deliveries(delivered), *self.dispatch(now)]
+
+    def next_time(self) -> timedelta | None:
+        """Return when ``tick`` has something to do if nothing else happens."""
+        times = [self._straggles_at(call) for call in self._calls.values() if not call.hedged]
+        if self._waiting:
+            times.append(min(piece.order.deadline for piece in self._waiting))
+            times += [u.full_until for u in self._upstreams.values() if u.full_until > _ZERO]
+            times += [
+                min(kept.until for kept in u.kept.values())
+                for u in self._upstreams.values()
+                if u.kept
+            ]
+        return min(times, default=None)
+
+    def tick(self, now: timedelta) -> list[BatchEffect]:
+        """Give up late pieces, repeat those of stragglers, and start calls."""
+        delivered: dict[OrderId, list[tuple[int, str | PieceFailure]]] = {}
+        for piece in [p for p in self._waiting if p.order.deadline <= now]:
+            self._waiting.remove(piece)
+            if piece.is_open:
+                self._close(piece, PieceFailure.LATE, delivered)
+        for call in self._calls.values():
+            if not call.hedged and now >= self._straggles_at(call):
+                call.hedged = True
+                self._balancer.observe_pace(call.upstream, call.expected, now - call.started, now)
+                self._waiting += [
+                    piece
+                    for piece in call.pieces
+                    if piece.is_open
+                    and piece.attempts < self._settings.max_attempts
+                    and piece not in self._waiting
+                ]
+        return [*_deliveries(delivered), *self.dispatch(now)]
+
+    def dispatch(self, now: timedelta) -> list[BatchEffect]:
+        """Start calls at free upstreams for the most urgent pieces."""
+        effects: list[BatchEffect] = []
+        if self._spec is None:
+            return effects
+        while self._waiting:
+            upstream = self._next_upstream(now)
+            if upstream is None:
+                break
+            pieces = self._take(upstream, now)
+            if not pieces:
+                break
+            effects.append(self._start(upstream, pieces, now))
+        return effects
+
+    # Choice of upstream and pieces
+
+    def _next_upstream(self, now: timedelta) -> _Upstream | None:
+        """Return the fastest free upstream, slow ones only while the others cannot cope."""
+        assert self._spec is not None
+        usable = [u for u in self._upstreams.values() if not self._suspected(u, now)]
+        if len(usable) * 2 < len(self._upstreams):
+            usable = list(self._upstreams.values())
+        sound = [u for u in usable if self._pace(u, now) < self._settings.slow_pace]
+        free = [u for u in sound if self._is_free(u, now)]
+        if not free and len(self._waiting) > 2 * self._spec.batch * len(sound):
+            free = [u for u in usable if self._is_free(u, now)]
+        if not free:
+            return None
+        zone = min(self._waiting, key=lambda piece: self._due(piece, now)).order.zone
+        return min(
+            free,
+            key=lambda u: (round(self._pace(u, now), 1), u.entry.zone != zone, u.entry.id),
+        )
+
+    def _take(self, upstream: _Upstream, now: timedelta) -> tuple[Piece, ...]:
+        """Remove the most urgent pieces that fit into one call of this upstream."""
+        assert self._spec is not None
+        room = self._spec.result_space - self._occupied(upstream, now)
+        taken: list[Piece] = []
+        order = sorted(self._waiting, key=lambda p: (self._due(p, now), p.order.id, p.segment))
+        for piece in order:
+            if len(taken) >= self._spec.batch:
+                break
+            if piece.order.result_size > room:
+                continue
+            room -= piece.order.result_size
+            taken.append(piece)
+        chosen = {id(piece) for piece in taken}
+        self._waiting = [piece for piece in self._waiting if id(piece) not in chosen]
+        return tuple(taken)
+
+    def _start(self, upstream: _Upstream, pieces: tuple[Piece, ...], now: timedelta) -> StartCall:
+        assert self._spec is not None
+        settings = self._settings
+        expected = self._spec.call_time + len(pieces) * self._spec.item_time
+        number = next(self._numbers)
+        for piece in pieces:
+            piece.attempts += 1
+            piece.sent += 1
+        reserved = sum(piece.order.result_size for piece in pieces)
+        entry = upstream.entry
+        upstream.call = number
+        upstream.full_until = _ZERO
+        self._balancer.started(entry.id, _NO_TOKENS, now)
+        self._calls[number] = Call(number, entry.id, entry.address, pieces, now, expected, reserved)
+        timeout = expected * settings.timeout_ratio + settings.timeout_slack
+        return StartCall(number, entry.id, entry.address, pieces, expected, timeout)
+
+    def _due(self, piece: Piece, now: timedelta) -> timedelta:
+        """Return until when a piece should be done: its target, or else its deadline."""
+        order = piece.order
+        assert self._spec is not None
+        if now + self._spec.call_time <= order.due:
+            return order.due
+        return max(order.due, order.deadline - self._settings.late_margin)
+
+    def _suspected(self, upstream: _Upstream, now: timedelta) -> bool:
+        return self._balancer.is_suspected(upstream.entry.id, now)
+
+    def _pace(self, upstream: _Upstream, now: timedelta) -> float:
+        return self._balancer.pace(self._balancer.status(upstream.entry.id), now)
+
+    def _is_free(self, upstream: _Upstream, now: timedelta) -> bool:
+        assert self._spec is not None
+        if upstream.call is not None or now < upstream.full_until:
+            return False
+        smallest = min(piece.order.result_size for piece in self._waiting)
+        return self._occupied(upstream, now) + smallest <= self._spec.result_space
+
+    def _occupied(self, upstream: _Upstream, now: timedelta) -> int:
+        for handle in [h for h, kept in upstream.kept.items() if kept.until <= now]:
+            del upstream.kept[handle]
+        return sum(kept.size for kept in upstream.kept.values())
+
+    # Ends of calls and pieces
+
+    def _finish(self, call_id: int) -> Call | None:
+        call = self._calls.pop(call_id, None)
+        if call is not None:
+            self._balancer.ended(call.upstream)
+            upstream = self._upstreams.get(call.upstream)
+            if upstream is not None and upstream.call == call_id:
+                upstream.call = None
+        return call
+
+    def _keep(self, upstream: _Upstream | None, handle: str, size: int, now: timedelta) -> None:
+        if upstream is not None and self._spec is not None:
+            upstream.kept[handle] = KeptResult(size, now + self._spec.result_lifetime)
+
+    def _retry(
+        self, piece: Piece, failure: PieceFailure, upstream: _Upstream | None, now: timedelta
+    ) -> bool:
+        """Queue a piece again after a failure that another call may avoid."""
+        if piece.sent > 0:
+            return True
+        if failure is PieceFailure.NO_ROOM:
+            if upstream is not None and self._spec is not None:
+                upstream.full_until = now + self._spec.call_time
+            piece.attempts -= 1
+        elif failure is not PieceFailure.ERROR:
+            return False
+        if piece.attempts >= self._settings.max_attempts:
+            return False
+        if piece not in self._waiting:
+            self._waiting.append(piece)
+        return True
+
+    def _close(
+        self,
+        piece: Piece,
+        result: str | PieceFailure,
+        delivered: dict[OrderId, list[tuple[int, str | PieceFailure]]],
+    ) -> None:
+        order = piece.order
+        order.open_segments.discard(piece.segment)
+        delivered.setdefault(order.id, []).append((piece.segment, result))
+        self._waiting = [other for other in self._waiting if other is not piece]
+        if not order.open_segments:
+            self._orders.pop(order.id, None)
+
+    def _straggles_at(self, call: Call) -> timedelta:
+        settings = self._settings
+        return call.started + call.expected * settings.straggler_ratio + settings.straggler_slack
+
+
+def _deliveries(
+    delivered: dict[OrderId, list[tuple[int, str | PieceFailure]]],
+) -> list[BatchEffect]:
+    return [Deliver(order, tuple(results)) for order, results in delivered.items()]
--- /dev/null
+++ b/src/chervilrack/_internal/batching/state.py
@@ -0,0 +1,92 @@
+"""State of the queue of one stage service."""
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from chervilrack._internal.common.ids import NodeId, RequestId, ServiceId, UpstreamId
+from chervilrack._internal.forwarding.dialect import PieceFailure
+
+# Identifies an order fleet-wide: the node that asked, and its own number.
+OrderId = tuple[NodeId, int]
+
+
+@dataclass(slots=True, eq=False)
+class Order:
+    """Pieces of one stage of one request, wanted by one node."""
+
+    id: OrderId
+    service: ServiceId
+    request_id: RequestId
+    stage: int
+    key: str
+    inputs: tuple[str, ...]
+    due: timedelta
+    deadline: timedelta
+    result_size: int
+    zone: str
+    open_segments: set[int] = field(default_factory=set)
+
+
+@dataclass(slots=True, eq=False)
+class Piece:
+    """One segment of an order; ``sent`` counts its calls in progress."""
+
+    order: Order
+    segment: int
+    attempts: int = 0
+    sent: int = 0
+
+    @property
+    def is_open(self) -> bool:
+        """Whether its result is still wanted."""
+        return self.segment in self.order.open_segments
+
+
+@dataclass(frozen=True, slots=True)
+class StartCall:
+    """Effect: call a stage upstream for these pieces."""
+
+    call: int
+    upstream: UpstreamId
+    address: str
+    pieces: tuple[Piece, ...]
+    expected: timedelta
+    timeout: timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class Deliver:
+    """Effect: tell the node that asked about some segments."""
+
+    order: OrderId
+    results: tuple[tuple[int, str | PieceFailure], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class FreeResults:
+    """Effect: free results at the upstream that keeps them."""
+
+    address: str
+    handles: tuple[str, ...]
+
+
+@dataclass(slots=True)
+class Call:
+    """A call in progress."""
+
+    id: int
+    upstream: UpstreamId
+    address: str
+    pieces: tuple[Piece, ...]
+    started: timedelta
+    expected: timedelta
+    reserved: int
+    hedged: bool = False
+
+
+@dataclass(slots=True)
+class KeptResult:
+    """A result that takes up space at its maker."""
+
+    size: int
+    until: timedelta
--- a/src/chervilrack/_internal/cluster/local.py
+++ b/src/chervilrack/_internal/cluster/local.py
@@ -16,10 +16,10 @@
 from chervilrack._internal.experiments.profile import Profile
 from chervilrack._internal.gateway.authentication import key_digest
 from chervilrack._internal.gateway.server import HttpServerSettings
+from chervilrack._internal.kvstore.registry import PlatformSettings, open_platform
 from chervilrack._internal.membership.state import MembershipSettings
 from chervilrack._internal.node.daemon import Node
 from chervilrack._internal.node.options import NodeOptions
-from chervilrack._internal.platform.registry import PlatformSettings, open_platform
 from chervilrack._internal.standins.platform import PlatformStandIn
 
 LOOPBACK = "127.0.0.1"
--- a/src/chervilrack/_internal/commands/node.py
+++ b/src/chervilrack/_internal/commands/node.py
@@ -13,10 +13,10 @@
 from chervilrack._internal.cli.status_codes import ExitStatus
 from chervilrack._internal.commands.settings import read_settings_file
 from chervilrack._internal.exceptions import ChervilrackError
+from chervilrack._internal.kvstore.registry import open_platform
 from chervilrack._internal.node.daemon import Node
 from chervilrack._internal.node.from_settings import load_curve_keys, options_from_settings
 from chervilrack._internal.observability.logs import configure_logging
-from chervilrack._internal.platform.registry import open_platform
 from chervilrack._internal.settings.node import NodeSettings, platform_settings
 
 POLL_S = 0.05
--- a/src/chervilrack/_internal/experiments/bed_process.py
+++ b/src/chervilrack/_internal/experiments/bed_process.py
@@ -21,10 +21,10 @@
 from chervilrack._internal.common.registry import Registry
 from chervilrack._internal.experiments.profile import load_profile
 from chervilrack._internal.gateway.server import HttpServerSettings
+from chervilrack._internal.kvstore.registry import PlatformSettings, open_platform
 from chervilrack._internal.membership.state import MembershipSettings
 from chervilrack._internal.node.daemon import Node
 from chervilrack._internal.node.options import NodeOptions
-from chervilrack._internal.platform.registry import PlatformSettings, open_platform
 
 LOOPBACK = "127.0.0.1"
 
--- /dev/null
+++ b/src/chervilrack/_internal/fleet/core.py
@@ -0,0 +1,191 @@
+"""Who is alive: decides from heartbeats which nodes callers may use and which own queues."""
+
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass
+from datetime import timedelta
+
+from chervilrack._internal.common.ids import Incarnation, NodeId
+from chervilrack._internal.fleet.messages import Heartbeat
+
+_ZERO = timedelta(0)
+
+
+@dataclass(frozen=True, slots=True)
+class FleetSettings:
+    """Timing of heartbeats."""
+
+    # A node that is killed is noticed within silence_limit; a caller's look-up is kept longer.
+    heartbeat: timedelta = timedelta(milliseconds=300)
+    # With more nodes each sends less often: 12.5 ms a node keep 80 messages/s at any size.
+    heartbeat_per_node: timedelta = timedelta(microseconds=12_500)
+    silence_heartbeats: float = 3.5
+    # Addresses that were heard of and never answer are dropped after this time.
+    forget_after: timedelta = timedelta(seconds=20)
+    # Peers named in one heartbeat; enough for a newcomer to learn all within a few.
+    gossiped_peers: int = 8
+    # Time a starting node waits for others before it counts its view as whole.
+    settle_time: timedelta = timedelta(milliseconds=700)
+
+
+@dataclass(slots=True)
+class Peer:
+    """Another node. ``heard_at`` is None until its first heartbeat."""
+
+    address: str
+    added_at: timedelta
+    node: NodeId | None = None
+    incarnation: Incarnation | None = None
+    heard_at: timedelta | None = None
+    last: Heartbeat | None = None
+    alive: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class PeerJoined:
+    """A node is heard for the first time, or again after a silence."""
+
+    node: NodeId
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class PeerLost:
+    """A node has been silent for too long, has restarted or has left."""
+
+    node: NodeId
+    reason: str
+
+
+FleetEffect = PeerJoined | PeerLost
+
+
+class Fleet:
+    """Other nodes as this node hears them."""
+
+    def __init__(
+        self,
+        node: NodeId,
+        address: str,
+        rng: random.Random,
+        settings: FleetSettings | None = None,
+    ) -> None:
+        self._node = node
+        self._address = address
+        self._rng = rng
+        self._settings = settings or FleetSettings()
+        self._peers: dict[str, Peer] = {}
+        self._by_node: dict[NodeId, Peer] = {}
+
+    @property
+    def interval(self) -> timedelta:
+        """Time between two heartbeats of this node."""
+        settings = self._settings
+        return max(settings.heartbeat, settings.heartbeat_per_node * (len(self._peers) + 1))
+
+    @property
+    def silence_limit(self) -> timedelta:
+        """Time without a heartbeat after which a node counts as lost."""
+        return self.interval * self._settings.silence_heartbeats
+
+    @property
+    def addresses(self) -> list[str]:
+        """Peer addresses that heartbeats go to."""
+        return list(self._peers)
+
+    @property
+    def alive(self) -> list[Peer]:
+        """Nodes that are heard."""
+        return [peer for peer in self._peers.values() if peer.alive]
+
+    @property
+    def size(self) -> int:
+        """Nodes that are heard, and this one."""
+        return 1 + sum(1 for peer in self._peers.values() if peer.alive)
+
+    def owners(self) -> list[NodeId]:
+        """Return the nodes that may own queues: alive, ready and not leaving."""
+        others = [
+            peer.node
+            for peer in self.alive
+            if peer.node is not None and peer.last is not None and peer.last.ready
+        ]
+        return sorted([self._node, *others])
+
+    def address_of(self, node: NodeId) -> str | None:
+        """Return the peer address of a node that is alive."""
+        peer = self._by_node.get(node)
+        return peer.address if peer is not None and peer.alive else None
+
+    def learn(self, addresses: Iterable[str], now: timedelta) -> None:
+        """Add addresses from the store, from seeds or from another node."""
+        for address in addresses:
+            if address != self._address and address not in self._peers:
+                self._peers[address] = Peer(address, now)
+
+    def heard(
+        self, node: NodeId, incarnation: Incarnation, beat: Heartbeat, now: timedelta
+    ) -> list[FleetEffect]:
+        """Take a heartbeat."""
+        self.learn((beat.address, *beat.peers), now)
+        peer = self._peers.get(beat.address)
+        if peer is None:  # this node's own address, from a predecessor
+            return []
+        effects: list[FleetEffect] = []
+        if peer.alive and peer.incarnation != incarnation:
+            effects.append(PeerLost(peer.node or node, "restarted"))
+            peer.alive = False
+        peer.node, peer.incarnation = node, incarnation
+        peer.heard_at, peer.last = now, beat
+        self._by_node[node] = peer
+        if beat.leaving:
+            if peer.alive:
+                peer.alive = False
+                effects.append(PeerLost(node, "leaving"))
+        elif not peer.alive:
+            peer.alive = True
+            effects.append(PeerJoined(node, peer.address))
+        return effects
+
+    def tick(self, now: timedelta) -> list[FleetEffect]:
+        """Note nodes that have been silent for too long."""
+        effects: list[FleetEffect] = []
+        limit = self.silence_limit
+        for address, peer in list(self._peers.items()):
+            last = peer.heard_at if peer.heard_at is not None else peer.added_at
+            if peer.alive and now - last > limit:
+                peer.alive = False
+                assert peer.node is not None
+                effects.append(
+                    PeerLost(peer.node, f"silent for {(now - last).total_seconds():.2f} s")
+                )
+            if not peer.alive and now - last > self._settings.forget_after:
+                del self._peers[address]
+                if peer.node is not None and self._by_node.get(peer.node) is peer:
+                    del self._by_node[peer.node]
+        return effects
+
+    def woke(self, paused: timedelta) -> None:
+        """Shift what was heard after this process was paused, so that nobody seems silent."""
+        for peer in self._peers.values():
+            if peer.heard_at is not None:
+                peer.heard_at += paused
+
+    def gossip(self) -> tuple[str, ...]:
+        """Return a few addresses of nodes that are alive."""
+        alive = [peer.address for peer in self.alive]
+        return tuple(self._rng.sample(alive, min(len(alive), self._settings.gossiped_peers)))
+
+    def endpoints(self, own: str | None, most: int) -> list[str]:
+        """Return the callers' addresses of ready nodes in random order, at most ``most``.
+
+        Callers of all zones use all nodes: a zone's load may exceed its nodes, and a crossing
+        takes a thousandth of the shortest target.
+        """
+        addresses = [
+            peer.last.callers for peer in self.alive if peer.last is not None and peer.last.ready
+        ]
+        if own is not None:
+            addresses.append(own)
+        self._rng.shuffle(addresses)
+        return addresses[:most]
--- /dev/null
+++ b/src/chervilrack/_internal/forwarding/attempts.py
@@ -0,0 +1,258 @@
+"""One attempt of a request at one upstream: sends it and brings back a whole answer or a stream."""
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import Enum
+from typing import Protocol
+
+import urllib3
+
+from chervilrack._internal.balancing.state import Placement
+from chervilrack._internal.catalogue.state import RequestKind, UpstreamEntry
+from chervilrack._internal.common.clock import Clock
+from chervilrack._internal.forwarding.context import RequestContext
+from chervilrack._internal.forwarding.dialect import Dialect, UpstreamStamp
+from chervilrack._internal.forwarding.messages import Responder
+from chervilrack._internal.forwarding.stages import StageRun
+from chervilrack._internal.forwarding.streams import StreamRelay
+from chervilrack._internal.upstreams.exchange import Exchange, ExchangeFailed
+
+# Statuses that promise that a request was not run; an upstream's own need its statement.
+PROMISES = frozenset((408, 421, 429, 503))
+HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+    )
+)
+INPUT_GONE_STATUS = 409
+
+
+class Verdict(Enum):
+    """How an attempt ended."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not run"
+    INPUT_GONE = "input gone"
+    FAILED = "failed"
+    CUT_OFF = "cut off"
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptEnd:
+    """End of one attempt.
+
+    ``arrived`` tells whether the upstream may have seen the request. ``answer`` is the upstream's
+    own failure, which is passed on if nothing better comes.
+    """
+
+    verdict: Verdict
+    detail: str
+    status: int = 0
+    arrived: bool = False
+    answer: tuple[int, list[tuple[str, str]], bytes] | None = None
+
+
+class AttemptMeter(Protocol):
+    """Learns from attempts; safe for use by threads."""
+
+    def started(self, context: RequestContext, entry: UpstreamEntry, placement: Placement) -> None:
+        """Count an attempt as in flight."""
+
+    def first_byte(self, context: RequestContext, entry: UpstreamEntry) -> None:
+        """Note that the upstream has begun to answer."""
+
+    def ended(self, context: RequestContext, entry: UpstreamEntry) -> None:
+        """Count an attempt as over."""
+
+    def good(self, entry: UpstreamEntry) -> None:
+        """Record a good answer."""
+
+    def bad(self, entry: UpstreamEntry, reason: str, certain: bool) -> None:
+        """Record a failure of the upstream."""
+
+    def misdirected(self, entry: UpstreamEntry) -> None:
+        """Note that another upstream holds the address."""
+
+    def patience(self, context: RequestContext, placement: Placement) -> timedelta:
+        """Return how long to wait for the first byte before another upstream is better."""
+
+    def can_repeat(self, context: RequestContext) -> bool:
+        """Whether another upstream could take the request after this one."""
+
+
+class AttemptRunner:
+    """Runs attempts over HTTP."""
+
+    def __init__(self, dialect: Dialect, meter: AttemptMeter, clock: Clock) -> None:
+        self._dialect = dialect
+        self._meter = meter
+        self._clock = clock
+
+    def run(
+        self,
+        context: RequestContext,
+        responder: Responder,
+        entry: UpstreamEntry,
+        placement: Placement,
+        inputs: Sequence[str],
+        stages: StageRun | None,
+    ) -> AttemptEnd:
+        """Send the request to ``entry`` and answer the caller if that succeeds."""
+        relay = StreamRelay(context, responder)
+        self._meter.started(context, entry, placement)
+        try:
+            with Exchange(entry.address) as exchange:
+                context.on_gone(exchange.cancel)
+                try:
+                    return self._exchange(
+                        context, relay, responder, entry, placement, inputs, exchange, stages
+                    )
+                finally:
+                    context.off_gone(exchange.cancel)
+        finally:
+            self._meter.ended(context, entry)
+
+    def _exchange(
+        self,
+        context: RequestContext,
+        relay: StreamRelay,
+        responder: Responder,
+        entry: UpstreamEntry,
+        placement: Placement,
+        inputs: Sequence[str],
+        exchange: Exchange,
+        stages: StageRun | None,
+    ) -> AttemptEnd:
+        try:
+            response = self._send(context, entry, placement, inputs, exchange)
+        except ExchangeFailed as error:
+            return self._failed(context, entry, error)
+        headers = response.headers
+        answer = self._dialect.read_answer(response.status, headers)
+        if answer.request_id not in (None, context.facts.request_id):
+            self._meter.bad(entry, "an answer to another request", certain=False)
+            context.runs += 1
+            return AttemptEnd(Verdict.FAILED, "an answer to another request", arrived=True)
+        if answer.not_executed:
+            return self._not_run(context, entry, response.status, answer.misdirected)
+        context.runs += 1
+        if stages is not None:
+            stages.answered()
+        self._meter.first_byte(context, entry)
+        if 200 <= response.status < 300:
+            return self._success(
+                context, relay, responder, entry, exchange, response, answer.signed
+            )
+        return self._upstream_failure(context, entry, exchange, response)
+
+    def _send(
+        self,
+        context: RequestContext,
+        entry: UpstreamEntry,
+        placement: Placement,
+        inputs: Sequence[str],
+        exchange: Exchange,
+    ) -> urllib3.BaseHTTPResponse:
+        request = context.request
+        left = context.left(self._clock.monotonic())
+        stamp = UpstreamStamp(
+            deadline=left,
+            target=entry.id,
+            organisation=context.organisation,
+            urgency=min(9, 3 + 2 * context.priority) if context.work.tokens else None,
+            inputs=tuple(inputs),
+            last_event=context.last_event,
+        )
+        headers = self._dialect.request_headers(request.headers, stamp)
+        exchange.send(request.method, request.target, headers, request.body, left.total_seconds())
+        context.arrivals += 1
+        patience = self._meter.patience(context, placement)
+        if not exchange.wait_readable(patience.total_seconds()) and self._meter.can_repeat(context):
+            raise ExchangeFailed(f"silent for {patience.total_seconds():.2f} s", sent=True)
+        left = context.left(self._clock.monotonic())
+        return exchange.read_head(left.total_seconds())
+
+    def _failed(
+        self, context: RequestContext, entry: UpstreamEntry, error: ExchangeFailed
+    ) -> AttemptEnd:
+        if context.gone:
+            return AttemptEnd(Verdict.CUT_OFF, "the caller left", arrived=error.sent)
+        self._meter.bad(entry, error.detail, certain=error.unreachable)
+        if not error.sent:
+            return AttemptEnd(Verdict.NOT_RUN, error.detail)
+        context.runs += 1
+        return AttemptEnd(Verdict.FAILED, error.detail, arrived=True)
+
+    def _not_run(
+        self, context: RequestContext, entry: UpstreamEntry, status: int, misdirected: bool
+    ) -> AttemptEnd:
+        if misdirected:
+            self._meter.misdirected(entry)
+        elif status == INPUT_GONE_STATUS:
+            return AttemptEnd(Verdict.INPUT_GONE, "a stage result is gone", arrived=True)
+        elif status >= 500:
+            self._meter.bad(entry, f"rejected with {status}", certain=False)
+        return AttemptEnd(Verdict.NOT_RUN, f"rejected with {status}", status, arrived=True)
+
+    def _success(
+        self,
+        context: RequestContext,
+        relay: StreamRelay,
+        responder: Responder,
+        entry: UpstreamEntry,
+        exchange: Exchange,
+        response: urllib3.BaseHTTPResponse,
+        signed: bool,
+    ) -> AttemptEnd:
+        if not signed or "Content-Encoding" in response.headers:
+            self._meter.bad(entry, "an answer without signature", certain=False)
+            return AttemptEnd(Verdict.FAILED, "an answer without signature", arrived=True)
+        headers = passed_headers(response.headers)
+        deadline = context.deadline.total_seconds()
+        try:
+            if context.route.kind is RequestKind.STREAM:
+                relay.run(response.status, headers, exchange, deadline)
+            else:
+                body = exchange.read_body(deadline)
+                responder.answer(response.status, headers, body)
+        except ExchangeFailed as error:
+            if context.gone:
+                return AttemptEnd(Verdict.CUT_OFF, "the caller left", arrived=True)
+            self._meter.bad(entry, error.detail, certain=False)
+            return AttemptEnd(Verdict.FAILED, error.detail, arrived=True)
+        self._meter.good(entry)
+        return AttemptEnd(Verdict.ANSWERED, f"by {entry.id}", response.status, arrived=True)
+
+    def _upstream_failure(
+        self,
+        context: RequestContext,
+        entry: UpstreamEntry,
+        exchange: Exchange,
+        response: urllib3.BaseHTTPResponse,
+    ) -> AttemptEnd:
+        detail = f"the upstream answered {response.status}"
+        if response.status >= 500:
+            self._meter.bad(entry, detail, certain=False)
+        try:
+            body = exchange.read_body(context.deadline.total_seconds())
+        except ExchangeFailed as error:
+            return AttemptEnd(Verdict.FAILED, error.detail, response.status, arrived=True)
+        answer = None
+        if response.status not in PROMISES:
+            answer = (response.status, passed_headers(response.headers), body)
+        return AttemptEnd(Verdict.FAILED, detail, response.status, arrived=True, answer=answer)
+
+
+def passed_headers(headers: Mapping[str, str]) -> list[tuple[str, str]]:
+    """Return the fields of an answer without those that concern one connection."""
+    return [(name, value) for name, value in headers.items() if name.lower() not in HOP_BY_HOP]
--- /dev/null
+++ b/src/chervilrack/_internal/forwarding/forwarder.py
@@ -0,0 +1,302 @@
+"""Serves pass-through requests: route, key, stages, upstream, answer.
+
+Runs in the thread of the caller's connection. Decisions about upstreams, budgets and stages are
+taken by the cores behind ``ForwardingBackend``.
+"""
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Protocol
+
+from result import Err
+
+from chervilrack._internal.balancing.state import Placement, Work
+from chervilrack._internal.catalogue.state import Route, ServingConfiguration, UpstreamEntry
+from chervilrack._internal.common.clock import Clock
+from chervilrack._internal.common.ids import OrganisationId, RequestId, ServiceId, UpstreamId
+from chervilrack._internal.common.results import Problem, ResultCode
+from chervilrack._internal.forwarding.answers import problem_answer, retry_after
+from chervilrack._internal.forwarding.attempts import AttemptEnd, AttemptRunner, Verdict
+from chervilrack._internal.forwarding.context import RequestContext
+from chervilrack._internal.forwarding.dialect import CallerFacts, Dialect, MalformedFacts
+from chervilrack._internal.forwarding.messages import CallerGone, InboundRequest, Responder
+from chervilrack._internal.forwarding.stages import StageClient, StageRun
+
+# Deadline of a request that names none and whose route has none.
+LONGEST_DEADLINE = timedelta(seconds=60)
+# Kept back from the caller's deadline, so that an answer still reaches the caller.
+ANSWER_MARGIN = timedelta(milliseconds=20)
+# Upstreams that one request is offered to at most, those that reject it included.
+MAX_OFFERS = 4
+
+
+class ForwardingBackend(Protocol):
+    """What serving a request needs of the node; all methods are safe for use by threads."""
+
+    def configuration(self) -> ServingConfiguration | None:
+        """Return the configuration in force."""
+
+    def accepts(self) -> bool:
+        """Whether the node takes new requests."""
+
+    def upstreams(self, service: ServiceId) -> Sequence[UpstreamEntry]:
+        """Return the ready upstreams of a service."""
+
+    def choose(
+        self, service: ServiceId, work: Work, excluded: Sequence[UpstreamId]
+    ) -> tuple[UpstreamEntry, Placement] | None:
+        """Choose an upstream."""
+
+    def count_request(self, service: ServiceId) -> None:
+        """Count a caller's request for the retry budget."""
+
+    def may_repeat(self, service: ServiceId) -> bool:
+        """Take one repeat from the retry budget."""
+
+    def finished(self, context: RequestContext, outcome: "Outcome") -> None:
+        """Record the end of a request."""
+
+    def rejected(
+        self, request: InboundRequest, facts: CallerFacts | None, problem: Problem
+    ) -> None:
+        """Record a request that was answered before it had a route."""
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """How a request ended. ``status`` is 0 if the answer was cut off or nobody read it."""
+
+    name: str
+    status: int
+    detail: str
+    took: timedelta
+
+
+class Forwarder:
+    """Serves requests of one dialect."""
+
+    def __init__(
+        self,
+        backend: ForwardingBackend,
+        dialect: Dialect,
+        attempts: AttemptRunner,
+        stages: StageClient,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._backend = backend
+        self._dialect = dialect
+        self._attempts = attempts
+        self._stages = stages
+        self._clock = clock
+        self._rng = rng
+
+    def handle(self, request: InboundRequest, responder: Responder) -> None:
+        """Answer one request. Never raises CallerGone."""
+        try:
+            facts = self._dialect.read_request(request.headers)
+        except MalformedFacts as error:
+            self._reject(
+                request, None, responder, Problem(ResultCode.MALFORMED_REQUEST, str(error))
+            )
+            return
+        admitted = self._admit(request, facts)
+        if isinstance(admitted, Problem):
+            self._reject(request, facts, responder, admitted)
+            return
+        try:
+            with responder.when_gone(admitted.caller_left):
+                outcome = self._serve(admitted, responder)
+        except CallerGone:
+            outcome = self._outcome(admitted, "gone", 0, "the caller left")
+        self._backend.finished(admitted, outcome)
+
+    # Admission
+
+    def _admit(self, request: InboundRequest, facts: CallerFacts) -> RequestContext | Problem:
+        configuration = self._backend.configuration()
+        if configuration is None:
+            return Problem(ResultCode.NOT_READY, "this node knows no configuration yet")
+        if not self._backend.accepts():
+            return Problem(ResultCode.NOT_READY, "this node is leaving")
+        route = configuration.match(request.host, request.path)
+        if route is None:
+            return Problem(ResultCode.UNKNOWN_PATH, "no route matches the host and path")
+        organisation = configuration.keys.get(facts.key) if facts.key else None
+        if configuration.has_organisations and not route.anonymous and organisation is None:
+            code = ResultCode.KEY_MISSING if facts.key is None else ResultCode.KEY_INVALID
+            return Problem(code, "the route needs a key of an organisation")
+        return self._context(request, facts, configuration, route, organisation)
+
+    def _context(
+        self,
+        request: InboundRequest,
+        facts: CallerFacts,
+        configuration: ServingConfiguration,
+        route: Route,
+        organisation: OrganisationId | None,
+    ) -> RequestContext:
+        limit = route.timeout or LONGEST_DEADLINE
+        allowed = min(facts.deadline or limit, limit)
+        service = self._pick_service(route)
+        shared = facts.prefix[:-1]
+        context = RequestContext(
+            request=request,
+            facts=facts,
+            route=route,
+            service=service,
+            organisation=organisation,
+            priority=configuration.priority(route, organisation),
+            deadline=request.arrived + max(allowed - ANSWER_MARGIN, allowed / 2),
+            due=request.arrived + (route.target_latency or allowed),
+            configuration=configuration.version,
+            work=Work(facts.prompt_tokens, tuple((part.id, part.tokens) for part in shared)),
+        )
+        self._backend.count_request(service)
+        return context
+
+    def _pick_service(self, route: Route) -> ServiceId:
+        if len(route.split) == 1:
+            return route.split[0][0]
+        names = [name for name, _ in route.split]
+        return self._rng.choices(names, [weight for _, weight in route.split])[0]
+
+    # Serving
+
+    def _serve(self, context: RequestContext, responder: Responder) -> Outcome:
+        if not self._backend.upstreams(context.service):
+            problem = Problem(ResultCode.NO_UPSTREAM, "no upstream of the service is known")
+            return self._fail(context, responder, problem)
+        stages = self._open_stages(context)
+        try:
+            if stages is not None:
+                ended = stages.run()
+                if isinstance(ended, Err):
+                    return self._fail(context, responder, ended.err_value)
+                context.step(f"stages done after {self._age(context)} ms")
+            return self._offer(context, responder, stages)
+        finally:
+            if stages is not None:
+                stages.close()
+
+    def _open_stages(self, context: RequestContext) -> StageRun | None:
+        if not context.route.stages:
+            return None
+        likely = self._backend.choose(context.service, context.work, ())
+        zone = likely[0].zone if likely is not None else ""
+        return StageRun(context, self._stages, self._clock, zone)
+
+    def _offer(
+        self, context: RequestContext, responder: Responder, stages: StageRun | None
+    ) -> Outcome:
+        """Offer the request to upstreams until one has answered it or nothing is left to try."""
+        last: AttemptEnd | None = None
+        for _ in range(MAX_OFFERS):
+            if last is not None and context.arrivals and not self._repeats(context, last):
+                break
+            found = self._backend.choose(context.service, context.work, tuple(context.tried))
+            if found is None:
+                break
+            entry, placement = found
+            context.tried.add(entry.id)
+            if stages is not None and stages.spent:
+                ended = self._again(stages)
+                if ended is not None:
+                    return self._fail(context, responder, ended)
+            inputs = stages.inputs if stages is not None else ()
+            context.step(f"to {entry.id}: {placement.reason}")
+            last = self._attempts.run(context, responder, entry, placement, inputs, stages)
+            context.step(f"{last.verdict.value}: {last.detail}")
+            if last.verdict in (Verdict.ANSWERED, Verdict.CUT_OFF):
+                return self._outcome(context, last.verdict.value, last.status, last.detail)
+            if last.verdict is Verdict.INPUT_GONE and stages is not None:
+                stages.spend()
+                context.tried.discard(entry.id)
+            if context.left(self._clock.monotonic()) <= timedelta(0):
+                break
+        return self._give_up(context, responder, last)
+
+    def _again(self, stages: StageRun) -> Problem | None:
+        """Produce again what an earlier attempt has used up."""
+        if not stages.restart():
+            return Problem(ResultCode.NO_UPSTREAM, "stage results vanished too often")
+        ended = stages.run()
+        return ended.err_value if isinstance(ended, Err) else None
+
+    def _repeats(self, context: RequestContext, last: AttemptEnd) -> bool:
+        """Decide whether the request may go to another upstream."""
+        route = context.route
+        if last.verdict is Verdict.FAILED and not (
+            route.may_repeat and context.runs < route.max_attempts
+        ):
+            return False
+        if not last.arrived:
+            return True
+        allowed = self._backend.may_repeat(context.service)
+        if not allowed:
+            context.step("retry budget used up")
+        return allowed
+
+    def _give_up(
+        self, context: RequestContext, responder: Responder, last: AttemptEnd | None
+    ) -> Outcome:
+        if context.stream_begun:
+            responder.abort()
+            detail = last.detail if last is not None else "no upstream"
+            return self._outcome(context, "cut off", 0, detail)
+        if last is not None and last.answer is not None:
+            status, headers, body = last.answer
+            responder.answer(status, headers, body)
+            return self._outcome(context, "upstream failed", status, last.detail)
+        return self._fail(context, responder, self._final_problem(context, last))
+
+    def _final_problem(self, context: RequestContext, last: AttemptEnd | None) -> Problem:
+        passed = context.left(self._clock.monotonic()) <= timedelta(0)
+        if context.runs == 0:
+            if passed:
+                return Problem(ResultCode.DEADLINE_UNREACHABLE, "no upstream took it in time")
+            detail = "no upstream can be used" if last is None else last.detail
+            return Problem(ResultCode.NO_UPSTREAM, detail)
+        if passed:
+            return Problem(ResultCode.DEADLINE_PASSED, "no answer in time")
+        return Problem(ResultCode.UPSTREAM_FAILED, last.detail if last is not None else "")
+
+    # Ends
+
+    def _fail(self, context: RequestContext, responder: Responder, problem: Problem) -> Outcome:
+        if context.stream_begun:
+            responder.abort()
+            return self._outcome(context, "cut off", 0, problem.detail)
+        if problem.code.http_status == 503:
+            wait = retry_after(timedelta(milliseconds=300), self._rng)
+            problem = Problem(problem.code, problem.detail, problem.executed, wait)
+        if not context.gone:
+            responder.answer(*problem_answer(problem, context.facts.request_id))
+        return self._outcome(context, "rejected", problem.code.http_status, problem.detail)
+
+    def _reject(
+        self,
+        request: InboundRequest,
+        facts: CallerFacts | None,
+        responder: Responder,
+        problem: Problem,
+    ) -> None:
+        request_id: RequestId | None = facts.request_id if facts is not None else None
+        self._backend.rejected(request, facts, problem)
+        try:
+            responder.answer(*problem_answer(problem, request_id))
+        except CallerGone:
+            return
+
+    def _outcome(self, context: RequestContext, name: str, status: int, detail: str) -> Outcome:
+        if context.gone:
+            name = "gone"
+        took = self._clock.monotonic() - context.request.arrived
+        return Outcome(name, status, detail, took)
+
+    def _age(self, context: RequestContext) -> int:
+        return round(
+            (self._clock.monotonic() - context.request.arrived) / timedelta(milliseconds=1)
+        )
--- /dev/null
+++ b/src/chervilrack/_internal/forwarding/stages.py
@@ -0,0 +1,194 @@
+"""Runs the stages of one request by orders to the owners of the stage queues."""
+
+import queue
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import Protocol
+
+from result import Err, Ok, Result
+
+from chervilrack._internal.batching.progress import StageProgress
+from chervilrack._internal.common.clock import Clock
+from chervilrack._internal.common.ids import ServiceId
+from chervilrack._internal.common.results import Problem, ResultCode
+from chervilrack._internal.forwarding.context import RequestContext
+from chervilrack._internal.forwarding.dialect import PieceFailure
+
+# Times the stages of one request are started again after results have vanished.
+MAX_RESTARTS = 2
+# Time that the request itself needs after its stages, left out of the stages' deadline.
+RESERVED_FOR_REQUEST = timedelta(milliseconds=150)
+
+
+@dataclass(frozen=True, slots=True)
+class StageOrder:
+    """Pieces wanted of one stage."""
+
+    context: RequestContext
+    service: ServiceId
+    stage: int
+    segments: tuple[int, ...]
+    key: str
+    inputs: tuple[str, ...]
+    due: timedelta
+    deadline: timedelta
+    result_size: int
+    zone: str
+
+
+@dataclass(frozen=True, slots=True)
+class PieceResult:
+    """Result of one segment of a stage: a handle or why there is none."""
+
+    stage: int
+    segment: int
+    result: str | PieceFailure
+
+
+class StageClient(Protocol):
+    """Sends orders to the owners of the queues."""
+
+    def order(self, order: StageOrder, deliver: Callable[[PieceResult], None]) -> int:
+        """Ask for pieces; ``deliver`` gets each result. Return the order's number."""
+
+    def drop(self, number: int) -> None:
+        """Withdraw an order."""
+
+    def release(self, service: ServiceId, handles: Sequence[str]) -> None:
+        """Give up results."""
+
+
+class StageRun:
+    """Stages of one request, run by the thread that serves it."""
+
+    def __init__(
+        self,
+        context: RequestContext,
+        client: StageClient,
+        clock: Clock,
+        zone_hint: str,
+    ) -> None:
+        self._context = context
+        self._client = client
+        self._clock = clock
+        self._zone_hint = zone_hint
+        self._progress = StageProgress(context.route, context.facts.piece_counts)
+        self._results: queue.SimpleQueue[tuple[int, PieceResult] | None] = queue.SimpleQueue()
+        self._orders: list[int] = []
+        # Number of the current order of each stage; failures of earlier ones are of no interest.
+        self._generations: dict[int, int] = {}
+        self._restarts = 0
+        self._spent = False
+
+    @property
+    def spent(self) -> bool:
+        """Whether the results that the request reads were used up or have vanished."""
+        return self._spent
+
+    @property
+    def inputs(self) -> tuple[str, ...]:
+        """Handles that the request itself takes."""
+        return self._progress.final_handles()
+
+    def run(self) -> Result[None, Problem]:
+        """Run all stages that are not done. The problem of a failure states a request not run."""
+        wake: Callable[[], None] = lambda: self._results.put(None)  # noqa: E731
+        self._context.on_gone(wake)
+        try:
+            return self._run()
+        finally:
+            self._context.off_gone(wake)
+
+    def restart(self) -> bool:
+        """Forget the results that the request reads; return False if it was done too often."""
+        if self._restarts >= MAX_RESTARTS:
+            return False
+        self._restarts += 1
+        self._spent = False
+        self._progress.restart_inputs(None)
+        return True
+
+    def spend(self) -> None:
+        """Note that the results have vanished before the request read them."""
+        self._spent = True
+
+    def answered(self) -> None:
+        """Free the results that the request has read."""
+        self._release(answered=True)
+        self._spent = bool(self._progress.final_handles())
+
+    def close(self) -> None:
+        """Withdraw open orders and free everything."""
+        for number in self._orders:
+            self._client.drop(number)
+        self._orders.clear()
+        for stage in range(len(self._context.route.stages)):
+            handles = self._progress.take_handles(stage)
+            if handles:
+                self._client.release(self._progress.spec(stage).service, handles)
+
+    def _run(self) -> Result[None, Problem]:
+        while not self._progress.done:
+            for stage in self._progress.take_ready():
+                self._order(stage)
+            left = self._context.left(self._clock.monotonic()) - RESERVED_FOR_REQUEST
+            try:
+                found = self._results.get(timeout=max(0.0, left.total_seconds()))
+            except queue.Empty:
+                return Err(_late("the stages did not end in time"))
+            if self._context.gone:
+                return Err(Problem(ResultCode.CALLER_GONE, "the caller left during the stages"))
+            if found is None:
+                continue
+            failure = self._take(*found)
+            if failure is not None:
+                return Err(failure)
+        return Ok(None)
+
+    def _take(self, generation: int, result: PieceResult) -> Problem | None:
+        if isinstance(result.result, str):
+            if not self._progress.completed(result.stage, result.segment, result.result):
+                self._client.release(self._progress.spec(result.stage).service, [result.result])
+            self._release(answered=False)
+            return None
+        if generation != self._generations.get(result.stage):
+            return None
+        self._context.step(f"stage {result.stage}/{result.segment} {result.result.value}")
+        if result.result is PieceFailure.INPUT_GONE and self._restarts < MAX_RESTARTS:
+            self._restarts += 1
+            self._generations.pop(result.stage)
+            self._progress.restart_inputs(result.stage)
+            return None
+        if result.result is PieceFailure.LATE:
+            return _late(f"stage {result.stage} cannot end in time")
+        return Problem(ResultCode.NO_UPSTREAM, f"stage {result.stage} failed")
+
+    def _order(self, stage: int) -> None:
+        progress = self._progress
+        spec = progress.spec(stage)
+        context = self._context
+        order = StageOrder(
+            context=context,
+            service=spec.service,
+            stage=stage,
+            segments=tuple(range(progress.pieces(stage))),
+            key=context.facts.piece_key if not spec.after else "",
+            inputs=progress.inputs(stage) if spec.after else (),
+            due=context.due,
+            deadline=context.deadline - RESERVED_FOR_REQUEST,
+            result_size=spec.result_size,
+            zone=self._zone_hint,
+        )
+        generation = len(self._orders) + 1
+        self._generations[stage] = generation
+        number = self._client.order(order, lambda found: self._results.put((generation, found)))
+        self._orders.append(number)
+
+    def _release(self, *, answered: bool) -> None:
+        for stage, handles in self._progress.take_releasable(answered=answered):
+            self._client.release(self._progress.spec(stage).service, handles)
+
+
+def _late(detail: str) -> Problem:
+    return Problem(ResultCode.DEADLINE_UNREACHABLE, detail)
--- a/src/chervilrack/_internal/gateway/callers.py
+++ b/src/chervilrack/_internal/gateway/callers.py
@@ -1,6 +1,8 @@
 """Notices callers that close their connection while their request is in progress."""
 
 import contextlib
+import itertools
+import os
 import select
 import socket
 import threading
@@ -8,18 +10,21 @@
 from types import TracebackType
 from typing import Self
 
-POLL_INTERVAL_S = 0.1
-# Bytes that the caller sent ahead (pipelining) make a socket readable without being an end.
-_PEEK_BYTES = 1
-
 
 class CallerWatch:
-    """Polls the sockets of requests in progress; use as a context manager."""
+    """Waits for the end of callers' connections; use as a context manager.
+
+    One thread waits in epoll for all connections, so that idle ones cost nothing. Bytes that a
+    caller sends ahead (pipelining) are no end and do not wake it.
+    """
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
-        self._watched: dict[int, tuple[socket.socket, Callable[[], None]]] = {}
-        self._stopping = threading.Event()
+        self._actions: dict[int, tuple[int, Callable[[], None]]] = {}
+        self._numbers = itertools.count(1)
+        self._poller = select.epoll()
+        self._stop_reader, self._stop_writer = os.pipe()
+        self._poller.register(self._stop_reader, select.EPOLLIN)
         self._thread = threading.Thread(target=self._run, name="callers", daemon=True)
 
     def __enter__(self) -> Self:
@@ -32,53 +37,43 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        self._stopping.set()
+        os.write(self._stop_writer, b"x")
         self._thread.join()
+        self._poller.close()
+        os.close(self._stop_reader)
+        os.close(self._stop_writer)
 
     @contextlib.contextmanager
     def watching(
         self, connection: socket.socket | None, gone: Callable[[], None]
     ) -> Iterator[None]:
         """Call ``gone`` once if the caller closes the connection before the context ends."""
-        if connection is None:
+        descriptor = connection.fileno() if connection is not None else -1
+        if descriptor < 0:
             yield
             return
-        descriptor = connection.fileno()
+        number = next(self._numbers)
         with self._lock:
-            self._watched[descriptor] = (connection, gone)
+            self._actions[descriptor] = (number, gone)
+            # EPOLLHUP and EPOLLERR are always reported.
+            self._poller.register(descriptor, select.EPOLLRDHUP | select.EPOLLONESHOT)
         try:
             yield
         finally:
             with self._lock:
-                self._watched.pop(descriptor, None)
+                found = self._actions.get(descriptor)
+                if found is not None and found[0] == number:
+                    del self._actions[descriptor]
+                # OSError: the connection was closed, which ends its registration.
+                with contextlib.suppress(OSError, ValueError):
+                    self._poller.unregister(descriptor)
 
     def _run(self) -> None:
-        while not self._stopping.wait(POLL_INTERVAL_S):
-            for gone in self._collect_gone():
-                gone()
-
-    def _collect_gone(self) -> list[Callable[[], None]]:
-        with self._lock:
-            watched = dict(self._watched)
-        if not watched:
-            return []
-        poller = select.poll()
-        for descriptor in watched:
-            if descriptor >= 0:
-                poller.register(descriptor, select.POLLIN | select.POLLHUP | select.POLLERR)
-        ended = [fd for fd, _ in poller.poll(0) if _has_ended(watched[fd][0])]
-        with self._lock:
-            entries = [self._watched.pop(descriptor, None) for descriptor in ended]
-        return [entry[1] for entry in entries if entry is not None]
-
-
-def _has_ended(connection: socket.socket) -> bool:
-    raw = socket.socket(fileno=socket.dup(connection.fileno()))
-    try:
-        return raw.recv(_PEEK_BYTES, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
-    except BlockingIOError:
-        return False
-    except OSError:
-        return True
-    finally:
-        raw.close()
+        while True:
+            for descriptor, _ in self._poller.poll():
+                if descriptor == self._stop_reader:
+                    return
+                with self._lock:
+                    found = self._actions.pop(descriptor, None)
+                if found is not None:
+                    found[1]()
--- /dev/null
+++ b/src/chervilrack/_internal/gateway/intake.py
@@ -0,0 +1,128 @@
+"""Strict reading of requests: what could be read in two ways is refused (RFC 9112)."""
+
+import re
+from typing import Any, Final
+
+from cheroot.server import HeaderReader
+
+# Field names are tokens, RFC 9110 section 5.6.2.
+_TOKEN: Final = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
+_CHUNK_SIZE: Final = re.compile(rb"[0-9A-Fa-f]{1,8}")
+# Length of a line of the chunked coding, extensions included; callers need none.
+MAX_CHUNK_LINE: Final = 256
+MAX_TRAILERS: Final = 8 * 1024
+_ONCE: Final = frozenset((b"Content-Length", b"Transfer-Encoding", b"Host"))
+
+
+class RecordedHeaders(dict[bytes, bytes]):
+    """Header fields by title-cased name; ``fields`` keeps them all as they were sent."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.fields: list[tuple[str, str]] = []
+
+
+class StrictHeaderReader(HeaderReader):
+    """Reads header fields; raises ValueError for anything that two readers may read differently."""
+
+    def __call__(self, rfile: Any, hdict: Any = None) -> Any:
+        """Read fields into ``hdict`` until the empty line."""
+        headers = RecordedHeaders() if hdict is None else hdict
+        seen: set[bytes] = set()
+        while True:
+            line = rfile.readline()
+            if not line:
+                raise ValueError("the header fields have no end")
+            if not line.endswith(b"\r\n"):
+                raise ValueError("a line does not end with CRLF")
+            if line == b"\r\n":
+                return headers
+            name, value = _field(line)
+            key = name.title()
+            if key in _ONCE and key in seen:
+                raise ValueError(f"the field {key.decode()} is given twice")
+            seen.add(key)
+            headers[key] = headers[key] + b", " + value if key in headers else value
+            if isinstance(headers, RecordedHeaders):
+                headers.fields.append((name.decode("latin-1"), value.decode("latin-1")))
+
+
+def _field(line: bytes) -> tuple[bytes, bytes]:
+    name, colon, value = line[:-2].partition(b":")
+    if not colon or _TOKEN.fullmatch(name) is None:
+        raise ValueError("a header line has no valid field name")
+    value = value.strip(b" \t")
+    if any(byte < 0x20 and byte != 0x09 for byte in value) or 0x7F in value:
+        raise ValueError("a field value contains a control character")
+    return name, value
+
+
+def framing_mistake(headers: dict[bytes, bytes], protocol: bytes) -> str | None:
+    """Return what makes the length of the body ambiguous, or None."""
+    length = headers.get(b"Content-Length")
+    coding = headers.get(b"Transfer-Encoding")
+    if length is not None and not (length.isdigit() and len(length) <= 18):
+        return "Content-Length is no whole number"
+    if coding is not None:
+        if length is not None:
+            return "Content-Length and Transfer-Encoding are both given"
+        if protocol != b"HTTP/1.1":
+            return "Transfer-Encoding needs HTTP/1.1"
+        if coding.lower() != b"chunked":
+            return "the only supported Transfer-Encoding is chunked"
+    if protocol == b"HTTP/1.1" and not headers.get(b"Host"):
+        return "the field Host is missing"
+    return None
+
+
+class ChunkedBody:
+    """Reads a body in the chunked coding, trailers included. Raises ValueError."""
+
+    def __init__(self, rfile: Any, max_bytes: int) -> None:
+        self._rfile = rfile
+        self._max_bytes = max_bytes
+        self._done = False
+
+    def read(self, size: int | None = None) -> bytes:
+        """Return the whole body; ``size`` is not supported and must be left out or zero.
+
+        Raises BodyTooLarge beyond the limit.
+        """
+        if size == 0 or self._done:
+            return b""
+        parts: list[bytes] = []
+        total = 0
+        while length := self._chunk_length():
+            total += length
+            if total > self._max_bytes:
+                raise BodyTooLarge(f"the body is larger than {self._max_bytes} bytes")
+            part = self._rfile.read(length)
+            if len(part) < length or self._rfile.read(2) != b"\r\n":
+                raise ValueError("a chunk does not end where its size says")
+            parts.append(part)
+        self._skip_trailers()
+        self._done = True
+        return b"".join(parts)
+
+    def _chunk_length(self) -> int:
+        line = self._rfile.readline(MAX_CHUNK_LINE)
+        if not line.endswith(b"\r\n"):
+            raise ValueError("a chunk's first line has no end or is too long")
+        size = line[:-2].partition(b";")[0]
+        if _CHUNK_SIZE.fullmatch(size) is None:
+            raise ValueError("a chunk size is no hexadecimal number")
+        return int(size, 16)
+
+    def _skip_trailers(self) -> None:
+        total = 0
+        while True:
+            line = self._rfile.readline(MAX_TRAILERS)
+            total += len(line)
+            if not line.endswith(b"\r\n") or total > MAX_TRAILERS:
+                raise ValueError("the trailers have no end or are too long")
+            if line == b"\r\n":
+                return
+
+
+class BodyTooLarge(ValueError):
+    """The body exceeds the limit."""
--- /dev/null
+++ b/src/chervilrack/_internal/gateway/passthrough.py
@@ -0,0 +1,331 @@
+"""HTTP server for pass-through requests: reads them whole and writes answers as they come."""
+
+import contextlib
+import logging
+import math
+import threading
+from collections.abc import Callable, Sequence
+from contextlib import AbstractContextManager
+from dataclasses import dataclass
+from datetime import timedelta
+from http import HTTPStatus
+from types import TracebackType
+from typing import Any, Self
+
+from cheroot.server import Gateway, HTTPConnection, HTTPRequest, HTTPServer
+from cheroot.workers.threadpool import ThreadPool
+
+from chervilrack._internal.common.clock import Clock
+from chervilrack._internal.common.results import Problem, ResultCode
+from chervilrack._internal.forwarding.answers import problem_answer
+from chervilrack._internal.forwarding.messages import CallerGone, InboundRequest
+from chervilrack._internal.gateway.callers import CallerWatch
+from chervilrack._internal.gateway.intake import (
+    BodyTooLarge,
+    ChunkedBody,
+    RecordedHeaders,
+    StrictHeaderReader,
+    framing_mistake,
+)
+
+logger = logging.getLogger(__name__)
+
+# Threads that wait for requests at the start, and the most. A thread serves one request; streams
+# take up to 20 s, and the last node of a fleet may get all of them.
+FIRST_THREADS = 8
+MOST_THREADS = 240
+THREADS_STEP = 4
+QUEUED_CONNECTIONS = 512
+# Idle connections of callers; descriptors allow about 3,900 sockets.
+KEPT_CONNECTIONS = 2500
+# Fields that concern the caller's connection and are not passed on.
+_CONNECTION_FIELDS = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+    )
+)
+
+Handler = Callable[[InboundRequest, "ConnectionResponder"], None]
+
+
+@dataclass(frozen=True, slots=True)
+class ListenSettings:
+    """Where a server listens and what callers may send. Sizes are in bytes."""
+
+    host: str
+    port: int
+    max_headers: int = 16 * 1024
+    max_body: int = 4 * 1024 * 1024
+    idle_time: timedelta = timedelta(seconds=15)
+    first_threads: int = FIRST_THREADS
+    most_threads: int = MOST_THREADS
+
+
+class _Request(HTTPRequest):
+    """Request that is read strictly; mistakes close the connection."""
+
+    header_reader = StrictHeaderReader()
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self.inheaders = RecordedHeaders()
+
+    def read_request_headers(self) -> bool:
+        """Read the header fields and refuse ambiguous lengths."""
+        if not super().read_request_headers():  # type: ignore[no-untyped-call]
+            return False
+        mistake = framing_mistake(self.inheaders, self.request_protocol)
+        if mistake is not None:
+            self.simple_response("400 Bad Request", mistake)
+            return False
+        connection = self.inheaders.get(b"Connection", b"").lower()
+        if b"close" in [part.strip() for part in connection.split(b",")]:
+            self.close_connection = True
+        return True
+
+    def respond(self) -> None:
+        """Read the body and hand the request to the server's handler."""
+        self.server.gateway(self).respond()
+
+    def simple_response(self, status: Any, msg: str = "") -> None:
+        """Answer a request that cannot be read with a problem document, and close."""
+        number = int(str(status)[:3])
+        code = _code(number)
+        status_number, headers, body = problem_answer(Problem(code, msg or code.title), None)
+        self.close_connection = True
+        responder = ConnectionResponder(self, None)
+        with contextlib.suppress(CallerGone):
+            responder.answer(status_number, headers, body)
+
+
+def _code(status: int) -> ResultCode:
+    if status == 413:
+        return ResultCode.HEADERS_TOO_LARGE
+    if status == 414:
+        return ResultCode.HEADERS_TOO_LARGE
+    if status == 408:
+        return ResultCode.REQUEST_TIMEOUT
+    return ResultCode.MALFORMED_REQUEST
+
+
+class _Connection(HTTPConnection):
+    RequestHandlerClass = _Request
+
+
+class ConnectionResponder:
+    """Writes the answer of one request to its connection."""
+
+    def __init__(self, request: _Request, watch: CallerWatch | None) -> None:
+        self._request = request
+        self._watch = watch
+
+    def answer(self, status: int, headers: Sequence[tuple[str, str]], body: bytes) -> None:
+        """Send a whole answer."""
+        head = self._head(status, [*headers, ("Content-Length", str(len(body)))])
+        self._send(head if self._request.method == b"HEAD" else head + body)
+
+    def begin(self, status: int, headers: Sequence[tuple[str, str]]) -> None:
+        """Send the head of an answer in the chunked coding."""
+        self._send(self._head(status, [*headers, ("Transfer-Encoding", "chunked")]))
+
+    def write(self, part: bytes) -> None:
+        """Send one chunk."""
+        if part:
+            self._send(b"%x\r\n%b\r\n" % (len(part), part))
+
+    def end(self) -> None:
+        """Send the last chunk."""
+        self._send(b"0\r\n\r\n")
+
+    def abort(self) -> None:
+        """Close the connection without the last chunk."""
+        self._request.close_connection = True
+
+    def when_gone(self, action: Callable[[], None]) -> AbstractContextManager[None]:
+        """Run ``action`` once if the caller leaves before the context ends."""
+        if self._watch is None:
+            return contextlib.nullcontext()
+        return self._watch.watching(self._request.conn.socket, action)
+
+    def _head(self, status: int, headers: Sequence[tuple[str, str]]) -> bytes:
+        request = self._request
+        request.sent_headers = True
+        if request.server.closing():
+            request.close_connection = True
+        try:
+            phrase = HTTPStatus(status).phrase
+        except ValueError:
+            phrase = "Status"
+        lines = [f"HTTP/1.1 {status} {phrase}"]
+        lines += [f"{name}: {value}" for name, value in headers]
+        if request.close_connection:
+            lines.append("Connection: close")
+        return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
+
+    def _send(self, data: bytes) -> None:
+        try:
+            self._request.conn.wfile.write(data)
+        except (OSError, ValueError):
+            self._request.close_connection = True
+            raise CallerGone from None
+
+
+class _Gateway(Gateway):
+    """Reads the body and calls the handler."""
+
+    def respond(self) -> None:
+        """Answer one request."""
+        request: _Request = self.req
+        server: _Server = request.server
+        responder = ConnectionResponder(request, server.watch)
+        try:
+            body = _read_body(request, server.max_request_body_size)
+        except BodyTooLarge as error:
+            self._refuse(responder, ResultCode.BODY_TOO_LARGE, str(error))
+            return
+        except ValueError as error:
+            self._refuse(responder, ResultCode.MALFORMED_REQUEST, str(error))
+            return
+        inbound = InboundRequest(
+            method=request.method.decode("latin-1"),
+            target=request.uri.decode("latin-1"),
+            host=request.inheaders.get(b"Host", b"").decode("latin-1").partition(":")[0],
+            headers=_end_to_end(request.inheaders.fields),
+            body=body,
+            arrived=server.clock.monotonic(),
+        )
+        try:
+            server.handler(inbound, responder)
+        except CallerGone:
+            request.close_connection = True
+        except Exception:
+            logger.exception("gateway: a request failed")
+            request.close_connection = True
+            if not request.sent_headers:
+                problem = Problem(ResultCode.INTERNAL_ERROR, "see the node's log")
+                with contextlib.suppress(CallerGone):
+                    responder.answer(*problem_answer(problem, None))
+
+    def _refuse(self, responder: ConnectionResponder, code: ResultCode, detail: str) -> None:
+        self.req.close_connection = True
+        with contextlib.suppress(CallerGone):
+            responder.answer(*problem_answer(Problem(code, detail), None))
+
+
+def _read_body(request: _Request, limit: int) -> bytes:
+    if request.chunked_read:
+        return ChunkedBody(request.conn.rfile, limit).read()
+    length = int(request.inheaders.get(b"Content-Length", b"0"))
+    if length > limit:
+        raise BodyTooLarge(f"the body is larger than {limit} bytes")
+    body = bytes(request.conn.rfile.read(length)) if length else b""
+    if len(body) < length:
+        raise ValueError("the body is shorter than Content-Length")
+    return body
+
+
+def _end_to_end(fields: Sequence[tuple[str, str]]) -> list[tuple[str, str]]:
+    return [(name, value) for name, value in fields if name.lower() not in _CONNECTION_FIELDS]
+
+
+class _Pool(ThreadPool):
+    """Thread pool that grows without waiting: cheroot's own sleeps in the accepting thread."""
+
+    _threads: list[Any]
+    _spawn_worker: Callable[[], Any]
+
+    def grow(self, amount: int) -> None:
+        """Start up to ``amount`` more threads."""
+        count = min(amount, max(0, int(self.max) - len(self._threads)))
+        self._threads.extend(self._spawn_worker() for _ in range(count))
+
+
+class _Server(HTTPServer):
+    """cheroot server whose threads grow with the connections that wait for one."""
+
+    watch: CallerWatch | None = None
+    handler: Handler
+    clock: Clock
+    closing: Callable[[], bool]
+
+    def process_conn(self, conn: Any) -> None:
+        """Queue a connection with a request to read."""
+        pool = self.requests
+        if pool.idle <= pool.qsize:
+            pool.grow(THREADS_STEP)
+        super().process_conn(conn)
+
+    def error_log(self, msg: str = "", level: int = 20, traceback: bool = False) -> None:
+        """Log through the module's logger."""
+        logger.log(max(level, logging.INFO), "gateway: %s", msg, exc_info=traceback)
+
+
+class PassThroughServer:
+    """Serves one address until the context ends."""
+
+    def __init__(
+        self,
+        settings: ListenSettings,
+        handler: Handler,
+        clock: Clock,
+        watch: CallerWatch | None = None,
+        closing: Callable[[], bool] = lambda: False,
+    ) -> None:
+        self._server = _Server(
+            (settings.host, settings.port),
+            _Gateway,
+            server_name="chervilrack",
+        )
+        self._server.requests = _Pool(
+            self._server, min=settings.first_threads, max=settings.most_threads
+        )
+        self._server.ConnectionClass = _Connection
+        self._server.request_queue_size = QUEUED_CONNECTIONS
+        self._server.keep_alive_conn_limit = KEPT_CONNECTIONS
+        self._server.watch = watch
+        self._server.handler = handler
+        self._server.clock = clock
+        self._server.closing = closing
+        self._server.shutdown_timeout = 0
+        self.limit(settings.max_headers, settings.max_body, settings.idle_time)
+        self._thread = threading.Thread(target=self._serve, name="http", daemon=True)
+
+    @property
+    def port(self) -> int:
+        """Port the server listens on."""
+        return int(self._server.bind_addr[1])
+
+    def limit(self, max_headers: int, max_body: int, idle_time: timedelta) -> None:
+        """Set what callers may send and how long their connections may be idle."""
+        self._server.max_request_header_size = max_headers
+        self._server.max_request_body_size = max_body
+        self._server.timeout = math.ceil(idle_time.total_seconds())
+
+    def __enter__(self) -> Self:
+        self._server.prepare()
+        self._thread.start()
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self._server.stop()
+        self._thread.join(timeout=2)
+
+    def _serve(self) -> None:
+        try:
+            self._server.serve()
+        except OSError as error:
+            logger.error("gateway: the server stopped: %s", error)
--- a/src/chervilrack/_internal/platform/etcd.py
+++ b/src/chervilrack/_internal/kvstore/etcd.py
@@ -29,9 +29,9 @@
     PlatformRefused,
     PlatformUnavailable,
 )
-from chervilrack._internal.platform import gateway_json as wire
-from chervilrack._internal.platform.etcd_watch import EtcdWatch
-from chervilrack._internal.platform.port import (
+from chervilrack._internal.kvstore import gateway_json as wire
+from chervilrack._internal.kvstore.etcd_watch import EtcdWatch
+from chervilrack._internal.kvstore.port import (
     Compare,
     KeyValue,
     Put,
@@ -40,8 +40,8 @@
     VmList,
     WatchBatch,
 )
-from chervilrack._internal.platform.registry import PLATFORM_ADAPTERS, PlatformSettings
-from chervilrack._internal.platform.store import check_writes, prefix_end
+from chervilrack._internal.kvstore.registry import PLATFORM_ADAPTERS, PlatformSettings
+from chervilrack._internal.kvstore.store import check_writes, prefix_end
 
 # A node makes a handful of calls at a time; idle connections beyond these are closed.
 KEPT_CONNECTIONS = 8
--- a/src/chervilrack/_internal/platform/etcd_watch.py
+++ b/src/chervilrack/_internal/kvstore/etcd_watch.py
@@ -18,9 +18,9 @@
     PlatformUnavailable,
     WatchCompacted,
 )
-from chervilrack._internal.platform import gateway_json as wire
-from chervilrack._internal.platform.port import WatchBatch
-from chervilrack._internal.platform.registry import PlatformSettings
+from chervilrack._internal.kvstore import gateway_json as wire
+from chervilrack._internal.kvstore.port import WatchBatch
+from chervilrack._internal.kvstore.registry import PlatformSettings
 
 logger = logging.getLogger(__name__)
 
--- a/src/chervilrack/_internal/platform/gateway_json.py
+++ b/src/chervilrack/_internal/kvstore/gateway_json.py
@@ -8,7 +8,7 @@
 from collections.abc import Mapping, Sequence
 from typing import Any
 
-from chervilrack._internal.platform.port import Change, ChangeKind, Compare, KeyValue, Put
+from chervilrack._internal.kvstore.port import Change, ChangeKind, Compare, KeyValue, Put
 
 Json = Mapping[str, Any]
 
--- a/src/chervilrack/_internal/platform/memory.py
+++ b/src/chervilrack/_internal/kvstore/memory.py
@@ -12,7 +12,7 @@
     PlatformRefused,
     PlatformUnavailable,
 )
-from chervilrack._internal.platform.port import (
+from chervilrack._internal.kvstore.port import (
     Compare,
     KeyValue,
     Put,
@@ -21,8 +21,8 @@
     VmList,
     WatchBatch,
 )
-from chervilrack._internal.platform.registry import PLATFORM_ADAPTERS, PlatformSettings
-from chervilrack._internal.platform.store import KeyValueStore, prefix_end
+from chervilrack._internal.kvstore.registry import PLATFORM_ADAPTERS, PlatformSettings
+from chervilrack._internal.kvstore.store import KeyValueStore, prefix_end
 
 T = TypeVar("T")
 
--- a/src/chervilrack/_internal/platform/port.py
+++ b/src/chervilrack/_internal/kvstore/port.py
@@ -87,8 +87,8 @@
     gone: frozenset[str]
 
 
-class PlatformService(Protocol):
-    """Client of the platform's service.
+class KeyValueStore(Protocol):
+    """Client of a key-value service with compare-and-swap, leases and watches.
 
     Every method may raise PlatformUnavailable or PlatformOverloaded (not applied). Writes may
     raise PlatformOutcomeUnknown (perhaps applied). ``watch`` may raise WatchCompacted.
@@ -119,5 +119,9 @@
     ) -> AbstractContextManager[Iterator[WatchBatch | None]]:
         """Open a watch; it yields batches, and None at least once a second when idle."""
 
+
+class PlatformService(KeyValueStore, Protocol):
+    """Client of the platform's service: its key-value service and its list of VMs."""
+
     def list_vms(self) -> VmList:
         """Return the list of live, leaving and recently gone VMs."""
--- a/src/chervilrack/_internal/platform/registry.py
+++ b/src/chervilrack/_internal/kvstore/registry.py
@@ -5,7 +5,7 @@
 from datetime import timedelta
 
 from chervilrack._internal.common.registry import Registry
-from chervilrack._internal.platform.port import PlatformService
+from chervilrack._internal.kvstore.port import PlatformService
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,7 +38,7 @@
 def platform_adapters() -> Registry[Callable[[PlatformSettings], PlatformService]]:
     """Return the registry after importing the adapters that are part of chervilrack."""
     # Imported here because both modules register themselves in this one.
-    from chervilrack._internal.platform import etcd, memory  # noqa: F401
+    from chervilrack._internal.kvstore import etcd, memory  # noqa: F401
 
     return PLATFORM_ADAPTERS
 
--- a/src/chervilrack/_internal/platform/store.py
+++ b/src/chervilrack/_internal/kvstore/store.py
@@ -9,7 +9,7 @@
 from datetime import timedelta
 
 from chervilrack._internal.exceptions import PlatformRefused, WatchCompacted
-from chervilrack._internal.platform.port import (
+from chervilrack._internal.kvstore.port import (
     Change,
     ChangeKind,
     Compare,
--- a/src/chervilrack/_internal/node/daemon.py
+++ b/src/chervilrack/_internal/node/daemon.py
@@ -24,6 +24,7 @@
 from chervilrack._internal.gateway.ports import Operations, OrderDesk
 from chervilrack._internal.gateway.routes import Routes
 from chervilrack._internal.gateway.server import HttpServer
+from chervilrack._internal.kvstore.port import PlatformService
 from chervilrack._internal.limits.policies import limit_policies
 from chervilrack._internal.membership import messages as membership
 from chervilrack._internal.membership.core import Membership
@@ -42,7 +43,6 @@
 from chervilrack._internal.orders.core import OrderExecutor
 from chervilrack._internal.peering.envelope import Envelope
 from chervilrack._internal.peering.transport import PeerTransport
-from chervilrack._internal.platform.port import PlatformService
 from chervilrack._internal.releases.accept import ReleaseStore
 from chervilrack._internal.releases.state import Configuration
 from chervilrack._internal.routing.policies import routing_policies
--- a/src/chervilrack/_internal/node/order_desk.py
+++ b/src/chervilrack/_internal/node/order_desk.py
@@ -17,6 +17,7 @@
 from chervilrack._internal.common.results import Executed, Problem, ResultCode
 from chervilrack._internal.exceptions import PlatformError, PlatformOutcomeUnknown
 from chervilrack._internal.execution.port import Executor, ServiceRequest
+from chervilrack._internal.kvstore.port import PlatformService, RangeResult, TxnResult
 from chervilrack._internal.membership import messages as member_messages
 from chervilrack._internal.node.codec import message_types
 from chervilrack._internal.node.cores import NodeCores
@@ -32,7 +33,6 @@
     partition_of,
 )
 from chervilrack._internal.peering.envelope import Envelope
-from chervilrack._internal.platform.port import PlatformService, RangeResult, TxnResult
 
 # Orders wait mostly for their upstreams; the upstreams' limits bound them long before this does.
 ORDER_THREADS = 64
--- a/src/chervilrack/_internal/node/platform_link.py
+++ b/src/chervilrack/_internal/node/platform_link.py
@@ -4,11 +4,7 @@
 
 from chervilrack._internal.common.ids import NodeId
 from chervilrack._internal.exceptions import PlatformError, PlatformOutcomeUnknown
-from chervilrack._internal.membership import messages as membership
-from chervilrack._internal.membership.state import VIEW_KEY, decode_view, encode_view
-from chervilrack._internal.node.cores import NodeCores
-from chervilrack._internal.node.platform_worker import PlatformWorker
-from chervilrack._internal.platform.port import (
+from chervilrack._internal.kvstore.port import (
     Change,
     ChangeKind,
     Compare,
@@ -17,6 +13,10 @@
     Put,
     TxnResult,
 )
+from chervilrack._internal.membership import messages as membership
+from chervilrack._internal.membership.state import VIEW_KEY, decode_view, encode_view
+from chervilrack._internal.node.cores import NodeCores
+from chervilrack._internal.node.platform_worker import PlatformWorker
 from chervilrack._internal.releases import core as releases
 from chervilrack._internal.releases.accept import (
     HEAD,
--- a/src/chervilrack/_internal/node/platform_worker.py
+++ b/src/chervilrack/_internal/node/platform_worker.py
@@ -15,7 +15,7 @@
     PlatformUnavailable,
     WatchCompacted,
 )
-from chervilrack._internal.platform.port import Change, PlatformService, WatchBatch
+from chervilrack._internal.kvstore.port import Change, PlatformService, WatchBatch
 
 logger = logging.getLogger(__name__)
 
--- a/src/chervilrack/_internal/orders/groups.py
+++ b/src/chervilrack/_internal/orders/groups.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from datetime import timedelta
 
+from chervilrack._internal.kvstore.port import Compare, Put
 from chervilrack._internal.membership.state import VIEW_KEY, Process
 from chervilrack._internal.orders.live import LiveOrder, LiveState
 from chervilrack._internal.orders.messages import TicketTxn
@@ -12,7 +13,6 @@
     RecordState,
     encode_record,
 )
-from chervilrack._internal.platform.port import Compare, Put
 
 
 class Group:
--- a/src/chervilrack/_internal/orders/messages.py
+++ b/src/chervilrack/_internal/orders/messages.py
@@ -13,6 +13,7 @@
     OrganisationId,
     RequestId,
 )
+from chervilrack._internal.kvstore.port import Compare, Put
 from chervilrack._internal.membership.messages import (
     DoubtsChanged,
     EpochActive,
@@ -24,7 +25,6 @@
     WriteOutcome,
 )
 from chervilrack._internal.orders.state import Order, OrderResult, Record
-from chervilrack._internal.platform.port import Compare, Put
 
 
 class SubmitOrder(
--- a/src/chervilrack/_internal/releases/accept.py
+++ b/src/chervilrack/_internal/releases/accept.py
@@ -16,7 +16,7 @@
     PlatformRefused,
     PlatformUnavailable,
 )
-from chervilrack._internal.platform.port import (
+from chervilrack._internal.kvstore.port import (
     Change,
     ChangeKind,
     Compare,
@@ -24,7 +24,7 @@
     PlatformService,
     Put,
 )
-from chervilrack._internal.platform.store import MAX_VALUE_BYTES, MAX_WRITES
+from chervilrack._internal.kvstore.store import MAX_VALUE_BYTES, MAX_WRITES
 from chervilrack._internal.releases.apply import apply_note
 from chervilrack._internal.releases.check import check_note
 from chervilrack._internal.releases.core import HeadLearned, RecordsLearned
--- a/src/chervilrack/_internal/releases/measure.py
+++ b/src/chervilrack/_internal/releases/measure.py
@@ -20,8 +20,8 @@
     UpstreamId,
     ZoneId,
 )
-from chervilrack._internal.platform.memory import MemoryPlatform
-from chervilrack._internal.platform.port import Put
+from chervilrack._internal.kvstore.memory import MemoryPlatform
+from chervilrack._internal.kvstore.port import Put
 from chervilrack._internal.releases.accept import (
     HEAD,
     PART_BYTES,
--- /dev/null
+++ b/src/chervilrack/_internal/serving/messages.py
@@ -0,0 +1,19 @@
+"""Message types of serving nodes under their names on the wire."""
+
+from chervilrack._internal.batching import messages as batching
+from chervilrack._internal.fleet import messages as fleet
+from chervilrack._internal.peering.envelope import MessageCodec
+
+
+def serving_codec() -> MessageCodec:
+    """Return a codec for the messages between serving nodes."""
+    codec = MessageCodec()
+    codec.register("fleet.heartbeat", fleet.Heartbeat)
+    codec.register("fleet.state-wanted", fleet.StateWanted)
+    codec.register("fleet.state-given", fleet.StateGiven)
+    codec.register("batching.pieces-wanted", batching.PiecesWanted)
+    codec.register("batching.pieces-queued", batching.PiecesQueued)
+    codec.register("batching.pieces-made", batching.PiecesMade)
+    codec.register("batching.pieces-dropped", batching.PiecesDropped)
+    codec.register("batching.results-released", batching.ResultsReleased)
+    return codec
--- /dev/null
+++ b/src/chervilrack/_internal/serving/stage_calls.py
@@ -0,0 +1,150 @@
+"""Calls to stage upstreams over HTTP, in a bounded pool of threads."""
+
+import logging
+import time
+from collections.abc import Callable, Mapping, Sequence
+from concurrent.futures import ThreadPoolExecutor
+from datetime import timedelta
+from http import HTTPStatus
+from types import TracebackType
+from typing import Self
+
+from chervilrack._internal.batching.state import FreeResults, StartCall
+from chervilrack._internal.common.clock import Clock
+from chervilrack._internal.common.ids import UpstreamId
+from chervilrack._internal.forwarding.dialect import (
+    Dialect,
+    MalformedFacts,
+    PieceCall,
+    PieceFailure,
+)
+from chervilrack._internal.upstreams.exchange import Exchange, ExchangeFailed
+
+logger = logging.getLogger(__name__)
+
+# Calls at the same time: an upstream runs one, and a node rarely owns more than 30 upstreams.
+MOST_CALLS = 48
+FREE_TIMEOUT_S = 0.5
+
+
+class CallFailed(Exception):
+    """A call had no results; see ``ExchangeFailed``."""
+
+    def __init__(self, detail: str, *, certain: bool, not_executed: bool) -> None:
+        super().__init__(detail)
+        self.detail = detail
+        self.certain = certain
+        self.not_executed = not_executed
+
+
+class StageCaller:
+    """Carries out calls and frees results; use as a context manager."""
+
+    def __init__(self, dialect: Dialect, clock: Clock) -> None:
+        self._dialect = dialect
+        self._clock = clock
+        self._pool = ThreadPoolExecutor(MOST_CALLS, thread_name_prefix="stage")
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self._pool.shutdown(wait=False, cancel_futures=True)
+
+    def start(
+        self,
+        call: StartCall,
+        ended: Callable[[StartCall, Sequence[str | PieceFailure] | CallFailed], None],
+    ) -> None:
+        """Run a call in the pool; ``ended`` gets its results or its failure."""
+        self._pool.submit(self._run, call, ended)
+
+    def free(self, effect: FreeResults) -> None:
+        """Free results in the pool; a failure only costs room until they expire."""
+        self._pool.submit(self._free, effect)
+
+    def _run(
+        self,
+        call: StartCall,
+        ended: Callable[[StartCall, Sequence[str | PieceFailure] | CallFailed], None],
+    ) -> None:
+        outcome: Sequence[str | PieceFailure] | CallFailed
+        try:
+            outcome = self._call(call)
+        except CallFailed as failure:
+            outcome = failure
+        except Exception:
+            logger.exception("batching: a stage call failed unexpectedly")
+            outcome = CallFailed("internal error", certain=False, not_executed=False)
+        ended(call, outcome)
+
+    def _call(self, call: StartCall) -> Sequence[str | PieceFailure]:
+        now = self._clock.monotonic()
+        body = self._dialect.encode_pieces(
+            [
+                PieceCall(
+                    request_id=piece.order.request_id,
+                    stage=piece.order.stage,
+                    segment=piece.segment,
+                    remaining=piece.order.deadline - now,
+                    key=piece.order.key,
+                    inputs=piece.order.inputs,
+                )
+                for piece in call.pieces
+            ]
+        )
+        with Exchange(call.address) as exchange:
+            try:
+                status, headers, content = self._post(
+                    exchange, self._dialect.stage_path, body, call.upstream, call.timeout
+                )
+            except ExchangeFailed as error:
+                raise CallFailed(
+                    error.detail, certain=error.unreachable, not_executed=not error.sent
+                ) from None
+        if status != HTTPStatus.OK:
+            facts = self._dialect.read_answer(status, headers)
+            raise CallFailed(
+                f"status {status}", certain=facts.misdirected, not_executed=facts.not_executed
+            )
+        try:
+            return self._dialect.decode_pieces(content, len(call.pieces))
+        except MalformedFacts as error:
+            raise CallFailed(str(error), certain=False, not_executed=False) from None
+
+    def _post(
+        self,
+        exchange: Exchange,
+        path: str,
+        body: bytes,
+        target: UpstreamId | None,
+        timeout: timedelta,
+    ) -> tuple[int, Mapping[str, str], bytes]:
+        headers = [("Host", "stage")]
+        if target is not None:
+            headers += self._dialect.stage_headers(target)
+        seconds = timeout.total_seconds()
+        deadline = time.monotonic() + seconds
+        exchange.send("POST", path, headers, body, seconds)
+        response = exchange.read_head(seconds)
+        return response.status, response.headers, exchange.read_body(deadline)
+
+    def _free(self, effect: FreeResults) -> None:
+        body = self._dialect.encode_release(effect.handles)
+        try:
+            with Exchange(effect.address) as exchange:
+                self._post(
+                    exchange,
+                    self._dialect.release_path,
+                    body,
+                    None,
+                    timedelta(seconds=FREE_TIMEOUT_S),
+                )
+        except ExchangeFailed as error:
+            # The upstream drops the results itself after their lifetime.
+            logger.info("batching: results at %s were not freed: %s", effect.address, error)
--- /dev/null
+++ b/src/chervilrack/_internal/serving/stage_desk.py
@@ -0,0 +1,361 @@
+"""Both sides of shared batching on one node: its own requests' orders and the queues it owns."""
+
+import itertools
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from chervilrack._internal.batching.core import BatchEffect, StageQueue
+from chervilrack._internal.batching.messages import (
+    PiecesDropped,
+    PiecesMade,
+    PiecesQueued,
+    PiecesWanted,
+    ResultsReleased,
+)
+from chervilrack._internal.batching.state import Deliver, FreeResults, Order, StartCall
+from chervilrack._internal.common.hashing import rendezvous_order
+from chervilrack._internal.common.ids import NodeId, RequestId, ServiceId
+from chervilrack._internal.forwarding.dialect import Dialect, MalformedFacts, PieceFailure
+from chervilrack._internal.forwarding.stages import PieceResult, StageOrder
+from chervilrack._internal.peering.transport import PeerTransport
+from chervilrack._internal.serving.stage_calls import CallFailed, StageCaller
+from chervilrack._internal.serving.state import ServingState
+
+# An owner that has not confirmed an order by then is passed over; links take 1.4 ms, and a node
+# under load answers within some tens of milliseconds.
+CONFIRM_TIMEOUT = timedelta(milliseconds=250)
+_FAILURE_MARK = "!"
+_MILLISECOND = timedelta(milliseconds=1)
+
+
+@dataclass(slots=True)
+class _Open:
+    """An order of one of this node's requests."""
+
+    order: StageOrder
+    deliver: Callable[[PieceResult], None]
+    owner: NodeId
+    sent_at: timedelta
+    confirmed: bool = False
+    tried: set[NodeId] = field(default_factory=set)
+    waiting: set[int] = field(default_factory=set)
+
+
+class StageDesk:
+    """Places orders at the owners of stage queues, and owns queues for others.
+
+    State is guarded by the node's lock; calls to upstreams run in the caller's pool.
+    """
+
+    def __init__(
+        self, node: NodeId, state: ServingState, dialect: Dialect, caller: StageCaller
+    ) -> None:
+        self._node = node
+        self._state = state
+        self._dialect = dialect
+        self._caller = caller
+        self._numbers = itertools.count(1)
+        self._open: dict[int, _Open] = {}
+        self._queues: dict[ServiceId, StageQueue] = {}
+        self._queue_of_call: dict[int, StageQueue] = {}
+        self._call_numbers = itertools.count(1)
+        self.transport: PeerTransport | None = None
+        self.wake: Callable[[], None] = lambda: None
+
+    # StageClient
+
+    def order(self, order: StageOrder, deliver: Callable[[PieceResult], None]) -> int:
+        """Ask for pieces; ``deliver`` gets each result. Return the order's number."""
+        with self._state.lock:
+            number = next(self._numbers)
+            opened = _Open(order, deliver, self._node, self._state.clock.monotonic())
+            opened.waiting.update(order.segments)
+            self._open[number] = opened
+            self._place(number, opened)
+        self.wake()
+        return number
+
+    def drop(self, number: int) -> None:
+        """Withdraw an order."""
+        with self._state.lock:
+            opened = self._open.pop(number, None)
+            if opened is None:
+                return
+            if opened.owner == self._node:
+                self._drop(opened.order.service, (self._node, number))
+            else:
+                self._send(opened.owner, PiecesDropped(number))
+
+    def release(self, service: ServiceId, handles: Sequence[str]) -> None:
+        """Give up results: the owner of the queue counts the room that they leave."""
+        with self._state.lock:
+            owner = self._owner(service, frozenset())
+            if owner == self._node:
+                self._release(service, handles)
+            else:
+                self._send(owner, ResultsReleased(service, tuple(handles)))
+
+    # Messages of other nodes; the caller has the lock
+
+    def wanted(self, sender: NodeId, message: PiecesWanted) -> None:
+        """Queue another node's order and confirm it."""
+        now = self._state.clock.monotonic()
+        queue = self._queue(ServiceId(message.service))
+        order = Order(
+            id=(sender, message.order),
+            service=queue.service,
+            request_id=RequestId(message.request_id),
+            stage=message.stage,
+            key=message.key,
+            inputs=message.inputs,
+            due=now + message.due_ms * _MILLISECOND,
+            deadline=now + message.remaining_ms * _MILLISECOND,
+            result_size=message.result_size,
+            zone=message.zone,
+            open_segments=set(message.segments),
+        )
+        wait = queue.expected_wait(now)
+        self._send(sender, PiecesQueued(message.order, round(wait / _MILLISECOND)))
+        self._perform(queue, queue.submit(order, now))
+
+    def queued(self, message: PiecesQueued) -> None:
+        """Note that the owner has an order."""
+        opened = self._open.get(message.order)
+        if opened is not None:
+            opened.confirmed = True
+
+    def made(self, message: PiecesMade) -> None:
+        """Take results of an order."""
+        failures = {failure.value: failure for failure in PieceFailure}
+        results: list[tuple[int, str | PieceFailure]] = []
+        for segment, result in message.results:
+            if result.startswith(_FAILURE_MARK):
+                name = result[len(_FAILURE_MARK) :]
+                results.append((segment, failures.get(name, PieceFailure.ERROR)))
+            else:
+                results.append((segment, result))
+        self._deliver(message.order, results)
+
+    def dropped(self, sender: NodeId, message: PiecesDropped) -> None:
+        """Forget an order of another node."""
+        for queue in self._queues.values():
+            queue.drop((sender, message.order))
+
+    def released(self, message: ResultsReleased) -> None:
+        """Free results on behalf of another node."""
+        self._release(ServiceId(message.service), message.handles)
+
+    # Time and membership; the caller has the lock
+
+    def node_lost(self, node: NodeId) -> None:
+        """Place the orders again whose owner is gone."""
+        for number, opened in list(self._open.items()):
+            if opened.owner == node:
+                opened.tried.add(node)
+                self._place(number, opened)
+
+    def tick(self, now: timedelta) -> None:
+        """Pass over owners that do not confirm, and let the queues act."""
+        for number, opened in list(self._open.items()):
+            if opened.confirmed or opened.owner == self._node:
+                continue
+            if now - opened.sent_at >= CONFIRM_TIMEOUT:
+                self._state.log.note(
+                    "batching",
+                    "owner passed over",
+                    owner=opened.owner,
+                    request=opened.order.context.facts.request_id,
+                    service=opened.order.service,
+                )
+                opened.tried.add(opened.owner)
+                self._place(number, opened)
+        for queue in self._queues.values():
+            self._configure(queue)
+            self._perform(queue, queue.tick(now))
+
+    def next_time(self) -> timedelta | None:
+        """Return when ``tick`` has something to do."""
+        times = [
+            opened.sent_at + CONFIRM_TIMEOUT
+            for opened in self._open.values()
+            if not opened.confirmed and opened.owner != self._node
+        ]
+        for queue in self._queues.values():
+            at = queue.next_time()
+            if at is not None:
+                times.append(at)
+        return min(times, default=None)
+
+    def reconfigure(self) -> None:
+        """Apply a changed configuration or directory to the queues."""
+        now = self._state.clock.monotonic()
+        for queue in self._queues.values():
+            self._configure(queue)
+            self._perform(queue, queue.dispatch(now))
+
+    # Placing
+
+    def _owner(self, service: ServiceId, excluded: frozenset[NodeId]) -> NodeId:
+        if self._state.settings.batching == "local":
+            return self._node
+        owners = rendezvous_order(service, self._state.fleet.owners())
+        return next((NodeId(o) for o in owners if o not in excluded), self._node)
+
+    def _place(self, number: int, opened: _Open) -> None:
+        order = opened.order
+        now = self._state.clock.monotonic()
+        opened.owner = self._owner(order.service, frozenset(opened.tried))
+        opened.sent_at = now
+        opened.confirmed = False
+        segments = tuple(sorted(opened.waiting))
+        if opened.owner == self._node:
+            self._own(number, order, segments, now)
+            return
+        message = PiecesWanted(
+            order=number,
+            service=order.service,
+            request_id=order.context.facts.request_id,
+            stage=order.stage,
+            segments=segments,
+            key=order.key,
+            inputs=order.inputs,
+            due_ms=round((order.due - now) / _MILLISECOND),
+            remaining_ms=round((order.deadline - now) / _MILLISECOND),
+            result_size=order.result_size,
+            zone=order.zone,
+        )
+        self._send(opened.owner, message)
+
+    def _own(
+        self, number: int, order: StageOrder, segments: tuple[int, ...], now: timedelta
+    ) -> None:
+        queue = self._queue(order.service)
+        own = Order(
+            id=(self._node, number),
+            service=order.service,
+            request_id=order.context.facts.request_id,
+            stage=order.stage,
+            key=order.key,
+            inputs=order.inputs,
+            due=order.due,
+            deadline=order.deadline,
+            result_size=order.result_size,
+            zone=order.zone,
+            open_segments=set(segments),
+        )
+        self._perform(queue, queue.submit(own, now))
+
+    def _send(self, node: NodeId, message: object) -> None:
+        address = self._state.fleet.address_of(node)
+        if address is not None and self.transport is not None:
+            self.transport.send_to_address(f"tcp://{address}", message)  # type: ignore[arg-type]
+
+    # Owning
+
+    def _queue(self, service: ServiceId) -> StageQueue:
+        queue = self._queues.get(service)
+        if queue is None:
+            queue = StageQueue(service, self._state.balancer, call_numbers=self._call_numbers)
+            self._queues[service] = queue
+        self._configure(queue)
+        return queue
+
+    def _configure(self, queue: StageQueue) -> None:
+        configuration = self._state.catalogue.configuration
+        if configuration is None:
+            return
+        spec = configuration.services.get(queue.service)
+        if spec is not None and spec.batching is not None:
+            queue.configure(spec.batching, self._state.upstreams(queue.service))
+
+    def _drop(self, service: ServiceId, order: tuple[NodeId, int]) -> None:
+        queue = self._queues.get(service)
+        if queue is not None:
+            queue.drop(order)
+
+    def _release(self, service: ServiceId, handles: Sequence[str]) -> None:
+        pairs = []
+        for handle in handles:
+            try:
+                pairs.append((self._dialect.maker_of(handle), handle))
+            except MalformedFacts as error:
+                self._state.log.note("batching", "handle not freed", reason=str(error))
+        queue = self._queue(service)
+        self._perform(queue, queue.release(pairs, self._state.clock.monotonic()))
+
+    def _perform(self, queue: StageQueue, effects: Sequence[BatchEffect]) -> None:
+        for effect in effects:
+            match effect:
+                case StartCall():
+                    self._queue_of_call[effect.call] = queue
+                    self._caller.start(effect, self._call_ended)
+                case Deliver():
+                    self._hand_over(effect)
+                case FreeResults():
+                    self._caller.free(effect)
+        self._state.report_actions()
+        if effects:
+            self.wake()
+
+    def _call_ended(
+        self, call: StartCall, outcome: Sequence[str | PieceFailure] | CallFailed
+    ) -> None:
+        with self._state.lock:
+            now = self._state.clock.monotonic()
+            queue = self._queue_of_call.pop(call.call)
+            failed = isinstance(outcome, CallFailed)
+            self._state.log.note(
+                "batching",
+                "call failed" if failed else "call",
+                routine=not failed,
+                upstream=call.upstream,
+                service=queue.service,
+                pieces=len(call.pieces),
+                waiting=queue.waiting,
+                requests=sorted({piece.order.request_id for piece in call.pieces}),
+                reason=outcome.detail if isinstance(outcome, CallFailed) else None,
+            )
+            if isinstance(outcome, CallFailed):
+                effects = queue.call_failed(
+                    call.call, outcome.detail, now, outcome.certain, outcome.not_executed
+                )
+            else:
+                effects = queue.call_ended(call.call, outcome, now)
+            self._perform(queue, effects)
+
+    def _hand_over(self, effect: Deliver) -> None:
+        node, number = effect.order
+        if node == self._node:
+            self._deliver(number, effect.results)
+            return
+        results = tuple(
+            (segment, result if isinstance(result, str) else _FAILURE_MARK + result.value)
+            for segment, result in effect.results
+        )
+        self._send(node, PiecesMade(number, results))
+
+    def _deliver(self, number: int, results: Sequence[tuple[int, str | PieceFailure]]) -> None:
+        opened = self._open.get(number)
+        if opened is None:
+            handles = [result for _, result in results if isinstance(result, str)]
+            if handles:
+                self._free_unwanted(handles)
+            return
+        opened.confirmed = True
+        for segment, result in results:
+            opened.waiting.discard(segment)
+            opened.deliver(PieceResult(opened.order.stage, segment, result))
+        if not opened.waiting:
+            del self._open[number]
+
+    def _free_unwanted(self, handles: Sequence[str]) -> None:
+        """Free results of a request that has ended."""
+        by_maker: dict[str, list[str]] = {}
+        for handle in handles:
+            try:
+                by_maker.setdefault(self._dialect.maker_of(handle), []).append(handle)
+            except MalformedFacts as error:
+                self._state.log.note("batching", "handle not freed", reason=str(error))
+        for address, found in by_maker.items():
+            self._caller.free(FreeResults(address, tuple(found)))
--- /dev/null
+++ b/src/chervilrack/_internal/serving/state.py
@@ -0,0 +1,236 @@
+"""State of one serving node behind one lock: what requests ask for and report."""
+
+import random
+import threading
+from collections.abc import Callable, Sequence
+from datetime import timedelta
+
+from chervilrack._internal.balancing.core import Balancer
+from chervilrack._internal.balancing.state import Placement, Work
+from chervilrack._internal.catalogue.core import Catalogue, UpstreamChanged
+from chervilrack._internal.catalogue.state import (
+    RequestKind,
+    ServingConfiguration,
+    UpstreamEntry,
+)
+from chervilrack._internal.common.clock import Clock
+from chervilrack._internal.common.ids import ServiceId, UpstreamId
+from chervilrack._internal.common.results import Problem
+from chervilrack._internal.fleet.core import Fleet
+from chervilrack._internal.forwarding.context import RequestContext
+from chervilrack._internal.forwarding.dialect import CallerFacts
+from chervilrack._internal.forwarding.forwarder import Outcome
+from chervilrack._internal.forwarding.messages import InboundRequest
+from chervilrack._internal.limits.retry_budget import RetryBudget
+from chervilrack._internal.observability.decisions import DecisionLog
+from chervilrack._internal.serving.settings import ServingSettings
+
+# First-byte times of a service before any answer was seen.
+PRIOR_FIRST_BYTE = timedelta(milliseconds=100)
+FIRST_BYTE_WEIGHT = 0.1
+# Steps and round trips of an engine beside the reading of the prompt.
+ENGINE_FIRST_BYTE = timedelta(milliseconds=40)
+# Waiting for a first byte longer than this many times the usual is a reason to repeat.
+PATIENCE_RATIO = 4.0
+SHORTEST_PATIENCE = timedelta(milliseconds=250)
+SHORTEST_STREAM_PATIENCE = timedelta(milliseconds=1200)
+# Part of the time left that a first attempt may use before it is repeated.
+PATIENCE_SHARE = 0.45
+
+
+class ServingState:
+    """What the threads of requests share. Every public method takes the lock."""
+
+    def __init__(
+        self, settings: ServingSettings, fleet: Fleet, clock: Clock, log: DecisionLog
+    ) -> None:
+        self.lock = threading.RLock()
+        self.settings = settings
+        self.fleet = fleet
+        self.catalogue = Catalogue()
+        self.clock = clock
+        self.log = log
+        self.rng = random.Random()
+        self.balancer = Balancer(settings.zone, self.rng, policy=settings.balancing_policy)
+        self.budget = RetryBudget(settings.retry_budget, lambda: self.fleet.size)
+        self.in_progress = 0
+        self.on_finished: Callable[[RequestContext, Outcome], None] = lambda _c, _o: None
+        self._misdirected: dict[UpstreamId, UpstreamEntry] = {}
+        self._first_bytes: dict[ServiceId, timedelta] = {}
+        self._attempt_starts: dict[tuple[str, UpstreamId], tuple[timedelta, timedelta]] = {}
+        self._accepting = True
+
+    # ForwardingBackend
+
+    def configuration(self) -> ServingConfiguration | None:
+        """Return the configuration in force."""
+        return self.catalogue.configuration
+
+    def accepts(self) -> bool:
+        """Whether the node takes new requests."""
+        return self._accepting
+
+    def refuse_requests(self) -> None:
+        """Take no further requests."""
+        self._accepting = False
+
+    def upstreams(self, service: ServiceId) -> Sequence[UpstreamEntry]:
+        """Return the ready upstreams of a service."""
+        with self.lock:
+            return self._usable(service)
+
+    def choose(
+        self, service: ServiceId, work: Work, excluded: Sequence[UpstreamId]
+    ) -> tuple[UpstreamEntry, Placement] | None:
+        """Choose an upstream."""
+        now = self.clock.monotonic()
+        with self.lock:
+            entries = self._usable(service)
+            placement = self.balancer.choose(entries, work, now, excluded)
+            if placement is None:
+                return None
+            return self.catalogue.upstreams[placement.upstream], placement
+
+    def count_request(self, service: ServiceId) -> None:
+        """Count a caller's request for the retry budget."""
+        with self.lock:
+            self.in_progress += 1
+            self.budget.request(service, self.clock.monotonic())
+
+    def may_repeat(self, service: ServiceId) -> bool:
+        """Take one repeat from the retry budget."""
+        with self.lock:
+            return self.budget.take(service, self.clock.monotonic())
+
+    def finished(self, context: RequestContext, outcome: Outcome) -> None:
+        """Record the end of a request."""
+        with self.lock:
+            self.in_progress -= 1
+        self.on_finished(context, outcome)
+        self.log.note(
+            "forwarding",
+            outcome.name,
+            routine=outcome.name == "answered",
+            request=context.facts.request_id,
+            route=context.route.name,
+            service=context.service,
+            organisation=context.organisation,
+            configuration=context.configuration,
+            status=outcome.status,
+            detail=outcome.detail,
+            took_ms=round(outcome.took / timedelta(milliseconds=1)),
+            target_ms=round((context.due - context.request.arrived) / timedelta(milliseconds=1)),
+            steps=context.steps,
+        )
+
+    def rejected(
+        self, request: InboundRequest, facts: CallerFacts | None, problem: Problem
+    ) -> None:
+        """Record a request that was answered before it had a route."""
+        configuration = self.catalogue.configuration
+        self.log.note(
+            "forwarding",
+            "refused",
+            request=facts.request_id if facts is not None else None,
+            host=request.host,
+            path=request.path,
+            code=problem.code.number,
+            status=problem.code.http_status,
+            detail=problem.detail,
+            configuration=configuration.version if configuration is not None else None,
+        )
+
+    # AttemptMeter
+
+    def started(self, context: RequestContext, entry: UpstreamEntry, placement: Placement) -> None:
+        """Count an attempt as in flight."""
+        now = self.clock.monotonic()
+        with self.lock:
+            self.balancer.started(entry.id, context.work, now)
+            usual = self._first_bytes.get(context.service, PRIOR_FIRST_BYTE)
+            expected = placement.usual + ENGINE_FIRST_BYTE if context.work.tokens else usual
+            self._attempt_starts[(context.facts.request_id, entry.id)] = (now, expected)
+
+    def first_byte(self, context: RequestContext, entry: UpstreamEntry) -> None:
+        """Note that the upstream has begun to answer, and learn its pace."""
+        now = self.clock.monotonic()
+        with self.lock:
+            self.balancer.first_byte(entry.id, context.work)
+            found = self._attempt_starts.pop((context.facts.request_id, entry.id), None)
+            if found is None:
+                return
+            started, expected = found
+            took = now - started
+            usual = self._first_bytes.get(context.service, PRIOR_FIRST_BYTE)
+            self.balancer.observe_pace(entry.id, expected, took, now)
+            self._first_bytes[context.service] = usual + (took - usual) * FIRST_BYTE_WEIGHT
+
+    def ended(self, context: RequestContext, entry: UpstreamEntry) -> None:
+        """Count an attempt as over."""
+        with self.lock:
+            self.balancer.ended(entry.id)
+            if self._attempt_starts.pop((context.facts.request_id, entry.id), None) is not None:
+                self.balancer.first_byte(entry.id, context.work)
+
+    def good(self, entry: UpstreamEntry) -> None:
+        """Record a good answer."""
+        with self.lock:
+            self.balancer.succeeded(entry.id, self.clock.monotonic())
+            self.report_actions()
+
+    def bad(self, entry: UpstreamEntry, reason: str, certain: bool) -> None:
+        """Record a failure of the upstream."""
+        with self.lock:
+            self.balancer.failed(entry.id, self.clock.monotonic(), reason, certain)
+            self.report_actions()
+
+    def misdirected(self, entry: UpstreamEntry) -> None:
+        """Note that another upstream holds the address; it is not used until it changes."""
+        with self.lock:
+            self._misdirected[entry.id] = entry
+        self.log.note("balancing", "misdirected", upstream=entry.id, address=entry.address)
+
+    def patience(self, context: RequestContext, placement: Placement) -> timedelta:
+        """Return how long to wait for the first byte before another upstream is better."""
+        left = context.left(self.clock.monotonic())
+        usual = self._first_bytes.get(context.service, PRIOR_FIRST_BYTE)
+        wait = max(usual, placement.wait) * PATIENCE_RATIO
+        is_stream = context.route.kind is RequestKind.STREAM
+        shortest = SHORTEST_STREAM_PATIENCE if is_stream else SHORTEST_PATIENCE
+        return min(max(wait, shortest), left * PATIENCE_SHARE)
+
+    def can_repeat(self, context: RequestContext) -> bool:
+        """Whether another upstream could take the request after this one."""
+        route = context.route
+        if not route.may_repeat or context.runs + 1 >= route.max_attempts:
+            return False
+        now = self.clock.monotonic()
+        with self.lock:
+            others = [e for e in self._usable(context.service) if e.id not in context.tried]
+            return bool(others) and self.budget.allowance(context.service, now) >= 1
+
+    # Directory
+
+    def upstream_changed(self, change: UpstreamChanged) -> None:
+        """Forget what no longer holds of an upstream that changed. The caller has the lock."""
+        known = self._misdirected.get(change.id)
+        if known is not None and (change.entry is None or change.entry.address != known.address):
+            del self._misdirected[change.id]
+        reborn = (
+            change.entry is not None
+            and change.before is not None
+            and change.entry.born_ms != change.before.born_ms
+        )
+        if change.entry is None or reborn:
+            self.balancer.forget(change.id)
+
+    def report_actions(self) -> None:
+        """Log ejections and returns. The caller has the lock."""
+        for action in self.balancer.drain_actions():
+            self.log.note(action.part, action.action, upstream=action.subject, reason=action.reason)
+
+    def _usable(self, service: ServiceId) -> tuple[UpstreamEntry, ...]:
+        entries = self.catalogue.of_service(service)
+        if not self._misdirected:
+            return entries
+        return tuple(entry for entry in entries if entry.id not in self._misdirected)
--- a/src/chervilrack/_internal/settings/node.py
+++ b/src/chervilrack/_internal/settings/node.py
@@ -13,8 +13,8 @@
 from chervilrack._internal.common.documents import Document, Mistake, Path, read_document
 from chervilrack._internal.common.ids import NodeId, ZoneId
 from chervilrack._internal.common.units import ByteSize
+from chervilrack._internal.kvstore.registry import PlatformSettings, platform_adapters
 from chervilrack._internal.observability.logs import LogFormat
-from chervilrack._internal.platform.registry import PlatformSettings, platform_adapters
 
 _ZERO = timedelta(0)
 _SHA256 = re.compile(r"[0-9a-f]{64}")
--- a/src/chervilrack/_internal/standins/platform.py
+++ b/src/chervilrack/_internal/standins/platform.py
@@ -19,9 +19,9 @@
 
 from chervilrack._internal.common.clock import Clock, SystemClock
 from chervilrack._internal.exceptions import PlatformRefused
-from chervilrack._internal.platform import gateway_json as wire
-from chervilrack._internal.platform.port import VmList
-from chervilrack._internal.platform.store import KeyValueStore
+from chervilrack._internal.kvstore import gateway_json as wire
+from chervilrack._internal.kvstore.port import VmList
+from chervilrack._internal.kvstore.store import KeyValueStore
 from chervilrack._internal.standins.call_meter import CallCounts, CallMeter
 from chervilrack._internal.standins.watch_pump import WatchPump
 
--- a/src/chervilrack/_internal/standins/watch_pump.py
+++ b/src/chervilrack/_internal/standins/watch_pump.py
@@ -11,8 +11,8 @@
 
 from chervilrack._internal.common.clock import Clock
 from chervilrack._internal.exceptions import WatchCompacted
-from chervilrack._internal.platform import gateway_json as wire
-from chervilrack._internal.platform.store import KeyValueStore
+from chervilrack._internal.kvstore import gateway_json as wire
+from chervilrack._internal.kvstore.store import KeyValueStore
 
 _HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"
 _TICK = timedelta(milliseconds=100)
--- /dev/null
+++ b/src/chervilrack/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter for the users' platform: names, formats and calls. It decides nothing."""
--- /dev/null
+++ b/src/chervilrack/platform/run.py
@@ -0,0 +1,65 @@
+"""Starts a serving node on the platform."""
+
+import os
+import signal
+import sys
+import threading
+from pathlib import Path
+
+from chervilrack._internal.common.clock import SystemClock
+from chervilrack._internal.exceptions import InvalidDocumentError
+from chervilrack._internal.observability.decisions import DecisionLog
+from chervilrack._internal.serving.node import ServingNode
+from chervilrack._internal.serving.store_schema import StoreSchema
+from chervilrack.platform.configuration import (
+    CONFIGURATION_KEY,
+    UPSTREAM_PREFIX,
+    decode_configuration,
+    decode_upstream,
+)
+from chervilrack.platform.headers import PlatformDialect
+from chervilrack.platform.settings import SETTINGS_VARIABLE, load_settings
+from chervilrack.platform.store import PlatformStore
+
+NODE_PREFIX = "nodes/"
+SCHEMA = StoreSchema(
+    configuration_key=CONFIGURATION_KEY,
+    upstream_prefix=UPSTREAM_PREFIX,
+    node_prefix=NODE_PREFIX,
+    decode_configuration=decode_configuration,
+    decode_upstream=decode_upstream,
+)
+# Stacks of threads; requests need less than 100 kB, and memory is scarce.
+THREAD_STACK_BYTES = 256 * 1024
+# Thread switches: the default of 5 ms delays events of streams behind busy threads.
+SWITCH_INTERVAL_S = 0.002
+
+
+def main() -> None:
+    """Run until SIGTERM, then leave gracefully."""
+    threading.stack_size(THREAD_STACK_BYTES)
+    sys.setswitchinterval(SWITCH_INTERVAL_S)
+    stop = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda _number, _frame: stop.set())
+    signal.signal(signal.SIGHUP, lambda _number, _frame: None)
+    try:
+        settings = load_settings(Path(os.environ[SETTINGS_VARIABLE]))
+    except (OSError, KeyError, InvalidDocumentError) as error:
+        print(f"settings: {error}", file=sys.stderr)
+        sys.exit(2)
+    assert settings.store is not None
+    with DecisionLog(settings.node) as log:
+        node = ServingNode(
+            settings,
+            PlatformDialect(),
+            SCHEMA,
+            PlatformStore(str(settings.store)),
+            SystemClock(),
+            log,
+        )
+        with node:
+            stop.wait()
+            node.leave()
+    # Threads of callers' connections may still wait; nothing is left to be saved.
+    os._exit(0)
