--- a/src/chervilrack/_internal/batching/core.py
+++ b/src/chervilrack/_internal/batching/core.py
@@ -211,6 +211,10 @@
 
     def tick(self, now: timedelta) -> list[BatchEffect]:
         """Give up late pieces, repeat those of stragglers, and start calls."""
+        for upstream in self._upstreams.values():
+            self._occupied(upstream, now)
+            if upstream.full_until <= now:
+                upstream.full_until = _ZERO
         delivered: dict[OrderId, list[tuple[int, str | PieceFailure]]] = {}
         for piece in [p for p in self._waiting if p.order.deadline <= now]:
             self._waiting.remove(piece)
--- a/src/chervilrack/_internal/serving/node.py
+++ b/src/chervilrack/_internal/serving/node.py
@@ -59,6 +59,8 @@
 # A timer that fires this late was paused; silences are not blamed on others then.
 PAUSE_LIMIT = timedelta(milliseconds=700)
 LONGEST_WAIT = timedelta(milliseconds=500)
+# Timers that are due at once still leave the lock to requests in between.
+SHORTEST_WAIT = timedelta(milliseconds=4)
 # Readiness and look-up answers take microseconds.
 SIDE_THREADS = 2
 MOST_SIDE_THREADS = 16
@@ -459,12 +461,12 @@
         while not self._stopping:
             with self._timers:
                 started = self._clock.monotonic()
-                wait = min(self._next_time() - started, LONGEST_WAIT)
-                if wait > timedelta(0) and not self._timers_due:
+                wait = min(max(self._next_time() - started, SHORTEST_WAIT), LONGEST_WAIT)
+                if not self._timers_due:
                     self._timers.wait(wait.total_seconds())
                 self._timers_due = False
                 now = self._clock.monotonic()
-                late = now - started - max(wait, timedelta(0))
+                late = now - started - wait
                 if late > PAUSE_LIMIT:
                     self._log.note("node", "paused", seconds=round(late.total_seconds(), 2))
                     self._fleet.woke(late)
