--- a/src/chervilrack/_internal/batching/core.py
+++ b/src/chervilrack/_internal/batching/core.py
@@ -367,7 +367,7 @@
         """Return until when an order should be done: its target, or else its deadline."""
         assert self._spec is not None
         rank = order.priority * self._settings.priority_step
-        if now + self._spec.call_time <= order.due:
+        if now + self._spec.call_time + self._spec.batch * self._spec.item_time / 2 <= order.due:
             return order.due + rank
         return max(order.due, order.deadline - self._settings.late_margin) + rank
 
--- a/src/chervilrack/_internal/forwarding/stages.py
+++ b/src/chervilrack/_internal/forwarding/stages.py
@@ -21,6 +21,8 @@
 MAX_RESTARTS = 2
 # Messages, connections and waiting between two stages, as measured on calm days.
 HOP_TIME = timedelta(milliseconds=40)
+# Part of a full call that a piece waits for an upstream: half of one if all are always busy.
+WAIT_SHARE = 0.4
 # Prompt tokens that an idle engine reads in a second, from the engines' sheet.
 PROMPT_TOKENS_PER_S = 38_400.0
 
@@ -233,8 +235,11 @@
         service = self._services.get(self._progress.spec(stage).service)
         if service is None or service.batching is None:
             return timedelta(0)
-        pieces = min(self._progress.pieces(stage), service.batching.batch)
-        return service.batching.call_time + pieces * service.batching.item_time + HOP_TIME
+        spec = service.batching
+        pieces = min(self._progress.pieces(stage), spec.batch)
+        full_call = spec.call_time + spec.batch * spec.item_time
+        own_call = spec.call_time + pieces * spec.item_time
+        return own_call + WAIT_SHARE * full_call + HOP_TIME
 
     def _release(self, *, answered: bool) -> None:
         for stage, handles in self._progress.take_releasable(answered=answered):
