Keep order numbers apart across restarts; judge late and hopeless orders in time

Change: numbers start from the incarnation; leaving owners keep their queues; space of other owners is learned from refusals; admission by predicted wait; late orders run half way to their deadline and before their inputs expire; streams keep time for their tokens.

--- a/src/chervilrack/_internal/batching/core.py
+++ b/src/chervilrack/_internal/batching/core.py
@@ -23,7 +23,7 @@
     StartCall,
 )
 from chervilrack._internal.catalogue.state import BatchSpec, UpstreamEntry
-from chervilrack._internal.common.ids import ServiceId, UpstreamId, ZoneId
+from chervilrack._internal.common.ids import NodeId, ServiceId, UpstreamId, ZoneId
 from chervilrack._internal.forwarding.dialect import PieceFailure
 
 BatchEffect = StartCall | Deliver | FreeResults
@@ -47,8 +47,12 @@
     # A call is given up after this many times its expected time, and this much longer.
     timeout_ratio: float = 4.0
     timeout_slack: timedelta = timedelta(seconds=1)
-    # Time before the deadline at which a piece that missed its target has to be done.
-    late_margin: timedelta = timedelta(milliseconds=1000)
+    # A piece that missed its target has to be done after this part of the time that is left then.
+    # Nearer to the deadline, a queue that is longer than predicted turns late answers into none.
+    late_share: float = 0.5
+    # Inputs are read at the latest this long before they would be dropped: they are up to one
+    # call older than the order, and the call has to get its turn.
+    lifetime_margin: timedelta = timedelta(milliseconds=1500)
     # A rank's difference counts as much as this difference of the due time.
     priority_step: timedelta = timedelta(milliseconds=400)
     # From this many bytes on a piece waits for an upstream of its zone, for this time.
@@ -56,6 +60,10 @@
     zone_patience: timedelta = timedelta(milliseconds=150)
     # An upstream without room is tried again after this time.
     room_pause: timedelta = timedelta(milliseconds=40)
+    # Time for which space found taken by results of another owner counts as taken.
+    foreign_time: timedelta = timedelta(milliseconds=800)
+    # Part of the capacity of full calls that a prediction counts on.
+    predicted_fill: float = 0.8
 
 
 @dataclass(slots=True)
@@ -64,6 +72,9 @@
     call: int | None
     kept: dict[str, KeptResult]
     full_until: timedelta = _ZERO
+    # Space that results of other owners take, as the last answer without room showed.
+    foreign: int = 0
+    foreign_until: timedelta = _ZERO
 
 
 class StageQueue:
@@ -113,21 +124,28 @@
         """Queue the pieces of an order; one that is known already is ignored."""
         if order.id in self._orders:
             return []
+        if now + self.expected_wait(now, order) > order.deadline:
+            results = tuple((segment, PieceFailure.LATE) for segment in sorted(order.open_segments))
+            return [Deliver(order.id, results)]
         self._orders[order.id] = order
         self._waiting += [Piece(order, segment) for segment in sorted(order.open_segments)]
         return self.dispatch(now)
 
-    def expected_wait(self, now: timedelta) -> timedelta:
-        """Return the expected time until a piece queued now has its result."""
+    def expected_wait(self, now: timedelta, order: Order) -> timedelta:
+        """Return the expected time until an order queued now has all its results."""
         if self._spec is None or not self._upstreams:
             return _ZERO
         spec = self._spec
+        pieces = min(spec.batch, len(order.open_segments))
+        own_call = spec.call_time + pieces * spec.item_time
+        usable = self._usable(now)
+        if any(upstream.call is None for upstream in usable):
+            return own_call
+        urgency = self._urgency(order, now)
+        ahead = sum(1 for p in self._waiting if self._urgency(p.order, now) <= urgency)
         full_call = spec.call_time + spec.batch * spec.item_time
-        free = sum(1 for upstream in self._upstreams.values() if upstream.call is None)
-        if free:
-            return spec.call_time + spec.item_time
-        calls_ahead = len(self._waiting) / max(1, spec.batch) / len(self._upstreams)
-        return full_call * (0.5 + calls_ahead) + full_call
+        calls_ahead = ahead / (len(usable) * spec.batch * self._settings.predicted_fill)
+        return full_call * (0.5 + calls_ahead) + own_call
 
     def drop(self, order_id: OrderId) -> None:
         """Forget an order whose request ended."""
@@ -136,6 +154,11 @@
             order.open_segments.clear()
             self._waiting = [piece for piece in self._waiting if piece.order is not order]
 
+    def drop_node(self, node: NodeId) -> None:
+        """Forget the orders of a node that is gone."""
+        for order_id in [found for found in self._orders if found[0] == node]:
+            self.drop(order_id)
+
     def release(self, handles: Sequence[tuple[str, str]], now: timedelta) -> list[BatchEffect]:
         """Free results, given as pairs of maker address and handle."""
         del now
@@ -162,6 +185,8 @@
         self._balancer.succeeded(call.upstream, now)
         self._balancer.observe_pace(call.upstream, call.expected, now - call.started, now)
         upstream = self._upstreams.get(call.upstream)
+        if upstream is not None:
+            self._learn_room(upstream, call, results, now)
         delivered: dict[OrderId, list[tuple[int, str | PieceFailure]]] = {}
         unwanted: list[str] = []
         for piece, result in zip(call.pieces, results, strict=True):
@@ -217,6 +242,7 @@
                 if self._prefers_zone(piece.order)
             ]
             times += [u.full_until for u in self._upstreams.values() if u.full_until > _ZERO]
+            times += [u.foreign_until for u in self._upstreams.values() if u.foreign]
             times += [
                 min(kept.until for kept in u.kept.values())
                 for u in self._upstreams.values()
@@ -230,6 +256,8 @@
             self._occupied(upstream, now)
             if upstream.full_until <= now:
                 upstream.full_until = _ZERO
+            if upstream.foreign_until <= now:
+                upstream.foreign = 0
         delivered: dict[OrderId, list[tuple[int, str | PieceFailure]]] = {}
         for piece in [p for p in self._waiting if p.order.deadline <= now]:
             self._waiting.remove(piece)
@@ -369,7 +397,12 @@
         rank = order.priority * self._settings.priority_step
         if now + self._spec.call_time + self._spec.batch * self._spec.item_time / 2 <= order.due:
             return order.due + rank
-        return max(order.due, order.deadline - self._settings.late_margin) + rank
+        last = order.due + (order.deadline - order.due) * self._settings.late_share
+        if order.inputs:
+            # Results that wait for longer are dropped by their makers.
+            kept = self._spec.result_lifetime - self._settings.lifetime_margin
+            last = min(last, order.queued_at + kept)
+        return max(order.due, last) + rank
 
     def _suspected(self, upstream: _Upstream, now: timedelta) -> bool:
         return self._balancer.is_suspected(upstream.entry.id, now)
@@ -387,7 +420,8 @@
     def _occupied(self, upstream: _Upstream, now: timedelta) -> int:
         for handle in [h for h, kept in upstream.kept.items() if kept.until <= now]:
             del upstream.kept[handle]
-        return sum(kept.size for kept in upstream.kept.values())
+        foreign = upstream.foreign if now < upstream.foreign_until else 0
+        return foreign + sum(kept.size for kept in upstream.kept.values())
 
     # Ends of calls and pieces
 
@@ -404,6 +438,25 @@
         if upstream is not None and self._spec is not None:
             upstream.kept[handle] = KeptResult(size, now + self._spec.result_lifetime)
 
+    def _learn_room(
+        self,
+        upstream: _Upstream,
+        call: Call,
+        results: Sequence[str | PieceFailure],
+        now: timedelta,
+    ) -> None:
+        """Note how much space another owner's results take if there was less than expected."""
+        if self._spec is None or PieceFailure.NO_ROOM not in results:
+            return
+        granted = sum(
+            piece.order.result_size
+            for piece, result in zip(call.pieces, results, strict=True)
+            if isinstance(result, str)
+        )
+        known = sum(kept.size for kept in upstream.kept.values())
+        upstream.foreign = max(0, self._spec.result_space - known - granted)
+        upstream.foreign_until = now + self._settings.foreign_time
+
     def _retry(
         self, piece: Piece, failure: PieceFailure, upstream: _Upstream | None, now: timedelta
     ) -> bool:
--- a/src/chervilrack/_internal/fleet/core.py
+++ b/src/chervilrack/_internal/fleet/core.py
@@ -39,6 +39,12 @@
     heard_at: timedelta | None = None
     last: Heartbeat | None = None
     alive: bool = False
+    leaving: bool = False
+
+    @property
+    def takes_work(self) -> bool:
+        """Whether callers and new queue entries may go to it."""
+        return self.alive and not self.leaving and self.last is not None and self.last.ready
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,15 +55,22 @@
     address: str
 
 
+@dataclass(frozen=True, slots=True)
+class PeerLeaving:
+    """A node finishes what it has and takes nothing new."""
+
+    node: NodeId
+
+
 @dataclass(frozen=True, slots=True)
 class PeerLost:
-    """A node has been silent for too long, has restarted or has left."""
+    """A node has been silent for too long or has restarted; what it had is gone."""
 
     node: NodeId
     reason: str
 
 
-FleetEffect = PeerJoined | PeerLost
+FleetEffect = PeerJoined | PeerLeaving | PeerLost
 
 
 class Fleet:
@@ -106,9 +119,7 @@
     def owners(self) -> list[NodeId]:
         """Return the nodes that may own queues: alive, ready and not leaving."""
         others = [
-            peer.node
-            for peer in self.alive
-            if peer.node is not None and peer.last is not None and peer.last.ready
+            peer.node for peer in self._peers.values() if peer.takes_work and peer.node is not None
         ]
         return sorted([self._node, *others])
 
@@ -138,13 +149,13 @@
         peer.node, peer.incarnation = node, incarnation
         peer.heard_at, peer.last = now, beat
         self._by_node[node] = peer
-        if beat.leaving:
-            if peer.alive:
-                peer.alive = False
-                effects.append(PeerLost(node, "leaving"))
-        elif not peer.alive:
+        if not peer.alive:
             peer.alive = True
+            peer.leaving = False
             effects.append(PeerJoined(node, peer.address))
+        if beat.leaving and not peer.leaving:
+            peer.leaving = True
+            effects.append(PeerLeaving(node))
         return effects
 
     def tick(self, now: timedelta) -> list[FleetEffect]:
@@ -183,7 +194,9 @@
         takes a thousandth of the shortest target.
         """
         addresses = [
-            peer.last.callers for peer in self.alive if peer.last is not None and peer.last.ready
+            peer.last.callers
+            for peer in self._peers.values()
+            if peer.takes_work and peer.last is not None
         ]
         if own is not None:
             addresses.append(own)
--- a/src/chervilrack/_internal/forwarding/stages.py
+++ b/src/chervilrack/_internal/forwarding/stages.py
@@ -25,6 +25,8 @@
 WAIT_SHARE = 0.4
 # Prompt tokens that an idle engine reads in a second, from the engines' sheet.
 PROMPT_TOKENS_PER_S = 38_400.0
+# Tokens of one stream that an engine makes in a second: a step takes 5.23 ms and more.
+OUTPUT_TOKENS_PER_S = 160.0
 
 
 def request_time(prompt_tokens: int) -> timedelta:
@@ -32,6 +34,14 @@
     return HOP_TIME + timedelta(seconds=prompt_tokens / PROMPT_TOKENS_PER_S)
 
 
+def stream_time(output_tokens: int, allowed: timedelta) -> timedelta:
+    """Return the time of a whole stream after its first byte, at most half of ``allowed``.
+
+    Callers name the most tokens they take; most streams are shorter.
+    """
+    return min(timedelta(seconds=output_tokens / OUTPUT_TOKENS_PER_S), allowed / 2)
+
+
 @dataclass(frozen=True, slots=True)
 class StageOrder:
     """Pieces wanted of one stage."""
@@ -196,7 +206,7 @@
             key=context.facts.piece_key if not spec.after else "",
             inputs=inputs,
             due=context.due - later,
-            deadline=context.deadline - later,
+            deadline=context.deadline - later - self._stream_time(),
             result_size=spec.result_size,
             zone=zone,
             move_cost=move_cost,
@@ -220,6 +230,11 @@
             return self._zone_hint, spec.result_size
         return "", 0
 
+    def _stream_time(self) -> timedelta:
+        context = self._context
+        allowed = context.deadline - context.request.arrived
+        return stream_time(context.facts.output_tokens, allowed)
+
     def _time_after(self, stage: int) -> timedelta:
         """Return the time that the later stages and the request itself take at least."""
         readers = [
--- a/src/chervilrack/_internal/serving/node.py
+++ b/src/chervilrack/_internal/serving/node.py
@@ -30,7 +30,7 @@
 from chervilrack._internal.common.clock import Clock
 from chervilrack._internal.common.ids import Incarnation, NodeId, UpstreamId
 from chervilrack._internal.exceptions import ChervilrackError
-from chervilrack._internal.fleet.core import Fleet, FleetEffect, PeerLost
+from chervilrack._internal.fleet.core import Fleet, FleetEffect, PeerJoined, PeerLeaving, PeerLost
 from chervilrack._internal.fleet.messages import Heartbeat, StateGiven, StateWanted
 from chervilrack._internal.forwarding.attempts import AttemptRunner
 from chervilrack._internal.forwarding.dialect import Dialect
@@ -94,7 +94,7 @@
         self._fleet = Fleet(settings.node, str(settings.peer), rng)
         self._state = ServingState(settings, self._fleet, clock, log)
         self._caller = StageCaller(dialect, clock)
-        self._desk = StageDesk(settings.node, self._state, dialect, self._caller)
+        self._desk = StageDesk(settings.node, self._incarnation, self._state, dialect, self._caller)
         self._watch = CallerWatch()
         attempts = AttemptRunner(dialect, self._state, clock)
         self._forwarder = Forwarder(self._state, dialect, attempts, self._desk, clock, rng)
@@ -425,12 +425,15 @@
 
     def _fleet_changed(self, effects: list[FleetEffect]) -> None:
         for effect in effects:
-            if isinstance(effect, PeerLost):
-                self._log.note("fleet", "peer lost", peer=effect.node, reason=effect.reason)
-                self._state.balancer.forget_node(effect.node)
-                self._desk.node_lost(effect.node)
-            else:
-                self._log.note("fleet", "peer joined", peer=effect.node, address=effect.address)
+            match effect:
+                case PeerLost(node, reason):
+                    self._log.note("fleet", "peer lost", peer=node, reason=reason)
+                    self._state.balancer.forget_node(node)
+                    self._desk.node_lost(node)
+                case PeerLeaving(node):
+                    self._log.note("fleet", "peer leaving", peer=node)
+                case PeerJoined(node, address):
+                    self._log.note("fleet", "peer joined", peer=node, address=address)
 
     def _beat(self, now: timedelta) -> None:
         configuration = self._state.catalogue.configuration
--- a/src/chervilrack/_internal/serving/stage_desk.py
+++ b/src/chervilrack/_internal/serving/stage_desk.py
@@ -16,7 +16,7 @@
 )
 from chervilrack._internal.batching.state import Deliver, FreeResults, Order, StartCall
 from chervilrack._internal.common.hashing import rendezvous_order
-from chervilrack._internal.common.ids import NodeId, RequestId, ServiceId
+from chervilrack._internal.common.ids import Incarnation, NodeId, RequestId, ServiceId
 from chervilrack._internal.forwarding.dialect import Dialect, MalformedFacts, PieceFailure
 from chervilrack._internal.forwarding.stages import PieceResult, StageOrder
 from chervilrack._internal.peering.transport import PeerTransport
@@ -26,6 +26,8 @@
 # An owner that has not confirmed an order by then is passed over; links take 1.4 ms, and a node
 # under load answers within some tens of milliseconds.
 CONFIRM_TIMEOUT = timedelta(milliseconds=250)
+# Orders of one process are told apart by this many low bits of their number.
+ORDER_BITS = 28
 _FAILURE_MARK = "!"
 _MILLISECOND = timedelta(milliseconds=1)
 
@@ -50,13 +52,19 @@
     """
 
     def __init__(
-        self, node: NodeId, state: ServingState, dialect: Dialect, caller: StageCaller
+        self,
+        node: NodeId,
+        incarnation: Incarnation,
+        state: ServingState,
+        dialect: Dialect,
+        caller: StageCaller,
     ) -> None:
         self._node = node
         self._state = state
         self._dialect = dialect
         self._caller = caller
-        self._numbers = itertools.count(1)
+        # Owners keep orders of a process that was killed; its successor must not get their results.
+        self._numbers = itertools.count(int(incarnation, 16) << ORDER_BITS)
         self._open: dict[int, _Open] = {}
         self._queues: dict[ServiceId, StageQueue] = {}
         self._queue_of_call: dict[int, StageQueue] = {}
@@ -132,7 +140,7 @@
             priority=message.priority,
             open_segments=set(message.segments),
         )
-        wait = queue.expected_wait(now)
+        wait = queue.expected_wait(now, order)
         self._send(sender, PiecesQueued(message.order, round(wait / _MILLISECOND)))
         self._perform(queue, queue.submit(order, now))
 
@@ -166,7 +174,9 @@
     # Time and membership; the caller has the lock
 
     def node_lost(self, node: NodeId) -> None:
-        """Place the orders again whose owner is gone."""
+        """Place the orders again whose owner is gone, and forget the orders of that node."""
+        for queue in self._queues.values():
+            queue.drop_node(node)
         for number, opened in list(self._open.items()):
             if opened.owner == node:
                 opened.tried.add(node)
