Plan stages apart from threads and play their load without network

Change: StagePlan decides due times, zones and order of stages; features/support/stage_load plays arrivals against the queues; queue timers lie in the future only, urgency is sorted once a dispatch. Stages that feed only the request start when the longest chain takes no longer.

--- /dev/null
+++ b/features/support/stage_load.py
@@ -0,0 +1,415 @@
+"""Plays arrivals of staged requests against the stage queues, without network or threads.
+
+The upstreams run one call at a time and keep results in limited space, as their sheet says. The
+request itself is a fixed time of an engine. One owner holds all queues.
+"""
+
+import heapq
+import itertools
+import math
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from chervilrack._internal.balancing.core import Balancer
+from chervilrack._internal.batching.core import BatchingSettings, StageQueue
+from chervilrack._internal.batching.plan import RequestTimes, StagePlan
+from chervilrack._internal.batching.progress import StageProgress
+from chervilrack._internal.batching.state import Deliver, FreeResults, Order, StartCall
+from chervilrack._internal.catalogue.state import (
+    BatchSpec,
+    RequestKind,
+    Route,
+    ServiceSpec,
+    StageSpec,
+    UpstreamEntry,
+    UpstreamState,
+)
+from chervilrack._internal.common.ids import NodeId, RequestId, ServiceId, UpstreamId, ZoneId
+from chervilrack._internal.forwarding.dialect import PieceFailure
+
+LINK = timedelta(milliseconds=3)
+ENGINE_TOKENS_PER_S = 38_400.0
+
+
+def ms(value: float) -> timedelta:
+    return timedelta(milliseconds=value)
+
+
+@dataclass(frozen=True)
+class LoadStage:
+    """A stage of a kind of request; ``pieces`` and ``spread`` are of a lognormal number."""
+
+    service: str
+    after: tuple[int, ...]
+    size: int
+    pieces: float = 1.0
+    spread: float = 0.0
+    share: float = 1.0
+    work: float = 1.0
+    most: int = 25
+
+
+@dataclass(frozen=True)
+class LoadKind:
+    """A kind of request with its rate and target."""
+
+    name: str
+    per_s: float
+    priority: int
+    target_ms: float
+    deadline_ms: float
+    worth: float
+    late_worth: float
+    tokens: int
+    stages: tuple[LoadStage, ...]
+    gap_ms: float = 500
+
+
+@dataclass(frozen=True)
+class Burst:
+    """``factor`` times the arrivals of a kind ("" for all) between two seconds."""
+
+    kind: str
+    factor: float
+    start: float
+    end: float
+
+
+@dataclass
+class _Upstream:
+    entry: UpstreamEntry
+    spec: BatchSpec
+    busy_until: timedelta = timedelta(0)
+    kept: dict[str, tuple[int, timedelta]] = field(default_factory=dict)
+    down: tuple[float, float] = (0.0, 0.0)
+
+
+@dataclass
+class _Request:
+    kind: LoadKind
+    arrived: timedelta
+    id: str
+    progress: StageProgress
+    plan: StagePlan
+    number: int
+    orders: list[tuple[str, int]] = field(default_factory=list)
+    ended: bool = False
+
+
+@dataclass
+class KindResult:
+    """How requests of one kind ended."""
+
+    asked: int = 0
+    on_time: int = 0
+    late: int = 0
+    failed: int = 0
+
+    @property
+    def on_time_share(self) -> float:
+        return self.on_time / max(1, self.asked)
+
+
+@dataclass
+class LoadResult:
+    """Results of a play."""
+
+    kinds: dict[str, KindResult]
+    worth: float
+    owed: float
+    calls: int = 0
+    pieces: int = 0
+    unused: int = 0
+    no_room: int = 0
+    moved: int = 0
+
+    @property
+    def share(self) -> float:
+        return self.worth / self.owed
+
+
+class StageLoad:
+    """One play with a seed."""
+
+    def __init__(
+        self,
+        kinds: tuple[LoadKind, ...],
+        services: dict[str, tuple[BatchSpec, tuple[str, ...]]],
+        seed: int,
+        settings: BatchingSettings | None = None,
+        down: tuple[tuple[str, int, float, float], ...] = (),
+    ) -> None:
+        self._rng = random.Random(seed)
+        self._kinds = kinds
+        self._specs = {
+            ServiceId(name): ServiceSpec(ServiceId(name), batching=spec)
+            for name, (spec, _) in services.items()
+        }
+        self._balancer = Balancer(ZoneId("z1"), random.Random(seed))
+        self._now = timedelta(0)
+        self._events: list[tuple[timedelta, int, Callable[[], None]]] = []
+        self._sequence = itertools.count()
+        self._numbers = itertools.count(1)
+        self._upstreams: dict[str, _Upstream] = {}
+        self._zones = sorted({zone for _, zones in services.values() for zone in zones})
+        self._queues: dict[str, StageQueue] = {}
+        calls = itertools.count(1)
+        for name, (spec, zones) in services.items():
+            entries = []
+            for index, zone in enumerate(zones):
+                entry = UpstreamEntry(
+                    UpstreamId(f"{name}-{index}"),
+                    ServiceId(name),
+                    f"10.0.{len(self._upstreams)}.1:80",
+                    ZoneId(zone),
+                    UpstreamState.READY,
+                )
+                entries.append(entry)
+                upstream = _Upstream(entry, spec)
+                for service, number, start, end in down:
+                    if (service, number) == (name, index):
+                        upstream.down = (start, end)
+                self._upstreams[entry.address] = upstream
+            queue = StageQueue(ServiceId(name), self._balancer, settings, calls)
+            queue.configure(spec, entries)
+            self._queues[name] = queue
+        self._requests: dict[int, _Request] = {}
+        self._orders: dict[int, tuple[_Request, int]] = {}
+        self._ticks: dict[str, timedelta] = {}
+        self.result = LoadResult({kind.name: KindResult() for kind in kinds}, 0.0, 0.0)
+
+    def play(self, seconds: float, bursts: tuple[Burst, ...] = ()) -> LoadResult:
+        """Play arrivals for some seconds and let all requests end."""
+        for kind in self._kinds:
+            for at in self._arrivals(kind, seconds, bursts):
+                self._at(timedelta(seconds=at), lambda kind=kind: self._arrive(kind))
+        while self._events:
+            self._now, _, action = heapq.heappop(self._events)
+            action()
+        return self.result
+
+    def _arrivals(
+        self, kind: LoadKind, seconds: float, bursts: tuple[Burst, ...]
+    ) -> list[float]:
+        times = []
+        at = 0.0
+        while True:
+            factor = math.prod(
+                b.factor for b in bursts if b.kind in ("", kind.name) and b.start <= at < b.end
+            )
+            at += self._rng.expovariate(kind.per_s * factor)
+            if at >= seconds:
+                return times
+            times.append(at)
+
+    def _at(self, at: timedelta, action: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (max(at, self._now), next(self._sequence), action))
+
+    def _pieces(self, stage: LoadStage) -> int:
+        if self._rng.random() >= stage.share:
+            return 0
+        if stage.spread == 0.0:
+            return round(stage.pieces)
+        mu = math.log(stage.pieces) - stage.spread**2 / 2
+        return max(1, min(stage.most, round(self._rng.lognormvariate(mu, stage.spread))))
+
+    def _arrive(self, kind: LoadKind) -> None:
+        number = next(self._numbers)
+        route = Route(
+            name=kind.name,
+            host="",
+            path_prefix="/",
+            kind=RequestKind.STREAM,
+            timeout=ms(kind.deadline_ms),
+            target_latency=ms(kind.target_ms),
+            split=((ServiceId("engine"), 1.0),),
+            stages=tuple(
+                StageSpec(ServiceId(stage.service), stage.after, stage.size)
+                for stage in kind.stages
+            ),
+        )
+        progress = StageProgress(route, [self._pieces(stage) for stage in kind.stages])
+        now = self._now
+        patience = min(kind.deadline_ms, max(2000, 4 * kind.target_ms, 8 * kind.gap_ms))
+        times = RequestTimes(
+            now, now + ms(kind.target_ms), now + ms(patience), now + ms(kind.deadline_ms)
+        )
+        plan = StagePlan(
+            route,
+            progress,
+            self._specs,
+            times,
+            (kind.tokens, 60),
+            self._rng.choice(self._zones),
+            lambda handle: self._upstreams[handle.split("/")[0]].entry.zone,
+        )
+        request = _Request(kind, now, f"r{number}", progress, plan, number)
+        self._requests[number] = request
+        self.result.kinds[kind.name].asked += 1
+        self.result.owed += kind.worth
+        self._at(times.begin_by, lambda: self._end(request, failed=True))
+        self._advance(request)
+
+    def _advance(self, request: _Request) -> None:
+        if request.progress.done:
+            engine = ms(25) + timedelta(seconds=request.kind.tokens / ENGINE_TOKENS_PER_S)
+            self._at(self._now + engine, lambda: self._end(request, failed=False))
+            return
+        for planned in request.plan.take_due():
+            number = next(self._numbers)
+            self._orders[number] = (request, planned.stage)
+            request.orders.append((planned.service, number))
+            order = Order(
+                id=(NodeId("n"), number),
+                service=planned.service,
+                request_id=RequestId(request.id),
+                stage=planned.stage,
+                key="k",
+                inputs=planned.inputs,
+                due=planned.due,
+                deadline=planned.deadline,
+                result_size=planned.result_size,
+                queued_at=self._now,
+                zone=planned.zone,
+                move_cost=planned.move_cost,
+                priority=request.kind.priority,
+                open_segments=set(planned.segments),
+            )
+            queue = self._queues[planned.service]
+            self._at(
+                self._now + LINK,
+                lambda queue=queue, order=order: self._perform(
+                    queue, queue.submit(order, self._now)
+                ),
+            )
+
+    def _perform(self, queue: StageQueue, effects: list) -> None:
+        for effect in effects:
+            match effect:
+                case StartCall():
+                    self._at(self._now + LINK, lambda e=effect: self._call(queue, e))
+                case Deliver((_, number), results):
+                    self._at(
+                        self._now + LINK,
+                        lambda number=number, results=results: self._take(number, results),
+                    )
+                case FreeResults(address, handles):
+                    self._at(
+                        self._now + 2 * LINK,
+                        lambda address=address, handles=handles: self._free(
+                            queue, address, handles
+                        ),
+                    )
+        self._schedule(queue)
+
+    def _schedule(self, queue: StageQueue) -> None:
+        at = queue.next_time(self._now)
+        planned = self._ticks.get(queue.service)
+        if at is None or (planned is not None and self._now < planned <= at):
+            return
+        at = max(at, self._now + ms(4))
+        self._ticks[queue.service] = at
+        self._at(at, lambda: self._tick(queue))
+
+    def _tick(self, queue: StageQueue) -> None:
+        self._perform(queue, queue.tick(self._now))
+
+    def _call(self, queue: StageQueue, call: StartCall) -> None:
+        upstream = self._upstreams[call.address]
+        start, end = upstream.down
+        if start <= self._now.total_seconds() < end:
+            self._perform(queue, queue.call_failed(call.call, "down", self._now, True, True))
+            return
+        self.result.calls += 1
+        self.result.pieces += len(call.pieces)
+        begin = max(self._now, upstream.busy_until)
+        self._drop_expired(upstream, begin)
+        free = upstream.spec.result_space - sum(size for size, _ in upstream.kept.values())
+        results: list[str | PieceFailure] = []
+        took = upstream.spec.call_time
+        for piece in call.pieces:
+            request, stage = self._orders[piece.order.id[1]]
+            load = request.kind.stages[stage]
+            gone = any(
+                handle not in self._upstreams[handle.split("/")[0]].kept
+                for handle in piece.order.inputs
+            )
+            if gone:
+                results.append(PieceFailure.INPUT_GONE)
+                continue
+            if load.size > free:
+                self.result.no_room += 1
+                results.append(PieceFailure.NO_ROOM)
+                continue
+            free -= load.size
+            took += load.work * upstream.spec.item_time
+            handle = f"{call.address}/{next(self._numbers)}"
+            upstream.kept[handle] = (load.size, timedelta.max)
+            results.append(handle)
+            for source in piece.order.inputs:
+                if self._upstreams[source.split("/")[0]].entry.zone != upstream.entry.zone:
+                    self.result.moved += self._upstreams[source.split("/")[0]].kept[source][0]
+        upstream.busy_until = begin + took
+        ended = begin + took
+        for handle in results:
+            if isinstance(handle, str):
+                size, _ = upstream.kept[handle]
+                upstream.kept[handle] = (size, ended + upstream.spec.result_lifetime)
+        self._at(
+            ended + LINK,
+            lambda: self._perform(queue, queue.call_ended(call.call, results, self._now)),
+        )
+
+    def _drop_expired(self, upstream: _Upstream, now: timedelta) -> None:
+        upstream.kept = {h: kept for h, kept in upstream.kept.items() if kept[1] > now}
+
+    def _free(self, queue: StageQueue, address: str, handles: tuple[str, ...]) -> None:
+        for handle in handles:
+            self._upstreams[address].kept.pop(handle, None)
+        self._perform(queue, queue.freed(address, handles, self._now))
+
+    def _take(self, number: int, results: tuple[tuple[int, str | PieceFailure], ...]) -> None:
+        request, stage = self._orders[number]
+        for segment, result in results:
+            if isinstance(result, PieceFailure):
+                if not request.ended and result is PieceFailure.INPUT_GONE:
+                    request.progress.restart_inputs(stage)
+                else:
+                    self._end(request, failed=True)
+            elif request.ended or not request.progress.completed(stage, segment, result):
+                self.result.unused += 1
+                self._release(request, stage, [result])
+        if not request.ended:
+            for done, handles in request.progress.take_releasable(answered=False):
+                self._release(request, done, handles)
+            self._advance(request)
+
+    def _release(self, request: _Request, stage: int, handles: list[str]) -> None:
+        queue = self._queues[request.progress.spec(stage).service]
+        pairs = [(handle.split("/")[0], handle) for handle in handles]
+        self._perform(queue, queue.release(pairs, self._now))
+
+    def _end(self, request: _Request, *, failed: bool) -> None:
+        if request.ended:
+            return
+        request.ended = True
+        result = self.result.kinds[request.kind.name]
+        took = self._now - request.arrived
+        if failed:
+            result.failed += 1
+        elif took <= ms(request.kind.target_ms):
+            result.on_time += 1
+            self.result.worth += request.kind.worth
+        else:
+            result.late += 1
+            self.result.worth += request.kind.late_worth
+        for service, number in request.orders:
+            self._queues[service].drop((NodeId("n"), number))
+        for stage in range(len(request.kind.stages)):
+            handles = request.progress.take_handles(stage)
+            if handles:
+                if failed:
+                    self.result.unused += len(handles)
+                self._release(request, stage, handles)
--- a/src/chervilrack/_internal/batching/core.py
+++ b/src/chervilrack/_internal/batching/core.py
@@ -231,24 +231,19 @@
                 self._waiting.append(piece)
         return [*_deliveries(delivered), *self.dispatch(now)]
 
-    def next_time(self) -> timedelta | None:
-        """Return when ``tick`` has something to do if nothing else happens."""
+    def next_time(self, now: timedelta) -> timedelta | None:
+        """Return when ``tick`` has something to do if nothing else happens; always after now."""
         times = [self._straggles_at(call) for call in self._calls.values() if not call.hedged]
         if self._waiting:
-            times.append(min(piece.order.deadline for piece in self._waiting))
-            times += [
-                piece.order.queued_at + self._settings.zone_patience
-                for piece in self._waiting
-                if self._prefers_zone(piece.order)
-            ]
-            times += [u.full_until for u in self._upstreams.values() if u.full_until > _ZERO]
-            times += [u.foreign_until for u in self._upstreams.values() if u.foreign]
-            times += [
-                min(kept.until for kept in u.kept.values())
-                for u in self._upstreams.values()
-                if u.kept
-            ]
-        return min(times, default=None)
+            patience = self._settings.zone_patience
+            for order in {id(p.order): p.order for p in self._waiting}.values():
+                times.append(order.deadline)
+                if self._prefers_zone(order):
+                    times.append(order.queued_at + patience)
+            for upstream in self._upstreams.values():
+                times += [upstream.full_until, upstream.foreign_until]
+                times += [kept.until for kept in upstream.kept.values()]
+        return min((time for time in times if time > now), default=None)
 
     def tick(self, now: timedelta) -> list[BatchEffect]:
         """Give up late pieces, repeat those of stragglers, and start calls."""
@@ -281,10 +276,16 @@
         effects: list[BatchEffect] = []
         if self._spec is None or not self._waiting:
             return effects
-        for upstream in self._free_upstreams(now):
+        free = self._free_upstreams(now)
+        if not free:
+            return effects
+        zones = {upstream.entry.zone for upstream in self._usable(now)}
+        crowded = self._crowded_zones()
+        orders = self._by_urgency(now)
+        for upstream in free:
             if not self._waiting:
                 break
-            pieces = self._take(upstream, now)
+            pieces = self._take(upstream, orders, zones, crowded, now)
             if pieces:
                 effects.append(self._start(upstream, pieces, now))
         return effects
@@ -306,7 +307,14 @@
         usable = [u for u in self._upstreams.values() if not self._suspected(u, now)]
         return usable if len(usable) * 2 >= len(self._upstreams) else [*self._upstreams.values()]
 
-    def _take(self, upstream: _Upstream, now: timedelta) -> tuple[Piece, ...]:
+    def _take(
+        self,
+        upstream: _Upstream,
+        orders: list[tuple[Order, list[Piece]]],
+        zones: set[ZoneId],
+        crowded: set[str],
+        now: timedelta,
+    ) -> tuple[Piece, ...]:
         """Remove the most urgent pieces that fit into one call of this upstream.
 
         Orders go whole where they can: the rest of a split order waits for another call while
@@ -316,12 +324,15 @@
         room = self._spec.result_space - self._occupied(upstream, now)
         space = self._spec.batch
         taken: list[Piece] = []
-        for order, pieces in self._by_urgency(upstream, now):
+        for order, pieces in orders:
+            if not pieces or not self._may_serve(upstream, order, zones, crowded, now):
+                continue
             fitting = space if order.result_size <= 0 else min(space, room // order.result_size)
             begun = len(pieces) < len(order.open_segments)
             if fitting <= 0 or (taken and not begun and fitting < len(pieces)):
                 continue
             chosen = pieces[:fitting]
+            del pieces[:fitting]
             taken += chosen
             space -= len(chosen)
             room -= len(chosen) * order.result_size
@@ -331,17 +342,14 @@
         self._waiting = [piece for piece in self._waiting if id(piece) not in chosen_ids]
         return tuple(taken)
 
-    def _by_urgency(self, upstream: _Upstream, now: timedelta) -> list[tuple[Order, list[Piece]]]:
-        """Return waiting orders that this upstream may serve, most urgent first."""
+    def _by_urgency(self, now: timedelta) -> list[tuple[Order, list[Piece]]]:
+        """Return waiting orders with their pieces, most urgent first."""
         grouped: dict[OrderId, list[Piece]] = {}
         for piece in self._waiting:
             grouped.setdefault(piece.order.id, []).append(piece)
-        zones = {u.entry.zone for u in self._usable(now)}
-        crowded = self._crowded_zones()
         found = [
             (pieces[0].order, sorted(pieces, key=lambda piece: piece.segment))
             for pieces in grouped.values()
-            if self._may_serve(upstream, pieces[0].order, zones, crowded, now)
         ]
         found.sort(key=lambda entry: (self._urgency(entry[0], now), entry[0].id))
         return found
@@ -389,7 +397,7 @@
         self._balancer.started(entry.id, _NO_TOKENS, now)
         self._calls[number] = Call(number, entry.id, entry.address, pieces, now, expected, reserved)
         timeout = expected * settings.timeout_ratio + settings.timeout_slack
-        return StartCall(number, entry.id, entry.address, pieces, expected, timeout)
+        return StartCall(number, entry.id, entry.address, pieces, now, expected, timeout)
 
     def _urgency(self, order: Order, now: timedelta) -> timedelta:
         """Return until when an order should be done: its target, or else its deadline."""
--- a/src/chervilrack/_internal/batching/progress.py
+++ b/src/chervilrack/_internal/batching/progress.py
@@ -42,18 +42,23 @@
         """Return the specification of a stage."""
         return self._stages[stage].spec
 
-    def take_ready(self) -> list[int]:
-        """Return stages whose inputs are complete and that were not started; mark them started."""
-        ready = [
+    def ready(self) -> list[int]:
+        """Return stages whose inputs are complete and that were not started."""
+        return [
             index
             for index, stage in enumerate(self._stages)
             if not stage.started
             and not stage.done
             and all(self._stages[before].done for before in stage.spec.after)
         ]
-        for index in ready:
-            self._stages[index].started = True
-        return ready
+
+    def start(self, stage: int) -> None:
+        """Note that a stage was started."""
+        self._stages[stage].started = True
+
+    def undone(self) -> list[int]:
+        """Return stages that lack results."""
+        return [index for index, stage in enumerate(self._stages) if not stage.done]
 
     def inputs(self, stage: int) -> tuple[str, ...]:
         """Return the handles that each piece of a stage takes as inputs."""
--- a/src/chervilrack/_internal/batching/state.py
+++ b/src/chervilrack/_internal/batching/state.py
@@ -57,6 +57,7 @@
     upstream: UpstreamId
     address: str
     pieces: tuple[Piece, ...]
+    started: timedelta
     expected: timedelta
     timeout: timedelta
 
--- a/src/chervilrack/_internal/forwarding/context.py
+++ b/src/chervilrack/_internal/forwarding/context.py
@@ -16,7 +16,8 @@
 class RequestContext:
     """A request with its route. ``deadline`` and ``due`` are monotonic times.
 
-    ``due`` is the end of the target latency. ``steps`` collects what happened, for the log.
+    ``due`` is the end of the target latency, ``begin_by`` when the caller has to have the first
+    byte of a stream or leaves. ``steps`` collects what happened, for the log.
     """
 
     request: InboundRequest
@@ -27,6 +28,7 @@
     priority: int
     deadline: timedelta
     due: timedelta
+    begin_by: timedelta
     configuration: int
     work: Work
     arrivals: int = 0
--- a/src/chervilrack/_internal/forwarding/forwarder.py
+++ b/src/chervilrack/_internal/forwarding/forwarder.py
@@ -13,7 +13,12 @@
 from result import Err
 
 from chervilrack._internal.balancing.state import Placement, Work
-from chervilrack._internal.catalogue.state import Route, ServingConfiguration, UpstreamEntry
+from chervilrack._internal.catalogue.state import (
+    RequestKind,
+    Route,
+    ServingConfiguration,
+    UpstreamEntry,
+)
 from chervilrack._internal.common.clock import Clock
 from chervilrack._internal.common.ids import OrganisationId, RequestId, ServiceId, UpstreamId
 from chervilrack._internal.common.results import Problem, ResultCode
@@ -28,10 +33,26 @@
 LONGEST_DEADLINE = timedelta(seconds=60)
 # Kept back from the caller's deadline, so that an answer still reaches the caller.
 ANSWER_MARGIN = timedelta(milliseconds=20)
+# Callers abandon a stream without an event for the longest of this time and these multiples of
+# its target latency and of its longest pause.
+SHORTEST_CALLER_PATIENCE = timedelta(seconds=2)
+PATIENCE_TARGETS = 4
+PATIENCE_GAPS = 8
 # Upstreams that one request is offered to at most, those that reject it included.
 MAX_OFFERS = 4
 
 
+def _caller_patience(route: Route) -> timedelta | None:
+    """Return how long callers wait for the first event of a stream; None for other kinds."""
+    if route.kind is not RequestKind.STREAM:
+        return None
+    return max(
+        SHORTEST_CALLER_PATIENCE,
+        route.target_latency * PATIENCE_TARGETS,
+        (route.max_gap or timedelta(0)) * PATIENCE_GAPS,
+    )
+
+
 class ForwardingBackend(Protocol):
     """What serving a request needs of the node; all methods are safe for use by threads."""
 
@@ -151,6 +172,7 @@
             priority=configuration.priority(route, organisation),
             deadline=request.arrived + max(allowed - ANSWER_MARGIN, allowed / 2),
             due=request.arrived + (route.target_latency or allowed),
+            begin_by=request.arrived + min(allowed, _caller_patience(route) or allowed),
             configuration=configuration.version,
             work=Work(facts.prompt_tokens, tuple((part.id, part.tokens) for part in shared)),
         )
--- a/src/chervilrack/_internal/forwarding/stages.py
+++ b/src/chervilrack/_internal/forwarding/stages.py
@@ -1,14 +1,18 @@
 """Runs the stages of one request by orders to the owners of the stage queues."""
 
 import queue
-from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
-from datetime import timedelta
 from typing import Protocol
 
 from result import Err, Ok, Result
 
+from chervilrack._internal.batching.plan import (
+    HOP_TIME,
+    PlannedStage,
+    RequestTimes,
+    StagePlan,
+)
 from chervilrack._internal.batching.progress import StageProgress
 from chervilrack._internal.catalogue.state import ServiceSpec
 from chervilrack._internal.common.clock import Clock
@@ -19,44 +23,15 @@
 
 # Times the stages of one request are started again after results have vanished.
 MAX_RESTARTS = 2
-# Messages, connections and waiting between two stages, as measured on calm days.
-HOP_TIME = timedelta(milliseconds=40)
-# Part of a full call that a piece waits for an upstream: half of one if all are always busy.
-WAIT_SHARE = 0.4
-# Prompt tokens that an idle engine reads in a second, from the engines' sheet.
-PROMPT_TOKENS_PER_S = 38_400.0
-# Tokens of one stream that an engine makes in a second: a step takes 5.23 ms and more.
-OUTPUT_TOKENS_PER_S = 160.0
-
-
-def request_time(prompt_tokens: int) -> timedelta:
-    """Return the time until the first byte of a request at an idle engine."""
-    return HOP_TIME + timedelta(seconds=prompt_tokens / PROMPT_TOKENS_PER_S)
-
-
-def stream_time(output_tokens: int, allowed: timedelta) -> timedelta:
-    """Return the time of a whole stream after its first byte, at most half of ``allowed``.
-
-    Callers name the most tokens they take; most streams are shorter.
-    """
-    return min(timedelta(seconds=output_tokens / OUTPUT_TOKENS_PER_S), allowed / 2)
 
 
 @dataclass(frozen=True, slots=True)
 class StageOrder:
-    """Pieces wanted of one stage."""
+    """Pieces wanted of one stage of a request; ``key`` is set for stages without inputs."""
 
     context: RequestContext
-    service: ServiceId
-    stage: int
-    segments: tuple[int, ...]
+    planned: PlannedStage
     key: str
-    inputs: tuple[str, ...]
-    due: timedelta
-    deadline: timedelta
-    result_size: int
-    zone: str
-    move_cost: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,12 +70,19 @@
         zone_hint: str,
         services: Mapping[ServiceId, ServiceSpec],
     ) -> None:
-        self._services = services
         self._context = context
         self._client = client
         self._clock = clock
-        self._zone_hint = zone_hint
         self._progress = StageProgress(context.route, context.facts.piece_counts)
+        self._plan = StagePlan(
+            context.route,
+            self._progress,
+            services,
+            RequestTimes(context.request.arrived, context.due, context.begin_by, context.deadline),
+            (context.facts.prompt_tokens, context.facts.output_tokens),
+            zone_hint,
+            client.zone_of,
+        )
         self._results: queue.SimpleQueue[tuple[int, PieceResult] | None] = queue.SimpleQueue()
         self._orders: list[int] = []
         # Number of the current order of each stage; failures of earlier ones are of no interest.
@@ -157,8 +139,8 @@
 
     def _run(self) -> Result[None, Problem]:
         while not self._progress.done:
-            for stage in self._progress.take_ready():
-                self._order(stage)
+            for planned in self._plan.take_due():
+                self._order(planned)
             left = self._context.left(self._clock.monotonic()) - HOP_TIME
             try:
                 found = self._results.get(timeout=max(0.0, left.total_seconds()))
@@ -191,71 +173,17 @@
             return _late(f"stage {result.stage} cannot end in time")
         return Problem(ResultCode.NO_UPSTREAM, f"stage {result.stage} failed")
 
-    def _order(self, stage: int) -> None:
-        progress = self._progress
-        spec = progress.spec(stage)
-        context = self._context
-        later = self._time_after(stage)
-        inputs = progress.inputs(stage) if spec.after else ()
-        zone, move_cost = self._cheapest_zone(stage, inputs)
-        order = StageOrder(
-            context=context,
-            service=spec.service,
-            stage=stage,
-            segments=tuple(range(progress.pieces(stage))),
-            key=context.facts.piece_key if not spec.after else "",
-            inputs=inputs,
-            due=context.due - later,
-            deadline=context.deadline - later - self._stream_time(),
-            result_size=spec.result_size,
-            zone=zone,
-            move_cost=move_cost,
-        )
+    def _order(self, planned: PlannedStage) -> None:
+        has_inputs = bool(self._progress.spec(planned.stage).after)
+        key = "" if has_inputs else self._context.facts.piece_key
         generation = len(self._orders) + 1
-        self._generations[stage] = generation
-        number = self._client.order(order, lambda found: self._results.put((generation, found)))
+        self._generations[planned.stage] = generation
+        number = self._client.order(
+            StageOrder(self._context, planned, key),
+            lambda found: self._results.put((generation, found)),
+        )
         self._orders.append(number)
 
-    def _cheapest_zone(self, stage: int, inputs: Sequence[str]) -> tuple[str, int]:
-        """Return where a piece moves the fewest bytes, and the bytes it moves elsewhere."""
-        spec = self._progress.spec(stage)
-        if inputs:
-            size = sum(
-                self._progress.pieces(before) * self._progress.spec(before).result_size
-                for before in spec.after
-            )
-            zones = Counter(self._client.zone_of(handle) for handle in inputs)
-            return zones.most_common(1)[0][0], size
-        if stage in self._context.route.final_stages:
-            return self._zone_hint, spec.result_size
-        return "", 0
-
-    def _stream_time(self) -> timedelta:
-        context = self._context
-        allowed = context.deadline - context.request.arrived
-        return stream_time(context.facts.output_tokens, allowed)
-
-    def _time_after(self, stage: int) -> timedelta:
-        """Return the time that the later stages and the request itself take at least."""
-        readers = [
-            index
-            for index, spec in enumerate(self._context.route.stages)
-            if stage in spec.after and self._progress.pieces(index)
-        ]
-        if not readers:
-            return request_time(self._context.work.tokens)
-        return max(self._stage_time(index) + self._time_after(index) for index in readers)
-
-    def _stage_time(self, stage: int) -> timedelta:
-        service = self._services.get(self._progress.spec(stage).service)
-        if service is None or service.batching is None:
-            return timedelta(0)
-        spec = service.batching
-        pieces = min(self._progress.pieces(stage), spec.batch)
-        full_call = spec.call_time + spec.batch * spec.item_time
-        own_call = spec.call_time + pieces * spec.item_time
-        return own_call + WAIT_SHARE * full_call + HOP_TIME
-
     def _release(self, *, answered: bool) -> None:
         for stage, handles in self._progress.take_releasable(answered=answered):
             self._client.release(self._progress.spec(stage).service, handles)
--- a/src/chervilrack/_internal/serving/node.py
+++ b/src/chervilrack/_internal/serving/node.py
@@ -476,7 +476,7 @@
                 self._tick(now)
 
     def _next_time(self) -> timedelta:
-        times = [self._next_beat, self._desk.next_time()]
+        times = [self._next_beat, self._desk.next_time(self._clock.monotonic())]
         return min(time for time in times if time is not None)
 
     def _tick(self, now: timedelta) -> None:
--- a/src/chervilrack/_internal/serving/stage_desk.py
+++ b/src/chervilrack/_internal/serving/stage_desk.py
@@ -79,7 +79,7 @@
         with self._state.lock:
             number = next(self._numbers)
             opened = _Open(order, deliver, self._node, self._state.clock.monotonic())
-            opened.waiting.update(order.segments)
+            opened.waiting.update(order.planned.segments)
             self._open[number] = opened
             self._place(number, opened)
         self.wake()
@@ -105,7 +105,7 @@
             if opened is None:
                 return
             if opened.owner == self._node:
-                self._drop(opened.order.service, (self._node, number))
+                self._drop(opened.order.planned.service, (self._node, number))
             else:
                 self._send(opened.owner, PiecesDropped(number))
 
@@ -193,7 +193,7 @@
                     "owner passed over",
                     owner=opened.owner,
                     request=opened.order.context.facts.request_id,
-                    service=opened.order.service,
+                    service=opened.order.planned.service,
                 )
                 opened.tried.add(opened.owner)
                 self._place(number, opened)
@@ -201,7 +201,7 @@
             self._configure(queue)
             self._perform(queue, queue.tick(now))
 
-    def next_time(self) -> timedelta | None:
+    def next_time(self, now: timedelta) -> timedelta | None:
         """Return when ``tick`` has something to do."""
         times = [
             opened.sent_at + CONFIRM_TIMEOUT
@@ -209,7 +209,7 @@
             if not opened.confirmed and opened.owner != self._node
         ]
         for queue in self._queues.values():
-            at = queue.next_time()
+            at = queue.next_time(now)
             if at is not None:
                 times.append(at)
         return min(times, default=None)
@@ -232,7 +232,8 @@
     def _place(self, number: int, opened: _Open) -> None:
         order = opened.order
         now = self._state.clock.monotonic()
-        opened.owner = self._owner(order.service, frozenset(opened.tried))
+        planned = order.planned
+        opened.owner = self._owner(planned.service, frozenset(opened.tried))
         opened.sent_at = now
         opened.confirmed = False
         segments = tuple(sorted(opened.waiting))
@@ -241,17 +242,17 @@
             return
         message = PiecesWanted(
             order=number,
-            service=order.service,
+            service=planned.service,
             request_id=order.context.facts.request_id,
-            stage=order.stage,
+            stage=planned.stage,
             segments=segments,
             key=order.key,
-            inputs=order.inputs,
-            due_ms=round((order.due - now) / _MILLISECOND),
-            remaining_ms=round((order.deadline - now) / _MILLISECOND),
-            result_size=order.result_size,
-            zone=order.zone,
-            move_cost=order.move_cost,
+            inputs=planned.inputs,
+            due_ms=round((planned.due - now) / _MILLISECOND),
+            remaining_ms=round((planned.deadline - now) / _MILLISECOND),
+            result_size=planned.result_size,
+            zone=planned.zone,
+            move_cost=planned.move_cost,
             priority=order.context.priority,
         )
         self._send(opened.owner, message)
@@ -259,20 +260,21 @@
     def _own(
         self, number: int, order: StageOrder, segments: tuple[int, ...], now: timedelta
     ) -> None:
-        queue = self._queue(order.service)
+        planned = order.planned
+        queue = self._queue(planned.service)
         own = Order(
             id=(self._node, number),
-            service=order.service,
+            service=planned.service,
             request_id=order.context.facts.request_id,
-            stage=order.stage,
+            stage=planned.stage,
             key=order.key,
-            inputs=order.inputs,
-            due=order.due,
-            deadline=order.deadline,
-            result_size=order.result_size,
+            inputs=planned.inputs,
+            due=planned.due,
+            deadline=planned.deadline,
+            result_size=planned.result_size,
             queued_at=now,
-            zone=order.zone,
-            move_cost=order.move_cost,
+            zone=planned.zone,
+            move_cost=planned.move_cost,
             priority=order.context.priority,
             open_segments=set(segments),
         )
@@ -349,6 +351,8 @@
                 upstream=call.upstream,
                 service=queue.service,
                 pieces=len(call.pieces),
+                took_ms=round((now - call.started) / _MILLISECOND),
+                expected_ms=round(call.expected / _MILLISECOND),
                 waiting=queue.waiting,
                 requests=sorted({piece.order.request_id for piece in call.pieces}),
                 reason=outcome.detail if isinstance(outcome, CallFailed) else None,
@@ -382,7 +386,7 @@
         opened.confirmed = True
         for segment, result in results:
             opened.waiting.discard(segment)
-            opened.deliver(PieceResult(opened.order.stage, segment, result))
+            opened.deliver(PieceResult(opened.order.planned.stage, segment, result))
         if not opened.waiting:
             del self._open[number]
 
