Let pieces wait for their zone only while the target is met

Cause: the fixed wait of 150 ms left upstreams idle while pieces of other zones waited. Change: an order is bound to its zone if an upstream there is free in time with 250 ms to spare and the zone's next call has room; a rank counts 600 ms.

--- a/features/support/stage_load.py
+++ b/features/support/stage_load.py
@@ -140,7 +140,10 @@
         seed: int,
         settings: BatchingSettings | None = None,
         down: tuple[tuple[str, int, float, float], ...] = (),
+        clump: int = 3,
     ) -> None:
+        # Requests arrive in groups of this mean size.
+        self._clump = clump
         self._rng = random.Random(seed)
         self._kinds = kinds
         self._specs = {
@@ -190,19 +193,17 @@
             action()
         return self.result
 
-    def _arrivals(
-        self, kind: LoadKind, seconds: float, bursts: tuple[Burst, ...]
-    ) -> list[float]:
+    def _arrivals(self, kind: LoadKind, seconds: float, bursts: tuple[Burst, ...]) -> list[float]:
         times = []
         at = 0.0
         while True:
             factor = math.prod(
                 b.factor for b in bursts if b.kind in ("", kind.name) and b.start <= at < b.end
             )
-            at += self._rng.expovariate(kind.per_s * factor)
+            at += self._rng.expovariate(kind.per_s * factor / self._clump)
             if at >= seconds:
                 return times
-            times.append(at)
+            times += [at] * self._rng.randint(1, 2 * self._clump - 1)
 
     def _at(self, at: timedelta, action: Callable[[], None]) -> None:
         heapq.heappush(self._events, (max(at, self._now), next(self._sequence), action))
--- a/src/chervilrack/_internal/batching/core.py
+++ b/src/chervilrack/_internal/batching/core.py
@@ -23,7 +23,7 @@
     StartCall,
 )
 from chervilrack._internal.catalogue.state import BatchSpec, UpstreamEntry
-from chervilrack._internal.common.ids import NodeId, ServiceId, UpstreamId, ZoneId
+from chervilrack._internal.common.ids import NodeId, ServiceId, UpstreamId
 from chervilrack._internal.forwarding.dialect import PieceFailure
 
 BatchEffect = StartCall | Deliver | FreeResults
@@ -54,10 +54,11 @@
     # call older than the order, and the call has to get its turn.
     lifetime_margin: timedelta = timedelta(milliseconds=1500)
     # A rank's difference counts as much as this difference of the due time.
-    priority_step: timedelta = timedelta(milliseconds=400)
-    # From this many bytes on a piece waits for an upstream of its zone, for this time.
+    priority_step: timedelta = timedelta(milliseconds=600)
+    # From this many bytes on a piece may wait for an upstream of its zone.
     least_move_cost: int = 100_000
-    zone_patience: timedelta = timedelta(milliseconds=150)
+    # It waits only if its target is still met with this margin for the queues after it.
+    zone_margin: timedelta = timedelta(milliseconds=250)
     # An upstream without room is tried again after this time.
     room_pause: timedelta = timedelta(milliseconds=40)
     # Time for which space found taken by results of another owner counts as taken.
@@ -235,11 +236,11 @@
         """Return when ``tick`` has something to do if nothing else happens; always after now."""
         times = [self._straggles_at(call) for call in self._calls.values() if not call.hedged]
         if self._waiting:
-            patience = self._settings.zone_patience
             for order in {id(p.order): p.order for p in self._waiting}.values():
                 times.append(order.deadline)
                 if self._prefers_zone(order):
-                    times.append(order.queued_at + patience)
+                    # From then on it may go to another zone.
+                    times.append(order.due - self._spec.call_time if self._spec else order.due)
             for upstream in self._upstreams.values():
                 times += [upstream.full_until, upstream.foreign_until]
                 times += [kept.until for kept in upstream.kept.values()]
@@ -279,13 +280,12 @@
         free = self._free_upstreams(now)
         if not free:
             return effects
-        zones = {upstream.entry.zone for upstream in self._usable(now)}
-        crowded = self._crowded_zones()
         orders = self._by_urgency(now)
+        bound = self._bound_to_zone(orders, now)
         for upstream in free:
             if not self._waiting:
                 break
-            pieces = self._take(upstream, orders, zones, crowded, now)
+            pieces = self._take(upstream, orders, bound, now)
             if pieces:
                 effects.append(self._start(upstream, pieces, now))
         return effects
@@ -311,8 +311,7 @@
         self,
         upstream: _Upstream,
         orders: list[tuple[Order, list[Piece]]],
-        zones: set[ZoneId],
-        crowded: set[str],
+        bound: set[OrderId],
         now: timedelta,
     ) -> tuple[Piece, ...]:
         """Remove the most urgent pieces that fit into one call of this upstream.
@@ -325,7 +324,7 @@
         space = self._spec.batch
         taken: list[Piece] = []
         for order, pieces in orders:
-            if not pieces or not self._may_serve(upstream, order, zones, crowded, now):
+            if not pieces or (order.id in bound and order.zone != upstream.entry.zone):
                 continue
             fitting = space if order.result_size <= 0 else min(space, room // order.result_size)
             begun = len(pieces) < len(order.open_segments)
@@ -354,30 +353,42 @@
         found.sort(key=lambda entry: (self._urgency(entry[0], now), entry[0].id))
         return found
 
-    def _crowded_zones(self) -> set[str]:
-        """Return zones whose waiting pieces fill more than one call."""
-        assert self._spec is not None
-        counts: dict[str, int] = {}
-        for piece in self._waiting:
-            counts[piece.order.zone] = counts.get(piece.order.zone, 0) + 1
-        return {zone for zone, count in counts.items() if count > self._spec.batch}
+    def _bound_to_zone(
+        self, orders: list[tuple[Order, list[Piece]]], now: timedelta
+    ) -> set[OrderId]:
+        """Return the orders that wait for an upstream of their zone.
 
-    def _may_serve(
-        self,
-        upstream: _Upstream,
-        order: Order,
-        zones: set[ZoneId],
-        crowded: set[str],
-        now: timedelta,
-    ) -> bool:
-        if not self._prefers_zone(order) or order.zone == upstream.entry.zone:
-            return True
-        waited = now - order.queued_at
-        return (
-            order.zone not in zones
-            or order.zone in crowded
-            or waited >= self._settings.zone_patience
-        )
+        An order waits if that upstream comes in time for its target, but not if more urgent
+        pieces fill the zone's next call.
+        """
+        assert self._spec is not None
+        spec = self._spec
+        free_at: dict[str, timedelta] = {}
+        count: dict[str, int] = {}
+        for upstream in self._usable(now):
+            zone = upstream.entry.zone
+            at = self._free_at(upstream, now)
+            free_at[zone] = min(at, free_at.get(zone, at))
+            count[zone] = count.get(zone, 0) + 1
+        bound: set[OrderId] = set()
+        ahead: dict[str, int] = {}
+        for order, pieces in orders:
+            if not self._prefers_zone(order) or order.zone not in free_at:
+                continue
+            full = ahead.get(order.zone, 0) + len(pieces) > spec.batch * count[order.zone]
+            own_call = spec.call_time + min(len(pieces), spec.batch) * spec.item_time
+            in_time = free_at[order.zone] + own_call + self._settings.zone_margin <= order.due
+            if not full and in_time:
+                bound.add(order.id)
+                ahead[order.zone] = ahead.get(order.zone, 0) + len(pieces)
+        return bound
+
+    def _free_at(self, upstream: _Upstream, now: timedelta) -> timedelta:
+        """Return when an upstream is expected to take its next call."""
+        call = self._calls.get(upstream.call) if upstream.call is not None else None
+        if call is None:
+            return max(now, upstream.full_until)
+        return max(now, call.started + call.expected)
 
     def _prefers_zone(self, order: Order) -> bool:
         return bool(order.zone) and order.move_cost >= self._settings.least_move_cost
--- a/src/chervilrack/_internal/batching/plan.py
+++ b/src/chervilrack/_internal/batching/plan.py
@@ -71,16 +71,10 @@
     def take_due(self) -> list[PlannedStage]:
         """Return the stages to order now, and note them as started.
 
-        A stage whose results are needed only at the end starts when the longest other chain
-        takes no longer: results take up space at their makers from the start of their call.
+        Every stage starts as soon as its inputs are there. Starting stages late that feed only
+        the request itself saved room for results and cost more in late answers.
         """
-        chained = [stage for stage in self._progress.undone() if not self._is_alone(stage)]
-        longest = max((self._time_to_end(stage) for stage in chained), default=timedelta(0))
-        chosen = [
-            stage
-            for stage in self._progress.ready()
-            if not self._is_alone(stage) or self._time_to_end(stage) >= longest
-        ]
+        chosen = self._progress.ready()
         for stage in chosen:
             self._progress.start(stage)
         return [self._planned(stage) for stage in chosen]
@@ -104,10 +98,6 @@
             move_cost=move_cost,
         )
 
-    def _is_alone(self, stage: int) -> bool:
-        """Whether a stage has no inputs and feeds only the request itself."""
-        return not self._progress.spec(stage).after and stage in self._route.final_stages
-
     def _cheapest_zone(self, stage: int, inputs: Sequence[str]) -> tuple[str, int]:
         """Return where a piece moves the fewest bytes, and the bytes it moves elsewhere."""
         spec = self._progress.spec(stage)
--- a/src/chervilrack/_internal/batching/progress.py
+++ b/src/chervilrack/_internal/batching/progress.py
@@ -56,10 +56,6 @@
         """Note that a stage was started."""
         self._stages[stage].started = True
 
-    def undone(self) -> list[int]:
-        """Return stages that lack results."""
-        return [index for index, stage in enumerate(self._stages) if not stage.done]
-
     def inputs(self, stage: int) -> tuple[str, ...]:
         """Return the handles that each piece of a stage takes as inputs."""
         return self._handles(self._stages[stage].spec.after)
