Count ranks only under pressure; weigh upstreams' own failures

Change: ranks count from 1.5 waiting full calls of every upstream on; the share of own failures makes an upstream cost more instead of ejecting it. Tests of catalogue, fleet, balancing, retry budget and batching, with plays of four load patterns.

--- /dev/null
+++ b/features/batching/queue.feature
@@ -0,0 +1,100 @@
+Feature: Queue of one stage service
+  Calls must be full under load, results must fit where they are made, and no piece may get lost
+  when an upstream fails or stands still.
+
+  Scenario: pieces that arrive while all upstreams are busy share a call
+    Given a stage queue with 1 upstreams, 4 pieces a call
+    When the queue gets orders of 1, 1, 1, 1 pieces
+    Then the queue has calls of 1 pieces
+    When the first call ends
+    Then the queue has calls of 3 pieces
+
+  Scenario: an order goes whole into a call if it fits into one
+    Given a stage queue with 1 upstreams, 4 pieces a call
+    When the queue gets orders of 1, 3, 3 pieces
+    And the first call ends
+    Then the queue has calls of 3 pieces
+
+  Scenario: an order larger than a call is split
+    Given a stage queue with 2 upstreams, 4 pieces a call
+    When the queue gets orders of 6 pieces
+    Then the queue has calls of 4, 2 pieces
+
+  Scenario Outline: with room for <room> results a call takes <taken> pieces
+    Given a stage queue with 1 upstreams, 4 pieces a call
+    And room for <room> results at each upstream
+    When the queue gets orders of 4 pieces
+    Then the queue has calls of <taken> pieces
+
+    Examples:
+      | room | taken |
+      | 4    | 4     |
+      | 3    | 3     |
+      | 1    | 1     |
+
+  Scenario: results that are kept take room until they are freed
+    Given a stage queue with 1 upstreams, 4 pieces a call
+    And room for 4 results at each upstream
+    When the queue gets orders of 4, 4 pieces
+    And the first call ends
+    Then the queue has no calls
+    When the results of the first call are freed
+    Then the queue has calls of 4 pieces
+
+  Scenario: results that nobody frees give their room back when they expire
+    Given a stage queue with 1 upstreams, 4 pieces a call
+    And room for 4 results at each upstream
+    When the queue gets orders of 4, 4 pieces with 20 s left
+    And the first call ends
+    And 4.1 s pass
+    Then the queue has calls of 4 pieces
+
+  Scenario: pieces of an upstream that stands still are called elsewhere
+    Given a stage queue with 2 upstreams, 4 pieces a call
+    When the queue gets orders of 2 pieces
+    And 0.7 s pass
+    Then the queue has calls of 2, 2 pieces
+    When the second call ends
+    Then the order has 2 results
+    When the first call ends
+    Then the order has 2 results
+    And 2 results are freed
+
+  Scenario Outline: a call that fails as <failure> is repeated <times> times at most
+    Given a stage queue with 3 upstreams, 4 pieces a call
+    When the queue gets orders of 1 pieces
+    And every call fails as <failure>
+    Then <times> calls were made and the order failed
+
+    Examples:
+      | failure   | times |
+      | a reset   | 3     |
+
+  Scenario: an order that cannot end in time is refused at once
+    Given a stage queue with 1 upstreams, 4 pieces a call
+    When the queue gets orders of 4, 4, 4, 4 pieces with 0.9 s left
+    Then the last order is refused as late
+
+  Scenario: the more urgent rank goes first
+    Given a stage queue with 1 upstreams, 4 pieces a call
+    When the queue gets orders of 4 pieces
+    And the queue gets orders of 4 pieces of rank 2
+    And the queue gets orders of 4 pieces of rank 0
+    And the first call ends
+    Then the last call serves rank 0
+
+  Scenario Outline: pieces with inputs in z2 go to <zone> when the upstream of z2 is <state>
+    Given a stage queue with 2 upstreams, 4 pieces a call
+    And the upstream of z2 is <state>
+    When the queue gets an order with inputs in z2, due in <due> s
+    Then the queue calls an upstream of <zone>
+
+    Examples: moving results between zones is worth a wait, but not the target
+      | state | due | zone |
+      | free  | 2   | z2   |
+      | busy  | 2   | none |
+      | busy  | 0.5 | z1   |
+
+  Scenario: a restarted node's orders are not mixed with those of its predecessor
+    Given two processes of one node
+    Then their order numbers differ
--- /dev/null
+++ b/features/fleet/fleet.feature
@@ -0,0 +1,49 @@
+Feature: Nodes as they see each other
+  Callers must not be sent to nodes that are gone or leaving, a starting node must find the
+  others, and a node that was paused must not take the others for gone.
+
+  Scenario Outline: after <events> node b is <seen>
+    Given a node a that knows the address of node b
+    When node a sees <events>
+    Then node b is <seen> for node a
+
+    Examples: silence_heartbeats x heartbeat = 1.05 s
+      | events                          | seen           |
+      | nothing                         | unknown        |
+      | beat                            | used           |
+      | beat, 0.9 s                     | used           |
+      | beat, 1.2 s                     | unused         |
+      | beat, 1.2 s, beat               | used           |
+      | unready beat                    | unused         |
+      | beat, leaving beat              | unused         |
+      | beat, leaving beat, restart     | used           |
+      | beat, 25 s                      | unknown        |
+      | beat, 5 s pause, 0.5 s          | used           |
+
+  Scenario Outline: <event> of node b tells <told>
+    Given a node a that knows the address of node b
+    When node a sees beat
+    And node a sees <event>
+    Then node a was told <told>
+
+    Examples: work at a leaving node goes on, work of a lost one does not
+      | event        | told         |
+      | leaving beat | PeerLeaving  |
+      | restart      | PeerLost     |
+      | 1.2 s        | PeerLost     |
+      | beat         | nothing      |
+
+  Scenario: addresses spread from node to node
+    Given a node a that knows the address of node b
+    When node b names the address of node c to node a
+    Then node a sends heartbeats to 2 addresses
+
+  Scenario Outline: with <nodes> nodes a node sends at most <most> heartbeats a second
+    Given a node a that hears <nodes> others
+    Then node a sends at most <most> heartbeats a second
+
+    Examples: the interval grows with the fleet
+      | nodes | most |
+      | 6     | 20   |
+      | 80    | 80   |
+      | 389   | 80   |
--- /dev/null
+++ b/features/steps/batching_steps.py
@@ -0,0 +1,203 @@
+"""Steps for the queue of a stage service."""
+
+import itertools
+import random
+from datetime import timedelta
+
+from behave import given, then, when
+
+from chervilrack._internal.balancing.core import Balancer
+from chervilrack._internal.batching.core import StageQueue
+from chervilrack._internal.batching.state import Deliver, FreeResults, Order, StartCall
+from chervilrack._internal.catalogue.state import BatchSpec, UpstreamEntry, UpstreamState
+from chervilrack._internal.common.ids import NodeId, RequestId, ServiceId, UpstreamId, ZoneId
+from chervilrack._internal.forwarding.dialect import PieceFailure
+from chervilrack._internal.serving.stage_desk import ORDER_BITS, first_order_number
+
+SIZE = 200_000
+CALL, ITEM = timedelta(milliseconds=200), timedelta(milliseconds=20)
+
+
+def entry(number):
+    return UpstreamEntry(
+        UpstreamId(f"u{number}"),
+        ServiceId("s"),
+        f"10.0.0.{number}:80",
+        ZoneId(f"z{number}"),
+        UpstreamState.READY,
+    )
+
+
+@given("a stage queue with {count:d} upstreams, {batch:d} pieces a call")
+def queue(context, count, batch):
+    context.now = timedelta(seconds=10)
+    context.numbers = itertools.count(1)
+    context.entries = [entry(number) for number in range(1, count + 1)]
+    context.spec = BatchSpec(1, 2, batch, CALL, ITEM, 100 * SIZE, timedelta(seconds=4))
+    context.queue = StageQueue(ServiceId("s"), Balancer(ZoneId("z1"), random.Random(1)))
+    context.queue.configure(context.spec, context.entries)
+    context.calls, context.results, context.freed = [], {}, []
+    context.open = []
+
+
+@given("room for {count:d} results at each upstream")
+def room(context, count):
+    spec = context.spec
+    context.spec = BatchSpec(1, 2, spec.batch, CALL, ITEM, count * SIZE, spec.result_lifetime)
+    context.queue.configure(context.spec, context.entries)
+
+
+@given("the upstream of z2 is {state}")
+def occupy(context, state):
+    if state == "busy":
+        submit(context, 1, zone="z2", move_cost=10**6)
+        context.open.clear()
+
+
+def submit(context, pieces, left=6.0, priority=0, due=2.0, zone="", move_cost=0):
+    number = next(context.numbers)
+    order = Order(
+        id=(NodeId("n"), number),
+        service=ServiceId("s"),
+        request_id=RequestId(f"r{number}"),
+        stage=0,
+        key="k",
+        inputs=(),
+        due=context.now + timedelta(seconds=due),
+        deadline=context.now + timedelta(seconds=left),
+        result_size=SIZE,
+        queued_at=context.now,
+        zone=zone,
+        move_cost=move_cost,
+        priority=priority,
+        open_segments=set(range(pieces)),
+    )
+    context.last = order.id
+    perform(context, context.queue.submit(order, context.now))
+
+
+def perform(context, effects):
+    for effect in effects:
+        match effect:
+            case StartCall():
+                context.calls.append(effect)
+                context.open.append(effect)
+            case Deliver(order, results):
+                context.results.setdefault(order, []).extend(results)
+            case FreeResults(address, handles):
+                context.freed += handles
+                perform(context, context.queue.freed(address, handles, context.now))
+
+
+@when("the queue gets orders of {pieces} pieces")
+def orders(context, pieces):
+    for count in pieces.split(", "):
+        submit(context, int(count))
+
+
+@when("the queue gets orders of {pieces} pieces with {left:g} s left")
+def hurried(context, pieces, left):
+    for count in pieces.split(", "):
+        submit(context, int(count), left=left)
+
+
+@when("the queue gets orders of {pieces:d} pieces of rank {rank:d}")
+def ranked(context, pieces, rank):
+    submit(context, pieces, priority=rank)
+
+
+@when("the queue gets an order with inputs in z2, due in {due:g} s")
+def with_inputs(context, due):
+    context.before = len(context.calls)
+    submit(context, 2, due=due, zone="z2", move_cost=10**6)
+
+
+@when("the {which} call ends")
+def call_ends(context, which):
+    call = context.open.pop(0 if which == "first" or len(context.open) == 1 else 1)
+    context.ended = call
+    handles = [f"{call.address}/{call.call}-{number}" for number in range(len(call.pieces))]
+    context.handles = handles
+    context.now += call.expected
+    perform(context, context.queue.call_ended(call.call, handles, context.now))
+
+
+@when("the results of the first call are freed")
+def free(context):
+    pairs = [(context.ended.address, handle) for handle in context.handles]
+    perform(context, context.queue.release(pairs, context.now))
+
+
+@when("{seconds:g} s pass")
+def passes(context, seconds):
+    end = context.now + timedelta(seconds=seconds)
+    while (at := context.queue.next_time(context.now)) is not None and at <= end:
+        context.now = at
+        perform(context, context.queue.tick(at))
+    context.now = end
+    perform(context, context.queue.tick(end))
+
+
+@when("every call fails as a reset")
+def all_fail(context):
+    while context.open:
+        call = context.open.pop(0)
+        effects = context.queue.call_failed(call.call, "reset", context.now, False, False)
+        perform(context, effects)
+
+
+@then("the queue has calls of {pieces} pieces")
+def has_calls(context, pieces):
+    found = [len(call.pieces) for call in context.open]
+    assert found == [int(count) for count in pieces.split(", ")], found
+
+
+@then("the queue has no calls")
+def no_calls(context):
+    assert not context.open, context.open
+
+
+@then("the order has {count:d} results")
+def has_results(context, count):
+    results = context.results[context.last]
+    assert len(results) == count and all(isinstance(r, str) for _, r in results), results
+
+
+@then("{count:d} results are freed")
+def are_freed(context, count):
+    assert len(context.freed) == count, context.freed
+
+
+@then("{times:d} calls were made and the order failed")
+def gave_up(context, times):
+    assert len(context.calls) == times, len(context.calls)
+    assert context.results[context.last] == [(0, PieceFailure.ERROR)], context.results
+
+
+@then("the last order is refused as late")
+def refused(context):
+    results = context.results[context.last]
+    assert {result for _, result in results} == {PieceFailure.LATE}, results
+
+
+@then("the last call serves rank {rank:d}")
+def serves(context, rank):
+    assert context.open[-1].pieces[0].order.priority == rank
+
+
+@then("the queue calls an upstream of {zone}")
+def calls_zone(context, zone):
+    found = context.calls[context.before :]
+    zones = [next(e.zone for e in context.entries if e.id == call.upstream) for call in found]
+    assert zones == ([] if zone == "none" else [zone]), zones
+
+
+@given("two processes of one node")
+def processes(context):
+    context.first = [first_order_number(text) for text in ("00000001", "00000002")]
+
+
+@then("their order numbers differ")
+def differ(context):
+    first, second = context.first
+    assert abs(first - second) >= 1 << ORDER_BITS
--- a/features/support/stage_load.py
+++ b/features/support/stage_load.py
@@ -1,7 +1,8 @@
 """Plays arrivals of staged requests against the stage queues, without network or threads.
 
 The upstreams run one call at a time and keep results in limited space, as their sheet says. The
-request itself is a fixed time of an engine. One owner holds all queues.
+request itself is a fixed time of an engine. One owner holds all queues, or each of several nodes
+its own.
 """
 
 import heapq
@@ -84,6 +85,7 @@
     busy_until: timedelta = timedelta(0)
     kept: dict[str, tuple[int, timedelta]] = field(default_factory=dict)
     down: tuple[float, float] = (0.0, 0.0)
+    waiting: list[timedelta] = field(default_factory=list)
 
 
 @dataclass
@@ -93,7 +95,7 @@
     id: str
     progress: StageProgress
     plan: StagePlan
-    number: int
+    owner: int
     orders: list[tuple[str, int]] = field(default_factory=list)
     ended: bool = False
 
@@ -123,6 +125,7 @@
     pieces: int = 0
     unused: int = 0
     no_room: int = 0
+    full: int = 0
     moved: int = 0
 
     @property
@@ -141,6 +144,7 @@
         settings: BatchingSettings | None = None,
         down: tuple[tuple[str, int, float, float], ...] = (),
         clump: int = 3,
+        owners: int = 1,
     ) -> None:
         # Requests arrive in groups of this mean size.
         self._clump = clump
@@ -150,14 +154,13 @@
             ServiceId(name): ServiceSpec(ServiceId(name), batching=spec)
             for name, (spec, _) in services.items()
         }
-        self._balancer = Balancer(ZoneId("z1"), random.Random(seed))
         self._now = timedelta(0)
         self._events: list[tuple[timedelta, int, Callable[[], None]]] = []
         self._sequence = itertools.count()
         self._numbers = itertools.count(1)
         self._upstreams: dict[str, _Upstream] = {}
         self._zones = sorted({zone for _, zones in services.values() for zone in zones})
-        self._queues: dict[str, StageQueue] = {}
+        self._queues: dict[tuple[int, str], StageQueue] = {}
         calls = itertools.count(1)
         for name, (spec, zones) in services.items():
             entries = []
@@ -175,12 +178,15 @@
                     if (service, number) == (name, index):
                         upstream.down = (start, end)
                 self._upstreams[entry.address] = upstream
-            queue = StageQueue(ServiceId(name), self._balancer, settings, calls)
-            queue.configure(spec, entries)
-            self._queues[name] = queue
+            for owner in range(owners):
+                balancer = Balancer(ZoneId("z1"), random.Random(seed + owner))
+                queue = StageQueue(ServiceId(name), balancer, settings, calls)
+                queue.configure(spec, entries)
+                self._queues[(owner, name)] = queue
+        self._owners = owners
         self._requests: dict[int, _Request] = {}
         self._orders: dict[int, tuple[_Request, int]] = {}
-        self._ticks: dict[str, timedelta] = {}
+        self._ticks: dict[int, timedelta] = {}
         self.result = LoadResult({kind.name: KindResult() for kind in kinds}, 0.0, 0.0)
 
     def play(self, seconds: float, bursts: tuple[Burst, ...] = ()) -> LoadResult:
@@ -246,7 +252,8 @@
             self._rng.choice(self._zones),
             lambda handle: self._upstreams[handle.split("/")[0]].entry.zone,
         )
-        request = _Request(kind, now, f"r{number}", progress, plan, number)
+        owner = self._rng.randrange(self._owners)
+        request = _Request(kind, now, f"r{number}", progress, plan, owner)
         self._requests[number] = request
         self.result.kinds[kind.name].asked += 1
         self.result.owed += kind.worth
@@ -278,7 +285,7 @@
                 priority=request.kind.priority,
                 open_segments=set(planned.segments),
             )
-            queue = self._queues[planned.service]
+            queue = self._queues[(request.owner, planned.service)]
             self._at(
                 self._now + LINK,
                 lambda queue=queue, order=order: self._perform(
@@ -307,11 +314,11 @@
 
     def _schedule(self, queue: StageQueue) -> None:
         at = queue.next_time(self._now)
-        planned = self._ticks.get(queue.service)
+        planned = self._ticks.get(id(queue))
         if at is None or (planned is not None and self._now < planned <= at):
             return
         at = max(at, self._now + ms(4))
-        self._ticks[queue.service] = at
+        self._ticks[id(queue)] = at
         self._at(at, lambda: self._tick(queue))
 
     def _tick(self, queue: StageQueue) -> None:
@@ -323,6 +330,11 @@
         if start <= self._now.total_seconds() < end:
             self._perform(queue, queue.call_failed(call.call, "down", self._now, True, True))
             return
+        upstream.waiting = [end for end in upstream.waiting if end > self._now]
+        if len(upstream.waiting) > upstream.spec.queue:
+            self.result.full += 1
+            self._perform(queue, queue.call_failed(call.call, "full", self._now, False, True))
+            return
         self.result.calls += 1
         self.result.pieces += len(call.pieces)
         begin = max(self._now, upstream.busy_until)
@@ -353,6 +365,7 @@
                 if self._upstreams[source.split("/")[0]].entry.zone != upstream.entry.zone:
                     self.result.moved += self._upstreams[source.split("/")[0]].kept[source][0]
         upstream.busy_until = begin + took
+        upstream.waiting.append(upstream.busy_until)
         ended = begin + took
         for handle in results:
             if isinstance(handle, str):
@@ -388,7 +401,7 @@
             self._advance(request)
 
     def _release(self, request: _Request, stage: int, handles: list[str]) -> None:
-        queue = self._queues[request.progress.spec(stage).service]
+        queue = self._queues[(request.owner, request.progress.spec(stage).service)]
         pairs = [(handle.split("/")[0], handle) for handle in handles]
         self._perform(queue, queue.release(pairs, self._now))
 
@@ -407,7 +420,7 @@
             result.late += 1
             self.result.worth += request.kind.late_worth
         for service, number in request.orders:
-            self._queues[service].drop((NodeId("n"), number))
+            self._queues[(request.owner, service)].drop((NodeId("n"), number))
         for stage in range(len(request.kind.stages)):
             handles = request.progress.take_handles(stage)
             if handles:
--- a/src/chervilrack/_internal/balancing/core.py
+++ b/src/chervilrack/_internal/balancing/core.py
@@ -118,6 +118,7 @@
         status.failures = 0
         status.last_success = now
         status.probing = False
+        self._count_error(status, 0.0, now)
         if status.ejected_until > _ZERO:
             status.ejected_until = _ZERO
             status.ejections = max(0, status.ejections - 1)
@@ -141,6 +142,26 @@
         status.ejected_until = now + time
         self._act("eject", upstream, f"{reason}; for {time.total_seconds():.1f} s")
 
+    def answered_failure(self, upstream: UpstreamId, now: timedelta) -> None:
+        """Record an answer that is a failure of the upstream's own.
+
+        Some requests fail at every upstream, so that one failure says little: a share above the
+        usual makes the upstream cost more instead of ejecting it.
+        """
+        status = self.status(upstream)
+        status.probing = False
+        self._count_error(status, 1.0, now)
+
+    def errors(self, status: UpstreamStatus, now: timedelta) -> float:
+        """Return the share of failures, faded since the last answer."""
+        age = max(_ZERO, now - status.errors_at)
+        return status.errors * float(0.5 ** (age / self.settings.pace_half_life))
+
+    def _count_error(self, status: UpstreamStatus, error: float, now: timedelta) -> None:
+        weight = self.settings.error_weight
+        status.errors = (1 - weight) * self.errors(status, now) + weight * error
+        status.errors_at = now
+
     def observe_pace(
         self, upstream: UpstreamId, expected: timedelta, took: timedelta, now: timedelta
     ) -> None:
@@ -179,9 +200,16 @@
         for upstream, status in self._status.items():
             suspected = now < status.ejected_until
             pace = self.pace(status, now)
-            if status.in_flight or suspected or abs(pace - 1.0) > 0.3:
+            errors = self.errors(status, now)
+            is_usual = abs(pace - 1.0) <= 0.3 and errors <= self.settings.usual_errors
+            if status.in_flight or suspected or not is_usual:
                 report = UpstreamReport(
-                    upstream, status.in_flight, status.tokens, suspected, round(pace, 2)
+                    upstream,
+                    status.in_flight,
+                    status.tokens,
+                    suspected,
+                    round(pace, 2),
+                    round(errors, 2),
                 )
                 reports.append(report)
         return reports
@@ -210,6 +238,7 @@
             tokens=sum(report.tokens for report in found),
             suspecting=sum(report.suspected for report in found),
             pace=max(report.pace for report in found),
+            errors=max(report.errors for report in found),
         )
 
     def _usable(self, allowed: Sequence[Candidate], now: timedelta) -> list[Candidate]:
@@ -286,6 +315,8 @@
     if candidate.in_flight >= entry.slots:
         seconds += 0.25 * (1 + (candidate.in_flight - entry.slots) / max(1, entry.slots))
     seconds *= _pace(balancer, candidate, now)
+    errors = max(balancer.errors(status, now), candidate.others.errors)
+    seconds += max(0.0, errors - settings.usual_errors) * settings.error_cost
     if entry.zone != balancer.zone:
         seconds += settings.zone_cost.total_seconds()
     return seconds
--- a/src/chervilrack/_internal/balancing/state.py
+++ b/src/chervilrack/_internal/balancing/state.py
@@ -32,6 +32,11 @@
     pace_weight: float = 0.3
     # Time in which a pace without new observations moves half way back to normal.
     pace_half_life: timedelta = timedelta(seconds=4)
+    # Weight of one answer in an upstream's share of failures of its own, the share that all
+    # upstreams of a service may have, and the cost in seconds of a share of 1.
+    error_weight: float = 0.1
+    usual_errors: float = 0.2
+    error_cost: float = 1.0
     # Peers that report an upstream as failing before this node avoids it without own evidence.
     suspecting_peers: int = 2
     cached_parts: int = 4096
@@ -45,6 +50,7 @@
     tokens: int
     suspected: bool
     pace: float
+    errors: float
 
 
 @dataclass(slots=True)
@@ -52,7 +58,8 @@
     """State of one upstream as one node sees it.
 
     ``tokens`` are prompt tokens of own requests that have not produced a first event. ``pace`` is
-    the ratio of observed to expected times. ``others`` hold the reports of other nodes.
+    the ratio of observed to expected times, ``errors`` the share of answers that are failures of
+    the upstream itself; both fade.
     """
 
     in_flight: int = 0
@@ -64,6 +71,8 @@
     last_success: timedelta | None = None
     pace: float = 1.0
     pace_at: timedelta = _ZERO
+    errors: float = 0.0
+    errors_at: timedelta = _ZERO
     cached: OrderedDict[str, timedelta] = field(default_factory=OrderedDict)
 
 
@@ -75,6 +84,7 @@
     tokens: int = 0
     suspecting: int = 0
     pace: float = 1.0
+    errors: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/chervilrack/_internal/batching/core.py
+++ b/src/chervilrack/_internal/batching/core.py
@@ -53,8 +53,10 @@
     # Inputs are read at the latest this long before they would be dropped: they are up to one
     # call older than the order, and the call has to get its turn.
     lifetime_margin: timedelta = timedelta(milliseconds=1500)
-    # A rank's difference counts as much as this difference of the due time.
+    # A rank's difference counts as much as this difference of the due time, under full pressure.
     priority_step: timedelta = timedelta(milliseconds=600)
+    # Full calls of every upstream that may wait before ranks count.
+    calm_rounds: float = 1.5
     # From this many bytes on a piece may wait for an upstream of its zone.
     least_move_cost: int = 100_000
     # It waits only if its target is still met with this margin for the queues after it.
@@ -413,7 +415,7 @@
     def _urgency(self, order: Order, now: timedelta) -> timedelta:
         """Return until when an order should be done: its target, or else its deadline."""
         assert self._spec is not None
-        rank = order.priority * self._settings.priority_step
+        rank = order.priority * self._settings.priority_step * self._pressure()
         if now + self._spec.call_time + self._spec.batch * self._spec.item_time / 2 <= order.due:
             return order.due + rank
         last = order.due + (order.deadline - order.due) * self._settings.late_share
@@ -423,6 +425,16 @@
             last = min(last, order.queued_at + kept)
         return max(order.due, last) + rank
 
+    def _pressure(self) -> float:
+        """Return how far the waiting pieces exceed what all upstreams take in one call, 0 to 1.
+
+        Without pressure all kinds can be on time, and the rank would only make some late.
+        """
+        assert self._spec is not None
+        round_size = self._spec.batch * max(1, len(self._upstreams))
+        excess = len(self._waiting) / round_size - self._settings.calm_rounds
+        return min(1.0, max(0.0, excess))
+
     def _suspected(self, upstream: _Upstream, now: timedelta) -> bool:
         return self._balancer.is_suspected(upstream.entry.id, now)
 
--- a/src/chervilrack/_internal/forwarding/attempts.py
+++ b/src/chervilrack/_internal/forwarding/attempts.py
@@ -80,6 +80,9 @@
     def bad(self, entry: UpstreamEntry, reason: str, certain: bool) -> None:
         """Record a failure of the upstream."""
 
+    def own_failure(self, entry: UpstreamEntry) -> None:
+        """Record an answer that is a failure of the upstream's own."""
+
     def misdirected(self, entry: UpstreamEntry) -> None:
         """Note that another upstream holds the address."""
 
@@ -242,7 +245,7 @@
     ) -> AttemptEnd:
         detail = f"the upstream answered {response.status}"
         if response.status >= 500:
-            self._meter.bad(entry, detail, certain=False)
+            self._meter.own_failure(entry)
         try:
             body = exchange.read_body(context.deadline.total_seconds())
         except ExchangeFailed as error:
--- a/src/chervilrack/_internal/serving/stage_desk.py
+++ b/src/chervilrack/_internal/serving/stage_desk.py
@@ -32,6 +32,11 @@
 _MILLISECOND = timedelta(milliseconds=1)
 
 
+def first_order_number(incarnation: str) -> int:
+    """Return the first order number of a process, from its hexadecimal incarnation."""
+    return int(incarnation, 16) << ORDER_BITS
+
+
 @dataclass(slots=True)
 class _Open:
     """An order of one of this node's requests."""
@@ -64,7 +69,7 @@
         self._dialect = dialect
         self._caller = caller
         # Owners keep orders of a process that was killed; its successor must not get their results.
-        self._numbers = itertools.count(int(incarnation, 16) << ORDER_BITS)
+        self._numbers = itertools.count(first_order_number(incarnation))
         self._open: dict[int, _Open] = {}
         self._queues: dict[ServiceId, StageQueue] = {}
         self._queue_of_call: dict[int, StageQueue] = {}
--- a/src/chervilrack/_internal/serving/state.py
+++ b/src/chervilrack/_internal/serving/state.py
@@ -184,6 +184,11 @@
             self.balancer.failed(entry.id, self.clock.monotonic(), reason, certain)
             self.report_actions()
 
+    def own_failure(self, entry: UpstreamEntry) -> None:
+        """Record an answer that is a failure of the upstream's own."""
+        with self.lock:
+            self.balancer.answered_failure(entry.id, self.clock.monotonic())
+
     def misdirected(self, entry: UpstreamEntry) -> None:
         """Note that another upstream holds the address; it is not used until it changes."""
         with self.lock:
