Free stage inputs once the calls that read them have begun

Cause: results of the second stage take the room that bounds full calls in bursts, and were kept until the end of the calls that read them, though these read at their start. Change: the owner reports an order whose calls have run for 80 ms; not within 3 s of a failure, a straggler, a refusal or a change of owners, when calls may wait behind others.

--- a/features/batching/queue.feature
+++ b/features/batching/queue.feature
@@ -98,3 +98,15 @@
   Scenario: a restarted node's orders are not mixed with those of its predecessor
     Given two processes of one node
     Then their order numbers differ
+
+  Scenario Outline: inputs are reported as read <when> if <condition>
+    Given a stage queue with 1 upstreams, 4 pieces a call
+    When the queue gets an order with 2 pieces that read inputs
+    And <condition>
+    And 0.1 s pass
+    Then the inputs of the order are <state>
+
+    Examples: a call that may wait behind another owner's has not read its inputs yet
+      | condition                        | state  | when  |
+      | nothing else happens             | read   | soon  |
+      | the queue was disturbed          | unread | later |
--- a/features/steps/batching_steps.py
+++ b/features/steps/batching_steps.py
@@ -8,7 +8,7 @@
 
 from chervilrack._internal.balancing.core import Balancer
 from chervilrack._internal.batching.core import StageQueue
-from chervilrack._internal.batching.state import Deliver, FreeResults, Order, StartCall
+from chervilrack._internal.batching.state import Deliver, FreeResults, InputsRead, Order, StartCall
 from chervilrack._internal.catalogue.state import BatchSpec, UpstreamEntry, UpstreamState
 from chervilrack._internal.common.ids import NodeId, RequestId, ServiceId, UpstreamId, ZoneId
 from chervilrack._internal.forwarding.dialect import PieceFailure
@@ -37,7 +37,7 @@
     context.queue = StageQueue(ServiceId("s"), Balancer(ZoneId("z1"), random.Random(1)))
     context.queue.configure(context.spec, context.entries)
     context.calls, context.results, context.freed = [], {}, []
-    context.open = []
+    context.open, context.read = [], []
 
 
 @given("room for {count:d} results at each upstream")
@@ -54,7 +54,7 @@
         context.open.clear()
 
 
-def submit(context, pieces, left=6.0, priority=0, due=2.0, zone="", move_cost=0):
+def submit(context, pieces, left=6.0, priority=0, due=2.0, zone="", move_cost=0, inputs=()):
     number = next(context.numbers)
     order = Order(
         id=(NodeId("n"), number),
@@ -62,7 +62,7 @@
         request_id=RequestId(f"r{number}"),
         stage=0,
         key="k",
-        inputs=(),
+        inputs=inputs,
         due=context.now + timedelta(seconds=due),
         deadline=context.now + timedelta(seconds=left),
         result_size=SIZE,
@@ -84,6 +84,8 @@
                 context.open.append(effect)
             case Deliver(order, results):
                 context.results.setdefault(order, []).extend(results)
+            case InputsRead(order):
+                context.read.append(order)
             case FreeResults(address, handles):
                 context.freed += handles
                 perform(context, context.queue.freed(address, handles, context.now))
@@ -160,7 +162,8 @@
 @then("the order has {count:d} results")
 def has_results(context, count):
     results = context.results[context.last]
-    assert len(results) == count and all(isinstance(r, str) for _, r in results), results
+    assert len(results) == count, results
+    assert all(isinstance(result, str) for _, result in results), results
 
 
 @then("{count:d} results are freed")
@@ -201,3 +204,24 @@
 def differ(context):
     first, second = context.first
     assert abs(first - second) >= 1 << ORDER_BITS
+
+
+@when("the queue gets an order with 2 pieces that read inputs")
+def reading(context):
+    context.read = []
+    submit(context, 2, inputs=("10.0.0.9:80/x",))
+
+
+@when("nothing else happens")
+def nothing(context):
+    pass
+
+
+@when("the queue was disturbed")
+def disturb(context):
+    context.queue.disturbed(context.now)
+
+
+@then("the inputs of the order are {state}")
+def inputs_are(context, state):
+    assert (context.last in context.read) == (state == "read"), context.read
--- a/features/support/stage_load.py
+++ b/features/support/stage_load.py
@@ -17,7 +17,7 @@
 from chervilrack._internal.batching.core import BatchingSettings, StageQueue
 from chervilrack._internal.batching.plan import RequestTimes, StagePlan
 from chervilrack._internal.batching.progress import StageProgress
-from chervilrack._internal.batching.state import Deliver, FreeResults, Order, StartCall
+from chervilrack._internal.batching.state import Deliver, FreeResults, InputsRead, Order, StartCall
 from chervilrack._internal.catalogue.state import (
     BatchSpec,
     RequestKind,
@@ -303,6 +303,8 @@
                         self._now + LINK,
                         lambda number=number, results=results: self._take(number, results),
                     )
+                case InputsRead((_, number)):
+                    self._at(self._now + LINK, lambda number=number: self._read(number))
                 case FreeResults(address, handles):
                     self._at(
                         self._now + 2 * LINK,
@@ -400,6 +402,13 @@
                 self._release(request, done, handles)
             self._advance(request)
 
+    def _read(self, number: int) -> None:
+        request, stage = self._orders[number]
+        if not request.ended:
+            request.progress.inputs_read(stage)
+            for done, handles in request.progress.take_releasable(answered=False):
+                self._release(request, done, handles)
+
     def _release(self, request: _Request, stage: int, handles: list[str]) -> None:
         queue = self._queues[(request.owner, request.progress.spec(stage).service)]
         pairs = [(handle.split("/")[0], handle) for handle in handles]
--- a/src/chervilrack/_internal/batching/core.py
+++ b/src/chervilrack/_internal/batching/core.py
@@ -16,6 +16,7 @@
     Call,
     Deliver,
     FreeResults,
+    InputsRead,
     KeptResult,
     Order,
     OrderId,
@@ -26,7 +27,7 @@
 from chervilrack._internal.common.ids import NodeId, ServiceId, UpstreamId
 from chervilrack._internal.forwarding.dialect import PieceFailure
 
-BatchEffect = StartCall | Deliver | FreeResults
+BatchEffect = StartCall | Deliver | FreeResults | InputsRead
 
 _ZERO = timedelta(0)
 _NO_TOKENS = Work()
@@ -61,6 +62,14 @@
     least_move_cost: int = 100_000
     # It waits only if its target is still met with this margin for the queues after it.
     zone_margin: timedelta = timedelta(milliseconds=250)
+    # An upstream reads the inputs of a call when its turn comes, over links of 10 Gbit/s; this
+    # long after the start of a call it has them.
+    read_time: timedelta = timedelta(milliseconds=80)
+    # For this time after a failure, a straggler or a change of owners a call may start late, and
+    # inputs are kept until its end.
+    disturbed_time: timedelta = timedelta(seconds=3)
+    # Pace from which calls seem to wait behind those of another owner.
+    usual_pace: float = 1.25
     # An upstream without room is tried again after this time.
     room_pause: timedelta = timedelta(milliseconds=40)
     # Time for which space found taken by results of another owner counts as taken.
@@ -99,6 +108,7 @@
         self._orders: dict[OrderId, Order] = {}
         self._waiting: list[Piece] = []
         self._calls: dict[int, Call] = {}
+        self._disturbed_until = _ZERO
 
     @property
     def waiting(self) -> int:
@@ -123,6 +133,10 @@
             else:
                 found.entry = entry
 
+    def disturbed(self, now: timedelta) -> None:
+        """Note that calls may start later than usual, such as after a change of owners."""
+        self._disturbed_until = now + self._settings.disturbed_time
+
     def submit(self, order: Order, now: timedelta) -> list[BatchEffect]:
         """Queue the pieces of an order; one that is known already is ignored."""
         if order.id in self._orders:
@@ -190,6 +204,8 @@
         upstream = self._upstreams.get(call.upstream)
         if upstream is not None:
             self._learn_room(upstream, call, results, now)
+        if PieceFailure.INPUT_GONE in results:
+            self.disturbed(now)
         delivered: dict[OrderId, list[tuple[int, str | PieceFailure]]] = {}
         unwanted: list[str] = []
         for piece, result in zip(call.pieces, results, strict=True):
@@ -214,6 +230,7 @@
         call = self._finish(call_id)
         if call is None:
             return []
+        self.disturbed(now)
         if not not_executed:
             self._balancer.failed(call.upstream, now, reason, certain)
         else:
@@ -237,6 +254,7 @@
     def next_time(self, now: timedelta) -> timedelta | None:
         """Return when ``tick`` has something to do if nothing else happens; always after now."""
         times = [self._straggles_at(call) for call in self._calls.values() if not call.hedged]
+        times += [call.started + self._settings.read_time for call in self._calls.values()]
         if self._waiting:
             for order in {id(p.order): p.order for p in self._waiting}.values():
                 times.append(order.deadline)
@@ -264,6 +282,7 @@
         for call in self._calls.values():
             if not call.hedged and now >= self._straggles_at(call):
                 call.hedged = True
+                self.disturbed(now)
                 self._balancer.observe_pace(call.upstream, call.expected, now - call.started, now)
                 self._waiting += [
                     piece
@@ -272,7 +291,34 @@
                     and piece.attempts < self._settings.max_attempts
                     and piece not in self._waiting
                 ]
-        return [*_deliveries(delivered), *self.dispatch(now)]
+        return [*_deliveries(delivered), *self._inputs_read(now), *self.dispatch(now)]
+
+    def _inputs_read(self, now: timedelta) -> list[BatchEffect]:
+        """Report orders whose pieces are all in calls that have read their inputs."""
+        if now < self._disturbed_until:
+            return []
+        unread = {id(piece.order) for piece in self._waiting}
+        begun: dict[OrderId, Order] = {}
+        for call in self._calls.values():
+            upstream = self._upstreams.get(call.upstream)
+            has_read = (
+                now >= call.started + self._settings.read_time
+                and upstream is not None
+                and self._pace(upstream, now) < self._settings.usual_pace
+            )
+            for piece in call.pieces:
+                if has_read:
+                    begun[piece.order.id] = piece.order
+                else:
+                    unread.add(id(piece.order))
+        found = [
+            order
+            for order in begun.values()
+            if order.inputs and not order.inputs_read and id(order) not in unread
+        ]
+        for order in found:
+            order.inputs_read = True
+        return [InputsRead(order.id) for order in found]
 
     def dispatch(self, now: timedelta) -> list[BatchEffect]:
         """Start calls at free upstreams for the most urgent pieces."""
@@ -484,6 +530,7 @@
             for piece, result in zip(call.pieces, results, strict=True)
             if isinstance(result, str)
         )
+        self.disturbed(now)
         known = sum(kept.size for kept in upstream.kept.values())
         upstream.foreign = max(0, self._spec.result_space - known - granted)
         upstream.foreign_until = now + self._settings.foreign_time
--- a/src/chervilrack/_internal/batching/messages.py
+++ b/src/chervilrack/_internal/batching/messages.py
@@ -33,6 +33,12 @@
     wait_ms: int
 
 
+class PiecesBegun(msgspec.Struct, frozen=True, array_like=True):
+    """The upstreams have read the inputs of all pieces of an order."""
+
+    order: int
+
+
 class PiecesMade(msgspec.Struct, frozen=True, array_like=True):
     """Results of some segments: a handle, or the failure's name behind ``!``."""
 
--- a/src/chervilrack/_internal/batching/progress.py
+++ b/src/chervilrack/_internal/batching/progress.py
@@ -11,6 +11,7 @@
     spec: StageSpec
     pieces: int
     started: bool = False
+    inputs_read: bool = False
     handles: dict[int, str] = field(default_factory=dict)
     released: bool = False
 
@@ -72,6 +73,10 @@
         state.handles[segment] = handle
         return True
 
+    def inputs_read(self, stage: int) -> None:
+        """Note that the upstreams that run a stage have its inputs."""
+        self._stages[stage].inputs_read = True
+
     def restart_inputs(self, stage: int | None) -> list[str]:
         """Forget the results that a stage reads (None: the request), and all before them.
 
@@ -86,15 +91,17 @@
             dropped += state.handles.values()
             state.handles.clear()
             state.started = False
+            state.inputs_read = False
             state.released = False
         if stage is not None:
             self._stages[stage].started = False
+            self._stages[stage].inputs_read = False
         return dropped
 
     def take_releasable(self, *, answered: bool) -> list[tuple[int, list[str]]]:
         """Return stages with handles that nothing needs any longer, each once.
 
-        Inputs of a stage are needed until all stages that read them are done, final results
+        Inputs of a stage are needed until all stages that read them have done so, final results
         until the request has been ``answered``.
         """
         found = []
@@ -102,7 +109,9 @@
             if stage.released or not stage.done or not stage.handles:
                 continue
             readers = [other for other in self._stages if index in other.spec.after]
-            if all(reader.done for reader in readers) and (readers or answered):
+            if all(reader.done or reader.inputs_read for reader in readers) and (
+                readers or answered
+            ):
                 stage.released = True
                 found.append((index, list(stage.handles.values())))
         return found
--- a/src/chervilrack/_internal/batching/state.py
+++ b/src/chervilrack/_internal/batching/state.py
@@ -32,6 +32,7 @@
     move_cost: int = 0
     priority: int = 0
     open_segments: set[int] = field(default_factory=set)
+    inputs_read: bool = False
 
 
 @dataclass(slots=True, eq=False)
@@ -70,6 +71,13 @@
     results: tuple[tuple[int, str | PieceFailure], ...]
 
 
+@dataclass(frozen=True, slots=True)
+class InputsRead:
+    """Effect: tell the node that asked that the upstreams have read an order's inputs."""
+
+    order: OrderId
+
+
 @dataclass(frozen=True, slots=True)
 class FreeResults:
     """Effect: free results at the upstream that keeps them."""
--- a/src/chervilrack/_internal/forwarding/stages.py
+++ b/src/chervilrack/_internal/forwarding/stages.py
@@ -43,11 +43,21 @@
     result: str | PieceFailure
 
 
+@dataclass(frozen=True, slots=True)
+class StageBegun:
+    """The upstreams that run a stage have read its inputs."""
+
+    stage: int
+
+
+StageNews = PieceResult | StageBegun
+
+
 class StageClient(Protocol):
     """Sends orders to the owners of the queues."""
 
-    def order(self, order: StageOrder, deliver: Callable[[PieceResult], None]) -> int:
-        """Ask for pieces; ``deliver`` gets each result. Return the order's number."""
+    def order(self, order: StageOrder, deliver: Callable[[StageNews], None]) -> int:
+        """Ask for pieces; ``deliver`` gets the news of them. Return the order's number."""
 
     def zone_of(self, handle: str) -> str:
         """Return the zone of the upstream that keeps a result, "" if it is not known."""
@@ -83,7 +93,7 @@
             zone_hint,
             client.zone_of,
         )
-        self._results: queue.SimpleQueue[tuple[int, PieceResult] | None] = queue.SimpleQueue()
+        self._results: queue.SimpleQueue[tuple[int, StageNews] | None] = queue.SimpleQueue()
         self._orders: list[int] = []
         # Number of the current order of each stage; failures of earlier ones are of no interest.
         self._generations: dict[int, int] = {}
@@ -155,7 +165,15 @@
                 return Err(failure)
         return Ok(None)
 
-    def _take(self, generation: int, result: PieceResult) -> Problem | None:
+    def _take(self, generation: int, news: StageNews) -> Problem | None:
+        if isinstance(news, PieceResult):
+            return self._take_result(generation, news)
+        if generation == self._generations.get(news.stage):
+            self._progress.inputs_read(news.stage)
+            self._release(answered=False)
+        return None
+
+    def _take_result(self, generation: int, result: PieceResult) -> Problem | None:
         if isinstance(result.result, str):
             if not self._progress.completed(result.stage, result.segment, result.result):
                 self._client.release(self._progress.spec(result.stage).service, [result.result])
--- a/src/chervilrack/_internal/serving/messages.py
+++ b/src/chervilrack/_internal/serving/messages.py
@@ -13,6 +13,7 @@
     codec.register("fleet.state-given", fleet.StateGiven)
     codec.register("batching.pieces-wanted", batching.PiecesWanted)
     codec.register("batching.pieces-queued", batching.PiecesQueued)
+    codec.register("batching.pieces-begun", batching.PiecesBegun)
     codec.register("batching.pieces-made", batching.PiecesMade)
     codec.register("batching.pieces-dropped", batching.PiecesDropped)
     codec.register("batching.results-released", batching.ResultsReleased)
--- a/src/chervilrack/_internal/serving/node.py
+++ b/src/chervilrack/_internal/serving/node.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from chervilrack._internal.batching.messages import (
+    PiecesBegun,
     PiecesDropped,
     PiecesMade,
     PiecesQueued,
@@ -371,6 +372,8 @@
                     self._desk.wanted(sender, message)
                 case PiecesQueued():
                     self._desk.queued(message)
+                case PiecesBegun():
+                    self._desk.begun(message)
                 case PiecesMade():
                     self._desk.made(message)
                 case PiecesDropped():
@@ -424,6 +427,8 @@
         self._log.note("store", "state of a peer taken", revision=message.revision)
 
     def _fleet_changed(self, effects: list[FleetEffect]) -> None:
+        if effects:
+            self._desk.owners_changed()
         for effect in effects:
             match effect:
                 case PeerLost(node, reason):
--- a/src/chervilrack/_internal/serving/stage_desk.py
+++ b/src/chervilrack/_internal/serving/stage_desk.py
@@ -8,17 +8,18 @@
 
 from chervilrack._internal.batching.core import BatchEffect, StageQueue
 from chervilrack._internal.batching.messages import (
+    PiecesBegun,
     PiecesDropped,
     PiecesMade,
     PiecesQueued,
     PiecesWanted,
     ResultsReleased,
 )
-from chervilrack._internal.batching.state import Deliver, FreeResults, Order, StartCall
+from chervilrack._internal.batching.state import Deliver, FreeResults, InputsRead, Order, StartCall
 from chervilrack._internal.common.hashing import rendezvous_order
 from chervilrack._internal.common.ids import Incarnation, NodeId, RequestId, ServiceId
 from chervilrack._internal.forwarding.dialect import Dialect, MalformedFacts, PieceFailure
-from chervilrack._internal.forwarding.stages import PieceResult, StageOrder
+from chervilrack._internal.forwarding.stages import PieceResult, StageBegun, StageNews, StageOrder
 from chervilrack._internal.peering.transport import PeerTransport
 from chervilrack._internal.serving.stage_calls import CallFailed, StageCaller
 from chervilrack._internal.serving.state import ServingState
@@ -42,7 +43,7 @@
     """An order of one of this node's requests."""
 
     order: StageOrder
-    deliver: Callable[[PieceResult], None]
+    deliver: Callable[[StageNews], None]
     owner: NodeId
     sent_at: timedelta
     confirmed: bool = False
@@ -79,8 +80,8 @@
 
     # StageClient
 
-    def order(self, order: StageOrder, deliver: Callable[[PieceResult], None]) -> int:
-        """Ask for pieces; ``deliver`` gets each result. Return the order's number."""
+    def order(self, order: StageOrder, deliver: Callable[[StageNews], None]) -> int:
+        """Ask for pieces; ``deliver`` gets the news of them. Return the order's number."""
         with self._state.lock:
             number = next(self._numbers)
             opened = _Open(order, deliver, self._node, self._state.clock.monotonic())
@@ -155,6 +156,10 @@
         if opened is not None:
             opened.confirmed = True
 
+    def begun(self, message: PiecesBegun) -> None:
+        """Note that the inputs of an order have been read."""
+        self._inputs_read(message.order)
+
     def made(self, message: PiecesMade) -> None:
         """Take results of an order."""
         failures = {failure.value: failure for failure in PieceFailure}
@@ -178,6 +183,11 @@
 
     # Time and membership; the caller has the lock
 
+    def owners_changed(self) -> None:
+        """Note that other nodes may own some queues for a while, too."""
+        for queue in self._queues.values():
+            queue.disturbed(self._state.clock.monotonic())
+
     def node_lost(self, node: NodeId) -> None:
         """Place the orders again whose owner is gone, and forget the orders of that node."""
         for queue in self._queues.values():
@@ -296,6 +306,7 @@
         queue = self._queues.get(service)
         if queue is None:
             queue = StageQueue(service, self._state.balancer, call_numbers=self._call_numbers)
+            queue.disturbed(self._state.clock.monotonic())
             self._queues[service] = queue
         self._configure(queue)
         return queue
@@ -331,12 +342,22 @@
                     self._caller.start(effect, self._call_ended)
                 case Deliver():
                     self._hand_over(effect)
+                case InputsRead((node, number)):
+                    if node == self._node:
+                        self._inputs_read(number)
+                    else:
+                        self._send(node, PiecesBegun(number))
                 case FreeResults():
                     self._caller.free(effect, functools.partial(self._freed, queue))
         self._state.report_actions()
         if effects:
             self.wake()
 
+    def _inputs_read(self, number: int) -> None:
+        opened = self._open.get(number)
+        if opened is not None:
+            opened.deliver(StageBegun(opened.order.planned.stage))
+
     def _freed(self, queue: StageQueue, effect: FreeResults) -> None:
         with self._state.lock:
             now = self._state.clock.monotonic()
