Serve counters and histograms of a serving node on a metrics address

Cause: on-call engineers had only logs. Change: requests by route and outcome, times by organisation and rank, stage calls by service; labels are bounded.

--- /dev/null
+++ b/src/chervilrack/_internal/serving/metrics.py
@@ -0,0 +1,112 @@
+"""Counters and latency histograms of a serving node, in text form for Prometheus.
+
+Labels are bounded: routes and services come from the configuration, organisations are ranked by
+traffic and the small ones share one label.
+"""
+
+from datetime import timedelta
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+from chervilrack._internal.forwarding.context import RequestContext
+from chervilrack._internal.forwarding.forwarder import Outcome
+from chervilrack._internal.observability.metrics import MAX_VALUES, OTHER, TrafficRanking
+
+CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+# Targets lie between 0.15 and 2.3 s, deadlines between 1 and 20 s.
+_REQUEST_BUCKETS = (0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 1.6, 2, 3, 4, 6, 10, 20)
+_CALL_BUCKETS = (0.1, 0.2, 0.25, 0.3, 0.35, 0.4, 0.5, 0.7, 1, 2)
+_PIECE_BUCKETS = (1, 2, 4, 8, 12, 16, 24, 32, 48, 64)
+# Organisations with a histogram of their own on one node.
+MAX_ORGANISATIONS = 50
+
+
+class _Bounded:
+    """Passes on known values and replaces those beyond a number."""
+
+    def __init__(self, most: int) -> None:
+        self._most = most
+        self._seen: set[str] = set()
+
+    def label(self, value: str) -> str:
+        if value not in self._seen:
+            if len(self._seen) >= self._most:
+                return OTHER
+            self._seen.add(value)
+        return value
+
+
+class ServingMetrics:
+    """Metrics of one node; safe for use by threads."""
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        self._requests = Counter(
+            "chervilrack_serving_requests",
+            "Requests by route and outcome.",
+            ["route", "outcome"],
+            registry=self._registry,
+        )
+        self._seconds = Histogram(
+            "chervilrack_serving_request_seconds",
+            "Time from the arrival of a request to the end of its answer.",
+            ["organisation", "priority"],
+            buckets=_REQUEST_BUCKETS,
+            registry=self._registry,
+        )
+        self._call_seconds = Histogram(
+            "chervilrack_serving_stage_call_seconds",
+            "Time of calls to stage upstreams.",
+            ["service", "outcome"],
+            buckets=_CALL_BUCKETS,
+            registry=self._registry,
+        )
+        self._call_pieces = Histogram(
+            "chervilrack_serving_stage_call_pieces",
+            "Pieces in a call to a stage upstream.",
+            ["service"],
+            buckets=_PIECE_BUCKETS,
+            registry=self._registry,
+        )
+        self._dropped = Gauge(
+            "chervilrack_serving_log_lines_dropped",
+            "Log lines dropped and not yet reported in the log.",
+            registry=self._registry,
+        )
+        self._in_progress = Gauge(
+            "chervilrack_serving_requests_in_progress",
+            "Requests in progress.",
+            registry=self._registry,
+        )
+        self._routes = _Bounded(MAX_VALUES)
+        self._services = _Bounded(MAX_VALUES)
+        self._organisations = TrafficRanking(MAX_ORGANISATIONS, on_removed=self._forget)
+
+    def request_ended(self, context: RequestContext, outcome: Outcome) -> None:
+        """Record the end of a request."""
+        late = outcome.name == "answered" and (context.request.arrived + outcome.took > context.due)
+        name = "late" if late else outcome.name
+        self._requests.labels(self._routes.label(context.route.name), name).inc()
+        organisation = self._organisations.label(context.organisation or "none")
+        seconds = outcome.took.total_seconds()
+        self._seconds.labels(organisation, str(context.priority)).observe(seconds)
+
+    def call_ended(self, service: str, pieces: int, took: timedelta, *, failed: bool) -> None:
+        """Record the end of a call to a stage upstream."""
+        label = self._services.label(service)
+        outcome = "failed" if failed else "answered"
+        self._call_seconds.labels(label, outcome).observe(took.total_seconds())
+        self._call_pieces.labels(label).observe(pieces)
+
+    def render(self, in_progress: int, dropped: int) -> bytes:
+        """Return all metrics in Prometheus' text format."""
+        self._in_progress.set(in_progress)
+        self._dropped.set(dropped)
+        return generate_latest(self._registry)
+
+    def _forget(self, organisation: str) -> None:
+        for metric in self._registry.collect():
+            if metric.name == "chervilrack_serving_request_seconds":
+                found = {s.labels["priority"] for s in metric.samples if "priority" in s.labels}
+                for priority in found:
+                    self._seconds.remove(organisation, priority)
--- a/src/chervilrack/_internal/serving/node.py
+++ b/src/chervilrack/_internal/serving/node.py
@@ -6,7 +6,6 @@
 import random
 import secrets
 import threading
-from collections.abc import Callable
 from datetime import timedelta
 from types import TracebackType
 from typing import Self
@@ -44,7 +43,8 @@
 from chervilrack._internal.peering.envelope import Envelope
 from chervilrack._internal.peering.transport import PeerTransport
 from chervilrack._internal.serving.messages import serving_codec
-from chervilrack._internal.serving.settings import Address, ServingSettings
+from chervilrack._internal.serving.metrics import CONTENT_TYPE
+from chervilrack._internal.serving.settings import ServingSettings
 from chervilrack._internal.serving.stage_calls import StageCaller
 from chervilrack._internal.serving.stage_desk import StageDesk
 from chervilrack._internal.serving.state import ServingState
@@ -53,6 +53,7 @@
 
 logger = logging.getLogger(__name__)
 
+METRICS_PATH = "/metrics"
 # Endpoints in one look-up answer.
 MOST_ENDPOINTS = 64
 # A node that the store does not answer asks a peer for its state at most this often.
@@ -194,18 +195,17 @@
                 lambda: self._closing,
             )
         ]
-        sides: dict[Address, Callable[[InboundRequest, Responder], None]] = {
-            settings.readiness: self._answer_side,
-            settings.lookup: self._answer_side,
-        }
-        for address, handler in sides.items():
+        sides = {settings.readiness, settings.lookup}
+        if settings.metrics is not None:
+            sides.add(settings.metrics)
+        for address in sorted(sides, key=str):
             listen = ListenSettings(
                 address.host,
                 address.port,
                 first_threads=SIDE_THREADS,
                 most_threads=MOST_SIDE_THREADS,
             )
-            servers.append(PassThroughServer(listen, handler, self._clock))
+            servers.append(PassThroughServer(listen, self._answer_side, self._clock))
         return servers
 
     def _answer_side(self, request: InboundRequest, responder: Responder) -> None:
@@ -213,6 +213,9 @@
             responder.answer(200 if self.is_ready else 503, [], b"")
         elif request.path == self._dialect.lookup_path:
             self._answer_lookup(request, responder)
+        elif request.path == METRICS_PATH:
+            body = self._state.metrics.render(self._state.in_progress, self._log.dropped)
+            responder.answer(200, [("Content-Type", CONTENT_TYPE)], body)
         else:
             responder.answer(404, [], b"")
 
--- a/src/chervilrack/_internal/serving/settings.py
+++ b/src/chervilrack/_internal/serving/settings.py
@@ -34,7 +34,7 @@
     peer: Address
     seeds: tuple[Address, ...] = ()
     store: Address | None = None
-    metrics_port: int | None = None
+    metrics: Address | None = None
     # Callers keep a look-up answer for up to three times its lifetime; a stopping node waits so
     # long, and has to end within stop_grace.
     lookup_lifetime: timedelta = timedelta(seconds=2)
--- a/src/chervilrack/_internal/serving/stage_desk.py
+++ b/src/chervilrack/_internal/serving/stage_desk.py
@@ -370,6 +370,9 @@
             now = self._state.clock.monotonic()
             queue = self._queue_of_call.pop(call.call)
             failed = isinstance(outcome, CallFailed)
+            self._state.metrics.call_ended(
+                queue.service, len(call.pieces), now - call.started, failed=failed
+            )
             self._state.log.note(
                 "batching",
                 "call failed" if failed else "call",
--- a/src/chervilrack/_internal/serving/state.py
+++ b/src/chervilrack/_internal/serving/state.py
@@ -2,7 +2,7 @@
 
 import random
 import threading
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from datetime import timedelta
 
 from chervilrack._internal.balancing.core import Balancer
@@ -23,6 +23,7 @@
 from chervilrack._internal.forwarding.messages import InboundRequest
 from chervilrack._internal.limits.retry_budget import RetryBudget
 from chervilrack._internal.observability.decisions import DecisionLog
+from chervilrack._internal.serving.metrics import ServingMetrics
 from chervilrack._internal.serving.settings import ServingSettings
 
 # First-byte times of a service before any answer was seen.
@@ -54,7 +55,7 @@
         self.balancer = Balancer(settings.zone, self.rng, policy=settings.balancing_policy)
         self.budget = RetryBudget(settings.retry_budget, lambda: self.fleet.size)
         self.in_progress = 0
-        self.on_finished: Callable[[RequestContext, Outcome], None] = lambda _c, _o: None
+        self.metrics = ServingMetrics()
         self._misdirected: dict[UpstreamId, UpstreamEntry] = {}
         self._first_bytes: dict[ServiceId, timedelta] = {}
         self._attempt_starts: dict[tuple[str, UpstreamId], tuple[timedelta, timedelta]] = {}
@@ -106,7 +107,7 @@
         """Record the end of a request."""
         with self.lock:
             self.in_progress -= 1
-        self.on_finished(context, outcome)
+        self.metrics.request_ended(context, outcome)
         self.log.note(
             "forwarding",
             outcome.name,
--- a/src/chervilrack/platform/settings.py
+++ b/src/chervilrack/platform/settings.py
@@ -13,6 +13,8 @@
 from chervilrack._internal.serving.settings import Address, ServingSettings
 
 SETTINGS_VARIABLE: Final = "CHERVILRACK_NODE_FILE"
+# Named under ``metrics`` in deploy/system.toml.
+METRICS_PORT: Final = 9464
 # Callers keep an answer for up to three times its lifetime, and a stopping node has graceS (8).
 LOOKUP_LIFETIME: Final = timedelta(seconds=2)
 
@@ -77,6 +79,7 @@
             if _address(seed).host != found.ip
         ),
         store=_address(found.platform.address),
+        metrics=Address(found.ip, METRICS_PORT),
         lookup_lifetime=min(LOOKUP_LIFETIME, timedelta(seconds=found.bounds.ttl_max_s)),
         stop_grace=timedelta(seconds=found.bounds.grace_s),
         retry_budget=RetryBudgetSettings(
