Take requests only once the upstreams are known; test the node before stand-ins

Cause: a node was ready with the configuration alone and rejected the requests that came before the listing of upstreams (found by a scenario that failed once).

--- /dev/null
+++ b/features/adapter/serving.feature
@@ -0,0 +1,108 @@
+Feature: A serving node before the platform's stand-ins
+  Requests of every kind must come back whole from the right upstream, and what is refused must
+  not have run.
+
+  Background:
+    Given a serving node before stand-ins of the platform
+
+  Scenario Outline: a <kind> request comes back whole
+    When a caller sends a <kind> request
+    Then the caller gets status 200 with "<body>"
+    And the upstream saw the caller's request unchanged, organisation "bozi" and no key
+
+    Examples:
+      | kind           | body             |
+      | plain          | answer to order  |
+      | chunked        | answer to order  |
+      | stream         | 1 2 3 4 5        |
+      | staged stream  | 1 2 3 4 5        |
+
+  Scenario: the stages of a request run in order with their inputs, and are freed
+    When a caller sends a staged stream request
+    Then the first stage made 2 pieces by key and the second 3 pieces by 2 inputs
+    And the engine got 3 inputs
+    And all 5 results are freed
+
+  Scenario Outline: with an upstream that <behaviour> a <kind> request ends as <status> after <runs> runs
+    Given all plain upstreams are "<behaviour>"
+    When a caller sends a <kind> request
+    Then the caller gets status <status>
+    And the plain upstreams ran it <runs> times
+
+    Examples: an order runs once at most, and 503 means that it did not run
+      | behaviour | kind    | status | runs |
+      | full      | plain   | 503    | 0    |
+      | fails     | plain   | 500    | 1    |
+      | fails     | look-up | 500    | 2    |
+      | unsigned  | plain   | 502    | 1    |
+      | cut off   | plain   | 502    | 1    |
+      | cut off   | look-up | 502    | 2    |
+
+  Scenario: a stream that breaks off goes on at another engine without a gap
+    Given one of two engines breaks off after 2 events
+    When 6 callers send stream requests
+    Then each caller gets the events 1 2 3 4 5 once
+
+  Scenario Outline: a request with <fault> is refused with <status>
+    When a caller sends a request with <fault>
+    Then the caller gets status <status>
+    And no upstream ran anything
+
+    Examples:
+      | fault          | status |
+      | an unknown key | 401    |
+      | no key         | 401    |
+      | another path   | 404    |
+      | no request id  | 400    |
+
+  Scenario Outline: raw bytes with <fault> are refused and the connection is closed
+    When raw bytes with <fault> are sent
+    Then the answer is status <status> and the connection is closed
+    And no upstream ran anything
+
+    Examples: what two readers may read differently, RFC 9112
+      | fault                                    | status |
+      | two lengths                              | 400    |
+      | a length and a chunked coding            | 400    |
+      | a chunk size that is no number           | 400    |
+      | a chunk size with a sign                 | 400    |
+      | a chunk that is longer than its size     | 400    |
+      | a folded field                           | 400    |
+      | a space before the colon                 | 400    |
+      | a line that ends with LF alone           | 400    |
+      | a length with a sign                     | 400    |
+      | two host fields                          | 400    |
+      | no host field                            | 400    |
+      | a coding beside chunked                  | 400    |
+      | an absolute target                       | 400    |
+      | a body that is too large                 | 413    |
+
+  Scenario: a caller that leaves is noticed and its stream is cancelled
+    Given all engines are "slow"
+    When a caller leaves after the first event of a stream
+    Then the engine notices that nobody reads
+
+  Scenario: a change of the configuration is in force soon, without a restart
+    When the operator removes the key of "bozi"
+    Then a plain request is refused with 401 soon
+
+  Scenario: an upstream that drains gets no new requests
+    When one of two plain upstreams drains
+    Then soon 20 plain requests run at the other one only
+
+  Scenario: the look-up names the node, readiness and metrics answer
+    Then the look-up names the node with a lifetime
+    And readiness answers 200
+    And the metrics count requests by route and outcome
+
+  Scenario: a node that leaves is not named and finishes what it has
+    Given all engines are "slow"
+    When a stream runs while the node leaves
+    Then the stream is whole
+    And readiness answers 503
+
+  Scenario: a node takes no requests before it knows the upstreams
+    Given a node that has read the configuration and no upstream yet
+    Then that node is not ready and refuses a plain request with 503
+    When that node has read the upstreams
+    Then that node is ready
--- /dev/null
+++ b/features/steps/serving_steps.py
@@ -0,0 +1,428 @@
+"""Steps for a serving node in this process, before stand-ins of the platform."""
+
+import contextlib
+import http.client
+import io
+import json
+import socket
+import threading
+import time
+from datetime import timedelta
+
+from behave import given, then, when
+from support.platform_standin import StoreStandIn, UpstreamStandIn, free_ports
+
+from chervilrack._internal.common.clock import SystemClock
+from chervilrack._internal.common.ids import NodeId, ZoneId
+from chervilrack._internal.kvstore.port import Change, ChangeKind, KeyValue
+from chervilrack._internal.observability.decisions import DecisionLog
+from chervilrack._internal.serving.node import ServingNode
+from chervilrack._internal.serving.settings import Address, ServingSettings
+from chervilrack.platform.headers import PlatformDialect
+from chervilrack.platform.run import SCHEMA
+from chervilrack.platform.store import PlatformStore
+
+LIMIT_S = 20.0
+KEY = "k1"
+
+
+def wait_for(condition, what):
+    end = time.monotonic() + LIMIT_S
+    while not condition():
+        assert time.monotonic() < end, f"timed out: {what}"
+        time.sleep(0.01)
+
+
+def configuration(version, keys):
+    def route(name, prefix, kind, **fields):
+        return {
+            "name": name,
+            "host": "app.example",
+            "pathPrefix": prefix,
+            "kind": kind,
+            "timeoutMs": 5000,
+            "targetLatencyMs": 2000,
+            "maxAttempts": 2,
+            **fields,
+        }
+
+    stages = [
+        {"service": "first", "after": [], "length": 100},
+        {"service": "second", "after": [0], "length": 100},
+    ]
+    segments = {
+        "slots": 1,
+        "queue": 2,
+        "batch": 4,
+        "callMs": 10.0,
+        "itemMs": 1.0,
+        "headroomMb": 9.0,
+        "handleS": 4.0,
+    }
+    stream = {"service": "engine", "streamResume": True, "targetGapMs": 500}
+    return {
+        "version": version,
+        "routes": [
+            route("order", "/order/", "non_idempotent", service="plain"),
+            route("read", "/read/", "idempotent", service="plain"),
+            route("chat", "/stream/", "streaming", **stream),
+            route("long", "/stream/staged/", "streaming", stages=stages, **stream),
+        ],
+        "services": [
+            {"name": "plain"},
+            {"name": "engine", "engine": {"slots": 8, "kvCapacityTokens": 100000}},
+            {"name": "first", "segments": segments},
+            {"name": "second", "segments": segments},
+        ],
+        "limits": {"maxBodyBytes": 100000},
+        "tenants": [{"name": "bozi", "apiKeys": keys}],
+    }
+
+
+@given("a serving node before stand-ins of the platform")
+def start(context):
+    stack = contextlib.ExitStack()
+    context.add_cleanup(stack.close)
+    context.store = stack.enter_context(StoreStandIn())
+    names = ("plain-1", "plain-2", "engine-1", "engine-2", "first-1", "second-1")
+    context.upstreams = {
+        name: stack.enter_context(UpstreamStandIn(name, name.partition("-")[0])) for name in names
+    }
+    for name, upstream in context.upstreams.items():
+        context.store.put(f"servers/{name}", upstream.entry())
+    context.store.put("servers/broken", {"service": 17})
+    context.store.put("op/config", configuration(1, [KEY]))
+    callers, side, peer = (Address("127.0.0.1", port) for port in free_ports(3))
+    settings = ServingSettings(
+        node=NodeId("n1"),
+        zone=ZoneId("z1"),
+        callers=callers,
+        readiness=side,
+        lookup=side,
+        peer=peer,
+        metrics=side,
+        lookup_lifetime=timedelta(milliseconds=300),
+    )
+    context.settings = settings
+    context.log = io.StringIO()
+    log = stack.enter_context(DecisionLog("n1", context.log))
+    store = PlatformStore(context.store.address)
+    context.node = stack.enter_context(
+        ServingNode(settings, PlatformDialect(), SCHEMA, store, SystemClock(), log)
+    )
+    wait_for(lambda: context.node.is_ready, "the node is ready")
+    context.number = 0
+
+
+def call(context, path, body=b"order", chunked=False, key=KEY, request_id=True, **extra):
+    context.number += 1
+    headers = {"Host": "app.example", "Chervilrack-Deadline-Ms": "4000", **extra}
+    if request_id:
+        headers["Chervilrack-Request-Id"] = f"id-{context.number}"
+    if key is not None:
+        headers["Authorization"] = f"Token {key}"
+    connection = http.client.HTTPConnection(str(context.settings.callers), timeout=LIMIT_S)
+    content = iter([body[:2], body[2:]]) if chunked else body
+    connection.request("POST", path, content, headers, encode_chunked=chunked)
+    response = connection.getresponse()
+    content = response.read()
+    connection.close()
+    return response, content
+
+
+def events_of(content):
+    return [
+        line.partition(":")[2].strip() for line in content.decode().split("\n") if "id:" in line
+    ]
+
+
+@when("a caller sends a {kind} request")
+def send(context, kind):
+    staged = {"Chervilrack-Chunk-Count": "2,3", "Chervilrack-Chunk-Key": "piece-key"}
+    match kind:
+        case "plain":
+            context.response, context.body = call(context, "/order/1?a=%2F")
+        case "chunked":
+            context.response, context.body = call(context, "/order/1?a=%2F", chunked=True)
+        case "look-up":
+            context.response, context.body = call(context, "/read/1")
+        case "stream":
+            context.response, context.body = call(context, "/stream/1")
+        case "staged stream":
+            context.response, context.body = call(context, "/stream/staged/1", **staged)
+
+
+@when("a caller sends a request with {fault}")
+def send_faulty(context, fault):
+    arguments = {
+        "an unknown key": {"path": "/order/1", "key": "other"},
+        "no key": {"path": "/order/1", "key": None},
+        "another path": {"path": "/other/1"},
+        "no request id": {"path": "/order/1", "request_id": False},
+    }[fault]
+    context.response, context.body = call(context, **arguments)
+
+
+@then('the caller gets status {status:d} with "{body}"')
+def gets(context, status, body):
+    assert context.response.status == status, (context.response.status, context.body)
+    assert context.response.headers["Chervilrack-Response-Signature"], context.response.headers
+    found = " ".join(events_of(context.body)) or context.body.decode()
+    assert found == body, found
+
+
+@then("the caller gets status {status:d}")
+def gets_status(context, status):
+    assert context.response.status == status, (context.response.status, context.body)
+
+
+@then('the upstream saw the caller\'s request unchanged, organisation "{name}" and no key')
+def saw(context, name):
+    seen = [item for upstream in context.upstreams.values() for item in upstream.seen]
+    assert len(seen) == 1, seen
+    method, path, headers, body = seen[0]
+    assert method == "POST", method
+    assert path in ("/order/1?a=%2F", "/stream/1", "/stream/staged/1"), path
+    assert body == b"order", body
+    assert headers["Chervilrack-Tenant"] == name, headers
+    assert headers["Host"] == "app.example", headers
+    assert "Authorization" not in headers, headers
+    assert 0 < int(headers["Chervilrack-Deadline-Ms"]) <= 4000, headers
+
+
+@then(
+    "the first stage made {first:d} pieces by key and the second {second:d} pieces by {n:d} inputs"
+)
+def stages_ran(context, first, second, n):
+    made = context.upstreams["first-1"].pieces
+    assert [piece["key"] for piece in made] == ["piece-key"] * first, made
+    made = context.upstreams["second-1"].pieces
+    assert [len(piece["inputs"]) for piece in made] == [n] * second, made
+
+
+@then("the engine got {count:d} inputs")
+def engine_inputs(context, count):
+    seen = [item for name in ("engine-1", "engine-2") for item in context.upstreams[name].seen]
+    assert len(seen[0][2]["Chervilrack-Inputs"].split(",")) == count, seen
+
+
+@then("all {count:d} results are freed")
+def freed(context, count):
+    def all_freed():
+        return sum(len(upstream.freed) for upstream in context.upstreams.values()) == count
+
+    wait_for(all_freed, "results are freed")
+
+
+@given('all plain upstreams are "{behaviour}"')
+def plain_behave(context, behaviour):
+    for name in ("plain-1", "plain-2"):
+        context.upstreams[name].behaviour = behaviour
+
+
+@given('all engines are "{behaviour}"')
+def engines_behave(context, behaviour):
+    for name in ("engine-1", "engine-2"):
+        context.upstreams[name].behaviour = behaviour
+
+
+@given("one of two engines breaks off after 2 events")
+def one_breaks(context):
+    context.upstreams["engine-1"].behaviour = "breaks"
+
+
+@then("the plain upstreams ran it {times:d} times")
+def ran(context, times):
+    found = sum(len(context.upstreams[name].seen) for name in ("plain-1", "plain-2"))
+    assert found == times, found
+
+
+@when("{count:d} callers send stream requests")
+def many_streams(context, count):
+    context.bodies = [call(context, f"/stream/{number}")[1] for number in range(count)]
+
+
+@then("each caller gets the events {events} once")
+def each_whole(context, events):
+    assert context.upstreams["engine-1"].seen, "no stream broke off"
+    for body in context.bodies:
+        assert events_of(body) == events.split(), body
+
+
+@then("no upstream ran anything")
+def nothing_ran(context):
+    assert not any(upstream.seen for upstream in context.upstreams.values())
+
+
+HEAD = (
+    b"POST /order/1 HTTP/1.1\r\nHost: app.example\r\nChervilrack-Request-Id: raw\r\n"
+    b"Authorization: Token k1\r\n"
+)
+RAW = {
+    "two lengths": HEAD + b"Content-Length: 2\r\nContent-Length: 3\r\n\r\nabc",
+    "a length and a chunked coding": HEAD
+    + b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    "a chunk size that is no number": HEAD + b"Transfer-Encoding: chunked\r\n\r\nzz\r\nab\r\n",
+    "a chunk size with a sign": HEAD + b"Transfer-Encoding: chunked\r\n\r\n+2\r\nab\r\n0\r\n\r\n",
+    "a chunk that is longer than its size": HEAD
+    + b"Transfer-Encoding: chunked\r\n\r\n2\r\nabcd\r\n0\r\n\r\n",
+    "a folded field": HEAD + b"X-A: 1\r\n 2\r\nContent-Length: 0\r\n\r\n",
+    "a space before the colon": HEAD + b"Content-Length : 0\r\n\r\n",
+    "a line that ends with LF alone": HEAD + b"X-A: 1\nContent-Length: 0\r\n\r\n",
+    "a length with a sign": HEAD + b"Content-Length: +1\r\n\r\na",
+    "two host fields": HEAD + b"Host: other\r\nContent-Length: 0\r\n\r\n",
+    "no host field": b"GET /read/1 HTTP/1.1\r\nChervilrack-Request-Id: raw\r\n\r\n",
+    "a coding beside chunked": HEAD + b"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+    "an absolute target": HEAD.replace(b"/order/1", b"http://app.example/order/1") + b"\r\n",
+    "a body that is too large": HEAD + b"Content-Length: 100001\r\n\r\n",
+}
+
+
+@when("raw bytes with {fault} are sent")
+def send_raw(context, fault):
+    address = (context.settings.callers.host, context.settings.callers.port)
+    with socket.create_connection(address, timeout=LIMIT_S) as connection:
+        connection.sendall(RAW[fault])
+        parts = []
+        # A reset after the answer is an end, too: bytes of the request were left unread.
+        with contextlib.suppress(ConnectionResetError):
+            while part := connection.recv(65536):
+                parts.append(part)
+    context.raw = b"".join(parts)
+
+
+@then("the answer is status {status:d} and the connection is closed")
+def raw_answer(context, status):
+    lines = context.raw.split(b"\r\n")
+    assert lines[0].split()[1] == str(status).encode(), context.raw
+    assert context.raw.count(b"HTTP/1.1 ") == 1, context.raw
+
+
+@when("a caller leaves after the first event of a stream")
+def leaves(context):
+    address = (context.settings.callers.host, context.settings.callers.port)
+    with socket.create_connection(address, timeout=LIMIT_S) as connection:
+        head = HEAD.replace(b"/order/1", b"/stream/1") + b"Content-Length: 0\r\n\r\n"
+        connection.sendall(head)
+        received = b""
+        while b"piece 1" not in received:
+            received += connection.recv(4096)
+
+
+@then("the engine notices that nobody reads")
+def notices(context):
+    engines = [context.upstreams[name] for name in ("engine-1", "engine-2")]
+    wait_for(lambda: any(engine.left.is_set() for engine in engines), "the engine notices")
+
+
+@when('the operator removes the key of "bozi"')
+def remove_key(context):
+    context.store.put("op/config", configuration(5, []))
+
+
+@then("a plain request is refused with {status:d} soon")
+def refused_soon(context, status):
+    wait_for(lambda: call(context, "/order/1")[0].status == status, "the key is refused")
+
+
+@when("one of two plain upstreams drains")
+def drains(context):
+    draining = context.upstreams["plain-1"]
+    context.store.put("servers/plain-1", draining.entry("draining"))
+
+
+@then("soon {count:d} plain requests run at the other one only")
+def other_only(context, count):
+    draining = context.upstreams["plain-1"]
+
+    def quiet():
+        before = len(draining.seen)
+        for _ in range(count):
+            assert call(context, "/order/1")[0].status == 200
+        return len(draining.seen) == before
+
+    wait_for(quiet, "the draining upstream gets nothing")
+
+
+def side(context, path):
+    connection = http.client.HTTPConnection(str(context.settings.readiness), timeout=LIMIT_S)
+    connection.request("GET", path)
+    response = connection.getresponse()
+    body = response.read()
+    connection.close()
+    return response.status, body
+
+
+@then("the look-up names the node with a lifetime")
+def looked_up(context):
+    status, body = side(context, "/api/resolve?name=app.example&region=r&zone=z1")
+    assert status == 200, status
+    assert json.loads(body) == {"addresses": [str(context.settings.callers)], "ttlS": 0.3}, body
+
+
+@then("readiness answers {status:d}")
+def readiness(context, status):
+    assert side(context, "/api/ready")[0] == status
+
+
+@then("the metrics count requests by route and outcome")
+def metrics(context):
+    call(context, "/order/1")
+
+    def counted():
+        text = side(context, "/metrics")[1].decode()
+        return 'requests_total{outcome="answered",route="order"} 1.0' in text
+
+    wait_for(counted, "the request is counted")
+
+
+@when("a stream runs while the node leaves")
+def stream_while_leaving(context):
+    found = []
+    thread = threading.Thread(target=lambda: found.append(call(context, "/stream/1")))
+    thread.start()
+    engines = [context.upstreams[name] for name in ("engine-1", "engine-2")]
+    wait_for(lambda: any(engine.seen for engine in engines), "the stream has begun")
+    context.node.leave()
+    thread.join(LIMIT_S)
+    context.response, context.body = found[0]
+
+
+@then("the stream is whole")
+def stream_whole(context):
+    assert events_of(context.body) == ["1", "2", "3", "4", "5"], context.body
+
+
+@given("a node that has read the configuration and no upstream yet")
+def half_read(context):
+    callers, side_address, peer = (Address("127.0.0.1", port) for port in free_ports(3))
+    settings = ServingSettings(
+        NodeId("n2"), ZoneId("z1"), callers, side_address, side_address, peer
+    )
+    stack = contextlib.ExitStack()
+    context.add_cleanup(stack.close)
+    log = stack.enter_context(DecisionLog("n2", io.StringIO()))
+    node = ServingNode(settings, PlatformDialect(), SCHEMA, None, SystemClock(), log)
+    context.second = stack.enter_context(node)
+    context.settings = settings
+    value = json.dumps(configuration(1, [KEY])).encode()
+    item = KeyValue("op/config", value, 2)
+    node.changed((Change(ChangeKind.PUT, item),), 2)
+
+
+@then("that node is not ready and refuses a plain request with {status:d}")
+def not_ready(context, status):
+    assert not context.second.is_ready
+    assert call(context, "/order/1")[0].status == status
+
+
+@when("that node has read the upstreams")
+def read_upstreams(context):
+    entry = json.dumps(context.upstreams["plain-1"].entry()).encode()
+    context.second.listed((KeyValue("servers/plain-1", entry, 3),), 3)
+
+
+@then("that node is ready")
+def is_ready(context):
+    assert context.second.is_ready
+    assert call(context, "/order/1")[0].status == 200
--- /dev/null
+++ b/features/support/platform_standin.py
@@ -0,0 +1,249 @@
+"""Stand-ins of the users' platform on loopback: its store, model engines, stages and services.
+
+They speak what the platform's pages say as far as the tests need it: no rates and no outages.
+"""
+
+import base64
+import contextlib
+import itertools
+import json
+import socket
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from urllib.parse import parse_qs, urlsplit
+
+
+class _Handler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, *args):
+        pass
+
+    def handle(self):
+        # The caller left.
+        with contextlib.suppress(ConnectionError, TimeoutError):
+            super().handle()
+
+    def _serve(self):
+        length = int(self.headers.get("Content-Length") or 0)
+        body = self.rfile.read(length) if length else b""
+        self.server.owner.serve(self, body)
+
+    do_GET = do_POST = do_DELETE = _serve  # noqa: N815 - names that http.server calls
+
+    def answer(self, status, document=None, headers=(), body=None):
+        content = body if body is not None else json.dumps(document or {}).encode()
+        self.send_response(status)
+        for name, value in headers:
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(content)))
+        self.end_headers()
+        self.wfile.write(content)
+
+
+class _Server:
+    """HTTP server in a thread; a context manager."""
+
+    def __init__(self):
+        self._http = ThreadingHTTPServer(("127.0.0.1", 0), _Handler)
+        self._http.daemon_threads = True
+        self._http.owner = self
+        self.address = f"127.0.0.1:{self._http.server_address[1]}"
+        self._thread = threading.Thread(target=self._http.serve_forever, args=(0.05,), daemon=True)
+
+    def __enter__(self):
+        self._thread.start()
+        return self
+
+    def __exit__(self, *_):
+        self._http.shutdown()
+        self._http.server_close()
+
+
+class StoreStandIn(_Server):
+    """The platform's store: one revision counter, watches and leases."""
+
+    def __init__(self):
+        super().__init__()
+        self._items = {}
+        self._history = []
+        self._revision = 1
+        self._changed = threading.Condition()
+        self._leases = itertools.count(1)
+
+    def put(self, key, document):
+        """Write a key as the operator or an upstream does."""
+        with self._changed:
+            self._put(key, base64.b64encode(json.dumps(document).encode()).decode(), 0)
+
+    def remove(self, key):
+        """Remove a key."""
+        with self._changed:
+            self._revision += 1
+            del self._items[key]
+            self._note({"key": key, "revision": self._revision, "tombstone": True})
+
+    def _put(self, key, value, lease):
+        self._revision += 1
+        item = {
+            "key": key,
+            "value": value,
+            "revision": self._revision,
+            "createdAt": self._revision,
+            "lease": lease,
+        }
+        self._items[key] = item
+        self._note(item)
+
+    def _note(self, event):
+        self._history.append(event)
+        self._changed.notify_all()
+
+    def serve(self, request, body):
+        url = urlsplit(request.path)
+        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        call = f"{request.command} {url.path}"
+        if call == "GET /api/kv-range":
+            self._range(request, query)
+        elif call == "GET /api/kv-watch":
+            self._watch(request, query)
+        elif call == "POST /api/kv-txn":
+            self._txn(request, json.loads(body))
+        elif call == "POST /api/kv-lease":
+            request.answer(200, {"lease": next(self._leases), "ttlMs": json.loads(body)["ttlMs"]})
+        elif url.path.startswith("/api/kv-keep/"):
+            request.answer(200, {"ttlMs": 5000})
+        else:
+            request.answer(404)
+
+    def _range(self, request, query):
+        with self._changed:
+            found = [
+                item
+                for key, item in sorted(self._items.items())
+                if key.startswith(query.get("pathPrefix", "")) and key > query.get("after", "")
+            ]
+            # Pages of two items, so that a reader has to ask for more.
+            page = {"entries": found[:2], "hasMore": len(found) > 2, "at": self._revision}
+        request.answer(200, page)
+
+    def _watch(self, request, query):
+        after, end = int(query["after"]), time.monotonic() + int(query["waitMs"]) / 1000
+        with self._changed:
+            while True:
+                events = [e for e in self._history if e["revision"] > after]
+                left = end - time.monotonic()
+                if events or left <= 0:
+                    break
+                self._changed.wait(left)
+            answer = {"events": events, "at": self._revision}
+        request.answer(200, answer)
+
+    def _txn(self, request, body):
+        with self._changed:
+            for put in body["puts"]:
+                self._put(put["key"], put["value"], put["lease"])
+        request.answer(200, {"revision": self._revision})
+
+
+class UpstreamStandIn(_Server):
+    """One upstream. ``behaviour`` may change how it answers; ``seen`` holds what it ran."""
+
+    def __init__(self, id, service):
+        super().__init__()
+        self.id = id
+        self.service = service
+        self.behaviour = "good"
+        self.seen = []
+        self.pieces = []
+        self.freed = []
+        self.left = threading.Event()
+        self._handles = itertools.count(1)
+
+    def entry(self, state="ready"):
+        """Return the registration in the store."""
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": "z1",
+            "version": "v1",
+            "slots": 8,
+            "state": state,
+            "sequence": 1,
+        }
+
+    def serve(self, request, body):
+        target = request.headers.get("Chervilrack-Target-Instance")
+        if target not in (None, self.id):
+            request.answer(421, headers=[("Chervilrack-Instance-Id", self.id)])
+        elif request.path == "/api/stage-run":
+            self._stage_run(request, json.loads(body))
+        elif request.path == "/api/stage-free":
+            self.freed += json.loads(body)["handles"]
+            request.answer(200)
+        elif self.behaviour == "full":
+            request.answer(503, headers=[("Chervilrack-Not-Executed", "1")])
+        else:
+            self._run(request, body)
+
+    def _stage_run(self, request, body):
+        entries = []
+        for piece in body["entries"]:
+            self.pieces.append(piece)
+            entries.append({"handle": f"{self.address}/{self.id}-{next(self._handles)}"})
+        request.answer(200, {"entries": entries})
+
+    def _run(self, request, body):
+        headers = dict(request.headers.items())
+        self.seen.append((request.command, request.path, headers, body))
+        marks = [
+            ("Chervilrack-Request-Id", headers.get("Chervilrack-Request-Id", "")),
+            ("Chervilrack-Response-Signature", f"signed-by-{self.id}"),
+        ]
+        if self.behaviour == "fails":
+            request.answer(500, headers=marks, body=b"no")
+        elif self.behaviour == "unsigned":
+            request.answer(200, headers=marks[:1], body=b"bytes")
+        elif self.behaviour == "cut off":
+            request.wfile.write(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n")
+            request.wfile.write("".join(f"{n}: {v}\r\n" for n, v in marks).encode())
+            request.wfile.write(b"\r\nhalf")
+            request.close_connection = True
+        elif "/stream/" in request.path:
+            self._stream(request, marks)
+        else:
+            request.answer(200, headers=marks, body=b"answer to " + body)
+
+    def _stream(self, request, marks):
+        after = int(request.headers.get("Last-Event-Id") or 0)
+        request.send_response(200)
+        for name, value in [*marks, ("Content-Type", "text/event-stream")]:
+            request.send_header(name, value)
+        request.send_header("Transfer-Encoding", "chunked")
+        request.end_headers()
+        try:
+            for number in range(after + 1, 6):
+                event = f"id: {number}\ndata: piece {number}\n\n".encode()
+                if self.behaviour == "breaks" and number == 3:
+                    request.wfile.write(b"%x\r\n%b\r\n" % (9, event[:9]))
+                    request.close_connection = True
+                    return
+                request.wfile.write(b"%x\r\n%b\r\n" % (len(event), event))
+                if self.behaviour == "slow":
+                    time.sleep(0.2)
+            request.wfile.write(b"0\r\n\r\n")
+        except OSError:
+            self.left.set()
+            raise
+
+
+def free_ports(count):
+    """Return ports that the kernel chose and that are free now."""
+    sockets = [socket.socket() for _ in range(count)]
+    for opened in sockets:
+        opened.bind(("127.0.0.1", 0))
+    ports = [opened.getsockname()[1] for opened in sockets]
+    for opened in sockets:
+        opened.close()
+    return ports
--- a/src/chervilrack/_internal/gateway/passthrough.py
+++ b/src/chervilrack/_internal/gateway/passthrough.py
@@ -99,22 +99,25 @@
     def simple_response(self, status: Any, msg: str = "") -> None:
         """Answer a request that cannot be read with a problem document, and close."""
         number = int(str(status)[:3])
-        code = _code(number)
+        code = self._code(number)
         status_number, headers, body = problem_answer(Problem(code, msg or code.title), None)
         self.close_connection = True
         responder = ConnectionResponder(self, None)
         with contextlib.suppress(CallerGone):
             responder.answer(status_number, headers, body)
 
-
-def _code(status: int) -> ResultCode:
-    if status == 413:
-        return ResultCode.HEADERS_TOO_LARGE
-    if status == 414:
-        return ResultCode.HEADERS_TOO_LARGE
-    if status == 408:
-        return ResultCode.REQUEST_TIMEOUT
-    return ResultCode.MALFORMED_REQUEST
+    def _code(self, status: int) -> ResultCode:
+        if status == 413:
+            # cheroot answers 413 for headers over their limit, too.
+            declared = self.inheaders.get(b"Content-Length", b"0")
+            limit = self.server.max_request_body_size
+            is_body = declared.isdigit() and int(declared) > limit
+            return ResultCode.BODY_TOO_LARGE if is_body else ResultCode.HEADERS_TOO_LARGE
+        if status == 414:
+            return ResultCode.HEADERS_TOO_LARGE
+        if status == 408:
+            return ResultCode.REQUEST_TIMEOUT
+        return ResultCode.MALFORMED_REQUEST
 
 
 class _Connection(HTTPConnection):
--- a/src/chervilrack/_internal/serving/node.py
+++ b/src/chervilrack/_internal/serving/node.py
@@ -128,9 +128,10 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether the node knows a configuration and is not leaving."""
+        """Whether the node knows a configuration with its upstreams and is not leaving."""
         return (
-            self._state.catalogue.configuration is not None
+            self._state.accepts()
+            and self._state.catalogue.configuration is not None
             and not self._leaving.is_set()
             and not self._stopping
         )
@@ -282,6 +283,8 @@
                 self._take_item(item)
         if whole:
             self._apply(self._state.catalogue.list_upstreams(upstreams, now))
+            # With a configuration alone, requests would find no upstream.
+            self._state.accept_requests()
 
     def _take_item(self, item: KeyValue) -> None:
         if item.key == self._schema.configuration_key:
--- a/src/chervilrack/_internal/serving/state.py
+++ b/src/chervilrack/_internal/serving/state.py
@@ -59,7 +59,7 @@
         self._misdirected: dict[UpstreamId, UpstreamEntry] = {}
         self._first_bytes: dict[ServiceId, timedelta] = {}
         self._attempt_starts: dict[tuple[str, UpstreamId], tuple[timedelta, timedelta]] = {}
-        self._accepting = True
+        self._accepting = False
 
     # ForwardingBackend
 
@@ -71,9 +71,9 @@
         """Whether the node takes new requests."""
         return self._accepting
 
-    def refuse_requests(self) -> None:
-        """Take no further requests."""
-        self._accepting = False
+    def accept_requests(self) -> None:
+        """Take requests from now on."""
+        self._accepting = True
 
     def upstreams(self, service: ServiceId) -> Sequence[UpstreamEntry]:
         """Return the ready upstreams of a service."""
