--- a/src/chervilrack/_internal/commands/explain.py
+++ b/src/chervilrack/_internal/commands/explain.py
@@ -1,21 +1,60 @@
 """``chervilrack explain``: what was decided for a request, and why."""
 
+from pathlib import Path
+from typing import Any
+
 import click
 
 from chervilrack._internal.cli.client import NodeClient, node_options
+from chervilrack._internal.observability.stories import describe, read_lines, tell
 
 
 @click.command()
 @click.argument("request_id")
-@node_options()
-def explain(request_id: str, address: str, key: str | None, certificates: str | None) -> None:
+@click.option(
+    "--log",
+    "logs",
+    type=click.Path(exists=True, dir_okay=False, allow_dash=True, path_type=Path),
+    multiple=True,
+    help="Decision log of serving nodes; may be given several times, - is standard input.",
+)
+@node_options(required=False)
+def explain(
+    request_id: str,
+    logs: tuple[Path, ...],
+    address: str | None,
+    key: str | None,
+    certificates: str | None,
+) -> None:
     """Show the decisions for REQUEST_ID: stages, upstreams, queue times, retries, refusals.
 
-    Ask the node that accepted the request; its answer carries the id as X-Request-Id.
+    With --log, read the decision logs of serving nodes. Otherwise ask the node that accepted the
+    request; its answer carries the id as X-Request-Id.
 
-    Example: chervilrack explain 5f0c9a --node http://127.0.0.1:8080 --key KEY
+    Example: chervilrack explain 5f0c9a --log node-1.log --log node-2.log
     """
+    if logs:
+        _explain_from_logs(request_id, logs)
+        return
+    if address is None:
+        raise click.UsageError("name a node with --node, or logs with --log")
     client = NodeClient(address, key, certificates)
     answer = client.get(f"/v1/requests/{request_id}/explanation")
     for entry in answer["entries"]:
         click.echo(entry)
+
+
+def _explain_from_logs(request_id: str, logs: tuple[Path, ...]) -> None:
+    lines: list[dict[str, Any]] = []
+    for file in logs:
+        with click.open_file(str(file), encoding="utf-8", errors="replace") as opened:
+            lines += read_lines(opened)
+    story = tell(lines, request_id)
+    if not story.lines:
+        raise click.ClickException(f"no line of the logs names request {request_id}")
+    for line in story.lines:
+        click.echo(describe(line))
+    if story.context:
+        click.echo("\nwhat the nodes believed meanwhile:")
+    for line in story.context:
+        click.echo(describe(line))
