Refuse hopeless orders while they wait; keep sessions at their engine

Cause: orders that could no longer end in time waited until their deadline (given up late); more than half of the prompts went to another engine than their session's home, where shared parts were read again. Change: an order is refused once full calls before it leave no time; shared parts that are read again count twice.

--- a/features/balancing/choice.feature
+++ b/features/balancing/choice.feature
@@ -48,11 +48,11 @@
     When balancing sees <elsewhere> prompt tokens waiting at the home of session s
     Then balancing a prompt of session s goes <where>
 
-    Examples: 6300 shared tokens are read in 164 ms
+    Examples: 6300 shared tokens are read in 164 ms and count twice
       | elsewhere | where        |
       | 0         | home         |
       | 4000      | home         |
-      | 30000     | another way  |
+      | 40000     | another way  |
 
   Scenario: work that other nodes have in flight counts
     Given a balancer over 2 engines with 64 slots each
--- a/features/batching/queue.feature
+++ b/features/batching/queue.feature
@@ -110,3 +110,11 @@
       | condition                        | state  | when  |
       | nothing else happens             | read   | soon  |
       | the queue was disturbed          | unread | later |
+
+  Scenario: an order that has become hopeless is refused while it waits
+    Given a stage queue with 1 upstreams, 4 pieces a call
+    When the queue gets orders of 4 pieces
+    And the queue gets orders of 4 pieces with 0.95 s left
+    And the queue gets orders of 4, 4 pieces of rank 0 and more urgent
+    And the first call ends
+    Then the order with 0.95 s left is refused as late
--- a/features/steps/batching_steps.py
+++ b/features/steps/batching_steps.py
@@ -225,3 +225,17 @@
 @then("the inputs of the order are {state}")
 def inputs_are(context, state):
     assert (context.last in context.read) == (state == "read"), context.read
+
+
+@when("the queue gets orders of {pieces} pieces of rank 0 and more urgent")
+def more_urgent(context, pieces):
+    context.hurried = context.last
+    for count in pieces.split(", "):
+        submit(context, int(count), due=1.0)
+
+
+@then("the order with 0.95 s left is refused as late")
+def hurried_refused(context):
+    assert context.last != context.hurried
+    results = context.results.get(context.hurried, [])
+    assert {result for _, result in results} == {PieceFailure.LATE}, context.results
--- a/src/chervilrack/_internal/balancing/core.py
+++ b/src/chervilrack/_internal/balancing/core.py
@@ -306,7 +306,8 @@
     seconds = 0.0
     if work.tokens:
         waiting = status.tokens + candidate.others.tokens
-        own = work.tokens - _cached_tokens(status, work, is_home)
+        again = work.shared_tokens - _cached_tokens(status, work, is_home)
+        own = work.tokens - work.shared_tokens + settings.reread_weight * again
         seconds += (waiting + own) / settings.prefill_tokens_per_s
         seconds += candidate.in_flight * settings.running_cost.total_seconds()
     else:
--- a/src/chervilrack/_internal/balancing/state.py
+++ b/src/chervilrack/_internal/balancing/state.py
@@ -17,6 +17,9 @@
 
     # Prompt tokens an engine reads in a second; the engines' sheet says 38.4 in a millisecond.
     prefill_tokens_per_s: float = 38_400.0
+    # A shared part that is read again takes time of the engine that others need, too: it counts
+    # this many times its own reading time.
+    reread_weight: float = 2.0
     # Time that one more running request adds to the wait of a new one: prompts are read in
     # chunks of 4096 tokens between the tokens of the requests that run.
     running_cost: timedelta = timedelta(milliseconds=4)
--- a/src/chervilrack/_internal/batching/core.py
+++ b/src/chervilrack/_internal/batching/core.py
@@ -329,6 +329,7 @@
         if not free:
             return effects
         orders = self._by_urgency(now)
+        effects += self._refuse_hopeless(orders, now)
         bound = self._bound_to_zone(orders, now)
         for upstream in free:
             if not self._waiting:
@@ -338,6 +339,26 @@
                 effects.append(self._start(upstream, pieces, now))
         return effects
 
+    def _refuse_hopeless(
+        self, orders: list[tuple[Order, list[Piece]]], now: timedelta
+    ) -> list[BatchEffect]:
+        """Refuse orders that cannot end in time even if all calls before them are full."""
+        assert self._spec is not None
+        spec = self._spec
+        full_call = spec.call_time + spec.batch * spec.item_time
+        a_round = spec.batch * max(1, len(self._usable(now)))
+        delivered: dict[OrderId, list[tuple[int, str | PieceFailure]]] = {}
+        ahead = 0
+        for order, pieces in orders:
+            own_call = spec.call_time + min(len(pieces), spec.batch) * spec.item_time
+            begun = len(pieces) < len(order.open_segments)
+            if not begun and now + full_call * (ahead // a_round) + own_call > order.deadline:
+                for piece in list(pieces):
+                    self._close(piece, PieceFailure.LATE, delivered)
+                pieces.clear()
+            ahead += len(pieces)
+        return _deliveries(delivered)
+
     # Choice of upstream and pieces
 
     def _free_upstreams(self, now: timedelta) -> list[_Upstream]:
