--- a/features/adapter/serving.feature
+++ b/features/adapter/serving.feature
@@ -75,8 +75,15 @@
       | no host field                            | 400    |
       | a coding beside chunked                  | 400    |
       | an absolute target                       | 400    |
+      | a line that is no request                | 400    |
+      | a method in lower case                   | 400    |
       | a body that is too large                 | 413    |
 
+  Scenario: a deadline that is shorter than the work says nothing about the upstreams
+    Given all plain upstreams are "late"
+    When 6 callers send plain requests with a deadline of 100 ms
+    Then no upstream is ejected
+
   Scenario: a caller that leaves is noticed and its stream is cancelled
     Given all engines are "slow"
     When a caller leaves after the first event of a stream
--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -274,6 +274,8 @@
     "no host field": b"GET /read/1 HTTP/1.1\r\nChervilrack-Request-Id: raw\r\n\r\n",
     "a coding beside chunked": HEAD + b"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
     "an absolute target": HEAD.replace(b"/order/1", b"http://app.example/order/1") + b"\r\n",
+    "a line that is no request": b"what is this\r\n\r\n",
+    "a method in lower case": HEAD.replace(b"POST", b"post") + b"\r\n",
     "a body that is too large": HEAD + b"Content-Length: 100001\r\n\r\n",
 }
 
@@ -426,3 +428,18 @@
 def is_ready(context):
     assert context.second.is_ready
     assert call(context, "/order/1")[0].status == 200
+
+
+@when("{count:d} callers send plain requests with a deadline of {time:d} ms")
+def short_deadlines(context, count, time):
+    extra = {"Chervilrack-Deadline-Ms": str(time)}
+    context.statuses = [call(context, "/order/1", **extra)[0].status for _ in range(count)]
+
+
+@then("no upstream is ejected")
+def none_ejected(context):
+    assert set(context.statuses) == {504}, context.statuses
+    balancer = context.node.balancer
+    now = SystemClock().monotonic()
+    suspected = [name for name in context.upstreams if balancer.is_suspected(name, now)]
+    assert not suspected, suspected
--- a/features/support/platform_standin.py
+++ b/features/support/platform_standin.py
@@ -201,6 +201,8 @@
             ("Chervilrack-Request-Id", headers.get("Chervilrack-Request-Id", "")),
             ("Chervilrack-Response-Signature", f"signed-by-{self.id}"),
         ]
+        if self.behaviour == "late":
+            time.sleep(0.3)
         if self.behaviour == "fails":
             request.answer(500, headers=marks, body=b"no")
         elif self.behaviour == "unsigned":
--- a/src/chervilrack/_internal/forwarding/attempts.py
+++ b/src/chervilrack/_internal/forwarding/attempts.py
@@ -89,6 +89,9 @@
     def patience(self, context: RequestContext, placement: Placement) -> timedelta:
         """Return how long to wait for the first byte before another upstream is better."""
 
+    def is_overdue(self, context: RequestContext, placement: Placement, waited: timedelta) -> bool:
+        """Whether an upstream without an answer after ``waited`` is slower than it should be."""
+
     def can_repeat(self, context: RequestContext) -> bool:
         """Whether another upstream could take the request after this one."""
 
@@ -136,10 +139,15 @@
         exchange: Exchange,
         stages: StageRun | None,
     ) -> AttemptEnd:
+        started = self._clock.monotonic()
         try:
             response = self._send(context, entry, placement, inputs, exchange)
         except ExchangeFailed as error:
-            return self._failed(context, entry, error)
+            waited = self._clock.monotonic() - started
+            blamed = context.left(self._clock.monotonic()) > timedelta(0) or self._meter.is_overdue(
+                context, placement, waited
+            )
+            return self._failed(context, entry, error, blamed=blamed)
         headers = response.headers
         answer = self._dialect.read_answer(response.status, headers)
         if answer.request_id not in (None, context.facts.request_id):
@@ -186,11 +194,13 @@
         return exchange.read_head(left.total_seconds())
 
     def _failed(
-        self, context: RequestContext, entry: UpstreamEntry, error: ExchangeFailed
+        self, context: RequestContext, entry: UpstreamEntry, error: ExchangeFailed, *, blamed: bool
     ) -> AttemptEnd:
+        """Classify a failure; one that only the request's short deadline made is not blamed."""
         if context.gone:
             return AttemptEnd(Verdict.CUT_OFF, "the caller left", arrived=error.sent)
-        self._meter.bad(entry, error.detail, certain=error.unreachable)
+        if blamed:
+            self._meter.bad(entry, error.detail, certain=error.unreachable)
         if not error.sent:
             return AttemptEnd(Verdict.NOT_RUN, error.detail)
         context.runs += 1
--- a/src/chervilrack/_internal/gateway/passthrough.py
+++ b/src/chervilrack/_internal/gateway/passthrough.py
@@ -74,6 +74,8 @@
     """Request that is read strictly; mistakes close the connection."""
 
     header_reader = StrictHeaderReader()
+    # Set by the request line; a request whose line is not read is answered, too.
+    method = b""
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
--- a/src/chervilrack/_internal/serving/node.py
+++ b/src/chervilrack/_internal/serving/node.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from chervilrack._internal.balancing.core import Balancer
 from chervilrack._internal.batching.messages import (
     PiecesBegun,
     PiecesDropped,
@@ -126,6 +127,11 @@
         self._exit = contextlib.ExitStack()
         self._thread = threading.Thread(target=self._run_timers, name="timers", daemon=True)
 
+    @property
+    def balancer(self) -> Balancer:
+        """Load and health of the upstreams, as this node sees them."""
+        return self._state.balancer
+
     @property
     def is_ready(self) -> bool:
         """Whether the node knows a configuration with its upstreams and is not leaving."""
--- a/src/chervilrack/_internal/serving/state.py
+++ b/src/chervilrack/_internal/serving/state.py
@@ -205,6 +205,11 @@
         shortest = SHORTEST_STREAM_PATIENCE if is_stream else SHORTEST_PATIENCE
         return min(max(wait, shortest), left * PATIENCE_SHARE)
 
+    def is_overdue(self, context: RequestContext, placement: Placement, waited: timedelta) -> bool:
+        """Whether an upstream without an answer after ``waited`` is slower than it should be."""
+        usual = self._first_bytes.get(context.service, PRIOR_FIRST_BYTE)
+        return waited >= max(usual, placement.wait) * PATIENCE_RATIO
+
     def can_repeat(self, context: RequestContext) -> bool:
         """Whether another upstream could take the request after this one."""
         route = context.route
