--- a/features/docs/pages.feature
+++ b/features/docs/pages.feature
@@ -19,3 +19,6 @@
 
   Scenario: names of settings on the pages exist
     Then docs settings keys exist
+
+  Scenario: the page that explains failures lists every log event and metric of serving nodes
+    Then docs page of explanations names every log event and serving metric
--- a/features/steps/docs_steps.py
+++ b/features/steps/docs_steps.py
@@ -88,3 +88,27 @@
     assert found, "no page names a key of the settings"
     unknown = [pair for pair in found if pair[1] not in sections[pair[0]].__struct_fields__]
     assert not unknown, unknown
+
+
+NOTE = re.compile(r"\.note\(\s*\"([a-z]+)\",\s*\"([a-z ]+)\"")
+# Outcomes of requests and actions of the balancer become event names, too.
+DYNAMIC = re.compile(r"_outcome\(\s*context,\s*\"([a-z ]+)\"|_act\(\"([a-z]+)\"")
+
+
+@then("docs page of explanations names every log event and serving metric")
+def explanations(context):
+    page = (ROOT / "docs" / "OPERATIONS.md").read_text()
+    source = ROOT / "src" / "chervilrack" / "_internal"
+    events = set()
+    for folder in ("serving", "forwarding", "balancing"):
+        for file in (source / folder).glob("*.py"):
+            text = file.read_text()
+            events.update(event for _, event in NOTE.findall(text))
+            events.update(filter(None, (a or b for a, b in DYNAMIC.findall(text))))
+    assert len(events) > 20, events
+    missing = {event for event in events if f"{event}`" not in page}
+    assert not missing, missing
+    metrics = re.findall(
+        r"\"(chervilrack_serving_[a-z_]+)\"", (source / "serving" / "metrics.py").read_text()
+    )
+    assert not {name for name in metrics if name not in page}, metrics
