Refuse streams that a stopping node could not finish

Ruled out: an early end of the process; it was killed at the end of its grace time. Change: a stopping node takes streams for 2.5 s and other requests until 1.5 s before its end, then answers 503, not run. Besides: socket time-outs that end up to 20 ms before a deadline are no failure of the upstream, nor one that answers others meanwhile; queue core split.

--- a/features/adapter/serving.feature
+++ b/features/adapter/serving.feature
@@ -84,6 +84,10 @@
     When 6 callers send plain requests with a deadline of 100 ms
     Then no upstream is ejected
 
+  Scenario: requests that outlast their limit say nothing about an upstream that answers others
+    When 6 callers send requests that outlast 600 ms while others are answered
+    Then no upstream is ejected
+
   Scenario: a caller that leaves is noticed and its stream is cancelled
     Given all engines are "slow"
     When a caller leaves after the first event of a stream
@@ -113,3 +117,16 @@
     Then that node is not ready and refuses a plain request with 503
     When that node has read the upstreams
     Then that node is ready
+
+  Scenario Outline: <time> s after the order to stop a <kind> request is <taken>
+    Given a node that was ordered to stop <time> s ago and has 8 s
+    Then it has <taken> a <kind> request
+
+    Examples: a long stream that begins late would be cut off when the process is killed
+      | time | kind   | taken   |
+      | 0    | stream | taken   |
+      | 2.4  | stream | taken   |
+      | 2.6  | stream | refused |
+      | 2.6  | plain  | taken   |
+      | 6    | plain  | taken   |
+      | 7    | plain  | refused |
--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -12,12 +12,14 @@
 from behave import given, then, when
 from support.platform_standin import StoreStandIn, UpstreamStandIn, free_ports
 
-from chervilrack._internal.common.clock import SystemClock
+from chervilrack._internal.common.clock import ManualClock, SystemClock
 from chervilrack._internal.common.ids import NodeId, ZoneId
 from chervilrack._internal.kvstore.port import Change, ChangeKind, KeyValue
 from chervilrack._internal.observability.decisions import DecisionLog
 from chervilrack._internal.serving.node import ServingNode
 from chervilrack._internal.serving.settings import Address, ServingSettings
+from chervilrack._internal.serving.state import ServingState
+from chervilrack.platform.configuration import decode_configuration
 from chervilrack.platform.headers import PlatformDialect
 from chervilrack.platform.run import SCHEMA
 from chervilrack.platform.store import PlatformStore
@@ -443,3 +445,36 @@
     now = SystemClock().monotonic()
     suspected = [name for name in context.upstreams if balancer.is_suspected(name, now)]
     assert not suspected, suspected
+
+
+@when("{count:d} callers send requests that outlast {time:d} ms while others are answered")
+def outlast(context, count, time):
+    extra = {"Chervilrack-Deadline-Ms": str(time)}
+    context.statuses = []
+
+    def slow(number):
+        extra_id = {"Chervilrack-Request-Id": f"slow-{number}"}
+        found = call(context, "/order/slow", request_id=False, **extra, **extra_id)
+        context.statuses.append(found[0].status)
+
+    threads = [threading.Thread(target=slow, args=(number,)) for number in range(count)]
+    for thread in threads:
+        thread.start()
+    while any(thread.is_alive() for thread in threads):
+        assert call(context, "/order/1")[0].status == 200
+
+
+@given("a node that was ordered to stop {time:g} s ago and has 8 s")
+def ordered_to_stop(context, time):
+    clock = ManualClock()
+    context.state = ServingState(context.settings, None, clock, DecisionLog("n", io.StringIO()))
+    context.state.leave()
+    clock.advance(timedelta(seconds=time))
+
+
+@then("it has {taken} a {kind} request")
+def has_taken(context, taken, kind):
+    routes = {"stream": "/stream/1", "plain": "/order/1"}
+    found = decode_configuration(json.dumps(configuration(1, [KEY])).encode())
+    route = found.match("app.example", routes[kind])
+    assert context.state.takes(route) == (taken == "taken")
--- a/features/support/platform_standin.py
+++ b/features/support/platform_standin.py
@@ -203,6 +203,8 @@
         ]
         if self.behaviour == "late":
             time.sleep(0.3)
+        if request.path.endswith("/slow"):
+            time.sleep(1.0)
         if self.behaviour == "fails":
             request.answer(500, headers=marks, body=b"no")
         elif self.behaviour == "unsigned":
--- a/features/support/stage_load.py
+++ b/features/support/stage_load.py
@@ -14,9 +14,10 @@
 from datetime import timedelta
 
 from chervilrack._internal.balancing.core import Balancer
-from chervilrack._internal.batching.core import BatchingSettings, StageQueue
+from chervilrack._internal.batching.core import StageQueue
 from chervilrack._internal.batching.plan import RequestTimes, StagePlan
 from chervilrack._internal.batching.progress import StageProgress
+from chervilrack._internal.batching.settings import BatchingSettings
 from chervilrack._internal.batching.state import Deliver, FreeResults, InputsRead, Order, StartCall
 from chervilrack._internal.catalogue.state import (
     BatchSpec,
--- a/src/chervilrack/_internal/batching/core.py
+++ b/src/chervilrack/_internal/batching/core.py
@@ -7,11 +7,12 @@
 
 import itertools
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
 from datetime import timedelta
 
 from chervilrack._internal.balancing.core import Balancer
 from chervilrack._internal.balancing.state import Work
+from chervilrack._internal.batching.settings import BatchingSettings
+from chervilrack._internal.batching.space import StageUpstream
 from chervilrack._internal.batching.state import (
     Call,
     Deliver,
@@ -33,62 +34,6 @@
 _NO_TOKENS = Work()
 
 
-@dataclass(frozen=True, slots=True)
-class BatchingSettings:
-    """Tuning of the queues."""
-
-    # Calls of one piece before it counts as failed.
-    max_attempts: int = 3
-    # A call that takes this many times its expected time, and this much longer, is repeated
-    # elsewhere. Upstreams of one service differ by a factor of about 1.3.
-    straggler_ratio: float = 1.8
-    straggler_slack: timedelta = timedelta(milliseconds=150)
-    # Pace from which an upstream is used only when the others cannot take the queue.
-    slow_pace: float = 2.0
-    # A call is given up after this many times its expected time, and this much longer.
-    timeout_ratio: float = 4.0
-    timeout_slack: timedelta = timedelta(seconds=1)
-    # A piece that missed its target has to be done after this part of the time that is left then.
-    # Nearer to the deadline, a queue that is longer than predicted turns late answers into none.
-    late_share: float = 0.5
-    # Inputs are read at the latest this long before they would be dropped: they are up to one
-    # call older than the order, and the call has to get its turn.
-    lifetime_margin: timedelta = timedelta(milliseconds=1500)
-    # A rank's difference counts as much as this difference of the due time, under full pressure.
-    priority_step: timedelta = timedelta(milliseconds=600)
-    # Full calls of every upstream that may wait before ranks count.
-    calm_rounds: float = 1.5
-    # From this many bytes on a piece may wait for an upstream of its zone.
-    least_move_cost: int = 100_000
-    # It waits only if its target is still met with this margin for the queues after it.
-    zone_margin: timedelta = timedelta(milliseconds=250)
-    # An upstream reads the inputs of a call when its turn comes, over links of 10 Gbit/s; this
-    # long after the start of a call it has them.
-    read_time: timedelta = timedelta(milliseconds=80)
-    # For this time after a failure, a straggler or a change of owners a call may start late, and
-    # inputs are kept until its end.
-    disturbed_time: timedelta = timedelta(seconds=3)
-    # Pace from which calls seem to wait behind those of another owner.
-    usual_pace: float = 1.25
-    # An upstream without room is tried again after this time.
-    room_pause: timedelta = timedelta(milliseconds=40)
-    # Time for which space found taken by results of another owner counts as taken.
-    foreign_time: timedelta = timedelta(milliseconds=800)
-    # Part of the capacity of full calls that a prediction counts on.
-    predicted_fill: float = 0.8
-
-
-@dataclass(slots=True)
-class _Upstream:
-    entry: UpstreamEntry
-    call: int | None
-    kept: dict[str, KeptResult]
-    full_until: timedelta = _ZERO
-    # Space that results of other owners take, as the last answer without room showed.
-    foreign: int = 0
-    foreign_until: timedelta = _ZERO
-
-
 class StageQueue:
     """Queue and calls of one stage service at its owner."""
 
@@ -104,7 +49,7 @@
         self._settings = settings or BatchingSettings()
         self._numbers = iter(call_numbers or itertools.count(1))
         self._spec: BatchSpec | None = None
-        self._upstreams: dict[UpstreamId, _Upstream] = {}
+        self._upstreams: dict[UpstreamId, StageUpstream] = {}
         self._orders: dict[OrderId, Order] = {}
         self._waiting: list[Piece] = []
         self._calls: dict[int, Call] = {}
@@ -129,7 +74,7 @@
         for entry in entries:
             found = self._upstreams.get(entry.id)
             if found is None:
-                self._upstreams[entry.id] = _Upstream(entry, None, {})
+                self._upstreams[entry.id] = StageUpstream(entry)
             else:
                 found.entry = entry
 
@@ -269,11 +214,7 @@
     def tick(self, now: timedelta) -> list[BatchEffect]:
         """Give up late pieces, repeat those of stragglers, and start calls."""
         for upstream in self._upstreams.values():
-            self._occupied(upstream, now)
-            if upstream.full_until <= now:
-                upstream.full_until = _ZERO
-            if upstream.foreign_until <= now:
-                upstream.foreign = 0
+            upstream.expire(now)
         delivered: dict[OrderId, list[tuple[int, str | PieceFailure]]] = {}
         for piece in [p for p in self._waiting if p.order.deadline <= now]:
             self._waiting.remove(piece)
@@ -361,7 +302,7 @@
 
     # Choice of upstream and pieces
 
-    def _free_upstreams(self, now: timedelta) -> list[_Upstream]:
+    def _free_upstreams(self, now: timedelta) -> list[StageUpstream]:
         """Return free upstreams, fastest first, slow ones only while the others cannot cope."""
         assert self._spec is not None
         usable = self._usable(now)
@@ -372,13 +313,13 @@
         free.sort(key=lambda u: (round(self._pace(u, now), 1), u.entry.id))
         return free
 
-    def _usable(self, now: timedelta) -> list[_Upstream]:
+    def _usable(self, now: timedelta) -> list[StageUpstream]:
         usable = [u for u in self._upstreams.values() if not self._suspected(u, now)]
         return usable if len(usable) * 2 >= len(self._upstreams) else [*self._upstreams.values()]
 
     def _take(
         self,
-        upstream: _Upstream,
+        upstream: StageUpstream,
         orders: list[tuple[Order, list[Piece]]],
         bound: set[OrderId],
         now: timedelta,
@@ -389,7 +330,7 @@
         its first results take up space.
         """
         assert self._spec is not None
-        room = self._spec.result_space - self._occupied(upstream, now)
+        room = self._spec.result_space - upstream.occupied(now)
         space = self._spec.batch
         taken: list[Piece] = []
         for order, pieces in orders:
@@ -452,7 +393,7 @@
                 ahead[order.zone] = ahead.get(order.zone, 0) + len(pieces)
         return bound
 
-    def _free_at(self, upstream: _Upstream, now: timedelta) -> timedelta:
+    def _free_at(self, upstream: StageUpstream, now: timedelta) -> timedelta:
         """Return when an upstream is expected to take its next call."""
         call = self._calls.get(upstream.call) if upstream.call is not None else None
         if call is None:
@@ -462,7 +403,9 @@
     def _prefers_zone(self, order: Order) -> bool:
         return bool(order.zone) and order.move_cost >= self._settings.least_move_cost
 
-    def _start(self, upstream: _Upstream, pieces: tuple[Piece, ...], now: timedelta) -> StartCall:
+    def _start(
+        self, upstream: StageUpstream, pieces: tuple[Piece, ...], now: timedelta
+    ) -> StartCall:
         assert self._spec is not None
         settings = self._settings
         expected = self._spec.call_time + len(pieces) * self._spec.item_time
@@ -502,24 +445,18 @@
         excess = len(self._waiting) / round_size - self._settings.calm_rounds
         return min(1.0, max(0.0, excess))
 
-    def _suspected(self, upstream: _Upstream, now: timedelta) -> bool:
+    def _suspected(self, upstream: StageUpstream, now: timedelta) -> bool:
         return self._balancer.is_suspected(upstream.entry.id, now)
 
-    def _pace(self, upstream: _Upstream, now: timedelta) -> float:
+    def _pace(self, upstream: StageUpstream, now: timedelta) -> float:
         return self._balancer.pace(self._balancer.status(upstream.entry.id), now)
 
-    def _is_free(self, upstream: _Upstream, now: timedelta) -> bool:
+    def _is_free(self, upstream: StageUpstream, now: timedelta) -> bool:
         assert self._spec is not None
         if upstream.call is not None or now < upstream.full_until:
             return False
         smallest = min(piece.order.result_size for piece in self._waiting)
-        return self._occupied(upstream, now) + smallest <= self._spec.result_space
-
-    def _occupied(self, upstream: _Upstream, now: timedelta) -> int:
-        for handle in [h for h, kept in upstream.kept.items() if kept.until <= now]:
-            del upstream.kept[handle]
-        foreign = upstream.foreign if now < upstream.foreign_until else 0
-        return foreign + sum(kept.size for kept in upstream.kept.values())
+        return upstream.occupied(now) + smallest <= self._spec.result_space
 
     # Ends of calls and pieces
 
@@ -532,13 +469,13 @@
                 upstream.call = None
         return call
 
-    def _keep(self, upstream: _Upstream | None, handle: str, size: int, now: timedelta) -> None:
+    def _keep(self, upstream: StageUpstream | None, handle: str, size: int, now: timedelta) -> None:
         if upstream is not None and self._spec is not None:
             upstream.kept[handle] = KeptResult(size, now + self._spec.result_lifetime)
 
     def _learn_room(
         self,
-        upstream: _Upstream,
+        upstream: StageUpstream,
         call: Call,
         results: Sequence[str | PieceFailure],
         now: timedelta,
@@ -552,12 +489,11 @@
             if isinstance(result, str)
         )
         self.disturbed(now)
-        known = sum(kept.size for kept in upstream.kept.values())
-        upstream.foreign = max(0, self._spec.result_space - known - granted)
-        upstream.foreign_until = now + self._settings.foreign_time
+        until = now + self._settings.foreign_time
+        upstream.learn_foreign(self._spec.result_space, granted, until)
 
     def _retry(
-        self, piece: Piece, failure: PieceFailure, upstream: _Upstream | None, now: timedelta
+        self, piece: Piece, failure: PieceFailure, upstream: StageUpstream | None, now: timedelta
     ) -> bool:
         """Queue a piece again after a failure that another call may avoid."""
         if piece.sent > 0:
--- /dev/null
+++ b/src/chervilrack/_internal/batching/settings.py
@@ -0,0 +1,49 @@
+"""Settings of the queues of stage services."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+
+@dataclass(frozen=True, slots=True)
+class BatchingSettings:
+    """Tuning of the queues."""
+
+    # Calls of one piece before it counts as failed.
+    max_attempts: int = 3
+    # A call that takes this many times its expected time, and this much longer, is repeated
+    # elsewhere. Upstreams of one service differ by a factor of about 1.3.
+    straggler_ratio: float = 1.8
+    straggler_slack: timedelta = timedelta(milliseconds=150)
+    # Pace from which an upstream is used only when the others cannot take the queue.
+    slow_pace: float = 2.0
+    # A call is given up after this many times its expected time, and this much longer.
+    timeout_ratio: float = 4.0
+    timeout_slack: timedelta = timedelta(seconds=1)
+    # A piece that missed its target has to be done after this part of the time that is left then.
+    # Nearer to the deadline, a queue that is longer than predicted turns late answers into none.
+    late_share: float = 0.5
+    # Inputs are read at the latest this long before they would be dropped: they are up to one
+    # call older than the order, and the call has to get its turn.
+    lifetime_margin: timedelta = timedelta(milliseconds=1500)
+    # A rank's difference counts as much as this difference of the due time, under full pressure.
+    priority_step: timedelta = timedelta(milliseconds=600)
+    # Full calls of every upstream that may wait before ranks count.
+    calm_rounds: float = 1.5
+    # From this many bytes on a piece may wait for an upstream of its zone.
+    least_move_cost: int = 100_000
+    # It waits only if its target is still met with this margin for the queues after it.
+    zone_margin: timedelta = timedelta(milliseconds=250)
+    # An upstream reads the inputs of a call when its turn comes, over links of 10 Gbit/s; this
+    # long after the start of a call it has them.
+    read_time: timedelta = timedelta(milliseconds=80)
+    # For this time after a failure, a straggler or a change of owners a call may start late, and
+    # inputs are kept until its end.
+    disturbed_time: timedelta = timedelta(seconds=3)
+    # Pace from which calls seem to wait behind those of another owner.
+    usual_pace: float = 1.25
+    # An upstream without room is tried again after this time.
+    room_pause: timedelta = timedelta(milliseconds=40)
+    # Time for which space found taken by results of another owner counts as taken.
+    foreign_time: timedelta = timedelta(milliseconds=800)
+    # Part of the capacity of full calls that a prediction counts on.
+    predicted_fill: float = 0.8
--- a/src/chervilrack/_internal/forwarding/attempts.py
+++ b/src/chervilrack/_internal/forwarding/attempts.py
@@ -35,6 +35,8 @@
     )
 )
 INPUT_GONE_STATUS = 409
+# Time-outs of sockets are rounded and may end this long before the deadline.
+DEADLINE_SLACK = timedelta(milliseconds=20)
 
 
 class Verdict(Enum):
@@ -143,9 +145,9 @@
         try:
             response = self._send(context, entry, placement, inputs, exchange)
         except ExchangeFailed as error:
-            waited = self._clock.monotonic() - started
-            blamed = context.left(self._clock.monotonic()) > timedelta(0) or self._meter.is_overdue(
-                context, placement, waited
+            now = self._clock.monotonic()
+            blamed = context.left(now) > DEADLINE_SLACK or self._meter.is_overdue(
+                context, placement, now - started
             )
             return self._failed(context, entry, error, blamed=blamed)
         headers = response.headers
--- a/src/chervilrack/_internal/forwarding/forwarder.py
+++ b/src/chervilrack/_internal/forwarding/forwarder.py
@@ -62,6 +62,9 @@
     def accepts(self) -> bool:
         """Whether the node takes new requests."""
 
+    def takes(self, route: Route) -> bool:
+        """Whether a new request of a route can end before the node stops."""
+
     def upstreams(self, service: ServiceId) -> Sequence[UpstreamEntry]:
         """Return the ready upstreams of a service."""
 
@@ -147,6 +150,8 @@
         if configuration.has_organisations and not route.anonymous and organisation is None:
             code = ResultCode.KEY_MISSING if facts.key is None else ResultCode.KEY_INVALID
             return Problem(code, "the route needs a key of an organisation")
+        if not self._backend.takes(route):
+            return Problem(ResultCode.NOT_READY, "this node stops too soon for the request")
         return self._context(request, facts, configuration, route, organisation)
 
     def _context(
--- a/src/chervilrack/_internal/serving/node.py
+++ b/src/chervilrack/_internal/serving/node.py
@@ -48,7 +48,7 @@
 from chervilrack._internal.serving.settings import ServingSettings
 from chervilrack._internal.serving.stage_calls import StageCaller
 from chervilrack._internal.serving.stage_desk import StageDesk
-from chervilrack._internal.serving.state import ServingState
+from chervilrack._internal.serving.state import STOP_MARGIN, ServingState
 from chervilrack._internal.serving.store_schema import StoreSchema
 from chervilrack._internal.serving.store_sync import StoreSync
 
@@ -177,12 +177,13 @@
         self._leaving.set()
         self._log.note("node", "leaving", in_progress=self._state.in_progress)
         self._closing = True
+        self._state.leave()
         with self._state.lock:
             self._next_beat = timedelta(0)
         self._wake_timers()
         started = self._clock.monotonic()
         until = started + self._settings.lookup_lifetime * 3
-        last = started + self._settings.stop_grace - timedelta(milliseconds=500)
+        last = started + self._settings.stop_grace - STOP_MARGIN
         while (now := self._clock.monotonic()) < last:
             if now >= until and self._state.in_progress == 0:
                 break
--- a/src/chervilrack/_internal/serving/state.py
+++ b/src/chervilrack/_internal/serving/state.py
@@ -10,6 +10,7 @@
 from chervilrack._internal.catalogue.core import Catalogue, UpstreamChanged
 from chervilrack._internal.catalogue.state import (
     RequestKind,
+    Route,
     ServingConfiguration,
     UpstreamEntry,
 )
@@ -26,6 +27,13 @@
 from chervilrack._internal.serving.metrics import ServingMetrics
 from chervilrack._internal.serving.settings import ServingSettings
 
+# A leaving node takes streams for this time; one that is then still running when the node is
+# killed may be cut off, since it began within three seconds of the order to stop.
+STREAMS_WHILE_LEAVING = timedelta(milliseconds=2500)
+# Other requests take well below this time.
+PLAIN_REQUEST_TIME = timedelta(seconds=1)
+# Before the end of the grace time the process ends by itself.
+STOP_MARGIN = timedelta(milliseconds=500)
 # First-byte times of a service before any answer was seen.
 PRIOR_FIRST_BYTE = timedelta(milliseconds=100)
 FIRST_BYTE_WEIGHT = 0.1
@@ -60,6 +68,7 @@
         self._first_bytes: dict[ServiceId, timedelta] = {}
         self._attempt_starts: dict[tuple[str, UpstreamId], tuple[timedelta, timedelta]] = {}
         self._accepting = False
+        self._leaving_since: timedelta | None = None
 
     # ForwardingBackend
 
@@ -71,6 +80,23 @@
         """Whether the node takes new requests."""
         return self._accepting
 
+    def leave(self) -> None:
+        """Note that the node is leaving."""
+        self._leaving_since = self.clock.monotonic()
+
+    def takes(self, route: Route) -> bool:
+        """Whether a new request of a route can still end before the node stops.
+
+        Callers that kept an older look-up answer come until the end. A long stream that began
+        late would be cut off; it is refused, and its caller finds another node.
+        """
+        if self._leaving_since is None:
+            return True
+        passed = self.clock.monotonic() - self._leaving_since
+        if route.kind is RequestKind.STREAM:
+            return passed < STREAMS_WHILE_LEAVING
+        return passed + PLAIN_REQUEST_TIME < self.settings.stop_grace - STOP_MARGIN
+
     def accept_requests(self) -> None:
         """Take requests from now on."""
         self._accepting = True
@@ -208,7 +234,11 @@
     def is_overdue(self, context: RequestContext, placement: Placement, waited: timedelta) -> bool:
         """Whether an upstream without an answer after ``waited`` is slower than it should be."""
         usual = self._first_bytes.get(context.service, PRIOR_FIRST_BYTE)
-        return waited >= max(usual, placement.wait) * PATIENCE_RATIO
+        if waited < max(usual, placement.wait) * PATIENCE_RATIO:
+            return False
+        # One that has answered others meanwhile is there: the request itself takes long.
+        answered = self.balancer.status(placement.upstream).last_success
+        return answered is None or answered < self.clock.monotonic() - waited
 
     def can_repeat(self, context: RequestContext) -> bool:
         """Whether another upstream could take the request after this one."""
