Leave the status of vanished stage results to the dialect

Cause: a status number of the platform stood in the forwarding slice. Change: AnswerFacts says whether stage results are gone; the adapter knows the number. Result: no platform path, header or status number of stages outside the adapter.

--- a/features/adapter/translation.feature
+++ b/features/adapter/translation.feature
@@ -73,6 +73,7 @@
       | 503    | no header                         | run     |
       | 429    | no header                         | run     |
       | 421    | Chervilrack-Instance-Id: i-2      | not run |
+      | 409    | Chervilrack-Not-Executed: 1       | not run |
       | 500    | Chervilrack-Response-Signature: x | run     |
 
   Scenario Outline: results <body> of a call with <count> pieces are <read>
@@ -89,3 +90,12 @@
   Scenario: settings report all mistakes at once and ignore unknown keys
     When the platform's settings lack zone and have a frontend without port
     Then 2 mistakes are reported that name zone and frontend
+
+  Scenario Outline: an answer <status> with <header> says that stage results are <state>
+    Then the platform's answer <status> with <header> says that stage results are <state>
+
+    Examples:
+      | status | header                      | state |
+      | 409    | Chervilrack-Not-Executed: 1 | gone  |
+      | 409    | no header                   | there |
+      | 503    | Chervilrack-Not-Executed: 1 | there |
--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -251,3 +251,10 @@
     text = "\n".join(context.mistakes)
     assert first in text, text
     assert second in text, text
+
+
+@then("the platform's answer {status:d} with {header} says that stage results are {state}")
+def stage_results(context, status, header, state):
+    headers = {} if header == "no header" else dict([header.split(": ")])
+    facts = PlatformDialect().read_answer(status, headers)
+    assert facts.inputs_gone == (state == "gone"), facts
--- a/src/chervilrack/_internal/forwarding/attempts.py
+++ b/src/chervilrack/_internal/forwarding/attempts.py
@@ -12,7 +12,7 @@
 from chervilrack._internal.catalogue.state import RequestKind, UpstreamEntry
 from chervilrack._internal.common.clock import Clock
 from chervilrack._internal.forwarding.context import RequestContext
-from chervilrack._internal.forwarding.dialect import Dialect, UpstreamStamp
+from chervilrack._internal.forwarding.dialect import AnswerFacts, Dialect, UpstreamStamp
 from chervilrack._internal.forwarding.messages import Responder
 from chervilrack._internal.forwarding.stages import StageRun
 from chervilrack._internal.forwarding.streams import StreamRelay
@@ -34,7 +34,6 @@
         "content-length",
     )
 )
-INPUT_GONE_STATUS = 409
 # Time-outs of sockets are rounded and may end this long before the deadline.
 DEADLINE_SLACK = timedelta(milliseconds=20)
 
@@ -157,7 +156,7 @@
             context.runs += 1
             return AttemptEnd(Verdict.FAILED, "an answer to another request", arrived=True)
         if answer.not_executed:
-            return self._not_run(context, entry, response.status, answer.misdirected)
+            return self._not_run(entry, response.status, answer)
         context.runs += 1
         if stages is not None:
             stages.answered()
@@ -208,12 +207,10 @@
         context.runs += 1
         return AttemptEnd(Verdict.FAILED, error.detail, arrived=True)
 
-    def _not_run(
-        self, context: RequestContext, entry: UpstreamEntry, status: int, misdirected: bool
-    ) -> AttemptEnd:
-        if misdirected:
+    def _not_run(self, entry: UpstreamEntry, status: int, answer: AnswerFacts) -> AttemptEnd:
+        if answer.misdirected:
             self._meter.misdirected(entry)
-        elif status == INPUT_GONE_STATUS:
+        elif answer.inputs_gone:
             return AttemptEnd(Verdict.INPUT_GONE, "a stage result is gone", arrived=True)
         elif status >= 500:
             self._meter.bad(entry, f"rejected with {status}", certain=False)
--- a/src/chervilrack/_internal/forwarding/dialect.py
+++ b/src/chervilrack/_internal/forwarding/dialect.py
@@ -60,13 +60,15 @@
     """What an upstream's header fields say about its answer.
 
     ``not_executed`` is the upstream's statement that it did not run the request.
-    ``misdirected`` means that another upstream holds the address now.
+    ``misdirected`` means that another upstream holds the address now, ``inputs_gone`` that stage
+    results which the request names do not exist any more.
     """
 
     request_id: RequestId | None
     signed: bool
     not_executed: bool
     misdirected: bool = False
+    inputs_gone: bool = False
 
 
 class PieceFailure(Enum):
--- a/src/chervilrack/platform/headers.py
+++ b/src/chervilrack/platform/headers.py
@@ -36,6 +36,7 @@
 KEY_SCHEME: Final = "Token "
 
 _MISDIRECTED: Final = 421
+_INPUTS_GONE: Final = 409
 _SET_BY_SYSTEM: Final = frozenset(
     name.lower()
     for name in (
@@ -163,6 +164,7 @@
             signed=SIGNATURE in headers,
             not_executed=NOT_EXECUTED in headers or misdirected,
             misdirected=misdirected,
+            inputs_gone=status == _INPUTS_GONE and NOT_EXECUTED in headers,
         )
 
     def encode_pieces(self, pieces: Sequence[PieceCall]) -> bytes:
