--- a/features/adapter/serving.feature
+++ b/features/adapter/serving.feature
@@ -132,3 +132,9 @@
       | 2.6  | plain  | taken   |
       | 6    | plain  | taken   |
       | 7    | plain  | refused |
+
+  Scenario: a request that waits for stages when the node ends is refused
+    Given all upstreams of the first stage stand still
+    And the node has 1.5 s to stop
+    When a staged stream request waits while the node leaves
+    Then the caller gets status 503
--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -1,6 +1,7 @@
 """Steps for a serving node in this process, before stand-ins of the platform."""
 
 import contextlib
+import dataclasses
 import http.client
 import io
 import json
@@ -478,3 +479,23 @@
     found = decode_configuration(json.dumps(configuration(1, [KEY])).encode())
     route = found.match("app.example", routes[kind])
     assert context.state.takes(route) == (taken == "taken")
+
+
+@given("all upstreams of the first stage stand still")
+def stand_still(context):
+    context.upstreams["first-1"].behaviour = "stands still"
+
+
+@given("the node has {seconds:g} s to stop")
+def has_to_stop(context, seconds):
+    grace = timedelta(seconds=seconds)
+    context.node._settings = dataclasses.replace(context.settings, stop_grace=grace)
+
+
+@when("a staged stream request waits while the node leaves")
+def wait_while_leaving(context):
+    thread = threading.Thread(target=lambda: send(context, "staged stream"))
+    thread.start()
+    wait_for(lambda: context.upstreams["first-1"].pieces, "the stage has begun")
+    context.node.leave()
+    thread.join(LIMIT_S)
--- a/features/support/platform_standin.py
+++ b/features/support/platform_standin.py
@@ -191,6 +191,8 @@
         entries = []
         for piece in body["entries"]:
             self.pieces.append(piece)
+            if self.behaviour == "stands still":
+                time.sleep(5.0)
             entries.append({"handle": f"{self.address}/{self.id}-{next(self._handles)}"})
         request.answer(200, {"entries": entries})
 
--- a/src/chervilrack/_internal/forwarding/context.py
+++ b/src/chervilrack/_internal/forwarding/context.py
@@ -39,18 +39,41 @@
     steps: list[str] = field(default_factory=list)
     _gone: threading.Event = field(default_factory=threading.Event)
     _on_gone: list[Callable[[], None]] = field(default_factory=list)
+    _on_stop: list[Callable[[], None]] = field(default_factory=list)
+    _node_stops: threading.Event = field(default_factory=threading.Event)
 
     @property
     def gone(self) -> bool:
         """Whether the caller has left."""
         return self._gone.is_set()
 
+    @property
+    def node_stops(self) -> bool:
+        """Whether the node ends before the stages of the request can."""
+        return self._node_stops.is_set()
+
+    def stop_waiting(self) -> None:
+        """Note that the node is about to end; waiting for stages ends."""
+        self._node_stops.set()
+        for action in list(self._on_stop):
+            action()
+
     def caller_left(self) -> None:
         """Note that the caller has left and stop what runs for it."""
         self._gone.set()
         for action in list(self._on_gone):
             action()
 
+    def on_stop(self, action: Callable[[], None]) -> None:
+        """Run ``action`` when the node is about to end; at once if it is."""
+        self._on_stop.append(action)
+        if self.node_stops:
+            action()
+
+    def off_stop(self, action: Callable[[], None]) -> None:
+        """Withdraw an action of ``on_stop``."""
+        self._on_stop.remove(action)
+
     def on_gone(self, action: Callable[[], None]) -> None:
         """Run ``action`` when the caller leaves; at once if it has left."""
         self._on_gone.append(action)
--- a/src/chervilrack/_internal/forwarding/forwarder.py
+++ b/src/chervilrack/_internal/forwarding/forwarder.py
@@ -76,6 +76,9 @@
     def count_request(self, service: ServiceId) -> None:
         """Count a caller's request for the retry budget."""
 
+    def opened(self, context: RequestContext) -> None:
+        """Count a request as in progress until ``finished``."""
+
     def may_repeat(self, service: ServiceId) -> bool:
         """Take one repeat from the retry budget."""
 
@@ -180,6 +183,7 @@
             work=Work(facts.prompt_tokens, tuple((part.id, part.tokens) for part in shared)),
         )
         self._backend.count_request(service)
+        self._backend.opened(context)
         return context
 
     def _pick_service(self, route: Route) -> ServiceId:
--- a/src/chervilrack/_internal/forwarding/stages.py
+++ b/src/chervilrack/_internal/forwarding/stages.py
@@ -114,10 +114,12 @@
         """Run all stages that are not done. The problem of a failure states a request not run."""
         wake: Callable[[], None] = lambda: self._results.put(None)  # noqa: E731
         self._context.on_gone(wake)
+        self._context.on_stop(wake)
         try:
             return self._run()
         finally:
             self._context.off_gone(wake)
+            self._context.off_stop(wake)
 
     def restart(self) -> bool:
         """Forget the results that the request reads; return False if it was done too often."""
@@ -158,6 +160,8 @@
                 return Err(_late("the stages did not end in time"))
             if self._context.gone:
                 return Err(Problem(ResultCode.CALLER_GONE, "the caller left during the stages"))
+            if self._context.node_stops:
+                return Err(Problem(ResultCode.NOT_READY, "this node stops before the stages end"))
             if found is None:
                 continue
             failure = self._take(*found)
--- a/src/chervilrack/_internal/serving/node.py
+++ b/src/chervilrack/_internal/serving/node.py
@@ -48,7 +48,7 @@
 from chervilrack._internal.serving.settings import ServingSettings
 from chervilrack._internal.serving.stage_calls import StageCaller
 from chervilrack._internal.serving.stage_desk import StageDesk
-from chervilrack._internal.serving.state import STOP_MARGIN, ServingState
+from chervilrack._internal.serving.state import REFUSAL_MARGIN, STOP_MARGIN, ServingState
 from chervilrack._internal.serving.store_schema import StoreSchema
 from chervilrack._internal.serving.store_sync import StoreSync
 
@@ -187,6 +187,8 @@
         while (now := self._clock.monotonic()) < last:
             if now >= until and self._state.in_progress == 0:
                 break
+            if now >= last - REFUSAL_MARGIN:
+                self._state.stop_waiting()
             threading.Event().wait(0.1)
         self._log.note("node", "left", in_progress=self._state.in_progress)
 
--- a/src/chervilrack/_internal/serving/state.py
+++ b/src/chervilrack/_internal/serving/state.py
@@ -34,6 +34,8 @@
 PLAIN_REQUEST_TIME = timedelta(seconds=1)
 # Before the end of the grace time the process ends by itself.
 STOP_MARGIN = timedelta(milliseconds=500)
+# So long before that, requests that still wait for stages are refused.
+REFUSAL_MARGIN = timedelta(milliseconds=300)
 # First-byte times of a service before any answer was seen.
 PRIOR_FIRST_BYTE = timedelta(milliseconds=100)
 FIRST_BYTE_WEIGHT = 0.1
@@ -69,6 +71,7 @@
         self._attempt_starts: dict[tuple[str, UpstreamId], tuple[timedelta, timedelta]] = {}
         self._accepting = False
         self._leaving_since: timedelta | None = None
+        self._open: dict[int, RequestContext] = {}
 
     # ForwardingBackend
 
@@ -129,10 +132,23 @@
         with self.lock:
             return self.budget.take(service, self.clock.monotonic())
 
+    def opened(self, context: RequestContext) -> None:
+        """Count a request as in progress."""
+        with self.lock:
+            self._open[id(context)] = context
+
+    def stop_waiting(self) -> None:
+        """Let requests that still wait for stages be refused: they have not run."""
+        with self.lock:
+            waiting = list(self._open.values())
+        for context in waiting:
+            context.stop_waiting()
+
     def finished(self, context: RequestContext, outcome: Outcome) -> None:
         """Record the end of a request."""
         with self.lock:
             self.in_progress -= 1
+            self._open.pop(id(context), None)
         self.metrics.request_ended(context, outcome)
         self.log.note(
             "forwarding",
