--- a/features/adapter/serving.feature
+++ b/features/adapter/serving.feature
@@ -137,4 +137,4 @@
     Given all upstreams of the first stage stand still
     And the node has 1.5 s to stop
     When a staged stream request waits while the node leaves
-    Then the caller gets status 503
+    Then the caller gets status 503 because the node stops
--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -15,6 +15,7 @@
 
 from chervilrack._internal.common.clock import ManualClock, SystemClock
 from chervilrack._internal.common.ids import NodeId, ZoneId
+from chervilrack._internal.common.results import ResultCode
 from chervilrack._internal.kvstore.port import Change, ChangeKind, KeyValue
 from chervilrack._internal.observability.decisions import DecisionLog
 from chervilrack._internal.serving.node import ServingNode
@@ -499,3 +500,9 @@
     wait_for(lambda: context.upstreams["first-1"].pieces, "the stage has begun")
     context.node.leave()
     thread.join(LIMIT_S)
+
+
+@then("the caller gets status {status:d} because the node stops")
+def refused_by_stop(context, status):
+    assert context.response.status == status, context.response.status
+    assert json.loads(context.body)["code"] == ResultCode.NOT_READY.number, context.body
