--- a/src/chervilrack/_internal/batching/plan.py
+++ b/src/chervilrack/_internal/batching/plan.py
@@ -9,7 +9,7 @@
 from chervilrack._internal.catalogue.state import Route, ServiceSpec
 from chervilrack._internal.common.ids import ServiceId
 
-# Messages, connections and waiting between two stages, as measured on calm days.
+# Messages, connections and waiting between two stages; an estimate, not measured.
 HOP_TIME = timedelta(milliseconds=40)
 # Part of a full call that a piece waits for an upstream: half of one if all are always busy.
 WAIT_SHARE = 0.4
