Give results back to the owner that made them; end an order whose input has vanished

Engines kept final results until their first event. Change: results are released at the owner whose call made them while it lives; a vanished input ends all waiting pieces of its order; results that a restart forgets are released; final results are spare 60 ms after the request was sent.

--- a/features/batching/queue.feature
+++ b/features/batching/queue.feature
@@ -176,3 +176,31 @@
     And 1 s pass
     Then 4 results are freed
     And the queue has no calls
+
+  Scenario: final results are spare once the request's upstream has read them, and again after a restart
+    Given a request with a stage of 2 pieces whose results it reads itself
+    When the stage has its results
+    Then no results are spare
+    When the request's upstream has read its inputs
+    Then 2 results are spare, once
+    When the results have vanished and are made again
+    Then no results are spare
+
+  Scenario: one vanished input ends all waiting pieces of its order
+    Given a stage queue with 1 upstreams, 4 pieces a call
+    When the queue gets orders of 7 pieces
+    And the first call ends with a vanished input
+    Then 4 pieces of the order have failed for a vanished input
+    And the queue has no calls
+
+  Scenario Outline: results go back to the owner that made them, <state>
+    Given a node whose orders go to owner b
+    When owner b makes a result and c owns the queue from then on
+    And owner b is <state>
+    And the node gives the result up
+    Then owner <owner> is told
+
+    Examples: an owner that is not told counts the space as taken for seconds
+      | state | owner |
+      | alive | b     |
+      | gone  | c     |
--- a/features/steps/batching_steps.py
+++ b/features/steps/batching_steps.py
@@ -8,8 +8,16 @@
 
 from chervilrack._internal.balancing.core import Balancer
 from chervilrack._internal.batching.core import StageQueue
+from chervilrack._internal.batching.progress import StageProgress
 from chervilrack._internal.batching.state import Deliver, FreeResults, InputsRead, Order, StartCall
-from chervilrack._internal.catalogue.state import BatchSpec, UpstreamEntry, UpstreamState
+from chervilrack._internal.catalogue.state import (
+    BatchSpec,
+    RequestKind,
+    Route,
+    StageSpec,
+    UpstreamEntry,
+    UpstreamState,
+)
 from chervilrack._internal.common.ids import NodeId, RequestId, ServiceId, UpstreamId, ZoneId
 from chervilrack._internal.forwarding.dialect import PieceFailure
 from chervilrack._internal.serving.stage_desk import ORDER_BITS, first_order_number
@@ -293,3 +301,64 @@
 def serves_orders(context, count):
     (call,) = context.open
     assert len({piece.order.id for piece in call.pieces}) == count, call
+
+
+@given("a request with a stage of 2 pieces whose results it reads itself")
+def staged_request(context):
+    route = Route(
+        name="r",
+        host="h",
+        path_prefix="/",
+        kind=RequestKind.STREAM,
+        timeout=timedelta(seconds=6),
+        target_latency=timedelta(seconds=2),
+        split=((ServiceId("e"), 1.0),),
+        stages=(StageSpec(ServiceId("s"), (), SIZE),),
+    )
+    context.progress = StageProgress(route, [2])
+
+
+@when("the stage has its results")
+def stage_done(context):
+    context.progress.start(0)
+    for segment in range(2):
+        assert context.progress.completed(0, segment, f"10.0.0.1:80/{segment}")
+
+
+@when("the request's upstream has read its inputs")
+def request_reads(context):
+    context.progress.request_reads()
+
+
+@when("the results have vanished and are made again")
+def made_again(context):
+    ((stage, handles),) = context.progress.restart_inputs(None)
+    assert (stage, len(handles)) == (0, 2)
+    assert context.progress.missing(0) == (0, 1)
+    stage_done(context)
+
+
+@then("no results are spare")
+def none_spare(context):
+    assert context.progress.take_spare() == []
+
+
+@then("2 results are spare, once")
+def two_spare(context):
+    ((stage, handles),) = context.progress.take_spare()
+    assert (stage, len(handles)) == (0, 2)
+    none_spare(context)
+
+
+@when("the first call ends with a vanished input")
+def vanished(context):
+    call = context.open.pop(0)
+    results = [PieceFailure.INPUT_GONE, *("10.0.0.1:80/x" + str(n) for n in range(1, 4))]
+    context.now += call.expected
+    perform(context, context.queue.call_ended(call.call, results, context.now))
+
+
+@then("{count:d} pieces of the order have failed for a vanished input")
+def vanished_pieces(context, count):
+    found = [result for _, result in context.results[context.last]]
+    assert found.count(PieceFailure.INPUT_GONE) == count, found
--- a/features/support/stage_load.py
+++ b/features/support/stage_load.py
@@ -29,6 +29,7 @@
     UpstreamState,
 )
 from chervilrack._internal.common.ids import NodeId, RequestId, ServiceId, UpstreamId, ZoneId
+from chervilrack._internal.forwarding.attempts import INPUT_READ_TIME
 from chervilrack._internal.forwarding.dialect import PieceFailure
 
 LINK = timedelta(milliseconds=3)
@@ -281,6 +282,7 @@
         if request.progress.done:
             engine = ms(25) + timedelta(seconds=request.kind.tokens / ENGINE_TOKENS_PER_S)
             self._at(self._now + engine, lambda: self._end(request, failed=False))
+            self._at(self._now + INPUT_READ_TIME, lambda: self._spare_final(request))
             return
         for planned in request.plan.take_due():
             number = next(self._numbers)
@@ -310,6 +312,15 @@
                 ),
             )
 
+    def _spare_final(self, request: _Request) -> None:
+        if not request.ended:
+            request.progress.request_reads()
+            self._spare(request)
+
+    def _spare(self, request: _Request) -> None:
+        for done, handles in request.progress.take_spare():
+            self._release(request, done, handles, spare=True)
+
     def _perform(self, queue: StageQueue, effects: list) -> None:
         for effect in effects:
             match effect:
@@ -414,23 +425,22 @@
         for segment, result in results:
             if isinstance(result, PieceFailure):
                 if not request.ended and result is PieceFailure.INPUT_GONE:
-                    request.progress.restart_inputs(stage)
+                    for done, handles in request.progress.restart_inputs(stage):
+                        self._release(request, done, handles)
                 else:
                     self._end(request, failed=True)
             elif request.ended or not request.progress.completed(stage, segment, result):
                 self.result.unused += 1
                 self._release(request, stage, [result])
         if not request.ended:
-            for done, handles in request.progress.take_spare():
-                self._release(request, done, handles, spare=True)
+            self._spare(request)
             self._advance(request)
 
     def _read(self, number: int) -> None:
         request, stage = self._orders[number]
         if not request.ended:
             request.progress.inputs_read(stage)
-            for done, handles in request.progress.take_spare():
-                self._release(request, done, handles, spare=True)
+            self._spare(request)
 
     def _release(
         self, request: _Request, stage: int, handles: list[str], *, spare: bool = False
--- a/src/chervilrack/_internal/batching/core.py
+++ b/src/chervilrack/_internal/batching/core.py
@@ -211,6 +211,8 @@
             elif not piece.is_open or self._retry(piece, result, upstream, now):
                 continue
             self._close(piece, result, delivered)
+            if result is PieceFailure.INPUT_GONE:
+                self._close_siblings(piece.order, delivered)
         effects: list[BatchEffect] = _deliveries(delivered)
         if unwanted:
             effects += self.release([(call.address, handle) for handle in unwanted], now)
@@ -603,6 +605,13 @@
         if not order.open_segments:
             self._orders.pop(order.id, None)
 
+    def _close_siblings(
+        self, order: Order, delivered: dict[OrderId, list[tuple[int, str | PieceFailure]]]
+    ) -> None:
+        """Give up the waiting pieces of an order of which an input is gone: all read the same."""
+        for piece in [p for p in self._waiting if p.order is order and p.is_open]:
+            self._close(piece, PieceFailure.INPUT_GONE, delivered)
+
     def _straggles_at(self, call: Call) -> timedelta:
         settings = self._settings
         return call.started + call.expected * settings.straggler_ratio + settings.straggler_slack
--- a/src/chervilrack/_internal/batching/progress.py
+++ b/src/chervilrack/_internal/batching/progress.py
@@ -30,6 +30,7 @@
             _StageState(spec, pieces) for spec, pieces in zip(route.stages, padded, strict=False)
         ]
         self._final = route.final_stages
+        self._request_reads = False
 
     @property
     def done(self) -> bool:
@@ -78,22 +79,27 @@
         """Note that the upstreams that run a stage have its inputs."""
         self._stages[stage].inputs_read = True
 
+    def request_reads(self) -> None:
+        """Note that the upstream of the request has the final results."""
+        self._request_reads = True
+
     def missing(self, stage: int) -> tuple[int, ...]:
         """Return the segments of a stage that have no result."""
         state = self._stages[stage]
         return tuple(number for number in range(state.pieces) if number not in state.handles)
 
-    def restart_inputs(self, stage: int | None) -> list[str]:
+    def restart_inputs(self, stage: int | None) -> list[tuple[int, list[str]]]:
         """Forget the results that a stage reads (None: the request).
 
         Used when a result has vanished before it was read. What those results were made from
-        may still be there; if not, the stages before start again likewise. Returns the forgotten
-        handles.
+        may still be there; if not, the stages before start again likewise. Returns the stages
+        whose results are forgotten, with their handles.
         """
-        dropped: list[str] = []
+        dropped: list[tuple[int, list[str]]] = []
+        self._request_reads = False
         for index in self._final if stage is None else self._stages[stage].spec.after:
             state = self._stages[index]
-            dropped += state.handles.values()
+            dropped.append((index, list(state.handles.values())))
             state.handles.clear()
             state.started = False
             state.inputs_read = False
@@ -105,13 +111,14 @@
         return dropped
 
     def take_spare(self) -> list[tuple[int, list[str]]]:
-        """Return stages with results that all readers have read, each once."""
+        """Return stages with results that all their readers have read, each once."""
         found = []
         for index, stage in enumerate(self._stages):
             if stage.spared or stage.released or not stage.done or not stage.handles:
                 continue
             readers = [other for other in self._stages if index in other.spec.after]
-            if readers and all(reader.done or reader.inputs_read for reader in readers):
+            has_read = all(reader.done or reader.inputs_read for reader in readers)
+            if has_read and (readers or self._request_reads):
                 stage.spared = True
                 found.append((index, list(stage.handles.values())))
         return found
--- a/src/chervilrack/_internal/forwarding/attempts.py
+++ b/src/chervilrack/_internal/forwarding/attempts.py
@@ -34,6 +34,8 @@
         "content-length",
     )
 )
+# An upstream fetches the inputs of a request before it reads the prompt, over links of 10 Gbit/s.
+INPUT_READ_TIME = timedelta(milliseconds=60)
 # Time-outs of sockets are rounded and may end this long before the deadline.
 DEADLINE_SLACK = timedelta(milliseconds=20)
 
@@ -142,7 +144,7 @@
     ) -> AttemptEnd:
         started = self._clock.monotonic()
         try:
-            response = self._send(context, entry, placement, inputs, exchange)
+            response = self._send(context, entry, placement, inputs, exchange, stages)
         except ExchangeFailed as error:
             now = self._clock.monotonic()
             blamed = context.left(now) > DEADLINE_SLACK or self._meter.is_overdue(
@@ -174,6 +176,7 @@
         placement: Placement,
         inputs: Sequence[str],
         exchange: Exchange,
+        stages: StageRun | None,
     ) -> urllib3.BaseHTTPResponse:
         request = context.request
         left = context.left(self._clock.monotonic())
@@ -189,11 +192,21 @@
         exchange.send(request.method, request.target, headers, request.body, left.total_seconds())
         context.arrivals += 1
         patience = self._meter.patience(context, placement)
-        if not exchange.wait_readable(patience.total_seconds()) and self._meter.can_repeat(context):
+        if not self._answers_within(exchange, patience, stages) and self._meter.can_repeat(context):
             raise ExchangeFailed(f"silent for {patience.total_seconds():.2f} s", sent=True)
         left = context.left(self._clock.monotonic())
         return exchange.read_head(left.total_seconds())
 
+    def _answers_within(
+        self, exchange: Exchange, patience: timedelta, stages: StageRun | None
+    ) -> bool:
+        if stages is None:
+            return exchange.wait_readable(patience.total_seconds())
+        if exchange.wait_readable(INPUT_READ_TIME.total_seconds()):
+            return True
+        stages.inputs_read()
+        return exchange.wait_readable((patience - INPUT_READ_TIME).total_seconds())
+
     def _failed(
         self, context: RequestContext, entry: UpstreamEntry, error: ExchangeFailed, *, blamed: bool
     ) -> AttemptEnd:
--- a/src/chervilrack/_internal/forwarding/stages.py
+++ b/src/chervilrack/_internal/forwarding/stages.py
@@ -128,13 +128,18 @@
             return False
         self._restarts += 1
         self._spent = False
-        self._progress.restart_inputs(None)
+        self._restart_inputs(None)
         return True
 
     def spend(self) -> None:
         """Note that the results have vanished before the request read them."""
         self._spent = True
 
+    def inputs_read(self) -> None:
+        """Note that the upstream of the request has most likely read the results."""
+        self._progress.request_reads()
+        self._spare_inputs()
+
     def answered(self) -> None:
         """Free the results that the request has read."""
         for stage in self._progress.final_stages:
@@ -189,7 +194,7 @@
         if result.result is PieceFailure.INPUT_GONE and self._restarts < MAX_RESTARTS:
             self._restarts += 1
             self._generations.pop(result.stage)
-            self._progress.restart_inputs(result.stage)
+            self._restart_inputs(result.stage)
             return None
         if result.result is PieceFailure.LATE:
             return _late(f"stage {result.stage} cannot end in time")
@@ -206,6 +211,12 @@
         )
         self._orders.append(number)
 
+    def _restart_inputs(self, stage: int | None) -> None:
+        for index, handles in self._progress.restart_inputs(stage):
+            # Most of them are still there and take up space.
+            if handles:
+                self._client.release(self._progress.spec(index).service, handles)
+
     def _spare_inputs(self) -> None:
         for stage, handles in self._progress.take_spare():
             self._client.release(self._progress.spec(stage).service, handles, spare=True)
--- a/src/chervilrack/_internal/serving/node.py
+++ b/src/chervilrack/_internal/serving/node.py
@@ -390,7 +390,7 @@
                 case PiecesBegun():
                     self._desk.begun(message)
                 case PiecesMade():
-                    self._desk.made(message)
+                    self._desk.made(sender, message)
                 case PiecesDropped():
                     self._desk.dropped(sender, message)
                 case ResultsReleased():
--- a/src/chervilrack/_internal/serving/stage_desk.py
+++ b/src/chervilrack/_internal/serving/stage_desk.py
@@ -76,6 +76,8 @@
         self._queues: dict[ServiceId, StageQueue] = {}
         self._queue_of_call: dict[int, StageQueue] = {}
         self._call_numbers = itertools.count(1)
+        # Owners whose calls made the results of this node's requests: they count the space.
+        self._makers: dict[str, NodeId] = {}
         self.transport: PeerTransport | None = None
         self.wake: Callable[[], None] = lambda: None
 
@@ -119,11 +121,14 @@
     def release(self, service: ServiceId, handles: Sequence[str], *, spare: bool = False) -> None:
         """Give up results: the owner of the queue counts the room that they leave."""
         with self._state.lock:
-            owner = self._owner(service, frozenset())
-            if owner == self._node:
-                self._release(service, handles, spare=spare)
-            else:
-                self._send(owner, ResultsReleased(service, tuple(handles), spare))
+            for owner, found in self._by_owner(service, handles).items():
+                if owner == self._node:
+                    self._release(service, found, spare=spare)
+                else:
+                    self._send(owner, ResultsReleased(service, tuple(found), spare))
+            if not spare:
+                for handle in handles:
+                    self._makers.pop(handle, None)
 
     # Messages of other nodes; the caller has the lock
 
@@ -161,7 +166,7 @@
         """Note that the inputs of an order have been read."""
         self._inputs_read(message.order)
 
-    def made(self, message: PiecesMade) -> None:
+    def made(self, sender: NodeId, message: PiecesMade) -> None:
         """Take results of an order."""
         failures = {failure.value: failure for failure in PieceFailure}
         results: list[tuple[int, str | PieceFailure]] = []
@@ -171,7 +176,7 @@
                 results.append((segment, failures.get(name, PieceFailure.ERROR)))
             else:
                 results.append((segment, result))
-        self._deliver(message.order, results)
+        self._deliver(message.order, results, sender)
 
     def dropped(self, sender: NodeId, message: PiecesDropped) -> None:
         """Forget an order of another node."""
@@ -245,6 +250,16 @@
         owners = rendezvous_order(service, self._state.fleet.owners())
         return next((NodeId(o) for o in owners if o not in excluded), self._node)
 
+    def _by_owner(self, service: ServiceId, handles: Sequence[str]) -> dict[NodeId, list[str]]:
+        """Group results by the owner that made them, or by today's if that one is gone."""
+        current = self._owner(service, frozenset())
+        found: dict[NodeId, list[str]] = {}
+        for handle in handles:
+            maker = self._makers.get(handle, current)
+            is_reachable = maker == self._node or self._state.fleet.address_of(maker) is not None
+            found.setdefault(maker if is_reachable else current, []).append(handle)
+        return found
+
     def _place(self, number: int, opened: _Open) -> None:
         order = opened.order
         now = self._state.clock.monotonic()
@@ -404,7 +419,7 @@
     def _hand_over(self, effect: Deliver) -> None:
         node, number = effect.order
         if node == self._node:
-            self._deliver(number, effect.results)
+            self._deliver(number, effect.results, self._node)
             return
         results = tuple(
             (segment, result if isinstance(result, str) else _FAILURE_MARK + result.value)
@@ -412,7 +427,9 @@
         )
         self._send(node, PiecesMade(number, results))
 
-    def _deliver(self, number: int, results: Sequence[tuple[int, str | PieceFailure]]) -> None:
+    def _deliver(
+        self, number: int, results: Sequence[tuple[int, str | PieceFailure]], owner: NodeId
+    ) -> None:
         opened = self._open.get(number)
         if opened is None:
             handles = [result for _, result in results if isinstance(result, str)]
@@ -422,6 +439,8 @@
         opened.confirmed = True
         for segment, result in results:
             opened.waiting.discard(segment)
+            if isinstance(result, str):
+                self._makers[result] = owner
             opened.deliver(PieceResult(opened.order.planned.stage, segment, result))
         if not opened.waiting:
             del self._open[number]
