Hand queues over when their owner changes

Change: once in a heartbeat interval a node gives back what waits in queues that another node owns; the nodes that asked order it from the successor. A leaving node does not own queues while there is another. Ruled out: nothing else was tried; fewer changes of owner (keeping returned nodes out for a while) is open.

--- a/features/batching/queue.feature
+++ b/features/batching/queue.feature
@@ -204,3 +204,25 @@
       | state | owner |
       | alive | b     |
       | gone  | c     |
+
+  Scenario: a queue that another node owns now gives back what waits, but not what is in calls
+    Given a stage queue with 1 upstreams, 4 pieces a call
+    When the queue gets orders of 6 pieces
+    And the queue is handed over
+    Then 2 pieces of the order are given back
+    When the first call ends
+    Then the order has 4 results
+    And the queue has no calls
+
+  Scenario: pieces that come back to an owner join those that it still calls
+    Given a stage queue with 1 upstreams, 4 pieces a call
+    When the queue gets orders of 6 pieces
+    And the queue is handed over
+    And the pieces given back come again
+    And the first call ends
+    Then the queue has calls of 2 pieces
+
+  Scenario: pieces that an owner gives back are ordered from its successor
+    Given a node whose orders go to owner b
+    When the node orders pieces 0, 1, 2 and b gives back pieces 1, 2
+    Then owner c is asked for pieces 1, 2
--- a/features/steps/batching_steps.py
+++ b/features/steps/batching_steps.py
@@ -1,5 +1,6 @@
 """Steps for the queue of a stage service."""
 
+import dataclasses
 import itertools
 import random
 from datetime import timedelta
@@ -362,3 +363,22 @@
 def vanished_pieces(context, count):
     found = [result for _, result in context.results[context.last]]
     assert found.count(PieceFailure.INPUT_GONE) == count, found
+
+
+@when("the queue is handed over")
+def handed_over(context):
+    context.returned = context.queue.give_back()
+
+
+@then("{count:d} pieces of the order are given back")
+def given_back(context, count):
+    ((order, segments),) = [(found.order, found.segments) for found in context.returned]
+    assert (order, len(segments)) == (context.last, count), context.returned
+
+
+@when("the pieces given back come again")
+def come_again(context):
+    (found,) = context.returned
+    (piece, *_) = context.open[0].pieces
+    again = dataclasses.replace(piece.order, open_segments=set(found.segments))
+    perform(context, context.queue.submit(again, context.now))
--- a/features/steps/stage_desk_steps.py
+++ b/features/steps/stage_desk_steps.py
@@ -6,7 +6,12 @@
 
 from behave import given, then, when
 
-from chervilrack._internal.batching.messages import PiecesMade, PiecesWanted, ResultsReleased
+from chervilrack._internal.batching.messages import (
+    PiecesMade,
+    PiecesReturned,
+    PiecesWanted,
+    ResultsReleased,
+)
 from chervilrack._internal.batching.plan import PlannedStage
 from chervilrack._internal.common.clock import ManualClock
 from chervilrack._internal.common.ids import Incarnation, NodeId, ServiceId
@@ -79,3 +84,22 @@
     ((address, message),) = context.transport.sent
     assert message == ResultsReleased(SERVICE, (HANDLE,)), message
     assert address == f"tcp://{FakeFleet().alive[owner]}", address
+
+
+@when("the node orders pieces 0, 1, 2 and b gives back pieces 1, 2")
+def given_back(context):
+    second = timedelta(seconds=1)
+    planned = PlannedStage(0, SERVICE, (0, 1, 2), (), second, second, 100, "", 0)
+    request = SimpleNamespace(facts=SimpleNamespace(request_id="r"), priority=0)
+    context.desk.order(StageOrder(request, planned, "k"), lambda _: None)
+    (((_, wanted),)) = context.transport.sent
+    context.transport.sent.clear()
+    context.fleet.current = [NodeId("c")]
+    context.desk.returned(NodeId("b"), PiecesReturned(wanted.order, (1, 2)))
+
+
+@then("owner c is asked for pieces 1, 2")
+def asked(context):
+    ((address, message),) = context.transport.sent
+    assert address == f"tcp://{context.fleet.alive['c']}", address
+    assert message.segments == (1, 2), message
--- a/src/chervilrack/_internal/batching/core.py
+++ b/src/chervilrack/_internal/batching/core.py
@@ -25,6 +25,7 @@
     Order,
     OrderId,
     Piece,
+    ReturnPieces,
     StartCall,
 )
 from chervilrack._internal.catalogue.state import BatchSpec, UpstreamEntry
@@ -97,9 +98,13 @@
         return now < self._disturbed_until
 
     def submit(self, order: Order, now: timedelta) -> list[BatchEffect]:
-        """Queue the pieces of an order; one that is known already is ignored."""
-        if order.id in self._orders:
-            return []
+        """Queue the pieces of an order; those of it that are known already are left out."""
+        known = self._orders.get(order.id)
+        if known is not None:
+            missing = order.open_segments - known.open_segments
+            known.open_segments |= missing
+            self._waiting += [Piece(known, segment) for segment in sorted(missing)]
+            return self.dispatch(now)
         if now + self.expected_wait(now, order) > order.deadline:
             results = tuple((segment, PieceFailure.LATE) for segment in sorted(order.open_segments))
             return [Deliver(order.id, results)]
@@ -133,6 +138,22 @@
             if other is not order and self._urgency(other, late) <= own
         )
 
+    def give_back(self) -> list[ReturnPieces]:
+        """Give up the pieces that wait, because another node owns the queue now.
+
+        Pieces in calls stay: their results are delivered from here.
+        """
+        returned: list[ReturnPieces] = []
+        for order, pieces in self._grouped():
+            segments = tuple(p.segment for p in pieces if p.is_open and p.sent == 0)
+            order.open_segments.difference_update(segments)
+            if segments:
+                returned.append(ReturnPieces(order.id, segments))
+            if not order.open_segments:
+                self._orders.pop(order.id, None)
+        self._waiting.clear()
+        return returned
+
     def drop(self, order_id: OrderId) -> None:
         """Forget an order whose request ended."""
         order = self._orders.pop(order_id, None)
--- a/src/chervilrack/_internal/batching/messages.py
+++ b/src/chervilrack/_internal/batching/messages.py
@@ -52,6 +52,13 @@
     order: int
 
 
+class PiecesReturned(msgspec.Struct, frozen=True, array_like=True):
+    """The sender no longer owns the queue: these segments were not called and go elsewhere."""
+
+    order: int
+    segments: tuple[int, ...]
+
+
 class ResultsReleased(msgspec.Struct, frozen=True, array_like=True):
     """Results that nobody needs any longer.
 
--- a/src/chervilrack/_internal/batching/state.py
+++ b/src/chervilrack/_internal/batching/state.py
@@ -78,6 +78,14 @@
     order: OrderId
 
 
+@dataclass(frozen=True, slots=True)
+class ReturnPieces:
+    """Effect: tell the node that asked to order some segments elsewhere."""
+
+    order: OrderId
+    segments: tuple[int, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class FreeResults:
     """Effect: free results at the upstream that keeps them."""
--- a/src/chervilrack/_internal/fleet/core.py
+++ b/src/chervilrack/_internal/fleet/core.py
@@ -89,6 +89,7 @@
         self._settings = settings or FleetSettings()
         self._peers: dict[str, Peer] = {}
         self._by_node: dict[NodeId, Peer] = {}
+        self._leaving = False
 
     @property
     def interval(self) -> timedelta:
@@ -117,11 +118,18 @@
         return 1 + sum(1 for peer in self._peers.values() if peer.alive)
 
     def owners(self) -> list[NodeId]:
-        """Return the nodes that may own queues: alive, ready and not leaving."""
+        """Return the nodes that may own queues: alive, ready and not leaving.
+
+        This node counts while it is not leaving, and if there is no other.
+        """
         others = [
             peer.node for peer in self._peers.values() if peer.takes_work and peer.node is not None
         ]
-        return sorted([self._node, *others])
+        return sorted(others) if self._leaving and others else sorted([self._node, *others])
+
+    def leave(self) -> None:
+        """Note that this node finishes what it has and takes nothing new."""
+        self._leaving = True
 
     def address_of(self, node: NodeId) -> str | None:
         """Return the peer address of a node that is alive."""
--- a/src/chervilrack/_internal/serving/messages.py
+++ b/src/chervilrack/_internal/serving/messages.py
@@ -16,5 +16,6 @@
     codec.register("batching.pieces-begun", batching.PiecesBegun)
     codec.register("batching.pieces-made", batching.PiecesMade)
     codec.register("batching.pieces-dropped", batching.PiecesDropped)
+    codec.register("batching.pieces-returned", batching.PiecesReturned)
     codec.register("batching.results-released", batching.ResultsReleased)
     return codec
--- a/src/chervilrack/_internal/serving/node.py
+++ b/src/chervilrack/_internal/serving/node.py
@@ -19,6 +19,7 @@
     PiecesDropped,
     PiecesMade,
     PiecesQueued,
+    PiecesReturned,
     PiecesWanted,
     ResultsReleased,
 )
@@ -179,6 +180,7 @@
         self._closing = True
         self._state.leave()
         with self._state.lock:
+            self._fleet.leave()
             self._next_beat = timedelta(0)
         self._wake_timers()
         started = self._clock.monotonic()
@@ -393,6 +395,8 @@
                     self._desk.made(sender, message)
                 case PiecesDropped():
                     self._desk.dropped(sender, message)
+                case PiecesReturned():
+                    self._desk.returned(sender, message)
                 case ResultsReleased():
                     self._desk.released(message)
 
@@ -472,6 +476,7 @@
         for address in self._fleet.addresses:
             self._transport.send_to_address(f"tcp://{address}", beat)
         self._next_beat = now + self._fleet.interval
+        self._desk.hand_over()
 
     # Timers
 
--- a/src/chervilrack/_internal/serving/stage_desk.py
+++ b/src/chervilrack/_internal/serving/stage_desk.py
@@ -3,7 +3,7 @@
 import functools
 import itertools
 from collections import Counter
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
 
@@ -13,6 +13,7 @@
     PiecesDropped,
     PiecesMade,
     PiecesQueued,
+    PiecesReturned,
     PiecesWanted,
     ResultsReleased,
 )
@@ -90,7 +91,7 @@
             opened = _Open(order, deliver, self._node, self._state.clock.monotonic())
             opened.waiting.update(order.planned.segments)
             self._open[number] = opened
-            self._place(number, opened)
+            self._place(number, opened, opened.waiting)
         self.wake()
         return number
 
@@ -183,6 +184,16 @@
         for queue in self._queues.values():
             queue.drop((sender, message.order))
 
+    def returned(self, sender: NodeId, message: PiecesReturned) -> None:
+        """Order pieces elsewhere that their owner has given back."""
+        opened = self._open.get(message.order)
+        if opened is None:
+            return
+        opened.tried.add(sender)
+        wanted = opened.waiting.intersection(message.segments)
+        if wanted:
+            self._place(message.order, opened, wanted)
+
     def released(self, message: ResultsReleased) -> None:
         """Free results on behalf of another node."""
         self._release(ServiceId(message.service), message.handles, spare=message.spare)
@@ -194,6 +205,33 @@
         for queue in self._queues.values():
             queue.disturbed(self._state.clock.monotonic())
 
+    def hand_over(self) -> None:
+        """Give back what waits in queues that another node owns now.
+
+        Two owners that both call the upstreams of a service fill no call and make each other's
+        calls wait.
+        """
+        for queue in self._queues.values():
+            owner = self._owner(queue.service, frozenset())
+            if not queue.waiting or owner == self._node:
+                continue
+            returned = queue.give_back()
+            self._state.log.note(
+                "batching",
+                "queue handed over",
+                service=queue.service,
+                owner=owner,
+                orders=len(returned),
+                pieces=sum(len(effect.segments) for effect in returned),
+            )
+            for effect in returned:
+                node, number = effect.order
+                message = PiecesReturned(number, effect.segments)
+                if node == self._node:
+                    self.returned(node, message)
+                else:
+                    self._send(node, message)
+
     def node_lost(self, node: NodeId) -> None:
         """Place the orders again whose owner is gone, and forget the orders of that node."""
         for queue in self._queues.values():
@@ -201,7 +239,7 @@
         for number, opened in list(self._open.items()):
             if opened.owner == node:
                 opened.tried.add(node)
-                self._place(number, opened)
+                self._place(number, opened, opened.waiting)
 
     def tick(self, now: timedelta) -> None:
         """Pass over owners that do not confirm, and let the queues act."""
@@ -217,7 +255,7 @@
                     service=opened.order.planned.service,
                 )
                 opened.tried.add(opened.owner)
-                self._place(number, opened)
+                self._place(number, opened, opened.waiting)
         for queue in self._queues.values():
             self._configure(queue)
             self._perform(queue, queue.tick(now))
@@ -260,14 +298,14 @@
             found.setdefault(maker if is_reachable else current, []).append(handle)
         return found
 
-    def _place(self, number: int, opened: _Open) -> None:
+    def _place(self, number: int, opened: _Open, wanted: Collection[int]) -> None:
         order = opened.order
         now = self._state.clock.monotonic()
         planned = order.planned
         opened.owner = self._owner(planned.service, frozenset(opened.tried))
         opened.sent_at = now
         opened.confirmed = False
-        segments = tuple(sorted(opened.waiting))
+        segments = tuple(sorted(wanted))
         if opened.owner == self._node:
             self._own(number, order, segments, now)
             return
