Choose engines by where the inputs of a request lie, too

Prompts went to the home of their session even if it shared 170 tokens and its inputs were 3 MB. Change: inputs that cross zones cost an engine 16 ms a MB; first stages are bound to the home's zone only if reading the shared part again costs more.

--- a/features/balancing/choice.feature
+++ b/features/balancing/choice.feature
@@ -58,3 +58,15 @@
     Given a balancer over 2 engines with 64 slots each
     When balancing hears from 1 nodes of 40000 tokens at u1
     Then balancing 50 new sessions avoids u1
+
+  Scenario Outline: work with <shared> shared tokens and <size> MB of inputs in z2 goes <where>
+    Given a balancer over 6 engines with 64 slots each
+    And every second engine is in z2
+    When balancing work with <shared> shared tokens and <size> MB of inputs in z2
+    Then balancing sends it <where>, and wants its inputs there: <home>
+
+    Examples: a megabyte between zones costs as much as 320 tokens that are read again
+      | shared | size | where   | home |
+      | 170    | 3    | into z2 | no   |
+      | 6300   | 1.5  | home    | yes  |
+      | 6300   | 60   | into z2 | no   |
--- a/features/steps/balancing_steps.py
+++ b/features/steps/balancing_steps.py
@@ -1,5 +1,6 @@
 """Steps for the choice of upstreams: failures, pace, sessions and reports of other nodes."""
 
+import dataclasses
 import random
 from datetime import timedelta
 
@@ -164,3 +165,31 @@
     for number in range(count):
         work = Work(3000, ((f"new{number}", 1000),))
         assert context.balancer.choose(context.entries, work, context.now).upstream != U1
+
+
+@given("every second engine is in z2")
+def in_zones(context):
+    context.entries = [
+        dataclasses.replace(entry, zone=ZoneId("z2" if number % 2 else "z"))
+        for number, entry in enumerate(context.entries)
+    ]
+
+
+@when("balancing work with {shared:d} shared tokens and {size:g} MB of inputs in z2")
+def work_with_inputs(context, shared, size):
+    in_z = [entry.id for entry in context.entries if entry.zone == "z"]
+    names = [entry.id for entry in context.entries]
+    # A session whose home is outside of the zone of its inputs.
+    session = next(f"s{n}" for n in range(100) if rendezvous_owner(f"s{n}", names) in in_z)
+    size_bytes = int(size * 1_000_000)
+    work = Work(9000, ((session, shared),), ((ZoneId("z2"), size_bytes),))
+    context.home = rendezvous_owner(session, names)
+    context.placed = context.balancer.choose(context.entries, work, context.now).upstream
+    context.keeps_home = context.balancer.keeps_home(work, size_bytes)
+
+
+@then("balancing sends it {where}, and wants its inputs there: {home}")
+def sends(context, where, home):
+    zone = next(entry.zone for entry in context.entries if entry.id == context.placed)
+    assert zone == "z2" if where == "into z2" else context.placed == context.home, context.placed
+    assert context.keeps_home == (home == "yes")
--- a/src/chervilrack/_internal/balancing/core.py
+++ b/src/chervilrack/_internal/balancing/core.py
@@ -24,6 +24,7 @@
 from chervilrack._internal.common.registry import Registry
 
 _ZERO = timedelta(0)
+BYTES_PER_MB = 1_000_000
 _NOBODY = OthersView()
 
 
@@ -82,6 +83,14 @@
         usable = self._usable(allowed, now)
         return self._policy(self, usable, work, now)
 
+    def keeps_home(self, work: Work, inputs: int) -> bool:
+        """Whether work goes to its session's home rather than to where its inputs lie.
+
+        ``inputs`` is their size in bytes.
+        """
+        again = work.shared_tokens * self.settings.reread_weight
+        return again / self.settings.prefill_tokens_per_s >= _move_cost(self, inputs)
+
     def status(self, upstream: UpstreamId) -> UpstreamStatus:
         """Return the state of one upstream, which is created on first use."""
         found = self._status.get(upstream)
@@ -320,7 +329,11 @@
     seconds += max(0.0, errors - settings.usual_errors) * settings.error_cost
     if entry.zone != balancer.zone:
         seconds += settings.zone_cost.total_seconds()
-    return seconds
+    return seconds + _move_cost(balancer, work.moved_bytes(entry.zone))
+
+
+def _move_cost(balancer: Balancer, size: int) -> float:
+    return size / BYTES_PER_MB * balancer.settings.move_cost_per_mb.total_seconds()
 
 
 def _pace(balancer: Balancer, candidate: Candidate, now: timedelta) -> float:
--- a/src/chervilrack/_internal/balancing/state.py
+++ b/src/chervilrack/_internal/balancing/state.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from chervilrack._internal.common.ids import UpstreamId
+from chervilrack._internal.common.ids import UpstreamId, ZoneId
 
 _ZERO = timedelta(0)
 
@@ -25,6 +25,9 @@
     running_cost: timedelta = timedelta(milliseconds=4)
     # Extra cost of another zone for a request: two crossings of 1.4 ms.
     zone_cost: timedelta = timedelta(milliseconds=3)
+    # Cost of inputs that cross zones: the users' sheets price a megabyte like 320 tokens that are
+    # read again, which take 16 ms.
+    move_cost_per_mb: timedelta = timedelta(milliseconds=16)
     # Failures in a row after which an upstream gets no work for a while.
     eject_failures: int = 2
     eject_time: timedelta = timedelta(seconds=1)
@@ -96,10 +99,12 @@
 
     ``tokens`` is the prompt; ``parts`` its shared parts in order, with their sizes. ``session``
     is the last shared part: requests of one session go to the same engine where they can.
+    ``inputs`` holds the bytes that the upstream fetches from each zone.
     """
 
     tokens: int = 0
     parts: tuple[tuple[str, int], ...] = ()
+    inputs: tuple[tuple[ZoneId, int], ...] = ()
 
     @property
     def session(self) -> str | None:
@@ -111,6 +116,10 @@
         """Tokens of all shared parts."""
         return sum(tokens for _, tokens in self.parts)
 
+    def moved_bytes(self, zone: ZoneId) -> int:
+        """Return the bytes of inputs that cross zones if the work is done in ``zone``."""
+        return sum(size for source, size in self.inputs if source != zone)
+
 
 @dataclass(frozen=True, slots=True)
 class Placement:
--- a/src/chervilrack/_internal/batching/progress.py
+++ b/src/chervilrack/_internal/batching/progress.py
@@ -63,6 +63,10 @@
         """Return the handles that each piece of a stage takes as inputs."""
         return self._handles(self._stages[stage].spec.after)
 
+    def handles(self, stage: int) -> tuple[str, ...]:
+        """Return the results of a stage."""
+        return self._handles((stage,))
+
     def final_handles(self) -> tuple[str, ...]:
         """Return the handles that the request itself takes."""
         return self._handles(self._final)
--- a/src/chervilrack/_internal/forwarding/forwarder.py
+++ b/src/chervilrack/_internal/forwarding/forwarder.py
@@ -6,7 +6,7 @@
 
 import random
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 from typing import Protocol
 
@@ -53,6 +53,15 @@
     )
 
 
+def _input_bytes(context: RequestContext) -> int:
+    """Return the bytes of the stage results that a request itself reads."""
+    counts = context.facts.piece_counts
+    return sum(
+        context.route.stages[stage].result_size * (counts[stage] if stage < len(counts) else 1)
+        for stage in context.route.final_stages
+    )
+
+
 class ForwardingBackend(Protocol):
     """What serving a request needs of the node; all methods are safe for use by threads."""
 
@@ -73,6 +82,9 @@
     ) -> tuple[UpstreamEntry, Placement] | None:
         """Choose an upstream."""
 
+    def zone_hint(self, service: ServiceId, work: Work, inputs: int) -> str:
+        """Return the zone where ``inputs`` bytes are wanted, "" if they decide it themselves."""
+
     def count_request(self, service: ServiceId) -> None:
         """Count a caller's request for the retry budget."""
 
@@ -213,8 +225,7 @@
     def _open_stages(self, context: RequestContext) -> StageRun | None:
         if not context.route.stages:
             return None
-        likely = self._backend.choose(context.service, context.work, ())
-        zone = likely[0].zone if likely is not None else ""
+        zone = self._backend.zone_hint(context.service, context.work, _input_bytes(context))
         configuration = self._backend.configuration()
         assert configuration is not None
         return StageRun(context, self._stages, self._clock, zone, configuration.services)
@@ -227,7 +238,10 @@
         for _ in range(MAX_OFFERS):
             if last is not None and context.arrivals and not self._repeats(context, last):
                 break
-            found = self._backend.choose(context.service, context.work, tuple(context.tried))
+            work = context.work
+            if stages is not None:
+                work = replace(work, inputs=stages.input_sizes())
+            found = self._backend.choose(context.service, work, tuple(context.tried))
             if found is None:
                 break
             entry, placement = found
--- a/src/chervilrack/_internal/forwarding/stages.py
+++ b/src/chervilrack/_internal/forwarding/stages.py
@@ -1,6 +1,7 @@
 """Runs the stages of one request by orders to the owners of the stage queues."""
 
 import queue
+from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from typing import Protocol
@@ -16,7 +17,7 @@
 from chervilrack._internal.batching.progress import StageProgress
 from chervilrack._internal.catalogue.state import ServiceSpec
 from chervilrack._internal.common.clock import Clock
-from chervilrack._internal.common.ids import ServiceId
+from chervilrack._internal.common.ids import ServiceId, ZoneId
 from chervilrack._internal.common.results import Problem, ResultCode
 from chervilrack._internal.forwarding.context import RequestContext
 from chervilrack._internal.forwarding.dialect import PieceFailure
@@ -111,6 +112,15 @@
         """Handles that the request itself takes."""
         return self._progress.final_handles()
 
+    def input_sizes(self) -> tuple[tuple[ZoneId, int], ...]:
+        """Return the bytes that the request reads from each zone."""
+        sizes: Counter[ZoneId] = Counter()
+        for stage in self._progress.final_stages:
+            size = self._progress.spec(stage).result_size
+            for handle in self._progress.handles(stage):
+                sizes[ZoneId(self._client.zone_of(handle))] += size
+        return tuple(sizes.items())
+
     def run(self) -> Result[None, Problem]:
         """Run all stages that are not done. The problem of a failure states a request not run."""
         wake: Callable[[], None] = lambda: self._results.put(None)  # noqa: E731
--- a/src/chervilrack/_internal/serving/state.py
+++ b/src/chervilrack/_internal/serving/state.py
@@ -121,6 +121,13 @@
                 return None
             return self.catalogue.upstreams[placement.upstream], placement
 
+    def zone_hint(self, service: ServiceId, work: Work, inputs: int) -> str:
+        """Return the zone where ``inputs`` bytes are wanted, "" if they decide it themselves."""
+        if not self.balancer.keeps_home(work, inputs):
+            return ""
+        likely = self.choose(service, work, ())
+        return likely[0].zone if likely is not None else ""
+
     def count_request(self, service: ServiceId) -> None:
         """Count a caller's request for the retry budget."""
         with self.lock:
