Split ranking, zones and space out of the stage queue

Change: urgency, the choice of late orders, the wait for zones and the reading of refusals are functions of their own modules.

--- a/src/chervilrack/_internal/batching/core.py
+++ b/src/chervilrack/_internal/batching/core.py
@@ -7,15 +7,15 @@
 
 import itertools
 from collections import OrderedDict
-from collections.abc import Container, Iterable, Sequence
+from collections.abc import Iterable, Sequence
 from datetime import timedelta
 
 from chervilrack._internal.balancing.core import Balancer
 from chervilrack._internal.balancing.state import Work
 from chervilrack._internal.batching.fill import WaitingOrder, fill_call
-from chervilrack._internal.batching.lateness import Capacity, choose_late
+from chervilrack._internal.batching.lateness import Capacity, choose_late, urgency
 from chervilrack._internal.batching.settings import BatchingSettings
-from chervilrack._internal.batching.space import StageUpstream
+from chervilrack._internal.batching.space import StageUpstream, shows_full
 from chervilrack._internal.batching.state import (
     Call,
     Deliver,
@@ -28,6 +28,7 @@
     ReturnPieces,
     StartCall,
 )
+from chervilrack._internal.batching.zones import bind_to_zones, prefers_zone
 from chervilrack._internal.catalogue.state import BatchSpec, UpstreamEntry
 from chervilrack._internal.common.ids import NodeId, ServiceId, UpstreamId
 from chervilrack._internal.forwarding.dialect import PieceFailure
@@ -129,13 +130,15 @@
 
     def _pieces_before(self, order: Order, now: timedelta) -> int:
         """Return the waiting pieces that would be called before a new order."""
+        assert self._spec is not None
+        spec, settings = self._spec, self._settings
         waiting = [*self._grouped(), (order, [Piece(order, n) for n in order.open_segments])]
         late = self._late_orders(waiting, now)
-        own = self._urgency(order, late)
+        own = urgency(order, late, spec, settings)
         return sum(
             len(pieces)
             for other, pieces in waiting
-            if other is not order and self._urgency(other, late) <= own
+            if other is not order and urgency(other, late, spec, settings) <= own
         )
 
     def give_back(self) -> list[ReturnPieces]:
@@ -274,7 +277,7 @@
         if self._waiting:
             for order in {id(p.order): p.order for p in self._waiting}.values():
                 times.append(order.deadline)
-                if self._prefers_zone(order):
+                if prefers_zone(order, self._settings):
                     # From then on it may go to another zone.
                     times.append(order.due - self._spec.call_time if self._spec else order.due)
             for upstream in self._upstreams.values():
@@ -438,8 +441,10 @@
     def _by_urgency(self, now: timedelta) -> list[WaitingOrder]:
         """Return waiting orders with their pieces, most urgent first."""
         found = self._grouped()
+        assert self._spec is not None
+        spec, settings = self._spec, self._settings
         late = self._late_orders(found, now)
-        found.sort(key=lambda e: (self._urgency(e[0], late), e[0].priority, e[0].id))
+        found.sort(key=lambda e: (urgency(e[0], late, spec, settings), e[0].priority, e[0].id))
         return found
 
     def _grouped(self) -> list[WaitingOrder]:
@@ -471,32 +476,10 @@
         return choose_late(orders, capacity, settings.rank_weight)
 
     def _bound_to_zone(self, orders: list[WaitingOrder], now: timedelta) -> set[OrderId]:
-        """Return the orders that wait for an upstream of their zone.
-
-        An order waits if that upstream comes in time for its target, but not if more urgent
-        pieces fill the zone's next call.
-        """
+        """Return the orders that wait for an upstream of their zone."""
         assert self._spec is not None
-        spec = self._spec
-        free_at: dict[str, timedelta] = {}
-        count: dict[str, int] = {}
-        for upstream in self._usable(now):
-            zone = upstream.entry.zone
-            at = self._free_at(upstream, now)
-            free_at[zone] = min(at, free_at.get(zone, at))
-            count[zone] = count.get(zone, 0) + 1
-        bound: set[OrderId] = set()
-        ahead: dict[str, int] = {}
-        for order, pieces in orders:
-            if not self._prefers_zone(order) or order.zone not in free_at:
-                continue
-            full = ahead.get(order.zone, 0) + len(pieces) > spec.batch * count[order.zone]
-            own_call = spec.call_time + min(len(pieces), spec.batch) * spec.item_time
-            in_time = free_at[order.zone] + own_call + self._settings.zone_margin <= order.due
-            if not full and in_time:
-                bound.add(order.id)
-                ahead[order.zone] = ahead.get(order.zone, 0) + len(pieces)
-        return bound
+        free_at = [(u.entry.zone, self._free_at(u, now)) for u in self._usable(now)]
+        return bind_to_zones(orders, free_at, self._spec, self._settings)
 
     def _free_at(self, upstream: StageUpstream, now: timedelta) -> timedelta:
         """Return when an upstream is expected to take its next call."""
@@ -505,9 +488,6 @@
             return max(now, upstream.full_until)
         return max(now, call.started + call.expected)
 
-    def _prefers_zone(self, order: Order) -> bool:
-        return bool(order.zone) and order.move_cost >= self._settings.least_move_cost
-
     def _start(
         self, upstream: StageUpstream, pieces: tuple[Piece, ...], now: timedelta
     ) -> StartCall:
@@ -527,18 +507,6 @@
         timeout = expected * settings.timeout_ratio + settings.timeout_slack
         return StartCall(number, entry.id, entry.address, pieces, now, expected, timeout)
 
-    def _urgency(self, order: Order, late: Container[OrderId]) -> timedelta:
-        """Return until when an order should be done: its target, or else near its deadline."""
-        assert self._spec is not None
-        if order.id not in late:
-            return order.due
-        last = order.due + (order.deadline - order.due) * self._settings.late_share
-        if order.inputs:
-            # Results that wait for longer are dropped by their makers.
-            kept = self._spec.result_lifetime - self._settings.lifetime_margin
-            last = min(last, order.queued_at + kept)
-        return max(order.due, last)
-
     def _suspected(self, upstream: StageUpstream, now: timedelta) -> bool:
         return self._balancer.is_suspected(upstream.entry.id, now)
 
@@ -584,7 +552,7 @@
         now: timedelta,
     ) -> None:
         """Note how much space another owner's results take if there was less than expected."""
-        if self._spec is None or not _shows_full(call, results):
+        if self._spec is None or not shows_full(call, results):
             return
         granted = sum(
             piece.order.result_size
@@ -642,20 +610,3 @@
     delivered: dict[OrderId, list[tuple[int, str | PieceFailure]]],
 ) -> list[BatchEffect]:
     return [Deliver(order, tuple(results)) for order, results in delivered.items()]
-
-
-def _shows_full(call: Call, results: Sequence[str | PieceFailure]) -> bool:
-    """Whether pieces found no room because the upstream is full.
-
-    Room is given in the order of the pieces: one that is followed by a result of its own size or
-    a larger one has failed by itself, and so may a single one at the end. That says nothing about
-    the room.
-    """
-    refused = 0
-    largest_later = 0
-    for piece, result in zip(reversed(call.pieces), reversed(results), strict=True):
-        if result is PieceFailure.NO_ROOM and piece.order.result_size > largest_later:
-            refused += 1
-        if isinstance(result, str):
-            largest_later = max(largest_later, piece.order.result_size)
-    return refused > 1 or refused == len(results)
--- a/src/chervilrack/_internal/batching/lateness.py
+++ b/src/chervilrack/_internal/batching/lateness.py
@@ -1,11 +1,13 @@
-"""Chooses the orders that give way when not all can meet their targets."""
+"""Ranks waiting orders, and chooses those that give way when not all can meet their targets."""
 
 import heapq
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from dataclasses import dataclass
 from datetime import timedelta
 
+from chervilrack._internal.batching.settings import BatchingSettings
 from chervilrack._internal.batching.state import Order, OrderId
+from chervilrack._internal.catalogue.state import BatchSpec
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,3 +48,16 @@
             ahead -= freed
             late.add(dropped)
     return late
+
+
+def urgency(
+    order: Order, late: Container[OrderId], spec: BatchSpec, settings: BatchingSettings
+) -> timedelta:
+    """Return until when an order should be done: its target, or near its deadline if it is late."""
+    if order.id not in late:
+        return order.due
+    last = order.due + (order.deadline - order.due) * settings.late_share
+    if order.inputs:
+        # Results that wait for longer are dropped by their makers.
+        last = min(last, order.queued_at + spec.result_lifetime - settings.lifetime_margin)
+    return max(order.due, last)
--- a/src/chervilrack/_internal/batching/space.py
+++ b/src/chervilrack/_internal/batching/space.py
@@ -1,10 +1,12 @@
 """One stage upstream as the owner of its queue sees it: its call and its space for results."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
 
-from chervilrack._internal.batching.state import KeptResult
+from chervilrack._internal.batching.state import Call, KeptResult
 from chervilrack._internal.catalogue.state import UpstreamEntry
+from chervilrack._internal.forwarding.dialect import PieceFailure
 
 _ZERO = timedelta(0)
 # Spare results are not freed if they make less than this fraction of the space that is missing.
@@ -76,3 +78,20 @@
             self.full_until = _ZERO
         if self.foreign_until <= now:
             self.foreign = 0
+
+
+def shows_full(call: Call, results: Sequence[str | PieceFailure]) -> bool:
+    """Whether pieces found no room because the upstream is full.
+
+    Room is given in the order of the pieces: one that is followed by a result of its own size or
+    a larger one has failed by itself, and so may a single one at the end. That says nothing about
+    the room.
+    """
+    refused = 0
+    largest_later = 0
+    for piece, result in zip(reversed(call.pieces), reversed(results), strict=True):
+        if result is PieceFailure.NO_ROOM and piece.order.result_size > largest_later:
+            refused += 1
+        if isinstance(result, str):
+            largest_later = max(largest_later, piece.order.result_size)
+    return refused > 1 or refused == len(results)
--- /dev/null
+++ b/src/chervilrack/_internal/batching/zones.py
@@ -0,0 +1,45 @@
+"""Decides which orders wait for an upstream in the zone of their inputs."""
+
+from collections.abc import Iterable, Sequence
+from datetime import timedelta
+
+from chervilrack._internal.batching.fill import WaitingOrder
+from chervilrack._internal.batching.settings import BatchingSettings
+from chervilrack._internal.batching.state import Order, OrderId
+from chervilrack._internal.catalogue.state import BatchSpec
+
+
+def prefers_zone(order: Order, settings: BatchingSettings) -> bool:
+    """Whether an order moves enough bytes to wait for its zone."""
+    return bool(order.zone) and order.move_cost >= settings.least_move_cost
+
+
+def bind_to_zones(
+    orders: Sequence[WaitingOrder],
+    free_at: Iterable[tuple[str, timedelta]],
+    spec: BatchSpec,
+    settings: BatchingSettings,
+) -> set[OrderId]:
+    """Return the orders, given most urgent first, that wait for an upstream of their zone.
+
+    ``free_at`` holds zone and monotonic time of the next call of each usable upstream. An order
+    waits if that upstream comes in time for its target, but not if more urgent pieces fill the
+    zone's next calls.
+    """
+    first_free: dict[str, timedelta] = {}
+    count: dict[str, int] = {}
+    for zone, at in free_at:
+        first_free[zone] = min(at, first_free.get(zone, at))
+        count[zone] = count.get(zone, 0) + 1
+    bound: set[OrderId] = set()
+    ahead: dict[str, int] = {}
+    for order, pieces in orders:
+        if not prefers_zone(order, settings) or order.zone not in first_free:
+            continue
+        full = ahead.get(order.zone, 0) + len(pieces) > spec.batch * count[order.zone]
+        own_call = spec.call_time + min(len(pieces), spec.batch) * spec.item_time
+        in_time = first_free[order.zone] + own_call + settings.zone_margin <= order.due
+        if not full and in_time:
+            bound.add(order.id)
+            ahead[order.zone] = ahead.get(order.zone, 0) + len(pieces)
+    return bound
