Let nodes own queues only once they have been ready for five seconds

Ruled out: the cost of ranking in submit (one grouping of some 60 orders). Change: heartbeats say for how long a node has been ready; owners are those that are ready for 5 s, or all ready ones if there is none.

--- a/features/fleet/fleet.feature
+++ b/features/fleet/fleet.feature
@@ -47,3 +47,24 @@
       | 6     | 20   |
       | 80    | 80   |
       | 389   | 80   |
+
+  Scenario Outline: a node that is ready for <own> s hears one that is <other>: <owners> own queues
+    Given a node a that knows the address of node b
+    When node a is ready for <own> s
+    And node b is <other>
+    Then queues are owned by <owners>
+
+    Examples: a queue that moves to a process that has just started loses what is known of its upstreams
+      | own | other             | owners |
+      | 9   | ready for 9 s     | a, b   |
+      | 9   | ready for 1 s     | a      |
+      | 1   | ready for 9 s     | b      |
+      | 1   | ready for 1 s     | a, b   |
+      | 1   | not heard         | a      |
+
+  Scenario: a leaving node owns no queue while another is ready
+    Given a node a that knows the address of node b
+    When node a is ready for 9 s
+    And node b is ready for 1 s
+    And node a leaves
+    Then queues are owned by b
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -3,6 +3,7 @@
 import random
 from datetime import timedelta
 
+import msgspec
 from behave import given, then, when
 
 from chervilrack._internal.common.ids import Incarnation, NodeId
@@ -91,3 +92,30 @@
 def rate(context, most):
     found = len(context.fleet.addresses) / context.fleet.interval.total_seconds()
     assert found <= most + 1e-6, found
+
+
+@when("node a is ready for {seconds:g} s")
+def own_ready(context, seconds):
+    context.fleet.ready_for(True, context.now - timedelta(seconds=seconds))
+    context.fleet.ready_for(True, context.now)
+
+
+@when("node b is not heard")
+def not_heard(context):
+    pass
+
+
+@when("node b is ready for {seconds:d} s")
+def other_ready(context, seconds):
+    message = msgspec.structs.replace(beat(), ready_for_ms=1000 * seconds)
+    context.fleet.heard(NodeId("b"), Incarnation("1"), message, context.now)
+
+
+@when("node a leaves")
+def leaves(context):
+    context.fleet.leave()
+
+
+@then("queues are owned by {owners}")
+def owned_by(context, owners):
+    assert context.fleet.owners() == owners.split(", "), context.fleet.owners()
--- a/src/chervilrack/_internal/fleet/core.py
+++ b/src/chervilrack/_internal/fleet/core.py
@@ -24,6 +24,9 @@
     forget_after: timedelta = timedelta(seconds=20)
     # Peers named in one heartbeat; enough for a newcomer to learn all within a few.
     gossiped_peers: int = 8
+    # A node owns queues once it has been ready for this time: a queue that moves loses what its
+    # owner knows of the upstreams, and a process that has just started answers slowly.
+    owner_settle_time: timedelta = timedelta(seconds=5)
     # Time a starting node waits for others before it counts its view as whole.
     settle_time: timedelta = timedelta(milliseconds=700)
 
@@ -90,6 +93,8 @@
         self._peers: dict[str, Peer] = {}
         self._by_node: dict[NodeId, Peer] = {}
         self._leaving = False
+        self._ready_since: timedelta | None = None
+        self._ready_for = _ZERO
 
     @property
     def interval(self) -> timedelta:
@@ -118,14 +123,29 @@
         return 1 + sum(1 for peer in self._peers.values() if peer.alive)
 
     def owners(self) -> list[NodeId]:
-        """Return the nodes that may own queues: alive, ready and not leaving.
+        """Return the nodes that may own queues: ready for some time, alive and not leaving.
 
-        This node counts while it is not leaving, and if there is no other.
+        If no node has been ready for so long, those that are ready do. This node counts while it
+        is not leaving, and if there is no other.
         """
-        others = [
-            peer.node for peer in self._peers.values() if peer.takes_work and peer.node is not None
-        ]
-        return sorted(others) if self._leaving and others else sorted([self._node, *others])
+        ready_for = {
+            peer.node: timedelta(milliseconds=peer.last.ready_for_ms)
+            for peer in self._peers.values()
+            if peer.takes_work and peer.node is not None and peer.last is not None
+        }
+        if not self._leaving or not ready_for:
+            ready_for[self._node] = self._ready_for
+        settled = [n for n, time in ready_for.items() if time >= self._settings.owner_settle_time]
+        return sorted(settled or ready_for)
+
+    def ready_for(self, ready: bool, now: timedelta) -> timedelta:
+        """Note whether this node is ready, and return for how long it has been."""
+        if not ready:
+            self._ready_since = None
+        elif self._ready_since is None:
+            self._ready_since = now
+        self._ready_for = now - self._ready_since if self._ready_since is not None else _ZERO
+        return self._ready_for
 
     def leave(self) -> None:
         """Note that this node finishes what it has and takes nothing new."""
--- a/src/chervilrack/_internal/fleet/messages.py
+++ b/src/chervilrack/_internal/fleet/messages.py
@@ -9,7 +9,8 @@
     """A node's state, sent to every known node.
 
     ``peers`` are peer addresses this node hears from. ``configuration`` and ``directory`` are the
-    newest configuration version and store revision that the node holds.
+    newest configuration version and store revision that the node holds, ``ready_for_ms`` the time
+    since it became ready.
     """
 
     address: str
@@ -22,6 +23,7 @@
     store_answers: bool
     reports: tuple[UpstreamReport, ...]
     peers: tuple[str, ...]
+    ready_for_ms: int = 0
 
 
 class StateWanted(msgspec.Struct, frozen=True, array_like=True):
--- a/src/chervilrack/_internal/serving/node.py
+++ b/src/chervilrack/_internal/serving/node.py
@@ -62,6 +62,7 @@
 ASK_INTERVAL = timedelta(milliseconds=500)
 # A timer that fires this late was paused; silences are not blamed on others then.
 PAUSE_LIMIT = timedelta(milliseconds=700)
+_MILLISECOND = timedelta(milliseconds=1)
 LONGEST_WAIT = timedelta(milliseconds=500)
 # Timers that are due at once still leave the lock to requests in between.
 SHORTEST_WAIT = timedelta(milliseconds=4)
@@ -472,6 +473,7 @@
             store_answers=self._store_answers,
             reports=tuple(self._state.balancer.own_reports(now)),
             peers=self._fleet.gossip(),
+            ready_for_ms=round(self._fleet.ready_for(self.is_ready, now) / _MILLISECOND),
         )
         for address in self._fleet.addresses:
             self._transport.send_to_address(f"tcp://{address}", beat)
