--- a/features/batching/load.feature
+++ b/features/batching/load.feature
@@ -58,3 +58,17 @@
       | sheet       |
       | four zones  |
       | three zones |
+
+  Scenario Outline: a burst of <kind> of <sheet> while pieces fail by themselves fails nobody
+    Given the stage load of <sheet>
+    And 0.004 of the pieces fail by themselves
+    When it is played for 34 s with 2.3 times the rate of <kind> from 10 s to 16 s
+    Then at most 0.005 fail
+    And no kind is on time less often than a less urgent one by over 0.15
+
+    Examples: pattern "burst meets failing pieces"
+      | sheet       | kind |
+      | four zones  | long |
+      | four zones  | big  |
+      | three zones | long |
+      | three zones | big  |
