Name the note of readiness for what it does; keep the first wait within the patience

Change: Fleet.ready_for is note_ready, since it changes state; the wait for the reading of inputs is never longer than the patience of the attempt. Result: fleet scenarios pass.

--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -96,8 +96,8 @@
 
 @when("node a is ready for {seconds:g} s")
 def own_ready(context, seconds):
-    context.fleet.ready_for(True, context.now - timedelta(seconds=seconds))
-    context.fleet.ready_for(True, context.now)
+    context.fleet.note_ready(True, context.now - timedelta(seconds=seconds))
+    context.fleet.note_ready(True, context.now)
 
 
 @when("node b is not heard")
--- a/src/chervilrack/_internal/fleet/core.py
+++ b/src/chervilrack/_internal/fleet/core.py
@@ -138,7 +138,7 @@
         settled = [n for n, time in ready_for.items() if time >= self._settings.owner_settle_time]
         return sorted(settled or ready_for)
 
-    def ready_for(self, ready: bool, now: timedelta) -> timedelta:
+    def note_ready(self, ready: bool, now: timedelta) -> timedelta:
         """Note whether this node is ready, and return for how long it has been."""
         if not ready:
             self._ready_since = None
--- a/src/chervilrack/_internal/forwarding/attempts.py
+++ b/src/chervilrack/_internal/forwarding/attempts.py
@@ -202,10 +202,11 @@
     ) -> bool:
         if stages is None:
             return exchange.wait_readable(patience.total_seconds())
-        if exchange.wait_readable(INPUT_READ_TIME.total_seconds()):
+        first_wait = min(patience, INPUT_READ_TIME)
+        if exchange.wait_readable(first_wait.total_seconds()):
             return True
         stages.inputs_read()
-        return exchange.wait_readable((patience - INPUT_READ_TIME).total_seconds())
+        return exchange.wait_readable((patience - first_wait).total_seconds())
 
     def _failed(
         self, context: RequestContext, entry: UpstreamEntry, error: ExchangeFailed, *, blamed: bool
--- a/src/chervilrack/_internal/serving/node.py
+++ b/src/chervilrack/_internal/serving/node.py
@@ -473,7 +473,7 @@
             store_answers=self._store_answers,
             reports=tuple(self._state.balancer.own_reports(now)),
             peers=self._fleet.gossip(),
-            ready_for_ms=round(self._fleet.ready_for(self.is_ready, now) / _MILLISECOND),
+            ready_for_ms=round(self._fleet.note_ready(self.is_ready, now) / _MILLISECOND),
         )
         for address in self._fleet.addresses:
             self._transport.send_to_address(f"tcp://{address}", beat)
