Do not count a caller as gone that has read its whole answer

Cause: in 7 of 24 runs of features/adapter beside each other, and in 14 of 88 runs of the scenario alone, "the metrics count requests by route and outcome" timed out. The log of a failed run shows the answer written with 200 and the outcome "gone": the caller closed before the handler's thread had left the watch. "a stream that breaks off goes on at another engine" failed in 3 of 150 runs with "no stream broke off": six requests in a row may all be sent to the other of two equal engines (1 in 64).

Ruled out: a slow node (the request took 7 ms), a lost count (the counter holds the request under another outcome).

Change: a departure after the last part of an answer was handed to the connection is not reported. The stream scenario sends requests until the engine that breaks off was chosen; all answers are checked as before. The test runner names failed scenarios in its last lines.

Conclusion: a fault of the product, not of the machine's load; answered requests were missing from the figures.

--- a/features/adapter/serving.feature
+++ b/features/adapter/serving.feature
@@ -40,7 +40,7 @@
 
   Scenario: a stream that breaks off goes on at another engine without a gap
     Given one of two engines breaks off after 2 events
-    When 6 callers send stream requests
+    When callers send stream requests until the engine has broken one off
     Then each caller gets the events 1 2 3 4 5 once
 
   Scenario Outline: a request with <fault> is refused with <status>
--- /dev/null
+++ b/features/steps/caller_watch_steps.py
@@ -0,0 +1,97 @@
+"""Steps for callers that close their connection to a pass-through server."""
+
+import contextlib
+import socket
+import threading
+
+from behave import given, then, when
+from support.platform_standin import free_ports
+
+from chervilrack._internal.common.clock import SystemClock
+from chervilrack._internal.forwarding.messages import CallerGone
+from chervilrack._internal.gateway.callers import CallerWatch
+from chervilrack._internal.gateway.passthrough import ListenSettings, PassThroughServer
+
+LIMIT_S = 10.0
+# A departure that is not to be noticed gets this long to be noticed by mistake.
+SETTLE_S = 0.3
+REQUEST = b"POST /a HTTP/1.1\r\nHost: app.example\r\nContent-Length: 2\r\n\r\nab"
+
+
+class Handler:
+    """Answers in steps that the scenario lets go on; ``gone`` is set when the caller left."""
+
+    def __init__(self, is_whole):
+        self._is_whole = is_whole
+        self.parts = 1 if is_whole else 3
+        self.steps = threading.Semaphore(0)
+        self.gone = threading.Event()
+        self.ended = threading.Event()
+
+    def __call__(self, request, responder):
+        with responder.when_gone(self.gone.set), contextlib.suppress(CallerGone):
+            for step in self._answer(responder):
+                assert self.steps.acquire(timeout=LIMIT_S)
+                step()
+            assert self.steps.acquire(timeout=LIMIT_S)
+        self.ended.set()
+
+    def _answer(self, responder):
+        if self._is_whole:
+            return [lambda: responder.answer(200, [], b"whole")]
+        return [lambda: responder.begin(200, []), lambda: responder.write(b"part"), responder.end]
+
+
+@given("a pass-through server whose handler answers {answer}")
+def start(context, answer):
+    stack = contextlib.ExitStack()
+    context.add_cleanup(stack.close)
+    context.handler = Handler(answer == "whole")
+    (port,) = free_ports(1)
+    settings = ListenSettings("127.0.0.1", port)
+    watch = stack.enter_context(CallerWatch())
+    stack.enter_context(PassThroughServer(settings, context.handler, SystemClock(), watch))
+    context.caller = socket.create_connection(("127.0.0.1", port), timeout=LIMIT_S)
+    context.caller.sendall(REQUEST)
+
+
+def read_until(caller, end):
+    found = b""
+    while not found.endswith(end):
+        part = caller.recv(4096)
+        assert part, found
+        found += part
+
+
+@when("a caller leaves before the answer")
+def leaves_before(context):
+    context.caller.close()
+
+
+@when("a caller leaves after the first part")
+def leaves_between(context):
+    context.handler.steps.release(2)
+    read_until(context.caller, b"part\r\n")
+    context.caller.close()
+
+
+@when("a caller leaves after the whole answer")
+def leaves_after(context):
+    context.handler.steps.release(context.handler.parts)
+    read_until(context.caller, (b"whole", b"0\r\n\r\n"))
+    context.caller.close()
+
+
+@then("the caller is gone")
+def is_gone(context):
+    assert context.handler.gone.wait(LIMIT_S)
+    context.handler.steps.release(4)
+    assert context.handler.ended.wait(LIMIT_S)
+
+
+@then("the caller is not gone")
+def is_not_gone(context):
+    assert not context.handler.gone.wait(SETTLE_S)
+    context.handler.steps.release(4)
+    assert context.handler.ended.wait(LIMIT_S)
+    assert not context.handler.gone.is_set()
--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -241,9 +241,14 @@
     assert found == times, found
 
 
-@when("{count:d} callers send stream requests")
-def many_streams(context, count):
-    context.bodies = [call(context, f"/stream/{number}")[1] for number in range(count)]
+@when("callers send stream requests until the engine has broken one off")
+def many_streams(context):
+    context.bodies = []
+    # Idle engines are equal, so that any one of them is chosen by a random number.
+    for number in range(100):
+        context.bodies.append(call(context, f"/stream/{number}")[1])
+        if context.upstreams["engine-1"].seen:
+            break
 
 
 @then("each caller gets the events {events} once")
--- a/src/chervilrack/_internal/forwarding/messages.py
+++ b/src/chervilrack/_internal/forwarding/messages.py
@@ -53,4 +53,4 @@
         """Close the connection so that the answer is visibly incomplete."""
 
     def when_gone(self, action: Callable[[], None]) -> AbstractContextManager[None]:
-        """Run ``action`` once if the caller leaves before the context ends."""
+        """Run ``action`` once if the caller leaves before the last part is sent."""
--- a/src/chervilrack/_internal/gateway/passthrough.py
+++ b/src/chervilrack/_internal/gateway/passthrough.py
@@ -132,9 +132,11 @@
     def __init__(self, request: _Request, watch: CallerWatch | None) -> None:
         self._request = request
         self._watch = watch
+        self._is_ending = False
 
     def answer(self, status: int, headers: Sequence[tuple[str, str]], body: bytes) -> None:
         """Send a whole answer."""
+        self._is_ending = True
         head = self._head(status, [*headers, ("Content-Length", str(len(body)))])
         self._send(head if self._request.method == b"HEAD" else head + body)
 
@@ -149,6 +151,7 @@
 
     def end(self) -> None:
         """Send the last chunk."""
+        self._is_ending = True
         self._send(b"0\r\n\r\n")
 
     def abort(self) -> None:
@@ -156,10 +159,16 @@
         self._request.close_connection = True
 
     def when_gone(self, action: Callable[[], None]) -> AbstractContextManager[None]:
-        """Run ``action`` once if the caller leaves before the context ends."""
+        """Run ``action`` once if the caller leaves before the last part is sent."""
         if self._watch is None:
             return contextlib.nullcontext()
-        return self._watch.watching(self._request.conn.socket, action)
+
+        def left() -> None:
+            # A caller that has read the whole answer may close before the context ends.
+            if not self._is_ending:
+                action()
+
+        return self._watch.watching(self._request.conn.socket, left)
 
     def _head(self, status: int, headers: Sequence[tuple[str, str]]) -> bytes:
         request = self._request
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -51,6 +51,7 @@
     red = known_red_names()
     passed = failed = 0
     passed_over: list[str] = []
+    red_now: list[str] = []
     with ThreadPoolExecutor(PARALLEL_RUNS) as pool:
         for folder, status, output, scenarios in pool.map(run_slice, folders):
             bad = [s for s in scenarios if s.get("status") != "passed"]
@@ -60,10 +61,14 @@
             failed += len(bad) - len(red_here)
             broken = status != 0 and not bad
             failed += int(broken or not scenarios)
+            red_now += [f"{s['location']} {s['name']}" for s in bad if s["name"] not in red]
             if len(bad) > len(red_here) or broken or not scenarios:
                 print(f"{folder}: exit status {status}\n{output}")
     for name in passed_over:
         print(f"known red, passed over: {name}")
+    # At the end, because a record of the output may hold only its last lines.
+    for name in red_now:
+        print(f"failed: {name}")
     print(f"{passed} passed, {failed} failed")
     return 0 if passed and not failed else 1
 
