Keep links between nodes open while they are used

Within 8 s of traffic the nodes logged 2054 lost peers, all of them alive, so that up to four nodes called the same upstream as its owner. The transport closes links that it takes for unused at each flush once there are more than 16; it compares them with addresses that only the native node sets. A serving node knows its peers by address alone, so that with 17 peers and more every link was closed at every flush, with what it still held.

Ruled out: full links (55 KB/s a node cross zones on average, the smallest link carries 1.25 MB/s) and lack of processor time (0.24 of a core at most).

Change: a link is closed after 60 s without a message. A heartbeat is encoded once for all peers.

The new scenario with 40 peers fails without the change.

Conclusion: every deployment of 17 nodes and more was affected.

--- a/features/peering/messages.feature
+++ b/features/peering/messages.feature
@@ -22,3 +22,14 @@
       | the fleet keys | 1     |
       | other keys     | 0     |
       | no keys        | 0     |
+
+  Scenario Outline: <peers> peers known by address alone get all of <count> messages each
+    Links that are closed between messages lose what they still hold, and peers count as lost.
+
+    When peering sends <count> messages to each of <peers> addresses, with pauses
+    Then each address has got <count> messages
+
+    Examples:
+      | peers | count |
+      | 6     | 5     |
+      | 40    | 5     |
--- a/features/steps/peering_steps.py
+++ b/features/steps/peering_steps.py
@@ -1,6 +1,8 @@
 """Steps for messages between nodes."""
 
+import contextlib
 import time
+from collections import Counter
 
 import msgspec
 from behave import then, when
@@ -82,3 +84,32 @@
     senders = [envelope.sender for envelope in context.delivered]
     assert "c" in senders
     assert senders.count("a") == count, senders
+
+
+@when("peering sends {count:d} messages to each of {peers:d} addresses, with pauses")
+def send_to_many(context, count, peers):
+    context.peers = peers
+    context.received = Counter()
+    with contextlib.ExitStack() as stack:
+        enter = stack.enter_context
+        nodes = [
+            enter(PeerTransport(f"n{number}", "1", LOOPBACK, _codec(), _counting(context, number)))
+            for number in range(peers)
+        ]
+        sender = enter(PeerTransport("a", "1", LOOPBACK, _codec(), lambda envelope: None))
+        for _ in range(count):
+            sender.send_to_addresses([node.address for node in nodes], Hello("x"))
+            time.sleep(0.02)
+        limit = time.monotonic() + WAIT_LIMIT_S
+        while context.received.total() < count * peers and time.monotonic() < limit:
+            time.sleep(0.01)
+
+
+def _counting(context, number):
+    return lambda envelope: context.received.update([number])
+
+
+@then("each address has got {count:d} messages")
+def all_received(context, count):
+    missing = {n: context.received[n] for n in range(context.peers) if context.received[n] != count}
+    assert not missing, missing
--- a/src/chervilrack/_internal/peering/transport.py
+++ b/src/chervilrack/_internal/peering/transport.py
@@ -11,7 +11,7 @@
 import threading
 import time
 from collections import OrderedDict, deque
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from datetime import timedelta
 from types import TracebackType
@@ -37,6 +37,9 @@
 # Nodes that introduced themselves and are not members yet; bounds what strangers can occupy.
 MAX_INTRODUCED = 1024
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
+# A link that carried nothing for this time is closed; heartbeats use each link every few seconds,
+# with 390 nodes every 4.9 s.
+LINK_IDLE_S = 60.0
 POLL_MS = 500
 
 PeerHandler = Callable[[Envelope], None]
@@ -54,6 +57,12 @@
     refused_messages: int = 0
 
 
+@dataclass(slots=True)
+class _Link:
+    socket: zmq.Socket[bytes]
+    used_at: float
+
+
 @dataclass(slots=True)
 class _Outbox:
     queue: deque[tuple[str, bytes]] = field(default_factory=deque)
@@ -83,7 +92,8 @@
         self._handler = handler
         self._keys = keys
         self._context: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
-        self._links: dict[str, zmq.Socket[bytes]] = {}
+        # The least recently used link comes first.
+        self._links: OrderedDict[str, _Link] = OrderedDict()
         self._addresses: dict[NodeId, str] = {}
         self._introduced: OrderedDict[NodeId, str] = OrderedDict()
         self._reply_to = ""
@@ -177,12 +187,21 @@
 
     def send_to_address(self, address: str, message: msgspec.Struct) -> None:
         """Queue a message for whichever node listens at ``address``."""
-        if address in self._blocked:
-            self._counters.dropped_messages += 1
+        self.send_to_addresses((address,), message)
+
+    def send_to_addresses(self, addresses: Iterable[str], message: msgspec.Struct) -> None:
+        """Queue a message for the nodes that listen at ``addresses``; it is encoded once."""
+        open_addresses = []
+        for address in addresses:
+            if address in self._blocked:
+                self._counters.dropped_messages += 1
+            else:
+                open_addresses.append(address)
+        if not open_addresses:
             return
         data = self._codec.encode(self._node, self._incarnation, message, self._reply_to)
         with self._outbox.lock:
-            self._outbox.queue.append((address, data))
+            self._outbox.queue.extend((address, data) for address in open_addresses)
             must_wake = not self._outbox.wake_pending
             self._outbox.wake_pending = True
             if must_wake:
@@ -241,26 +260,34 @@
     def _link(self, address: str) -> zmq.Socket[bytes]:
         link = self._links.get(address)
         if link is None:
-            link = self._context.socket(zmq.PUSH)
-            link.setsockopt(zmq.LINGER, 0)
-            link.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
-            link.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
-            link.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
-            link.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
-            if self._keys is not None:
-                link.curve_serverkey = self._keys.public
-                link.curve_publickey = self._keys.public
-                link.curve_secretkey = self._keys.secret
-            link.connect(address)
+            link = _Link(self._connect(address), 0.0)
             self._links[address] = link
-        return link
+        link.used_at = time.monotonic()
+        self._links.move_to_end(address)
+        return link.socket
+
+    def _connect(self, address: str) -> zmq.Socket[bytes]:
+        socket = self._context.socket(zmq.PUSH)
+        socket.setsockopt(zmq.LINGER, 0)
+        socket.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
+        socket.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
+        socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
+        socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+        if self._keys is not None:
+            socket.curve_serverkey = self._keys.public
+            socket.curve_publickey = self._keys.public
+            socket.curve_secretkey = self._keys.secret
+        socket.connect(address)
+        return socket
 
     def _close_unused_links(self) -> None:
-        known = {*self._addresses.values(), *self._introduced.values()}
-        if len(self._links) <= 2 * len(known) + 16:
-            return
-        for address in set(self._links) - known:
-            self._links.pop(address).close()
+        idle_since = time.monotonic() - LINK_IDLE_S
+        while self._links:
+            address, link = next(iter(self._links.items()))
+            if link.used_at > idle_since:
+                return
+            del self._links[address]
+            link.socket.close()
 
     def _receive(self) -> None:
         while True:
--- a/src/chervilrack/_internal/serving/node.py
+++ b/src/chervilrack/_internal/serving/node.py
@@ -475,8 +475,8 @@
             peers=self._fleet.gossip(),
             ready_for_ms=round(self._fleet.note_ready(self.is_ready, now) / _MILLISECOND),
         )
-        for address in self._fleet.addresses:
-            self._transport.send_to_address(f"tcp://{address}", beat)
+        addresses = [f"tcp://{address}" for address in self._fleet.addresses]
+        self._transport.send_to_addresses(addresses, beat)
         self._next_beat = now + self._fleet.interval
         self._desk.hand_over()
 
