Add a soak of node processes under random faults

Cause: nothing ran the serving node as a process under faults other than the bench; the promises were tested in one process at a time.

Change: `chervilrack soak run` starts nodes on loopback addresses before an emulated store and emulated upstreams, draws faults from a seed (kill, stop, pause, reload; links delayed, reset, cut one way, silenced; upstreams that fail, drain, break off; keys replaced), and checks eight promises from what callers and upstreams saw. The stand-ins of the platform move from the tests into platform/standins.py, with types.

Ruled out while it was built: two findings were faults of the soak itself. A node that gets SIGTERM before it has a handler ends with -15 (it has served nothing and is accepted); planned faults may end late because a stop takes up to 8 s, so the quiet time is counted from the last real end.

--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -11,7 +11,6 @@
 from datetime import timedelta
 
 from behave import given, then, when
-from support.platform_standin import StoreStandIn, UpstreamStandIn, free_ports
 
 from chervilrack._internal.common.clock import ManualClock, SystemClock
 from chervilrack._internal.common.ids import NodeId, ZoneId
@@ -22,8 +21,10 @@
 from chervilrack._internal.serving.settings import Address, ServingSettings
 from chervilrack._internal.serving.state import ServingState
 from chervilrack.platform.configuration import decode_configuration
+from chervilrack.platform.emulation import configuration
 from chervilrack.platform.headers import PlatformDialect
 from chervilrack.platform.run import SCHEMA
+from chervilrack.platform.standins import StoreStandIn, UpstreamStandIn, free_ports
 from chervilrack.platform.store import PlatformStore
 
 LIMIT_S = 20.0
@@ -37,52 +38,6 @@
         time.sleep(0.01)
 
 
-def configuration(version, keys):
-    def route(name, prefix, kind, **fields):
-        return {
-            "name": name,
-            "host": "app.example",
-            "pathPrefix": prefix,
-            "kind": kind,
-            "timeoutMs": 5000,
-            "targetLatencyMs": 2000,
-            "maxAttempts": 2,
-            **fields,
-        }
-
-    stages = [
-        {"service": "first", "after": [], "length": 100},
-        {"service": "second", "after": [0], "length": 100},
-    ]
-    segments = {
-        "slots": 1,
-        "queue": 2,
-        "batch": 4,
-        "callMs": 10.0,
-        "itemMs": 1.0,
-        "headroomMb": 9.0,
-        "handleS": 4.0,
-    }
-    stream = {"service": "engine", "streamResume": True, "targetGapMs": 500}
-    return {
-        "version": version,
-        "routes": [
-            route("order", "/order/", "non_idempotent", service="plain"),
-            route("read", "/read/", "idempotent", service="plain"),
-            route("chat", "/stream/", "streaming", **stream),
-            route("long", "/stream/staged/", "streaming", stages=stages, **stream),
-        ],
-        "services": [
-            {"name": "plain"},
-            {"name": "engine", "engine": {"slots": 8, "kvCapacityTokens": 100000}},
-            {"name": "first", "segments": segments},
-            {"name": "second", "segments": segments},
-        ],
-        "limits": {"maxBodyBytes": 100000},
-        "tenants": [{"name": "bozi", "apiKeys": keys}],
-    }
-
-
 @given("a serving node before stand-ins of the platform")
 def start(context):
     stack = contextlib.ExitStack()
@@ -184,7 +139,7 @@
 def saw(context, name):
     seen = [item for upstream in context.upstreams.values() for item in upstream.seen]
     assert len(seen) == 1, seen
-    method, path, headers, body = seen[0]
+    method, path, headers, body = (seen[0].command, seen[0].path, seen[0].headers, seen[0].body)
     assert method == "POST", method
     assert path in ("/order/1?a=%2F", "/stream/1", "/stream/staged/1"), path
     assert body == b"order", body
@@ -207,7 +162,7 @@
 @then("the engine got {count:d} inputs")
 def engine_inputs(context, count):
     seen = [item for name in ("engine-1", "engine-2") for item in context.upstreams[name].seen]
-    assert len(seen[0][2]["Chervilrack-Inputs"].split(",")) == count, seen
+    assert len(seen[0].headers["Chervilrack-Inputs"].split(",")) == count, seen
 
 
 @then("all {count:d} results are freed")
--- a/src/chervilrack/_internal/cli/main.py
+++ b/src/chervilrack/_internal/cli/main.py
@@ -22,6 +22,7 @@
     "status": ("status", "status"),
     "experiment": ("experiment", "experiment_command"),
     "history": ("history", "history_command"),
+    "soak": ("soak", "soak_command"),
 }
 
 
--- /dev/null
+++ b/src/chervilrack/_internal/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak: real node processes under faults from outside, with promises checked."""
--- a/features/support/platform_standin.py
+++ b/src/chervilrack/platform/standins.py
@@ -1,6 +1,7 @@
 """Stand-ins of the users' platform on loopback: its store, model engines, stages and services.
 
-They speak what the platform's pages say as far as the tests need it: no rates and no outages.
+They speak what the platform's pages say as far as tests and the soak need it: no call rates, no
+caches and no times of engines.
 """
 
 import base64
@@ -10,29 +11,45 @@
 import socket
 import threading
 import time
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import Any, Self
 from urllib.parse import parse_qs, urlsplit
 
+# Events of a stream that is not broken off, numbered from 1.
+STREAM_EVENTS = 5
+SLOTS = 8
+
+Header = tuple[str, str]
+
 
 class _Handler(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
+    owner: "_Server"
 
-    def log_message(self, *args):
+    def log_message(self, *args: Any) -> None:
         pass
 
-    def handle(self):
+    def handle(self) -> None:
         # The caller left.
         with contextlib.suppress(ConnectionError, TimeoutError):
             super().handle()
 
-    def _serve(self):
+    def _serve(self) -> None:
         length = int(self.headers.get("Content-Length") or 0)
         body = self.rfile.read(length) if length else b""
-        self.server.owner.serve(self, body)
+        self.server.owner.serve(self, body)  # type: ignore[attr-defined]
 
     do_GET = do_POST = do_DELETE = _serve  # noqa: N815 - names that http.server calls
 
-    def answer(self, status, document=None, headers=(), body=None):
+    def answer(
+        self,
+        status: int,
+        document: Any = None,
+        headers: Sequence[Header] = (),
+        body: bytes | None = None,
+    ) -> None:
         content = body if body is not None else json.dumps(document or {}).encode()
         self.send_response(status)
         for name, value in headers:
@@ -42,49 +59,63 @@
         self.wfile.write(content)
 
 
+class _HttpServer(ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 128
+    owner: "_Server"
+
+    def handle_error(self, request: Any, client_address: Any) -> None:
+        """Ignore what a caller that left makes fail."""
+
+
 class _Server:
     """HTTP server in a thread; a context manager."""
 
-    def __init__(self):
-        self._http = ThreadingHTTPServer(("127.0.0.1", 0), _Handler)
-        self._http.daemon_threads = True
+    def __init__(self) -> None:
+        self._http = _HttpServer(("127.0.0.1", 0), _Handler)
         self._http.owner = self
         self.address = f"127.0.0.1:{self._http.server_address[1]}"
         self._thread = threading.Thread(target=self._http.serve_forever, args=(0.05,), daemon=True)
 
-    def __enter__(self):
+    def __enter__(self) -> Self:
         self._thread.start()
         return self
 
-    def __exit__(self, *_):
+    def __exit__(self, *_: object) -> None:
         self._http.shutdown()
         self._http.server_close()
 
+    def serve(self, request: _Handler, body: bytes) -> None:
+        """Answer one request."""
+        raise NotImplementedError
+
 
 class StoreStandIn(_Server):
-    """The platform's store: one revision counter, watches and leases."""
+    """The platform's store: one revision counter, watches and leases that never lapse."""
 
-    def __init__(self):
+    def __init__(self, page_items: int = 2) -> None:
         super().__init__()
-        self._items = {}
-        self._history = []
+        # Small pages by default, so that a reader has to ask for more.
+        self._page_items = page_items
+        self._items: dict[str, dict[str, Any]] = {}
+        self._history: list[dict[str, Any]] = []
         self._revision = 1
         self._changed = threading.Condition()
         self._leases = itertools.count(1)
 
-    def put(self, key, document):
+    def put(self, key: str, document: Any) -> None:
         """Write a key as the operator or an upstream does."""
         with self._changed:
             self._put(key, base64.b64encode(json.dumps(document).encode()).decode(), 0)
 
-    def remove(self, key):
+    def remove(self, key: str) -> None:
         """Remove a key."""
         with self._changed:
             self._revision += 1
             del self._items[key]
             self._note({"key": key, "revision": self._revision, "tombstone": True})
 
-    def _put(self, key, value, lease):
+    def _put(self, key: str, value: str, lease: int) -> None:
         self._revision += 1
         item = {
             "key": key,
@@ -96,11 +127,12 @@
         self._items[key] = item
         self._note(item)
 
-    def _note(self, event):
+    def _note(self, event: dict[str, Any]) -> None:
         self._history.append(event)
         self._changed.notify_all()
 
-    def serve(self, request, body):
+    def serve(self, request: _Handler, body: bytes) -> None:
+        """Answer one call of the store."""
         url = urlsplit(request.path)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         call = f"{request.command} {url.path}"
@@ -117,18 +149,21 @@
         else:
             request.answer(404)
 
-    def _range(self, request, query):
+    def _range(self, request: _Handler, query: dict[str, str]) -> None:
         with self._changed:
             found = [
                 item
                 for key, item in sorted(self._items.items())
                 if key.startswith(query.get("pathPrefix", "")) and key > query.get("after", "")
             ]
-            # Pages of two items, so that a reader has to ask for more.
-            page = {"entries": found[:2], "hasMore": len(found) > 2, "at": self._revision}
+            page = {
+                "entries": found[: self._page_items],
+                "hasMore": len(found) > self._page_items,
+                "at": self._revision,
+            }
         request.answer(200, page)
 
-    def _watch(self, request, query):
+    def _watch(self, request: _Handler, query: dict[str, str]) -> None:
         after, end = int(query["after"]), time.monotonic() + int(query["waitMs"]) / 1000
         with self._changed:
             while True:
@@ -140,40 +175,54 @@
             answer = {"events": events, "at": self._revision}
         request.answer(200, answer)
 
-    def _txn(self, request, body):
+    def _txn(self, request: _Handler, body: Any) -> None:
         with self._changed:
             for put in body["puts"]:
                 self._put(put["key"], put["value"], put["lease"])
-        request.answer(200, {"revision": self._revision})
+            revision = self._revision
+        request.answer(200, {"revision": revision})
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request that an upstream ran. ``at`` is a monotonic time in seconds."""
+
+    command: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    at: float
 
 
 class UpstreamStandIn(_Server):
     """One upstream. ``behaviour`` may change how it answers; ``seen`` holds what it ran."""
 
-    def __init__(self, id, service):
+    def __init__(self, id: str, service: str) -> None:
         super().__init__()
         self.id = id
         self.service = service
         self.behaviour = "good"
-        self.seen = []
-        self.pieces = []
-        self.freed = []
+        self.seen: list[Arrival] = []
+        self.pieces: list[Any] = []
+        self.freed: list[str] = []
         self.left = threading.Event()
         self._handles = itertools.count(1)
+        self._slots = threading.BoundedSemaphore(SLOTS)
 
-    def entry(self, state="ready"):
+    def entry(self, state: str = "ready", address: str | None = None) -> dict[str, Any]:
         """Return the registration in the store."""
         return {
             "service": self.service,
-            "address": self.address,
+            "address": address or self.address,
             "zone": "z1",
             "version": "v1",
-            "slots": 8,
+            "slots": SLOTS,
             "state": state,
             "sequence": 1,
         }
 
-    def serve(self, request, body):
+    def serve(self, request: _Handler, body: bytes) -> None:
+        """Answer one request, or reject it without running it."""
         target = request.headers.get("Chervilrack-Target-Instance")
         if target not in (None, self.id):
             request.answer(421, headers=[("Chervilrack-Instance-Id", self.id)])
@@ -183,11 +232,27 @@
             self.freed += json.loads(body)["handles"]
             request.answer(200)
         elif self.behaviour == "full":
-            request.answer(503, headers=[("Chervilrack-Not-Executed", "1")])
+            self._reject(request)
         else:
-            self._run(request, body)
+            with self._slot() as has_slot:
+                if has_slot:
+                    self._run(request, body)
+                else:
+                    self._reject(request)
+
+    @contextlib.contextmanager
+    def _slot(self) -> Iterator[bool]:
+        has_slot = self._slots.acquire(blocking=False)
+        try:
+            yield has_slot
+        finally:
+            if has_slot:
+                self._slots.release()
+
+    def _reject(self, request: _Handler) -> None:
+        request.answer(503, headers=[("Chervilrack-Not-Executed", "1")])
 
-    def _stage_run(self, request, body):
+    def _stage_run(self, request: _Handler, body: Any) -> None:
         entries = []
         for piece in body["entries"]:
             self.pieces.append(piece)
@@ -196,9 +261,10 @@
             entries.append({"handle": f"{self.address}/{self.id}-{next(self._handles)}"})
         request.answer(200, {"entries": entries})
 
-    def _run(self, request, body):
+    def _run(self, request: _Handler, body: bytes) -> None:
         headers = dict(request.headers.items())
-        self.seen.append((request.command, request.path, headers, body))
+        arrival = Arrival(request.command, request.path, headers, body, time.monotonic())
+        self.seen.append(arrival)
         marks = [
             ("Chervilrack-Request-Id", headers.get("Chervilrack-Request-Id", "")),
             ("Chervilrack-Response-Signature", f"signed-by-{self.id}"),
@@ -217,11 +283,11 @@
             request.wfile.write(b"\r\nhalf")
             request.close_connection = True
         elif "/stream/" in request.path:
-            self._stream(request, marks)
+            self._stream(request, marks, body)
         else:
             request.answer(200, headers=marks, body=b"answer to " + body)
 
-    def _stream(self, request, marks):
+    def _stream(self, request: _Handler, marks: Sequence[Header], body: bytes) -> None:
         after = int(request.headers.get("Last-Event-Id") or 0)
         request.send_response(200)
         for name, value in [*marks, ("Content-Type", "text/event-stream")]:
@@ -229,8 +295,8 @@
         request.send_header("Transfer-Encoding", "chunked")
         request.end_headers()
         try:
-            for number in range(after + 1, 6):
-                event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            for number in range(after + 1, STREAM_EVENTS + 1):
+                event = b"id: %d\ndata: piece %d of %b\n\n" % (number, number, body)
                 if self.behaviour == "breaks" and number == 3:
                     request.wfile.write(b"%x\r\n%b\r\n" % (9, event[:9]))
                     request.close_connection = True
@@ -244,12 +310,12 @@
             raise
 
 
-def free_ports(count):
+def free_ports(count: int) -> list[int]:
     """Return ports that the kernel chose and that are free now."""
     sockets = [socket.socket() for _ in range(count)]
     for opened in sockets:
         opened.bind(("127.0.0.1", 0))
-    ports = [opened.getsockname()[1] for opened in sockets]
+    ports = [int(opened.getsockname()[1]) for opened in sockets]
     for opened in sockets:
         opened.close()
     return ports
