Keep the owner of a stage queue responsive with 67 nodes

The log of the second burst: 95 orders passed over the owner of one queue within a second, while that owner made 30 calls a second and had 1100 pieces waiting; it confirmed orders after more than 250 ms. A profile of the queues at that load: sums and copies over all waiting pieces and kept results at each message, and timers that run all queues at each message.

Ruled out: lost messages (no peer was lost), slow upstreams (calls took what they were expected to).

Any message is a sign of life. - Heartbeats tell their interval, so that a newcomer that knows few nodes does not take nodes with rare heartbeats for lost. - Changes of the store are collected for 5 ms a node, 0.3 s at most: each change ends the waiting calls of all nodes.

--- a/features/batching/queue.feature
+++ b/features/batching/queue.feature
@@ -226,3 +226,23 @@
     Given a node whose orders go to owner b
     When the node orders pieces 0, 1, 2 and b gives back pieces 1, 2
     Then owner c is asked for pieces 1, 2
+
+  Scenario Outline: an owner that <answer> confirm is passed over after <time> ms
+    A second owner calls the same upstreams as the first, and both find them full.
+
+    Given a node whose orders go to owner b
+    And heartbeats every <interval> ms
+    When the node orders pieces and owner b <answer> confirm
+    Then the order goes to another owner after <time> ms and not before
+
+    Examples:
+      | answer                | interval | time |
+      | does not              | 200      | 250  |
+      | does not              | 300      | 360  |
+      | does not              | 850      | 1020 |
+      | is heard but does not | 300      | 1000 |
+
+  Scenario: an owner that has confirmed an order is not passed over
+    Given a node whose orders go to owner b
+    When the node orders pieces and owner b does confirm
+    Then the order stays with its owner
--- a/features/fleet/fleet.feature
+++ b/features/fleet/fleet.feature
@@ -19,6 +19,11 @@
       | beat, leaving beat, restart     | used           |
       | beat, 25 s                      | unknown        |
       | beat, 5 s pause, 0.5 s          | used           |
+      | beat, 0.9 s, order, 0.9 s       | used           |
+      | beat, 1.2 s, order              | unused         |
+      | beat, 0.9 s, order of its predecessor, 0.9 s | unused |
+      | rare beat, 5 s, rare beat, 10 s | used           |
+      | rare beat, 18 s                 | unused         |
 
   Scenario Outline: <event> of node b tells <told>
     Given a node a that knows the address of node b
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -49,6 +49,14 @@
                 context.now += timedelta(seconds=float(seconds))
                 context.fleet.woke(timedelta(seconds=float(seconds)))
                 context.effects += context.fleet.tick(context.now)
+            case ["order"]:
+                context.fleet.note_message(
+                    NodeId("b"), Incarnation(str(context.incarnation)), context.now
+                )
+            case ["order", "of", "its", "predecessor"]:
+                context.fleet.note_message(NodeId("b"), Incarnation("0"), context.now)
+            case ["rare", "beat"]:
+                hear(context, msgspec.structs.replace(beat(), interval_ms=4900))
             case ["restart"]:
                 context.incarnation += 1
                 hear(context, beat())
--- a/features/steps/stage_desk_steps.py
+++ b/features/steps/stage_desk_steps.py
@@ -8,6 +8,7 @@
 
 from chervilrack._internal.batching.messages import (
     PiecesMade,
+    PiecesQueued,
     PiecesReturned,
     PiecesWanted,
     ResultsReleased,
@@ -26,6 +27,8 @@
     def __init__(self):
         self.current = [NodeId("b")]
         self.alive = {"b": "10.9.0.2:1", "c": "10.9.0.3:1"}
+        self.interval = timedelta(milliseconds=300)
+        self.heard_at = timedelta(0)
 
     def owners(self):
         return self.current
@@ -33,6 +36,9 @@
     def address_of(self, node):
         return self.alive.get(node)
 
+    def has_heard(self, node, since):
+        return self.heard_at > since
+
 
 class FakeTransport:
     def __init__(self):
@@ -50,7 +56,9 @@
         fleet=context.fleet,
         clock=ManualClock(),
         settings=SimpleNamespace(batching="shared"),
+        log=SimpleNamespace(note=lambda *args, **fields: None),
     )
+    context.clock = state.clock
     context.desk = StageDesk(NodeId("a"), Incarnation("01"), state, None, None)
     context.desk.transport = context.transport = FakeTransport()
 
@@ -103,3 +111,41 @@
     ((address, message),) = context.transport.sent
     assert address == f"tcp://{context.fleet.alive['c']}", address
     assert message.segments == (1, 2), message
+
+
+@given("heartbeats every {interval:d} ms")
+def heartbeats(context, interval):
+    context.fleet.interval = timedelta(milliseconds=interval)
+
+
+@when("the node orders pieces and owner b {answer} confirm")
+def unconfirmed(context, answer):
+    context.fleet.current = [NodeId("b"), NodeId("c")]
+    second = timedelta(seconds=1)
+    planned = PlannedStage(0, SERVICE, (0, 1), (), second, second, 100, "", 0)
+    request = SimpleNamespace(facts=SimpleNamespace(request_id="r"), priority=0)
+    number = context.desk.order(StageOrder(request, planned, "k"), lambda _: None)
+    ((context.owner, _),) = context.transport.sent
+    if answer == "is heard but does not":
+        context.fleet.heard_at = context.clock.monotonic() + timedelta(milliseconds=1)
+    elif answer == "does":
+        context.desk.queued(PiecesQueued(number, 0))
+
+
+@then("the order goes to another owner after {time:d} ms and not before")
+def goes_elsewhere(context, time):
+    context.clock.advance(timedelta(milliseconds=time - 1))
+    context.desk.tick(context.clock.monotonic())
+    assert len(context.transport.sent) == 1, context.transport.sent
+    context.clock.advance(timedelta(milliseconds=1))
+    assert context.desk.next_time(context.clock.monotonic()) == context.clock.monotonic()
+    context.desk.tick(context.clock.monotonic())
+    _, (other, _) = context.transport.sent
+    assert other != context.owner, other
+
+
+@then("the order stays with its owner")
+def stays(context):
+    context.clock.advance(timedelta(seconds=5))
+    context.desk.tick(context.clock.monotonic())
+    assert len(context.transport.sent) == 1, context.transport.sent
--- a/src/chervilrack/_internal/batching/core.py
+++ b/src/chervilrack/_internal/batching/core.py
@@ -7,7 +7,7 @@
 
 import itertools
 from collections import OrderedDict
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 from datetime import timedelta
 
 from chervilrack._internal.balancing.core import Balancer
@@ -21,13 +21,13 @@
     Deliver,
     FreeResults,
     InputsRead,
-    KeptResult,
     Order,
     OrderId,
     Piece,
     ReturnPieces,
     StartCall,
 )
+from chervilrack._internal.batching.waiting import WaitingPieces
 from chervilrack._internal.batching.zones import bind_to_zones, prefers_zone
 from chervilrack._internal.catalogue.state import BatchSpec, UpstreamEntry
 from chervilrack._internal.common.ids import NodeId, ServiceId, UpstreamId
@@ -56,7 +56,7 @@
         self._spec: BatchSpec | None = None
         self._upstreams: dict[UpstreamId, StageUpstream] = {}
         self._orders: dict[OrderId, Order] = {}
-        self._waiting: list[Piece] = []
+        self._waiting = WaitingPieces()
         self._calls: dict[int, Call] = {}
         self._disturbed_until = _ZERO
         # Results that were freed, so that none is freed twice; the newest ones.
@@ -104,15 +104,19 @@
         if known is not None:
             missing = order.open_segments - known.open_segments
             known.open_segments |= missing
-            self._waiting += [Piece(known, segment) for segment in sorted(missing)]
+            self._wait_for(known, missing)
             return self.dispatch(now)
         if now + self.expected_wait(now, order) > order.deadline:
             results = tuple((segment, PieceFailure.LATE) for segment in sorted(order.open_segments))
             return [Deliver(order.id, results)]
         self._orders[order.id] = order
-        self._waiting += [Piece(order, segment) for segment in sorted(order.open_segments)]
+        self._wait_for(order, order.open_segments)
         return self.dispatch(now)
 
+    def _wait_for(self, order: Order, segments: Collection[int]) -> None:
+        for segment in sorted(segments):
+            self._waiting.add(Piece(order, segment))
+
     def expected_wait(self, now: timedelta, order: Order) -> timedelta:
         """Return the expected time until an order queued now has all its results."""
         if self._spec is None or not self._upstreams:
@@ -132,7 +136,7 @@
         """Return the waiting pieces that would be called before a new order."""
         assert self._spec is not None
         spec, settings = self._spec, self._settings
-        waiting = [*self._grouped(), (order, [Piece(order, n) for n in order.open_segments])]
+        waiting = [*self._waiting.groups(), (order, [Piece(order, n) for n in order.open_segments])]
         late = self._late_orders(waiting, now)
         own = urgency(order, late, spec, settings)
         return sum(
@@ -147,7 +151,7 @@
         Pieces in calls stay: their results are delivered from here.
         """
         returned: list[ReturnPieces] = []
-        for order, pieces in self._grouped():
+        for order, pieces in self._waiting.groups():
             segments = tuple(p.segment for p in pieces if p.is_open and p.sent == 0)
             order.open_segments.difference_update(segments)
             if segments:
@@ -162,7 +166,7 @@
         order = self._orders.pop(order_id, None)
         if order is not None:
             order.open_segments.clear()
-            self._waiting = [piece for piece in self._waiting if piece.order is not order]
+            self._waiting.remove_all(self._waiting.of_order(order_id))
 
     def drop_node(self, node: NodeId) -> None:
         """Forget the orders of a node that is gone."""
@@ -179,12 +183,11 @@
         by_address: dict[str, list[str]] = {}
         for address, handle in handles:
             upstream = self._at(address)
-            kept = upstream.kept.get(handle) if upstream is not None else None
-            if kept is not None and spare:
-                kept.spare = True
+            if spare and upstream is not None and handle in upstream.kept:
+                upstream.kept.mark(handle, spare=True)
             elif handle not in self._freed:
-                if kept is not None:
-                    kept.being_freed = True
+                if upstream is not None:
+                    upstream.kept.mark(handle, being_freed=True)
                 by_address.setdefault(address, []).append(handle)
         effects = [self._free(address, found) for address, found in by_address.items()]
         return [*effects, *self._make_room(now)]
@@ -194,16 +197,15 @@
         upstream = self._at(address)
         if upstream is not None:
             for handle in handles:
-                upstream.kept.pop(handle, None)
+                upstream.kept.remove(handle)
         return self.dispatch(now)
 
     def not_freed(self, address: str, handles: Sequence[str]) -> None:
         """Note that results could not be freed: they stay until they expire."""
         upstream = self._at(address)
-        for handle in handles:
-            kept = upstream.kept.get(handle) if upstream is not None else None
-            if kept is not None:
-                kept.spare = kept.being_freed = False
+        if upstream is not None:
+            for handle in handles:
+                upstream.kept.mark(handle, spare=False, being_freed=False)
 
     def call_ended(
         self, call_id: int, results: Sequence[str | PieceFailure], now: timedelta
@@ -266,8 +268,8 @@
                 piece.attempts -= 1
             if piece.attempts >= self._settings.max_attempts:
                 self._close(piece, PieceFailure.ERROR, delivered)
-            elif piece not in self._waiting:
-                self._waiting.append(piece)
+            else:
+                self._waiting.add(piece)
         return [*_deliveries(delivered), *self.dispatch(now)]
 
     def next_time(self, now: timedelta) -> timedelta | None:
@@ -275,14 +277,16 @@
         times = [self._straggles_at(call) for call in self._calls.values() if not call.hedged]
         times += [call.started + self._settings.read_time for call in self._calls.values()]
         if self._waiting:
-            for order in {id(p.order): p.order for p in self._waiting}.values():
+            for order in self._waiting.orders:
                 times.append(order.deadline)
                 if prefers_zone(order, self._settings):
                     # From then on it may go to another zone.
                     times.append(order.due - self._spec.call_time if self._spec else order.due)
             for upstream in self._upstreams.values():
                 times += [upstream.full_until, upstream.foreign_until]
-                times += [kept.until for kept in upstream.kept.values()]
+                times.append(self._balancer.status(upstream.entry.id).ejected_until)
+                if (end := upstream.kept.next_end) is not None:
+                    times.append(end)
         return min((time for time in times if time > now), default=None)
 
     def tick(self, now: timedelta) -> list[BatchEffect]:
@@ -299,20 +303,16 @@
                 call.hedged = True
                 self.disturbed(now)
                 self._balancer.observe_pace(call.upstream, call.expected, now - call.started, now)
-                self._waiting += [
-                    piece
-                    for piece in call.pieces
-                    if piece.is_open
-                    and piece.attempts < self._settings.max_attempts
-                    and piece not in self._waiting
-                ]
+                for piece in call.pieces:
+                    if piece.is_open and piece.attempts < self._settings.max_attempts:
+                        self._waiting.add(piece)
         return [*_deliveries(delivered), *self._inputs_read(now), *self.dispatch(now)]
 
     def _inputs_read(self, now: timedelta) -> list[BatchEffect]:
         """Report orders whose pieces are all in calls that have read their inputs."""
         if self.is_disturbed(now):
             return []
-        unread = {id(piece.order) for piece in self._waiting}
+        unread = {id(order) for order in self._waiting.orders}
         begun: dict[OrderId, Order] = {}
         for call in self._calls.values():
             upstream = self._upstreams.get(call.upstream)
@@ -434,29 +434,18 @@
             pieces = allowed[index][1]
             taken += pieces[:count]
             del pieces[:count]
-        chosen_ids = {id(piece) for piece in taken}
-        self._waiting = [piece for piece in self._waiting if id(piece) not in chosen_ids]
+        self._waiting.remove_all(taken)
         return tuple(taken)
 
     def _by_urgency(self, now: timedelta) -> list[WaitingOrder]:
         """Return waiting orders with their pieces, most urgent first."""
-        found = self._grouped()
+        found = self._waiting.groups()
         assert self._spec is not None
         spec, settings = self._spec, self._settings
         late = self._late_orders(found, now)
         found.sort(key=lambda e: (urgency(e[0], late, spec, settings), e[0].priority, e[0].id))
         return found
 
-    def _grouped(self) -> list[WaitingOrder]:
-        """Return the orders that wait, each with its waiting pieces."""
-        grouped: dict[OrderId, list[Piece]] = {}
-        for piece in self._waiting:
-            grouped.setdefault(piece.order.id, []).append(piece)
-        return [
-            (pieces[0].order, sorted(pieces, key=lambda piece: piece.segment))
-            for pieces in grouped.values()
-        ]
-
     def _late_orders(self, waiting: Sequence[WaitingOrder], now: timedelta) -> set[OrderId]:
         """Return the waiting orders that will miss their targets."""
         assert self._spec is not None
@@ -517,17 +506,19 @@
         assert self._spec is not None
         if upstream.call is not None or now < upstream.full_until:
             return False
-        smallest = min(piece.order.result_size for piece in self._waiting)
         left = self._spec.result_space - upstream.occupied(now)
         if upstream.frees_results and left < self._room_for_next():
             # A fuller call can start as soon as they are gone.
             return False
-        return smallest <= left
+        return self._waiting.smallest_result <= left
 
     def _room_for_next(self) -> int:
         assert self._spec is not None
-        sizes = sum(piece.order.result_size for piece in self._waiting)
-        return sizes * min(len(self._waiting), self._spec.batch) // len(self._waiting)
+        return (
+            self._waiting.result_bytes
+            * min(len(self._waiting), self._spec.batch)
+            // len(self._waiting)
+        )
 
     # Ends of calls and pieces
 
@@ -542,7 +533,7 @@
 
     def _keep(self, upstream: StageUpstream | None, handle: str, size: int, now: timedelta) -> None:
         if upstream is not None and self._spec is not None:
-            upstream.kept[handle] = KeptResult(size, now + self._spec.result_lifetime)
+            upstream.kept.add(handle, size, now + self._spec.result_lifetime)
 
     def _learn_room(
         self,
@@ -577,8 +568,7 @@
             return False
         if piece.attempts >= self._settings.max_attempts:
             return False
-        if piece not in self._waiting:
-            self._waiting.append(piece)
+        self._waiting.add(piece)
         return True
 
     def _close(
@@ -590,7 +580,7 @@
         order = piece.order
         order.open_segments.discard(piece.segment)
         delivered.setdefault(order.id, []).append((piece.segment, result))
-        self._waiting = [other for other in self._waiting if other is not piece]
+        self._waiting.remove(piece)
         if not order.open_segments:
             self._orders.pop(order.id, None)
 
@@ -598,7 +588,7 @@
         self, order: Order, delivered: dict[OrderId, list[tuple[int, str | PieceFailure]]]
     ) -> None:
         """Give up the waiting pieces of an order of which an input is gone: all read the same."""
-        for piece in [p for p in self._waiting if p.order is order and p.is_open]:
+        for piece in [p for p in self._waiting.of_order(order.id) if p.is_open]:
             self._close(piece, PieceFailure.INPUT_GONE, delivered)
 
     def _straggles_at(self, call: Call) -> timedelta:
--- a/src/chervilrack/_internal/batching/space.py
+++ b/src/chervilrack/_internal/batching/space.py
@@ -13,6 +13,90 @@
 LEAST_USE = 8
 
 
+class KeptResults:
+    """Results that an upstream keeps, by handle, oldest first, with totals of their sizes.
+
+    Lifetimes are equal, so that the oldest result expires first; after a change of the lifetime
+    results may count a little longer than they are kept.
+    """
+
+    def __init__(self) -> None:
+        self._results: dict[str, KeptResult] = {}
+        self._bytes = 0
+        self._spare_bytes = 0
+        self._freeing_bytes = 0
+
+    @property
+    def total(self) -> int:
+        """Bytes of all results."""
+        return self._bytes
+
+    @property
+    def spare(self) -> int:
+        """Bytes of the results that are of use only if their readers are called again."""
+        return self._spare_bytes
+
+    @property
+    def being_freed(self) -> int:
+        """Bytes of the results that the upstream was told to free."""
+        return self._freeing_bytes
+
+    @property
+    def next_end(self) -> timedelta | None:
+        """When the oldest result expires."""
+        return next((kept.until for kept in self._results.values()), None)
+
+    def __contains__(self, handle: object) -> bool:
+        return handle in self._results
+
+    def add(self, handle: str, size: int, until: timedelta) -> None:
+        """Note a result."""
+        self.remove(handle)
+        self._results[handle] = KeptResult(size, until)
+        self._bytes += size
+
+    def remove(self, handle: str) -> None:
+        """Forget a result, if it is known."""
+        kept = self._results.get(handle)
+        if kept is not None:
+            self.mark(handle, spare=False, being_freed=False)
+            del self._results[handle]
+            self._bytes -= kept.size
+
+    def mark(
+        self, handle: str, *, spare: bool | None = None, being_freed: bool | None = None
+    ) -> None:
+        """Change what is noted of a result, if it is known."""
+        kept = self._results.get(handle)
+        if kept is None:
+            return
+        if spare is not None:
+            self._spare_bytes += kept.size * (spare - kept.spare)
+            kept.spare = spare
+        if being_freed is not None:
+            self._freeing_bytes += kept.size * (being_freed - kept.being_freed)
+            kept.being_freed = being_freed
+
+    def expire(self, now: timedelta) -> None:
+        """Forget results whose time is over."""
+        while self._results:
+            handle, kept = next(iter(self._results.items()))
+            if kept.until > now:
+                return
+            self.remove(handle)
+
+    def oldest_spare(self, size: int) -> list[str]:
+        """Return spare results that are not being freed, of ``size`` bytes if there are so many."""
+        found: list[str] = []
+        for handle, kept in self._results.items():
+            if size <= 0:
+                break
+            if kept.spare and not kept.being_freed:
+                size -= kept.size
+                found.append(handle)
+        return found
+
+
 @dataclass(slots=True)
 class StageUpstream:
     """State of one upstream. Results take space from the start of their call until freed.
@@ -23,7 +107,7 @@
 
     entry: UpstreamEntry
     call: int | None = None
-    kept: dict[str, KeptResult] = field(default_factory=dict)
+    kept: KeptResults = field(default_factory=KeptResults)
     full_until: timedelta = _ZERO
     foreign: int = 0
     foreign_until: timedelta = _ZERO
@@ -31,12 +115,11 @@
     @property
     def own_bytes(self) -> int:
         """Bytes of the results kept for this owner."""
-        return sum(kept.size for kept in self.kept.values())
+        return self.kept.total
 
     def occupied(self, now: timedelta) -> int:
         """Return the bytes that kept results take, after those that have expired are dropped."""
-        for handle in [h for h, kept in self.kept.items() if kept.until <= now]:
-            del self.kept[handle]
+        self.kept.expire(now)
         foreign = self.foreign if now < self.foreign_until else 0
         return foreign + self.own_bytes
 
@@ -46,25 +129,19 @@
         ``reserved`` bytes are for the results of the call in progress. The results found count as
         being freed from now on.
         """
-        being_freed = sum(kept.size for kept in self.kept.values() if kept.being_freed)
+        being_freed = self.kept.being_freed
         missing = needed - (space - self.occupied(now) - reserved) - being_freed
-        spare = sum(kept.size for kept in self.kept.values() if kept.spare)
-        found: list[str] = []
-        if spare * LEAST_USE < missing:
-            return found
-        for handle, kept in self.kept.items():
-            if missing <= 0:
-                break
-            if kept.spare and not kept.being_freed:
-                kept.being_freed = True
-                missing -= kept.size
-                found.append(handle)
+        if missing <= 0 or self.kept.spare * LEAST_USE < missing:
+            return []
+        found = self.kept.oldest_spare(missing)
+        for handle in found:
+            self.kept.mark(handle, being_freed=True)
         return found
 
     @property
     def frees_results(self) -> bool:
         """Whether results are being freed."""
-        return any(kept.being_freed for kept in self.kept.values())
+        return self.kept.being_freed > 0
 
     def learn_foreign(self, space: int, granted: int, until: timedelta) -> None:
         """Note that ``granted`` bytes were all that was left of ``space`` for one call."""
--- a/src/chervilrack/_internal/fleet/core.py
+++ b/src/chervilrack/_internal/fleet/core.py
@@ -15,7 +15,8 @@
 class FleetSettings:
     """Timing of heartbeats."""
 
-    # A node that is killed is noticed within silence_limit; a caller's look-up is kept longer.
+    # A node that is killed is noticed after silence_heartbeats of them; callers keep a look-up
+    # longer.
     heartbeat: timedelta = timedelta(milliseconds=300)
     # With more nodes each sends less often: 12.5 ms a node keep 80 messages/s at any size.
     heartbeat_per_node: timedelta = timedelta(microseconds=12_500)
@@ -102,11 +103,6 @@
         settings = self._settings
         return max(settings.heartbeat, settings.heartbeat_per_node * (len(self._peers) + 1))
 
-    @property
-    def silence_limit(self) -> timedelta:
-        """Time without a heartbeat after which a node counts as lost."""
-        return self.interval * self._settings.silence_heartbeats
-
     @property
     def addresses(self) -> list[str]:
         """Peer addresses that heartbeats go to."""
@@ -186,13 +182,23 @@
             effects.append(PeerLeaving(node))
         return effects
 
+    def note_message(self, node: NodeId, incarnation: Incarnation, now: timedelta) -> None:
+        """Take any message of a node that is alive as a sign of life."""
+        peer = self._by_node.get(node)
+        if peer is not None and peer.alive and peer.incarnation == incarnation:
+            peer.heard_at = now
+
+    def has_heard(self, node: NodeId, since: timedelta) -> bool:
+        """Whether anything was heard of a node after ``since``."""
+        peer = self._by_node.get(node)
+        return peer is not None and peer.heard_at is not None and peer.heard_at > since
+
     def tick(self, now: timedelta) -> list[FleetEffect]:
         """Note nodes that have been silent for too long."""
         effects: list[FleetEffect] = []
-        limit = self.silence_limit
         for address, peer in list(self._peers.items()):
             last = peer.heard_at if peer.heard_at is not None else peer.added_at
-            if peer.alive and now - last > limit:
+            if peer.alive and now - last > self._silence_limit(peer):
                 peer.alive = False
                 assert peer.node is not None
                 effects.append(
@@ -204,6 +210,11 @@
                     del self._by_node[peer.node]
         return effects
 
+    def _silence_limit(self, peer: Peer) -> timedelta:
+        """Return after which silence a peer is lost; it may know more nodes than this one."""
+        told = timedelta(milliseconds=peer.last.interval_ms) if peer.last is not None else _ZERO
+        return max(self.interval, told) * self._settings.silence_heartbeats
+
     def woke(self, paused: timedelta) -> None:
         """Shift what was heard after this process was paused, so that nobody seems silent."""
         for peer in self._peers.values():
--- a/src/chervilrack/_internal/fleet/messages.py
+++ b/src/chervilrack/_internal/fleet/messages.py
@@ -10,7 +10,7 @@
 
     ``peers`` are peer addresses this node hears from. ``configuration`` and ``directory`` are the
     newest configuration version and store revision that the node holds, ``ready_for_ms`` the time
-    since it became ready.
+    since it became ready, ``interval_ms`` the time until its next heartbeat.
     """
 
     address: str
@@ -24,6 +24,7 @@
     reports: tuple[UpstreamReport, ...]
     peers: tuple[str, ...]
     ready_for_ms: int = 0
+    interval_ms: int = 0
 
 
 class StateWanted(msgspec.Struct, frozen=True, array_like=True):
--- a/src/chervilrack/_internal/serving/node.py
+++ b/src/chervilrack/_internal/serving/node.py
@@ -1,6 +1,7 @@
 """The serving node: wires the cores to listeners, peers and the store, and runs their timers."""
 
 import contextlib
+import dataclasses
 import logging
 import os
 import random
@@ -52,6 +53,7 @@
 from chervilrack._internal.serving.state import REFUSAL_MARGIN, STOP_MARGIN, ServingState
 from chervilrack._internal.serving.store_schema import StoreSchema
 from chervilrack._internal.serving.store_sync import StoreSync
+from chervilrack._internal.serving.timers import TimerThread
 
 logger = logging.getLogger(__name__)
 
@@ -60,12 +62,7 @@
 MOST_ENDPOINTS = 64
 # A node that the store does not answer asks a peer for its state at most this often.
 ASK_INTERVAL = timedelta(milliseconds=500)
-# A timer that fires this late was paused; silences are not blamed on others then.
-PAUSE_LIMIT = timedelta(milliseconds=700)
 _MILLISECOND = timedelta(milliseconds=1)
-LONGEST_WAIT = timedelta(milliseconds=500)
-# Timers that are due at once still leave the lock to requests in between.
-SHORTEST_WAIT = timedelta(milliseconds=4)
 # Readiness and look-up answers take microseconds.
 SIDE_THREADS = 2
 MOST_SIDE_THREADS = 16
@@ -111,7 +108,6 @@
             self._received,
         )
         self._desk.transport = self._transport
-        self._desk.wake = self._wake_timers
         self._store = store
         self._sync = StoreSync(store, self, self._registration, rng) if store is not None else None
         self._raw: dict[str, KeyValue] = {}
@@ -120,14 +116,15 @@
         self._leaving = threading.Event()
         self._closing = False
         self._stopping = False
-        self._timers = threading.Condition(self._state.lock)
-        self._timers_due = False
+        self._timers = TimerThread(
+            clock, self._state.lock, self._next_time, self._tick, self._was_paused
+        )
+        self._desk.wake = self._timers.wake
         self._next_beat = timedelta(0)
         self._asked_at = -ASK_INTERVAL
         self._started_at = clock.monotonic()
         self._servers = self._make_servers()
         self._exit = contextlib.ExitStack()
-        self._thread = threading.Thread(target=self._run_timers, name="timers", daemon=True)
 
     @property
     def balancer(self) -> Balancer:
@@ -156,7 +153,7 @@
             enter(server)
         if self._sync is not None:
             enter(self._sync)
-        self._thread.start()
+        enter(self._timers)
         self._log.note("node", "started", zone=self._settings.zone, process=os.getpid())
         return self
 
@@ -167,10 +164,19 @@
         trace: TracebackType | None,
     ) -> None:
         self._stopping = True
-        self._wake_timers()
         self._exit.close()
         self._log.note("node", "stopped")
 
+    def reload(self, settings: ServingSettings) -> None:
+        """Learn the seeds of changed settings; other changes take effect at the next start."""
+        names = [field.name for field in dataclasses.fields(settings)]
+        changed = [n for n in names if getattr(settings, n) != getattr(self._settings, n)]
+        with self._state.lock:
+            now = self._clock.monotonic()
+            self._fleet.learn([str(seed) for seed in settings.seeds], now)
+        pending = [name for name in changed if name != "seeds"]
+        self._log.note("node", "reloaded", changed=changed, at_next_start=pending)
+
     def leave(self) -> None:
         """Stop being named to callers, and return when all requests have ended or time is up.
 
@@ -183,7 +189,7 @@
         with self._state.lock:
             self._fleet.leave()
             self._next_beat = timedelta(0)
-        self._wake_timers()
+        self._timers.wake()
         started = self._clock.monotonic()
         until = started + self._settings.lookup_lifetime * 3
         last = started + self._settings.stop_grace - STOP_MARGIN
@@ -273,6 +279,12 @@
                 self._log.note("store", "regained", revision=self._revision)
                 self._state.catalogue.store_back(self._clock.monotonic())
 
+    @property
+    def fleet_size(self) -> int:
+        """Number of nodes that are heard, and this one."""
+        with self._state.lock:
+            return self._fleet.size
+
     def silent(self, reason: str) -> None:
         """Note that the store does not answer this node."""
         with self._state.lock:
@@ -379,6 +391,7 @@
         if sender == self._settings.node and envelope.incarnation == self._incarnation:
             return
         with self._state.lock:
+            self._fleet.note_message(sender, envelope.incarnation, self._clock.monotonic())
             match message:
                 case Heartbeat():
                     self._heard(sender, envelope.incarnation, message)
@@ -474,6 +487,7 @@
             reports=tuple(self._state.balancer.own_reports(now)),
             peers=self._fleet.gossip(),
             ready_for_ms=round(self._fleet.note_ready(self.is_ready, now) / _MILLISECOND),
+            interval_ms=round(self._fleet.interval / _MILLISECOND),
         )
         addresses = [f"tcp://{address}" for address in self._fleet.addresses]
         self._transport.send_to_addresses(addresses, beat)
@@ -482,25 +496,9 @@
 
     # Timers
 
-    def _wake_timers(self) -> None:
-        with self._timers:
-            self._timers_due = True
-            self._timers.notify()
-
-    def _run_timers(self) -> None:
-        while not self._stopping:
-            with self._timers:
-                started = self._clock.monotonic()
-                wait = min(max(self._next_time() - started, SHORTEST_WAIT), LONGEST_WAIT)
-                if not self._timers_due:
-                    self._timers.wait(wait.total_seconds())
-                self._timers_due = False
-                now = self._clock.monotonic()
-                late = now - started - wait
-                if late > PAUSE_LIMIT:
-                    self._log.note("node", "paused", seconds=round(late.total_seconds(), 2))
-                    self._fleet.woke(late)
-                self._tick(now)
+    def _was_paused(self, late: timedelta) -> None:
+        self._log.note("node", "paused", seconds=round(late.total_seconds(), 2))
+        self._fleet.woke(late)
 
     def _next_time(self) -> timedelta:
         times = [self._next_beat, self._desk.next_time(self._clock.monotonic())]
--- a/src/chervilrack/_internal/serving/stage_desk.py
+++ b/src/chervilrack/_internal/serving/stage_desk.py
@@ -26,9 +26,14 @@
 from chervilrack._internal.serving.stage_calls import CallFailed, StageCaller
 from chervilrack._internal.serving.state import ServingState
 
-# An owner that has not confirmed an order by then is passed over; links take 1.4 ms, and a node
-# under load answers within some tens of milliseconds.
+# An owner that has not confirmed an order by then, and from which nothing was heard meanwhile, is
+# passed over; links take 1.4 ms, and a node under load answers within some tens of milliseconds.
 CONFIRM_TIMEOUT = timedelta(milliseconds=250)
+# Heartbeats that a silent owner must have missed before it is passed over.
+CONFIRM_HEARTBEATS = 1.2
+# An owner that is heard is busy. Its orders stay with it longer, because a second owner calls the
+# same upstreams at the same time; targets begin at 1.1 s.
+BUSY_CONFIRM_TIMEOUT = timedelta(seconds=1)
 # Orders of one process are told apart by this many low bits of their number.
 ORDER_BITS = 28
 _FAILURE_MARK = "!"
@@ -246,7 +251,7 @@
         for number, opened in list(self._open.items()):
             if opened.confirmed or opened.owner == self._node:
                 continue
-            if now - opened.sent_at >= CONFIRM_TIMEOUT:
+            if now - opened.sent_at >= self._patience(opened):
                 self._state.log.note(
                     "batching",
                     "owner passed over",
@@ -263,7 +268,7 @@
     def next_time(self, now: timedelta) -> timedelta | None:
         """Return when ``tick`` has something to do."""
         times = [
-            opened.sent_at + CONFIRM_TIMEOUT
+            opened.sent_at + self._patience(opened)
             for opened in self._open.values()
             if not opened.confirmed and opened.owner != self._node
         ]
@@ -282,6 +287,13 @@
 
     # Placing
 
+    def _patience(self, opened: _Open) -> timedelta:
+        """Return how long the owner of an order may take to confirm it."""
+        fleet = self._state.fleet
+        if fleet.has_heard(opened.owner, opened.sent_at):
+            return BUSY_CONFIRM_TIMEOUT
+        return max(CONFIRM_TIMEOUT, fleet.interval * CONFIRM_HEARTBEATS)
+
     def _owner(self, service: ServiceId, excluded: frozenset[NodeId]) -> NodeId:
         if self._state.settings.batching == "local":
             return self._node
--- a/src/chervilrack/_internal/serving/store_sync.py
+++ b/src/chervilrack/_internal/serving/store_sync.py
@@ -25,6 +25,11 @@
 # A node's registration outlives a pause of its process of this length.
 LEASE_TTL = timedelta(seconds=12)
 KEEP_INTERVAL_S = 4.0
+# Pause between two calls of a watch that brought changes, for each node of the fleet: every change
+# ends the watches of all nodes, and the changes of a starting fleet come one by one.
+CHANGE_PAUSE_PER_NODE_S = 0.005
+# A change has to be in force within two seconds.
+LONGEST_CHANGE_PAUSE_S = 0.3
 
 
 class StoreListener(Protocol):
@@ -39,6 +44,10 @@
     def answered(self) -> None:
         """Note that the store answers."""
 
+    @property
+    def fleet_size(self) -> int:
+        """Number of nodes that follow the store, as far as this one knows."""
+
     def silent(self, reason: str) -> None:
         """Note that the store does not answer."""
 
@@ -100,6 +109,7 @@
                 self._listener.answered()
                 if batch is not None:
                     self._listener.changed(batch.changes, batch.revision)
+                    self._stopping.wait(self._change_pause())
 
     def _register(self) -> None:
         lease = 0
@@ -124,6 +134,10 @@
                 failures += 1
                 self._stopping.wait(self._pause(failures) * 2)
 
+    def _change_pause(self) -> float:
+        """Return for how long changes are collected before they are asked for."""
+        return min(LONGEST_CHANGE_PAUSE_S, CHANGE_PAUSE_PER_NODE_S * self._listener.fleet_size)
+
     def _pause(self, failures: int) -> float:
         longest = min(LONGEST_PAUSE_S, FIRST_PAUSE_S * float(1 << min(failures - 1, 8)))
         return longest * self._rng.uniform(0.5, 1.0)
--- a/src/chervilrack/platform/standins.py
+++ b/src/chervilrack/platform/standins.py
@@ -11,6 +11,7 @@
 import socket
 import threading
 import time
+from collections import Counter
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
@@ -101,6 +102,8 @@
         self._history: list[dict[str, Any]] = []
         self._revision = 1
         self._changed = threading.Condition()
+        # Calls by method and path.
+        self.calls: Counter[str] = Counter()
         self._leases = itertools.count(1)
 
     def put(self, key: str, document: Any) -> None:
@@ -136,6 +139,7 @@
         url = urlsplit(request.path)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         call = f"{request.command} {url.path}"
+        self.calls[call] += 1
         if call == "GET /api/kv-range":
             self._range(request, query)
         elif call == "GET /api/kv-watch":
