Take signals by sigwait, and block them before modules are loaded

Ruled out: a deadlock in leaving (the log shows "leaving" 5 s after the signal and requests served until then); an overlap of faults on one process (they take turns).

Change: ProcessSignals, which the native daemon had, moves to common/signals.py; the node on the platform uses it, too, from platform/start.py, which loads the other modules after the signals are blocked.

Conclusion: a stop after a freeze could be ignored on any deployment.

--- a/deploy/node.py
+++ b/deploy/node.py
@@ -5,6 +5,6 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
 
-from chervilrack.platform.run import main  # noqa: E402
+from chervilrack.platform.start import main  # noqa: E402
 
 main()
--- a/features/soak/soak.feature
+++ b/features/soak/soak.feature
@@ -53,6 +53,18 @@
       | silent      | nothing | nothing |
       | reset       | nothing | nothing |
 
+  Scenario: a node that is ordered to stop right after a pause begins to leave
+    A signal that another thread takes must not wait for the next one.
+
+    Given 4 nodes as processes
+    When each node is paused, resumed and ordered to stop at once, 1 time
+    Then each node has begun to leave within 2 s
+
+  Scenario: a node that gets the signal to reload while it starts goes on
+    Given 4 nodes as processes
+    When each node is killed, and gets the signal to reload 0.1 s after it starts again
+    Then each node is running 1 s later
+
   Scenario Outline: promises hold with seed <seed> and <kinds>
     When a soak of 22 s runs with seed <seed> and <kinds>
     Then no promise is broken
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -2,15 +2,18 @@
 
 import contextlib
 import dataclasses
+import os
+import signal
 import socket
 import tempfile
 import threading
+import time
 from pathlib import Path
 
 from behave import given, then, when
 
 from chervilrack._internal.soak import checks
-from chervilrack._internal.soak.bed import SoakSize, injectors
+from chervilrack._internal.soak.bed import SoakBed, SoakSize, injectors
 from chervilrack._internal.soak.plan import QUIET_S, Targets, draw_plan, fault_kinds
 from chervilrack._internal.soak.proxy import DELAY_S, LinkMode, LinkProxy
 from chervilrack._internal.soak.records import Attempt, Ending, Evidence, KeyChange, Kind, Run
@@ -217,3 +220,49 @@
     assert context.evidence.faults
     served = {a.kind for a in context.evidence.attempts if a.status == 200}
     assert served == set(Kind), served
+
+
+@given("{count:d} nodes as processes")
+def nodes(context, count):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.folder = Path(folder.name)
+    bed = SoakBed(PlatformEmulation(), context.folder, 1, SoakSize(nodes=count))
+    context.bed = bed.__enter__()
+    context.add_cleanup(bed.__exit__, None, None, None)
+
+
+@when("each node is paused, resumed and ordered to stop at once, 1 time")
+def paused_and_stopped(context):
+    for node in context.bed.nodes.values():
+        node.pause()
+    time.sleep(0.1)
+    for node in context.bed.nodes.values():
+        node.resume()
+        os.kill(node.process_id, signal.SIGTERM)
+
+
+@then("each node has begun to leave within {seconds:g} s")
+def leaves(context, seconds):
+    end = time.monotonic() + seconds
+    names = set(context.bed.nodes)
+    while names and time.monotonic() < end:
+        names -= {n for n in names if '"leaving"' in (context.folder / f"{n}.log").read_text()}
+        time.sleep(0.05)
+    assert not names, names
+
+
+@when("each node is killed, and gets the signal to reload {seconds:g} s after it starts again")
+def reloaded_early(context, seconds):
+    for node in context.bed.nodes.values():
+        node.kill()
+        node.start()
+        time.sleep(seconds)
+        node.reload()
+
+
+@then("each node is running {seconds:g} s later")
+def still_running(context, seconds):
+    time.sleep(seconds)
+    ended = [node.name for node in context.bed.nodes.values() if not node.is_running]
+    assert not ended, ended
--- a/src/chervilrack/_internal/commands/node.py
+++ b/src/chervilrack/_internal/commands/node.py
@@ -4,6 +4,7 @@
 import signal
 import ssl
 from concurrent.futures import ThreadPoolExecutor
+from datetime import timedelta
 from pathlib import Path
 
 import click
@@ -12,6 +13,7 @@
 
 from chervilrack._internal.cli.status_codes import ExitStatus
 from chervilrack._internal.commands.settings import read_settings_file
+from chervilrack._internal.common.signals import ProcessSignals
 from chervilrack._internal.exceptions import ChervilrackError
 from chervilrack._internal.kvstore.registry import open_platform
 from chervilrack._internal.node.daemon import Node
@@ -19,8 +21,8 @@
 from chervilrack._internal.observability.logs import configure_logging
 from chervilrack._internal.settings.node import NodeSettings, platform_settings
 
-POLL_S = 0.05
-IDLE_S = 60.0  # signals end the wait early
+POLL = timedelta(milliseconds=50)
+IDLE = timedelta(seconds=60)  # signals end the wait early
 
 
 @click.command()
@@ -46,7 +48,7 @@
     try:
         options = options_from_settings(settings)
         platform = open_platform(platform_settings(settings.platform))
-        signals = _Signals()
+        signals = ProcessSignals()
         with Node(options, platform) as running:
             drained = _serve(running, settings, signals)
     except ssl.SSLError as error:
@@ -64,31 +66,7 @@
     """An address could not be bound, or a file could not be used."""
 
 
-class _Signals:
-    """Signals of this process, taken by the main thread.
-
-    They are blocked in all threads: with handlers, a signal that the kernel delivers to another
-    thread would wait until the main thread runs again, which may be never.
-    """
-
-    _STOP = frozenset((signal.SIGTERM, signal.SIGINT))
-    _ALL = _STOP | {signal.SIGHUP}
-
-    def __init__(self) -> None:
-        # Threads that start later inherit the mask.
-        signal.pthread_sigmask(signal.SIG_BLOCK, self._ALL)
-
-    def next(self, timeout_s: float) -> int | None:
-        """Wait for a signal and return its number, or None after the timeout."""
-        found = signal.sigtimedwait(self._ALL, timeout_s)
-        return found.si_signo if found is not None else None
-
-    def asks_to_stop(self, number: int | None) -> bool:
-        """Return whether a signal asks to stop."""
-        return number in self._STOP
-
-
-def _serve(running: Node, settings: NodeSettings, signals: _Signals) -> bool:
+def _serve(running: Node, settings: NodeSettings, signals: ProcessSignals) -> bool:
     """Serve until a signal asks to stop; return whether all requests had ended by then."""
     is_announced = False
     number: int | None = None
@@ -97,19 +75,19 @@
             address = running.options.advertised_http
             click.echo(f"{settings.node} in {settings.zone} serves at {address}")
             is_announced = True
-        number = signals.next(IDLE_S if is_announced else POLL_S)
+        number = signals.next(IDLE if is_announced else POLL)
         if number == signal.SIGHUP:
             _reload(running, settings)
     click.echo(f"{settings.node} leaves")
     return _leave(running, signals)
 
 
-def _leave(running: Node, signals: _Signals) -> bool:
+def _leave(running: Node, signals: ProcessSignals) -> bool:
     """Leave gracefully; another signal that asks to stop ends the process at once."""
     with ThreadPoolExecutor(1) as pool:
         leaving = pool.submit(running.leave)
         while not leaving.done():
-            if signals.asks_to_stop(signals.next(POLL_S)):
+            if signals.asks_to_stop(signals.next(POLL)):
                 # No clean-up: the operator has asked twice, and threads may be blocked.
                 os._exit(ExitStatus.INTERRUPTED)
         return leaving.result()
--- a/src/chervilrack/_internal/soak/processes.py
+++ b/src/chervilrack/_internal/soak/processes.py
@@ -51,6 +51,13 @@
         """Exit status of the last process, None while it runs."""
         return self._process.poll() if self._process is not None else None
 
+    @property
+    def process_id(self) -> int:
+        """Id of the last process. Raises ValueError if there was none."""
+        if self._process is None:
+            raise ValueError(f"{self.name} was never started")
+        return self._process.pid
+
     def start(self) -> None:
         """Start the node if it does not run; its output is appended to one file."""
         if self.is_running:
--- a/src/chervilrack/platform/emulation.py
+++ b/src/chervilrack/platform/emulation.py
@@ -42,7 +42,7 @@
     """Store and upstreams on loopback, behind the port of the soak."""
 
     settings_variable = SETTINGS_VARIABLE
-    node_command: Sequence[str] = ("-c", "from chervilrack.platform.run import main; main()")
+    node_command: Sequence[str] = ("-c", "from chervilrack.platform.start import main; main()")
     callers_port = _PORTS["frontend"]
 
     def __init__(self) -> None:
--- a/src/chervilrack/platform/run.py
+++ b/src/chervilrack/platform/run.py
@@ -1,12 +1,13 @@
 """Starts a serving node on the platform."""
 
+import logging
 import os
-import signal
 import sys
 import threading
 from pathlib import Path
 
 from chervilrack._internal.common.clock import SystemClock
+from chervilrack._internal.common.signals import ProcessSignals
 from chervilrack._internal.exceptions import InvalidDocumentError
 from chervilrack._internal.observability.decisions import DecisionLog
 from chervilrack._internal.serving.node import ServingNode
@@ -21,6 +22,8 @@
 from chervilrack.platform.settings import SETTINGS_VARIABLE, load_settings
 from chervilrack.platform.store import PlatformStore
 
+logger = logging.getLogger(__name__)
+
 NODE_PREFIX = "nodes/"
 SCHEMA = StoreSchema(
     configuration_key=CONFIGURATION_KEY,
@@ -35,16 +38,13 @@
 SWITCH_INTERVAL_S = 0.002
 
 
-def main() -> None:
-    """Run until SIGTERM, then leave gracefully."""
+def run(signals: ProcessSignals) -> None:
+    """Run until a signal asks to stop, then leave gracefully."""
     threading.stack_size(THREAD_STACK_BYTES)
     sys.setswitchinterval(SWITCH_INTERVAL_S)
-    stop = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda _number, _frame: stop.set())
-    signal.signal(signal.SIGHUP, lambda _number, _frame: None)
     try:
-        settings = load_settings(Path(os.environ[SETTINGS_VARIABLE]))
+        file = Path(os.environ[SETTINGS_VARIABLE])
+        settings = load_settings(file)
     except (OSError, KeyError, InvalidDocumentError) as error:
         print(f"settings: {error}", file=sys.stderr)
         sys.exit(2)
@@ -59,7 +59,15 @@
             log,
         )
         with node:
-            stop.wait()
+            while not signals.asks_to_stop(signals.next()):
+                _reload(node, file)
             node.leave()
     # Threads of callers' connections may still wait; nothing is left to be saved.
     os._exit(0)
+
+
+def _reload(node: ServingNode, file: Path) -> None:
+    try:
+        node.reload(load_settings(file))
+    except (OSError, InvalidDocumentError) as error:
+        logger.warning("settings: the file is not used: %s", error)
