Drop upstreams that a peer knows as removed while this node is cut off

Ruled out: the pause between watch calls (30 ms with six nodes), late heartbeats (the peer's state had arrived in time).

Change: what a peer lists neither as known nor as missing is dropped at once; peers also name the upstreams that they keep although their registrations have ended, and these get the time to return. A whole listing replaces what is kept for peers; before, ended registrations were given on.

Seven rows in catalogue.feature.

A node that was cut off and lists the store itself before any peer answers still waits 2.2 s.

--- a/features/catalogue/catalogue.feature
+++ b/features/catalogue/catalogue.feature
@@ -44,6 +44,13 @@
       | away, draining, back, removed            | gone  |
       | away, back, 2.3 s, removed               | gone  |
       | away, removed, 10 s                      | ready |
+      | away, peer knows, 10 s                   | ready |
+      | away, peer dropped                       | gone  |
+      | away, removed, peer dropped              | gone  |
+      | away, peer misses, 2 s                   | ready |
+      | away, peer misses, 2.3 s                 | gone  |
+      | away, peer misses, 1 s, peer misses, 1.3 s | gone |
+      | away, peer misses, 1 s, peer knows, 2 s  | ready |
 
   Scenario: an entry older than the known one is ignored
     Given a catalogue that lists upstream u1 as ready
--- a/features/steps/catalogue_steps.py
+++ b/features/steps/catalogue_steps.py
@@ -78,6 +78,13 @@
             case ["listed"]:
                 listed = {UpstreamId("u1"): (entry(), context.revision)}
                 catalogue.list_upstreams(listed, context.now)
+            case ["peer", "knows"]:
+                known = {UpstreamId("u1"): (entry(), context.revision)}
+                catalogue.list_upstreams_of_peer(known, (), context.now)
+            case ["peer", "misses"]:
+                catalogue.list_upstreams_of_peer({}, (UpstreamId("u1"),), context.now)
+            case ["peer", "dropped"]:
+                catalogue.list_upstreams_of_peer({}, (), context.now)
             case ["away"]:
                 catalogue.store_away(context.now)
             case ["back"]:
--- a/src/chervilrack/_internal/catalogue/core.py
+++ b/src/chervilrack/_internal/catalogue/core.py
@@ -4,7 +4,7 @@
 from a peer, and never goes back to an older configuration version.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -49,7 +49,8 @@
         self._upstreams: dict[UpstreamId, UpstreamEntry] = {}
         self._by_service: dict[ServiceId, tuple[UpstreamEntry, ...]] = {}
         self._revisions: dict[UpstreamId, int] = {}
-        self._missing: set[UpstreamId] = set()
+        # Entries that may come back, until when; None means until no lapse is possible.
+        self._missing: dict[UpstreamId, timedelta | None] = {}
         self._away_since: timedelta | None = None
         self._back_at = _ZERO
         self._was_away = False
@@ -68,6 +69,11 @@
         """Return the ready upstreams of a service."""
         return self._by_service.get(service, ())
 
+    @property
+    def missing(self) -> tuple[UpstreamId, ...]:
+        """Upstreams that are kept although their entries have ended."""
+        return tuple(sorted(self._missing))
+
     def offer(self, configuration: ServingConfiguration) -> list[CatalogueEffect]:
         """Take a configuration if it is newer than the one in force."""
         current = self._configuration
@@ -99,12 +105,33 @@
             effects += self.remove_upstream(upstream, None, now)
         return effects
 
+    def list_upstreams_of_peer(
+        self,
+        entries: Mapping[UpstreamId, tuple[UpstreamEntry, int]],
+        missing: Collection[UpstreamId],
+        now: timedelta,
+    ) -> list[CatalogueEffect]:
+        """Take what a peer knows that the store answers, while it does not answer this node.
+
+        What the peer lists neither as known nor as missing was removed while the store answered
+        it, and is gone. ``missing`` ones have this node's own time to come back.
+        """
+        effects: list[CatalogueEffect] = []
+        for entry, revision in entries.values():
+            effects += self.put_upstream(entry, revision)
+        for upstream in [name for name in self._upstreams if name not in entries]:
+            if upstream not in missing:
+                effects += self._drop(upstream)
+            elif self._missing.get(upstream) is None:
+                self._missing[upstream] = now + RETURN_GRACE
+        return effects
+
     def put_upstream(self, entry: UpstreamEntry, revision: int) -> list[CatalogueEffect]:
         """Take one entry; an older revision than the known one is ignored."""
         if revision < self._revisions.get(entry.id, 0):
             return []
         self._revisions[entry.id] = revision
-        self._missing.discard(entry.id)
+        self._missing.pop(entry.id, None)
         before = self._upstreams.get(entry.id)
         if before == entry:
             return []
@@ -128,15 +155,19 @@
                 return []
             self._revisions[upstream] = revision
         if known.state is UpstreamState.READY and self._lapse_is_possible(now):
-            self._missing.add(upstream)
+            self._missing.setdefault(upstream, None)
             return []
         return self._drop(upstream)
 
     def expire(self, now: timedelta) -> list[CatalogueEffect]:
         """Drop entries that did not come back in time after an outage of the store."""
-        if not self._missing or self._lapse_is_possible(now):
-            return []
-        return [effect for name in sorted(self._missing) for effect in self._drop(name)]
+        may_return = self._lapse_is_possible(now)
+        ended = [
+            name
+            for name, until in sorted(self._missing.items())
+            if (not may_return if until is None else now >= until)
+        ]
+        return [effect for name in ended for effect in self._drop(name)]
 
     def _lapse_is_possible(self, now: timedelta) -> bool:
         if self._away_since is not None:
@@ -144,7 +175,7 @@
         return self._was_away and now < self._back_at + RETURN_GRACE
 
     def _drop(self, upstream: UpstreamId) -> list[CatalogueEffect]:
-        self._missing.discard(upstream)
+        self._missing.pop(upstream, None)
         before = self._upstreams.pop(upstream, None)
         if before is None:
             return []
--- a/src/chervilrack/_internal/fleet/messages.py
+++ b/src/chervilrack/_internal/fleet/messages.py
@@ -36,9 +36,11 @@
 class StateGiven(msgspec.Struct, frozen=True, array_like=True):
     """Configuration as stored (empty if the asker has it) and all upstream registrations.
 
-    ``upstreams`` holds key, value and revision of each.
+    ``upstreams`` holds key, value and revision of each, ``missing`` the names of upstreams whose
+    registrations have ended and may come back.
     """
 
     configuration: bytes
     revision: int
     upstreams: tuple[tuple[str, bytes, int], ...]
+    missing: tuple[str, ...] = ()
--- a/src/chervilrack/_internal/serving/node.py
+++ b/src/chervilrack/_internal/serving/node.py
@@ -7,6 +7,7 @@
 import random
 import secrets
 import threading
+from collections.abc import Iterable
 from datetime import timedelta
 from types import TracebackType
 from typing import Self
@@ -259,7 +260,7 @@
     def listed(self, items: tuple[KeyValue, ...], revision: int) -> None:
         """Take all keys of the store."""
         with self._state.lock:
-            self._take_items(items, revision, whole=True)
+            self._take_items(items, revision)
 
     def changed(self, changes: tuple[Change, ...], revision: int) -> None:
         """Take changes of the store."""
@@ -293,22 +294,31 @@
             self._store_answers = False
             self._state.catalogue.store_away(self._clock.monotonic())
 
-    def _take_items(self, items: tuple[KeyValue, ...], revision: int, *, whole: bool) -> None:
+    def _take_items(self, items: tuple[KeyValue, ...], revision: int) -> None:
         now = self._clock.monotonic()
         self._revision = max(self._revision, revision)
-        upstreams: dict[UpstreamId, tuple[UpstreamEntry, int]] = {}
         for item in items:
-            if item.key.startswith(self._schema.upstream_prefix):
-                entry = self._decode_upstream(item)
-                if entry is not None:
-                    self._raw[item.key] = item
-                    upstreams[entry.id] = (entry, item.mod_revision)
-            else:
+            if not item.key.startswith(self._schema.upstream_prefix):
                 self._take_item(item)
-        if whole:
-            self._apply(self._state.catalogue.list_upstreams(upstreams, now))
-            # With a configuration alone, requests would find no upstream.
-            self._state.accept_requests()
+        self._apply(self._state.catalogue.list_upstreams(self._decode_upstreams(items), now))
+        # With a configuration alone, requests would find no upstream.
+        self._state.accept_requests()
+
+    def _decode_upstreams(
+        self, items: Iterable[KeyValue]
+    ) -> dict[UpstreamId, tuple[UpstreamEntry, int]]:
+        """Decode the registrations of upstreams in a whole listing; keep just them for peers."""
+        for key in [k for k in self._raw if k.startswith(self._schema.upstream_prefix)]:
+            del self._raw[key]
+        upstreams: dict[UpstreamId, tuple[UpstreamEntry, int]] = {}
+        for item in items:
+            if not item.key.startswith(self._schema.upstream_prefix):
+                continue
+            entry = self._decode_upstream(item)
+            if entry is not None:
+                self._raw[item.key] = item
+                upstreams[entry.id] = (entry, item.mod_revision)
+        return upstreams
 
     def _take_item(self, item: KeyValue) -> None:
         if item.key == self._schema.configuration_key:
@@ -439,7 +449,8 @@
             for found in self._raw.values()
             if found.key.startswith(self._schema.upstream_prefix)
         )
-        given = StateGiven(item.value if newer else b"", self._revision, upstreams)
+        missing = self._state.catalogue.missing
+        given = StateGiven(item.value if newer else b"", self._revision, upstreams, missing)
         self._transport.send_to_address(f"tcp://{address}", given)
 
     def _take_state(self, message: StateGiven) -> None:
@@ -449,14 +460,12 @@
         if self._store_answers or message.revision <= self._revision:
             return
         items = tuple(KeyValue(key, value, rev) for key, value, rev in message.upstreams)
-        given = {item.key for item in items}
-        for key in [k for k in self._raw if k.startswith(self._schema.upstream_prefix)]:
-            if key not in given:
-                del self._raw[key]
-        # What a peer knows as gone was removed while the store answered it.
-        self._state.catalogue.store_back(self._clock.monotonic())
-        self._take_items(items, message.revision, whole=True)
-        self._state.catalogue.store_away(self._clock.monotonic())
+        self._revision = message.revision
+        missing = [UpstreamId(name) for name in message.missing]
+        now = self._clock.monotonic()
+        upstreams = self._decode_upstreams(items)
+        self._apply(self._state.catalogue.list_upstreams_of_peer(upstreams, missing, now))
+        self._state.accept_requests()
         self._log.note("store", "state of a peer taken", revision=message.revision)
 
     def _fleet_changed(self, effects: list[FleetEffect]) -> None:
