Count inputs as read after the call was sent and their size has passed the link

Owners freed inputs 40 ms after the start of a call. A busy owner also sends a call later than it starts it.

Change: the time begins when the request was written, and grows with the bytes that the pieces read. The soak ends its nodes on SIGTERM and SIGINT.

--- a/features/batching/queue.feature
+++ b/features/batching/queue.feature
@@ -119,6 +119,33 @@
       | nothing else happens             | read   | soon  |
       | the queue was disturbed          | unread | later |
 
+  Scenario Outline: after <time> s the inputs of a call that reads 2 times <size> MB are <state>
+    Large calls read for longer than small ones; inputs that are freed before are gone.
+
+    Given a stage queue with 1 upstreams, 4 pieces a call
+    When the queue gets an order with 2 pieces that read <size> MB each
+    And <time> s pass
+    Then the inputs of the order are <state>
+
+    Examples: over a link of 1250 MB/s
+      | size | time | state  |
+      | 0.1  | 0.05 | read   |
+      | 50   | 0.05 | unread |
+      | 50   | 0.11 | unread |
+      | 50   | 0.13 | read   |
+
+  Scenario: inputs are not read before their call was sent
+    On a busy node the thread that sends a call runs late.
+
+    Given a stage queue with 1 upstreams, 4 pieces a call
+    And calls are not sent when they start
+    When the queue gets an order with 2 pieces that read inputs
+    And 0.15 s pass
+    Then the inputs of the order are unread
+    When the call is sent
+    And 0.05 s pass
+    Then the inputs of the order are read
+
   Scenario: an order that has become hopeless is refused while it waits
     Given a stage queue with 1 upstreams, 4 pieces a call
     When the queue gets orders of 4 pieces
--- a/features/steps/batching_steps.py
+++ b/features/steps/batching_steps.py
@@ -48,6 +48,7 @@
     context.calls, context.results, context.freed = [], {}, []
     context.open, context.read = [], []
     context.freeing_fails = False
+    context.sends_calls = True
 
 
 @given("room for {count:d} results at each upstream")
@@ -92,6 +93,8 @@
             case StartCall():
                 context.calls.append(effect)
                 context.open.append(effect)
+                if context.sends_calls:
+                    context.queue.call_sent(effect.call, context.now)
             case Deliver(order, results):
                 context.results.setdefault(order, []).extend(results)
             case InputsRead(order):
@@ -226,6 +229,22 @@
     submit(context, 2, inputs=("10.0.0.9:80/x",))
 
 
+@when("the queue gets an order with 2 pieces that read {size:g} MB each")
+def reading_much(context, size):
+    context.read = []
+    submit(context, 2, inputs=("10.0.0.9:80/x",), move_cost=round(size * 1e6))
+
+
+@given("calls are not sent when they start")
+def unsent(context):
+    context.sends_calls = False
+
+
+@when("the call is sent")
+def send_call(context):
+    context.queue.call_sent(context.calls[-1].call, context.now)
+
+
 @when("nothing else happens")
 def nothing(context):
     pass
--- a/features/support/stage_load.py
+++ b/features/support/stage_load.py
@@ -355,6 +355,7 @@
         self._perform(queue, queue.tick(self._now))
 
     def _call(self, queue: StageQueue, call: StartCall) -> None:
+        queue.call_sent(call.call, self._now)
         upstream = self._upstreams[call.address]
         start, end = upstream.down
         if start <= self._now.total_seconds() < end:
--- a/src/chervilrack/_internal/batching/core.py
+++ b/src/chervilrack/_internal/batching/core.py
@@ -244,6 +244,14 @@
             effects += self.release([(call.address, handle) for handle in unwanted], now)
         return effects + self.dispatch(now)
 
+    def call_sent(self, call_id: int, now: timedelta) -> None:
+        """Note that the request of a call was written; on a busy node that is after its start."""
+        call = self._calls.get(call_id)
+        if call is not None:
+            size = sum(piece.order.move_cost for piece in call.pieces if piece.order.inputs)
+            transfer = timedelta(seconds=size / self._settings.read_bytes_per_s)
+            call.read_at = now + self._settings.read_time + transfer
+
     def call_failed(
         self, call_id: int, reason: str, now: timedelta, certain: bool, not_executed: bool
     ) -> list[BatchEffect]:
@@ -275,7 +283,7 @@
     def next_time(self, now: timedelta) -> timedelta | None:
         """Return when ``tick`` has something to do if nothing else happens; always after now."""
         times = [self._straggles_at(call) for call in self._calls.values() if not call.hedged]
-        times += [call.started + self._settings.read_time for call in self._calls.values()]
+        times += [call.read_at for call in self._calls.values() if call.read_at is not None]
         if self._waiting:
             for order in self._waiting.orders:
                 times.append(order.deadline)
@@ -317,7 +325,8 @@
         for call in self._calls.values():
             upstream = self._upstreams.get(call.upstream)
             has_read = (
-                now >= call.started + self._settings.read_time
+                call.read_at is not None
+                and now >= call.read_at
                 and upstream is not None
                 and self._pace(upstream, now) < self._settings.usual_pace
             )
--- a/src/chervilrack/_internal/batching/settings.py
+++ b/src/chervilrack/_internal/batching/settings.py
@@ -37,9 +37,11 @@
     least_move_cost: int = 100_000
     # It waits only if its target is still met with this margin for the queues after it.
     zone_margin: timedelta = timedelta(milliseconds=250)
-    # An upstream reads the inputs of a call when its turn comes, over links of 10 Gbit/s; this
-    # long after the start of a call it has them.
+    # An upstream reads the inputs of a call when its turn comes; this long after the call was sent,
+    # and after the time that the inputs take on its link, it has them.
     read_time: timedelta = timedelta(milliseconds=40)
+    # Links of stage upstreams carry 10 Gbit/s, as the users' sheets say.
+    read_bytes_per_s: float = 1.25e9
     # For this time after a failure, a straggler or a change of owners a call may start late, and
     # inputs are kept until its end.
     disturbed_time: timedelta = timedelta(seconds=3)
--- a/src/chervilrack/_internal/batching/state.py
+++ b/src/chervilrack/_internal/batching/state.py
@@ -96,7 +96,10 @@
 
 @dataclass(slots=True)
 class Call:
-    """A call in progress."""
+    """A call in progress.
+
+    ``read_at`` is when the upstream has read the inputs, None until the request was written.
+    """
 
     id: int
     upstream: UpstreamId
@@ -106,6 +109,7 @@
     expected: timedelta
     reserved: int
     hedged: bool = False
+    read_at: timedelta | None = None
 
 
 @dataclass(slots=True)
--- a/src/chervilrack/_internal/commands/soak.py
+++ b/src/chervilrack/_internal/commands/soak.py
@@ -1,6 +1,7 @@
 """``chervilrack soak``: real node processes under random faults, with promises checked."""
 
 import os
+import signal
 import tempfile
 from collections import Counter
 from pathlib import Path
@@ -60,6 +61,7 @@
 
     Example: chervilrack soak run --seed 7 --duration 40
     """
+    _end_nodes_on_signals()
     first = seed if seed is not None else int.from_bytes(os.urandom(4), "big")
     broken = 0
     for number in range(first, first + seeds):
@@ -72,6 +74,13 @@
     return ExitStatus.FAILED if broken else ExitStatus.SUCCESS
 
 
+def _end_nodes_on_signals() -> None:
+    """Let SIGTERM and SIGINT unwind the stack, so that the nodes of the soak are ended."""
+    for number in (signal.SIGTERM, signal.SIGINT):
+        # Shells start background commands with SIGINT ignored.
+        signal.signal(number, signal.default_int_handler)
+
+
 def _run_one(
     folder: Path, seed: int, duration: float, size: SoakSize, kinds: tuple[str, ...]
 ) -> SoakResult:
--- a/src/chervilrack/_internal/serving/stage_calls.py
+++ b/src/chervilrack/_internal/serving/stage_calls.py
@@ -1,5 +1,6 @@
 """Calls to stage upstreams over HTTP, in a bounded pool of threads."""
 
+import functools
 import logging
 import time
 from collections.abc import Callable, Mapping, Sequence
@@ -59,10 +60,14 @@
     def start(
         self,
         call: StartCall,
+        sent: Callable[[StartCall], None],
         ended: Callable[[StartCall, Sequence[str | PieceFailure] | CallFailed], None],
     ) -> None:
-        """Run a call in the pool; ``ended`` gets its results or its failure."""
-        self._pool.submit(self._run, call, ended)
+        """Run a call in the pool; ``ended`` gets its results or its failure.
+
+        ``sent`` is called once the whole request was written.
+        """
+        self._pool.submit(self._run, call, sent, ended)
 
     def free(
         self, effect: FreeResults, ended: Callable[[FreeResults, bool], None] = lambda *_: None
@@ -76,11 +81,12 @@
     def _run(
         self,
         call: StartCall,
+        sent: Callable[[StartCall], None],
         ended: Callable[[StartCall, Sequence[str | PieceFailure] | CallFailed], None],
     ) -> None:
         outcome: Sequence[str | PieceFailure] | CallFailed
         try:
-            outcome = self._call(call)
+            outcome = self._call(call, functools.partial(sent, call))
         except CallFailed as failure:
             outcome = failure
         except Exception:
@@ -88,7 +94,7 @@
             outcome = CallFailed("internal error", certain=False, not_executed=False)
         ended(call, outcome)
 
-    def _call(self, call: StartCall) -> Sequence[str | PieceFailure]:
+    def _call(self, call: StartCall, sent: Callable[[], None]) -> Sequence[str | PieceFailure]:
         now = self._clock.monotonic()
         body = self._dialect.encode_pieces(
             [
@@ -106,7 +112,7 @@
         with Exchange(call.address) as exchange:
             try:
                 status, headers, content = self._post(
-                    exchange, self._dialect.stage_path, body, call.upstream, call.timeout
+                    exchange, self._dialect.stage_path, body, call.upstream, call.timeout, sent
                 )
             except ExchangeFailed as error:
                 raise CallFailed(
@@ -129,6 +135,7 @@
         body: bytes,
         target: UpstreamId | None,
         timeout: timedelta,
+        sent: Callable[[], None] = lambda: None,
     ) -> tuple[int, Mapping[str, str], bytes]:
         headers = [("Host", "stage")]
         if target is not None:
@@ -136,6 +143,7 @@
         seconds = timeout.total_seconds()
         deadline = time.monotonic() + seconds
         exchange.send("POST", path, headers, body, seconds)
+        sent()
         response = exchange.read_head(seconds)
         return response.status, response.headers, exchange.read_body(deadline)
 
--- a/src/chervilrack/_internal/serving/stage_desk.py
+++ b/src/chervilrack/_internal/serving/stage_desk.py
@@ -405,7 +405,7 @@
             match effect:
                 case StartCall():
                     self._queue_of_call[effect.call] = queue
-                    self._caller.start(effect, self._call_ended)
+                    self._caller.start(effect, self._call_sent, self._call_ended)
                 case Deliver():
                     self._hand_over(effect)
                 case InputsRead((node, number)):
@@ -432,6 +432,13 @@
             else:
                 queue.not_freed(effect.address, effect.handles)
 
+    def _call_sent(self, call: StartCall) -> None:
+        with self._state.lock:
+            queue = self._queue_of_call.get(call.call)
+            if queue is not None:
+                queue.call_sent(call.call, self._state.clock.monotonic())
+        self.wake()
+
     def _call_ended(
         self, call: StartCall, outcome: Sequence[str | PieceFailure] | CallFailed
     ) -> None:
