Refuse ambiguous framing at the product's own HTTP interface, too

A proxy before it may see other requests than it.

Ruled out: a second reader; both servers share gateway/strict.py now.

Change: StrictRequest (fields, lengths) for both servers; the native one reads chunked bodies by ChunkedBody and closes a connection whose body was not read to its end. A prompt must be a text. Release notes with broken chunks get 400, not 500.

--- a/features/gateway/input.feature
+++ b/features/gateway/input.feature
@@ -15,6 +15,7 @@
       | a JSON array       | 422    | 1003 | no       |
       | a text max_tokens  | 422    | 1003 | no       |
       | a text stream flag | 422    | 1003 | no       |
+      | a number as prompt | 422    | 1003 | no       |
       | an oversized body  | 413    | 1002 | no       |
       | oversized headers  | 431    | 1006 | no       |
       | an unknown path    | 404    | 1004 | no       |
@@ -27,6 +28,13 @@
       | no idempotency key | 400    | 1501 | no       |
       | a bad request line | 400    | 1001 | no       |
       | a slow body        | 408    | 1007 | no       |
+      | two lengths        | 400    | 1001 | no       |
+      | a length beside chunks  | 400 | 1001 | no     |
+      | a chunk size zz    | 400    | 1001 | no       |
+      | a signed chunk size | 400   | 1001 | no       |
+      | a chunk beyond its size | 400 | 1001 | no     |
+      | oversized chunks   | 413    | 1002 | no       |
+      | a folded field     | 400    | 1001 | no       |
 
   Scenario Outline: <key> is refused at <door>
     A key that opens a door it does not belong to would show another organisation's data.
--- a/features/steps/gateway_steps.py
+++ b/features/steps/gateway_steps.py
@@ -199,12 +199,27 @@
 
 PIPELINE = ("POST", "/v1/pipelines/summary")
 HEAD = b"POST /v1/pipelines/summary HTTP/1.1\r\nHost: n\r\nAuthorization: Bearer acme-key\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n"
 FAULTS = {
+    "two lengths": lambda port: _raw(
+        port, HEAD + b"Content-Length: 2\r\nContent-Length: 3\r\n\r\n{} "
+    ),
+    "a length beside chunks": lambda port: _raw(
+        port, CHUNKED + b"Content-Length: 5\r\n\r\n0\r\n\r\n"
+    ),
+    "a chunk size zz": lambda port: _raw(port, CHUNKED + b"\r\nzz\r\n{}\r\n0\r\n\r\n"),
+    "a signed chunk size": lambda port: _raw(port, CHUNKED + b"\r\n+2\r\n{}\r\n0\r\n\r\n"),
+    "a chunk beyond its size": lambda port: _raw(port, CHUNKED + b"\r\n1\r\n{}\r\n0\r\n\r\n"),
+    "oversized chunks": lambda port: _raw(
+        port, CHUNKED + b"\r\n%x\r\n" % (MAX_BODY + 1) + b" " * (MAX_BODY + 1)
+    ),
+    "a folded field": lambda port: _raw(port, HEAD + b"X-A: 1\r\n 2\r\nContent-Length: 0\r\n\r\n"),
     "malformed JSON": lambda port: _exchange(port, *PIPELINE, b'{"input": '),
     "deeply nested JSON": lambda port: _exchange(port, *PIPELINE, b"[" * 5000),
     "invalid UTF-8": lambda port: _exchange(port, *PIPELINE, b'{"input": "\xff\xfe"}'),
     "a JSON array": lambda port: _exchange(port, *PIPELINE, b"[1]"),
     "a text max_tokens": lambda port: _exchange(port, *PIPELINE, b'{"max_tokens": "9"}'),
+    "a number as prompt": lambda port: _exchange(port, *PIPELINE, b'{"prompt": 17}'),
     "a text stream flag": lambda port: _exchange(port, *PIPELINE, b'{"stream": "yes"}'),
     "an oversized body": lambda port: _exchange(port, *PIPELINE, b" " * (MAX_BODY + 1)),
     "oversized headers": lambda port: _raw(port, HEAD + b"X: " + b"y" * MAX_HEADERS + b"\r\n\r\n"),
--- a/src/chervilrack/_internal/gateway/intake.py
+++ b/src/chervilrack/_internal/gateway/intake.py
@@ -83,6 +83,11 @@
         self._max_bytes = max_bytes
         self._done = False
 
+    @property
+    def is_read(self) -> bool:
+        """Whether the body was read to its end."""
+        return self._done
+
     def read(self, size: int | None = None) -> bytes:
         """Return the whole body; ``size`` is not supported and must be left out or zero.
 
--- a/src/chervilrack/_internal/gateway/parsing.py
+++ b/src/chervilrack/_internal/gateway/parsing.py
@@ -12,6 +12,7 @@
 from chervilrack._internal.common.ids import IdempotencyKey
 from chervilrack._internal.common.results import Problem, ResultCode
 from chervilrack._internal.gateway.http import HttpRequest
+from chervilrack._internal.gateway.intake import BodyTooLarge
 
 MAX_DEADLINE = timedelta(seconds=6)
 _KEY_PATTERN = re.compile(r"[\x21-\x7e]{1,128}")
@@ -19,16 +20,19 @@
 
 def read_json_object(request: HttpRequest) -> Result[dict[str, Any], Problem]:
     """Return the body as a JSON object."""
-    return _read_body(request).and_then(_decode_object).and_then(_check_fields)
+    return read_body(request).and_then(_decode_object).and_then(_check_fields)
 
 
-def _read_body(request: HttpRequest) -> Result[bytes, Problem]:
+def read_body(request: HttpRequest) -> Result[bytes, Problem]:
+    """Return the whole body."""
     try:
         return Ok(request.read_body())
     except OSError:
         return Err(Problem(ResultCode.REQUEST_TIMEOUT, "the body did not arrive in time"))
-    except MaxSizeExceeded:
+    except (MaxSizeExceeded, BodyTooLarge):
         return Err(Problem(ResultCode.BODY_TOO_LARGE, "the chunks exceed the body limit"))
+    except ValueError as error:
+        return Err(Problem(ResultCode.MALFORMED_REQUEST, str(error)))
 
 
 def _decode_object(raw: bytes) -> Result[dict[str, Any], Problem]:
@@ -50,6 +54,13 @@
     return Ok(value)
 
 
+def check_prompt(body: Mapping[str, Any]) -> Result[None, Problem]:
+    """Check what all model stages of a pipeline read."""
+    if not isinstance(body.get("prompt", ""), str):
+        return Err(Problem(ResultCode.WRONG_TYPE, "'prompt' must be a text"))
+    return Ok(None)
+
+
 def read_deadline(headers: Mapping[str, str], default: timedelta) -> Result[timedelta, Problem]:
     """Return the remaining time from ``Deadline-Ms``, at most the target's own deadline."""
     text = headers.get("deadline-ms")
--- a/src/chervilrack/_internal/gateway/passthrough.py
+++ b/src/chervilrack/_internal/gateway/passthrough.py
@@ -12,7 +12,7 @@
 from types import TracebackType
 from typing import Any, Self
 
-from cheroot.server import Gateway, HTTPConnection, HTTPRequest, HTTPServer
+from cheroot.server import Gateway, HTTPConnection, HTTPServer
 from cheroot.workers.threadpool import ThreadPool
 
 from chervilrack._internal.common.clock import Clock
@@ -24,9 +24,8 @@
     BodyTooLarge,
     ChunkedBody,
     RecordedHeaders,
-    StrictHeaderReader,
-    framing_mistake,
 )
+from chervilrack._internal.gateway.strict import StrictRequest
 
 logger = logging.getLogger(__name__)
 
@@ -70,10 +69,9 @@
     most_threads: int = MOST_THREADS
 
 
-class _Request(HTTPRequest):
-    """Request that is read strictly; mistakes close the connection."""
+class _Request(StrictRequest):
+    """Request that keeps its fields as they were sent."""
 
-    header_reader = StrictHeaderReader()
     # Set by the request line; a request whose line is not read is answered, too.
     method = b""
 
@@ -81,19 +79,6 @@
         super().__init__(*args, **kwargs)
         self.inheaders = RecordedHeaders()
 
-    def read_request_headers(self) -> bool:
-        """Read the header fields and refuse ambiguous lengths."""
-        if not super().read_request_headers():  # type: ignore[no-untyped-call]
-            return False
-        mistake = framing_mistake(self.inheaders, self.request_protocol)
-        if mistake is not None:
-            self.simple_response("400 Bad Request", mistake)
-            return False
-        connection = self.inheaders.get(b"Connection", b"").lower()
-        if b"close" in [part.strip() for part in connection.split(b",")]:
-            self.close_connection = True
-        return True
-
     def respond(self) -> None:
         """Read the body and hand the request to the server's handler."""
         self.server.gateway(self).respond()
--- a/src/chervilrack/_internal/gateway/routes.py
+++ b/src/chervilrack/_internal/gateway/routes.py
@@ -27,6 +27,8 @@
 )
 from chervilrack._internal.gateway.lookup import LOOKUP_LIFETIME, look_up
 from chervilrack._internal.gateway.parsing import (
+    check_prompt,
+    read_body,
     read_deadline,
     read_idempotency_key,
     read_json_object,
@@ -142,6 +144,9 @@
         if isinstance(admitted, Err):
             return admitted
         deadline, body = admitted.ok_value
+        checked = check_prompt(body)
+        if isinstance(checked, Err):
+            return checked
         caller = organisation.ok_value
         work = PipelineRequest(
             request.request_id, caller.id, caller.priority_class, name, body, deadline
@@ -266,7 +271,8 @@
         return Ok(json_response(self._backend.operations.configuration()))
 
     def _accept_release(self, request: HttpRequest) -> Answer:
-        return _as_json(self._backend.operations.accept_release(request.read_body()))
+        accept = self._backend.operations.accept_release
+        return _as_json(read_body(request).and_then(accept))
 
 
 def _only(request: HttpRequest, method: str, handler: Handler) -> Answer:
--- a/src/chervilrack/_internal/gateway/server.py
+++ b/src/chervilrack/_internal/gateway/server.py
@@ -11,12 +11,14 @@
 from typing import Any, Self
 
 from cheroot import wsgi
-from cheroot.server import HTTPConnection, HTTPRequest
+from cheroot.server import HTTPConnection
 from cheroot.ssl.builtin import BuiltinSSLAdapter
 
 from chervilrack._internal.common.results import Problem, ResultCode
 from chervilrack._internal.gateway.http import Environ, status_line
+from chervilrack._internal.gateway.intake import ChunkedBody
 from chervilrack._internal.gateway.problems import encode_problem, problem_headers
+from chervilrack._internal.gateway.strict import StrictRequest
 
 logger = logging.getLogger(__name__)
 
@@ -48,9 +50,21 @@
     private_key: Path | None = None
 
 
-class _ProblemRequest(HTTPRequest):
+class _ProblemRequest(StrictRequest):
     """Request whose protocol errors are answered with problem documents."""
 
+    def respond(self) -> None:
+        """Run the application; a chunked body is read strictly."""
+        if not self.chunked_read:
+            super().respond()
+            return
+        self.rfile = ChunkedBody(self.conn.rfile, self.server.max_request_body_size)
+        self.server.gateway(self).respond()
+        if self.ready:
+            self.ensure_headers_sent()
+        if self.chunked_write:
+            self.conn.wfile.write(b"0\r\n\r\n")
+
     def simple_response(self, status: Any, msg: str = "") -> None:
         """Write a problem document instead of cheroot's plain text."""
         number = str(status)[:3]
@@ -75,6 +89,9 @@
         """
         if (b"Connection", b"close") in self.outheaders:
             self.close_connection = True
+        if isinstance(self.rfile, ChunkedBody) and not self.rfile.is_read:
+            # What is left of the body would be taken for the next request.
+            self.close_connection = True
         remaining = getattr(self.rfile, "remaining", 0)
         if remaining > 0 and not self.close_connection:
             try:
--- /dev/null
+++ b/src/chervilrack/_internal/gateway/strict.py
@@ -0,0 +1,30 @@
+"""cheroot request whose header fields and body length can be read in one way only."""
+
+from typing import Any
+
+from cheroot.server import HTTPRequest
+
+from chervilrack._internal.gateway.intake import StrictHeaderReader, framing_mistake
+
+
+class StrictRequest(HTTPRequest):
+    """Request that is read strictly; mistakes are answered with 400 and close the connection."""
+
+    header_reader = StrictHeaderReader()
+
+    def read_request_headers(self) -> bool:
+        """Read the header fields and refuse ambiguous lengths."""
+        if not super().read_request_headers():  # type: ignore[no-untyped-call]
+            return False
+        mistake = framing_mistake(self.inheaders, self.request_protocol)
+        if mistake is not None:
+            self.simple_response("400 Bad Request", mistake)
+            return False
+        connection = self.inheaders.get(b"Connection", b"").lower()
+        if b"close" in [part.strip() for part in connection.split(b",")]:
+            self.close_connection = True
+        return True
+
+    def simple_response(self, status: Any, msg: str = "") -> None:
+        """Answer a request that cannot be read, and close."""
+        raise NotImplementedError
