Refuse what arrives at a node that has left

Change: once no caller may know its address any more, and 0.3 s later, a leaving node refuses new requests with 503 and ends when the others have ended; it goes on refusing until the process ends.

The scenario fails without the change.

--- a/features/adapter/serving.feature
+++ b/features/adapter/serving.feature
@@ -114,6 +114,14 @@
     Then the stream is whole
     And readiness answers 503
 
+  Scenario: a node that has left refuses what still arrives
+    Its listener is open until the process ends; a request that is taken then is cut off.
+
+    When the node has left
+    And a caller sends a plain request
+    Then the caller gets status 503
+    And the plain upstreams ran it 0 times
+
   Scenario: a node takes no requests before it knows the upstreams
     Given a node that has read the configuration and no upstream yet
     Then that node is not ready and refuses a plain request with 503
--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -466,3 +466,8 @@
 def refused_by_stop(context, status):
     assert context.response.status == status, context.response.status
     assert json.loads(context.body)["code"] == ResultCode.NOT_READY.number, context.body
+
+
+@when("the node has left")
+def has_left(context):
+    context.node.leave()
--- a/src/chervilrack/_internal/forwarding/forwarder.py
+++ b/src/chervilrack/_internal/forwarding/forwarder.py
@@ -157,7 +157,7 @@
     def _admit(self, request: InboundRequest, facts: CallerFacts) -> RequestContext | Problem:
         configuration = self._backend.configuration()
         if configuration is None or not self._backend.accepts():
-            return Problem(ResultCode.NOT_READY, "this node knows no configuration yet")
+            return Problem(ResultCode.NOT_READY, "this node is starting or has stopped")
         route = configuration.match(request.host, request.path)
         if route is None:
             return Problem(ResultCode.UNKNOWN_PATH, "no route matches the host and path")
--- a/src/chervilrack/_internal/serving/node.py
+++ b/src/chervilrack/_internal/serving/node.py
@@ -61,6 +61,10 @@
 METRICS_PATH = "/metrics"
 # Endpoints in one look-up answer.
 MOST_ENDPOINTS = 64
+# Time for other nodes to hear that this one leaves; they name it until then.
+LOOKUP_SLACK = timedelta(milliseconds=300)
+# A request that was admitted counts as in progress within this time, also on a busy node.
+ADMISSION_TIME = timedelta(milliseconds=100)
 # A node that the store does not answer asks a peer for its state at most this often.
 ASK_INTERVAL = timedelta(milliseconds=500)
 _MILLISECOND = timedelta(milliseconds=1)
@@ -192,14 +196,18 @@
             self._next_beat = timedelta(0)
         self._timers.wake()
         started = self._clock.monotonic()
-        until = started + self._settings.lookup_lifetime * 3
+        until = started + self._settings.lookup_lifetime * 3 + LOOKUP_SLACK
         last = started + self._settings.stop_grace - STOP_MARGIN
         while (now := self._clock.monotonic()) < last:
-            if now >= until and self._state.in_progress == 0:
-                break
+            if now >= until:
+                self._state.stop_accepting()
+                if now >= until + ADMISSION_TIME and self._state.in_progress == 0:
+                    break
             if now >= last - REFUSAL_MARGIN:
                 self._state.stop_waiting()
             threading.Event().wait(0.1)
+        # The listener is open for some time more; what it takes would be cut off.
+        self._state.stop_accepting()
         self._log.note("node", "left", in_progress=self._state.in_progress)
 
     # Listeners
--- a/src/chervilrack/_internal/serving/state.py
+++ b/src/chervilrack/_internal/serving/state.py
@@ -70,6 +70,7 @@
         self._first_bytes: dict[ServiceId, timedelta] = {}
         self._attempt_starts: dict[tuple[str, UpstreamId], tuple[timedelta, timedelta]] = {}
         self._accepting = False
+        self._has_left = False
         self._leaving_since: timedelta | None = None
         self._open: dict[int, RequestContext] = {}
 
@@ -81,7 +82,7 @@
 
     def accepts(self) -> bool:
         """Whether the node takes new requests."""
-        return self._accepting
+        return self._accepting and not self._has_left
 
     def leave(self) -> None:
         """Note that the node is leaving."""
@@ -100,6 +101,10 @@
             return passed < STREAMS_WHILE_LEAVING
         return passed + PLAIN_REQUEST_TIME < self.settings.stop_grace - STOP_MARGIN
 
+    def stop_accepting(self) -> None:
+        """Refuse new requests for good: the process ends as soon as the others have ended."""
+        self._has_left = True
+
     def accept_requests(self) -> None:
         """Take requests from now on."""
         self._accepting = True
