Mend what a last reading found: unnoticed pauses, a guessed time, misplaced parts

Cause: reading the change once more. (1) Since timers share one look, the thread sleeps or runs more than it waits under load, and a pause of the process was noticed only while it waited; afterwards all peers seem silent. (2) A leaving node guessed with 100 ms that an admitted request counts as in progress. (3) The emulated platform stood in the adapter's folder, fault injection in two modules of the soak, the store's keys in the middle of the node. (5) Two methods raised NotImplementedError.

Ruled out: the pause test on the earlier thread: it notices a pause in a wait and none in a tick, so the second row fails on it.

--- a/features/steps/caller_watch_steps.py
+++ b/features/steps/caller_watch_steps.py
@@ -10,7 +10,7 @@
 from chervilrack._internal.forwarding.messages import CallerGone
 from chervilrack._internal.gateway.callers import CallerWatch
 from chervilrack._internal.gateway.passthrough import ListenSettings, PassThroughServer
-from chervilrack.platform.standins import free_ports
+from chervilrack.platform.emulated.standins import free_ports
 
 LIMIT_S = 10.0
 # A departure that is not to be noticed gets this long to be noticed by mistake.
--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -21,10 +21,10 @@
 from chervilrack._internal.serving.settings import Address, ServingSettings
 from chervilrack._internal.serving.state import ServingState
 from chervilrack.platform.configuration import decode_configuration
-from chervilrack.platform.emulation import configuration
+from chervilrack.platform.emulated.emulation import configuration
+from chervilrack.platform.emulated.standins import StoreStandIn, UpstreamStandIn, free_ports
 from chervilrack.platform.headers import PlatformDialect
 from chervilrack.platform.run import SCHEMA
-from chervilrack.platform.standins import StoreStandIn, UpstreamStandIn, free_ports
 from chervilrack.platform.store import PlatformStore
 
 LIMIT_S = 20.0
@@ -373,7 +373,7 @@
     context.settings = settings
     value = json.dumps(configuration(1, [KEY])).encode()
     item = KeyValue("op/config", value, 2)
-    node.changed((Change(ChangeKind.PUT, item),), 2)
+    node.directory.changed((Change(ChangeKind.PUT, item),), 2)
 
 
 @then("that node is not ready and refuses a plain request with {status:d}")
@@ -385,7 +385,7 @@
 @when("that node has read the upstreams")
 def read_upstreams(context):
     entry = json.dumps(context.upstreams["plain-1"].entry()).encode()
-    context.second.listed((KeyValue("servers/plain-1", entry, 3),), 3)
+    context.second.directory.listed((KeyValue("servers/plain-1", entry, 3),), 3)
 
 
 @then("that node is ready")
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -13,12 +13,13 @@
 from behave import given, then, when
 
 from chervilrack._internal.soak import checks
-from chervilrack._internal.soak.bed import SoakBed, SoakSize, injectors
+from chervilrack._internal.soak.bed import SoakBed, SoakSize
+from chervilrack._internal.soak.injection import injectors
 from chervilrack._internal.soak.plan import QUIET_S, Targets, draw_plan, fault_kinds
 from chervilrack._internal.soak.proxy import DELAY_S, LinkMode, LinkProxy
 from chervilrack._internal.soak.records import Attempt, Ending, Evidence, KeyChange, Kind, Run
 from chervilrack._internal.soak.run import run_soak
-from chervilrack.platform.emulation import PlatformEmulation
+from chervilrack.platform.emulated.emulation import PlatformEmulation
 
 LIMIT_S = 10.0
 # Bytes that must not pass get this long to pass by mistake.
--- a/features/steps/store_sync_steps.py
+++ b/features/steps/store_sync_steps.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 
 from chervilrack._internal.serving.store_sync import StoreSync
-from chervilrack.platform.standins import StoreStandIn
+from chervilrack.platform.emulated.standins import StoreStandIn
 from chervilrack.platform.store import PlatformStore
 
 LIMIT_S = 10.0
--- a/src/chervilrack/_internal/commands/soak.py
+++ b/src/chervilrack/_internal/commands/soak.py
@@ -84,7 +84,7 @@
 def _run_one(
     folder: Path, seed: int, duration: float, size: SoakSize, kinds: tuple[str, ...]
 ) -> SoakResult:
-    from chervilrack.platform.emulation import PlatformEmulation
+    from chervilrack.platform.emulated.emulation import PlatformEmulation
 
     return run_soak(PlatformEmulation(), folder, seed, duration, size, kinds)
 
--- a/src/chervilrack/_internal/forwarding/forwarder.py
+++ b/src/chervilrack/_internal/forwarding/forwarder.py
@@ -85,8 +85,8 @@
     def zone_hint(self, service: ServiceId, work: Work, inputs: int) -> str:
         """Return the zone where ``inputs`` bytes are wanted, "" if they decide it themselves."""
 
-    def count_request(self, service: ServiceId) -> None:
-        """Count a caller's request for the retry budget."""
+    def admit_request(self, service: ServiceId) -> bool:
+        """Count a caller's request until ``finished``; False if the node has left."""
 
     def opened(self, context: RequestContext) -> None:
         """Count a request as in progress until ``finished``."""
@@ -157,7 +157,7 @@
     def _admit(self, request: InboundRequest, facts: CallerFacts) -> RequestContext | Problem:
         configuration = self._backend.configuration()
         if configuration is None or not self._backend.accepts():
-            return Problem(ResultCode.NOT_READY, "this node is starting or has stopped")
+            return Problem(ResultCode.NOT_READY, "this node knows no configuration yet")
         route = configuration.match(request.host, request.path)
         if route is None:
             return Problem(ResultCode.UNKNOWN_PATH, "no route matches the host and path")
@@ -167,7 +167,11 @@
             return Problem(code, "the route needs a key of an organisation")
         if not self._backend.takes(route):
             return Problem(ResultCode.NOT_READY, "this node stops too soon for the request")
-        return self._context(request, facts, configuration, route, organisation)
+        context = self._context(request, facts, configuration, route, organisation)
+        if not self._backend.admit_request(context.service):
+            return Problem(ResultCode.NOT_READY, "this node has left")
+        self._backend.opened(context)
+        return context
 
     def _context(
         self,
@@ -181,7 +185,7 @@
         allowed = min(facts.deadline or limit, limit)
         service = self._pick_service(route)
         shared = facts.prefix[:-1]
-        context = RequestContext(
+        return RequestContext(
             request=request,
             facts=facts,
             route=route,
@@ -194,9 +198,6 @@
             configuration=configuration.version,
             work=Work(facts.prompt_tokens, tuple((part.id, part.tokens) for part in shared)),
         )
-        self._backend.count_request(service)
-        self._backend.opened(context)
-        return context
 
     def _pick_service(self, route: Route) -> ServiceId:
         if len(route.split) == 1:
--- a/src/chervilrack/_internal/gateway/strict.py
+++ b/src/chervilrack/_internal/gateway/strict.py
@@ -1,7 +1,5 @@
 """cheroot request whose header fields and body length can be read in one way only."""
 
-from typing import Any
-
 from cheroot.server import HTTPRequest
 
 from chervilrack._internal.gateway.intake import StrictHeaderReader, framing_mistake
@@ -24,7 +22,3 @@
         if b"close" in [part.strip() for part in connection.split(b",")]:
             self.close_connection = True
         return True
-
-    def simple_response(self, status: Any, msg: str = "") -> None:
-        """Answer a request that cannot be read, and close."""
-        raise NotImplementedError
--- a/src/chervilrack/_internal/serving/state.py
+++ b/src/chervilrack/_internal/serving/state.py
@@ -82,7 +82,7 @@
 
     def accepts(self) -> bool:
         """Whether the node takes new requests."""
-        return self._accepting and not self._has_left
+        return self._accepting
 
     def leave(self) -> None:
         """Note that the node is leaving."""
@@ -101,9 +101,11 @@
             return passed < STREAMS_WHILE_LEAVING
         return passed + PLAIN_REQUEST_TIME < self.settings.stop_grace - STOP_MARGIN
 
-    def stop_accepting(self) -> None:
-        """Refuse new requests for good: the process ends as soon as the others have ended."""
-        self._has_left = True
+    def stop_accepting(self) -> int:
+        """Refuse new requests for good, and return how many are in progress."""
+        with self.lock:
+            self._has_left = True
+            return self.in_progress
 
     def accept_requests(self) -> None:
         """Take requests from now on."""
@@ -133,11 +135,14 @@
         likely = self.choose(service, work, ())
         return likely[0].zone if likely is not None else ""
 
-    def count_request(self, service: ServiceId) -> None:
-        """Count a caller's request for the retry budget."""
+    def admit_request(self, service: ServiceId) -> bool:
+        """Count a caller's request as in progress and for the retry budget, unless it has left."""
         with self.lock:
+            if self._has_left:
+                return False
             self.in_progress += 1
             self.budget.request(service, self.clock.monotonic())
+            return True
 
     def may_repeat(self, service: ServiceId) -> bool:
         """Take one repeat from the retry budget."""
--- a/src/chervilrack/_internal/serving/timers.py
+++ b/src/chervilrack/_internal/serving/timers.py
@@ -39,6 +39,8 @@
         self._tick = tick
         self._paused = paused
         self._stopping = False
+        # When the thread is to run next, at the latest.
+        self._expected = timedelta(0)
         self._thread = threading.Thread(target=self._run, name="timers", daemon=True)
 
     def __enter__(self) -> Self:
@@ -62,7 +64,7 @@
                 self._changed.notify()
 
     def _run(self) -> None:
-        last_tick = self._clock.monotonic()
+        last_tick = self._expected = self._clock.monotonic()
         while not self._stopping:
             with self._changed:
                 now, due = self._await(last_tick + LONGEST_WAIT)
@@ -74,13 +76,21 @@
     def _await(self, latest: timedelta) -> tuple[timedelta, timedelta]:
         """Wait until something is due or has changed; return the time and what was due next."""
         started = self._clock.monotonic()
+        self._note_pause(started)
         due = min(self._next_time(), latest)
         wait = max(due - started, timedelta(0))
         if not self._has_changed and wait:
+            self._expected = started + wait
             self._changed.wait(wait.total_seconds())
         self._has_changed = False
         now = self._clock.monotonic()
-        late = now - started - wait
+        self._note_pause(now)
+        # Ticks take milliseconds, so that a later look shows a pause in them, too.
+        self._expected = now + SHORTEST_WAIT
+        return now, due
+
+    def _note_pause(self, now: timedelta) -> None:
+        late = now - self._expected
         if late > PAUSE_LIMIT:
             self._paused(late)
-        return now, due
+            self._expected = now
--- a/src/chervilrack/_internal/soak/bed.py
+++ b/src/chervilrack/_internal/soak/bed.py
@@ -5,19 +5,17 @@
 import random
 import threading
 import time
-from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
 from types import TracebackType
 from typing import Self
 
-from chervilrack._internal.common.registry import Registry
 from chervilrack._internal.soak.callers import LOOKUP_TIMEOUT_S, Caller, Keys
 from chervilrack._internal.soak.emulation import Emulation
 from chervilrack._internal.soak.plan import Targets
 from chervilrack._internal.soak.processes import NodeProcess
-from chervilrack._internal.soak.proxy import LinkMode, LinkProxy
-from chervilrack._internal.soak.records import Attempt, Evidence, Fault, KeyChange
+from chervilrack._internal.soak.proxy import LinkProxy
+from chervilrack._internal.soak.records import Attempt, Evidence, KeyChange
 
 KEY_COUNT = 12
 READY_LIMIT_S = 20.0
@@ -152,83 +150,3 @@
 def _endpoint(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(":")
     return host, int(port)
-
-
-# A fault begins when the function is called and ends when the returned function is called.
-Undo = Callable[[], None]
-Apply = Callable[[SoakBed, Fault], Undo]
-injectors: Registry[Apply] = Registry("fault injector")
-
-
-@injectors.register("kill node")
-def _kill(bed: SoakBed, fault: Fault) -> Undo:
-    node = bed.nodes[fault.target]
-    node.kill()
-    return node.start
-
-
-@injectors.register("stop node")
-def _stop(bed: SoakBed, fault: Fault) -> Undo:
-    node = bed.nodes[fault.target]
-    node.resume()
-    bed.note_exit(node.stop())
-    return node.start
-
-
-@injectors.register("pause node")
-def _pause(bed: SoakBed, fault: Fault) -> Undo:
-    node = bed.nodes[fault.target]
-    node.pause()
-    return node.resume
-
-
-@injectors.register("signal reload")
-def _reload(bed: SoakBed, fault: Fault) -> Undo:
-    bed.nodes[fault.target].reload()
-    return lambda: None
-
-
-@injectors.register("store link")
-def _store_link(bed: SoakBed, fault: Fault) -> Undo:
-    names = list(bed.store_links) if fault.target == "all" else [fault.target]
-    return _links([bed.store_links[name] for name in names], fault)
-
-
-@injectors.register("caller link")
-def _caller_link(bed: SoakBed, fault: Fault) -> Undo:
-    return _links([bed.caller_links[fault.target]], fault)
-
-
-@injectors.register("upstream link")
-def _upstream_link(bed: SoakBed, fault: Fault) -> Undo:
-    return _links([bed.upstream_links[fault.target]], fault)
-
-
-def _links(links: list[LinkProxy], fault: Fault) -> Undo:
-    for link in links:
-        link.set_mode(LinkMode(fault.detail))
-
-    def undo() -> None:
-        for link in links:
-            link.set_mode(LinkMode.OPEN)
-
-    return undo
-
-
-@injectors.register("upstream behaviour")
-def _behaviour(bed: SoakBed, fault: Fault) -> Undo:
-    bed.emulation.behave(fault.target, fault.detail)
-    return lambda: bed.emulation.behave(fault.target, "good")
-
-
-@injectors.register("upstream drains")
-def _drains(bed: SoakBed, fault: Fault) -> Undo:
-    address = bed.upstream_links[fault.target].address
-    bed.emulation.register(fault.target, address, drains=True)
-    return lambda: bed.emulation.register(fault.target, address)
-
-
-@injectors.register("key replaced")
-def _key_replaced(bed: SoakBed, fault: Fault) -> Undo:
-    bed.replace_key()
-    return lambda: None
--- a/src/chervilrack/_internal/soak/run.py
+++ b/src/chervilrack/_internal/soak/run.py
@@ -1,19 +1,17 @@
 """Runs one soak: load, faults at their times, and the verdict."""
 
-import threading
 import time
 from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass
 from pathlib import Path
 
-from chervilrack._internal.soak.bed import SoakBed, SoakSize, injectors
+from chervilrack._internal.soak.bed import SoakBed, SoakSize
 from chervilrack._internal.soak.checks import violations
 from chervilrack._internal.soak.emulation import Emulation
+from chervilrack._internal.soak.injection import inject
 from chervilrack._internal.soak.plan import QUIET_S, draw_plan
-from chervilrack._internal.soak.records import Evidence, Fault, Violation
-
-PROCESS_FAULTS = frozenset(("kill node", "stop node", "pause node"))
+from chervilrack._internal.soak.records import Evidence, Violation
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,7 +44,7 @@
         plan = draw_plan(seed, duration, bed.targets, kinds)
         bed.start_callers()
         started = time.monotonic()
-        _inject(bed, plan, started)
+        inject(bed, plan, started)
         bed.evidence.quiet_from = time.monotonic()
         # A node may need its whole grace to stop, so that faults may end later than planned.
         time.sleep(QUIET_S)
@@ -57,36 +55,3 @@
         bed.evidence.runs = emulation.runs()
         bed.evidence.faults = plan
     return SoakResult(seed, bed.evidence, violations(bed.evidence))
-
-
-def _inject(bed: SoakBed, plan: Sequence[Fault], started: float) -> None:
-    """Apply all faults at their times and return when the last has ended.
-
-    Faults of one group and target do not overlap: a process that is frozen cannot stop.
-    """
-    locks = {_group(fault): threading.Lock() for fault in plan}
-    threads = [
-        threading.Thread(
-            target=_apply, args=(bed, fault, started, locks[_group(fault)]), daemon=True
-        )
-        for fault in plan
-    ]
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
-
-
-def _group(fault: Fault) -> tuple[str, str]:
-    kind = "process" if fault.kind in PROCESS_FAULTS else fault.kind
-    return kind, fault.target
-
-
-def _apply(bed: SoakBed, fault: Fault, started: float, lock: threading.Lock) -> None:
-    time.sleep(max(0.0, started + fault.start - time.monotonic()))
-    with lock:
-        undo = injectors.get(fault.kind)(bed, fault)
-        try:
-            time.sleep(fault.length)
-        finally:
-            undo()
--- a/src/chervilrack/platform/emulation.py
+++ b/src/chervilrack/platform/emulated/emulation.py
@@ -11,8 +11,8 @@
 
 from chervilrack._internal.soak.records import Kind, Run
 from chervilrack.platform.configuration import CONFIGURATION_KEY, UPSTREAM_PREFIX
+from chervilrack.platform.emulated.standins import StoreStandIn, UpstreamStandIn
 from chervilrack.platform.settings import SETTINGS_VARIABLE
-from chervilrack.platform.standins import StoreStandIn, UpstreamStandIn
 
 HOST: Final = "app.example"
 _PORTS: Final = {"frontend": 8625, "readiness": 8621, "directory": 8620}
--- a/src/chervilrack/platform/standins.py
+++ b/src/chervilrack/platform/emulated/standins.py
@@ -11,6 +11,7 @@
 import socket
 import threading
 import time
+from abc import ABC, abstractmethod
 from collections import Counter
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
@@ -69,7 +70,7 @@
         """Ignore what a caller that left makes fail."""
 
 
-class _Server:
+class _Server(ABC):
     """HTTP server in a thread; a context manager."""
 
     def __init__(self) -> None:
@@ -86,9 +87,9 @@
         self._http.shutdown()
         self._http.server_close()
 
+    @abstractmethod
     def serve(self, request: _Handler, body: bytes) -> None:
         """Answer one request."""
-        raise NotImplementedError
 
 
 class StoreStandIn(_Server):
