Let two nodes of each zone watch the store and pass its changes on

Ruled out: longer renewals alone (each change still ends all watches, and heartbeats that could tell of a silent connection are 2.4 s apart at 195 nodes); two watchers for the whole fleet (390 messages a change from one node, across zones). docs/design/change-feed.md. Change: slice changefeed decides who watches and whether a node's copy is current; serving/store_relay.py applies and passes on. In zones of fewer than 5 nodes nothing changes.

--- a/features/adapter/store_sync.feature
+++ b/features/adapter/store_sync.feature
@@ -1,6 +1,7 @@
 Feature: Synchronisation with the platform's store
   Every change ends the open watch calls of all nodes. Without a delay, each node of a starting
-  fleet of 67 would call the store once for the registration of every other node.
+  fleet of 67 would call the store once for the registration of every other node. A node to which others pass the changes on makes no
+  watch calls.
 
   Scenario Outline: a node of a fleet of <nodes> collects 60 changes with one call per <delay> s
     Given a store that a node of a fleet of <nodes> watches
@@ -17,3 +18,10 @@
     Given a store that a node of a fleet of 67 watches
     When a change is made
     Then the node receives it within 0.2 s
+
+  Scenario: a node that gets the changes from other nodes does not watch, and misses none later
+    Given a store that a node of a fleet of 67 watches
+    When other nodes pass the changes on to the node for 0.6 s
+    Then the node makes no watch call
+    When no other node passes changes on any more
+    Then the node receives the changes that it missed
--- a/features/catalogue/directory.feature
+++ b/features/catalogue/directory.feature
@@ -18,3 +18,24 @@
       | a listing without u2                       | 0    | gone  |
       | an outage and then the end of u2           | 0    | ready |
       | an outage and then the end of u2           | 2.3  | gone  |
+
+  Scenario Outline: node b follows node a, which reports <event>: after <time> s u2 is <state> at b
+    Node b makes no calls to the store while node a passes the changes on.
+
+    Given node a and node b that both list upstreams u1 and u2
+    And node a watches the store for node b
+    When the store connection of node a reports <event>
+    And <time> s pass at node b
+    Then node b knows u1 and has u2 <state>
+    And node b <duty> watch the store itself
+
+    Examples: each change is passed on, also twice, and what may have lapsed in an outage is kept
+      | event                                      | time | state | duty         |
+      | a change of u1                             | 0    | ready | need not     |
+      | the end of u2                              | 0    | gone  | need not     |
+      | the end of u2 and again its registration   | 0    | gone  | need not     |
+      | an outage and then the end of u2           | 0    | ready | need not     |
+      | an outage and then the end of u2           | 2.3  | gone  | has to       |
+      | a listing without u2                       | 0    | ready | has to       |
+      | nothing                                    | 0.9  | ready | need not     |
+      | nothing                                    | 1.1  | ready | has to       |
--- a/features/steps/directory_steps.py
+++ b/features/steps/directory_steps.py
@@ -6,6 +6,8 @@
 
 from behave import given, then, when
 
+from chervilrack._internal.changefeed.core import ChangeFeed, ZoneMember
+from chervilrack._internal.changefeed.messages import RelayedChange, StoreProgress
 from chervilrack._internal.common.clock import ManualClock
 from chervilrack._internal.common.ids import Incarnation, NodeId, UpstreamId, ZoneId
 from chervilrack._internal.fleet.core import Fleet
@@ -15,6 +17,7 @@
 from chervilrack._internal.serving.directory import StoreDirectory
 from chervilrack._internal.serving.settings import Address, ServingSettings
 from chervilrack._internal.serving.state import ServingState
+from chervilrack._internal.serving.store_relay import StoreRelay
 from chervilrack.platform.emulated.emulation import configuration
 from chervilrack.platform.run import SCHEMA
 
@@ -56,9 +59,17 @@
             lambda limits: None,
             lambda: None,
         )
-        self.directory.on_available()
+        self.feed = ChangeFeed(settings.node, settings.zone)
+        self.relay = StoreRelay(self.feed, self.directory, state, self.pass_on)
+        # Node that gets the messages of the change feed.
+        self.follower = None
+        self.relay.on_available()
         items = (CONFIGURATION, upstream("u1", 2), upstream("u2", 3))
-        self.directory.on_listing(items, 3)
+        self.relay.on_listing(items, 3)
+
+    def pass_on(self, addresses, message):
+        if self.follower is not None and f"tcp://{self.follower.address}" in addresses:
+            self.follower.relay.on_progress(message)
 
     def heartbeat(self):
         address = self.address
@@ -82,13 +93,21 @@
 
 def delete_upstream(directory_node, name, revision):
     change = Change(ChangeKind.DELETE, KeyValue(f"servers/{name}", b"", revision))
-    directory_node.directory.on_changes((change,), revision)
+    directory_node.relay.on_changes((change,), revision)
 
 
 @when("the store connection of node a reports {event}")
 def change_store(context, event):
-    directory = context.a.directory
+    directory = context.a.relay
     match event:
+        case "nothing":
+            pass
+        case "the end of u2 and again its registration":
+            delete_upstream(context.a, "u2", 4)
+            # The message of another watcher with the changes before the deletion arrives later.
+            item = upstream("u2", 3)
+            change = RelayedChange(item.key, item.value, item.mod_revision, False)
+            context.b.relay.on_progress(StoreProgress(2, 3, (change,)))
         case "a change of u1":
             changed = Change(ChangeKind.PUT, upstream("u1", 4, version="v2"))
             directory.on_changes((changed,), 4)
@@ -102,6 +121,27 @@
             delete_upstream(context.a, "u2", 4)
 
 
+@given("node a watches the store for node b")
+def start_feed(context):
+    # Nodes c to e have too little processor time to watch.
+    sizes = {"a": 2.0, "b": 0.5, "c": 0.5, "d": 0.5, "e": 0.5}
+    addresses = {"a": context.a.address, "b": context.b.address}
+    members = [
+        ZoneMember(NodeId(name), addresses.get(name, name), cores, True)
+        for name, cores in sizes.items()
+    ]
+    for node in (context.a, context.b):
+        node.relay.set_members(members, 1)
+    context.a.follower = context.b
+    context.a.relay.tick(context.a.clock.monotonic())
+    assert not context.b.relay.must_watch()
+
+
+@then("node b {duty} watch the store itself")
+def check_duty(context, duty):
+    assert context.b.relay.must_watch() == (duty == "has to")
+
+
 @when("node b gets a heartbeat of node a and then its state")
 def transfer_state(context):
     context.b.directory.on_heartbeat(context.a.heartbeat())
--- a/features/steps/store_sync_steps.py
+++ b/features/steps/store_sync_steps.py
@@ -15,16 +15,26 @@
 
 
 class Listener:
-    def __init__(self, fleet_size):
-        self.fleet_size = fleet_size
+    def __init__(self, watching_nodes):
+        self.watching_nodes = watching_nodes
+        self.revision = 0
+        self.is_fed = threading.Event()
         self.received_at = {}
         self.has_listed = threading.Event()
 
+    def must_watch(self):
+        return not self.is_fed.is_set()
+
+    def wait_for_feed(self):
+        time.sleep(0.01)
+
     def on_listing(self, items, revision):
+        self.revision = revision
         self.received_at |= {item.key: time.monotonic() for item in items}
         self.has_listed.set()
 
     def on_changes(self, changes, revision):
+        self.revision = revision
         self.received_at |= {change.item.key: time.monotonic() for change in changes}
 
     def on_available(self):
@@ -91,3 +101,30 @@
     wait_for(lambda: "nodes/n0" in context.listener.received_at)
     took = context.listener.received_at["nodes/n0"] - context.changed_at
     assert took <= seconds, took
+
+
+@when("other nodes pass the changes on to the node for {seconds:g} s")
+def be_fed(context, seconds):
+    context.listener.is_fed.set()
+    # The open watch call ends after 1.4 s.
+    time.sleep(1.6)
+    context.store.calls.clear()
+    for number in range(3):
+        context.store.put(f"nodes/n{number}", {})
+        time.sleep(seconds / 3)
+
+
+@then("the node makes no watch call")
+def check_no_watch_calls(context):
+    assert context.store.calls[WATCH_CALL] == 0, context.store.calls
+
+
+@when("no other node passes changes on any more")
+def end_feed(context):
+    context.listener.is_fed.clear()
+
+
+@then("the node receives the changes that it missed")
+def check_missed_changes(context):
+    wait_for(lambda: all(f"nodes/n{n}" in context.listener.received_at for n in range(3)))
+    assert context.store.calls["GET /api/kv-range"] == 0, context.store.calls
--- a/src/chervilrack/_internal/catalogue/core.py
+++ b/src/chervilrack/_internal/catalogue/core.py
@@ -103,6 +103,11 @@
             self._had_outage = True
             self._available_again_at = now
 
+    def mark_outage(self, now: timedelta) -> None:
+        """Record that the store was unavailable, to this node or a peer, until now."""
+        self.mark_store_unavailable(now)
+        self.mark_store_available(now)
+
     def apply_listing(
         self, entries: Mapping[UpstreamId, tuple[UpstreamEntry, int]], now: timedelta
     ) -> list[CatalogueEffect]:
--- /dev/null
+++ b/src/chervilrack/_internal/changefeed/core.py
@@ -0,0 +1,152 @@
+"""Decides which nodes of a zone watch the store, and whether the feed keeps a node current."""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from datetime import timedelta
+
+from chervilrack._internal.changefeed.messages import RelayedChange, StoreProgress
+from chervilrack._internal.common.hashing import rendezvous_order
+from chervilrack._internal.common.ids import NodeId, ZoneId
+
+
+@dataclass(frozen=True, slots=True)
+class FeedSettings:
+    """Timing and size of the change feed."""
+
+    # One watcher may be killed, frozen or cut off without an effect on the other nodes of its zone.
+    watchers_per_zone: int = 2
+    # In smaller zones every node watches the store.
+    min_zone_nodes: int = 5
+    # Nodes with less than this share of the processor time of the largest node of the zone do not
+    # watch: a watcher sends messages to all nodes of its zone.
+    watcher_cpu_share: float = 0.5
+    keepalive_interval: timedelta = timedelta(milliseconds=400)
+    # A node that hears from no watcher for this time watches the store itself. A change of the
+    # store has to take effect within two seconds, also if all watchers are killed at once.
+    silence_limit: timedelta = timedelta(seconds=1)
+    # A node that is older than another node's copy for this time watches the store itself.
+    lag_limit: timedelta = timedelta(milliseconds=500)
+    # Changes with more bytes of values are only announced, and each node reads them from the store,
+    # whose link is faster than those of the nodes.
+    max_relayed_bytes: int = 8192
+
+
+@dataclass(frozen=True, slots=True)
+class ZoneMember:
+    """A live node of this node's zone; ``can_watch`` is whether it is ready and not leaving."""
+
+    node: NodeId
+    address: str
+    cpu_cores: float
+    can_watch: bool
+
+
+class ChangeFeed:
+    """The change feed as one node sees it. Times are monotonic."""
+
+    def __init__(self, node: NodeId, zone: ZoneId, settings: FeedSettings | None = None) -> None:
+        self._node = node
+        self._zone = zone
+        self._settings = settings or FeedSettings()
+        self._watchers: frozenset[NodeId] = frozenset((node,))
+        self._recipients: tuple[str, ...] = ()
+        self._heard_at: timedelta | None = None
+        # Newest revision that a watcher of this zone, or any other node, has announced.
+        self._announced = 0
+        self._known_elsewhere = 0
+        self._lagging_since: timedelta | None = None
+        self._next_keepalive = timedelta(0)
+
+    @property
+    def is_watcher(self) -> bool:
+        """Whether this node watches the store for its zone."""
+        return self._node in self._watchers
+
+    @property
+    def recipients(self) -> tuple[str, ...]:
+        """Peer addresses to which this node passes changes on; empty unless it is a watcher."""
+        return self._recipients
+
+    def set_members(self, members: Sequence[ZoneMember]) -> None:
+        """Choose the watchers among the live nodes of the zone, this one included."""
+        settings = self._settings
+        candidates = [member for member in members if member.can_watch]
+        if len(members) < settings.min_zone_nodes or not candidates:
+            self._watchers, self._recipients = frozenset((self._node,)), ()
+            return
+        least_cores = max(m.cpu_cores for m in candidates) * settings.watcher_cpu_share
+        names = [member.node for member in candidates if member.cpu_cores >= least_cores]
+        order = rendezvous_order(self._zone, names)
+        self._watchers = frozenset(NodeId(name) for name in order[: settings.watchers_per_zone])
+        self._recipients = (
+            tuple(member.address for member in members if member.node != self._node)
+            if self.is_watcher
+            else ()
+        )
+
+    def count_watchers(self, zone_sizes: Iterable[int]) -> int:
+        """Return the number of nodes that watch the store, from the numbers of nodes by zone."""
+        settings = self._settings
+        return sum(
+            size if size < settings.min_zone_nodes else settings.watchers_per_zone
+            for size in zone_sizes
+        )
+
+    def is_current(self, revision: int, now: timedelta) -> bool:
+        """Whether the feed keeps a copy of the store with this revision current.
+
+        If it does not, the node has to watch the store itself. Watchers always have to.
+        """
+        if self.is_watcher or self._heard_at is None:
+            return False
+        if now - self._heard_at > self._settings.silence_limit or revision < self._announced:
+            return False
+        if revision >= self._known_elsewhere:
+            self._lagging_since = None
+            return True
+        return self._lagging_since is None or now - self._lagging_since <= self._settings.lag_limit
+
+    def receive(
+        self, progress: StoreProgress, revision: int, now: timedelta
+    ) -> tuple[RelayedChange, ...]:
+        """Record the message of a watcher; return the changes that the node has to apply.
+
+        ``revision`` is that of the node's copy. If changes before those of the message are missing,
+        none are returned, and ``is_current`` is false until the node has read them from the store.
+        """
+        self._heard_at = now
+        self._announced = max(self._announced, progress.revision)
+        if progress.revision <= revision or progress.previous > revision:
+            return ()
+        return tuple(change for change in progress.changes if change.revision > revision)
+
+    def observe_revision(self, known: int, revision: int, now: timedelta) -> None:
+        """Record that another node has the revision ``known``, and this one ``revision``."""
+        self._known_elsewhere = max(self._known_elsewhere, known)
+        if revision >= self._known_elsewhere:
+            self._lagging_since = None
+        elif self._lagging_since is None:
+            self._lagging_since = now
+
+    def progress(
+        self,
+        previous: int,
+        revision: int,
+        changes: Sequence[RelayedChange],
+        now: timedelta,
+        *,
+        regained: bool = False,
+    ) -> StoreProgress:
+        """Return the message that passes changes on, and postpone the next keepalive.
+
+        Changes that are too large are left out; their receivers read them from the store.
+        """
+        self._next_keepalive = now + self._settings.keepalive_interval
+        if sum(len(change.value) for change in changes) > self._settings.max_relayed_bytes:
+            return StoreProgress(revision, revision, regained=regained)
+        return StoreProgress(previous, revision, tuple(changes), regained)
+
+    @property
+    def next_keepalive(self) -> timedelta | None:
+        """Time of the next keepalive, None unless this node passes changes on."""
+        return self._next_keepalive if self._recipients else None
--- /dev/null
+++ b/src/chervilrack/_internal/changefeed/messages.py
@@ -0,0 +1,26 @@
+"""Messages by which nodes that watch the store pass its changes on."""
+
+import msgspec
+
+
+class RelayedChange(msgspec.Struct, frozen=True, array_like=True):
+    """One change of the store; ``value`` is empty for a deleted key."""
+
+    key: str
+    value: bytes
+    revision: int
+    deleted: bool
+
+
+class StoreProgress(msgspec.Struct, frozen=True, array_like=True):
+    """State of a watcher's copy of the store, sent with each change and periodically.
+
+    ``changes`` are all changes after the revision ``previous`` up to ``revision``. A receiver whose
+    copy is older than ``previous`` has to read the changes in between from the store.
+    ``regained`` is whether the store has just begun to answer the watcher again.
+    """
+
+    previous: int
+    revision: int
+    changes: tuple[RelayedChange, ...] = ()
+    regained: bool = False
--- a/src/chervilrack/_internal/fleet/core.py
+++ b/src/chervilrack/_internal/fleet/core.py
@@ -1,11 +1,12 @@
 """Failure detection by heartbeats: which nodes callers may use and which may own stage queues."""
 
 import random
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass
 from datetime import timedelta
 
-from chervilrack._internal.common.ids import Incarnation, NodeId
+from chervilrack._internal.common.ids import Incarnation, NodeId, ZoneId
 from chervilrack._internal.fleet.messages import Heartbeat
 
 _ZERO = timedelta(0)
@@ -132,6 +133,21 @@
         """Number of nodes that are alive, including this one."""
         return 1 + sum(1 for peer in self._peers.values() if peer.alive)
 
+    @property
+    def zones(self) -> Counter[str]:
+        """Number of live nodes in each zone, without this one."""
+        return Counter(
+            peer.last_heartbeat.zone for peer in self.alive if peer.last_heartbeat is not None
+        )
+
+    def peers_in_zone(self, zone: ZoneId) -> list[Peer]:
+        """Return the other nodes of a zone that are alive."""
+        return [
+            peer
+            for peer in self.alive
+            if peer.last_heartbeat is not None and peer.last_heartbeat.zone == zone
+        ]
+
     def owners(self) -> list[NodeId]:
         """Return the nodes that may own queues.
 
--- a/src/chervilrack/_internal/serving/directory.py
+++ b/src/chervilrack/_internal/serving/directory.py
@@ -32,8 +32,8 @@
 class StoreDirectory:
     """Passes the store's keys to the catalogue and the fleet, and shares them with peers.
 
-    The class is the node's ``StoreListener``. The callers of ``expire_upstreams`` and of the
-    handlers of peers' messages hold the node's lock; the other methods acquire it themselves.
+    The callers of ``expire_upstreams`` and of the handlers of peers' messages hold the node's lock;
+    the other methods acquire it themselves.
     """
 
     def __init__(
@@ -71,7 +71,7 @@
         """Drop upstreams whose registrations did not come back in time after an outage."""
         self._perform(self._state.catalogue.expire(self._state.clock.monotonic()))
 
-    # Calls of StoreSync
+    # Contents and availability of the store
 
     def registration(self) -> tuple[str, bytes]:
         """Return the key and value under which this node registers itself."""
@@ -84,10 +84,11 @@
             self._apply_listing(items, revision)
 
     def on_changes(self, changes: tuple[Change, ...], revision: int) -> None:
-        """Apply changes of the store."""
+        """Apply changes of the store; those up to the known revision have been applied already."""
         with self._state.lock:
+            new_changes = [c for c in changes if c.item.mod_revision > self._revision]
             self._revision = max(self._revision, revision)
-            for change in changes:
+            for change in new_changes:
                 if change.kind is ChangeKind.PUT:
                     self._apply_item(change.item)
                 else:
@@ -101,12 +102,6 @@
                 self._state.log.note("store", "regained", revision=self._revision)
                 self._state.catalogue.mark_store_available(self._state.clock.monotonic())
 
-    @property
-    def fleet_size(self) -> int:
-        """Number of nodes that are alive, including this one."""
-        with self._state.lock:
-            return self._state.fleet.size
-
     def on_unavailable(self, reason: str) -> None:
         """Record that the store does not answer this node."""
         with self._state.lock:
--- a/src/chervilrack/_internal/serving/messages.py
+++ b/src/chervilrack/_internal/serving/messages.py
@@ -1,6 +1,7 @@
 """Registry of the messages between serving nodes with their names on the wire."""
 
 from chervilrack._internal.batching import messages as batching
+from chervilrack._internal.changefeed import messages as changefeed
 from chervilrack._internal.fleet import messages as fleet
 from chervilrack._internal.peering.envelope import MessageCodec
 
@@ -18,4 +19,5 @@
     codec.register("batching.pieces-dropped", batching.PiecesDropped)
     codec.register("batching.pieces-returned", batching.PiecesReturned)
     codec.register("batching.results-released", batching.ResultsReleased)
+    codec.register("changefeed.progress", changefeed.StoreProgress)
     return codec
--- a/src/chervilrack/_internal/serving/node.py
+++ b/src/chervilrack/_internal/serving/node.py
@@ -23,6 +23,8 @@
     ResultsReleased,
 )
 from chervilrack._internal.catalogue.state import CallerLimits
+from chervilrack._internal.changefeed.core import ChangeFeed, ZoneMember
+from chervilrack._internal.changefeed.messages import StoreProgress
 from chervilrack._internal.common.clock import Clock
 from chervilrack._internal.common.ids import Incarnation, NodeId
 from chervilrack._internal.fleet.core import Fleet, FleetEffect, PeerJoined, PeerLeaving, PeerLost
@@ -44,6 +46,7 @@
 from chervilrack._internal.serving.stage_calls import StageCaller
 from chervilrack._internal.serving.stage_coordinator import StageCoordinator
 from chervilrack._internal.serving.state import REFUSAL_MARGIN, STOP_MARGIN, ServingState
+from chervilrack._internal.serving.store_relay import StoreRelay
 from chervilrack._internal.serving.store_schema import StoreSchema
 from chervilrack._internal.serving.store_sync import StoreSync
 from chervilrack._internal.serving.timers import TimerThread
@@ -105,9 +108,13 @@
             self._apply_caller_limits,
             self._coordinator.reconfigure,
         )
+        self._feed = ChangeFeed(settings.node, settings.zone)
+        self._relay = StoreRelay(
+            self._feed, self._directory, self._state, self._transport.send_to_addresses
+        )
         self._store_sync: StoreSync | None = None
         if store is not None:
-            self._store_sync = StoreSync(store, self._directory, self._directory.registration, rng)
+            self._store_sync = StoreSync(store, self._relay, self._directory.registration, rng)
         self._leaving = threading.Event()
         # Whether responses close the connections of callers.
         self._closes_connections = False
@@ -271,6 +278,8 @@
                     self._directory.on_state_request(sender, message)
                 case StateReply():
                     self._directory.on_state_reply(message)
+                case StoreProgress():
+                    self._relay.on_progress(message)
                 case PiecesWanted():
                     self._coordinator.on_pieces_wanted(sender, message)
                 case PiecesQueued():
@@ -291,10 +300,12 @@
         self._perform(self._fleet.receive_heartbeat(sender, incarnation, heartbeat, now))
         self._state.balancer.set_peer_reports(sender, heartbeat.reports)
         self._directory.on_heartbeat(heartbeat)
+        self._relay.observe_revision(heartbeat.directory_revision)
 
     def _perform(self, effects: list[FleetEffect]) -> None:
         if effects:
             self._coordinator.on_owners_changed()
+            self._update_zone_members()
         for effect in effects:
             match effect:
                 case PeerLost(node, reason):
@@ -306,6 +317,19 @@
                 case PeerJoined(node, address):
                     self._log.note("fleet", "peer joined", peer=node, address=address)
 
+    def _update_zone_members(self) -> None:
+        """Pass the live nodes of the zone to the change feed."""
+        members = [
+            ZoneMember(peer.node, peer.address, peer.last_heartbeat.cpu_cores, peer.accepts_work)
+            for peer in self._fleet.peers_in_zone(self._settings.zone)
+            if peer.node is not None and peer.last_heartbeat is not None
+        ]
+        own_address, own_cores = str(self._settings.peer), self._settings.cpu_cores
+        members.append(ZoneMember(self._settings.node, own_address, own_cores, self.is_ready))
+        zone_sizes = self._fleet.zones
+        zone_sizes[self._settings.zone] += 1
+        self._relay.set_members(members, self._feed.count_watchers(zone_sizes.values()))
+
     def _send_heartbeat(self, now: timedelta) -> None:
         configuration = self._state.catalogue.configuration
         heartbeat = Heartbeat(
@@ -327,6 +351,7 @@
         self._transport.send_to_addresses(addresses, heartbeat)
         self._next_heartbeat = now + self._fleet.heartbeat_interval
         self._coordinator.hand_over_queues()
+        self._update_zone_members()
 
     # Timers
 
@@ -335,7 +360,11 @@
         self._fleet.compensate_pause(duration)
 
     def _next_time(self) -> timedelta:
-        times = [self._next_heartbeat, self._coordinator.next_time(self._clock.monotonic())]
+        times = [
+            self._next_heartbeat,
+            self._coordinator.next_time(self._clock.monotonic()),
+            self._relay.next_time,
+        ]
         return min(time for time in times if time is not None)
 
     def _tick(self, now: timedelta) -> None:
@@ -345,6 +374,7 @@
                 self._perform(self._fleet.tick(now))
                 self._directory.expire_upstreams()
             self._coordinator.tick(now)
+            self._relay.tick(now)
         except Exception:
             logger.exception("node: a timer raised an exception")
             self._next_heartbeat = now + self._fleet.heartbeat_interval
--- /dev/null
+++ b/src/chervilrack/_internal/serving/store_relay.py
@@ -0,0 +1,178 @@
+"""Connects the change feed to the node's copy of the store and to its peers."""
+
+import threading
+from collections.abc import Callable, Iterable
+from datetime import timedelta
+
+import msgspec
+
+from chervilrack._internal.changefeed.core import ChangeFeed, ZoneMember
+from chervilrack._internal.changefeed.messages import RelayedChange, StoreProgress
+from chervilrack._internal.kvstore.port import Change, ChangeKind, KeyValue
+from chervilrack._internal.serving.directory import StoreDirectory
+from chervilrack._internal.serving.state import ServingState
+
+# A watcher whose last answer of the store is older than this passes on no keepalives. Watch calls
+# are answered or fail within this time.
+LONGEST_ANSWER_AGE = timedelta(seconds=2)
+# Interval at which a node that does not watch checks whether it has to.
+FEED_CHECK_INTERVAL_S = 0.2
+
+
+class StoreRelay:
+    """Applies the store's changes to the node's copy and passes them on to the node's zone.
+
+    The class is the node's ``StoreListener``. The callers of ``on_progress``, ``observe_revision``,
+    ``set_members`` and ``tick`` hold the node's lock; the other methods acquire it themselves.
+    """
+
+    def __init__(
+        self,
+        feed: ChangeFeed,
+        directory: StoreDirectory,
+        state: ServingState,
+        send: Callable[[Iterable[str], msgspec.Struct], None],
+    ) -> None:
+        self._feed = feed
+        self._directory = directory
+        self._state = state
+        self._send = send
+        self._answered_at: timedelta | None = None
+        # Whether the store has begun to answer this node again since the last message.
+        self._regained = False
+        self._feed_changed = threading.Event()
+        # Nodes that watch in all zones, 0 until the members of this node's zone are known.
+        self._watching_nodes = 0
+
+    # Calls of StoreSync
+
+    @property
+    def revision(self) -> int:
+        """Revision of the node's copy of the store."""
+        return self._directory.revision
+
+    @property
+    def watching_nodes(self) -> int:
+        """Number of nodes that watch the store, as far as this node knows."""
+        with self._state.lock:
+            return self._watching_nodes or self._state.fleet.size
+
+    def must_watch(self) -> bool:
+        """Whether the node has to watch the store itself."""
+        with self._state.lock:
+            now = self._state.clock.monotonic()
+            return not self._feed.is_current(self._directory.revision, now)
+
+    def wait_for_feed(self) -> None:
+        """Wait until the feed may have changed, for a short time at most."""
+        self._feed_changed.wait(FEED_CHECK_INTERVAL_S)
+        self._feed_changed.clear()
+
+    def on_listing(self, items: tuple[KeyValue, ...], revision: int) -> None:
+        """Apply a listing of all keys of the store, and announce its revision."""
+        with self._state.lock:
+            self._directory.on_listing(items, revision)
+            self._pass_on(self._directory.revision, ())
+
+    def on_changes(self, changes: tuple[Change, ...], revision: int) -> None:
+        """Apply changes of the store, and pass them on."""
+        with self._state.lock:
+            previous = self._directory.revision
+            self._directory.on_changes(changes, revision)
+            self._pass_on(previous, changes)
+
+    def on_available(self) -> None:
+        """Record that the store has answered this node."""
+        with self._state.lock:
+            if self._answered_at is not None and not self._directory.store_answers:
+                self._regained = True
+            self._answered_at = self._state.clock.monotonic()
+            self._directory.on_available()
+
+    def on_unavailable(self, reason: str) -> None:
+        """Record that the store does not answer this node."""
+        self._directory.on_unavailable(reason)
+
+    # Messages and timers
+
+    def on_progress(self, message: StoreProgress) -> None:
+        """Apply the changes that a watcher passes on."""
+        now = self._state.clock.monotonic()
+        revision = self._directory.revision
+        if message.regained:
+            # Registrations that end now may have lapsed during the outage.
+            self._state.catalogue.mark_outage(now)
+        to_apply = self._feed.receive(message, revision, now)
+        if to_apply:
+            self._directory.on_changes(tuple(map(_change, to_apply)), message.revision)
+        if self._feed.is_current(self._directory.revision, now):
+            self._directory.on_available()
+        else:
+            self._feed_changed.set()
+
+    def observe_revision(self, known: int) -> None:
+        """Record the revision of another node's copy of the store."""
+        now = self._state.clock.monotonic()
+        self._feed.observe_revision(known, self._directory.revision, now)
+
+    def set_members(self, members: list[ZoneMember], watching_nodes: int) -> None:
+        """Set the live nodes of the zone and the number of nodes that watch in all zones."""
+        was_watcher = self._feed.is_watcher
+        self._feed.set_members(members)
+        self._watching_nodes = watching_nodes
+        if self._feed.is_watcher != was_watcher:
+            self._state.log.note(
+                "store",
+                "watching for the zone" if self._feed.is_watcher else "following watchers",
+                members=len(members),
+                revision=self._directory.revision,
+            )
+            self._feed_changed.set()
+
+    @property
+    def next_time(self) -> timedelta | None:
+        """Time at which ``tick`` has work."""
+        return self._feed.next_keepalive
+
+    def tick(self, now: timedelta) -> None:
+        """Send a keepalive if it is due and the store answers this node."""
+        due = self._feed.next_keepalive
+        if due is None or now < due:
+            return
+        message = self._feed.progress(self._directory.revision, self._directory.revision, (), now)
+        if self._is_fresh(now):
+            self._send_to_zone(message)
+
+    def _is_fresh(self, now: timedelta) -> bool:
+        return (
+            self._directory.store_answers
+            and self._answered_at is not None
+            and now - self._answered_at <= LONGEST_ANSWER_AGE
+        )
+
+    def _pass_on(self, previous: int, changes: tuple[Change, ...]) -> None:
+        if not self._feed.recipients:
+            return
+        now = self._state.clock.monotonic()
+        relayed = [
+            RelayedChange(
+                change.item.key,
+                change.item.value,
+                change.item.mod_revision,
+                change.kind is ChangeKind.DELETE,
+            )
+            for change in changes
+        ]
+        message = self._feed.progress(
+            previous, self._directory.revision, relayed, now, regained=self._regained
+        )
+        self._regained = False
+        self._send_to_zone(message)
+
+    def _send_to_zone(self, message: StoreProgress) -> None:
+        self._send([f"tcp://{address}" for address in self._feed.recipients], message)
+
+
+def _change(relayed: RelayedChange) -> Change:
+    kind = ChangeKind.DELETE if relayed.deleted else ChangeKind.PUT
+    return Change(kind, KeyValue(relayed.key, relayed.value, relayed.revision))
--- a/src/chervilrack/_internal/serving/store_sync.py
+++ b/src/chervilrack/_internal/serving/store_sync.py
@@ -25,8 +25,8 @@
 # A node's registration survives a pause of its process of up to this length.
 LEASE_TTL = timedelta(seconds=12)
 KEEPALIVE_INTERVAL_S = 4.0
-# Delay before a watch call that follows a change, per node of the fleet. Every change ends the
-# watch calls of all nodes, and the registrations of a starting fleet arrive one by one.
+# Delay before a watch call that follows a change, per watching node. Every change ends the watch
+# calls of all these nodes, and the registrations of a starting fleet arrive one by one.
 CHANGE_DELAY_PER_NODE_S = 0.005
 # Limits the delay, because a change has to take effect within two seconds.
 MAX_CHANGE_DELAY_S = 0.3
@@ -48,9 +48,19 @@
         """Handle a successful call to the store."""
 
     @property
-    def fleet_size(self) -> int:
+    def revision(self) -> int:
+        """Revision of the store up to which all changes have been applied."""
+
+    @property
+    def watching_nodes(self) -> int:
         """Number of nodes, known to this one, that watch the store."""
 
+    def must_watch(self) -> bool:
+        """Whether this node has to watch the store, since no other node passes its changes on."""
+
+    def wait_for_feed(self) -> None:
+        """Wait for a short time, less if ``must_watch`` may have become true."""
+
     def on_unavailable(self, reason: str) -> None:
         """Handle a failed call to the store."""
 
@@ -95,11 +105,12 @@
         failures = 0
         while not self._stopping.is_set():
             try:
-                listing = self._store.range("")
-                self._listener.on_available()
-                self._listener.on_listing(listing.items, listing.revision)
+                if self._listener.must_watch():
+                    listing = self._store.range("")
+                    self._listener.on_available()
+                    self._listener.on_listing(listing.items, listing.revision)
                 failures = 0
-                self._watch(listing.revision)
+                self._follow_changes()
             except WatchCompacted as error:
                 logger.info("store: %s", error)
             except PlatformError as error:
@@ -107,15 +118,23 @@
                 self._listener.on_unavailable(str(error))
                 self._stopping.wait(self._backoff(failures))
 
+    def _follow_changes(self) -> None:
+        """Watch the store while this node has to; other nodes pass the changes on otherwise."""
+        while not self._stopping.is_set():
+            if self._listener.must_watch():
+                self._watch(self._listener.revision)
+            else:
+                self._listener.wait_for_feed()
+
     def _watch(self, revision: int) -> None:
         with self._store.watch("", revision + 1) as batches:
             for batch in batches:
-                if self._stopping.is_set():
-                    return
                 self._listener.on_available()
                 if batch is not None:
                     self._listener.on_changes(batch.changes, batch.revision)
                     self._stopping.wait(self._change_delay())
+                if self._stopping.is_set() or not self._listener.must_watch():
+                    return
 
     def _run_registration(self) -> None:
         lease = 0
@@ -142,7 +161,7 @@
 
     def _change_delay(self) -> float:
         """Return the seconds in which further changes collect before the next watch call."""
-        return min(MAX_CHANGE_DELAY_S, CHANGE_DELAY_PER_NODE_S * self._listener.fleet_size)
+        return min(MAX_CHANGE_DELAY_S, CHANGE_DELAY_PER_NODE_S * self._listener.watching_nodes)
 
     def _backoff(self, failures: int) -> float:
         """Return the seconds to wait after ``failures`` failed calls in a row, with jitter."""
