End slow heads at the deadline, and count events, not bytes, as progress of a stream

Cause: the time-out of a read began anew with each byte. An upstream that sent a byte of a status line, header, chunk size or trailer now and then, or 1xx responses without end, held a request past its deadline; a comment line or a byte of an event now and then kept a stalled stream. A 103 was relayed as if it were the answer. A resumable stream that paused for three of its longest gaps was broken off even when no other upstream could continue it. Ruled out: the caller's side and reuse of connections (one exchange a connection; the rows with second copies, earlier refusals and foreign answers passed before). Change: all reads of an exchange share one deadline (a socket that waits until it); 1xx are skipped, 16 at most; a stream is due an event each three gaps, and is broken off only while the route, the budget and the upstreams allow another attempt.

--- /dev/null
+++ b/features/adapter/answers.feature
@@ -0,0 +1,69 @@
+Feature: Answers of faulty upstreams
+  Upstreams write answers late, twice, slowly or only in part. Callers must never get bytes that are
+  not their answer, nor an incomplete answer that looks complete, nor "not run" for a request that
+  may have run. The scripted upstreams write bytes to their sockets as given.
+
+  Background:
+    Given a serving node with stand-ins for the platform
+
+  Scenario Outline: a stream that <stalls> after 2 events is continued elsewhere
+    Bytes that are no event are no progress.
+
+    Given scripted engines that first send "events 1 to 2, <stalls>" and then "events 3 to 5"
+    When a caller reads a stream
+    Then the caller gets the events 1 2 3 4 5 and the stream is complete
+    And 2 requests have reached the scripted upstreams
+
+    Examples: the longest gap is 1.5 s
+      | stalls                |
+      | silence               |
+      | comments for 10 s     |
+      | slow event for 10 s   |
+      | slow chunk for 10 s   |
+
+  Scenario: a stream that pauses is not cut while no other upstream can continue it
+    Given one scripted engine that sends "events 1 to 2, pause of 2.2 s, events 3 to 5"
+    When a caller reads a stream
+    Then the caller gets the events 1 2 3 4 5 and the stream is complete
+
+  Scenario Outline: a <kind> request whose upstream sends <answer> gets status <status>
+    Given scripted plain upstreams that send "<answer>"
+    When a caller sends a <kind> request with a deadline of 1500 ms
+    Then the caller gets status <status>
+    And no later request gets a part of that answer
+
+    Examples: an order that may have run is not reported as "not run"
+      | kind    | answer                                | status |
+      | plain   | 103, answer                           | 200    |
+      | plain   | answer, foreign answer                | 200    |
+      | plain   | answer, refusal                       | 200    |
+      | plain   | answer, answer                        | 200    |
+      | plain   | refusal                               | 503    |
+      | plain   | refusal, answer                       | 503    |
+      | plain   | refusal of another request            | 502    |
+      | plain   | refusal of another request, answer    | 502    |
+      | plain   | foreign answer, answer                | 502    |
+      | plain   | half an answer, break                 | 502    |
+      | plain   | half an answer, reset                 | 502    |
+      | plain   | answer without length, reset          | 502    |
+      | plain   | answer without length, break          | 200    |
+      | plain   | half a chunk, break                   | 502    |
+      | plain   | chunks without the last, break        | 502    |
+      | plain   | break                                 | 502    |
+      | plain   | no HTTP, break                        | 502    |
+      | plain   | status line of 100000 bytes           | 502    |
+      | look-up | foreign answer, answer                | 502    |
+
+  Scenario Outline: a plain request whose upstream sends <bytes> ends at its deadline
+    Given scripted plain upstreams that send "<bytes>"
+    When a caller sends a plain request with a deadline of 1500 ms
+    Then the caller gets status 504
+    And the upstream's connection was closed before it had sent everything
+
+    Examples: bytes that never become an answer, each sooner than any time-out of a single read
+      | bytes                     |
+      | slow status line for 12 s |
+      | slow header for 12 s      |
+      | slow chunk for 12 s       |
+      | slow trailer for 12 s     |
+      | interim answers for 12 s  |
--- /dev/null
+++ b/features/steps/answers_steps.py
@@ -0,0 +1,132 @@
+"""Steps for faulty answers of upstreams, written by scripts to the sockets of a serving node."""
+
+import socket
+import time
+
+from behave import given, then, when
+from support.scripted_upstream import FOREIGN_ID, ScriptedUpstreams
+
+LIMIT_S = 30.0
+
+
+def start_scripted(context, service, scripts, count):
+    upstreams = ScriptedUpstreams(scripts, count)
+    upstreams.__enter__()
+    context.add_cleanup(upstreams.__exit__)
+    context.scripted = upstreams
+    for name, upstream in context.upstreams.items():
+        if upstream.service == service:
+            context.store.remove(f"servers/{name}")
+    for number, address in enumerate(upstreams.addresses):
+        entry = {
+            **context.upstreams["plain-1"].entry(address=address),
+            "service": service,
+        }
+        context.store.put(f"servers/scripted-{number}", entry)
+    expected = {f"scripted-{number}" for number in range(count)}
+    catalogue = context.node._state.catalogue
+    end = time.monotonic() + LIMIT_S
+    while {entry.id for entry in catalogue.ready_upstreams(service)} != expected:
+        assert time.monotonic() < end, "the node does not know the scripted upstreams"
+        time.sleep(0.01)
+
+
+@given('scripted engines that first send "{first}" and then "{second}"')
+def start_two_engines(context, first, second):
+    start_scripted(context, "engine", [first, second], 2)
+
+
+@given('one scripted engine that sends "{script}"')
+def start_one_engine(context, script):
+    start_scripted(context, "engine", [script], 1)
+
+
+@given('scripted plain upstreams that send "{script}"')
+def start_plain(context, script):
+    start_scripted(context, "plain", [script], 2)
+
+
+def exchange(context, path, request_id, deadline_ms):
+    """Send a request on a new connection and return all bytes until the node closes it."""
+    address = (context.settings.callers.host, context.settings.callers.port)
+    with socket.create_connection(address, timeout=LIMIT_S) as connection:
+        connection.sendall(
+            f"POST {path} HTTP/1.1\r\nHost: app.example\r\nConnection: close\r\n"
+            f"Chervilrack-Request-Id: {request_id}\r\nAuthorization: Token k1\r\n"
+            f"Chervilrack-Deadline-Ms: {deadline_ms}\r\nContent-Length: 0\r\n\r\n".encode()
+        )
+        parts = []
+        while part := connection.recv(65536):
+            parts.append(part)
+    return b"".join(parts).decode()
+
+
+@when("a caller reads a stream")
+def read_stream(context):
+    context.raw = exchange(context, "/stream/1", "caller-1", 20_000)
+
+
+def split_chunks(body):
+    """Return the content of a chunked body, and whether its last chunk has arrived."""
+    content = ""
+    while body:
+        size, _, body = body.partition("\r\n")
+        if not size:
+            break
+        length = int(size, 16)
+        if length == 0:
+            return content, True
+        content += body[:length]
+        body = body[length + 2 :]
+    return content, False
+
+
+@then("the caller gets the events {events} and the stream is {end}")
+def check_events(context, events, end):
+    head, _, body = context.raw.partition("\r\n\r\n")
+    content, is_complete = split_chunks(body)
+    assert context.raw.count("HTTP/1.1") == 1, context.raw
+    assert FOREIGN_ID not in context.raw, context.raw
+    if events == "without ids":
+        expected = "data: one\n\ndata: two\n\n"
+    else:
+        expected = "".join(f"id: {n}\ndata: piece {n}\n\n" for n in events.split())
+    assert content.replace(": hello\n\n", "").replace(":\n\n", "") == expected, context.raw
+    assert is_complete == (end == "complete"), context.raw
+    assert "Chervilrack-Response-Signature: s-caller-1" in head, head
+
+
+@then("{count:d} request has reached the scripted upstreams")
+@then("{count:d} requests have reached the scripted upstreams")
+def check_request_count(context, count):
+    assert len(context.scripted.requests) == count, context.scripted.requests
+
+
+@when("a caller sends a {kind} request with a deadline of {deadline:d} ms")
+def send_to_scripted(context, kind, deadline):
+    path = {"plain": "/order/1", "look-up": "/read/1"}[kind]
+    context.raw = exchange(context, path, "caller-1", deadline)
+    lines = context.raw.split("\r\n")
+    context.response = type("Response", (), {"status": int(lines[0].split()[1])})
+    context.body = context.raw
+
+
+@then("no later request gets a part of that answer")
+def check_later_requests(context):
+    assert FOREIGN_ID not in context.raw, context.raw
+    assert context.raw.count("HTTP/1.1") == 1, context.raw
+    if context.response.status == 200:
+        assert context.raw.endswith("\r\n\r\nanswer to caller-1"), context.raw
+    context.scripted._scripts = ["answer"]
+    for number in range(4):
+        raw = exchange(context, "/order/1", f"later-{number}", 4000)
+        assert raw.startswith("HTTP/1.1 200"), raw
+        assert raw.endswith(f"\r\n\r\nanswer to later-{number}"), raw
+
+
+@then("the upstream's connection was closed before it had sent everything")
+def check_closed_early(context):
+    end = time.monotonic() + LIMIT_S
+    while not context.scripted.unsent:
+        assert time.monotonic() < end, "the upstream sent everything"
+        time.sleep(0.01)
--- /dev/null
+++ b/features/support/scripted_upstream.py
@@ -0,0 +1,178 @@
+"""Upstreams that write scripted bytes to their sockets, whatever the request is.
+
+A script is a comma-separated list of actions, see ``_ACTIONS`` and ``_run_action``. The attempt
+number selects the script, whichever upstream gets the attempt.
+"""
+
+import re
+import socket
+import struct
+import threading
+import time
+from contextlib import suppress
+
+OK = "HTTP/1.1 200 OK\r\n"
+FOREIGN_ID = "another-request"
+_CHUNKED = "Transfer-Encoding: chunked\r\n"
+# Pause between the pieces of slow answers.
+_STEP_S = 0.3
+
+
+def _identity(request_id):
+    signature = f"Chervilrack-Response-Signature: s-{request_id}\r\n"
+    return f"Chervilrack-Request-Id: {request_id}\r\n{signature}"
+
+
+def _event(number):
+    return f"id: {number}\ndata: piece {number}\n\n"
+
+
+def _chunk(text):
+    return f"{len(text):x}\r\n{text}\r\n"
+
+
+def _whole(status_line, request_id, body, fields=""):
+    length = f"Content-Length: {len(body)}\r\n"
+    return f"HTTP/1.1 {status_line}\r\n{_identity(request_id)}{fields}{length}\r\n{body}"
+
+
+_NOT_RUN = "Chervilrack-Not-Executed: 1\r\n"
+
+# Bytes of an action, by its name; they depend on the id of the request.
+_ACTIONS = {
+    "answer": lambda id: _whole("200 OK", id, f"answer to {id}"),
+    "foreign answer": lambda id: _whole("200 OK", FOREIGN_ID, f"answer to {FOREIGN_ID}"),
+    "103": lambda id: "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n",
+    "500": lambda id: _whole("500 Internal Server Error", id, "it failed\n\nbadly\n\n"),
+    "refusal": lambda id: _whole("503 Service Unavailable", id, "full", _NOT_RUN),
+    "refusal of another request": lambda id: _whole(
+        "503 Service Unavailable", FOREIGN_ID, "full", _NOT_RUN
+    ),
+    "JSON with blank lines": lambda id: _whole(
+        "200 OK", id, '{"error":\n\n"none"}\n\n', "Content-Type: application/json\r\n"
+    ),
+    "half an answer": lambda id: f"{OK}{_identity(id)}Content-Length: 50\r\n\r\nhalf",
+    "answer without length": lambda id: f"{OK}{_identity(id)}\r\nanswer to {id}",
+    "half a chunk": lambda id: f"{OK}{_identity(id)}{_CHUNKED}\r\n20\r\nhalf",
+    "chunks without the last": lambda id: f"{OK}{_identity(id)}{_CHUNKED}\r\n{_chunk('half')}",
+    "no HTTP": lambda id: "SSH-2.0-server\r\n",
+    "status line of 100000 bytes": lambda id: "HTTP/1.1 200 " + "x" * 100_000,
+}
+# Beginning and repeated part of an answer that is sent a part at a time.
+_SLOW = {
+    "slow status line": ("HTTP/1.1 200 O", "K"),
+    "slow header": (f"{OK}X-Long: ", "x"),
+    "slow chunk": (f"{OK}{{identity}}{_CHUNKED}\r\n", "0"),
+    "slow trailer": (f"{OK}{{identity}}{_CHUNKED}\r\n4\r\nbody\r\n0\r\n", "X-T: 1\r\n"),
+    "interim answers": ("", "HTTP/1.1 100 Continue\r\n\r\n"),
+    "comments": ("", _chunk(":\n\n")),
+    "slow event": (_chunk("id: 3\ndata: "), _chunk("x")),
+}
+
+
+class ScriptedUpstreams:
+    """Listeners that answer the n-th request with the n-th script, or the last one.
+
+    ``requests`` holds the heads of the requests and ``unsent`` the actions whose bytes could not be
+    sent, because the connection was closed. Use as a context manager.
+    """
+
+    def __init__(self, scripts, count):
+        self._scripts = scripts
+        self._listeners = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+        self.addresses = [f"127.0.0.1:{item.getsockname()[1]}" for item in self._listeners]
+        self._lock = threading.Lock()
+        self._stopping = threading.Event()
+        self.requests = []
+        self.unsent = []
+
+    def __enter__(self):
+        for listener in self._listeners:
+            threading.Thread(target=self._serve, args=(listener,), daemon=True).start()
+        return self
+
+    def __exit__(self, *_exception):
+        self._stopping.set()
+        for listener in self._listeners:
+            with suppress(OSError):
+                listener.shutdown(socket.SHUT_RDWR)
+            listener.close()
+
+    def _serve(self, listener):
+        while True:
+            try:
+                connection, _ = listener.accept()
+            except OSError:
+                return
+            threading.Thread(target=self._answer, args=(connection,), daemon=True).start()
+
+    def _answer(self, connection):
+        with connection:
+            content = b""
+            while b"\r\n\r\n" not in content:
+                block = connection.recv(65536)
+                if not block:
+                    return
+                content += block
+            with self._lock:
+                number = len(self.requests)
+                self.requests.append(content.decode())
+            request_id = re.search(r"(?i)Chervilrack-Request-Id: (\S+)", content.decode())[1]
+            script = self._scripts[min(number, len(self._scripts) - 1)]
+            for action in script.split(", "):
+                try:
+                    self._run_action(connection, action, request_id, script)
+                except OSError:
+                    self.unsent.append(action)
+                    return
+
+    def _run_action(self, connection, action, request_id, script):
+        is_first = script.split(", ")[0] == action or script.startswith(f"103, {action}")
+        match action.split():
+            case ["break"]:
+                connection.shutdown(socket.SHUT_RDWR)
+            case ["reset"]:
+                # The bytes sent before have to arrive before the reset does.
+                time.sleep(0.1)
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                connection.close()
+            case ["silence"]:
+                self._stopping.wait(20)
+            case ["pause", "of", seconds, "s"]:
+                self._stopping.wait(float(seconds))
+            case ["events", first, "to", last]:
+                events = "".join(
+                    _chunk(_event(number)) for number in range(int(first), int(last) + 1)
+                )
+                self._send_stream_part(connection, events, request_id, is_first)
+            case ["events", "without", "ids"]:
+                self._send_stream_part(
+                    connection, _chunk("data: one\n\ndata: two\n\n"), request_id, is_first
+                )
+            case ["comment"]:
+                self._send_stream_part(connection, _chunk(": hello\n\n"), request_id, is_first)
+            case ["nothing", "more"]:
+                self._send_stream_part(connection, "", request_id, is_first)
+            case [*name, "for", seconds, "s"]:
+                self._send_slowly(connection, " ".join(name), float(seconds), request_id, is_first)
+                return
+            case _:
+                connection.sendall(_ACTIONS[action](request_id).encode())
+        is_last_part = script.split(", ")[-1] == action or "foreign answer" in script
+        is_stream = action.startswith(("events", "nothing"))
+        if is_stream and is_last_part and not script.endswith("break"):
+            connection.sendall(b"0\r\n\r\n")
+
+    def _send_stream_part(self, connection, chunks, request_id, is_first):
+        head = f"{OK}{_identity(request_id)}Content-Type: text/event-stream\r\n{_CHUNKED}\r\n"
+        connection.sendall(((head if is_first else "") + chunks).encode())
+
+    def _send_slowly(self, connection, name, seconds, request_id, is_first):
+        if name == "slow chunk" and not is_first:
+            begin, part = "", "0"  # the size of the next chunk, a digit at a time
+        else:
+            begin, part = _SLOW[name]
+        connection.sendall(begin.replace("{identity}", _identity(request_id)).encode())
+        end = time.monotonic() + seconds
+        while time.monotonic() < end and not self._stopping.wait(_STEP_S):
+            connection.sendall(part.encode())
--- a/src/chervilrack/_internal/forwarding/attempts.py
+++ b/src/chervilrack/_internal/forwarding/attempts.py
@@ -105,8 +105,8 @@
     ) -> bool:
         """Whether an upstream that hasn't responded after ``waited`` is slower than expected."""
 
-    def can_retry(self, context: RequestContext) -> bool:
-        """Whether the request may be tried at another upstream if the current attempt fails."""
+    def can_retry(self, context: RequestContext, executions: int) -> bool:
+        """Whether the request may be tried elsewhere after ``executions`` possible executions."""
 
 
 class AttemptRunner:
@@ -127,7 +127,9 @@
         stages: StageRun | None,
     ) -> AttemptResult:
         """Send the request to ``entry``, and relay a successful response to the caller."""
-        relay = StreamRelay(context, responder)
+        relay = StreamRelay(
+            context, responder, lambda: self._observer.can_retry(context, context.executions)
+        )
         self._observer.attempt_started(context, entry, choice)
         try:
             with Exchange(entry.address) as exchange:
@@ -206,7 +208,8 @@
         exchange.send(request.method, request.target, headers, request.body, left.total_seconds())
         context.sent_attempts += 1
         timeout = self._observer.first_byte_timeout(context, choice)
-        if not self._begins_within(exchange, timeout, stages) and self._observer.can_retry(context):
+        begins = self._begins_within(exchange, timeout, stages)
+        if not begins and self._observer.can_retry(context, context.executions + 1):
             raise ExchangeFailed(f"silent for {timeout.total_seconds():.2f} s", sent=True)
         left = context.time_left(self._clock.monotonic())
         return exchange.read_head(left.total_seconds())
--- a/src/chervilrack/_internal/forwarding/streams.py
+++ b/src/chervilrack/_internal/forwarding/streams.py
@@ -1,6 +1,8 @@
 """Relays an event stream to a caller in whole events, over one or more attempts."""
 
-from collections.abc import Sequence
+import math
+import time
+from collections.abc import Callable, Sequence
 
 from chervilrack._internal.forwarding.context import RequestContext
 from chervilrack._internal.forwarding.messages import Responder
@@ -14,11 +16,20 @@
 
 
 class StreamRelay:
-    """Relays events as they arrive. The response head is sent with the first event."""
+    """Relays events as they arrive. The response head is sent with the first event.
 
-    def __init__(self, context: RequestContext, responder: Responder) -> None:
+    ``can_retry`` returns whether another upstream may continue the stream.
+    """
+
+    def __init__(
+        self, context: RequestContext, responder: Responder, can_retry: Callable[[], bool]
+    ) -> None:
         self._context = context
         self._responder = responder
+        self._can_retry = can_retry
+        self._gap = self._longest_gap()
+        # Monotonic time in seconds at which the next event is due.
+        self._next_event_due = math.inf
 
     def run(
         self,
@@ -30,12 +41,15 @@
         """Relay one upstream's stream to its end. Raises ExchangeFailed if the stream breaks."""
         context = self._context
         splitter = EventSplitter()
+        self._expect_event()
         try:
-            for part in exchange.parts(deadline, self._longest_gap()):
+            for part in exchange.parts(deadline, self._progress_deadline):
                 events = splitter.feed(part)
                 if events:
                     self._begin(status, headers)
                     self._responder.write(b"".join(event.data for event in events))
+                    if not all(event.is_comment for event in events):
+                        self._expect_event()
                     ids = [event.id for event in events if event.id is not None]
                     if ids:
                         context.last_event = ids[-1]
@@ -51,8 +65,21 @@
             self._context.stream_begun = True
             self._responder.begin(status, headers)
 
+    def _expect_event(self) -> None:
+        if self._gap is not None:
+            self._next_event_due = time.monotonic() + self._gap
+
+    def _progress_deadline(self) -> float:
+        """Return the time at which the stream counts as broken unless an event arrives.
+
+        A stream that no other upstream may continue is not broken off: it may only be slow.
+        """
+        if time.monotonic() >= self._next_event_due and not self._can_retry():
+            self._expect_event()
+        return self._next_event_due
+
     def _longest_gap(self) -> float | None:
-        """Return the seconds without data after which the stream counts as broken."""
+        """Return the seconds without an event after which the stream counts as broken."""
         gap = self._context.route.max_gap
         if gap is None or not self._context.route.resumable:
             return None
--- a/src/chervilrack/_internal/serving/state.py
+++ b/src/chervilrack/_internal/serving/state.py
@@ -296,10 +296,13 @@
         answered_at = self.balancer.status(choice.upstream).last_success
         return answered_at is None or answered_at < self.clock.monotonic() - waited
 
-    def can_retry(self, context: RequestContext) -> bool:
-        """Whether the route, the retry budget and the upstreams allow another attempt."""
+    def can_retry(self, context: RequestContext, executions: int) -> bool:
+        """Whether the route, the retry budget and the upstreams allow another attempt.
+
+        ``executions`` is the number of attempts that an upstream may have executed by then.
+        """
         route = context.route
-        if not route.may_repeat or context.executions + 1 >= route.max_attempts:
+        if not route.may_repeat or executions >= route.max_attempts:
             return False
         now = self.clock.monotonic()
         with self.lock:
--- a/src/chervilrack/_internal/upstreams/event_stream.py
+++ b/src/chervilrack/_internal/upstreams/event_stream.py
@@ -22,6 +22,11 @@
     data: bytes
     id: int | None
 
+    @property
+    def is_comment(self) -> bool:
+        """Whether the event consists of comments and empty lines only."""
+        return all(line.startswith(b":") for line in self.data.splitlines() if line)
+
 
 class EventSplitter:
     """Buffers the bytes of a stream and returns each event once it is complete."""
--- a/src/chervilrack/_internal/upstreams/exchange.py
+++ b/src/chervilrack/_internal/upstreams/exchange.py
@@ -5,11 +5,12 @@
 one round trip, about a thousandth of the shortest response time target.
 """
 
+import http.client
 import select
 import socket
 import threading
 import time
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Iterator, Sequence
 from contextlib import suppress
 from types import TracebackType
 from typing import Any, Self
@@ -25,6 +26,8 @@
 CONNECT_ATTEMPTS = 2
 MAX_ANSWER_BYTES = 64 * 1024 * 1024  # bounds the memory that a faulty upstream can use
 _READ_BYTES = 65_536
+# Interim responses (1xx) before an answer; more than these count as a malformed answer.
+MAX_INTERIM_RESPONSES = 16
 # Bytes of a large request body that are written between two checks for an early answer.
 _WRITE_BYTES = 32_768
 
@@ -43,9 +46,60 @@
         self.unreachable = unreachable
 
 
+class _DeadlineSocket(socket.socket):
+    """Socket whose reads end at one time in all, however often bytes arrive before it.
+
+    ``read_deadline`` returns that time in monotonic seconds. It is asked again once the time has
+    come, and may then return a later one.
+    """
+
+    _read_deadline: Callable[[], float] | None = None
+    _poller: select.poll
+
+    def limit_reads(self, read_deadline: Callable[[], float]) -> None:
+        """Set the end of all further reads."""
+        if self._read_deadline is None:
+            self._poller = select.poll()
+            self._poller.register(self, select.POLLIN)
+        self._read_deadline = read_deadline
+
+    def recv_into(self, *args: Any, **kwargs: Any) -> int:
+        """Read into a buffer. Raises TimeoutError at the deadline."""
+        if self._read_deadline is not None:
+            self._wait_until_readable(self._read_deadline)
+        return super().recv_into(*args, **kwargs)
+
+    def _wait_until_readable(self, read_deadline: Callable[[], float]) -> None:
+        while (left := read_deadline() - time.monotonic()) > 0:
+            if self._poller.poll(max(1, int(left * 1000))):
+                return
+        raise TimeoutError("the deadline passed while bytes were expected")
+
+
+class _Response(http.client.HTTPResponse):
+    """Response that skips the interim responses before it (RFC 9110, section 15.2)."""
+
+    def _read_status(self) -> tuple[str, int, str]:
+        for _ in range(MAX_INTERIM_RESPONSES + 1):
+            version, status, reason = super()._read_status()  # type: ignore[misc]
+            if not 100 <= status < 200 or status == http.HTTPStatus.SWITCHING_PROTOCOLS:
+                return version, status, reason
+            http.client.parse_headers(self.fp)
+        raise http.client.HTTPException("too many interim responses")
+
+
 class _Connection(HTTPConnection):
     """Connection that stops writing a request body once the upstream answers."""
 
+    response_class = _Response
+
+    def _new_conn(self) -> socket.socket:
+        connected = super()._new_conn()
+        timeout = connected.gettimeout()
+        limited = _DeadlineSocket(fileno=connected.detach())
+        limited.settimeout(timeout)
+        return limited
+
     def send(self, data: Any) -> None:
         """Write ``data``; stop early, without an error, if the upstream answers before the end."""
         if self.sock is None or not isinstance(data, bytes) or len(data) <= _WRITE_BYTES:
@@ -148,8 +202,11 @@
     def read_head(self, time_left_s: float) -> urllib3.BaseHTTPResponse:
         """Read the status line and header fields of the answer. Raises ExchangeFailed."""
         assert self._connection is not None
+        deadline = time.monotonic() + time_left_s
+        self._set_read_deadline(lambda: deadline)
+        # Reads wait for the socket themselves.
+        self._connection.timeout = None
         try:
-            self._connection.timeout = max(0.001, time_left_s)
             self._response = self._connection.getresponse()
         except (OSError, ValueError, urllib3.exceptions.HTTPError) as error:
             raise self._create_failure("no answer", error) from None
@@ -166,21 +223,29 @@
         parts = list(self.parts(deadline))
         return parts[0] if len(parts) == 1 else b"".join(parts)
 
-    def parts(self, deadline: float, max_gap_s: float | None = None) -> Iterator[bytes]:
+    def parts(
+        self, deadline: float, progress_deadline: Callable[[], float] | None = None
+    ) -> Iterator[bytes]:
         """Yield the body of the answer as it arrives.
 
         Raises ExchangeFailed if the body breaks off, is too large, or is not complete at
-        ``deadline`` (monotonic seconds), or if no byte arrives for ``max_gap_s`` seconds.
+        ``deadline`` (monotonic seconds). ``progress_deadline`` returns the time at which waiting
+        ends sooner; it is asked again at that time, and may return a later one.
         """
         response = self._response
         assert response is not None
         size = 0
+        limit = progress_deadline
+        self._set_read_deadline(
+            (lambda: deadline) if limit is None else (lambda: min(deadline, limit()))
+        )
         while not response.closed:  # http.client closes the response at the end of the body
-            remaining = deadline - time.monotonic()
-            if remaining <= 0:
+            now = time.monotonic()
+            if now >= deadline:
                 raise ExchangeFailed("the deadline passed within the answer", sent=True)
+            if limit is not None and now >= limit():
+                raise ExchangeFailed("the answer makes no progress", sent=True)
             try:
-                self._set_timeout(min(remaining, max_gap_s) if max_gap_s is not None else remaining)
                 part = response.read1(_READ_BYTES)
             except (OSError, ValueError, urllib3.exceptions.HTTPError) as error:
                 raise self._create_failure("the answer broke off", error) from None
@@ -244,10 +309,10 @@
     def _has_answer(self) -> bool:
         return self.wait_readable(0.001)
 
-    def _set_timeout(self, seconds: float) -> None:
+    def _set_read_deadline(self, read_deadline: Callable[[], float]) -> None:
         sock = self._socket
-        if sock is not None:
-            sock.settimeout(max(0.001, seconds))
+        if isinstance(sock, _DeadlineSocket):
+            sock.limit_reads(read_deadline)
 
     def _create_failure(self, description: str, error: Exception) -> ExchangeFailed:
         if self._cancelled:
