Relay only events that continue a stream that another upstream has begun

Cause: after a stream had begun and broken off, whatever the next upstream answered with 200 was relayed if it had blank lines: JSON, events from the first one again, events that skipped some, events without ids. A stream whose events have no ids was begun anew by the second attempt. Error answers and refusals (500, 503) did not reach the stream before either; their rows stay as the proof. Change: forwarding/event_sequence.py keeps the position of a response over its attempts: the media type stays, ids grow, a continuation begins with the next id if ids were consecutive. What does not continue the stream fails the attempt, and the caller's stream ends incomplete.

--- a/features/adapter/answers.feature
+++ b/features/adapter/answers.feature
@@ -6,6 +6,35 @@
   Background:
     Given a serving node with stand-ins for the platform
 
+  Scenario Outline: a stream breaks off after 2 events and the next upstream answers with <answer>
+    Given scripted engines that first send "events 1 to 2, break" and then "<answer>"
+    When a caller reads a stream
+    Then the caller gets the events <events> and the stream is <end>
+
+    Examples: a continuation has to continue the events, and its head and errors stay hidden
+      | answer                               | events    | end        |
+      | events 3 to 5                        | 1 2 3 4 5 | complete   |
+      | 103, events 3 to 5                   | 1 2 3 4 5 | complete   |
+      | events 3 to 5, foreign answer        | 1 2 3 4 5 | complete   |
+      | nothing more                         | 1 2       | complete   |
+      | comment, events 3 to 5               | 1 2 3 4 5 | complete   |
+      | 500                                  | 1 2       | incomplete |
+      | refusal                              | 1 2       | incomplete |
+      | refusal of another request           | 1 2       | incomplete |
+      | JSON with blank lines                | 1 2       | incomplete |
+      | events 1 to 5                        | 1 2       | incomplete |
+      | events 2 to 5                        | 1 2       | incomplete |
+      | events 4 to 5                        | 1 2       | incomplete |
+      | events without ids                   | 1 2       | incomplete |
+      | events 3 to 4, break                 | 1 2 3 4   | incomplete |
+      | events 3 to 3, foreign answer, break | 1 2 3     | incomplete |
+
+  Scenario: a stream whose events have no ids is not continued
+    Given scripted engines that first send "events without ids, break" and then "events 1 to 5"
+    When a caller reads a stream
+    Then the caller gets the events without ids and the stream is incomplete
+    And 1 request has reached the scripted upstreams
+
   Scenario Outline: a stream that <stalls> after 2 events is continued elsewhere
     Bytes that are no event are no progress.
 
--- a/src/chervilrack/_internal/forwarding/attempts.py
+++ b/src/chervilrack/_internal/forwarding/attempts.py
@@ -202,7 +202,7 @@
             organisation=context.organisation,
             urgency=min(9, 3 + 2 * context.priority) if context.load.prompt_tokens else None,
             inputs=tuple(inputs),
-            last_event=context.last_event,
+            last_event=context.events.last_id,
         )
         headers = self._dialect.request_headers(request.headers, forwarded)
         exchange.send(request.method, request.target, headers, request.body, left.total_seconds())
--- a/src/chervilrack/_internal/forwarding/context.py
+++ b/src/chervilrack/_internal/forwarding/context.py
@@ -9,6 +9,7 @@
 from chervilrack._internal.catalogue.state import Route
 from chervilrack._internal.common.ids import OrganisationId, ServiceId, UpstreamId
 from chervilrack._internal.forwarding.dialect import RequestMetadata
+from chervilrack._internal.forwarding.event_sequence import EventSequence
 from chervilrack._internal.forwarding.messages import InboundRequest
 
 
@@ -21,8 +22,8 @@
     ``first_byte_deadline``.
 
     ``sent_attempts`` counts the attempts whose request was written to an upstream, ``executions``
-    those that an upstream has executed or may have executed. ``last_event`` is the id of the last
-    relayed event of a stream. ``steps`` describes the course of the request for the decision log.
+    those that an upstream has executed or may have executed. ``events`` is the position of a stream
+    that has been relayed. ``steps`` describes the course of the request for the decision log.
     """
 
     request: InboundRequest
@@ -39,7 +40,7 @@
     sent_attempts: int = 0
     executions: int = 0
     stream_begun: bool = False
-    last_event: int | None = None
+    events: EventSequence = field(default_factory=EventSequence)
     tried_upstreams: set[UpstreamId] = field(default_factory=set)
     steps: list[str] = field(default_factory=list)
     _caller_gone: threading.Event = field(default_factory=threading.Event)
--- a/src/chervilrack/_internal/forwarding/forwarder.py
+++ b/src/chervilrack/_internal/forwarding/forwarder.py
@@ -285,6 +285,8 @@
     def _may_retry(self, context: RequestContext, last: AttemptResult) -> bool:
         """Whether the request may be sent to another upstream after the attempt ``last``."""
         route = context.route
+        if context.stream_begun and not context.events.can_resume:
+            return False
         if last.outcome is AttemptOutcome.FAILED and not (
             route.may_repeat and context.executions < route.max_attempts
         ):
--- a/src/chervilrack/_internal/forwarding/streams.py
+++ b/src/chervilrack/_internal/forwarding/streams.py
@@ -39,21 +39,22 @@
         deadline: float,
     ) -> None:
         """Relay one upstream's stream to its end. Raises ExchangeFailed if the stream breaks."""
-        context = self._context
+        sequence = self._context.events
+        is_continuation = self._context.stream_begun
         splitter = EventSplitter()
         self._expect_event()
         try:
+            sequence.begin_attempt(headers)
             for part in exchange.parts(deadline, self._progress_deadline):
                 events = splitter.feed(part)
-                if events:
+                while events:
+                    accepted = sequence.check(events, is_continuation=is_continuation)
                     self._begin(status, headers)
-                    self._responder.write(b"".join(event.data for event in events))
-                    if not all(event.is_comment for event in events):
+                    self._responder.write(b"".join(event.data for event in accepted))
+                    if not all(event.is_comment for event in accepted):
                         self._expect_event()
-                    ids = [event.id for event in events if event.id is not None]
-                    if ids:
-                        context.last_event = ids[-1]
-        except ValueError as error:
+                    events = events[len(accepted) :]
+        except ValueError as error:  # SequenceBroken, or an event without an end
             raise ExchangeFailed(str(error), sent=True) from None
         if splitter.rest.strip():
             raise ExchangeFailed("the stream ended within an event", sent=True)
