--- a/features/steps/answers_steps.py
+++ b/features/steps/answers_steps.py
@@ -46,14 +46,14 @@
     start_scripted(context, "plain", [script], 2)
 
 
-def exchange(context, path, request_id, deadline_ms):
+def exchange(context, path, request_id, deadline_ms, fields=""):
     """Send a request on a new connection and return all bytes until the node closes it."""
     address = (context.settings.callers.host, context.settings.callers.port)
     with socket.create_connection(address, timeout=LIMIT_S) as connection:
         connection.sendall(
             f"POST {path} HTTP/1.1\r\nHost: app.example\r\nConnection: close\r\n"
             f"Chervilrack-Request-Id: {request_id}\r\nAuthorization: Token k1\r\n"
-            f"Chervilrack-Deadline-Ms: {deadline_ms}\r\nContent-Length: 0\r\n\r\n".encode()
+            f"Chervilrack-Deadline-Ms: {deadline_ms}\r\n{fields}Content-Length: 0\r\n\r\n".encode()
         )
         parts = []
         while part := connection.recv(65536):
@@ -66,6 +66,12 @@
     context.raw = exchange(context, "/stream/1", "caller-1", 20_000)
 
 
+@when("a caller reads a stream with stages")
+def read_staged_stream(context):
+    fields = "Chervilrack-Chunk-Count: 2,3\r\nChervilrack-Chunk-Key: piece-key\r\n"
+    context.raw = exchange(context, "/stream/staged/1", "caller-1", 20_000, fields)
+
+
 def split_chunks(body):
     """Return the content of a chunked body, and whether its last chunk has arrived."""
     content = ""
--- a/src/chervilrack/_internal/serving/store_relay.py
+++ b/src/chervilrack/_internal/serving/store_relay.py
@@ -53,9 +53,15 @@
 
     @property
     def watching_nodes(self) -> int:
-        """Number of nodes that watch the store, as far as this node knows."""
+        """Number of nodes that may watch the store now, as far as this node knows.
+
+        These are all nodes, unless this one passes the changes on: a starting fleet has no
+        watchers yet, and when a node lacks a change, many others do.
+        """
         with self._state.lock:
-            return self._watching_nodes or self._state.fleet.size
+            if self._feed.recipients:
+                return self._watching_nodes
+            return len(self._state.fleet.addresses) + 1
 
     def must_watch(self) -> bool:
         """Whether the node has to watch the store itself."""
