Tell the caller 'may have run' when stages fail after an attempt that may have run

Cause: after an engine had taken a request and broken off, the next one missed the stage results, the stages were ordered again and ended too late; the caller then got 503, which promises that the request has not run. 502 and 504 of requests that may have run bore executed 'no' in their body. Ruled out: refusals whose attempts were all refused; they stay 503 (second row of the test). Change: a stage problem after a possible execution becomes 502 or 504, and both say 'unknown'. Result: features/adapter/answers.feature 'stages cannot run again': 503 before, 504 now.

--- a/features/adapter/answers.feature
+++ b/features/adapter/answers.feature
@@ -69,6 +69,16 @@
       | alive | alive, pause of 2.2 s | 1     |
       | dead  | pause of 2.2 s        | 2     |
 
+  Scenario Outline: a request whose engine <first>, and whose stages cannot run again, gets status <status>
+    Given scripted engines that first send "pause of 0.5 s, <script>" and then "inputs gone"
+    When a caller reads a stream with stages, which hang once an engine has the request
+    Then the caller gets status <status> and is told that it has <run>
+
+    Examples: 503 says that the request has not run
+      | first                | script      | status | run         |
+      | broke off            | break       | 504    | maybe run   |
+      | misses its inputs    | inputs gone | 503    | not run     |
+
   Scenario Outline: a <kind> request whose upstream sends <answer> gets status <status>
     Given scripted plain upstreams that send "<answer>"
     When a caller sends a <kind> request with a deadline of 1500 ms
--- a/features/steps/answers_steps.py
+++ b/features/steps/answers_steps.py
@@ -1,6 +1,8 @@
 """Steps for faulty answers of upstreams, written by scripts to the sockets of a serving node."""
 
+import json
 import socket
+import threading
 import time
 
 from behave import given, then, when
@@ -72,6 +74,29 @@
     context.raw = exchange(context, "/stream/staged/1", "caller-1", 20_000, fields)
 
 
+@when("a caller reads a stream with stages, which hang once an engine has the request")
+def read_stream_with_hanging_stages(context):
+    def hang_stages():
+        end = time.monotonic() + LIMIT_S
+        while not context.scripted.requests and time.monotonic() < end:
+            time.sleep(0.01)
+        for name in ("first-1", "second-1"):
+            context.upstreams[name].behaviour = "stands still"
+
+    thread = threading.Thread(target=hang_stages)
+    thread.start()
+    fields = "Chervilrack-Chunk-Count: 2,3\r\nChervilrack-Chunk-Key: piece-key\r\n"
+    context.raw = exchange(context, "/stream/staged/1", "caller-1", 3000, fields)
+    thread.join()
+    record_response(context)
+
+
+def record_response(context):
+    lines = context.raw.split("\r\n")
+    context.response = type("Response", (), {"status": int(lines[0].split()[1])})
+    context.body = context.raw
+
+
 def split_chunks(body):
     """Return the content of a chunked body, and whether its last chunk has arrived."""
     content = ""
@@ -112,9 +137,14 @@
 def send_to_scripted(context, kind, deadline):
     path = {"plain": "/order/1", "look-up": "/read/1"}[kind]
     context.raw = exchange(context, path, "caller-1", deadline)
-    lines = context.raw.split("\r\n")
-    context.response = type("Response", (), {"status": int(lines[0].split()[1])})
-    context.body = context.raw
+    record_response(context)
+
+
+@then("the caller gets status {status:d} and is told that it has {run} run")
+def check_told(context, status, run):
+    assert context.raw.split()[1] == str(status), context.raw
+    told = {"not": "no", "maybe": "unknown"}[run]
+    assert json.loads(context.raw.partition("\r\n\r\n")[2])["executed"] == told, context.raw
 
 
 @then("no later request gets a part of that answer")
--- a/features/support/scripted_upstream.py
+++ b/features/support/scripted_upstream.py
@@ -48,6 +48,7 @@
     "refusal of another request": lambda id: _whole(
         "503 Service Unavailable", FOREIGN_ID, "full", _NOT_RUN
     ),
+    "inputs gone": lambda id: _whole("409 Conflict", id, "gone", _NOT_RUN),
     "JSON with blank lines": lambda id: _whole(
         "200 OK", id, '{"error":\n\n"none"}\n\n', "Content-Type: application/json\r\n"
     ),
--- a/src/chervilrack/_internal/forwarding/forwarder.py
+++ b/src/chervilrack/_internal/forwarding/forwarder.py
@@ -21,7 +21,7 @@
 )
 from chervilrack._internal.common.clock import Clock
 from chervilrack._internal.common.ids import OrganisationId, RequestId, ServiceId, UpstreamId
-from chervilrack._internal.common.results import Problem, ResultCode
+from chervilrack._internal.common.results import Executed, Problem, ResultCode
 from chervilrack._internal.forwarding.attempts import AttemptOutcome, AttemptResult, AttemptRunner
 from chervilrack._internal.forwarding.context import RequestContext
 from chervilrack._internal.forwarding.dialect import Dialect, MalformedMessage, RequestMetadata
@@ -261,7 +261,7 @@
             if stages is not None and stages.needs_restart:
                 problem = self._restart_stages(stages)
                 if problem is not None:
-                    return self._fail(context, responder, problem)
+                    return self._fail(context, responder, self._true_problem(context, problem))
             inputs = stages.inputs if stages is not None else ()
             context.step(f"to {entry.id} after {self._elapsed_ms(context)} ms: {choice.reason}")
             last = self._attempts.run(context, responder, entry, choice, inputs, stages)
@@ -320,8 +320,21 @@
             detail = "no upstream can be used" if last is None else last.detail
             return Problem(ResultCode.NO_UPSTREAM, detail)
         if is_past_deadline:
-            return Problem(ResultCode.DEADLINE_PASSED, "no answer in time")
-        return Problem(ResultCode.UPSTREAM_FAILED, last.detail if last is not None else "")
+            return Problem(ResultCode.DEADLINE_PASSED, "no answer in time", Executed.UNKNOWN)
+        detail = last.detail if last is not None else ""
+        return Problem(ResultCode.UPSTREAM_FAILED, detail, Executed.UNKNOWN)
+
+    def _true_problem(self, context: RequestContext, problem: Problem) -> Problem:
+        """Return the problem of a request whose stages have failed.
+
+        Its status must not say "not executed" if an earlier attempt may have executed the request.
+        """
+        if context.executions == 0:
+            return problem
+        code = ResultCode.UPSTREAM_FAILED
+        if problem.code is ResultCode.DEADLINE_UNREACHABLE:
+            code = ResultCode.DEADLINE_PASSED
+        return Problem(code, problem.detail, Executed.UNKNOWN)
 
     # Responses and outcomes
 
