--- a/features/catalogue/directory.feature
+++ b/features/catalogue/directory.feature
@@ -39,3 +39,14 @@
       | a listing without u2                       | 0    | ready | has to       |
       | nothing                                    | 0.9  | ready | need not     |
       | nothing                                    | 1.1  | ready | has to       |
+
+  Scenario: a node that is not fed counts all nodes as watching, a watcher only the watchers
+    Every change ends all watch calls. In a starting fleet, or after a lost message, all nodes watch.
+    Each then has to collect changes for long enough that the store is not called too often.
+
+    Given node a and node b that both list upstreams u1 and u2
+    And nodes a and b know the addresses of 194 other nodes
+    Then node a counts 195 nodes as watching
+    When node a watches the store for node b
+    Then node a counts 1 node as watching
+    And node b counts 195 nodes as watching
--- a/features/steps/directory_steps.py
+++ b/features/steps/directory_steps.py
@@ -121,7 +121,23 @@
             delete_upstream(context.a, "u2", 4)
 
 
+@given("nodes a and b know the addresses of {count:d} other nodes")
+def add_addresses(context, count):
+    for node in (context.a, context.b):
+        known = len(node.fleet.addresses)
+        node.fleet.add_addresses(
+            [f"10.2.0.{number}:1" for number in range(count - known)], node.clock.monotonic()
+        )
+
+
+@then("node {name} counts {count:d} nodes as watching")
+@then("node {name} counts {count:d} node as watching")
+def check_watching_nodes(context, name, count):
+    assert getattr(context, name).relay.watching_nodes == count
+
+
 @given("node a watches the store for node b")
+@when("node a watches the store for node b")
 def start_feed(context):
     # Nodes c to e have too little processor time to watch.
     sizes = {"a": 2.0, "b": 0.5, "c": 0.5, "d": 0.5, "e": 0.5}
