Install the command chervilrack with the environment

Cause: README and docs/OPERATIONS.md name the command, but make setup installed only its requirements: .venv/bin/chervilrack did not exist (features/cli/installed.feature failed before).

--- a/Makefile
+++ b/Makefile
@@ -1,15 +1,17 @@
 # VENV may name a shared environment; the default is created on first use.
 VENV ?= .venv
 PY := $(VENV)/bin/python
-STAMP := $(VENV)/.installed-$(shell sha256sum requirements.txt requirements-dev.txt | sha256sum | cut -c1-12)
+SETUP_FILES := requirements.txt requirements-dev.txt pyproject.toml
+STAMP := $(VENV)/.installed-$(shell sha256sum $(SETUP_FILES) | sha256sum | cut -c1-12)
 export PYTHONPATH := $(CURDIR)/src
 
 .PHONY: run test lint format fuzz setup
 setup: $(STAMP)
 
-$(STAMP): requirements.txt requirements-dev.txt
+$(STAMP): $(SETUP_FILES)
 	@test -x $(PY) || python3 -m venv $(VENV)
 	@$(PY) -m pip install --quiet --disable-pip-version-check -r requirements-dev.txt
+	@$(PY) -m pip install --quiet --disable-pip-version-check --no-deps --editable .
 	@touch $@
 
 run: $(STAMP)
