Say which part a node that is not ready lacks

Cause: a node that had the configuration but no upstreams answered 'knows no configuration yet'. Change: one message for each reason. Result: the step 'the reason is' failed before, passes now.

--- a/features/adapter/serving.feature
+++ b/features/adapter/serving.feature
@@ -126,6 +126,7 @@
   Scenario: a node accepts no requests before it knows the upstreams
     Given a node that has received the configuration but no upstreams
     Then that node is not ready and refuses a plain request with 503
+    And the reason is "this node knows no upstreams yet"
     When that node receives the upstreams
     Then that node is ready
 
--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -379,7 +379,13 @@
 @then("that node is not ready and refuses a plain request with {status:d}")
 def check_not_ready(context, status):
     assert not context.second.is_ready
-    assert send_request(context, "/order/1")[0].status == status
+    context.response, context.body = send_request(context, "/order/1")
+    assert context.response.status == status
+
+
+@then('the reason is "{detail}"')
+def check_reason(context, detail):
+    assert json.loads(context.body)["detail"] == detail, context.body
 
 
 @when("that node receives the upstreams")
--- a/src/chervilrack/_internal/forwarding/forwarder.py
+++ b/src/chervilrack/_internal/forwarding/forwarder.py
@@ -165,7 +165,8 @@
     ) -> RequestContext | Problem:
         configuration = self._backend.configuration()
         if configuration is None or not self._backend.is_accepting():
-            return Problem(ResultCode.NOT_READY, "this node knows no configuration yet")
+            missing = "configuration" if configuration is None else "upstreams"
+            return Problem(ResultCode.NOT_READY, f"this node knows no {missing} yet")
         route = configuration.match(request.host, request.path)
         if route is None:
             return Problem(ResultCode.UNKNOWN_PATH, "no route matches the host and path")
