Import ZeroMQ's authenticator only on nodes with keys

Cause: the transport imported zmq.auth.thread, and with it asyncio, on every node; a serving node has no keys. Memory at its peak is priced, and every restart pays for imports.

--- a/src/chervilrack/_internal/peering/transport.py
+++ b/src/chervilrack/_internal/peering/transport.py
@@ -15,16 +15,18 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 from types import TracebackType
-from typing import Self
+from typing import TYPE_CHECKING, Self
 
 import msgspec
 import zmq
-from zmq.auth.thread import ThreadAuthenticator
 
 from chervilrack._internal.common.ids import Incarnation, NodeId
 from chervilrack._internal.peering.envelope import Envelope, MessageCodec, MessageRefused
 from chervilrack._internal.peering.keys import CurveKeys
 
+if TYPE_CHECKING:
+    from zmq.auth.thread import ThreadAuthenticator
+
 logger = logging.getLogger(__name__)
 
 # Messages queued per peer. Further messages to a peer that does not read are dropped, which bounds
@@ -124,6 +126,9 @@
         self._receive_socket.setsockopt(zmq.LINGER, 0)
         self._receive_socket.setsockopt(zmq.MAXMSGSIZE, MAX_MESSAGE_BYTES)
         if self._keys is not None:
+            # Imported here because it imports asyncio, 2.7 MB that nodes without keys do not need.
+            from zmq.auth.thread import ThreadAuthenticator
+
             self._authenticator = ThreadAuthenticator(self._context)
             self._authenticator.start()
             self.reload_keys(self._keys)
