Pass a socket's parameters on instead of asking the kernel for them

Cause: a socket made from a descriptor alone asks the kernel for family, type and protocol, three calls for each connection to an upstream. Change: they are given.

--- a/src/chervilrack/_internal/upstreams/exchange.py
+++ b/src/chervilrack/_internal/upstreams/exchange.py
@@ -96,7 +96,9 @@
     def _new_conn(self) -> socket.socket:
         connected = super()._new_conn()
         timeout = connected.gettimeout()
-        limited = _DeadlineSocket(fileno=connected.detach())
+        # Given explicitly, they need not be asked of the kernel.
+        parameters = (connected.family, connected.type, connected.proto)
+        limited = _DeadlineSocket(*parameters, fileno=connected.detach())
         limited.settimeout(timeout)
         return limited
 
