--- a/features/adapter/answers.feature
+++ b/features/adapter/answers.feature
@@ -55,20 +55,6 @@
     When a caller reads a stream
     Then the caller gets the events 1 2 3 4 5 and the stream is complete
 
-  Scenario Outline: an engine with the inputs of a request is <state> and silent for 2.2 s
-    The inputs are gone once an engine has read them. A second engine would have to wait until the
-    stages have made them again.
-
-    Given scripted engines that first send "<script>, events 1 to 5" and then "events 1 to 5"
-    When a caller reads a stream with stages
-    Then the caller gets the events 1 2 3 4 5 and the stream is complete
-    And <count> requests have reached the scripted upstreams
-
-    Examples: an engine is alive if it answers the request for its report
-      | state | script                | count |
-      | alive | alive, pause of 2.2 s | 1     |
-      | dead  | pause of 2.2 s        | 2     |
-
   Scenario Outline: a request whose engine <first>, and whose stages cannot run again, gets status <status>
     Given scripted engines that first send "pause of 0.5 s, <script>" and then "inputs gone"
     When a caller reads a stream with stages, which hang once an engine has the request
--- a/features/steps/answers_steps.py
+++ b/features/steps/answers_steps.py
@@ -68,12 +68,6 @@
     context.raw = exchange(context, "/stream/1", "caller-1", 20_000)
 
 
-@when("a caller reads a stream with stages")
-def read_staged_stream(context):
-    fields = "Chervilrack-Chunk-Count: 2,3\r\nChervilrack-Chunk-Key: piece-key\r\n"
-    context.raw = exchange(context, "/stream/staged/1", "caller-1", 20_000, fields)
-
-
 @when("a caller reads a stream with stages, which hang once an engine has the request")
 def read_stream_with_hanging_stages(context):
     def hang_stages():
--- a/features/support/scripted_upstream.py
+++ b/features/support/scripted_upstream.py
@@ -115,32 +115,20 @@
                 if not block:
                     return
                 content += block
-            if content.startswith(b"GET /api/report"):
-                self._report(connection)
-                return
             with self._lock:
                 number = len(self.requests)
                 self.requests.append(content.decode())
             request_id = re.search(r"(?i)Chervilrack-Request-Id: (\S+)", content.decode())[1]
             script = self._scripts[min(number, len(self._scripts) - 1)]
-            has_head = False
             for action in script.split(", "):
                 try:
-                    self._run_action(connection, action, request_id, script, not has_head)
+                    self._run_action(connection, action, request_id, script)
                 except OSError:
                     self.unsent.append(action)
                     return
-                has_head = has_head or not action.startswith(("103", "pause", "alive"))
-
-    def _report(self, connection):
-        """Answer a request for the upstream's report if the script of the last request says so."""
-        number = min(len(self.requests), len(self._scripts)) - 1
-        if self._scripts[number].startswith("alive"):
-            connection.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
-        else:
-            self._stopping.wait(5)
 
-    def _run_action(self, connection, action, request_id, script, is_first):
+    def _run_action(self, connection, action, request_id, script):
+        is_first = script.split(", ")[0] == action or script.startswith(f"103, {action}")
         match action.split():
             case ["break"]:
                 connection.shutdown(socket.SHUT_RDWR)
@@ -151,8 +139,6 @@
                 connection.close()
             case ["silence"]:
                 self._stopping.wait(20)
-            case ["alive"]:
-                pass
             case ["pause", "of", seconds, "s"]:
                 self._stopping.wait(float(seconds))
             case ["events", first, "to", last]:
--- a/src/chervilrack/_internal/forwarding/attempts.py
+++ b/src/chervilrack/_internal/forwarding/attempts.py
@@ -4,7 +4,6 @@
 from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
-from http import HTTPStatus
 from typing import Protocol
 
 import urllib3
@@ -39,10 +38,6 @@
 )
 # An upstream fetches the inputs of a request over links of 10 Gbit/s before it reads the prompt.
 INPUT_READ_TIME = timedelta(milliseconds=60)
-# Probes of an upstream that is silent for longer than expected. An upstream that answers them all
-# keeps the request until its deadline.
-MAX_LIVENESS_PROBES = 3
-LIVENESS_TIMEOUT_S = 0.25
 # Socket timeouts are rounded and may expire this long before the deadline.
 DEADLINE_TOLERANCE = timedelta(milliseconds=20)
 
@@ -212,54 +207,13 @@
         headers = self._dialect.request_headers(request.headers, forwarded)
         exchange.send(request.method, request.target, headers, request.body, left.total_seconds())
         context.sent_attempts += 1
-        if not self._begins_in_time(
-            context, entry, choice, exchange, stages, has_inputs=bool(inputs)
-        ):
-            raise ExchangeFailed("silent for too long", sent=True)
+        timeout = self._observer.first_byte_timeout(context, choice)
+        begins = self._begins_within(exchange, timeout, stages)
+        if not begins and self._observer.can_retry(context, context.executions + 1):
+            raise ExchangeFailed(f"silent for {timeout.total_seconds():.2f} s", sent=True)
         left = context.time_left(self._clock.monotonic())
         return exchange.read_head(left.total_seconds())
 
-    def _begins_in_time(
-        self,
-        context: RequestContext,
-        entry: UpstreamEntry,
-        choice: UpstreamChoice,
-        exchange: Exchange,
-        stages: StageRun | None,
-        *,
-        has_inputs: bool,
-    ) -> bool:
-        """Whether the response begins before the request is better tried elsewhere.
-
-        True, too, if no other upstream may try it. The inputs of a request may be gone once its
-        upstream has read them, and making them again takes longer than the queue of an upstream
-        that is alive.
-        """
-        if self._begins_within(
-            exchange, self._observer.first_byte_timeout(context, choice), stages
-        ):
-            return True
-        for _ in range(MAX_LIVENESS_PROBES):
-            if not self._observer.can_retry(context, context.executions + 1):
-                return True
-            if not has_inputs or not self._is_alive(entry):
-                return False
-            context.step(f"{entry.id} is alive")
-            timeout = self._observer.first_byte_timeout(context, choice)
-            if exchange.wait_readable(timeout.total_seconds()):
-                return True
-        return True
-
-    def _is_alive(self, entry: UpstreamEntry) -> bool:
-        """Whether an upstream answers the request for its own report, which needs no slot."""
-        try:
-            with Exchange(entry.address) as probe:
-                path, host = self._dialect.report_path, [("Host", "report")]
-                probe.send("GET", path, host, b"", LIVENESS_TIMEOUT_S)
-                return probe.read_head(LIVENESS_TIMEOUT_S).status == HTTPStatus.OK
-        except ExchangeFailed:
-            return False
-
     def _begins_within(
         self, exchange: Exchange, timeout: timedelta, stages: StageRun | None
     ) -> bool:
--- a/src/chervilrack/_internal/forwarding/dialect.py
+++ b/src/chervilrack/_internal/forwarding/dialect.py
@@ -116,7 +116,6 @@
     lookup_path: str
     stage_path: str
     release_path: str
-    report_path: str
 
     def read_request(self, headers: HeaderFields) -> RequestMetadata:
         """Return the metadata of a caller's request. Raises MalformedMessage."""
--- a/src/chervilrack/platform/headers.py
+++ b/src/chervilrack/platform/headers.py
@@ -108,7 +108,6 @@
     lookup_path = "/api/resolve"
     stage_path = "/api/stage-run"
     release_path = "/api/stage-free"
-    report_path = "/api/report"
 
     def __init__(self) -> None:
         self._stage_response_decoder = msgspec.json.Decoder(_StageCallResponse)
