Do not take a later caller for one that has disconnected

Cause: the thread that watches callers gets descriptors from epoll. An event that it has received but not handled yet outlives the watch of its connection: the request ends, the connection is closed, and the next accepted connection gets the same descriptor. The thread then called the later request's callback: its attempt was cancelled although the upstream may have executed it, nothing was sent to its caller, and the open connection was closed by the idle time-out 15 s later. serving.feature:87 sends one request after the other, each over a connection that its caller closes at once, and failed so with an exception.

Change: the thread checks under the lock that the connection which now has the descriptor is disconnected. The new scenario pauses the thread between epoll and the callback and reuses the descriptor.

Conclusion: a fault of the product that loses answers of executed requests; the test was right.

--- a/features/gateway/callers.feature
+++ b/features/gateway/callers.feature
@@ -15,3 +15,11 @@
       | whole    | before the answer      | gone         |
       | in parts | before the answer      | gone         |
       | in parts | after the first part   | gone         |
+
+  Scenario: a disconnect that is noticed late does not count for a later caller
+    # Guards against an executed request that gets no answer because an earlier caller left.
+    Given a watch of callers whose thread pauses after each event
+    When a caller disconnects and a later one gets its descriptor during the pause
+    Then the later caller does not count as gone
+    When the later caller disconnects
+    Then the later caller counts as gone
--- a/features/steps/caller_watch_steps.py
+++ b/features/steps/caller_watch_steps.py
@@ -1,8 +1,11 @@
 """Steps for callers that disconnect from a pass-through server."""
 
 import contextlib
+import os
+import select
 import socket
 import threading
+from unittest import mock
 
 from behave import given, then, when
 
@@ -95,3 +98,76 @@
     context.handler.allowed_steps.release(4)
     assert context.handler.ended.wait(LIMIT_S)
     assert not context.handler.gone.is_set()
+
+
+class PausingPoller:
+    """epoll whose ``poll`` returns events only after ``resume`` was released once for each call.
+
+    ``paused`` is released when events have arrived, ``polling`` when ``poll`` begins.
+    """
+
+    def __init__(self):
+        self._poller = create_epoll()
+        self.polling = threading.Semaphore(0)
+        self.paused = threading.Semaphore(0)
+        self.resume = threading.Semaphore(0)
+
+    def __getattr__(self, name):
+        return getattr(self._poller, name)
+
+    def poll(self):
+        self.polling.release()
+        events = self._poller.poll()
+        self.paused.release()
+        assert self.resume.acquire(timeout=LIMIT_S)
+        return events
+
+
+create_epoll = select.epoll
+
+
+@given("a watch of callers whose thread pauses after each event")
+def start_pausing_watch(context):
+    with mock.patch.object(select, "epoll", PausingPoller):
+        context.watch = CallerWatch()
+    context.poller = context.watch._poller
+    context.stack = contextlib.ExitStack()
+    context.add_cleanup(context.stack.close)
+    context.stack.enter_context(context.watch)
+    context.stack.callback(context.poller.resume.release, 4)
+    assert context.poller.polling.acquire(timeout=LIMIT_S)
+
+
+@when("a caller disconnects and a later one gets its descriptor during the pause")
+def reuse_descriptor(context):
+    earlier_gone, context.later_gone = threading.Event(), threading.Event()
+    connection, caller = socket.socketpair()
+    descriptor = connection.fileno()
+    with context.watch.watching(connection, earlier_gone.set):
+        caller.close()
+        assert context.poller.paused.acquire(timeout=LIMIT_S)
+    accepted, context.later_caller = socket.socketpair()
+    os.dup2(accepted.fileno(), descriptor)
+    accepted.close()
+    context.stack.enter_context(connection)
+    context.stack.enter_context(context.watch.watching(connection, context.later_gone.set))
+    context.poller.resume.release()
+    assert context.poller.polling.acquire(timeout=LIMIT_S)
+    assert not earlier_gone.is_set()
+
+
+@then("the later caller does not count as gone")
+def check_later_not_gone(context):
+    assert not context.later_gone.is_set()
+
+
+@when("the later caller disconnects")
+def disconnect_later_caller(context):
+    context.later_caller.close()
+    assert context.poller.paused.acquire(timeout=LIMIT_S)
+    context.poller.resume.release()
+
+
+@then("the later caller counts as gone")
+def check_later_gone(context):
+    assert context.later_gone.wait(LIMIT_S)
--- a/src/chervilrack/_internal/gateway/callers.py
+++ b/src/chervilrack/_internal/gateway/callers.py
@@ -75,6 +75,17 @@
                 if descriptor == self._stop_reader:
                     return
                 with self._lock:
-                    entry = self._callbacks.pop(descriptor, None)
-                if entry is not None:
-                    entry[1]()
+                    entry = self._callbacks.get(descriptor)
+                    # The event may be one of an earlier connection with the same descriptor.
+                    if entry is None or not _is_disconnected(descriptor):
+                        continue
+                    del self._callbacks[descriptor]
+                entry[1]()
+
+
+def _is_disconnected(descriptor: int) -> bool:
+    """Whether the peer of the socket ``descriptor`` has closed its connection."""
+    poller = select.poll()
+    # poll always reports POLLHUP and POLLERR, too.
+    poller.register(descriptor, select.POLLRDHUP)
+    return bool(poller.poll(0))
