Free a stand-in's slot before the end of its answer

Cause: an upstream stand-in sent the whole answer and freed the slot afterwards. A caller that sends its requests one after the other, as "soon 20 plain requests run only at the other one" does, was refused with 503 once eight threads were late between the two; with one upstream left there is none to turn to.

Change: the slot is freed before the last bytes are sent, as the stand-ins in standins/upstreams do with their counts. The limit of 8 slots itself is as before.

Conclusion: a fault of the test's stand-in; its answers now depend on no thread that the caller does not wait for.

--- a/src/chervilrack/platform/emulated/standins.py
+++ b/src/chervilrack/platform/emulated/standins.py
@@ -13,7 +13,7 @@
 import time
 from abc import ABC, abstractmethod
 from collections import Counter
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any, Self
@@ -243,23 +243,12 @@
         elif request.path == "/api/stage-free":
             self.freed += json.loads(body)["handles"]
             request.answer(200)
-        elif self.behaviour == "full":
+        elif self.behaviour == "full" or not self._slots.acquire(blocking=False):
             self._reject(request)
         else:
-            with self._slot() as has_slot:
-                if has_slot:
-                    self._run(request, body)
-                else:
-                    self._reject(request)
-
-    @contextlib.contextmanager
-    def _slot(self) -> Iterator[bool]:
-        has_slot = self._slots.acquire(blocking=False)
-        try:
-            yield has_slot
-        finally:
-            if has_slot:
-                self._slots.release()
+            with contextlib.ExitStack() as slot:
+                slot.callback(self._slots.release)
+                self._run(request, body, slot.close)
 
     def _reject(self, request: _Handler) -> None:
         request.answer(503, headers=[("Chervilrack-Not-Executed", "1")])
@@ -273,7 +262,11 @@
             entries.append({"handle": f"{self.address}/{self.id}-{next(self._handles)}"})
         request.answer(200, {"entries": entries})
 
-    def _run(self, request: _Handler, body: bytes) -> None:
+    def _run(self, request: _Handler, body: bytes, free_slot: Callable[[], None]) -> None:
+        """Execute a request. Its slot is freed before the last bytes of the answer are sent.
+
+        The caller may send its next request as soon as it has them.
+        """
         headers = dict(request.headers.items())
         executed = ExecutedRequest(request.command, request.path, headers, body, time.monotonic())
         self.seen.append(executed)
@@ -285,6 +278,9 @@
             time.sleep(0.3)
         if request.path.endswith("/slow"):
             time.sleep(1.0)
+        is_stream = "/stream/" in request.path
+        if not is_stream or self.behaviour in ("fails", "unsigned", "cut off"):
+            free_slot()
         if self.behaviour == "fails":
             request.answer(500, headers=response_headers, body=b"no")
         elif self.behaviour == "unsigned":
@@ -294,12 +290,18 @@
             request.wfile.write("".join(f"{n}: {v}\r\n" for n, v in response_headers).encode())
             request.wfile.write(b"\r\nhalf")
             request.close_connection = True
-        elif "/stream/" in request.path:
-            self._stream(request, response_headers, body)
+        elif is_stream:
+            self._stream(request, response_headers, body, free_slot)
         else:
             request.answer(200, headers=response_headers, body=b"answer to " + body)
 
-    def _stream(self, request: _Handler, response_headers: Sequence[Header], body: bytes) -> None:
+    def _stream(
+        self,
+        request: _Handler,
+        response_headers: Sequence[Header],
+        body: bytes,
+        free_slot: Callable[[], None],
+    ) -> None:
         after = int(request.headers.get("Last-Event-Id") or 0)
         request.send_response(200)
         for name, value in [*response_headers, ("Content-Type", "text/event-stream")]:
@@ -310,12 +312,14 @@
             for number in range(after + 1, STREAM_EVENTS + 1):
                 event = b"id: %d\ndata: piece %d of %b\n\n" % (number, number, body)
                 if self.behaviour == "breaks" and number == 3:
+                    free_slot()
                     request.wfile.write(b"%x\r\n%b\r\n" % (9, event[:9]))
                     request.close_connection = True
                     return
                 request.wfile.write(b"%x\r\n%b\r\n" % (len(event), event))
                 if self.behaviour == "slow":
                     time.sleep(0.2)
+            free_slot()
             request.wfile.write(b"0\r\n\r\n")
         except OSError:
             self.left.set()
