Name the bound that ended a request in its log line

What operators saw: "cut off", "the answer broke off (ReadTimeoutError)" beside a change of the configuration, and no way to tell whether the caller's deadline, the route's timeout before or after the change, or the gap between events ended it. Cause: an exchange reported every time-out by the name of the exception; the request kept the version of its configuration only as a number. Change: Exchange says which time limit ended it, the attempt translates that to a numbered Bound, the request's log line has `bound`, `deadline_ms` and `deadline_bound`, and a step says why no further attempt was made. A request keeps its whole configuration, which its stages use, too: they took the services from the configuration in force when they started.

--- a/features/steps/answers_steps.py
+++ b/features/steps/answers_steps.py
@@ -6,33 +6,11 @@
 import time
 
 from behave import given, then, when
-from support.scripted_upstream import FOREIGN_ID, ScriptedUpstreams
+from support.scripted_upstream import FOREIGN_ID, start_scripted
 
 LIMIT_S = 30.0
 
 
-def start_scripted(context, service, scripts, count):
-    upstreams = ScriptedUpstreams(scripts, count)
-    upstreams.__enter__()
-    context.add_cleanup(upstreams.__exit__)
-    context.scripted = upstreams
-    for name, upstream in context.upstreams.items():
-        if upstream.service == service:
-            context.store.remove(f"servers/{name}")
-    for number, address in enumerate(upstreams.addresses):
-        entry = {
-            **context.upstreams["plain-1"].entry(address=address),
-            "service": service,
-        }
-        context.store.put(f"servers/scripted-{number}", entry)
-    expected = {f"scripted-{number}" for number in range(count)}
-    catalogue = context.node._state.catalogue
-    end = time.monotonic() + LIMIT_S
-    while {entry.id for entry in catalogue.ready_upstreams(service)} != expected:
-        assert time.monotonic() < end, "the node does not know the scripted upstreams"
-        time.sleep(0.01)
-
-
 @given('scripted engines that first send "{first}" and then "{second}"')
 def start_two_engines(context, first, second):
     start_scripted(context, "engine", [first, second], 2)
--- a/features/support/scripted_upstream.py
+++ b/features/support/scripted_upstream.py
@@ -16,6 +16,8 @@
 _CHUNKED = "Transfer-Encoding: chunked\r\n"
 # Pause between the pieces of slow answers.
 _STEP_S = 0.3
+# Generous limit for changes of the store to reach a node.
+_KNOWN_LIMIT_S = 30.0
 
 
 def _identity(request_id):
@@ -177,3 +179,26 @@
         end = time.monotonic() + seconds
         while time.monotonic() < end and not self._stopping.wait(_STEP_S):
             connection.sendall(part.encode())
+
+
+def start_scripted(context, service, scripts, count):
+    """Replace the upstreams of a service by ``count`` scripted ones, and wait until it is known."""
+    upstreams = ScriptedUpstreams(scripts, count)
+    upstreams.__enter__()
+    context.add_cleanup(upstreams.__exit__)
+    context.scripted = upstreams
+    for name, upstream in context.upstreams.items():
+        if upstream.service == service:
+            context.store.remove(f"servers/{name}")
+    for number, address in enumerate(upstreams.addresses):
+        entry = {
+            **context.upstreams["plain-1"].entry(address=address),
+            "service": service,
+        }
+        context.store.put(f"servers/scripted-{number}", entry)
+    expected = {f"scripted-{number}" for number in range(count)}
+    catalogue = context.node._state.catalogue
+    end = time.monotonic() + _KNOWN_LIMIT_S
+    while {entry.id for entry in catalogue.ready_upstreams(service)} != expected:
+        assert time.monotonic() < end, "the node does not know the scripted upstreams"
+        time.sleep(0.01)
--- a/src/chervilrack/_internal/forwarding/attempts.py
+++ b/src/chervilrack/_internal/forwarding/attempts.py
@@ -11,12 +11,13 @@
 from chervilrack._internal.balancing.state import UpstreamChoice
 from chervilrack._internal.catalogue.state import RequestKind, UpstreamEntry
 from chervilrack._internal.common.clock import Clock
+from chervilrack._internal.forwarding.bounds import Bound
 from chervilrack._internal.forwarding.context import RequestContext
 from chervilrack._internal.forwarding.dialect import Dialect, ForwardedMetadata, ResponseMetadata
 from chervilrack._internal.forwarding.messages import Responder
 from chervilrack._internal.forwarding.stages import StageRun
 from chervilrack._internal.forwarding.streams import StreamRelay
-from chervilrack._internal.upstreams.exchange import Exchange, ExchangeFailed
+from chervilrack._internal.upstreams.exchange import Exchange, ExchangeFailed, TimeLimit
 
 # Statuses that tell the caller that its request was not executed. An upstream that executed the
 # request may use them, too: its response with one of them is therefore not relayed.
@@ -38,6 +39,12 @@
 )
 # An upstream fetches the inputs of a request over links of 10 Gbit/s before it reads the prompt.
 INPUT_READ_TIME = timedelta(milliseconds=60)
+# Bounds by the time limit of an exchange; the bound behind DEADLINE is that of the request.
+_BOUNDS: Mapping[TimeLimit, Bound] = {
+    TimeLimit.CONNECT: Bound.CONNECT,
+    TimeLimit.FIRST_BYTE: Bound.FIRST_BYTE,
+    TimeLimit.PROGRESS: Bound.EVENT_GAP,
+}
 # Socket timeouts are rounded and may expire this long before the deadline.
 DEADLINE_TOLERANCE = timedelta(milliseconds=20)
 
@@ -61,7 +68,8 @@
     """Result of one attempt.
 
     ``may_have_arrived`` is whether the upstream may have received the request. ``error_response``
-    is the upstream's error response, which the caller gets if no other attempt succeeds.
+    is the upstream's error response, which the caller gets if no other attempt succeeds. ``bound``
+    is the bound that ended the attempt, None if the upstream or the caller ended it.
     """
 
     outcome: AttemptOutcome
@@ -69,6 +77,7 @@
     status: int = 0
     may_have_arrived: bool = False
     error_response: tuple[int, list[tuple[str, str]], bytes] | None = None
+    bound: Bound | None = None
 
 
 class AttemptObserver(Protocol):
@@ -210,7 +219,8 @@
         timeout = self._observer.first_byte_timeout(context, choice)
         begins = self._begins_within(exchange, timeout, stages)
         if not begins and self._observer.can_retry(context, context.executions + 1):
-            raise ExchangeFailed(f"silent for {timeout.total_seconds():.2f} s", sent=True)
+            detail = f"silent for {timeout.total_seconds():.2f} s"
+            raise ExchangeFailed(detail, sent=True, limit=TimeLimit.FIRST_BYTE)
         left = context.time_left(self._clock.monotonic())
         return exchange.read_head(left.total_seconds())
 
@@ -248,10 +258,13 @@
             )
         if is_upstream_fault:
             self._observer.attempt_failed(entry, error.detail, certain=error.unreachable)
+        bound = _bound(context, error)
         if not error.sent:
-            return AttemptResult(AttemptOutcome.NOT_RUN, error.detail)
+            return AttemptResult(AttemptOutcome.NOT_RUN, error.detail, bound=bound)
         context.executions += 1
-        return AttemptResult(AttemptOutcome.FAILED, error.detail, may_have_arrived=True)
+        return AttemptResult(
+            AttemptOutcome.FAILED, error.detail, may_have_arrived=True, bound=bound
+        )
 
     def _handle_not_executed(
         self, entry: UpstreamEntry, status: int, metadata: ResponseMetadata
@@ -299,7 +312,12 @@
                     AttemptOutcome.CUT_OFF, "the caller left", may_have_arrived=True
                 )
             self._observer.attempt_failed(entry, error.detail, certain=False)
-            return AttemptResult(AttemptOutcome.FAILED, error.detail, may_have_arrived=True)
+            return AttemptResult(
+                AttemptOutcome.FAILED,
+                error.detail,
+                may_have_arrived=True,
+                bound=_bound(context, error),
+            )
         self._observer.attempt_succeeded(entry)
         return AttemptResult(
             AttemptOutcome.ANSWERED, f"by {entry.id}", response.status, may_have_arrived=True
@@ -320,7 +338,11 @@
             body = exchange.read_body(context.deadline.total_seconds())
         except ExchangeFailed as error:
             return AttemptResult(
-                AttemptOutcome.FAILED, error.detail, response.status, may_have_arrived=True
+                AttemptOutcome.FAILED,
+                error.detail,
+                response.status,
+                may_have_arrived=True,
+                bound=_bound(context, error),
             )
         error_response = None
         if response.status not in NOT_EXECUTED_STATUSES:
@@ -334,6 +356,13 @@
         )
 
 
+def _bound(context: RequestContext, error: ExchangeFailed) -> Bound | None:
+    """Return the bound that ended an exchange, None if it ended otherwise."""
+    if error.limit is TimeLimit.DEADLINE:
+        return context.deadline_bound
+    return _BOUNDS.get(error.limit) if error.limit is not None else None
+
+
 def end_to_end_headers(headers: Mapping[str, str]) -> list[tuple[str, str]]:
     """Return the header fields of a response without the hop-by-hop ones."""
     return [
--- a/src/chervilrack/_internal/forwarding/context.py
+++ b/src/chervilrack/_internal/forwarding/context.py
@@ -6,8 +6,9 @@
 from datetime import timedelta
 
 from chervilrack._internal.balancing.state import RequestLoad
-from chervilrack._internal.catalogue.state import Route
+from chervilrack._internal.catalogue.state import Route, ServingConfiguration
 from chervilrack._internal.common.ids import OrganisationId, ServiceId, UpstreamId
+from chervilrack._internal.forwarding.bounds import Bound
 from chervilrack._internal.forwarding.dialect import RequestMetadata
 from chervilrack._internal.forwarding.event_sequence import EventSequence
 from chervilrack._internal.forwarding.messages import InboundRequest
@@ -17,9 +18,10 @@
 class RequestContext:
     """A request, its route, and the state of its execution.
 
-    ``deadline``, ``due`` and ``first_byte_deadline`` are monotonic times. ``due`` is the end of
-    the target latency. Callers of a stream leave if they have no byte of it at
-    ``first_byte_deadline``.
+    ``configuration`` is the one under which the request was admitted and is served to its end.
+    ``deadline``, ``due`` and ``first_byte_deadline`` are monotonic times. ``deadline_bound`` is the
+    bound that sets ``deadline``. ``due`` is the end of the target latency. Callers of a stream
+    leave if they have no byte of it at ``first_byte_deadline``.
 
     ``sent_attempts`` counts the attempts whose request was written to an upstream, ``executions``
     those that an upstream has executed or may have executed. ``events`` is the position of a stream
@@ -35,7 +37,8 @@
     deadline: timedelta
     due: timedelta
     first_byte_deadline: timedelta
-    configuration_version: int
+    deadline_bound: Bound
+    configuration: ServingConfiguration
     load: RequestLoad
     sent_attempts: int = 0
     executions: int = 0
--- a/src/chervilrack/_internal/forwarding/forwarder.py
+++ b/src/chervilrack/_internal/forwarding/forwarder.py
@@ -23,6 +23,7 @@
 from chervilrack._internal.common.ids import OrganisationId, RequestId, ServiceId, UpstreamId
 from chervilrack._internal.common.results import Executed, Problem, ResultCode
 from chervilrack._internal.forwarding.attempts import AttemptOutcome, AttemptResult, AttemptRunner
+from chervilrack._internal.forwarding.bounds import Bound
 from chervilrack._internal.forwarding.context import RequestContext
 from chervilrack._internal.forwarding.dialect import Dialect, MalformedMessage, RequestMetadata
 from chervilrack._internal.forwarding.messages import CallerGone, InboundRequest, Responder
@@ -110,13 +111,15 @@
 class ForwardingOutcome:
     """How a request ended.
 
-    ``status`` is the HTTP status, 0 if the response was cut off or the caller had left.
+    ``status`` is the HTTP status, 0 if the response was cut off or the caller had left. ``bound``
+    is the bound that ended the request, None if it ended otherwise.
     """
 
     name: str
     status: int
     detail: str
     took: timedelta
+    bound: Bound | None = None
 
 
 class Forwarder:
@@ -191,6 +194,9 @@
         organisation: OrganisationId | None,
     ) -> RequestContext:
         limit = route.timeout or DEFAULT_TIMEOUT
+        bound = Bound.ROUTE_TIMEOUT if route.timeout else Bound.DEFAULT_TIMEOUT
+        if metadata.deadline and metadata.deadline <= limit:
+            bound = Bound.CALLER_DEADLINE
         allowed = min(metadata.deadline or limit, limit)
         service = self._pick_service(route)
         shared = metadata.prefix[:-1]
@@ -204,7 +210,8 @@
             deadline=request.arrived + max(allowed - RESPONSE_MARGIN, allowed / 2),
             due=request.arrived + (route.target_latency or allowed),
             first_byte_deadline=request.arrived + min(allowed, _caller_patience(route) or allowed),
-            configuration_version=configuration.version,
+            deadline_bound=bound,
+            configuration=configuration,
             load=RequestLoad(
                 metadata.prompt_tokens, tuple((part.id, part.tokens) for part in shared)
             ),
@@ -239,9 +246,8 @@
         if not context.route.stages:
             return None
         zone = self._backend.zone_hint(context.service, context.load, _input_bytes(context))
-        configuration = self._backend.configuration()
-        assert configuration is not None
-        return StageRun(context, self._stages, self._clock, zone, configuration.services)
+        services = context.configuration.services
+        return StageRun(context, self._stages, self._clock, zone, services)
 
     def _send_to_upstreams(
         self, context: RequestContext, responder: Responder, stages: StageRun | None
@@ -266,7 +272,8 @@
             inputs = stages.inputs if stages is not None else ()
             context.step(f"to {entry.id} after {self._elapsed_ms(context)} ms: {choice.reason}")
             last = self._attempts.run(context, responder, entry, choice, inputs, stages)
-            context.step(f"{last.outcome.value}: {last.detail}")
+            bound = f"; bound {last.bound}" if last.bound is not None else ""
+            context.step(f"{last.outcome.value}: {last.detail}{bound}")
             if last.outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.CUT_OFF):
                 return self._outcome(context, last.outcome.value, last.status, last.detail)
             if last.outcome is AttemptOutcome.INPUT_GONE and stages is not None:
@@ -287,10 +294,15 @@
         """Whether the request may be sent to another upstream after the attempt ``last``."""
         route = context.route
         if context.stream_begun and not context.events.can_resume:
+            context.step("not tried again: the last event has no id")
             return False
         if last.outcome is AttemptOutcome.FAILED and not (
             route.may_repeat and context.executions < route.max_attempts
         ):
+            context.step(
+                f"not tried again: executions {context.executions}, "
+                f"allowed {route.max_attempts if route.may_repeat else 1}"
+            )
             return False
         if not last.may_have_arrived:
             return True
@@ -306,12 +318,13 @@
         if context.stream_begun:
             responder.abort()
             detail = last.detail if last is not None else "no upstream"
-            return self._outcome(context, "cut off", 0, detail)
+            return self._outcome(context, "cut off", 0, detail, last.bound if last else None)
         if last is not None and last.error_response is not None:
             status, headers, body = last.error_response
             responder.send_response(status, headers, body)
             return self._outcome(context, "upstream failed", status, last.detail)
-        return self._fail(context, responder, self._final_problem(context, last))
+        problem = self._final_problem(context, last)
+        return self._fail(context, responder, problem, last.bound if last else None)
 
     def _final_problem(self, context: RequestContext, last: AttemptResult | None) -> Problem:
         is_past_deadline = context.time_left(self._clock.monotonic()) <= timedelta(0)
@@ -340,18 +353,23 @@
     # Responses and outcomes
 
     def _fail(
-        self, context: RequestContext, responder: Responder, problem: Problem
+        self,
+        context: RequestContext,
+        responder: Responder,
+        problem: Problem,
+        bound: Bound | None = None,
     ) -> ForwardingOutcome:
         """End a request with a problem; a stream that has begun is cut off instead."""
         if context.stream_begun:
             responder.abort()
-            return self._outcome(context, "cut off", 0, problem.detail)
+            return self._outcome(context, "cut off", 0, problem.detail, bound)
         if problem.code.http_status == 503:
             wait = retry_after(timedelta(milliseconds=300), self._rng)
             problem = Problem(problem.code, problem.detail, problem.executed, wait)
         if not context.caller_gone:
             responder.send_response(*problem_response(problem, context.metadata.request_id))
-        return self._outcome(context, "rejected", problem.code.http_status, problem.detail)
+        status = problem.code.http_status
+        return self._outcome(context, "rejected", status, problem.detail, bound)
 
     def _reject(
         self,
@@ -368,13 +386,24 @@
             return
 
     def _outcome(
-        self, context: RequestContext, name: str, status: int, detail: str
+        self,
+        context: RequestContext,
+        name: str,
+        status: int,
+        detail: str,
+        bound: Bound | None = None,
     ) -> ForwardingOutcome:
-        """Return the outcome of a request; its name is "gone" if the caller has left."""
+        """Return the outcome of a request; its name is "gone" if the caller has left.
+
+        ``bound`` is the one that ended the last attempt. A request that ends at its deadline ended
+        by the bound that sets the deadline.
+        """
+        now = self._clock.monotonic()
         if context.caller_gone:
             name = "gone"
-        took = self._clock.monotonic() - context.request.arrived
-        return ForwardingOutcome(name, status, detail, took)
+        if name != "answered" and context.time_left(now) <= timedelta(0):
+            bound = context.deadline_bound
+        return ForwardingOutcome(name, status, detail, now - context.request.arrived, bound)
 
     def _elapsed_ms(self, context: RequestContext) -> int:
         return round(
--- a/src/chervilrack/_internal/serving/state.py
+++ b/src/chervilrack/_internal/serving/state.py
@@ -185,11 +185,14 @@
             route=context.route.name,
             service=context.service,
             organisation=context.organisation,
-            configuration=context.configuration_version,
+            configuration=context.configuration.version,
             status=outcome.status,
             detail=outcome.detail,
             took_ms=round(outcome.took / timedelta(milliseconds=1)),
             target_ms=round((context.due - context.request.arrived) / timedelta(milliseconds=1)),
+            deadline_ms=round((context.deadline - context.request.arrived) / _MILLISECOND),
+            deadline_bound=str(context.deadline_bound),
+            bound=str(outcome.bound) if outcome.bound is not None else None,
             steps=context.steps,
         )
 
--- a/src/chervilrack/_internal/upstreams/exchange.py
+++ b/src/chervilrack/_internal/upstreams/exchange.py
@@ -6,12 +6,14 @@
 """
 
 import http.client
+import math
 import select
 import socket
 import threading
 import time
 from collections.abc import Callable, Iterator, Sequence
 from contextlib import suppress
+from enum import Enum
 from types import TracebackType
 from typing import Any, Self
 
@@ -32,18 +34,36 @@
 _WRITE_BYTES = 32_768
 
 
+class TimeLimit(Enum):
+    """Time limit that ended an exchange; PROGRESS is the one on the time without progress."""
+
+    CONNECT = "connect"
+    FIRST_BYTE = "first byte"
+    PROGRESS = "progress"
+    DEADLINE = "deadline"
+
+
 class ExchangeFailed(ChervilrackError):
     """The exchange ended without a whole answer.
 
     ``sent`` is whether a byte of the request may have reached the upstream. ``unreachable`` is
-    whether no connection could be made.
+    whether no connection could be made. ``limit`` is the time limit that ended the exchange, None
+    if the upstream ended it.
     """
 
-    def __init__(self, detail: str, *, sent: bool, unreachable: bool = False) -> None:
+    def __init__(
+        self,
+        detail: str,
+        *,
+        sent: bool,
+        unreachable: bool = False,
+        limit: TimeLimit | None = None,
+    ) -> None:
         super().__init__(detail)
         self.detail = detail
         self.sent = sent
         self.unreachable = unreachable
+        self.limit = limit
 
 
 class _DeadlineSocket(socket.socket):
@@ -134,6 +154,8 @@
         self._response: urllib3.BaseHTTPResponse | None = None
         self._sent = False
         self._cancelled = False
+        # Monotonic time in seconds at which the exchange has to end.
+        self._deadline = math.inf
 
     def __enter__(self) -> Self:
         return self
@@ -176,6 +198,7 @@
                 fields[name] = SKIP_HEADER
         fields["Connection"] = "close"
         self._sent = True
+        self._deadline = time.monotonic() + time_left_s
         try:
             connection.timeout = max(0.001, time_left_s)
             connection.request(
@@ -204,7 +227,7 @@
     def read_head(self, time_left_s: float) -> urllib3.BaseHTTPResponse:
         """Read the status line and header fields of the answer. Raises ExchangeFailed."""
         assert self._connection is not None
-        deadline = time.monotonic() + time_left_s
+        deadline = self._deadline = time.monotonic() + time_left_s
         self._set_read_deadline(lambda: deadline)
         # Reads wait for the socket themselves.
         self._connection.timeout = None
@@ -237,6 +260,7 @@
         response = self._response
         assert response is not None
         size = 0
+        self._deadline = deadline
         limit = progress_deadline
         self._set_read_deadline(
             (lambda: deadline) if limit is None else (lambda: min(deadline, limit()))
@@ -244,9 +268,13 @@
         while not response.closed:  # http.client closes the response at the end of the body
             now = time.monotonic()
             if now >= deadline:
-                raise ExchangeFailed("the deadline passed within the answer", sent=True)
+                raise ExchangeFailed(
+                    "the deadline passed within the answer", sent=True, limit=TimeLimit.DEADLINE
+                )
             if limit is not None and now >= limit():
-                raise ExchangeFailed("the answer makes no progress", sent=True)
+                raise ExchangeFailed(
+                    "the answer makes no progress", sent=True, limit=TimeLimit.PROGRESS
+                )
             try:
                 part = response.read1(_READ_BYTES)
             except (OSError, ValueError, urllib3.exceptions.HTTPError) as error:
@@ -304,8 +332,12 @@
                 return
         if self._cancelled:
             raise ExchangeFailed("the exchange was cancelled", sent=False)
+        timed_out = isinstance(last_error, urllib3.exceptions.ConnectTimeoutError)
         raise ExchangeFailed(
-            f"no connection ({type(last_error).__name__})", sent=False, unreachable=True
+            f"no connection ({type(last_error).__name__})",
+            sent=False,
+            unreachable=True,
+            limit=TimeLimit.CONNECT if timed_out else None,
         )
 
     def _has_answer(self) -> bool:
@@ -319,4 +351,16 @@
     def _create_failure(self, description: str, error: Exception) -> ExchangeFailed:
         if self._cancelled:
             return ExchangeFailed("the exchange was cancelled", sent=self._sent)
-        return ExchangeFailed(f"{description} ({type(error).__name__})", sent=self._sent)
+        detail = f"{description} ({type(error).__name__})"
+        return ExchangeFailed(detail, sent=self._sent, limit=self._expired_limit(error))
+
+    def _expired_limit(self, error: Exception) -> TimeLimit | None:
+        """Return the time limit that raised an error, None for all other errors."""
+        if not isinstance(error, TimeoutError | urllib3.exceptions.ReadTimeoutError):
+            return None
+        if getattr(error, "errno", None) is not None:  # the kernel gave the connection up
+            return None
+        # The kernel's timers may expire up to a millisecond early.
+        if time.monotonic() >= self._deadline - 0.001:
+            return TimeLimit.DEADLINE
+        return TimeLimit.PROGRESS
