Do not cut a pausing stream for an attempt that will not be made

Cause: can_retry, which decides whether a silent upstream is left, and the retry itself asked different questions: it compared the budget's allowance with 1 and left out the retries already taken, and did not ask whether the last event has an id. Change: can_retry asks the budget whether take would succeed (RetryBudget.can_take), and the stream whether it can be resumed. Conclusion: the same class remains where the stages of a request cannot run again in time; reported, not changed here.

--- a/features/adapter/answers.feature
+++ b/features/adapter/answers.feature
@@ -55,6 +55,19 @@
     When a caller reads a stream
     Then the caller gets the events 1 2 3 4 5 and the stream is complete
 
+  # Guards against ending an answer that could have gone on, for another attempt that is not made.
+  Scenario Outline: a stream that pauses is not cut while <reason> forbids another attempt
+    Given scripted engines that first send "<script>" and then "events 3 to 5"
+    And the retry budget is <budget>
+    When a caller reads a stream
+    Then the caller gets the events <events> and the stream is complete
+    And 1 request has reached the scripted upstreams
+
+    Examples:
+      | reason                  | budget  | events      | script                                          |
+      | an event without an id  | whole   | without ids | events without ids, pause of 2.2 s, nothing more |
+      | the used retry budget   | used up | 1 2 3 4 5   | events 1 to 2, pause of 2.2 s, events 3 to 5     |
+
   Scenario Outline: a request whose engine <first>, and whose stages cannot run again, gets status <status>
     Given scripted engines that first send "pause of 0.5 s, <script>" and then "inputs gone"
     When a caller reads a stream with stages, which hang once an engine has the request
--- a/features/steps/answers_steps.py
+++ b/features/steps/answers_steps.py
@@ -21,6 +21,13 @@
     start_scripted(context, "engine", [script], 1)
 
 
+@given("the retry budget is {budget}")
+def set_retry_budget(context, budget):
+    state = context.node._state
+    while budget == "used up" and state.take_retry("engine"):
+        pass
+
+
 @given('scripted plain upstreams that send "{script}"')
 def start_plain(context, script):
     start_scripted(context, "plain", [script], 2)
--- a/src/chervilrack/_internal/limits/retry_budget.py
+++ b/src/chervilrack/_internal/limits/retry_budget.py
@@ -66,12 +66,16 @@
         slack = settings.slack / max(1, self._nodes())
         return settings.usable_fraction * (settings.ratio * requests + slack)
 
+    def can_take(self, service: ServiceId, now: timedelta) -> bool:
+        """Whether ``take`` would return True."""
+        retries = self._window(self._retries, service)
+        return retries.count(now) + 1 <= self.allowance(service, now)
+
     def take(self, service: ServiceId, now: timedelta) -> bool:
         """Count one retry and return True, or return False if the budget is exhausted."""
-        retries = self._window(self._retries, service)
-        if retries.count(now) + 1 > self.allowance(service, now):
+        if not self.can_take(service, now):
             return False
-        retries.add(now)
+        self._window(self._retries, service).add(now)
         return True
 
     def _window(self, windows: dict[ServiceId, _Window], service: ServiceId) -> _Window:
--- a/src/chervilrack/_internal/serving/state.py
+++ b/src/chervilrack/_internal/serving/state.py
@@ -307,12 +307,14 @@
         route = context.route
         if not route.may_repeat or executions >= route.max_attempts:
             return False
+        if context.stream_begun and not context.events.can_resume:
+            return False
         now = self.clock.monotonic()
         with self.lock:
             others = [
                 e for e in self._usable(context.service) if e.id not in context.tried_upstreams
             ]
-            return bool(others) and self.budget.allowance(context.service, now) >= 1
+            return bool(others) and self.budget.can_take(context.service, now)
 
     # Directory
 
