Read responses strictly: one that breaks off is an error, not an answer

An upstream that stopped within the head of its answer and closed gave callers a status 200 with an empty body, framed as whole. The cut head of a refusal (503 with its statement, or only the status line of a 421) made an order run again at another upstream. A stream whose connection ended within the size of a chunk ("0" of "0a") ended as complete. The native node's client, the commands to upstreams, the clients of the store, etcd and nodes, and the callers of soaks and experiments believed such responses, too: the head of a 404 told that a key is absent, a 412 that a write was not applied.

Cause: http.client takes the end of a connection for the end of a head, a chunk size or a trailer. It reads a malformed length as none, ignores a header line without a colon and all behind it, and accepts signs and underscores in chunk sizes. urllib3 only logs these. Ruled out: bodies with a length, chunks and the first line of an empty response; they failed as they should before. Change: common/http_responses.py: lines without their end, ambiguous lengths, codings and fields, and chunks that do not end where their size says raise errors. All clients use its connections; interim responses are skipped there for all of them. An exchange that fails so counts as a run that may have happened, a write to the store as unknown. An answer without length keeps this weakness; HTTP has no mark of its end.

--- a/features/adapter/answers.feature
+++ b/features/adapter/answers.feature
@@ -29,6 +29,25 @@
       | events 3 to 4, break                 | 1 2 3 4   | incomplete |
       | events 3 to 3, foreign answer, break | 1 2 3     | incomplete |
 
+  Scenario Outline: a stream of which an engine sends <first> is sent whole by the next engine
+    # Guards against an end of the connection that is taken for the end of the head or the stream.
+    Given scripted engines that first send "<first>, <ending>" and then "<second>"
+    When a caller reads a stream
+    Then the caller gets the events 1 2 3 4 5 and the stream is complete
+    And 2 requests have reached the scripted upstreams
+
+    Examples:
+      | first                                 | ending | second        |
+      | stream head up to 200 OK              | break  | events 1 to 5 |
+      | stream head up to s-caller-1          | break  | events 1 to 5 |
+      | stream head up to event-stream        | break  | events 1 to 5 |
+      | stream head up to Transfer-Encoding   | break  | events 1 to 5 |
+      | stream head up to event-stream        | reset  | events 1 to 5 |
+      | 103, stream head up to event-stream   | break  | events 1 to 5 |
+      | refusal up to Not-Executed: 1         | break  | events 1 to 5 |
+      | events 1 to 2, size of a chunk up to 0 | break | events 3 to 5 |
+      | events 1 to 2, size of a chunk        | break  | events 3 to 5 |
+
   Scenario: a stream whose events have no ids is not continued
     Given scripted engines that first send "events without ids, break" and then "events 1 to 5"
     When a caller reads a stream
@@ -90,9 +109,66 @@
       | plain   | chunks without the last, break        | 502    |
       | plain   | break                                 | 502    |
       | plain   | no HTTP, break                        | 502    |
+      | plain   | chunked answer                        | 200    |
       | plain   | status line of 100000 bytes           | 502    |
       | look-up | foreign answer, answer                | 502    |
 
+  Scenario Outline: an order whose upstream sends <answer> and ends by a <ending> may have run
+    # Guards against a head that breaks off and is taken for an answer without body or a refusal.
+    Given scripted plain upstreams that send "<answer>, <ending>"
+    When a caller sends a plain request with a deadline of 4000 ms
+    Then the caller gets status 502 and is told that it has maybe run
+    And 1 request has reached the scripted upstreams
+
+    Examples: neither an answer nor a promise that the order has not run
+      | answer                                     | ending |
+      | answer up to HTTP/1.1                      | break  |
+      | answer up to 200                           | break  |
+      | answer up to 200 OK                        | break  |
+      | answer up to Request-Id:                   | break  |
+      | answer up to s-caller-1                    | break  |
+      | answer up to s-caller-1                    | reset  |
+      | answer up to Content-Length:               | break  |
+      | answer up to Content-Length: 1             | break  |
+      | answer up to Content-Length: 18            | break  |
+      | answer up to Content-Length: 18            | reset  |
+      | answer up to answer to                     | break  |
+      | 103, answer up to s-caller-1               | break  |
+      | 103 up to Early Hints                      | break  |
+      | chunked answer up to Transfer-Encoding:    | break  |
+      | chunked answer up to chunked               | break  |
+      | chunked answer up to 012                   | break  |
+      | chunked answer up to note                  | break  |
+      | chunked answer up to answer to caller-1    | break  |
+      | chunked answer up to 0;last                | break  |
+      | chunked answer up to X-Trailer: 1          | break  |
+      | chunked answer up to X-Trailer: 1          | reset  |
+      | refusal up to 503                          | break  |
+      | refusal up to Service Unavailable          | break  |
+      | refusal up to s-caller-1                   | break  |
+      | refusal up to Not-Executed                 | break  |
+      | refusal up to Not-Executed: 1              | break  |
+      | refusal up to Content-Length: 4            | break  |
+      | refusal up to Not-Executed: 1              | reset  |
+      | misdirected up to 421 Misdirected Request  | break  |
+      | misdirected up to s-caller-1               | break  |
+      | 500 up to Internal Server Error            | break  |
+
+  Scenario Outline: a look-up of which an upstream sends <answer> is answered by the next one
+    # Guards against an empty answer to a request that another upstream could have answered.
+    Given scripted plain upstreams that first send "<answer>, break" and then "answer"
+    When a caller sends a look-up request with a deadline of 4000 ms
+    Then the caller gets status 200
+    And 2 requests have reached the scripted upstreams
+    And no later request gets a part of that answer
+
+    Examples:
+      | answer                             |
+      | answer up to 200 OK                |
+      | answer up to s-caller-1            |
+      | chunked answer up to 0;last        |
+      | refusal up to Service Unavailable  |
+
   Scenario Outline: a plain request whose upstream sends <bytes> ends at its deadline
     Given scripted plain upstreams that send "<bytes>"
     When a caller sends a plain request with a deadline of 1500 ms
--- a/features/steps/answers_steps.py
+++ b/features/steps/answers_steps.py
@@ -48,6 +48,11 @@
     start_scripted(context, "plain", [script], 2)
 
 
+@given('scripted plain upstreams that first send "{first}" and then "{second}"')
+def start_two_plain(context, first, second):
+    start_scripted(context, "plain", [first, second], 2)
+
+
 def exchange(context, path, request_id, deadline_ms, fields=""):
     """Send a request on a new connection and return all bytes until the node closes it."""
     address = (context.settings.callers.host, context.settings.callers.port)
--- a/features/support/scripted_upstream.py
+++ b/features/support/scripted_upstream.py
@@ -1,6 +1,7 @@
 """Upstreams that write scripted bytes to their sockets, whatever the request is.
 
-A script is a comma-separated list of actions, see ``_ACTIONS`` and ``_run_action``. The attempt
+A script is a comma-separated list of actions, see ``_ACTIONS`` and ``_run_action``. An action of
+``_ACTIONS`` followed by ``up to TEXT`` ends with that text. The attempt
 number selects the script, whichever upstream gets the attempt.
 """
 
@@ -43,6 +44,15 @@
     "answer": lambda id: _whole("200 OK", id, f"answer to {id}"),
     "foreign answer": lambda id: _whole("200 OK", FOREIGN_ID, f"answer to {FOREIGN_ID}"),
     "103": lambda id: "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n",
+    "misdirected": lambda id: _whole("421 Misdirected Request", id, "not here"),
+    "chunked answer": lambda id: (
+        f"{OK}{_identity(id)}{_CHUNKED}\r\n0{len(f'answer to {id}'):x};note=1\r\nanswer to {id}"
+        "\r\n0;last\r\nX-Trailer: 1\r\n\r\n"
+    ),
+    "stream head": lambda id: (
+        f"{OK}{_identity(id)}Content-Type: text/event-stream\r\n{_CHUNKED}\r\n"
+    ),
+    "size of a chunk": lambda id: "0a",
     "500": lambda id: _whole("500 Internal Server Error", id, "it failed\n\nbadly\n\n"),
     "refusal": lambda id: _whole("503 Service Unavailable", id, "full", _NOT_RUN),
     "refusal of another request": lambda id: _whole(
@@ -158,7 +168,10 @@
                 self._send_slowly(connection, " ".join(name), float(seconds), request_id, is_first)
                 return
             case _:
-                connection.sendall(_ACTIONS[action](request_id).encode())
+                name, _, end = action.partition(" up to ")
+                content = _ACTIONS[name](request_id)
+                size = content.index(end) + len(end) if end else len(content)
+                connection.sendall(content[:size].encode())
         is_last_part = script.split(", ")[-1] == action or "foreign answer" in script
         is_stream = action.startswith(("events", "nothing"))
         if is_stream and is_last_part and not script.endswith("break"):
--- /dev/null
+++ b/features/upstreams/broken_off.feature
@@ -0,0 +1,85 @@
+Feature: Responses that break off
+  A server that stops within a response and closes the connection has not answered. A client that
+  takes the end of the connection for the end of the head, of a chunk size or of the trailers
+  passes on an answer without its body, or believes a refusal that was not stated.
+
+  Scenario Outline: <client> does not believe <status> <framing> that ends early by a <ending>
+    # Guards against a response that breaks off and is taken for a whole one, at every position.
+    Then <client> believes <status>, sent <framing>, only if it is whole, and not if it ends early by a <ending>
+
+    Examples: the path of forwarded requests
+      | client              | status                | framing             | ending |
+      | a forwarded request | 200                   | with a length       | close  |
+      | a forwarded request | 200                   | with a length       | reset  |
+      | a forwarded request | 200                   | in chunks           | close  |
+      | a forwarded request | 200                   | in chunks           | reset  |
+      | a forwarded request | 200                   | after 1xx responses | close  |
+      | a forwarded request | 200                   | with LF line ends   | close  |
+      | a forwarded request | 200                   | without a length    | reset  |
+      | a forwarded request | 503                   | with a length       | close  |
+      | a forwarded request | the head of a 200     | without a length    | close  |
+      | a forwarded request | the head of a 503     | without a length    | close  |
+      | a forwarded request | the head of a 421     | after 1xx responses | close  |
+
+    Examples: calls of stages
+      | client       | status | framing             | ending |
+      | a stage call | 200    | with a length       | close  |
+      | a stage call | 200    | in chunks           | reset  |
+      | a stage call | 503    | with a length       | close  |
+      | a stage call | 409    | in chunks           | close  |
+      | a stage call | 421    | after 1xx responses | close  |
+
+    Examples: calls of native nodes
+      | client          | status            | framing             | ending |
+      | a native call   | 200               | with a length       | close  |
+      | a native call   | 200               | in chunks           | close  |
+      | a native call   | 200               | after 1xx responses | reset  |
+      | a native call   | the head of a 503 | with a length       | close  |
+      | a token stream  | 200               | in chunks           | close  |
+      | a command       | 200               | with a length       | close  |
+      | a command       | 409               | in chunks           | close  |
+      | an operator     | 200               | in chunks           | close  |
+      | a soak caller   | 200               | with a length       | close  |
+      | a soak caller   | 200               | in chunks           | close  |
+
+    Examples: calls of the platform's store and of etcd
+      | client        | status            | framing          | ending |
+      | a store write | 200               | with a length    | close  |
+      | a store write | 200               | in chunks        | reset  |
+      | a store write | 404               | with a length    | close  |
+      | a store write | 412               | in chunks        | close  |
+      | a store write | 429               | with a length    | close  |
+      | a store write | 503               | with a length    | close  |
+      | a lease       | 200               | with a length    | close  |
+      | a store read  | 200               | with a length    | close  |
+      | a store read  | 404               | in chunks        | close  |
+      | an etcd write | 200               | with a length    | close  |
+      | an etcd write | 409               | in chunks        | close  |
+      | an etcd write | 429               | with a length    | close  |
+      | an etcd read  | 200               | in chunks        | close  |
+      | an etcd watch | the head of a 200 | without a length | close  |
+
+  Scenario Outline: a response with <fault> is malformed for <client>
+    # Guards against a body whose end is unknown because its head or its chunks were misread.
+    Then <client> does not believe a response with <fault>
+
+    Examples:
+      | client              | fault                            |
+      | a forwarded request | a header line without a colon    |
+      | a forwarded request | a blank before a colon           |
+      | a forwarded request | a folded field                   |
+      | a forwarded request | a bare CR in a field             |
+      | a forwarded request | two lengths                      |
+      | a forwarded request | a length that is no number       |
+      | a forwarded request | a negative length                |
+      | a forwarded request | an unknown transfer coding       |
+      | a forwarded request | a signed chunk size              |
+      | a forwarded request | a chunk size with an underscore  |
+      | a forwarded request | a chunk longer than its size     |
+      | a forwarded request | a status that switches protocols |
+      | a native call       | a header line without a colon    |
+      | a native call       | two lengths                      |
+      | a native call       | a signed chunk size              |
+      | a store write       | a length that is no number       |
+      | a store write       | a signed chunk size              |
+      | an etcd write       | a folded field                   |
--- a/src/chervilrack/_internal/cli/client.py
+++ b/src/chervilrack/_internal/cli/client.py
@@ -6,6 +6,7 @@
 import click
 import urllib3
 
+from chervilrack._internal.common.http_responses import StrictPoolManager
 from chervilrack._internal.exceptions import ChervilrackError, NodeUnreachable
 
 CONNECT_TIMEOUT_S = 2.0
@@ -34,7 +35,7 @@
         self._key = key
         timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S)
         options: dict[str, Any] = {"ca_certs": certificates} if certificates else {}
-        self._pool = urllib3.PoolManager(timeout=timeout, retries=False, **options)
+        self._pool = StrictPoolManager(timeout=timeout, retries=False, **options)
 
     def get(self, path: str) -> Any:
         """Send a GET request and return the decoded JSON response."""
--- /dev/null
+++ b/src/chervilrack/_internal/common/http_responses.py
@@ -0,0 +1,146 @@
+"""Connections whose responses are read strictly: one that ends early or is ambiguous is an error.
+
+``http.client`` takes the end of a connection for the end of a head, a chunk size or a trailer, and
+reads a malformed length as none.
+"""
+
+import email.errors
+import email.message
+import http.client
+import io
+import re
+from http import HTTPStatus
+from typing import Any, Final
+
+import urllib3
+from urllib3.connection import HTTPConnection, HTTPSConnection
+
+# Interim responses (1xx) before a response; more than these count as a malformed response.
+MAX_INTERIM_RESPONSES: Final = 16
+# Limit of a chunk's size line, extensions included.
+MAX_CHUNK_LINE_BYTES: Final = 65_536
+_CHUNK_SIZE: Final = re.compile(rb"[0-9A-Fa-f]{1,16}")
+# The parser also reports body parts that a multipart type announces; these are no mistakes.
+_HEAD_DEFECTS: Final = (
+    email.errors.HeaderDefect,
+    email.errors.MissingHeaderBodySeparatorDefect,
+    email.errors.FirstHeaderLineIsContinuationDefect,
+    email.errors.MisplacedEnvelopeHeaderDefect,
+)
+
+
+class _LineReader(io.BufferedReader):
+    """Reader that returns only whole lines."""
+
+    def readline(self, size: int | None = -1, /) -> bytes:
+        """Return a line, or its first ``size`` bytes.
+
+        Raises IncompleteRead if the stream ends before the line does.
+        """
+        line = super().readline(size)
+        is_limited = size is not None and 0 <= size <= len(line)
+        if not line.endswith(b"\n") and not is_limited:
+            raise http.client.IncompleteRead(line)
+        if b"\r" in line[:-1].removesuffix(b"\r"):
+            raise http.client.HTTPException("a line contains a bare CR")
+        return line
+
+
+class StrictResponse(http.client.HTTPResponse):
+    """Response whose head, chunks and trailers are whole and unambiguous (RFC 9112).
+
+    Skips the interim responses before it. Raises HTTPException or OSError for any other response.
+    """
+
+    fp: Any
+    chunk_left: Any
+
+    def __init__(self, sock: Any, *args: Any, **kwargs: Any) -> None:
+        super().__init__(sock, *args, **kwargs)
+        self.fp = _LineReader(self.fp.detach())
+
+    def begin(self) -> None:
+        """Read the head."""
+        super().begin()
+        mistake = _head_mistake(self.headers)
+        if mistake is not None:
+            raise http.client.HTTPException(mistake)
+
+    def _read_status(self) -> tuple[str, int, str]:
+        for _ in range(MAX_INTERIM_RESPONSES + 1):
+            if not self.fp.peek(1):
+                raise http.client.RemoteDisconnected("the connection was closed without a response")
+            version, status, reason = super()._read_status()  # type: ignore[misc]
+            if status == HTTPStatus.SWITCHING_PROTOCOLS:
+                raise http.client.HTTPException("the response switches protocols")
+            if status >= HTTPStatus.OK:
+                return version, status, reason
+            http.client.parse_headers(self.fp)
+        raise http.client.HTTPException("too many interim responses")
+
+    def _get_chunk_left(self) -> int | None:
+        if self.chunk_left == 0:
+            if self._safe_read(2) != b"\r\n":  # type: ignore[attr-defined]
+                raise http.client.HTTPException("a chunk does not end where its size says")
+            self.chunk_left = None
+        left: int | None = super()._get_chunk_left()  # type: ignore[misc]
+        return left
+
+    def _read_next_chunk_size(self) -> int:
+        line = self.fp.readline(MAX_CHUNK_LINE_BYTES + 1)
+        if len(line) > MAX_CHUNK_LINE_BYTES:
+            raise http.client.LineTooLong("chunk size")
+        size = line.partition(b";")[0].strip(b" \t\r\n")
+        if _CHUNK_SIZE.fullmatch(size) is None:
+            raise http.client.HTTPException("a chunk size is no hexadecimal number")
+        return int(size, 16)
+
+
+def _head_mistake(headers: email.message.Message) -> str | None:
+    """Return what makes the fields or the body's length ambiguous, or None."""
+    if any(isinstance(defect, _HEAD_DEFECTS) for defect in headers.defects):
+        return "a header line is malformed"
+    if any("\n" in value for value in headers.values()):
+        return "a header field is folded"
+    lengths = set(headers.get_all("Content-Length", ()))
+    if len(lengths) > 1 or not all(text.isascii() and text.isdigit() for text in lengths):
+        return "Content-Length is no whole number"
+    codings = headers.get_all("Transfer-Encoding", ())
+    if any(coding.lower() != "chunked" for coding in codings) or len(codings) > 1:
+        return "the only supported Transfer-Encoding is chunked"
+    return None
+
+
+class StrictHTTPConnection(HTTPConnection):
+    """Connection with strict responses."""
+
+    response_class = StrictResponse
+
+
+class StrictHTTPSConnection(HTTPSConnection):
+    """TLS connection with strict responses."""
+
+    response_class = StrictResponse
+
+
+class StrictHTTPConnectionPool(urllib3.HTTPConnectionPool):
+    """Connections to one address with strict responses."""
+
+    ConnectionCls = StrictHTTPConnection
+
+
+class StrictHTTPSConnectionPool(urllib3.HTTPSConnectionPool):
+    """TLS connections to one address with strict responses."""
+
+    ConnectionCls = StrictHTTPSConnection
+
+
+class StrictPoolManager(urllib3.PoolManager):
+    """Connections to any address with strict responses."""
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self.pool_classes_by_scheme = {
+            "http": StrictHTTPConnectionPool,
+            "https": StrictHTTPSConnectionPool,
+        }
--- a/src/chervilrack/_internal/experiments/loadgen.py
+++ b/src/chervilrack/_internal/experiments/loadgen.py
@@ -12,8 +12,8 @@
 from pathlib import Path
 
 import msgspec
-import urllib3
 
+from chervilrack._internal.common.http_responses import StrictPoolManager
 from chervilrack._internal.common.ids import OrganisationId
 from chervilrack._internal.exceptions import ChervilrackError
 from chervilrack._internal.experiments.arrivals import Arrival
@@ -50,7 +50,7 @@
     callers: dict[tuple[str, str, int], Caller] = {}
     ended: list[Future[CallRecord]] = []
     with (
-        urllib3.PoolManager(num_pools=64, maxsize=MAX_OPEN_REQUESTS) as pool,
+        StrictPoolManager(num_pools=64, maxsize=MAX_OPEN_REQUESTS) as pool,
         ThreadPoolExecutor(MAX_OPEN_REQUESTS) as threads,
     ):
         for number, arrival in enumerate(plan.arrivals):
--- a/src/chervilrack/_internal/kvstore/etcd.py
+++ b/src/chervilrack/_internal/kvstore/etcd.py
@@ -22,6 +22,7 @@
 from urllib3.exceptions import SSLError as UrllibSslError
 
 from chervilrack._internal.common.clock import Clock, SystemClock
+from chervilrack._internal.common.http_responses import StrictPoolManager
 from chervilrack._internal.exceptions import (
     PlatformError,
     PlatformOutcomeUnknown,
@@ -66,7 +67,7 @@
             tls = {"cert_reqs": "CERT_NONE"}
         elif settings.ca_file:
             tls = {"ca_certs": settings.ca_file}
-        self._pool = urllib3.PoolManager(
+        self._pool = StrictPoolManager(
             maxsize=MAX_IDLE_CONNECTIONS, retries=False, timeout=self._timeout, **tls
         )
         self._endpoint_index = 0
--- a/src/chervilrack/_internal/soak/callers.py
+++ b/src/chervilrack/_internal/soak/callers.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import Mapping, Sequence
 
+from chervilrack._internal.common.http_responses import StrictResponse
 from chervilrack._internal.soak.checks import DEADLINE_S
 from chervilrack._internal.soak.emulation import Emulation
 from chervilrack._internal.soak.records import Attempt, Ending, Kind
@@ -135,4 +136,6 @@
         if connection is not None:
             connection.close()
         host, port = self._proxies[address]
-        return http.client.HTTPConnection(host, port, timeout=RESPONSE_TIMEOUT_S)
+        connection = http.client.HTTPConnection(host, port, timeout=RESPONSE_TIMEOUT_S)
+        connection.response_class = StrictResponse
+        return connection
--- a/src/chervilrack/_internal/upstreams/connections.py
+++ b/src/chervilrack/_internal/upstreams/connections.py
@@ -10,8 +10,11 @@
 from typing import Any
 
 import urllib3
-from urllib3.connection import HTTPConnection, HTTPSConnection
 
+from chervilrack._internal.common.http_responses import (
+    StrictHTTPConnection,
+    StrictHTTPSConnection,
+)
 from chervilrack._internal.exceptions import ChervilrackError
 
 
@@ -134,11 +137,11 @@
         super().request(*args, **kwargs)  # type: ignore[misc]
 
 
-class _HttpConnection(_CheckedRequest, HTTPConnection):
+class _HttpConnection(_CheckedRequest, StrictHTTPConnection):
     pass
 
 
-class _HttpsConnection(_CheckedRequest, HTTPSConnection):
+class _HttpsConnection(_CheckedRequest, StrictHTTPSConnection):
     pass
 
 
--- a/src/chervilrack/_internal/upstreams/exchange.py
+++ b/src/chervilrack/_internal/upstreams/exchange.py
@@ -5,7 +5,6 @@
 one round trip, about a thousandth of the shortest response time target.
 """
 
-import http.client
 import select
 import socket
 import threading
@@ -16,9 +15,9 @@
 from typing import Any, Self
 
 import urllib3
-from urllib3.connection import HTTPConnection
 from urllib3.util import SKIP_HEADER
 
+from chervilrack._internal.common.http_responses import StrictHTTPConnection
 from chervilrack._internal.exceptions import ChervilrackError
 
 # The kernel resends a lost SYN packet after one second; a second attempt connects sooner.
@@ -26,8 +25,6 @@
 CONNECT_ATTEMPTS = 2
 MAX_ANSWER_BYTES = 64 * 1024 * 1024  # bounds the memory that a faulty upstream can use
 _READ_BYTES = 65_536
-# Interim responses (1xx) before an answer; more than these count as a malformed answer.
-MAX_INTERIM_RESPONSES = 16
 # Bytes of a large request body that are written between two checks for an early answer.
 _WRITE_BYTES = 32_768
 
@@ -76,23 +73,9 @@
         raise TimeoutError("the deadline passed while bytes were expected")
 
 
-class _Response(http.client.HTTPResponse):
-    """Response that skips the interim responses before it (RFC 9110, section 15.2)."""
-
-    def _read_status(self) -> tuple[str, int, str]:
-        for _ in range(MAX_INTERIM_RESPONSES + 1):
-            version, status, reason = super()._read_status()  # type: ignore[misc]
-            if not 100 <= status < 200 or status == http.HTTPStatus.SWITCHING_PROTOCOLS:
-                return version, status, reason
-            http.client.parse_headers(self.fp)
-        raise http.client.HTTPException("too many interim responses")
-
-
-class _Connection(HTTPConnection):
+class _Connection(StrictHTTPConnection):
     """Connection that stops writing a request body once the upstream answers."""
 
-    response_class = _Response
-
     def _new_conn(self) -> socket.socket:
         connected = super()._new_conn()
         timeout = connected.gettimeout()
@@ -129,7 +112,7 @@
         self._host, _, port = address.rpartition(":")
         self._port = int(port)
         self._lock = threading.Lock()
-        self._connection: HTTPConnection | None = None
+        self._connection: _Connection | None = None
         self._socket: socket.socket | None = None
         self._response: urllib3.BaseHTTPResponse | None = None
         self._sent = False
--- a/src/chervilrack/platform/store.py
+++ b/src/chervilrack/platform/store.py
@@ -11,6 +11,7 @@
 import urllib3
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
+from chervilrack._internal.common.http_responses import StrictHTTPConnectionPool
 from chervilrack._internal.exceptions import (
     PlatformOutcomeUnknown,
     PlatformOverloaded,
@@ -86,7 +87,7 @@
 
     def __init__(self, address: str) -> None:
         host, _, port = address.rpartition(":")
-        self._pool = urllib3.HTTPConnectionPool(
+        self._pool = StrictHTTPConnectionPool(
             host,
             int(port),
             maxsize=4,
