Report a store's write without a statement as of unknown outcome

A node took a write to the store as not applied when the response was a 200 that cannot be read, or a 500, 502 or 504.

Cause: the client decoded responses of reads and writes alike, and made every status from 500 on an error that states "not applied". Ruled out: etcd's client; it reported these as unknown before. Change: only 503 (and 429) state that nothing was done; a malformed 200 and other errors raise PlatformOutcomeUnknown.

--- a/features/steps/broken_off_steps.py
+++ b/features/steps/broken_off_steps.py
@@ -142,6 +142,8 @@
         PlatformStore(address).lease_grant(LIMIT)
     except PlatformOutcomeUnknown:
         return False
+    except PlatformError:
+        return True
     return True
 
 
@@ -301,3 +303,14 @@
     with CutServer(response) as server, ExitStack() as stack:
         server.limit = 10 * len(response)
         assert not CLIENTS[client][0](stack, server.address, False)
+
+
+@then("the outcome of {client} that is answered with {answer} is {outcome}")
+def check_outcome(context, client, answer, outcome):
+    body = b"stored" if "without JSON" in answer else b"{}"
+    status = answer.split()[1].encode()
+    response = b"HTTP/1.1 %b Status\r\nContent-Length: %d\r\n\r\n%b" % (status, len(body), body)
+    with CutServer(response) as server, ExitStack() as stack:
+        server.limit = len(response)
+        is_known = CLIENTS[client][0](stack, server.address, False)
+    assert is_known == (outcome == "known")
--- a/features/upstreams/broken_off.feature
+++ b/features/upstreams/broken_off.feature
@@ -83,3 +83,20 @@
       | a store write       | a length that is no number       |
       | a store write       | a signed chunk size              |
       | an etcd write       | a folded field                   |
+
+  Scenario Outline: the outcome of <client> that is answered with <response> is <outcome>
+    # Guards against a write that may have been applied and is reported as not applied.
+    Then the outcome of <client> that is answered with <response> is <outcome>
+
+    Examples: only 503 and 429 state that nothing was done
+      | client        | response              | outcome |
+      | a store write | a 200 without JSON    | unknown |
+      | a lease       | a 200 without JSON    | unknown |
+      | a store write | a 500                 | unknown |
+      | a store write | a 502                 | unknown |
+      | a store write | a 504                 | unknown |
+      | a lease       | a 500                 | unknown |
+      | a store write | a 503                 | known   |
+      | a store write | a 429                 | known   |
+      | an etcd write | a 200 without JSON    | unknown |
+      | an etcd write | a 500                 | unknown |
--- a/src/chervilrack/platform/store.py
+++ b/src/chervilrack/platform/store.py
@@ -44,6 +44,8 @@
 MAX_PAGES: Final = 1000
 
 _SUCCESS: Final = 200
+# The only error of the store's side that states that nothing was done.
+_NOTHING_DONE: Final = 503
 
 T = TypeVar("T")
 
@@ -144,12 +146,12 @@
             return TxnResult(succeeded=False, revision=0)
         if status == 404:
             raise PlatformRefused("the lease of a written key has expired")
-        return TxnResult(succeeded=True, revision=_decode(content, _TxnResponse).revision)
+        return TxnResult(succeeded=True, revision=_decode_written(content, _TxnResponse).revision)
 
     def lease_grant(self, ttl: timedelta) -> int:
         """Create a lease and return its id."""
         _, body = self._write("POST", "/api/kv-lease", {"ttlMs": round(ttl.total_seconds() * 1000)})
-        return _decode(body, _Lease).lease
+        return _decode_written(body, _Lease).lease
 
     def lease_keepalive(self, lease: int) -> timedelta:
         """Renew a lease; return its remaining time, zero if it has expired."""
@@ -206,7 +208,8 @@
     ) -> tuple[int, bytes]:
         """Make a call that may not be repeated; statuses 404 and 412 are returned like 200.
 
-        Raises PlatformOutcomeUnknown if the response to a call that was sent is lost.
+        Raises PlatformOutcomeUnknown if the response to a call that was sent is lost, or does not
+        state whether the call was applied.
         """
         content = msgspec.json.encode(body) if body is not None else None
         try:
@@ -219,6 +222,10 @@
             raise PlatformOutcomeUnknown(
                 f"{method} {path} got no response: {_class_name(error)}"
             ) from None
+        except _ServerError as error:
+            if error.status == _NOTHING_DONE:
+                raise
+            raise PlatformOutcomeUnknown(str(error)) from None
 
     def _call(
         self,
@@ -244,10 +251,26 @@
         if status == 429:
             raise PlatformOverloaded(f"{method} {path}: the store's rate limit is exceeded")
         if status >= 500:
-            raise PlatformUnavailable(f"{method} {path}: status {status}")
+            raise _ServerError(f"{method} {path}: status {status}", status)
         raise PlatformRefused(f"{method} {path}: status {status}")
 
 
+class _ServerError(PlatformUnavailable):
+    """A call was answered with ``status``, an error of the store's side."""
+
+    def __init__(self, detail: str, status: int) -> None:
+        super().__init__(detail)
+        self.status = status
+
+
+def _decode_written(body: bytes, document_type: type[T]) -> T:
+    """Return the response to a write, which was applied even if its response is malformed."""
+    try:
+        return _decode(body, document_type)
+    except PlatformUnavailable as error:
+        raise PlatformOutcomeUnknown(str(error)) from None
+
+
 def _decode(body: bytes, document_type: type[T]) -> T:
     try:
         return msgspec.json.decode(body, type=document_type)
