Register a node again after the store has refused its registration

A node that started while the store answered its registration with 429 or 503 was never registered: no other node learned of it, though it renewed its lease without an error.

Cause: the lease was kept as soon as it was granted; the next round found that it could be renewed and did not repeat the write. Ruled out: an unknown outcome (500, lost response) and a refusal of the lease itself; both started again before. Change: the lease counts only once the key is written under it. The lease of a refused write expires by itself. Conclusion: found by reading the callers of the store's writes.

--- a/features/adapter/store_sync.feature
+++ b/features/adapter/store_sync.feature
@@ -25,3 +25,14 @@
     Then the node makes no watch call
     When no other node passes changes on any more
     Then the node receives the changes that it missed
+
+  Scenario Outline: a node whose registration the store answers with <status> is registered soon after
+    # Guards against a lease that is renewed for ever although the node's key was never written.
+    Given a store that answers the first registration of a node with status <status>
+    Then the node is registered
+
+    Examples:
+      | status |
+      | 429    |
+      | 500    |
+      | 503    |
--- a/features/steps/store_sync_steps.py
+++ b/features/steps/store_sync_steps.py
@@ -51,16 +51,48 @@
     assert condition()
 
 
+class RefusingStore(StoreStandIn):
+    """Store that answers the first transaction with a status, without doing anything."""
+
+    def __init__(self, status):
+        super().__init__()
+        self._status = status
+
+    def _txn(self, request, body):
+        if self._status is None:
+            super()._txn(request, body)
+        else:
+            status, self._status = self._status, None
+            request.answer(status, {})
+
+
+def run_sync(context):
+    client = PlatformStore(context.store.address)
+    sync = StoreSync(client, context.listener, lambda: ("nodes/a", b"{}"), random.Random(1))
+    sync.__enter__()
+    context.add_cleanup(sync.__exit__, None, None, None)
+
+
+@given("a store that answers the first registration of a node with status {status:d}")
+def start_refusing_store(context, status):
+    context.store, context.listener = RefusingStore(status), Listener(7)
+    context.store.__enter__()
+    context.add_cleanup(context.store.__exit__)
+    run_sync(context)
+
+
+@then("the node is registered")
+def check_registered(context):
+    wait_for(lambda: "nodes/a" in context.listener.received_at)
+
+
 @given("a store that a node of a fleet of {nodes:d} watches")
 def start_sync(context, nodes):
     store = StoreStandIn()
     store.__enter__()
     context.add_cleanup(store.__exit__)
     context.store, context.listener = store, Listener(nodes)
-    client = PlatformStore(store.address)
-    sync = StoreSync(client, context.listener, lambda: ("nodes/a", b"{}"), random.Random(1))
-    sync.__enter__()
-    context.add_cleanup(sync.__exit__, None, None, None)
+    run_sync(context)
     assert context.listener.has_listed.wait(LIMIT_S)
     wait_for(lambda: "nodes/a" in context.listener.received_at)
     # Wait until the delay that the node's own registration causes is over.
--- a/src/chervilrack/_internal/serving/store_sync.py
+++ b/src/chervilrack/_internal/serving/store_sync.py
@@ -142,9 +142,10 @@
         while not self._stopping.is_set():
             try:
                 if lease == 0 or self._store.lease_keepalive(lease) <= timedelta(0):
-                    lease = self._store.lease_grant(LEASE_TTL)
+                    granted = self._store.lease_grant(LEASE_TTL)
                     key, value = self._registration()
-                    self._store.txn((), (Put(key, value, lease),))
+                    self._store.txn((), (Put(key, value, granted),))
+                    lease = granted
                     logger.info("store: registered under %s", key)
                 failures = 0
                 self._stopping.wait(KEEPALIVE_INTERVAL_S * self._rng.uniform(0.8, 1.2))
