Refuse a request of the native interface whose body breaks off

A caller that stopped within its body had a part of it run: a release document without its last lines, or a body without its last blank.

Cause: the WSGI application read up to Content-Length bytes and did not check that it got them. A chunked body was checked. Ruled out: the serving node's server; no cut of head, body, chunks or trailers, closed or reset, was passed on. Change: a body shorter than Content-Length is answered with 400. Conclusion: same class as the responses that break off.

--- a/src/chervilrack/_internal/gateway/application.py
+++ b/src/chervilrack/_internal/gateway/application.py
@@ -1,8 +1,10 @@
 """WSGI application of a node: parses requests, calls the routes and writes responses."""
 
+import functools
 import logging
 import secrets
 from collections.abc import Callable, Iterable
+from typing import Any
 from urllib.parse import parse_qsl, unquote
 
 from chervilrack._internal.common.ids import RequestId
@@ -67,6 +69,13 @@
         query=dict(parse_qsl(environ.get("QUERY_STRING", ""))),
         headers=headers,
         request_id=RequestId(secrets.token_hex(12)),
-        read_body=body.read if chunked else lambda: body.read(length),
+        read_body=body.read if chunked else functools.partial(_read_body, body, length),
         connection=environ.get("chervilrack.socket"),
     )
+
+
+def _read_body(stream: Any, length: int) -> bytes:
+    body = bytes(stream.read(length))
+    if len(body) < length:
+        raise ValueError("the body is shorter than Content-Length")
+    return body
