--- a/features/support/scripted_upstream.py
+++ b/features/support/scripted_upstream.py
@@ -1,6 +1,7 @@
 """Upstreams that write scripted bytes to their sockets, whatever the request is.
 
-A script is a comma-separated list of actions, see ``_ACTIONS`` and ``_run_action``. The attempt
+A script is a comma-separated list of actions, see ``_ACTIONS`` and ``_run_action``. An action of
+``_ACTIONS`` followed by ``up to TEXT`` ends with that text. The attempt
 number selects the script, whichever upstream gets the attempt.
 """
 
@@ -16,6 +17,8 @@
 _CHUNKED = "Transfer-Encoding: chunked\r\n"
 # Pause between the pieces of slow answers.
 _STEP_S = 0.3
+# Generous limit for changes of the store to reach a node.
+_KNOWN_LIMIT_S = 30.0
 
 
 def _identity(request_id):
@@ -43,6 +46,15 @@
     "answer": lambda id: _whole("200 OK", id, f"answer to {id}"),
     "foreign answer": lambda id: _whole("200 OK", FOREIGN_ID, f"answer to {FOREIGN_ID}"),
     "103": lambda id: "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n",
+    "misdirected": lambda id: _whole("421 Misdirected Request", id, "not here"),
+    "chunked answer": lambda id: (
+        f"{OK}{_identity(id)}{_CHUNKED}\r\n0{len(f'answer to {id}'):x};note=1\r\nanswer to {id}"
+        "\r\n0;last\r\nX-Trailer: 1\r\n\r\n"
+    ),
+    "stream head": lambda id: (
+        f"{OK}{_identity(id)}Content-Type: text/event-stream\r\n{_CHUNKED}\r\n"
+    ),
+    "size of a chunk": lambda id: "0a",
     "500": lambda id: _whole("500 Internal Server Error", id, "it failed\n\nbadly\n\n"),
     "refusal": lambda id: _whole("503 Service Unavailable", id, "full", _NOT_RUN),
     "refusal of another request": lambda id: _whole(
@@ -158,7 +170,10 @@
                 self._send_slowly(connection, " ".join(name), float(seconds), request_id, is_first)
                 return
             case _:
-                connection.sendall(_ACTIONS[action](request_id).encode())
+                name, _, end = action.partition(" up to ")
+                content = _ACTIONS[name](request_id)
+                size = content.index(end) + len(end) if end else len(content)
+                connection.sendall(content[:size].encode())
         is_last_part = script.split(", ")[-1] == action or "foreign answer" in script
         is_stream = action.startswith(("events", "nothing"))
         if is_stream and is_last_part and not script.endswith("break"):
@@ -177,3 +192,26 @@
         end = time.monotonic() + seconds
         while time.monotonic() < end and not self._stopping.wait(_STEP_S):
             connection.sendall(part.encode())
+
+
+def start_scripted(context, service, scripts, count):
+    """Replace the upstreams of a service by ``count`` scripted ones, and wait until it is known."""
+    upstreams = ScriptedUpstreams(scripts, count)
+    upstreams.__enter__()
+    context.add_cleanup(upstreams.__exit__)
+    context.scripted = upstreams
+    for name, upstream in context.upstreams.items():
+        if upstream.service == service:
+            context.store.remove(f"servers/{name}")
+    for number, address in enumerate(upstreams.addresses):
+        entry = {
+            **context.upstreams["plain-1"].entry(address=address),
+            "service": service,
+        }
+        context.store.put(f"servers/scripted-{number}", entry)
+    expected = {f"scripted-{number}" for number in range(count)}
+    catalogue = context.node._state.catalogue
+    end = time.monotonic() + _KNOWN_LIMIT_S
+    while {entry.id for entry in catalogue.ready_upstreams(service)} != expected:
+        assert time.monotonic() < end, "the node does not know the scripted upstreams"
+        time.sleep(0.01)
--- a/src/chervilrack/_internal/forwarding/forwarder.py
+++ b/src/chervilrack/_internal/forwarding/forwarder.py
@@ -23,6 +23,7 @@
 from chervilrack._internal.common.ids import OrganisationId, RequestId, ServiceId, UpstreamId
 from chervilrack._internal.common.results import Executed, Problem, ResultCode
 from chervilrack._internal.forwarding.attempts import AttemptOutcome, AttemptResult, AttemptRunner
+from chervilrack._internal.forwarding.bounds import Bound
 from chervilrack._internal.forwarding.context import RequestContext
 from chervilrack._internal.forwarding.dialect import Dialect, MalformedMessage, RequestMetadata
 from chervilrack._internal.forwarding.messages import CallerGone, InboundRequest, Responder
@@ -71,8 +72,11 @@
     def is_accepting(self) -> bool:
         """Whether the node takes new requests."""
 
-    def can_finish(self, route: Route) -> bool:
-        """Whether a new request of a route can finish before the node stops."""
+    def check_stop(self, context: RequestContext, *, is_admitted: bool) -> str | None:
+        """Return why a request cannot be completed before the node stops; None if it can.
+
+        For an admitted request, the answer concerns the next attempt at an upstream.
+        """
 
     def upstreams(self, service: ServiceId) -> Sequence[UpstreamEntry]:
         """Return the ready upstreams of a service."""
@@ -88,11 +92,8 @@
         Returns "" if the zone of the inputs should determine the upstream instead.
         """
 
-    def admit_request(self, service: ServiceId) -> bool:
-        """Count a request until ``request_finished``; return False if the node has left."""
-
-    def request_started(self, context: RequestContext) -> None:
-        """Keep the context of a request until ``request_finished``."""
+    def admit_request(self, context: RequestContext) -> bool:
+        """Keep a request until ``request_finished``; return False if the node has left."""
 
     def take_retry(self, service: ServiceId) -> bool:
         """Take one retry from the retry budget; return False if the budget is used up."""
@@ -110,13 +111,15 @@
 class ForwardingOutcome:
     """How a request ended.
 
-    ``status`` is the HTTP status, 0 if the response was cut off or the caller had left.
+    ``status`` is the HTTP status, 0 if the response was cut off or the caller had left. ``bound``
+    is the bound that ended the request, None if it ended otherwise.
     """
 
     name: str
     status: int
     detail: str
     took: timedelta
+    bound: Bound | None = None
 
 
 class Forwarder:
@@ -174,12 +177,12 @@
         if configuration.has_organisations and not route.anonymous and organisation is None:
             code = ResultCode.KEY_MISSING if metadata.key is None else ResultCode.KEY_INVALID
             return Problem(code, "the route needs a key of an organisation")
-        if not self._backend.can_finish(route):
-            return Problem(ResultCode.NOT_READY, "this node stops too soon for the request")
         context = self._create_context(request, metadata, configuration, route, organisation)
-        if not self._backend.admit_request(context.service):
-            return Problem(ResultCode.NOT_READY, "this node has left")
-        self._backend.request_started(context)
+        stop_reason = self._backend.check_stop(context, is_admitted=False)
+        if stop_reason is not None:
+            return _stop_problem(stop_reason)
+        if not self._backend.admit_request(context):
+            return _stop_problem("this node has left")
         return context
 
     def _create_context(
@@ -191,6 +194,9 @@
         organisation: OrganisationId | None,
     ) -> RequestContext:
         limit = route.timeout or DEFAULT_TIMEOUT
+        bound = Bound.ROUTE_TIMEOUT if route.timeout else Bound.DEFAULT_TIMEOUT
+        if metadata.deadline and metadata.deadline <= limit:
+            bound = Bound.CALLER_DEADLINE
         allowed = min(metadata.deadline or limit, limit)
         service = self._pick_service(route)
         shared = metadata.prefix[:-1]
@@ -204,7 +210,8 @@
             deadline=request.arrived + max(allowed - RESPONSE_MARGIN, allowed / 2),
             due=request.arrived + (route.target_latency or allowed),
             first_byte_deadline=request.arrived + min(allowed, _caller_patience(route) or allowed),
-            configuration_version=configuration.version,
+            deadline_bound=bound,
+            configuration=configuration,
             load=RequestLoad(
                 metadata.prompt_tokens, tuple((part.id, part.tokens) for part in shared)
             ),
@@ -239,9 +246,8 @@
         if not context.route.stages:
             return None
         zone = self._backend.zone_hint(context.service, context.load, _input_bytes(context))
-        configuration = self._backend.configuration()
-        assert configuration is not None
-        return StageRun(context, self._stages, self._clock, zone, configuration.services)
+        services = context.configuration.services
+        return StageRun(context, self._stages, self._clock, zone, services)
 
     def _send_to_upstreams(
         self, context: RequestContext, responder: Responder, stages: StageRun | None
@@ -249,6 +255,10 @@
         """Try upstreams in turn until one has answered or no further attempt is allowed."""
         last: AttemptResult | None = None
         for _ in range(MAX_ATTEMPTS):
+            stop_reason = self._backend.check_stop(context, is_admitted=True)
+            if stop_reason is not None:
+                context.step(f"no further attempt: {stop_reason}")
+                return self._end_by_stop(context, responder, last, stop_reason)
             if last is not None and context.sent_attempts and not self._may_retry(context, last):
                 break
             load = context.load
@@ -266,7 +276,8 @@
             inputs = stages.inputs if stages is not None else ()
             context.step(f"to {entry.id} after {self._elapsed_ms(context)} ms: {choice.reason}")
             last = self._attempts.run(context, responder, entry, choice, inputs, stages)
-            context.step(f"{last.outcome.value}: {last.detail}")
+            bound = f"; bound {last.bound}" if last.bound is not None else ""
+            context.step(f"{last.outcome.value}: {last.detail}{bound}")
             if last.outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.CUT_OFF):
                 return self._outcome(context, last.outcome.value, last.status, last.detail)
             if last.outcome is AttemptOutcome.INPUT_GONE and stages is not None:
@@ -287,10 +298,15 @@
         """Whether the request may be sent to another upstream after the attempt ``last``."""
         route = context.route
         if context.stream_begun and not context.events.can_resume:
+            context.step("not tried again: the last event has no id")
             return False
         if last.outcome is AttemptOutcome.FAILED and not (
             route.may_repeat and context.executions < route.max_attempts
         ):
+            context.step(
+                f"not tried again: executions {context.executions}, "
+                f"allowed {route.max_attempts if route.may_repeat else 1}"
+            )
             return False
         if not last.may_have_arrived:
             return True
@@ -306,15 +322,34 @@
         if context.stream_begun:
             responder.abort()
             detail = last.detail if last is not None else "no upstream"
-            return self._outcome(context, "cut off", 0, detail)
+            return self._outcome(context, "cut off", 0, detail, last.bound if last else None)
         if last is not None and last.error_response is not None:
             status, headers, body = last.error_response
             responder.send_response(status, headers, body)
             return self._outcome(context, "upstream failed", status, last.detail)
-        return self._fail(context, responder, self._final_problem(context, last))
+        problem = self._final_problem(context, last)
+        return self._fail(context, responder, problem, last.bound if last else None)
+
+    def _end_by_stop(
+        self,
+        context: RequestContext,
+        responder: Responder,
+        last: AttemptResult | None,
+        stop_reason: str,
+    ) -> ForwardingOutcome:
+        """End a request that cannot be tried any more, because the node stops."""
+        if context.executions == 0:
+            return self._fail(context, responder, _stop_problem(stop_reason))
+        return self._give_up(context, responder, last)
 
     def _final_problem(self, context: RequestContext, last: AttemptResult | None) -> Problem:
-        is_past_deadline = context.time_left(self._clock.monotonic()) <= timedelta(0)
+        now = self._clock.monotonic()
+        is_past_deadline = context.time_left(now) <= timedelta(0)
+        if context.is_ended_by_stop(now):
+            if context.executions == 0:
+                return _stop_problem("this node stops")
+            detail = "this node stops before the upstream has answered"
+            return Problem(ResultCode.NODE_STOPPED, detail, Executed.UNKNOWN)
         if context.executions == 0:
             if is_past_deadline:
                 return Problem(ResultCode.DEADLINE_UNREACHABLE, "no upstream took it in time")
@@ -335,23 +370,30 @@
         code = ResultCode.UPSTREAM_FAILED
         if problem.code is ResultCode.DEADLINE_UNREACHABLE:
             code = ResultCode.DEADLINE_PASSED
+        elif problem.code is ResultCode.NOT_READY:
+            code = ResultCode.NODE_STOPPED
         return Problem(code, problem.detail, Executed.UNKNOWN)
 
     # Responses and outcomes
 
     def _fail(
-        self, context: RequestContext, responder: Responder, problem: Problem
+        self,
+        context: RequestContext,
+        responder: Responder,
+        problem: Problem,
+        bound: Bound | None = None,
     ) -> ForwardingOutcome:
         """End a request with a problem; a stream that has begun is cut off instead."""
         if context.stream_begun:
             responder.abort()
-            return self._outcome(context, "cut off", 0, problem.detail)
-        if problem.code.http_status == 503:
+            return self._outcome(context, "cut off", 0, problem.detail, bound)
+        if problem.code.http_status == 503 and problem.retry_after is None:
             wait = retry_after(timedelta(milliseconds=300), self._rng)
             problem = Problem(problem.code, problem.detail, problem.executed, wait)
         if not context.caller_gone:
             responder.send_response(*problem_response(problem, context.metadata.request_id))
-        return self._outcome(context, "rejected", problem.code.http_status, problem.detail)
+        status = problem.code.http_status
+        return self._outcome(context, "rejected", status, problem.detail, bound)
 
     def _reject(
         self,
@@ -368,15 +410,31 @@
             return
 
     def _outcome(
-        self, context: RequestContext, name: str, status: int, detail: str
+        self,
+        context: RequestContext,
+        name: str,
+        status: int,
+        detail: str,
+        bound: Bound | None = None,
     ) -> ForwardingOutcome:
-        """Return the outcome of a request; its name is "gone" if the caller has left."""
+        """Return the outcome of a request; its name is "gone" if the caller has left.
+
+        ``bound`` is the one that ended the last attempt. A request that ends at its deadline ended
+        by the bound that sets the deadline.
+        """
+        now = self._clock.monotonic()
         if context.caller_gone:
             name = "gone"
-        took = self._clock.monotonic() - context.request.arrived
-        return ForwardingOutcome(name, status, detail, took)
+        if name != "answered" and context.time_left(now) <= timedelta(0):
+            bound = context.deadline_bound
+        return ForwardingOutcome(name, status, detail, now - context.request.arrived, bound)
 
     def _elapsed_ms(self, context: RequestContext) -> int:
         return round(
             (self._clock.monotonic() - context.request.arrived) / timedelta(milliseconds=1)
         )
+
+
+def _stop_problem(detail: str) -> Problem:
+    """Return the refusal of a request that has not been executed; other nodes take it at once."""
+    return Problem(ResultCode.NOT_READY, detail, retry_after=timedelta(0))
