Count look-ups without a bound on the answer's time

Cause: model.feature:118 counts the requests that the fake nodes have received. A node whose thread is late by a second is given up by the caller's read time-out, and the same look-up is repeated at another node: 21 requests for 20 look-ups.

Ruled out: a second look-up within the lifetime (the lifetime is 0, each request needs one) and a lost count (the fake node counts before it answers).

Change: the scenario sets the time-out of look-ups to 20 s, so that it measures how often callers ask and not how fast this process runs. The expected counts, 1 and 20, are unchanged.

Conclusion: a fault of the test; the caller's time-out of 1 s is wanted.

--- a/features/steps/experiments_model_steps.py
+++ b/features/steps/experiments_model_steps.py
@@ -1,6 +1,7 @@
 """Steps for the load, figures and callers of experiments."""
 
 import time
+from unittest import mock
 
 import msgspec
 import urllib3
@@ -8,6 +9,7 @@
 from features.support.fake_cluster import fake_cluster
 
 from chervilrack._internal.common.ids import LimitId, UpstreamId
+from chervilrack._internal.experiments import lookup
 from chervilrack._internal.experiments.arrivals import Arrival, generate_arrivals
 from chervilrack._internal.experiments.bounds import misses_of_baseline
 from chervilrack._internal.experiments.callers import Caller
@@ -27,6 +29,8 @@
 from chervilrack._internal.releases.state import UpstreamKind
 from chervilrack._internal.standins.upstreams.record import CallIds, Record
 
+LIMIT_S = 20.0  # only bounds a failing run
+
 
 @given("experiments profile {name}")
 def given_profile(context, name):
@@ -273,7 +277,9 @@
 @when("experiments look up addresses {requests:d} times with a lifetime of {lifetime:g} s")
 def look_up_often(context, requests, lifetime):
     options = TestBedOptions(load_profile("paramo"), "chervilrack", 1)
-    with fake_cluster(options) as cluster, urllib3.PoolManager() as pool:
+    # A node that is late by a second would be given up, and the look-up repeated at another one.
+    patience = mock.patch.object(lookup, "_TIMEOUT", urllib3.Timeout(LIMIT_S))
+    with patience, fake_cluster(options) as cluster, urllib3.PoolManager() as pool:
         cluster.lifetime_s = lifetime
         endpoints = EndpointCache(pool, "quito", [info.address for info in cluster.nodes()])
         for _ in range(requests):
