Test the cost of a batch by the engine's due times, not by wall-clock time

Cause: upstreams.feature:24 compared the wall-clock time of one request alone (80 ms) with the shortest of six at a time (100 ms). An engine thread that is late by more than 20 ms in the first one turns the comparison round.

Ruled out: a wrong pace of the engine: the due times it waits for are right to 1 us.

Change: the scenario records the due times for which the engine waits. Alone each token takes 2 ms; of six that are in the batch together, which a barrier ensures, the longest takes 2.5 ms; no request is faster than its tokens. Stricter than before: the exact cost is compared, not only its sign.

Conclusion: a fault of the test.

--- a/features/standins/upstreams.feature
+++ b/features/standins/upstreams.feature
@@ -24,7 +24,7 @@
   Scenario: standins engine gets slower per token as its batch grows
     # Guards against an emulation without a cost of crowding.
     Given standins an engine with 8 slots
-    When standins one request and then six at a time are generated
+    When standins one request and then 6 at a time are generated
     Then standins the crowded ones took longer per token
 
   Scenario: standins engine skips the prefill of cached prefixes within its memory
--- a/features/steps/standins_steps.py
+++ b/features/steps/standins_steps.py
@@ -4,14 +4,18 @@
 import time
 from concurrent.futures import ThreadPoolExecutor
 from datetime import timedelta
+from itertools import pairwise
+from math import isclose
+from unittest import mock
 
 import msgspec
 import urllib3
 from behave import given, then, when
-from features.support.standin_calls import call, enter, send, wait_for
+from features.support.standin_calls import PATIENCE_S, call, enter, send, wait_for
 
 from chervilrack._internal.exceptions import StreamBroken
 from chervilrack._internal.releases.state import Limits
+from chervilrack._internal.standins.upstreams import engine as engine_module
 from chervilrack._internal.standins.upstreams.engine import EngineTiming, ModelEngine
 from chervilrack._internal.standins.upstreams.server import StandinServer
 from chervilrack._internal.standins.upstreams.simple import PlainService
@@ -113,19 +117,62 @@
     assert context.upstream.record.most("concurrency") == 5
 
 
-@when("standins one request and then six at a time are generated")
-def crowd(context):
+class PaceRecorder:
+    """Replaces the function with which engines wait for the due time of each token.
+
+    The first tokens of ``count`` requests wait for each other, so that all are in the batch.
+    """
+
+    def __init__(self, count):
+        self._barrier = threading.Barrier(count)
+        self._due_times = {}
+        self._wait_until = engine_module.pace
+
+    def __call__(self, due):
+        thread = threading.get_ident()
+        if thread not in self._due_times:
+            self._due_times[thread] = []
+            self._barrier.wait(PATIENCE_S)
+        self._due_times[thread].append(due)
+        self._wait_until(due)
+
+    def times_per_token(self):
+        return [
+            later - earlier
+            for times in self._due_times.values()
+            for earlier, later in pairwise(times)
+        ]
+
+
+@when("standins one request and then {count:d} at a time are generated")
+def crowd(context, count):
+    context.alone = generate_together(context, range(1))
+    context.crowded = generate_together(context, range(1, count + 1))
+    context.count = count
+
+
+def generate_together(context, numbers):
     body = {"prompt": "p", "max_tokens": 40}
-    alone = send(context, context.upstream, 0, body).ok_value.service_time
-    with ThreadPoolExecutor(6) as pool:
-        outcomes = list(pool.map(lambda n: send(context, context.upstream, n, body), range(1, 7)))
-    context.alone = alone
-    context.crowded = min(outcome.ok_value.service_time for outcome in outcomes)
+    recorder = PaceRecorder(len(numbers))
+    with (
+        mock.patch.object(engine_module, "pace", recorder),
+        ThreadPoolExecutor(len(numbers)) as pool,
+    ):
+        outcomes = list(pool.map(lambda n: send(context, context.upstream, n, body), numbers))
+    assert all(outcome.is_ok() for outcome in outcomes), outcomes
+    return recorder.times_per_token(), [outcome.ok_value.service_time for outcome in outcomes]
 
 
 @then("standins the crowded ones took longer per token")
 def slower(context):
-    assert context.crowded > context.alone, (context.crowded, context.alone)
+    (alone, service_times), (crowded, crowded_times) = context.alone, context.crowded
+    assert len(alone) == 39, alone
+    assert all(isclose(time, FAST.decode_token, abs_tol=1e-6) for time in alone), alone
+    longest = FAST.decode_token * (1 + FAST.batch_slope * (context.count - 1))
+    assert isclose(max(crowded), longest, abs_tol=1e-6), (max(crowded), longest)
+    # Each request takes at least the time of its tokens; a busy machine only adds to it.
+    shortest = timedelta(seconds=40 * FAST.decode_token)
+    assert min(service_times + crowded_times) >= shortest, (service_times, crowded_times)
 
 
 @when("standins a prompt of 3 blocks is sent twice, then another, then the first again")
