Test the deadline of calls without bounds on the speed of the test's threads

Cause: execution/guards.feature:4 expects the named scenario of each removed check to fail. Two of them pass without their check when a thread is late: (1) "end a call at its deadline although bytes keep coming" sent a byte every 50 ms with a deadline of 300 ms; a server thread that is late once by 0.25 s makes the socket's time-out, which restarts with every byte, end the call as well. (2) "loses its right to act while it connects" with a deadline of 2 s: if connecting is late by that, the call is dropped because of its deadline, which the scenario can't tell from the check. In the same file the row "hang" failed when a thread was late by 100 ms before it sent.

Change: (1) The clock of the calls is set forward after the fifth byte, 300 more bytes follow, and the socket's time-out is 20 s; only the check ends the call. "hang" calls until three calls were sent; a call that was not sent must be cancelled, and the service must not have received it. ScriptedServer calls a function after each block instead of sleeping. No result that was checked before is left out.

Conclusion: faults of the tests; the product's checks are as needed as before.

--- a/features/steps/upstreams_steps.py
+++ b/features/steps/upstreams_steps.py
@@ -2,6 +2,7 @@
 
 import datetime
 import ipaddress
+import itertools
 import ssl
 import tempfile
 import threading
@@ -9,6 +10,7 @@
 from contextlib import ExitStack
 from datetime import timedelta
 from pathlib import Path
+from unittest import mock
 
 import msgspec
 from behave import given, then, when
@@ -22,10 +24,12 @@
 from hypothesis import strategies as st
 from result import Ok
 
+from chervilrack._internal.common.results import Executed
 from chervilrack._internal.exceptions import StreamBroken
 from chervilrack._internal.standins.upstreams.engine import EngineTiming, ModelEngine
 from chervilrack._internal.standins.upstreams.record import receipt
 from chervilrack._internal.standins.upstreams.simple import PlainService
+from chervilrack._internal.upstreams import connections
 from chervilrack._internal.upstreams.commands import Role, Target, UpstreamCommands
 from chervilrack._internal.upstreams.completions import parse_chunk
 from chervilrack._internal.upstreams.connections import ConnectionPools, TlsSettings
@@ -33,6 +37,7 @@
 from chervilrack._internal.upstreams.protocols import create_clients
 from chervilrack._internal.upstreams.sse import MAX_EVENT_BYTES, EventParser, MalformedStreamError
 
+LIMIT_S = 20.0  # only bounds a failing run
 # Complete responses by the name of their body in calls.feature.
 RESPONSES = {
     "nothing": http_response(b""),
@@ -111,10 +116,29 @@
     _start(context, ScriptedServer([RESPONSES.get(body) or http_response(body.encode())]))
 
 
-@given("an upstream server that sends one byte every {pause_ms:d} ms")
-def start_slow_body_server(context, pause_ms):
-    head = b"HTTP/1.1 200 OK\r\n" + ID_HEADERS + b"Content-Length: 40\r\n\r\n"
-    _start(context, ScriptedServer([head, *[b" "] * 38, b"{}"], pause=pause_ms / 1000))
+class ShiftedTime:
+    """Stands for the module ``time``, with a monotonic clock that can be set forward."""
+
+    def __init__(self):
+        self.shift_s = 0.0
+
+    def monotonic(self):
+        return time.monotonic() + self.shift_s
+
+
+@given("an upstream server that sends single bytes, {count:d} of them after the deadline")
+def start_slow_body_server(context, count):
+    clock = ShiftedTime()
+    _stack(context).enter_context(mock.patch.object(connections, "time", clock))
+
+    def pass_deadline(block_number):
+        if block_number == 5:
+            clock.shift_s = 60.0
+        time.sleep(0.01)  # lets the client read each byte by itself
+
+    head = b"HTTP/1.1 200 OK\r\n" + ID_HEADERS + b"Content-Length: %d\r\n\r\n" % (count + 5)
+    blocks = [head, *[b" "] * (count + 3), b"{}"]
+    _start(context, ScriptedServer(blocks, after_block=pass_deadline))
 
 
 @given("the upstream client may not send any more")
@@ -180,6 +204,33 @@
     ]
 
 
+@when(
+    "the upstream client makes calls with a deadline of {limit_ms:d} ms until {count:d} were sent"
+)
+def make_calls_until_sent(context, limit_ms, count):
+    client = _create_clients(context)["json"]
+    context.outcomes = []
+    context.unsent = set()
+    end = time.monotonic() + LIMIT_S
+    # The deadline of a call whose thread is late passes before the call is sent.
+    for number in itertools.count():
+        assert time.monotonic() < end, context.outcomes
+        outcome = client.call(_create_call(context, number, limit_ms))
+        if outcome.is_err() and outcome.err_value.executed is Executed.NO:
+            assert outcome.err_value.kind is FailureKind.CANCELLED, outcome
+            context.unsent.add(f"r-{number}")
+            continue
+        context.outcomes.append((number, outcome))
+        if len(context.outcomes) == count:
+            return
+
+
+@then("the upstream service has received only calls that were sent")
+def assert_only_sent_received(context):
+    received = {arrival.ids.request for arrival in context.server.record.arrivals}
+    assert not received & context.unsent, (received, context.unsent)
+
+
 @when("the upstream client makes a call with every field")
 def make_full_call(context):
     call = _create_call(
--- a/features/support/scripted_server.py
+++ b/features/support/scripted_server.py
@@ -3,21 +3,20 @@
 import socket
 import ssl
 import threading
-import time
 from contextlib import suppress
 
 
 class ScriptedServer:
     """Answers each request with ``blocks`` of bytes and closes the connection.
 
-    The server waits ``pause`` seconds after each block. A header name in braces within a block,
-    such as ``{X-Request-Id}``, is replaced by the value of this header in the request. ``received``
-    has the received bytes of each connection.
+    The server calls ``after_block`` with the number of each block that it has sent. A header name
+    in braces within a block, such as ``{X-Request-Id}``, is replaced by the value of this header in
+    the request. ``received`` has the received bytes of each connection.
     """
 
-    def __init__(self, blocks, pause=0.0, tls=None):
+    def __init__(self, blocks, after_block=lambda number: None, tls=None):
         self._blocks = blocks
-        self._pause = pause
+        self._after_block = after_block
         self._tls = tls
         self._listener = socket.create_server(("127.0.0.1", 0))
         self.received = []
@@ -66,12 +65,12 @@
         )
         while len(body) < int(headers.get("Content-Length", 0)):
             body += connection.recv(65536)
-        for template in self._blocks:
+        for number, template in enumerate(self._blocks, start=1):
             answer = template
             for name, value in headers.items():
                 answer = answer.replace(b"{" + name.encode() + b"}", value.encode())
             connection.sendall(answer)
-            time.sleep(self._pause)
+            self._after_block(number)
 
 
 # Headers that identify the answer's request.
