Accept a blank behind the length of a response

A response with a blank or tab behind its Content-Length, which RFC 9110 allows, was refused as malformed since responses are read strictly.

Cause: the check of the length compared the field's value with its blanks. Ruled out: other forms that sound servers may send: equal lengths twice, a blank before a chunk's note, another case, a multipart or empty field. Change: blanks around the length do not count. The fields are read in one pass, and whole lines take a shorter path. Conclusion: strict where a length is ambiguous, not where it is only spelt in another way.

--- a/features/steps/broken_off_steps.py
+++ b/features/steps/broken_off_steps.py
@@ -297,6 +297,29 @@
     return OK_LINE + fields + extra + b"\r\n" + chunk + b"\r\n"
 
 
+# Header fields, and the form of the body's only chunk if there is one; %(n)d is the body's size.
+FORMS = {
+    "a blank behind the length": (b"Content-Length:  %(n)d \t\r\n", None),
+    "the same length twice": (b"Content-Length: %(n)d\r\n" * 2, None),
+    "a blank before a chunk's note": (CHUNKED, b"%(n)X ;note\r\n"),
+    "capital letters in its coding": (b"TRANSFER-ENCODING: Chunked\r\n", b"%(n)x\r\n"),
+    "a multipart type": (b"Content-Type: multipart/mixed\r\nContent-Length: %(n)d\r\n", None),
+    "an empty field": (b"X-Empty:\r\nContent-Length: %(n)d\r\n", None),
+}
+
+
+@then("{client} believes a response with {form}")
+def check_form(context, client, form):
+    call, fields, body = CLIENTS[client]
+    extra, chunk = FORMS[form]
+    size = {b"n": len(body)}
+    content = body if chunk is None else chunk % size + body + b"\r\n0\r\n\r\n"
+    response = OK_LINE + fields + extra % size + b"\r\n" + content
+    with CutServer(response) as server, ExitStack() as stack:
+        server.limit = len(response)
+        assert call(stack, server.address, False)
+
+
 @then("{client} does not believe a response with {fault}")
 def check_malformed(context, client, fault):
     response = build_malformed(client, fault)
--- a/features/upstreams/broken_off.feature
+++ b/features/upstreams/broken_off.feature
@@ -84,6 +84,21 @@
       | a store write       | a signed chunk size              |
       | an etcd write       | a folded field                   |
 
+  Scenario Outline: a response with <form> is whole for <client>
+    # Guards against strictness that refuses what sound servers may send.
+    Then <client> believes a response with <form>
+
+    Examples:
+      | client              | form                            |
+      | a forwarded request | a blank behind the length       |
+      | a forwarded request | the same length twice           |
+      | a forwarded request | a blank before a chunk's note   |
+      | a forwarded request | capital letters in its coding   |
+      | a forwarded request | a multipart type                |
+      | a forwarded request | an empty field                  |
+      | a native call       | the same length twice           |
+      | a store write       | a blank before a chunk's note   |
+
   Scenario Outline: the outcome of <client> that is answered with <response> is <outcome>
     # Guards against a write that may have been applied and is reported as not applied.
     Then the outcome of <client> that is answered with <response> is <outcome>
--- a/src/chervilrack/_internal/common/http_responses.py
+++ b/src/chervilrack/_internal/common/http_responses.py
@@ -38,6 +38,8 @@
         Raises IncompleteRead if the stream ends before the line does.
         """
         line = super().readline(size)
+        if line.find(b"\r") == len(line) - 2 and line.endswith(b"\n"):
+            return line
         is_limited = size is not None and 0 <= size <= len(line)
         if not line.endswith(b"\n") and not is_limited:
             raise http.client.IncompleteRead(line)
@@ -100,12 +102,18 @@
     """Return what makes the fields or the body's length ambiguous, or None."""
     if any(isinstance(defect, _HEAD_DEFECTS) for defect in headers.defects):
         return "a header line is malformed"
-    if any("\n" in value for value in headers.values()):
-        return "a header field is folded"
-    lengths = set(headers.get_all("Content-Length", ()))
+    lengths: set[str] = set()
+    codings: list[str] = []
+    for name, value in headers.raw_items():
+        if "\n" in value:
+            return "a header field is folded"
+        match name.lower():
+            case "content-length":
+                lengths.add(value.strip(" \t"))
+            case "transfer-encoding":
+                codings.append(value)
     if len(lengths) > 1 or not all(text.isascii() and text.isdigit() for text in lengths):
         return "Content-Length is no whole number"
-    codings = headers.get_all("Transfer-Encoding", ())
     if any(coding.lower() != "chunked" for coding in codings) or len(codings) > 1:
         return "the only supported Transfer-Encoding is chunked"
     return None
