Bound the trailers of a response

An upstream that sent trailers without end, as fast as they were read, kept a thread of the node busy until the request's deadline (504).

Cause: http.client reads trailers line by line without a limit. Ruled out: floods of a status line, a header, headers, interim answers, a chunk size, chunk notes, chunks, bytes without length, and an event without end; each was cut before its deadline. Change: trailers of more than 8 kB make a response malformed. Conclusion: every part of a response has a bound in bytes now.

--- a/features/adapter/answers.feature
+++ b/features/adapter/answers.feature
@@ -195,3 +195,29 @@
       | slow chunk for 12 s       |
       | slow trailer for 12 s     |
       | interim answers for 12 s  |
+
+  Scenario Outline: a plain request whose upstream sends a flood of <bytes> fails before its deadline
+    # Guards against memory or processor time that a faulty upstream can take without a bound.
+    Given scripted plain upstreams that send "flood of <bytes>"
+    When a caller sends a plain request with a deadline of 20000 ms
+    Then the caller gets status 502
+    And the upstream's connection was closed before it had sent everything
+
+    Examples: bytes that never become an answer, as fast as they are read
+      | bytes                |
+      | status line          |
+      | header               |
+      | headers              |
+      | interim answers      |
+      | chunk size           |
+      | chunk notes          |
+      | chunks               |
+      | trailers             |
+      | bytes without length |
+
+  Scenario: a stream with an event that never ends is cut before its deadline
+    # Guards against an event that is kept in memory until the deadline.
+    Given scripted engines that first send "flood of event" and then "events 2 to 5"
+    When a caller reads a stream
+    Then the caller gets the events 1 2 3 4 5 and the stream is complete
+    And the upstream's connection was closed before it had sent everything
--- a/features/support/scripted_upstream.py
+++ b/features/support/scripted_upstream.py
@@ -81,6 +81,23 @@
     "comments": ("", _chunk(":\n\n")),
     "slow event": (_chunk("id: 3\ndata: "), _chunk("x")),
 }
+# Beginning and repeated part of an answer that is sent without a pause and never ends.
+_FLOODS = {
+    "status line": ("HTTP/1.1 200 O", "K" * 1000),
+    "header": (f"{OK}X-Long: ", "x" * 1000),
+    "headers": (OK, "X-Field: value\r\n" * 50),
+    "interim answers": ("", "HTTP/1.1 103 Early Hints\r\n\r\n" * 50),
+    "chunk size": (f"{OK}{{identity}}{_CHUNKED}\r\n", "0" * 1000),
+    "chunk notes": (f"{OK}{{identity}}{_CHUNKED}\r\n4;note=", "x" * 1000),
+    "chunks": (f"{OK}{{identity}}{_CHUNKED}\r\n", _chunk("x" * 60_000)),
+    "trailers": (f"{OK}{{identity}}{_CHUNKED}\r\n4\r\nbody\r\n0\r\n", "X-T: 1\r\n" * 100),
+    "bytes without length": (f"{OK}{{identity}}\r\n", "x" * 60_000),
+    "event": (
+        f"{OK}{{identity}}Content-Type: text/event-stream\r\n{_CHUNKED}\r\n"
+        + _chunk(_event(1) + "id: 2\ndata: "),
+        _chunk("x" * 10_000),
+    ),
+}
 
 
 class ScriptedUpstreams:
@@ -166,6 +183,8 @@
                 self._send_stream_part(connection, _chunk(": hello\n\n"), request_id, is_first)
             case ["nothing", "more"]:
                 self._send_stream_part(connection, "", request_id, is_first)
+            case ["flood", "of", *name]:
+                self._send_flood(connection, " ".join(name), request_id)
             case [*name, "for", seconds, "s"]:
                 self._send_slowly(connection, " ".join(name), float(seconds), request_id, is_first)
                 return
@@ -183,6 +202,12 @@
         head = f"{OK}{_identity(request_id)}Content-Type: text/event-stream\r\n{_CHUNKED}\r\n"
         connection.sendall(((head if is_first else "") + chunks).encode())
 
+    def _send_flood(self, connection, name, request_id):
+        begin, part = _FLOODS[name]
+        connection.sendall(begin.replace("{identity}", _identity(request_id)).encode())
+        while not self._stopping.is_set():
+            connection.sendall(part.encode())
+
     def _send_slowly(self, connection, name, seconds, request_id, is_first):
         if name == "slow chunk" and not is_first:
             begin, part = "", "0"  # the size of the next chunk, a digit at a time
--- a/src/chervilrack/_internal/common/http_responses.py
+++ b/src/chervilrack/_internal/common/http_responses.py
@@ -19,6 +19,7 @@
 MAX_INTERIM_RESPONSES: Final = 16
 # Limit of a chunk's size line, extensions included.
 MAX_CHUNK_LINE_BYTES: Final = 65_536
+MAX_TRAILER_BYTES: Final = 8 * 1024
 _CHUNK_SIZE: Final = re.compile(rb"[0-9A-Fa-f]{1,16}")
 # The parser also reports body parts that a multipart type announces; these are no mistakes.
 _HEAD_DEFECTS: Final = (
@@ -97,6 +98,15 @@
             raise http.client.HTTPException("a chunk size is no hexadecimal number")
         return int(size, 16)
 
+    def _read_and_discard_trailer(self) -> None:
+        left = MAX_TRAILER_BYTES
+        while left > 0:
+            line = self.fp.readline(left)
+            if line in (b"\r\n", b"\n"):
+                return
+            left -= len(line)
+        raise http.client.HTTPException("the trailers are too long")
+
 
 def _head_mistake(headers: email.message.Message) -> str | None:
     """Return what makes the fields or the body's length ambiguous, or None."""
