Show that answers of HTTP/1.0 upstreams and to pipelined requests are safe

Result: 7 new scenarios of adapter/answers, which passed at once: answers of HTTP/1.0 upstreams, whole and cut, and four requests that a caller sends at once on one connection, with an interim and a foreign answer beside each (python -m behave features/adapter/answers.feature).

--- a/features/adapter/answers.feature
+++ b/features/adapter/answers.feature
@@ -221,3 +221,24 @@
     When a caller reads a stream
     Then the caller gets the events 1 2 3 4 5 and the stream is complete
     And the upstream's connection was closed before it had sent everything
+
+  Scenario Outline: a plain request whose HTTP/1.0 upstream sends <answer> gets status <status>
+    Given scripted plain upstreams that send "<answer>"
+    When a caller sends a plain request with a deadline of 4000 ms
+    Then the caller gets status <status>
+    And no later request gets a part of that answer
+
+    Examples:
+      | answer                                         | status |
+      | HTTP/1.0 answer                                | 200    |
+      | HTTP/1.0 answer, answer                        | 200    |
+      | HTTP/1.0 answer up to s-caller-1, break        | 502    |
+      | HTTP/1.0 answer up to Content-Length: 1, break | 502    |
+      | HTTP/1.0 answer up to answer to, break         | 502    |
+      | HTTP/1.0 answer up to answer to, reset         | 502    |
+
+  Scenario: requests that a caller sends at once get their own answers in their order
+    # Guards against answers that are exchanged between the requests of one connection.
+    Given scripted plain upstreams that send "103, answer, foreign answer"
+    When a caller sends 4 plain requests at once on one connection
+    Then the caller gets the answers to its 4 requests in their order
--- a/features/steps/answers_steps.py
+++ b/features/steps/answers_steps.py
@@ -40,13 +40,23 @@
 
 def exchange(context, path, request_id, deadline_ms, fields=""):
     """Send a request on a new connection and return all bytes until the node closes it."""
+    fields += "Connection: close\r\n"
+    return exchange_raw(context, build_request(path, request_id, deadline_ms, fields))
+
+
+def build_request(path, request_id, deadline_ms, fields=""):
+    return (
+        f"POST {path} HTTP/1.1\r\nHost: app.example\r\n"
+        f"Chervilrack-Request-Id: {request_id}\r\nAuthorization: Token k1\r\n"
+        f"Chervilrack-Deadline-Ms: {deadline_ms}\r\n{fields}Content-Length: 0\r\n\r\n"
+    )
+
+
+def exchange_raw(context, requests):
+    """Send bytes on a new connection and return all bytes until the node closes it."""
     address = (context.settings.callers.host, context.settings.callers.port)
     with socket.create_connection(address, timeout=LIMIT_S) as connection:
-        connection.sendall(
-            f"POST {path} HTTP/1.1\r\nHost: app.example\r\nConnection: close\r\n"
-            f"Chervilrack-Request-Id: {request_id}\r\nAuthorization: Token k1\r\n"
-            f"Chervilrack-Deadline-Ms: {deadline_ms}\r\n{fields}Content-Length: 0\r\n\r\n".encode()
-        )
+        connection.sendall(requests.encode())
         parts = []
         while part := connection.recv(65536):
             parts.append(part)
@@ -111,6 +121,23 @@
     assert "Chervilrack-Response-Signature: s-caller-1" in head, head
 
 
+@when("a caller sends {count:d} plain requests at once on one connection")
+def send_at_once(context, count):
+    requests = [build_request("/order/1", f"caller-{number}", 4000) for number in range(count - 1)]
+    last = build_request("/order/1", f"caller-{count - 1}", 4000, "Connection: close\r\n")
+    context.raw = exchange_raw(context, "".join(requests) + last)
+
+
+@then("the caller gets the answers to its {count:d} requests in their order")
+def check_answers_in_order(context, count):
+    heads = context.raw.split("HTTP/1.1 200 OK\r\n")
+    assert heads[0] == "", context.raw
+    bodies = [head.partition("\r\n\r\n")[2] for head in heads[1:]]
+    assert bodies == [f"answer to caller-{number}" for number in range(count)], context.raw
+    for number, head in enumerate(heads[1:]):
+        assert f"Signature: s-caller-{number}\r\n" in head, context.raw
+
+
 @then("{count:d} request has reached the scripted upstreams")
 @then("{count:d} requests have reached the scripted upstreams")
 def check_request_count(context, count):
--- a/features/support/scripted_upstream.py
+++ b/features/support/scripted_upstream.py
@@ -44,6 +44,7 @@
 # Bytes of an action, by its name; they depend on the id of the request.
 _ACTIONS = {
     "answer": lambda id: _whole("200 OK", id, f"answer to {id}"),
+    "HTTP/1.0 answer": lambda id: _ACTIONS["answer"](id).replace("HTTP/1.1", "HTTP/1.0"),
     "foreign answer": lambda id: _whole("200 OK", FOREIGN_ID, f"answer to {FOREIGN_ID}"),
     "103": lambda id: "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n",
     "misdirected": lambda id: _whole("421 Misdirected Request", id, "not here"),
