Refuse malformed status lines and interim responses, and fuzz responses

A response whose status line had a blank before it or a control character in its version, or that followed a malformed interim response, was taken for an answer.

Cause: http.client splits the status line at any white space and checks only how the version begins; the fields of interim responses were read, but not checked. Ruled out: bodies and statuses; no changed response was read with another one than its bytes say. Change: the status line has to match the grammar of RFC 9112 (the blank before an empty reason may be missing), and interim responses are checked like other heads.

--- a/features/adapter/answers.feature
+++ b/features/adapter/answers.feature
@@ -121,6 +121,8 @@
       | plain   | half a chunk, break                   | 502    |
       | plain   | chunks without the last, break        | 502    |
       | plain   | break                                 | 502    |
+      | plain   | reset                                 | 502    |
+      | plain   | silence                               | 504    |
       | plain   | no HTTP, break                        | 502    |
       | plain   | chunked answer                        | 200    |
       | plain   | status line of 100000 bytes           | 502    |
--- a/features/steps/broken_off_steps.py
+++ b/features/steps/broken_off_steps.py
@@ -7,6 +7,9 @@
 
 from behave import then
 from features.support.cut_server import CutServer
+from features.support.response_grammar import read_response
+from hypothesis import given as for_all
+from hypothesis import strategies as st
 
 from chervilrack._internal.batching.state import Order, Piece, StartCall
 from chervilrack._internal.cli.client import NodeClient, NodeRefused
@@ -261,7 +264,7 @@
 
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
 OK_LINE = b"HTTP/1.1 200 OK\r\n"
-# Beginning of the head or head and body; the client's header fields follow a beginning.
+# Bytes that a response of the given kind gets in addition.
 FAULTS = {
     "a header line without a colon": (b"X-Foreign\r\n", "length"),
     "a blank before a colon": (b"Content-Length : 3\r\n", "length"),
@@ -275,6 +278,10 @@
     "a chunk size with an underscore": (CHUNKED, "0_%x\r\n"),
     "a chunk longer than its size": (CHUNKED, "long"),
     "a status that switches protocols": (b"", "101"),
+    "a blank before its status line": (b" ", "prefix"),
+    "a control character in a version": (b"HTTP/1.1\0 103 Early Hints\r\n\r\n", "prefix"),
+    "a status of two digits": (b"HTTP/1.1 +20 OK\r\n\r\n", "prefix"),
+    "a malformed interim response": (b"HTTP/1.1 103 Early Hints\r\nLink\r\n\r\n", "prefix"),
 }
 
 
@@ -285,6 +292,8 @@
     length = b"Content-Length: %d\r\n" % len(body)
     if kind == "101":
         return b"HTTP/1.1 101 Switching Protocols\r\n" + fields + length + b"\r\n" + body
+    if kind == "prefix":
+        return extra + OK_LINE + fields + length + b"\r\n" + body
     if kind == "length":
         return OK_LINE + fields + extra + length + b"\r\n" + body
     if kind == "close":
@@ -337,3 +346,72 @@
         server.limit = len(response)
         is_known = CLIENTS[client][0](stack, server.address, False)
     assert is_known == (outcome == "known")
+
+
+_FRAMINGS = ("with a length", "in chunks", "after 1xx responses", "with LF line ends")
+_RESPONSES = [build_response("a forwarded request", "200", name) for name in _FRAMINGS] + [
+    build_response("a forwarded request", "503", "in chunks"),
+    build_response("a forwarded request", "200", "without a length"),
+]
+_INSERTED = st.sampled_from(
+    [
+        b"\r\n",
+        b"\n",
+        b"\r",
+        b"\0",
+        b" ",
+        b":",
+        b"0",
+        b"-",
+        b"a",
+        b"\r\n\r\n",
+        b"\r\n ",
+        b"0\r\n\r\n",
+        b"Content-Length: 3\r\n",
+        b"Content-Length: 3, 3\r\n",
+        CHUNKED,
+        b"Transfer-Encoding: identity\r\n",
+        OK_LINE,
+        INTERIM,
+    ]
+)
+# Position from 0 to 1, number of bytes that are removed there, and bytes that are inserted.
+_CHANGES = st.lists(
+    st.tuples(st.floats(0, 1), st.integers(0, 4), st.one_of(st.just(b""), _INSERTED)),
+    max_size=3,
+)
+
+
+def change(response, changes, end):
+    for place, removed, inserted in changes:
+        start = int(place * len(response))
+        response = response[:start] + inserted + response[start + removed :]
+    return response[: int(end * len(response))]
+
+
+def read_forwarded(address):
+    """Return the status and body of the answer to a forwarded request, or None if it failed."""
+    with Exchange(address) as exchange:
+        try:
+            exchange.send("POST", "/", [("Host", "a")], b"order", LIMIT_S)
+            head = exchange.read_head(LIMIT_S)
+            return head.status, exchange.read_body(time.monotonic() + LIMIT_S)
+        except ExchangeFailed:
+            return None
+
+
+@then("a forwarded request reads changed responses by the grammar or not at all")
+def check_changed(context):
+    with CutServer(b"") as server:
+
+        @for_all(st.sampled_from(_RESPONSES), _CHANGES, st.one_of(st.just(1.0), st.floats(0, 1)))
+        def check(response, changes, end):
+            server.response = change(response, changes, end)
+            server.limit = len(server.response)
+            result = read_forwarded(server.address)
+            expected = read_response(server.response)
+            assert result in (None, expected), (server.response, result, expected)
+            if not changes and end == 1:
+                assert result is not None, server.response
+
+        check()
--- a/features/support/cut_server.py
+++ b/features/support/cut_server.py
@@ -16,7 +16,7 @@
     """
 
     def __init__(self, response, resets=False):
-        self._response = response
+        self.response = response
         self._resets = resets
         self._listener = socket.create_server(("127.0.0.1", 0))
         self._thread = threading.Thread(target=self._serve, daemon=True)
@@ -54,7 +54,7 @@
         length = _LENGTH.search(head)
         while length is not None and len(body) < int(length[1]):
             body += connection.recv(65536)
-        connection.sendall(self._response[: self.limit])
+        connection.sendall(self.response[: self.limit])
         if self._resets:
             linger = struct.pack("ii", 1, 0)
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
--- a/features/upstreams/broken_off.feature
+++ b/features/upstreams/broken_off.feature
@@ -77,6 +77,10 @@
       | a forwarded request | a chunk size with an underscore  |
       | a forwarded request | a chunk longer than its size     |
       | a forwarded request | a status that switches protocols |
+      | a forwarded request | a blank before its status line   |
+      | a forwarded request | a control character in a version |
+      | a forwarded request | a status of two digits           |
+      | a forwarded request | a malformed interim response     |
       | a native call       | a header line without a colon    |
       | a native call       | two lengths                      |
       | a native call       | a signed chunk size              |
@@ -115,3 +119,7 @@
       | a store write | a 429                 | known   |
       | an etcd write | a 200 without JSON    | unknown |
       | an etcd write | a 500                 | unknown |
+
+  Scenario: a response with any change is read by the grammar or refused
+    # Guards against a body or a status that is not the one that the bytes say.
+    Then a forwarded request reads changed responses by the grammar or not at all
--- a/src/chervilrack/_internal/common/http_responses.py
+++ b/src/chervilrack/_internal/common/http_responses.py
@@ -17,9 +17,10 @@
 
 # Interim responses (1xx) before a response; more than these count as a malformed response.
 MAX_INTERIM_RESPONSES: Final = 16
-# Limit of a chunk's size line, extensions included.
-MAX_CHUNK_LINE_BYTES: Final = 65_536
+# Limit of a status line, and of a chunk's size line with its extensions.
+MAX_LINE_BYTES: Final = 65_536
 MAX_TRAILER_BYTES: Final = 8 * 1024
+_STATUS_LINE: Final = re.compile(rb"(HTTP/1\.[0-9]) ([1-9][0-9]{2})(?: ([^\r\n]*))?\r?\n")
 _CHUNK_SIZE: Final = re.compile(rb"[0-9A-Fa-f]{1,16}")
 # The parser also reports body parts that a multipart type announces; these are no mistakes.
 _HEAD_DEFECTS: Final = (
@@ -65,22 +66,30 @@
     def begin(self) -> None:
         """Read the head."""
         super().begin()
-        mistake = _head_mistake(self.headers)
-        if mistake is not None:
-            raise http.client.HTTPException(mistake)
+        _check_head(self.headers)
 
     def _read_status(self) -> tuple[str, int, str]:
         for _ in range(MAX_INTERIM_RESPONSES + 1):
             if not self.fp.peek(1):
                 raise http.client.RemoteDisconnected("the connection was closed without a response")
-            version, status, reason = super()._read_status()  # type: ignore[misc]
+            version, status, reason = self._read_status_line()
             if status == HTTPStatus.SWITCHING_PROTOCOLS:
                 raise http.client.HTTPException("the response switches protocols")
             if status >= HTTPStatus.OK:
                 return version, status, reason
-            http.client.parse_headers(self.fp)
+            _check_head(http.client.parse_headers(self.fp))
         raise http.client.HTTPException("too many interim responses")
 
+    def _read_status_line(self) -> tuple[str, int, str]:
+        line = self.fp.readline(MAX_LINE_BYTES + 1)
+        if len(line) > MAX_LINE_BYTES:
+            raise http.client.LineTooLong("status line")
+        match = _STATUS_LINE.fullmatch(line)
+        if match is None:
+            raise http.client.BadStatusLine(repr(line))
+        version, status, reason = match.groups(b"")
+        return version.decode("ascii"), int(status), reason.decode("latin-1")
+
     def _get_chunk_left(self) -> int | None:
         if self.chunk_left == 0:
             if self._safe_read(2) != b"\r\n":  # type: ignore[attr-defined]
@@ -90,8 +99,8 @@
         return left
 
     def _read_next_chunk_size(self) -> int:
-        line = self.fp.readline(MAX_CHUNK_LINE_BYTES + 1)
-        if len(line) > MAX_CHUNK_LINE_BYTES:
+        line = self.fp.readline(MAX_LINE_BYTES + 1)
+        if len(line) > MAX_LINE_BYTES:
             raise http.client.LineTooLong("chunk size")
         size = line.partition(b";")[0].strip(b" \t\r\n")
         if _CHUNK_SIZE.fullmatch(size) is None:
@@ -108,6 +117,12 @@
         raise http.client.HTTPException("the trailers are too long")
 
 
+def _check_head(headers: email.message.Message) -> None:
+    mistake = _head_mistake(headers)
+    if mistake is not None:
+        raise http.client.HTTPException(mistake)
+
+
 def _head_mistake(headers: email.message.Message) -> str | None:
     """Return what makes the fields or the body's length ambiguous, or None."""
     if any(isinstance(defect, _HEAD_DEFECTS) for defect in headers.defects):
