Read Server-Leaving and Retry-After of upstreams' answers

Cause: the adapter left both fields unread, so that no core could know them. Ruled out: reading other values than 1 as leaving: the state ends only with a restart of the upstream, and a wrong reading would keep it out of use. Change: ResponseMetadata gains leaving and retry_after. The longest of several values of Retry-After counts, a date counts from the Date of the same answer, and what is neither seconds nor a date is left out. Conclusion: every text gives a pause of 0 s or more, or none.

--- a/features/adapter/translation.feature
+++ b/features/adapter/translation.feature
@@ -99,3 +99,60 @@
       | 409    | Chervilrack-Not-Executed: 1 | gone      |
       | 409    | no header                   | available |
       | 503    | Chervilrack-Not-Executed: 1 | available |
+
+  Scenario Outline: an answer with status <status> and <fields> says that the upstream <leaves>
+    A wrong reading would keep an upstream out of use until it restarts, or overlook that it goes.
+
+    Then an answer with status <status> and fields <fields> says that the upstream <leaves>
+
+    Examples: only the value 1 is a statement, whatever the status is and whatever else is said
+      | status | fields                                 | leaves  |
+      | 200    | Server-Leaving: 1                      | leaves  |
+      | 500    | Server-Leaving: 1                      | leaves  |
+      | 503    | server-leaving:  1                     | leaves  |
+      | 103    | Server-Leaving: 1                      | leaves  |
+      | 200    | Server-Leaving: 0 / Server-Leaving: 1  | leaves  |
+      | 200    | Server-Leaving: 1 / Server-Leaving: 0  | leaves  |
+      | 200    | Server-Leaving: 1, 1                   | leaves  |
+      | 200    | Server-Leaving: 0                      | remains |
+      | 200    | Server-Leaving:                        | remains |
+      | 200    | Server-Leaving: true                   | remains |
+      | 200    | Server-Leaving: 11                     | remains |
+      | 200    | Server-Leaving: -1                     | remains |
+      | 200    | Chervilrack-Server-Leaving: 1          | remains |
+      | 200    | Content-Length: 1                      | remains |
+
+  Scenario Outline: an answer with status <status> and <fields> asks for a pause of <pause>
+    Then an answer with status <status> and fields <fields> asks for a pause of <pause>
+
+    Examples: the longest of several counts; what is neither seconds nor a date is left out
+      | status | fields                                                                        | pause     |
+      | 503    | Retry-After: 2                                                                | 2 s       |
+      | 503    | Retry-After: 0.25                                                             | 0.25 s    |
+      | 503    | Retry-After: 0                                                                | 0 s       |
+      | 503    | retry-after:  3                                                               | 3 s       |
+      | 503    | Retry-After: 2 / Retry-After: 5                                               | 5 s       |
+      | 503    | Retry-After: 5 / Retry-After: soon                                            | 5 s       |
+      | 503    | Retry-After: 5, 2                                                             | 5 s       |
+      | 503    | Retry-After: Sun, 06 Nov 1994 08:49:47 GMT / Date: Sun, 06 Nov 1994 08:49:37 GMT | 10 s   |
+      | 503    | Retry-After: Sunday, 06-Nov-94 08:49:47 GMT / Date: Sun, 06 Nov 1994 08:49:37 GMT | 10 s  |
+      | 503    | Retry-After: Sun Nov  6 08:49:47 1994 / Date: Sun, 06 Nov 1994 08:49:37 GMT   | 10 s      |
+      | 503    | Retry-After: Sun, 06 Nov 1994 08:49:47 GMT / Retry-After: 60 / Date: Sun, 06 Nov 1994 08:49:37 GMT | 60 s |
+      | 503    | Retry-After: Thu, 01 Jan 2026 00:00:07 GMT                                    | 7 s       |
+      | 503    | Retry-After: Thu, 01 Jan 2026 00:00:07 GMT / Date: yesterday                  | 7 s       |
+      | 503    | Retry-After: Sun, 06 Nov 1994 08:49:27 GMT / Date: Sun, 06 Nov 1994 08:49:37 GMT | 0 s    |
+      | 503    | Retry-After: 99999999                                                         | 99999999 s |
+      | 503    | Content-Length: 1                                                             | no length |
+      | 503    | Retry-After:                                                                  | no length |
+      | 503    | Retry-After: -5                                                               | no length |
+      | 503    | Retry-After: soon                                                             | no length |
+      | 503    | Retry-After: 5 s                                                              | no length |
+      | 503    | Retry-After: 1e3                                                              | no length |
+      | 503    | Retry-After: inf                                                              | no length |
+      | 503    | Retry-After: nan                                                              | no length |
+      | 503    | Retry-After: ٣                                                                | no length |
+      | 429    | Retry-After: 2                                                                | no length |
+      | 200    | Retry-After: 2                                                                | no length |
+
+  Scenario: no text in Retry-After, Date or Server-Leaving breaks the reading of an answer
+    Then any fields of an answer give a pause from 0 s on, and leave no error
--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -7,8 +7,12 @@
 
 import yaml
 from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import strategies as st
+from urllib3 import HTTPHeaderDict
 
 from chervilrack._internal.catalogue.state import RequestKind
+from chervilrack._internal.common.clock import ManualClock
 from chervilrack._internal.common.ids import OrganisationId, ServiceId, UpstreamId
 from chervilrack._internal.exceptions import InvalidDocumentError
 from chervilrack._internal.forwarding.dialect import ForwardedMetadata, MalformedMessage
@@ -262,3 +266,50 @@
     headers = {} if header == "no header" else dict([header.split(": ")])
     response = PlatformDialect().read_response(status, headers)
     assert response.inputs_gone == (state == "gone"), response
+
+
+def read_fields(status, fields):
+    """Return the metadata of an answer with fields that are separated by " / "."""
+    headers = HTTPHeaderDict()
+    for field in fields.split(" / "):
+        name, _, value = field.partition(":")
+        headers.add(name, value.strip())
+    return PlatformDialect(ManualClock()).read_response(status, headers)
+
+
+@then("an answer with status {status:d} and fields {fields} says that the upstream {leaves}")
+def check_leaving(context, status, fields, leaves):
+    assert read_fields(status, fields).leaving == (leaves == "leaves"), fields
+
+
+@then("an answer with status {status:d} and fields {fields} asks for a pause of {pause}")
+def check_pause(context, status, fields, pause):
+    expected = None if pause == "no length" else timedelta(seconds=float(pause[:-2]))
+    assert read_fields(status, fields).retry_after == expected, read_fields(status, fields)
+
+
+PAUSE_TEXTS = st.one_of(
+    st.text(max_size=40),
+    st.decimals().map(str),
+    st.integers().map(str),
+    st.floats().map(str),
+    st.datetimes().map(lambda at: at.strftime("%a, %d %b %Y %H:%M:%S GMT")),
+    st.from_regex(
+        r"[A-Z][a-z]{2},? ?\d{1,2}[ -][A-Z][a-z]{2}[ -]\d{2,9} \d\d:\d\d(:\d\d)?( [+-]\d{4})?"
+    ),
+)
+
+
+@then("any fields of an answer give a pause from 0 s on, and leave no error")
+def check_any_fields(context):
+    @for_all(st.lists(PAUSE_TEXTS, min_size=1, max_size=3), PAUSE_TEXTS, PAUSE_TEXTS)
+    def check(pauses, date, leaving):
+        headers = HTTPHeaderDict()
+        for text in pauses:
+            headers.add("Retry-After", text)
+        headers.add("Date", date)
+        headers.add("Server-Leaving", leaving)
+        metadata = PlatformDialect(ManualClock()).read_response(503, headers)
+        assert metadata.retry_after is None or metadata.retry_after >= timedelta(0)
+
+    check()
--- a/src/chervilrack/_internal/forwarding/dialect.py
+++ b/src/chervilrack/_internal/forwarding/dialect.py
@@ -63,7 +63,9 @@
 
     ``not_executed`` is the upstream's statement that it did not execute the request.
     ``misdirected`` means that another upstream has the address now, ``inputs_gone`` that the
-    request names stage results that no longer exist.
+    request names stage results that no longer exist. ``leaving`` is the upstream's statement that
+    it leaves; its absence retracts nothing. ``retry_after`` is the time for which an upstream that
+    turned the request away wants nothing from this node, None if it named none.
     """
 
     request_id: RequestId | None
@@ -71,15 +73,22 @@
     not_executed: bool
     misdirected: bool = False
     inputs_gone: bool = False
+    leaving: bool = False
+    retry_after: timedelta | None = None
 
 
 class PieceFailure(Enum):
-    """Why an upstream did not produce a piece."""
+    """Why an upstream did not produce a piece.
+
+    The last two mean that no upstream was asked: all of them leave, or want a pause.
+    """
 
     LATE = "late"
     INPUT_GONE = "input gone"
     NO_ROOM = "no room"
     ERROR = "error"
+    ALL_LEAVING = "all leaving"
+    ALL_PAUSED = "all paused"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/chervilrack/platform/headers.py
+++ b/src/chervilrack/platform/headers.py
@@ -1,11 +1,14 @@
 """Header fields, paths and bodies of the platform's HTTP messages."""
 
+import re
 from collections.abc import Mapping, Sequence
-from datetime import timedelta
+from datetime import UTC, datetime, timedelta
+from email.utils import parsedate_to_datetime
 from typing import Final
 
 import msgspec
 
+from chervilrack._internal.common.clock import Clock, SystemClock
 from chervilrack._internal.common.ids import RequestId, UpstreamId, ZoneId
 from chervilrack._internal.forwarding.dialect import (
     ForwardedMetadata,
@@ -33,12 +36,21 @@
 LAST_EVENT_ID: Final = "Last-Event-Id"
 RESPONSE_SIGNATURE: Final = "Chervilrack-Response-Signature"
 NOT_EXECUTED: Final = "Chervilrack-Not-Executed"
+LEAVING: Final = "Server-Leaving"
+RETRY_AFTER: Final = "Retry-After"
+DATE: Final = "Date"
 AUTHORIZATION: Final = "Authorization"
 
 AUTHORIZATION_SCHEME: Final = "Token "
 
 _STATUS_MISDIRECTED: Final = 421
 _STATUS_INPUTS_GONE: Final = 409
+_STATUS_UNAVAILABLE: Final = 503
+_SECONDS: Final = re.compile(r"[0-9]+(\.[0-9]+)?")
+# Longer times, which a timedelta may not hold, are cut to this one.
+_MAX_SECONDS: Final = 1e10
+# Names of days are left out of dates, since the comma behind them separates values elsewhere.
+_DAY_NAME: Final = re.compile(r"\b(mon|tue|wed|thu|fri|sat|sun)[a-z]*,?\s+", re.IGNORECASE)
 # Fields of a caller that are dropped: the credentials, and what only the system may state.
 # Names are in lower case.
 _NOT_FORWARDED: Final = frozenset(
@@ -109,7 +121,8 @@
     stage_path = "/api/stage-run"
     release_path = "/api/stage-free"
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock | None = None) -> None:
+        self._clock = clock or SystemClock()
         self._stage_response_decoder = msgspec.json.Decoder(_StageCallResponse)
 
     def read_request(self, headers: HeaderFields) -> RequestMetadata:
@@ -170,7 +183,12 @@
         return [("Content-Type", "application/json"), (TARGET_INSTANCE, target)]
 
     def read_response(self, status: int, headers: Mapping[str, str]) -> ResponseMetadata:
-        """Return the metadata of an upstream's response."""
+        """Return the metadata of an upstream's response.
+
+        The upstream leaves if one of the fields ``Server-Leaving`` is ``1``; other values say
+        nothing. Of several values of ``Retry-After`` the longest counts. Values that are neither
+        seconds nor a date are left out, and only status 503 makes the field a wish.
+        """
         request_id = headers.get(REQUEST_ID)
         misdirected = status == _STATUS_MISDIRECTED
         return ResponseMetadata(
@@ -179,8 +197,26 @@
             not_executed=NOT_EXECUTED in headers or misdirected,
             misdirected=misdirected,
             inputs_gone=status == _STATUS_INPUTS_GONE and NOT_EXECUTED in headers,
+            leaving="1" in (value.strip() for value in headers.get(LEAVING, "").split(",")),
+            retry_after=self._retry_after(headers) if status == _STATUS_UNAVAILABLE else None,
         )
 
+    def _retry_after(self, headers: Mapping[str, str]) -> timedelta | None:
+        """Return the longest time that the fields ``Retry-After`` name, None if they name none.
+
+        A date counts from the ``Date`` of the same response, so that the clocks of nodes and
+        upstreams need not agree. A past date means no time.
+        """
+        times = []
+        for value in _DAY_NAME.sub("", headers.get(RETRY_AFTER, "")).split(","):
+            text = value.strip()
+            if _SECONDS.fullmatch(text):
+                times.append(timedelta(seconds=min(float(text), _MAX_SECONDS)))
+            elif (date := _date(text)) is not None:
+                sent = _date(_DAY_NAME.sub("", headers.get(DATE, ""))) or self._clock.now()
+                times.append(max(timedelta(0), date - sent))
+        return max(times, default=None)
+
     def encode_pieces(self, pieces: Sequence[PieceCall]) -> bytes:
         """Return the body of a call that produces pieces."""
         entries = [
@@ -232,6 +268,15 @@
         return address
 
 
+def _date(text: str) -> datetime | None:
+    """Return an HTTP date without the name of its day, None if it cannot be read."""
+    try:
+        date = parsedate_to_datetime(text)
+    except (ValueError, OverflowError, IndexError):
+        return None
+    return date if date.tzinfo is not None else date.replace(tzinfo=UTC)
+
+
 def _whole_number(text: str, name: str) -> int:
     """Return a non-negative decimal number; ``name`` is the header field that holds it."""
     if not (text.isascii() and text.isdigit()):
