--- a/features/batching/queue.feature
+++ b/features/batching/queue.feature
@@ -339,3 +339,41 @@
       | a node joins that owns no queue         | undisrupted |
       | a node joins that owns the queue        | disrupted   |
       | the other owner is lost and node a stays | undisrupted |
+
+  Scenario Outline: while upstreams <upstreams> of 2 <statement>, pieces that wait are called at <called>
+    Pieces that were called at an upstream that leaves, or once more elsewhere, would be lost or run
+    twice.
+
+    Given a stage queue with 2 upstreams and 4 pieces per call
+    When the queue receives orders of 4, 4, 4, 4 pieces
+    And the upstreams <upstreams> <statement>
+    And every call in progress ends, again and again
+    Then the queue has called further pieces at <called> only
+    And each of 16 pieces was called at most once
+    And <failed> pieces failed with <failure>
+
+    Examples: calls in progress end as usual
+      | upstreams | statement             | called | failed | failure     |
+      | u1        | say that they leave   | u2     | 0      | nothing     |
+      | u1        | ask for 60 s of pause | u2     | 0      | nothing     |
+      | u1, u2    | say that they leave   | none   | 8      | all leaving |
+      | u1, u2    | ask for 60 s of pause | none   | 8      | all paused  |
+
+  Scenario: an upstream that leaves is not called although all others fail
+    Given a stage queue with 2 upstreams and 4 pieces per call
+    When the upstreams u1 say that they leave
+    And upstream u2 refuses connections
+    And the queue receives orders of 1, 1 pieces
+    Then the queue has called further pieces at u2 only
+
+  Scenario Outline: an order <inputs> inputs and a deadline in <deadline> s <outcome> while all upstreams pause for 2 s
+    Given a stage queue with 2 upstreams and 4 pieces per call
+    When the upstreams u1, u2 ask for 2 s of pause
+    And the queue receives an order <inputs> inputs and a deadline in <deadline> s
+    Then the order <outcome>
+
+    Examples: an order waits if its request has results already and can still end in time
+      | inputs  | deadline | outcome                            |
+      | with    | 6        | is called when the pause ends      |
+      | with    | 1        | fails at once with 2 s to wait     |
+      | without | 6        | fails at once with 2 s to wait     |
--- a/features/steps/batching_steps.py
+++ b/features/steps/batching_steps.py
@@ -100,7 +100,8 @@
                 context.active_calls.append(effect)
                 if context.writes_requests_at_once:
                     context.queue.call_sent(effect.call_id, context.now)
-            case Deliver(order, results):
+            case Deliver(order, results, retry_after):
+                context.retry_after = retry_after
                 context.results.setdefault(order, []).extend(results)
             case InputsRead(order):
                 context.inputs_read.append(order)
@@ -464,3 +465,80 @@
 def check_call_counts(context, ratio):
     first, second = context.call_counts
     assert second <= ratio * first, context.call_counts
+
+
+@when("the upstreams {names} say that they leave")
+def say_leaving(context, names):
+    record_statements(context, names, leaving=True, pause=None)
+
+
+@when("the upstreams {names} ask for {seconds:d} s of pause")
+def ask_for_pause(context, names, seconds):
+    record_statements(context, names, leaving=False, pause=timedelta(seconds=seconds))
+
+
+def record_statements(context, names, **statement):
+    context.calls_before = len(context.calls)
+    standing = context.queue._balancer.standing
+    for entry in context.entries:
+        if entry.id in names.split(", "):
+            standing.record_answer(entry.incarnation, now=context.now, **statement)
+
+
+@when("upstream {name} refuses connections")
+def refuse_at(context, name):
+    context.queue._balancer.record_failure(UpstreamId(name), context.now, "refused", certain=True)
+
+
+@when("every call in progress ends, again and again")
+def end_all_calls(context):
+    while context.active_calls:
+        end_call(context, "first")
+
+
+@then("the queue has called further pieces at {names} only")
+def check_called_upstreams(context, names):
+    called = {call.upstream for call in context.calls[context.calls_before :]}
+    assert called == ({names} - {"none"}), called
+
+
+@then("each of {count:d} pieces was called at most once")
+def check_called_once(context, count):
+    pieces = [(piece.order.id, piece.segment) for call in context.calls for piece in call.pieces]
+    assert len(pieces) == len(set(pieces)) <= count, pieces
+
+
+@then("{count:d} pieces failed with {failure}")
+def check_failed_pieces(context, count, failure):
+    failures = [
+        result.value
+        for results in context.results.values()
+        for _, result in results
+        if isinstance(result, PieceFailure)
+    ]
+    assert failures == [failure] * count, failures
+
+
+@when("the queue receives an order {inputs} inputs and a deadline in {deadline:g} s")
+def queue_with_or_without_inputs(context, inputs, deadline):
+    context.calls_before = len(context.calls)
+    submit(context, 2, remaining=deadline, inputs=("a/1",) if inputs == "with" else ())
+
+
+@then("the order is called when the pause ends")
+def check_called_after_pause(context):
+    assert not context.calls, context.calls
+    assert context.queue.next_time(context.now) == context.now + timedelta(seconds=2)
+    context.now += timedelta(seconds=2)
+    perform(context, context.queue.tick(context.now))
+    assert len(context.calls) == 1, context.calls
+
+
+@then("the order fails at once with {seconds:d} s to wait")
+def check_fails_with_wait(context, seconds):
+    assert not context.calls, context.calls
+    assert context.results[context.last_order_id] == [
+        (0, PieceFailure.ALL_PAUSED),
+        (1, PieceFailure.ALL_PAUSED),
+    ], context.results
+    assert context.retry_after == timedelta(seconds=seconds), context.retry_after
--- /dev/null
+++ b/features/steps/standing_steps.py
@@ -0,0 +1,421 @@
+"""Steps for what upstreams say of themselves, with the states of one and of many nodes."""
+
+import dataclasses
+import heapq
+import io
+import itertools
+import random
+from datetime import timedelta
+
+from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import strategies as st
+
+from chervilrack._internal.balancing.standing import Bar, LeavingReport
+from chervilrack._internal.balancing.state import RequestLoad
+from chervilrack._internal.catalogue.state import UpstreamEntry, UpstreamState
+from chervilrack._internal.common.clock import ManualClock
+from chervilrack._internal.common.ids import (
+    Incarnation,
+    NodeId,
+    RequestId,
+    ServiceId,
+    UpstreamId,
+    ZoneId,
+)
+from chervilrack._internal.common.results import ResultCode
+from chervilrack._internal.fleet.messages import Heartbeat
+from chervilrack._internal.forwarding.dialect import ResponseMetadata
+from chervilrack._internal.forwarding.responses import retry_after
+from chervilrack._internal.observability.decisions import DecisionLog
+from chervilrack._internal.serving.messages import serving_codec
+from chervilrack._internal.serving.settings import Address, ServingSettings
+from chervilrack._internal.serving.state import ServingState
+
+SERVICE = ServiceId("s")
+EARLIER, BORN, LATER = 1_790_000_000_000, 1_790_000_100_000, 1_790_000_200_000
+LOAD = RequestLoad()
+OWN = RequestId("own")
+
+
+def s(seconds):
+    return timedelta(seconds=float(seconds))
+
+
+def entry(name, address="10.0.0.1:80", born=BORN, state=UpstreamState.READY):
+    return UpstreamEntry(
+        UpstreamId(name), SERVICE, address, ZoneId("z"), state, slots=8, started_at_ms=born
+    )
+
+
+def create_state(name, names):
+    address = Address("10.1.0.1", 1)
+    settings = ServingSettings(NodeId(name), ZoneId("z"), address, address, address, address)
+    state = ServingState(settings, None, ManualClock(), DecisionLog(name, io.StringIO()))
+    state.revision = itertools.count(1)
+    for number, upstream in enumerate(names):
+        registration = entry(upstream, f"10.0.{number // 250}.{number % 250}:80")
+        service = SERVICE if number < 100 else ServiceId(f"s{number // 100}")
+        register(state, dataclasses.replace(registration, service=service))
+    return state
+
+
+def perform(state, effects):
+    for effect in effects:
+        state.upstream_changed(effect)
+
+
+def register(state, registration):
+    perform(state, state.catalogue.put_upstream(registration, next(state.revision)))
+
+
+def answer(leaving=False, pause=None, request=OWN, misdirected=False):
+    return ResponseMetadata(
+        request, True, False, misdirected=misdirected, leaving=leaving, retry_after=pause
+    )
+
+
+@given("a serving state with the upstreams u1, u2 and u3")
+def create_small_state(context):
+    context.state = create_state("a", ["u1", "u2", "u3"])
+
+
+@given("a serving state with {count:d} upstreams")
+def create_large_state(context, count):
+    context.names = [f"i-{number:08x}" for number in range(count)]
+    context.state = create_state("a", context.names)
+
+
+@when("the state observes {events}")
+def observe(context, events):
+    # "u1, u2 and u3" is one list of names.
+    for event in events.replace("u1, u2", "u1+u2").split(", "):
+        observe_event(context.state, event)
+
+
+def observe_event(state, event):
+    words = event.split()
+    if words[0] in ("leaving", "pause"):
+        observe_statement(state, words)
+    elif words[0] == "registered":
+        observe_registration(state, words)
+    else:
+        observe_other(state, event, words)
+
+
+def observe_statement(state, words):
+    known = state.catalogue.upstreams.get(UpstreamId("u1")) or entry("u1")
+    match words:
+        case ["leaving"]:
+            statement, upstream = answer(leaving=True), known
+        case ["leaving", "of", "the", "earlier", "start"]:
+            statement, upstream = answer(leaving=True), entry("u1")
+        case ["leaving", "in", "an", "answer", *_]:
+            statement, upstream = answer(leaving=True, request=RequestId("another")), known
+        case ["leaving", "in", "a", "misdirected", "answer"]:
+            statement, upstream = answer(leaving=True, misdirected=True), known
+        case ["pause", "of", seconds, "s"]:
+            statement, upstream = answer(pause=s(seconds)), known
+        case ["leaving", "at", "a", "peer"]:
+            state.leaving_reported(NodeId("b"), [LeavingReport("u1", BORN)])
+            return
+    state.answer_received(upstream.incarnation, statement, [OWN])
+
+
+def observe_registration(state, words):
+    match words[1:]:
+        case ["again"]:
+            register(state, entry("u1"))
+        case ["at", "another", "address"]:
+            register(state, entry("u1", "10.9.9.9:80"))
+        case ["with", "an", "earlier", "start"]:
+            register(state, entry("u1", born=EARLIER))
+        case ["with", "a", "later", "start"]:
+            register(state, entry("u1", born=LATER))
+
+
+def observe_other(state, event, words):
+    catalogue, now = state.catalogue, state.clock.monotonic()
+    match words:
+        case ["nothing"]:
+            pass
+        case ["success"]:
+            state.attempt_succeeded(catalogue.upstreams.get(UpstreamId("u1")) or entry("u1"))
+        case [seconds, "s"]:
+            state.clock.advance(s(seconds))
+        case ["removed"] | ["lapsed"]:
+            revision = next(state.revision)
+            perform(state, catalogue.remove_upstream(UpstreamId("u1"), revision, now))
+        case ["store", "away"]:
+            catalogue.mark_store_unavailable(now)
+        case ["store", "back"]:
+            catalogue.mark_store_available(now)
+        case ["peer", "listing", "with", "u1"]:
+            listing = {name: (known_entry, 1) for name, known_entry in catalogue.upstreams.items()}
+            perform(state, catalogue.apply_peer_listing(listing, [], now))
+        case ["failures", "of", *_]:
+            for name in ("u1", "u2", "u3"):
+                if name in event:
+                    state.balancer.record_failure(UpstreamId(name), now, "refused", certain=True)
+        case _:
+            raise AssertionError(event)
+
+
+@then("u1 is {use} beside others")
+def check_use(context, use):
+    state = context.state
+    # Requests in flight at the others make u1 the least loaded one.
+    for name in ("u2", "u3"):
+        for _ in range(20):
+            state.balancer.record_start(UpstreamId(name), LOAD, state.clock.monotonic())
+    chosen = {state.choose(SERVICE, LOAD, ())[0].id for _ in range(50)}
+    assert ("u1" in chosen) == (use == "used"), chosen
+
+
+@then("a request for which only u1 is left is {result}")
+def check_alone(context, result):
+    state = context.state
+    chosen = state.choose(SERVICE, LOAD, [UpstreamId("u2"), UpstreamId("u3")])
+    assert (chosen is not None) == (result == "sent"), chosen
+    for name in ("u2", "u3"):
+        perform(state, state.catalogue._remove(UpstreamId(name)))
+    problem = state.unavailability(SERVICE)
+    codes = {
+        "refused as leaving": ResultCode.UPSTREAMS_LEAVING,
+        "refused as paused": ResultCode.UPSTREAMS_PAUSED,
+    }
+    assert (problem.code if problem is not None else None) == codes.get(result), problem
+
+
+EVENTS = st.one_of(
+    st.sampled_from(
+        [
+            "leaving",
+            "leaving at a peer",
+            "success",
+            "removed",
+            "store away",
+            "store back",
+            "registered again",
+            "registered at another address",
+            "registered with an earlier start",
+            "registered with a later start",
+            "failures of u1, u2 and u3",
+        ]
+    ),
+    st.integers(0, 100_000).map(lambda n: f"pause of {n} s"),
+    st.integers(0, 100_000).map(lambda n: f"{n} s"),
+)
+
+
+@then("for any course of statements, registrations and time, u1 is barred exactly as they say")
+def check_any_course(context):
+    @for_all(st.lists(EVENTS, max_size=30))
+    def check(events):
+        state = create_state("a", ["u1", "u2", "u3"])
+        # The latest start that said that it leaves, and the end of the pause of the latest start.
+        leaving_born, pause_born, pause_end = 0, 0, s(0)
+        for event in events:
+            registered = state.catalogue.upstreams.get(UpstreamId("u1")) or entry("u1")
+            born, now = registered.started_at_ms, state.clock.monotonic()
+            observe_event(state, event)
+            if event == "leaving":
+                leaving_born = max(leaving_born, born)
+            elif event.startswith("pause") and event != "pause of 0 s":
+                if born < pause_born and now < pause_end:
+                    continue
+                seconds = int(event.split()[2])
+                end = now + s(seconds if seconds <= 86_400 else 3600)
+                pause_end = max(pause_end, end) if born == pause_born else end
+                pause_born = born
+            current = state.catalogue.upstreams.get(UpstreamId("u1"))
+            if current is None:
+                continue
+            if event.startswith("registered"):
+                leaving_born = 0 if current.started_at_ms > leaving_born else leaving_born
+                if current.started_at_ms > pause_born:
+                    pause_born, pause_end = 0, s(0)
+            is_paused = current.started_at_ms <= pause_born and state.clock.monotonic() < pause_end
+            expected = Bar.PAUSED if is_paused else None
+            if current.started_at_ms <= leaving_born:
+                expected = Bar.LEAVING
+            actual = state.balancer.standing.bar(current.incarnation, state.clock.monotonic())
+            assert actual == expected, (events, actual, expected)
+            chosen = state.choose(SERVICE, LOAD, [UpstreamId("u2"), UpstreamId("u3")])
+            assert (chosen is None) == (expected is not None), events
+
+    check()
+
+
+@when("u1, u2 and u3 want pauses of {pauses} s")
+def want_pauses(context, pauses):
+    for name, seconds in zip(("u1", "u2", "u3"), pauses.split(", "), strict=True):
+        metadata = answer(pause=s(seconds))
+        context.state.answer_received(entry(name).incarnation, metadata, [OWN])
+
+
+@then(
+    "{count:d} refused callers are told to come back after {low:d} to {high:d} s, "
+    "spread over the time between"
+)
+def check_spread(context, count, low, high):
+    problem = context.state.unavailability(SERVICE)
+    rng = random.Random(1)
+    delays = [retry_after(problem.retry_after, rng).total_seconds() for _ in range(count)]
+    assert low <= min(delays), min(delays)
+    assert max(delays) <= high, max(delays)
+    quarters = {int((delay - low) / (high - low) * 4) for delay in delays}
+    assert quarters >= {0, 1, 2, 3}, quarters
+
+
+@when("{count:d} of the upstreams say that they leave")
+def leave_many(context, count):
+    context.leaving = set(context.names[:count])
+    for name in context.names[:count]:
+        context.state.answer_received(entry(name).incarnation, answer(leaving=True), [OWN])
+
+
+@when("the store removes them")
+def remove_leaving(context):
+    for name in context.leaving:
+        perform(context.state, context.state.catalogue._remove(UpstreamId(name)))
+
+
+def heartbeat_size(reports):
+    address = "10.1.0.41:7740"
+    heartbeat = Heartbeat(
+        address, address, "z", True, False, 1, 1, True, (), (), 0, 300, 1.0, tuple(reports)
+    )
+    return len(serving_codec().encode(NodeId("a"), Incarnation("01"), heartbeat))
+
+
+@then("each heartbeat grows by at most {size:d} bytes and names at most {named:d} of them")
+def check_report_size(context, size, named):
+    for _ in range(20):
+        reports = context.state.leaving_reports()
+        assert len(reports) <= named, reports
+        assert heartbeat_size(reports) - heartbeat_size(()) <= size, heartbeat_size(reports)
+
+
+@then("every peer has heard of all {leaving:d} after {heartbeats:d} heartbeats")
+def check_all_reported(context, leaving, heartbeats):
+    context.heartbeats = [context.state.leaving_reports() for _ in range(heartbeats)]
+    named = {report.upstream for reports in context.heartbeats for report in reports}
+    assert len(named) == leaving, len(named)
+
+
+@then("the number of messages is that without reports")
+def check_message_count(context):
+    # The reports are part of the heartbeat: no other message carries them.
+    assert all(isinstance(reports, tuple) for reports in context.heartbeats)
+
+
+class NodeWorld:
+    """Nodes whose requests and heartbeats take their time, without network."""
+
+    def __init__(self, nodes, others):
+        names = ["u1", *(f"u{number + 2}" for number in range(others))]
+        self.states = [create_state(f"n{number}", names) for number in range(nodes)]
+        for number, state in enumerate(self.states):
+            state.rng.seed(number)
+        self.rng = random.Random(7)
+        self.now = 0.0
+        self.leaves_at = 3.0
+        self.read_at = {}
+        self.told_at = {}
+        self.sent = []
+        self._events = []
+        self._numbers = itertools.count()
+
+    def at(self, seconds, action):
+        heapq.heappush(self._events, (seconds, next(self._numbers), action))
+
+    def run(self, seconds):
+        while self._events and self._events[0][0] <= seconds:
+            at, _, action = heapq.heappop(self._events)
+            for state in self.states:
+                state.clock.advance(s(at - self.now))
+            self.now = at
+            action()
+
+    def request(self, number, interval):
+        state = self.states[number]
+        chosen = state.choose(SERVICE, LOAD, ())
+        if chosen is not None and chosen[0].id == "u1":
+            self.sent.append((number, self.now))
+            latency = self.rng.uniform(0.01, 1.5)
+            is_leaving = self.now + latency >= self.leaves_at
+            self.at(self.now + latency, lambda: self.answer(number, is_leaving))
+        self.at(
+            self.now + interval * self.rng.uniform(0.5, 1.5), lambda: self.request(number, interval)
+        )
+
+    def answer(self, number, is_leaving):
+        self.states[number].answer_received(
+            entry("u1").incarnation, answer(leaving=is_leaving), [OWN]
+        )
+        if is_leaving:
+            self.read_at.setdefault(number, self.now)
+
+    def heartbeat(self, number):
+        reports = self.states[number].leaving_reports()
+        for other, state in enumerate(self.states):
+            if other != number:
+                self.at(
+                    self.now + 0.002,
+                    lambda state=state, other=other: self.tell(state, other, number, reports),
+                )
+        self.at(self.now + 0.375, lambda: self.heartbeat(number))
+
+    def tell(self, state, other, number, reports):
+        state.leaving_reported(NodeId(f"n{number}"), reports)
+        if reports:
+            self.told_at.setdefault(other, self.now)
+
+
+@given("{nodes:d} nodes and an upstream u1 beside {others:d} others")
+def create_world(context, nodes, others):
+    context.world = NodeWorld(nodes, others)
+
+
+@when("u1 leaves while callers send requests, with the store {store}")
+def run_world(context, store):
+    world = context.world
+    for number, state in enumerate(world.states):
+        if store == "away":
+            state.catalogue.mark_store_unavailable(state.clock.monotonic())
+        # The last nodes get so few requests that they may never read an answer of u1.
+        interval = 0.05 if number < 20 else 2.0
+        world.at(world.rng.uniform(0, interval), lambda n=number, i=interval: world.request(n, i))
+        world.at(world.rng.uniform(0, 0.375), lambda n=number: world.heartbeat(n))
+    if store == "stale":
+        for step in range(8):
+            world.at(2.0 + step, lambda: [register_stale(state) for state in world.states])
+    world.run(10.0)
+
+
+def register_stale(state):
+    """Repeat an older view of the store."""
+    observe_event(state, "registered again")
+    observe_event(state, "peer listing with u1")
+
+
+@then("no node sends u1 a request that a caller sent after that node had read an answer of u1")
+def check_bound(context):
+    world = context.world
+    assert len(world.read_at) >= 10, world.read_at
+    late = [
+        (number, at) for number, at in world.sent if at > world.read_at.get(number, float("inf"))
+    ]
+    assert not late, late
+
+
+@then(
+    "{left} requests reach u1 from nodes that never read an answer of u1, once peers have told them"
+)
+def check_told(context, left):
+    world = context.world
+    late = [
+        (number, at) for number, at in world.sent if at > world.told_at.get(number, float("inf"))
+    ]
+    assert left == "any" or len(late) == int(left), late
--- a/features/support/scripted_upstream.py
+++ b/features/support/scripted_upstream.py
@@ -38,6 +38,13 @@
 
 _NOT_RUN = "Chervilrack-Not-Executed: 1\r\n"
 
+# Fields that the word before the name of an action adds to its answer.
+_STATEMENTS = {
+    "leaving": "Server-Leaving: 1\r\n",
+    "pausing": "Retry-After: 600\r\n",
+    "shortly-pausing": "Retry-After: 0.5\r\n",
+    "nonsense-pausing": "Retry-After: soon\r\n",
+}
 # Bytes of an action, by its name; they depend on the id of the request.
 _ACTIONS = {
     "answer": lambda id: _whole("200 OK", id, f"answer to {id}"),
@@ -48,6 +55,8 @@
     "refusal of another request": lambda id: _whole(
         "503 Service Unavailable", FOREIGN_ID, "full", _NOT_RUN
     ),
+    "421": lambda id: _whole("421 Misdirected Request", id, "not me"),
+    "503": lambda id: _whole("503 Service Unavailable", id, "it failed"),
     "inputs gone": lambda id: _whole("409 Conflict", id, "gone", _NOT_RUN),
     "JSON with blank lines": lambda id: _whole(
         "200 OK", id, '{"error":\n\n"none"}\n\n', "Content-Type: application/json\r\n"
@@ -74,7 +83,8 @@
 class ScriptedUpstreams:
     """Listeners that answer the n-th request with the n-th script, or the last one.
 
-    ``requests`` holds the heads of the requests and ``unsent`` the actions whose bytes could not be
+    ``requests`` holds the heads of the requests, ``arrivals`` their monotonic times in seconds, and
+    ``unsent`` the actions whose bytes could not be
     sent, because the connection was closed. Use as a context manager.
     """
 
@@ -85,6 +95,7 @@
         self._lock = threading.Lock()
         self._stopping = threading.Event()
         self.requests = []
+        self.arrivals = []
         self.unsent = []
 
     def __enter__(self):
@@ -99,6 +110,12 @@
                 listener.shutdown(socket.SHUT_RDWR)
             listener.close()
 
+    def close_listener(self, number):
+        """Refuse connections at one of the addresses."""
+        with suppress(OSError):
+            self._listeners[number].shutdown(socket.SHUT_RDWR)
+        self._listeners[number].close()
+
     def _serve(self, listener):
         while True:
             try:
@@ -118,6 +135,7 @@
             with self._lock:
                 number = len(self.requests)
                 self.requests.append(content.decode())
+                self.arrivals.append(time.monotonic())
             request_id = re.search(r"(?i)Chervilrack-Request-Id: (\S+)", content.decode())[1]
             script = self._scripts[min(number, len(self._scripts) - 1)]
             for action in script.split(", "):
@@ -157,6 +175,10 @@
             case [*name, "for", seconds, "s"]:
                 self._send_slowly(connection, " ".join(name), float(seconds), request_id, is_first)
                 return
+            case [word, *name] if word in _STATEMENTS:
+                status_line, rest = _ACTIONS[" ".join(name)](request_id).split("\r\n", 1)
+                fields = _STATEMENTS[word]
+                connection.sendall(f"{status_line}\r\n{fields}{rest}".encode())
             case _:
                 connection.sendall(_ACTIONS[action](request_id).encode())
         is_last_part = script.split(", ")[-1] == action or "foreign answer" in script
--- a/src/chervilrack/_internal/balancing/core.py
+++ b/src/chervilrack/_internal/balancing/core.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from chervilrack._internal.balancing.standing import Standing
 from chervilrack._internal.balancing.state import (
     BalancingSettings,
     PeerSummary,
@@ -62,6 +63,8 @@
         self.settings = settings or BalancingSettings()
         self.zone = zone
         self.rng = rng
+        # Statements of the upstreams, which bind the choice whatever their load and health are.
+        self.standing = Standing()
         self._policy = balancing_policies.get(policy)
         self._status: dict[UpstreamId, UpstreamStatus] = {}
         # Reports of the peers by upstream; a peer reports few of the upstreams.
@@ -76,12 +79,12 @@
         now: timedelta,
         excluded: Iterable[UpstreamId] = (),
     ) -> UpstreamChoice | None:
-        """Choose an upstream for a request; return None if all upstreams are excluded."""
+        """Choose an upstream for a request; return None if all are excluded or barred."""
         excluded_ids = set(excluded)
+        others = [entry for entry in entries if entry.id not in excluded_ids]
         allowed = [
             Candidate(entry, self.status(entry.id), self._peer_summary(entry.id))
-            for entry in entries
-            if entry.id not in excluded_ids
+            for entry in self.standing.preferred_upstreams(others, now)
         ]
         if not allowed:
             return None
--- a/src/chervilrack/_internal/batching/core.py
+++ b/src/chervilrack/_internal/batching/core.py
@@ -122,6 +122,11 @@
             queued_order.pending_segments |= missing
             self._enqueue(queued_order, missing)
             return self.dispatch(now)
+        if not order.inputs and (barred := self._barred_failure(now)) is not None:
+            # Nothing has been spent on the request yet, and a place in the queue costs a thread.
+            failure, retry_after = barred
+            failures = tuple((segment, failure) for segment in sorted(order.pending_segments))
+            return [Deliver(order.id, failures, retry_after)]
         if (
             now + self.longest_wait(len(order.pending_segments)) > order.deadline
             and now + self.expected_wait(now, order) > order.deadline
@@ -169,6 +174,8 @@
         spec = self._spec
         own_call = self._durations.of_call(len(order.pending_segments))
         usable = self._usable_upstreams(now)
+        if not usable:
+            return self._pause_left(now) + own_call
         if any(upstream.current_call is None for upstream in usable):
             return own_call
         pieces_ahead = self._pieces_ahead(order, now)
@@ -348,6 +355,9 @@
             for upstream in self._upstreams.values():
                 times += [upstream.paused_until, upstream.other_owners_until]
                 times.append(self._balancer.status(upstream.entry.id).ejected_until)
+                pause_end = self._balancer.standing.paused_until(upstream.entry.incarnation, now)
+                if pause_end is not None:
+                    times.append(pause_end)
                 if (expiry := upstream.kept.next_expiry) is not None:
                     times.append(expiry)
         return min((time for time in times if time > now), default=None)
@@ -405,9 +415,12 @@
         effects: list[BatchEffect] = []
         if self._spec is None or not self._waiting:
             return effects
+        effects += self._fail_barred_orders(now)
+        if not self._waiting:
+            return effects
         free = self._free_upstreams(now)
         if not free:
-            return self._evict_for_next_call(now)
+            return [*effects, *self._evict_for_next_call(now)]
         orders = self._by_urgency(now)
         effects += self._fail_infeasible_orders(orders, now)
         bound = self._zone_bound_orders(orders, now)
@@ -473,6 +486,44 @@
             pieces_ahead += len(pieces)
         return _deliveries(delivered)
 
+    def _fail_barred_orders(self, now: timedelta) -> list[BatchEffect]:
+        """Fail the waiting orders that no upstream will take in time, because all are barred.
+
+        Pieces in calls are left alone. Orders wait for the end of a pause if they can then still
+        meet their deadline: their requests have stage results already.
+        """
+        barred = self._barred_failure(now)
+        if barred is None:
+            return []
+        failure, retry_after = barred
+        delivered: dict[OrderId, list[tuple[int, str | PieceFailure]]] = {}
+        for order, pieces in self._waiting.groups():
+            own_call = self._durations.of_call(len(pieces))
+            if retry_after is not None and now + retry_after + own_call <= order.deadline:
+                continue
+            for piece in pieces:
+                if piece.is_pending and piece.active_calls == 0:
+                    self._finish_piece(piece, failure, delivered)
+        return [Deliver(order, tuple(results), retry_after) for order, results in delivered.items()]
+
+    def _barred_failure(self, now: timedelta) -> tuple[PieceFailure, timedelta | None] | None:
+        """Return the failure of pieces if all upstreams are barred, None if one is not.
+
+        With the failure comes the time until the first pause ends, None if all upstreams leave.
+        """
+        entries = [upstream.entry for upstream in self._upstreams.values()]
+        if not entries or self._balancer.standing.open_upstreams(entries, now):
+            return None
+        pause_end = self._balancer.standing.next_return(entries, now)
+        if pause_end is None:
+            return PieceFailure.ALL_LEAVING, None
+        return PieceFailure.ALL_PAUSED, pause_end - now
+
+    def _pause_left(self, now: timedelta) -> timedelta:
+        entries = [upstream.entry for upstream in self._upstreams.values()]
+        pause_end = self._balancer.standing.next_return(entries, now)
+        return pause_end - now if pause_end is not None else _ZERO
+
     # Selection of upstreams and pieces
 
     def _free_upstreams(self, now: timedelta) -> list[StageUpstream]:
@@ -490,9 +541,15 @@
         return free
 
     def _usable_upstreams(self, now: timedelta) -> list[StageUpstream]:
-        """Return the upstreams that are not suspected of failure, or all if most are."""
-        usable = [u for u in self._upstreams.values() if not self._is_suspected(u, now)]
-        return usable if len(usable) * 2 >= len(self._upstreams) else [*self._upstreams.values()]
+        """Return the upstreams that are not suspected of failure, or all if most are.
+
+        Barred upstreams are left out, whatever the state of the others is.
+        """
+        entries = [upstream.entry for upstream in self._upstreams.values()]
+        preferred = self._balancer.standing.preferred_upstreams(entries, now)
+        candidates = [self._upstreams[entry.id] for entry in preferred]
+        usable = [u for u in candidates if not self._is_suspected(u, now)]
+        return usable if len(usable) * 2 >= len(candidates) else candidates
 
     def _take_pieces(
         self,
@@ -591,7 +648,7 @@
         )
         timeout = expected * settings.timeout_ratio + settings.timeout_slack
         return StartCall(
-            number, entry.id, entry.address, pieces, now, expected, timeout, conditions
+            number, entry.incarnation, entry.address, pieces, now, expected, timeout, conditions
         )
 
     def _is_suspected(self, upstream: StageUpstream, now: timedelta) -> bool:
--- a/src/chervilrack/_internal/batching/messages.py
+++ b/src/chervilrack/_internal/batching/messages.py
@@ -47,11 +47,13 @@
 class PiecesMade(msgspec.Struct, frozen=True, array_like=True):
     """Carries results of an order: pairs of a segment and its result.
 
-    A result is a handle, or ``!`` followed by the name of the failure.
+    A result is a handle, or ``!`` followed by the name of the failure. ``retry_after_ms`` is the
+    time until the first upstream takes calls again if all of them want a pause, otherwise 0.
     """
 
     order: int
     results: tuple[tuple[int, str], ...]
+    retry_after_ms: int = 0
 
 
 class PiecesDropped(msgspec.Struct, frozen=True, array_like=True):
--- a/src/chervilrack/_internal/batching/state.py
+++ b/src/chervilrack/_internal/batching/state.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from datetime import timedelta
 
+from chervilrack._internal.catalogue.state import UpstreamIncarnation
 from chervilrack._internal.common.ids import NodeId, RequestId, ServiceId, UpstreamId
 from chervilrack._internal.forwarding.dialect import PieceFailure
 
@@ -76,7 +77,7 @@
     """Effect: call a stage upstream for these pieces."""
 
     call_id: int
-    upstream: UpstreamId
+    incarnation: UpstreamIncarnation
     address: str
     pieces: tuple[Piece, ...]
     started: timedelta
@@ -84,13 +85,23 @@
     timeout: timedelta
     conditions: StartConditions
 
+    @property
+    def upstream(self) -> UpstreamId:
+        """Id of the upstream."""
+        return self.incarnation.id
+
 
 @dataclass(frozen=True, slots=True)
 class Deliver:
-    """Effect: deliver results of some segments to the node that placed the order."""
+    """Effect: deliver results of some segments to the node that placed the order.
+
+    ``retry_after`` is the time until the first upstream takes calls again if the segments failed
+    because all of them want a pause.
+    """
 
     order: OrderId
     results: tuple[tuple[int, str | PieceFailure], ...]
+    retry_after: timedelta | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/chervilrack/_internal/catalogue/state.py
+++ b/src/chervilrack/_internal/catalogue/state.py
@@ -8,6 +8,7 @@
 from datetime import timedelta
 from enum import Enum
 from functools import cached_property
+from typing import NamedTuple
 
 from chervilrack._internal.common.ids import OrganisationId, ServiceId, UpstreamId, ZoneId
 
@@ -168,6 +169,13 @@
     DRAINING = "draining"
 
 
+class UpstreamIncarnation(NamedTuple):
+    """One start of an upstream; a later start has a later time, in Unix milliseconds."""
+
+    id: UpstreamId
+    started_at_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class UpstreamEntry:
     """Registration of one upstream.
@@ -185,3 +193,8 @@
     version: str = ""
     cold_remaining: timedelta = timedelta(0)
     started_at_ms: int = 0
+
+    @property
+    def incarnation(self) -> UpstreamIncarnation:
+        """The start of the upstream that the registration describes, whatever its address."""
+        return UpstreamIncarnation(self.id, self.started_at_ms)
--- a/src/chervilrack/_internal/common/results.py
+++ b/src/chervilrack/_internal/common/results.py
@@ -41,6 +41,8 @@
     NOT_READY = (1402, 503, "This node is starting or leaving", True)
     PLATFORM_AWAY = (1403, 503, "The platform service is needed and cannot be reached", True)
     NO_UPSTREAM = (1404, 503, "No upstream is available for a stage", True)
+    UPSTREAMS_LEAVING = (1405, 503, "All upstreams of a service are leaving", True)
+    UPSTREAMS_PAUSED = (1406, 503, "All upstreams of a service want a pause", True)
     IDEMPOTENCY_KEY_MISSING = (1501, 400, "The operation needs an Idempotency-Key", False)
     IDEMPOTENCY_KEY_REUSED = (1502, 422, "The Idempotency-Key was used for another request", False)
     ORDER_OUTCOME_UNKNOWN = (1503, 409, "The outcome of the order is not known", False)
--- a/src/chervilrack/_internal/fleet/messages.py
+++ b/src/chervilrack/_internal/fleet/messages.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from chervilrack._internal.balancing.standing import LeavingReport
 from chervilrack._internal.balancing.state import UpstreamReport
 
 
@@ -13,7 +14,7 @@
     and ``directory_revision`` are the newest configuration version and store revision that the
     node holds. ``ready_for_ms`` is the time since the node became ready and ``interval_ms`` the
     time until its next heartbeat. ``cpu_cores`` is the processor time that the node may use, in
-    cores.
+    cores. ``leaving_upstreams`` names upstreams that have told the node that they leave.
     """
 
     address: str
@@ -29,6 +30,7 @@
     ready_for_ms: int = 0
     interval_ms: int = 0
     cpu_cores: float = 1.0
+    leaving_upstreams: tuple[LeavingReport, ...] = ()
 
 
 class StateRequest(msgspec.Struct, frozen=True, array_like=True):
--- a/src/chervilrack/_internal/forwarding/attempts.py
+++ b/src/chervilrack/_internal/forwarding/attempts.py
@@ -9,7 +9,7 @@
 import urllib3
 
 from chervilrack._internal.balancing.state import UpstreamChoice
-from chervilrack._internal.catalogue.state import RequestKind, UpstreamEntry
+from chervilrack._internal.catalogue.state import RequestKind, UpstreamEntry, UpstreamIncarnation
 from chervilrack._internal.common.clock import Clock
 from chervilrack._internal.forwarding.context import RequestContext
 from chervilrack._internal.forwarding.dialect import Dialect, ForwardedMetadata, ResponseMetadata
@@ -79,6 +79,9 @@
     ) -> None:
         """Count an attempt as in flight."""
 
+    def answer_received(self, upstream: UpstreamIncarnation, metadata: ResponseMetadata) -> None:
+        """Record what the upstream says of itself in the head of its response."""
+
     def first_byte_received(self, context: RequestContext, entry: UpstreamEntry) -> None:
         """Record that the upstream has begun its response."""
 
@@ -173,6 +176,7 @@
             return AttemptResult(
                 AttemptOutcome.FAILED, "an answer to another request", may_have_arrived=True
             )
+        self._observer.answer_received(entry.incarnation, metadata)
         if metadata.not_executed:
             return self._handle_not_executed(entry, response.status, metadata)
         context.executions += 1
--- a/src/chervilrack/_internal/forwarding/forwarder.py
+++ b/src/chervilrack/_internal/forwarding/forwarder.py
@@ -38,6 +38,8 @@
 SHORTEST_CALLER_PATIENCE = timedelta(seconds=2)
 PATIENCE_TARGET_LATENCIES = 4
 PATIENCE_GAPS = 8
+# Shortest time until a caller should retry, without jitter.
+RETRY_DELAY = timedelta(milliseconds=300)
 # Most attempts of one request, including those that an upstream rejects.
 MAX_ATTEMPTS = 4
 
@@ -74,8 +76,8 @@
     def can_finish(self, route: Route) -> bool:
         """Whether a new request of a route can finish before the node stops."""
 
-    def upstreams(self, service: ServiceId) -> Sequence[UpstreamEntry]:
-        """Return the ready upstreams of a service."""
+    def unavailability(self, service: ServiceId) -> Problem | None:
+        """Return why no upstream of a service may be used, None if one may be."""
 
     def choose(
         self, service: ServiceId, load: RequestLoad, excluded: Sequence[UpstreamId]
@@ -97,6 +99,9 @@
     def take_retry(self, service: ServiceId) -> bool:
         """Take one retry from the retry budget; return False if the budget is used up."""
 
+    def give_back_retry(self, service: ServiceId) -> None:
+        """Give a retry back to the retry budget for which nothing was sent."""
+
     def request_finished(self, context: RequestContext, outcome: "ForwardingOutcome") -> None:
         """Record how a request ended."""
 
@@ -220,8 +225,8 @@
     # Serving
 
     def _serve(self, context: RequestContext, responder: Responder) -> ForwardingOutcome:
-        if not self._backend.upstreams(context.service):
-            problem = Problem(ResultCode.NO_UPSTREAM, "no upstream of the service is known")
+        problem = self._backend.unavailability(context.service)
+        if problem is not None:
             return self._fail(context, responder, problem)
         stages = self._create_stage_run(context)
         try:
@@ -249,23 +254,31 @@
         """Try upstreams in turn until one has answered or no further attempt is allowed."""
         last: AttemptResult | None = None
         for _ in range(MAX_ATTEMPTS):
-            if last is not None and context.sent_attempts and not self._may_retry(context, last):
-                break
-            load = context.load
-            if stages is not None:
-                load = replace(load, inputs=stages.input_sizes())
-            chosen = self._backend.choose(context.service, load, tuple(context.tried_upstreams))
+            chosen = self._choose(context, stages)
             if chosen is None:
                 break
-            entry, choice = chosen
-            context.tried_upstreams.add(entry.id)
+            is_retry = last is not None and context.sent_attempts > 0
+            if is_retry and last is not None and not self._may_retry(context, last):
+                break
+            is_charged = is_retry and last is not None and last.may_have_arrived
             if stages is not None and stages.needs_restart:
                 problem = self._restart_stages(stages)
+                # Meanwhile, an upstream may have begun to leave.
+                chosen = self._choose(context, stages)
+                if is_charged and (problem is not None or chosen is None):
+                    self._backend.give_back_retry(context.service)
                 if problem is not None:
                     return self._fail(context, responder, self._true_problem(context, problem))
+                if chosen is None:
+                    break
+            entry, choice = chosen
+            context.tried_upstreams.add(entry.id)
             inputs = stages.inputs if stages is not None else ()
             context.step(f"to {entry.id} after {self._elapsed_ms(context)} ms: {choice.reason}")
+            sent_before = context.sent_attempts
             last = self._attempts.run(context, responder, entry, choice, inputs, stages)
+            if is_charged and context.sent_attempts == sent_before and not last.may_have_arrived:
+                self._backend.give_back_retry(context.service)
             context.step(f"{last.outcome.value}: {last.detail}")
             if last.outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.CUT_OFF):
                 return self._outcome(context, last.outcome.value, last.status, last.detail)
@@ -276,6 +289,14 @@
                 break
         return self._give_up(context, responder, last)
 
+    def _choose(
+        self, context: RequestContext, stages: StageRun | None
+    ) -> tuple[UpstreamEntry, UpstreamChoice] | None:
+        load = context.load
+        if stages is not None:
+            load = replace(load, inputs=stages.input_sizes())
+        return self._backend.choose(context.service, load, tuple(context.tried_upstreams))
+
     def _restart_stages(self, stages: StageRun) -> Problem | None:
         """Produce the stage results again that an earlier attempt has used up or that were lost."""
         if not stages.restart():
@@ -319,7 +340,8 @@
             if is_past_deadline:
                 return Problem(ResultCode.DEADLINE_UNREACHABLE, "no upstream took it in time")
             detail = "no upstream can be used" if last is None else last.detail
-            return Problem(ResultCode.NO_UPSTREAM, detail)
+            unavailability = self._backend.unavailability(context.service)
+            return unavailability or Problem(ResultCode.NO_UPSTREAM, detail)
         if is_past_deadline:
             return Problem(ResultCode.DEADLINE_PASSED, "no answer in time", Executed.UNKNOWN)
         detail = last.detail if last is not None else ""
@@ -347,7 +369,7 @@
             responder.abort()
             return self._outcome(context, "cut off", 0, problem.detail)
         if problem.code.http_status == 503:
-            wait = retry_after(timedelta(milliseconds=300), self._rng)
+            wait = retry_after(max(problem.retry_after or RETRY_DELAY, RETRY_DELAY), self._rng)
             problem = Problem(problem.code, problem.detail, problem.executed, wait)
         if not context.caller_gone:
             responder.send_response(*problem_response(problem, context.metadata.request_id))
--- a/src/chervilrack/_internal/forwarding/stages.py
+++ b/src/chervilrack/_internal/forwarding/stages.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
+from datetime import timedelta
 from typing import Protocol
 
 from result import Err, Ok, Result
@@ -18,13 +19,17 @@
 from chervilrack._internal.catalogue.state import ServiceSpec
 from chervilrack._internal.common.clock import Clock
 from chervilrack._internal.common.ids import ServiceId, ZoneId
-from chervilrack._internal.common.results import Problem, ResultCode
+from chervilrack._internal.common.results import Executed, Problem, ResultCode
 from chervilrack._internal.forwarding.context import RequestContext
 from chervilrack._internal.forwarding.dialect import PieceFailure
 
 # Most restarts of stages of one request after the loss of results. A lost result may restart every
 # stage before it, and pipelines have up to six stages.
 MAX_RESTARTS = 6
+_FAILURE_CODES = {
+    PieceFailure.ALL_LEAVING: ResultCode.UPSTREAMS_LEAVING,
+    PieceFailure.ALL_PAUSED: ResultCode.UPSTREAMS_PAUSED,
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,12 +45,14 @@
 class PieceResult:
     """Result of one piece of a stage: its handle, or the reason why there is none.
 
-    ``segment`` is the number of the piece within its stage.
+    ``segment`` is the number of the piece within its stage. ``retry_after`` is the time until the
+    first upstream takes calls again if all of them want a pause.
     """
 
     stage: int
     segment: int
     result: str | PieceFailure
+    retry_after: timedelta | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -224,7 +231,13 @@
             return None
         if result.result is PieceFailure.LATE:
             return _deadline_problem(f"stage {result.stage} cannot end in time")
-        return Problem(ResultCode.NO_UPSTREAM, f"stage {result.stage} failed")
+        code = _FAILURE_CODES.get(result.result, ResultCode.NO_UPSTREAM)
+        return Problem(
+            code,
+            f"stage {result.stage} failed: {result.result.value}",
+            Executed.NO,
+            result.retry_after,
+        )
 
     def _place_order(self, planned: PlannedStage) -> None:
         has_inputs = bool(self._progress.spec(planned.stage).after)
--- a/src/chervilrack/_internal/limits/retry_budget.py
+++ b/src/chervilrack/_internal/limits/retry_budget.py
@@ -37,6 +37,10 @@
     def add(self, now: timedelta) -> None:
         self._times.append(now)
 
+    def remove_latest(self) -> None:
+        if self._times:
+            self._times.pop()
+
     def count(self, now: timedelta) -> int:
         while self._times and self._times[0] <= now - self._length:
             self._times.popleft()
@@ -74,6 +78,10 @@
         retries.add(now)
         return True
 
+    def give_back(self, service: ServiceId) -> None:
+        """Take back the latest retry that was counted, since nothing was sent for it."""
+        self._window(self._retries, service).remove_latest()
+
     def _window(self, windows: dict[ServiceId, _Window], service: ServiceId) -> _Window:
         service_window = windows.get(service)
         if service_window is None:
--- a/src/chervilrack/_internal/serving/metrics.py
+++ b/src/chervilrack/_internal/serving/metrics.py
@@ -4,10 +4,12 @@
 Organisations are ranked by traffic, and those with little traffic share one label.
 """
 
+from collections.abc import Mapping
 from datetime import timedelta
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
+from chervilrack._internal.balancing.standing import OWN_ANSWER, Bar, StandingEvent
 from chervilrack._internal.batching.state import StartConditions
 from chervilrack._internal.forwarding.context import RequestContext
 from chervilrack._internal.forwarding.forwarder import ForwardingOutcome
@@ -93,6 +95,18 @@
             "Requests in progress.",
             registry=self._registry,
         )
+        self._statements = Counter(
+            "chervilrack_serving_upstream_statements",
+            "What upstreams said of themselves, by event and by who read it.",
+            ["event", "source"],
+            registry=self._registry,
+        )
+        self._barred = Gauge(
+            "chervilrack_serving_upstreams_barred",
+            "Registered upstreams that get nothing from this node, by reason.",
+            ["reason"],
+            registry=self._registry,
+        )
         self._routes = _BoundedLabels(MAX_VALUES)
         self._services = _BoundedLabels(MAX_VALUES)
         self._organisations = TrafficRanking(
@@ -123,12 +137,19 @@
         self._call_seconds.labels(label, outcome).observe(took.total_seconds())
         self._call_pieces.labels(label).observe(pieces)
 
-    def render(self, in_progress: int, dropped: int) -> bytes:
+    def standing_changed(self, event: StandingEvent, source: str) -> None:
+        """Count a statement of an upstream; ``source`` is as in ``StandingChanged``."""
+        reader = source if source in (OWN_ANSWER, "") else "peer"
+        self._statements.labels(event.value, reader or "directory").inc()
+
+    def render(self, in_progress: int, dropped: int, barred: Mapping[Bar, int]) -> bytes:
         """Return all metrics in the text format of Prometheus.
 
-        ``in_progress`` is the number of requests in progress and ``dropped`` the number of log
-        lines dropped since the last report.
+        ``in_progress`` is the number of requests in progress, ``dropped`` the number of log lines
+        dropped since the last report and ``barred`` the number of upstreams that get nothing.
         """
+        for reason in Bar:
+            self._barred.labels(reason.value).set(barred.get(reason, 0))
         self._in_progress.set(in_progress)
         self._dropped.set(dropped)
         return generate_latest(self._registry)
--- a/src/chervilrack/_internal/serving/node.py
+++ b/src/chervilrack/_internal/serving/node.py
@@ -85,7 +85,7 @@
         rng = random.Random()
         self._fleet = Fleet(settings.node, str(settings.peer), rng, cpu_cores=settings.cpu_cores)
         self._state = ServingState(settings, self._fleet, clock, log)
-        self._stage_caller = StageCaller(dialect, clock)
+        self._stage_caller = StageCaller(dialect, self._state, clock)
         self._coordinator = StageCoordinator(
             settings.node, self._incarnation, self._state, dialect, self._stage_caller
         )
@@ -246,7 +246,9 @@
         elif request.path == self._dialect.lookup_path:
             self._answer_lookup(request, responder)
         elif request.path == METRICS_PATH:
-            body = self._state.metrics.render(self._state.in_progress, self._log.dropped)
+            with self._state.lock:
+                barred = self._state.count_barred()
+            body = self._state.metrics.render(self._state.in_progress, self._log.dropped, barred)
             responder.send_response(200, [("Content-Type", CONTENT_TYPE)], body)
         else:
             responder.send_response(404, [], b"")
@@ -299,6 +301,7 @@
         now = self._clock.monotonic()
         self._perform(self._fleet.receive_heartbeat(sender, incarnation, heartbeat, now))
         self._state.balancer.set_peer_reports(sender, heartbeat.reports)
+        self._state.leaving_reported(sender, heartbeat.leaving_upstreams)
         self._directory.on_heartbeat(heartbeat)
         self._relay.observe_revision(heartbeat.directory_revision)
 
@@ -346,6 +349,7 @@
             ready_for_ms=round(self._fleet.update_readiness(self.is_ready, now) / _MILLISECOND),
             interval_ms=round(self._fleet.heartbeat_interval / _MILLISECOND),
             cpu_cores=self._settings.cpu_cores,
+            leaving_upstreams=self._state.leaving_reports(),
         )
         addresses = [f"tcp://{address}" for address in self._fleet.addresses]
         self._transport.send_to_addresses(addresses, heartbeat)
--- a/src/chervilrack/_internal/serving/stage_calls.py
+++ b/src/chervilrack/_internal/serving/stage_calls.py
@@ -3,21 +3,23 @@
 import functools
 import logging
 import time
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Collection, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from datetime import timedelta
 from http import HTTPStatus
 from types import TracebackType
-from typing import Self
+from typing import Protocol, Self
 
 from chervilrack._internal.batching.state import FreeResults, StartCall
+from chervilrack._internal.catalogue.state import UpstreamIncarnation
 from chervilrack._internal.common.clock import Clock
-from chervilrack._internal.common.ids import UpstreamId
+from chervilrack._internal.common.ids import RequestId, UpstreamId
 from chervilrack._internal.forwarding.dialect import (
     Dialect,
     MalformedMessage,
     PieceCall,
     PieceFailure,
+    ResponseMetadata,
 )
 from chervilrack._internal.upstreams.exchange import Exchange, ExchangeFailed
 
@@ -42,11 +44,27 @@
         self.not_executed = not_executed
 
 
+class StageCallObserver(Protocol):
+    """Decides whether a call may still be sent, and reads the answers; thread-safe."""
+
+    def may_send(self, upstream: UpstreamIncarnation) -> bool:
+        """Whether an upstream may get anything new."""
+
+    def answer_received(
+        self,
+        upstream: UpstreamIncarnation,
+        metadata: ResponseMetadata,
+        requests: Collection[RequestId] | None = None,
+    ) -> None:
+        """Record what an upstream says of itself in an answer, if it belongs to ``requests``."""
+
+
 class StageCaller:
     """Makes stage calls and frees results at upstreams; use as a context manager."""
 
-    def __init__(self, dialect: Dialect, clock: Clock) -> None:
+    def __init__(self, dialect: Dialect, observer: StageCallObserver, clock: Clock) -> None:
         self._dialect = dialect
+        self._observer = observer
         self._clock = clock
         self._pool = ThreadPoolExecutor(MAX_CONCURRENT_CALLS, thread_name_prefix="stage")
 
@@ -75,13 +93,17 @@
         self._pool.submit(self._run, call, on_sent, on_ended)
 
     def free(
-        self, effect: FreeResults, on_ended: Callable[[FreeResults, bool], None] = lambda *_: None
+        self,
+        effect: FreeResults,
+        upstream: UpstreamIncarnation | None = None,
+        on_ended: Callable[[FreeResults, bool], None] = lambda *_: None,
     ) -> None:
         """Free results in a thread of the pool; ``on_ended`` is called with whether it succeeded.
 
-        Results that were not freed take up space at the upstream until they expire.
+        ``upstream`` is the one known at the address, None if that is not certain. Results that
+        were not freed take up space at the upstream until they expire.
         """
-        self._pool.submit(self._free, effect, on_ended)
+        self._pool.submit(self._free, effect, upstream, on_ended)
 
     def _run(
         self,
@@ -100,6 +122,10 @@
         on_ended(call, outcome)
 
     def _call(self, call: StartCall, on_sent: Callable[[], None]) -> Sequence[str | PieceFailure]:
+        # The call may have waited for a thread, and the upstream may have answered others since.
+        if not self._observer.may_send(call.incarnation):
+            detail = "not sent: the upstream leaves or wants a pause"
+            raise CallFailed(detail, upstream_absent=False, not_executed=True)
         now = self._clock.monotonic()
         body = self._dialect.encode_pieces(
             [
@@ -114,17 +140,23 @@
                 for piece in call.pieces
             ]
         )
+        requests = {piece.order.request_id for piece in call.pieces}
         with Exchange(call.address) as exchange:
             try:
-                status, headers, content = self._post(
-                    exchange, self._dialect.stage_path, body, call.upstream, call.timeout, on_sent
+                status, facts, content = self._post(
+                    exchange,
+                    self._dialect.stage_path,
+                    body,
+                    call.upstream,
+                    call.timeout,
+                    on_sent,
+                    lambda facts: self._observer.answer_received(call.incarnation, facts, requests),
                 )
             except ExchangeFailed as error:
                 raise CallFailed(
                     error.detail, upstream_absent=error.unreachable, not_executed=not error.sent
                 ) from None
         if status != HTTPStatus.OK:
-            facts = self._dialect.read_response(status, headers)
             raise CallFailed(
                 f"status {status}",
                 upstream_absent=facts.misdirected,
@@ -143,7 +175,8 @@
         target: UpstreamId | None,
         timeout: timedelta,
         on_sent: Callable[[], None] = lambda: None,
-    ) -> tuple[int, Mapping[str, str], bytes]:
+        on_head: Callable[[ResponseMetadata], None] = lambda _: None,
+    ) -> tuple[int, ResponseMetadata, bytes]:
         headers = [("Host", "stage")]
         if target is not None:
             headers += self._dialect.stage_headers(target)
@@ -152,10 +185,22 @@
         exchange.send("POST", path, headers, body, seconds)
         on_sent()
         response = exchange.read_head(seconds)
-        return response.status, response.headers, exchange.read_body(deadline)
+        facts = self._dialect.read_response(response.status, response.headers)
+        on_head(facts)
+        return response.status, facts, exchange.read_body(deadline)
 
-    def _free(self, effect: FreeResults, on_ended: Callable[[FreeResults, bool], None]) -> None:
+    def _free(
+        self,
+        effect: FreeResults,
+        upstream: UpstreamIncarnation | None,
+        on_ended: Callable[[FreeResults, bool], None],
+    ) -> None:
         body = self._dialect.encode_release(effect.handles)
+
+        def read_statement(facts: ResponseMetadata) -> None:
+            if upstream is not None:
+                self._observer.answer_received(upstream, facts, ())
+
         try:
             with Exchange(effect.address) as exchange:
                 status, _, _ = self._post(
@@ -164,6 +209,7 @@
                     body,
                     None,
                     timedelta(seconds=FREE_TIMEOUT_S),
+                    on_head=read_statement,
                 )
         except ExchangeFailed as error:
             # The upstream drops the results at the end of their lifetime.
--- a/src/chervilrack/_internal/serving/stage_coordinator.py
+++ b/src/chervilrack/_internal/serving/stage_coordinator.py
@@ -2,6 +2,7 @@
 
 import functools
 import itertools
+import math
 from collections import Counter
 from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass, field
@@ -99,6 +100,8 @@
         # Owners whose calls produced the results held by this node's requests, by handle. These
         # owners account for the space of the results.
         self._result_owners: dict[str, NodeId] = {}
+        # Results at upstreams that want a pause, which are freed when it ends, and its end.
+        self._deferred_frees: list[tuple[timedelta, FreeResults, StageQueue | None]] = []
         self.transport: PeerTransport | None = None
         self.wake: Callable[[], None] = lambda: None
 
@@ -198,6 +201,7 @@
     def on_results(self, sender: NodeId, message: PiecesMade) -> None:
         """Deliver results and failures of an order to its request."""
         failures = {failure.value: failure for failure in PieceFailure}
+        retry_after = message.retry_after_ms * _MILLISECOND if message.retry_after_ms else None
         results: list[tuple[int, str | PieceFailure]] = []
         for segment, result in message.results:
             if result.startswith(_FAILURE_PREFIX):
@@ -205,7 +209,7 @@
                 results.append((segment, failures.get(name, PieceFailure.ERROR)))
             else:
                 results.append((segment, result))
-        self._deliver_results(message.order, results, sender)
+        self._deliver_results(message.order, results, sender, retry_after)
 
     def on_order_dropped(self, sender: NodeId, message: PiecesDropped) -> None:
         """Drop a cancelled order of another node from this node's queues."""
@@ -284,6 +288,7 @@
 
     def tick(self, now: timedelta) -> None:
         """Place unconfirmed orders at other owners when they time out, and run the queues."""
+        self._free_deferred(now)
         for number, pending in list(self._pending_orders.items()):
             if pending.confirmed or pending.owner == self._node:
                 continue
@@ -308,6 +313,7 @@
             for pending in self._pending_orders.values()
             if not pending.confirmed and pending.owner != self._node
         ]
+        times += [until for until, _, _ in self._deferred_frees]
         for queue in self._queues.values():
             at = queue.next_time(now)
             if at is not None:
@@ -467,7 +473,7 @@
                     else:
                         self._send(node, PiecesBegun(number))
                 case FreeResults():
-                    self._stage_caller.free(effect, functools.partial(self._free_ended, queue))
+                    self._free(effect, queue)
         self._state.report_actions()
         if effects:
             self.wake()
@@ -477,6 +483,32 @@
         if pending is not None:
             pending.deliver(StageInputsRead(pending.order.planned.stage))
 
+    def _free(self, effect: FreeResults, queue: StageQueue | None) -> None:
+        """Free results, after the pause that their upstream may have asked for.
+
+        ``queue`` is the one that accounts for their space, if any.
+        """
+        entry = self._state.upstream_at(effect.address)
+        if entry is not None:
+            standing = self._state.balancer.standing
+            until = standing.paused_until(entry.incarnation, self._state.clock.monotonic())
+            if until is not None:
+                self._deferred_frees.append((until, effect, queue))
+                return
+        upstream = entry.incarnation if entry is not None else None
+        if queue is None:
+            self._stage_caller.free(effect, upstream)
+        else:
+            on_ended = functools.partial(self._free_ended, queue)
+            self._stage_caller.free(effect, upstream, on_ended)
+
+    def _free_deferred(self, now: timedelta) -> None:
+        due = [item for item in self._deferred_frees if item[0] <= now]
+        if due:
+            self._deferred_frees = [item for item in self._deferred_frees if item[0] > now]
+            for _, effect, queue in due:
+                self._free(effect, queue)
+
     def _free_ended(self, queue: StageQueue, effect: FreeResults, succeeded: bool) -> None:
         with self._state.lock:
             now = self._state.clock.monotonic()
@@ -529,20 +561,26 @@
             else:
                 effects = queue.call_ended(call.call_id, outcome, now)
             self._perform(queue, effects)
+        self.wake()
 
     def _send_results(self, effect: Deliver) -> None:
         node, number = effect.order
         if node == self._node:
-            self._deliver_results(number, effect.results, self._node)
+            self._deliver_results(number, effect.results, self._node, effect.retry_after)
             return
         results = tuple(
             (segment, result if isinstance(result, str) else _FAILURE_PREFIX + result.value)
             for segment, result in effect.results
         )
-        self._send(node, PiecesMade(number, results))
+        retry_after_ms = math.ceil((effect.retry_after or timedelta(0)) / _MILLISECOND)
+        self._send(node, PiecesMade(number, results, retry_after_ms))
 
     def _deliver_results(
-        self, number: int, results: Sequence[tuple[int, str | PieceFailure]], owner: NodeId
+        self,
+        number: int,
+        results: Sequence[tuple[int, str | PieceFailure]],
+        owner: NodeId,
+        retry_after: timedelta | None = None,
     ) -> None:
         pending = self._pending_orders.get(number)
         if pending is None:
@@ -555,7 +593,8 @@
             pending.missing_segments.discard(segment)
             if isinstance(result, str):
                 self._result_owners[result] = owner
-            pending.deliver(PieceResult(pending.order.planned.stage, segment, result))
+            stage = pending.order.planned.stage
+            pending.deliver(PieceResult(stage, segment, result, retry_after))
         if not pending.missing_segments:
             del self._pending_orders[number]
 
@@ -568,7 +607,7 @@
             except MalformedMessage as error:
                 self._state.log.note("batching", "handle not freed", reason=str(error))
         for address, address_handles in by_address.items():
-            self._stage_caller.free(FreeResults(address, tuple(address_handles)))
+            self._free(FreeResults(address, tuple(address_handles)), None)
 
 
 def _count_failures(outcome: Sequence[str | PieceFailure] | CallFailed) -> dict[str, int]:
--- a/src/chervilrack/_internal/serving/state.py
+++ b/src/chervilrack/_internal/serving/state.py
@@ -2,10 +2,17 @@
 
 import random
 import threading
-from collections.abc import Sequence
+from collections import Counter
+from collections.abc import Collection, Sequence
 from datetime import timedelta
+from typing import Any
 
 from chervilrack._internal.balancing.core import Balancer
+from chervilrack._internal.balancing.standing import (
+    Bar,
+    LeavingReport,
+    StandingChanged,
+)
 from chervilrack._internal.balancing.state import RequestLoad, UpstreamChoice
 from chervilrack._internal.catalogue.core import Catalogue, UpstreamChanged
 from chervilrack._internal.catalogue.state import (
@@ -13,13 +20,14 @@
     Route,
     ServingConfiguration,
     UpstreamEntry,
+    UpstreamIncarnation,
 )
 from chervilrack._internal.common.clock import Clock
-from chervilrack._internal.common.ids import ServiceId, UpstreamId
-from chervilrack._internal.common.results import Problem
+from chervilrack._internal.common.ids import NodeId, RequestId, ServiceId, UpstreamId
+from chervilrack._internal.common.results import Executed, Problem, ResultCode
 from chervilrack._internal.fleet.core import Fleet
 from chervilrack._internal.forwarding.context import RequestContext
-from chervilrack._internal.forwarding.dialect import RequestMetadata
+from chervilrack._internal.forwarding.dialect import RequestMetadata, ResponseMetadata
 from chervilrack._internal.forwarding.forwarder import ForwardingOutcome
 from chervilrack._internal.forwarding.messages import InboundRequest
 from chervilrack._internal.limits.retry_budget import RetryBudget
@@ -119,9 +127,29 @@
         self._accepting = True
 
     def upstreams(self, service: ServiceId) -> Sequence[UpstreamEntry]:
-        """Return the ready upstreams of a service."""
+        """Return the ready upstreams of a service except the misdirected ones.
+
+        Those that leave or want a pause are included.
+        """
         with self.lock:
-            return self._usable(service)
+            return self._registered(service)
+
+    def unavailability(self, service: ServiceId) -> Problem | None:
+        """Return why no upstream of a service may be used, None if one may be."""
+        now = self.clock.monotonic()
+        with self.lock:
+            entries = self._registered(service)
+            if not entries:
+                detail = "no upstream of the service is known"
+                return Problem(ResultCode.NO_UPSTREAM, detail)
+            standing = self.balancer.standing
+            if standing.open_upstreams(entries, now):
+                return None
+            pause_end = standing.next_return(entries, now)
+        if pause_end is None:
+            return Problem(ResultCode.UPSTREAMS_LEAVING, "all upstreams of the service are leaving")
+        detail = "all upstreams of the service want a pause"
+        return Problem(ResultCode.UPSTREAMS_PAUSED, detail, Executed.NO, pause_end - now)
 
     def choose(
         self, service: ServiceId, load: RequestLoad, excluded: Sequence[UpstreamId]
@@ -129,7 +157,7 @@
         """Choose an upstream of a service for ``load``; None if none can be chosen."""
         now = self.clock.monotonic()
         with self.lock:
-            entries = self._usable(service)
+            entries = self._registered(service)
             choice = self.balancer.choose(entries, load, now, excluded)
             if choice is None:
                 return None
@@ -159,6 +187,11 @@
         with self.lock:
             return self.budget.take(service, self.clock.monotonic())
 
+    def give_back_retry(self, service: ServiceId) -> None:
+        """Give a retry back to the retry budget for which nothing was sent."""
+        with self.lock:
+            self.budget.give_back(service)
+
     def request_started(self, context: RequestContext) -> None:
         """Add a request to those that ``refuse_waiting_requests`` reaches."""
         with self.lock:
@@ -225,6 +258,34 @@
             )
             self._awaited_first_bytes[(context.metadata.request_id, entry.id)] = (now, expected)
 
+    def answer_received(
+        self,
+        upstream: UpstreamIncarnation,
+        metadata: ResponseMetadata,
+        requests: Collection[RequestId] | None = None,
+    ) -> None:
+        """Record what an upstream says of itself in the head of a response.
+
+        The response of another upstream at the same address says nothing of this one. Neither does
+        a response to another request, if ``requests`` are the ones it may belong to.
+        """
+        if metadata.misdirected or not (metadata.leaving or metadata.retry_after):
+            return
+        if requests is not None and metadata.request_id not in (None, *requests):
+            return
+        now = self.clock.monotonic()
+        with self.lock:
+            self._report_standing(
+                self.balancer.standing.record_answer(
+                    upstream, leaving=metadata.leaving, pause=metadata.retry_after, now=now
+                )
+            )
+
+    def may_send(self, upstream: UpstreamIncarnation) -> bool:
+        """Whether an upstream may get anything new."""
+        with self.lock:
+            return self.balancer.standing.bar(upstream, self.clock.monotonic()) is None
+
     def first_byte_received(self, context: RequestContext, entry: UpstreamEntry) -> None:
         """Record that an upstream has begun to answer, and update its pace."""
         now = self.clock.monotonic()
@@ -306,8 +367,11 @@
             return False
         now = self.clock.monotonic()
         with self.lock:
+            entries = self._registered(context.service)
             others = [
-                e for e in self._usable(context.service) if e.id not in context.tried_upstreams
+                entry
+                for entry in self.balancer.standing.open_upstreams(entries, now)
+                if entry.id not in context.tried_upstreams
             ]
             return bool(others) and self.budget.allowance(context.service, now) >= 1
 
@@ -327,13 +391,57 @@
         )
         if change.entry is None or restarted:
             self.balancer.forget(change.id)
+        if change.entry is not None:
+            self._report_standing(
+                self.balancer.standing.record_registration(change.entry.incarnation)
+            )
+
+    def upstream_at(self, address: str) -> UpstreamEntry | None:
+        """Return the only upstream at an address. The caller holds the lock."""
+        entries = [e for e in self.catalogue.upstreams.values() if e.address == address]
+        return entries[0] if len(entries) == 1 else None
+
+    # Statements of upstreams; the caller holds the lock
+
+    def leaving_reports(self) -> tuple[LeavingReport, ...]:
+        """Return reports for peers: upstreams that leave but are still registered as ready."""
+        return tuple(self.balancer.standing.take_reports(self.catalogue.upstreams))
+
+    def leaving_reported(self, node: NodeId, reports: Sequence[LeavingReport]) -> None:
+        """Record the upstreams that a peer reports as leaving."""
+        self._report_standing(self.balancer.standing.record_peer_reports(node, reports))
+
+    def count_barred(self) -> Counter[Bar]:
+        """Return the number of registered upstreams that get nothing, by reason."""
+        now = self.clock.monotonic()
+        standing = self.balancer.standing
+        bars = (standing.bar(e.incarnation, now) for e in self.catalogue.upstreams.values())
+        return Counter(bar for bar in bars if bar is not None)
+
+    def _report_standing(self, changes: Sequence[StandingChanged]) -> None:
+        now = self.clock.monotonic()
+        for change in changes:
+            self.metrics.standing_changed(change.event, change.source)
+            pause: dict[str, Any] = {}
+            if change.until is not None:
+                left = change.until - now
+                until = (self.clock.now() + left).isoformat(timespec="milliseconds")
+                pause = {"until": until, "seconds": round(left.total_seconds(), 3)}
+            self.log.note(
+                "balancing",
+                change.event.value,
+                upstream=change.upstream.id,
+                started_at_ms=change.upstream.started_at_ms,
+                said_by=change.source,
+                **pause,
+            )
 
     def report_actions(self) -> None:
         """Log the ejections and returns of upstreams. The caller holds the lock."""
         for action in self.balancer.drain_actions():
             self.log.note(action.part, action.action, upstream=action.subject, reason=action.reason)
 
-    def _usable(self, service: ServiceId) -> tuple[UpstreamEntry, ...]:
+    def _registered(self, service: ServiceId) -> tuple[UpstreamEntry, ...]:
         """Return the ready upstreams of a service except the misdirected ones."""
         entries = self.catalogue.ready_upstreams(service)
         if not self._misdirected:
--- a/src/chervilrack/_internal/standins/upstreams/server.py
+++ b/src/chervilrack/_internal/standins/upstreams/server.py
@@ -29,6 +29,8 @@
         self._socket: socket.socket = request.conn.socket
         self._path = path
         self._query = query
+        # Header fields that are added to those of the response.
+        self.added_headers: Mapping[str, str] = {}
         self._headers = {
             name.decode("latin-1").lower(): value.decode("latin-1")
             for name, value in request.inheaders.items()
@@ -72,7 +74,8 @@
         """Send status and headers; without Content-Length the body is chunked."""
         self._request.status = f"{status} Status".encode()
         self._request.outheaders = [
-            (name.encode("latin-1"), value.encode("latin-1")) for name, value in headers.items()
+            (name.encode("latin-1"), value.encode("latin-1"))
+            for name, value in {**headers, **self.added_headers}.items()
         ]
         try:
             self._request.ensure_headers_sent()
--- a/src/chervilrack/_internal/standins/upstreams/upstream.py
+++ b/src/chervilrack/_internal/standins/upstreams/upstream.py
@@ -22,7 +22,8 @@
     ``straggle`` multiplies service times; ``hang`` leaves requests unanswered; ``crash`` cuts
     connections; ``refuse`` answers ``X-Executed: no``; ``break_after`` cuts streams after this
     many tokens; ``answer_twice`` sends each whole answer twice; ``swap_answers`` sends the
-    previous request's answer with its headers; ``fail`` answers status 500 after executing.
+    previous request's answer with its headers; ``fail`` answers status 500 after executing;
+    ``added_headers`` are sent with each answer, such as what the upstream says of itself.
     """
 
     straggle: float = 1.0
@@ -33,6 +34,7 @@
     answer_twice: bool = False
     swap_answers: bool = False
     fail: bool = False
+    added_headers: dict[str, str] = {}
 
 
 class EmulatedUpstream(ABC):
@@ -122,6 +124,7 @@
     def handle(self, exchange: Exchange) -> None:
         """Answer one request."""
         path = exchange.path
+        exchange.added_headers = self._faults.added_headers
         if path == "/faults" and exchange.method == "POST":
             self._apply_faults(msgspec.convert(exchange.body(), Faults))
             exchange.reply(200, msgspec.to_builtins(self._faults))
--- a/src/chervilrack/platform/emulated/standins.py
+++ b/src/chervilrack/platform/emulated/standins.py
@@ -45,6 +45,12 @@
 
     do_GET = do_POST = do_DELETE = _serve  # noqa: N815 - names that http.server calls
 
+    def end_headers(self) -> None:
+        """End the header fields of an answer with those that the stand-in adds to each one."""
+        for name, value in self.server.stand_in.added_headers:  # type: ignore[attr-defined]
+            self.send_header(name, value)
+        super().end_headers()
+
     def answer(
         self,
         status: int,
@@ -73,6 +79,11 @@
 class _StandIn(ABC):
     """HTTP server in its own thread; a context manager."""
 
+    @property
+    def added_headers(self) -> Sequence[Header]:
+        """Header fields that each answer gets."""
+        return ()
+
     def __init__(self) -> None:
         self._http = _Server(("127.0.0.1", 0), _Handler)
         self._http.stand_in = self
@@ -206,7 +217,9 @@
 
     ``behaviour`` selects how requests are answered. ``seen`` holds the executed requests,
     ``pieces`` the pieces of stage calls and ``freed`` the handles of results that were freed.
-    ``left`` is set when a caller closes its connection during a stream.
+    ``left`` is set when a caller closes its connection during a stream. With ``leaving``, each
+    answer says that the upstream leaves. With ``retry_after``, it turns requests and stage calls
+    away with that value of ``Retry-After``. ``born`` is its start time as it is registered.
     """
 
     def __init__(self, id: str, service: str) -> None:
@@ -214,6 +227,10 @@
         self.id = id
         self.service = service
         self.behaviour = "good"
+        self.leaving = False
+        self.retry_after: str | None = None
+        self.born = 1
+        self.turned_away = 0
         self.seen: list[ExecutedRequest] = []
         self.pieces: list[Any] = []
         self.freed: list[str] = []
@@ -221,6 +238,11 @@
         self._handles = itertools.count(1)
         self._slots = threading.BoundedSemaphore(SLOTS)
 
+    @property
+    def added_headers(self) -> Sequence[Header]:
+        """Header fields that each answer gets."""
+        return [("Server-Leaving", "1")] if self.leaving else []
+
     def entry(self, state: str = "ready", address: str | None = None) -> dict[str, Any]:
         """Return the upstream's registration for the store."""
         return {
@@ -231,6 +253,7 @@
             "slots": SLOTS,
             "state": state,
             "sequence": 1,
+            "born": self.born,
         }
 
     def serve(self, request: _Handler, body: bytes) -> None:
@@ -238,11 +261,13 @@
         target = request.headers.get("Chervilrack-Target-Instance")
         if target not in (None, self.id):
             request.answer(421, headers=[("Chervilrack-Instance-Id", self.id)])
-        elif request.path == "/api/stage-run":
-            self._run_pieces(request, json.loads(body))
         elif request.path == "/api/stage-free":
             self.freed += json.loads(body)["handles"]
             request.answer(200)
+        elif self.retry_after is not None:
+            self._reject(request, [("Retry-After", self.retry_after)])
+        elif request.path == "/api/stage-run":
+            self._run_pieces(request, json.loads(body))
         elif self.behaviour == "full":
             self._reject(request)
         else:
@@ -261,8 +286,9 @@
             if has_slot:
                 self._slots.release()
 
-    def _reject(self, request: _Handler) -> None:
-        request.answer(503, headers=[("Chervilrack-Not-Executed", "1")])
+    def _reject(self, request: _Handler, headers: Sequence[Header] = ()) -> None:
+        self.turned_away += 1
+        request.answer(503, headers=[("Chervilrack-Not-Executed", "1"), *headers])
 
     def _run_pieces(self, request: _Handler, body: Any) -> None:
         entries = []
@@ -291,7 +317,8 @@
             request.answer(200, headers=response_headers[:1], body=b"bytes")
         elif self.behaviour == "cut off":
             request.wfile.write(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n")
-            request.wfile.write("".join(f"{n}: {v}\r\n" for n, v in response_headers).encode())
+            fields = [*response_headers, *self.added_headers]
+            request.wfile.write("".join(f"{n}: {v}\r\n" for n, v in fields).encode())
             request.wfile.write(b"\r\nhalf")
             request.close_connection = True
         elif "/stream/" in request.path:
