--- a/features/steps/answers_steps.py
+++ b/features/steps/answers_steps.py
@@ -6,33 +6,11 @@
 import time
 
 from behave import given, then, when
-from support.scripted_upstream import FOREIGN_ID, ScriptedUpstreams
+from support.scripted_upstream import FOREIGN_ID, start_scripted
 
 LIMIT_S = 30.0
 
 
-def start_scripted(context, service, scripts, count):
-    upstreams = ScriptedUpstreams(scripts, count)
-    upstreams.__enter__()
-    context.add_cleanup(upstreams.__exit__)
-    context.scripted = upstreams
-    for name, upstream in context.upstreams.items():
-        if upstream.service == service:
-            context.store.remove(f"servers/{name}")
-    for number, address in enumerate(upstreams.addresses):
-        entry = {
-            **context.upstreams["plain-1"].entry(address=address),
-            "service": service,
-        }
-        context.store.put(f"servers/scripted-{number}", entry)
-    expected = {f"scripted-{number}" for number in range(count)}
-    catalogue = context.node._state.catalogue
-    end = time.monotonic() + LIMIT_S
-    while {entry.id for entry in catalogue.ready_upstreams(service)} != expected:
-        assert time.monotonic() < end, "the node does not know the scripted upstreams"
-        time.sleep(0.01)
-
-
 @given('scripted engines that first send "{first}" and then "{second}"')
 def start_two_engines(context, first, second):
     start_scripted(context, "engine", [first, second], 2)
@@ -43,11 +21,23 @@
     start_scripted(context, "engine", [script], 1)
 
 
+@given("the retry budget is {budget}")
+def set_retry_budget(context, budget):
+    state = context.node._state
+    while budget == "used up" and state.take_retry("engine"):
+        pass
+
+
 @given('scripted plain upstreams that send "{script}"')
 def start_plain(context, script):
     start_scripted(context, "plain", [script], 2)
 
 
+@given('scripted plain upstreams that first send "{first}" and then "{second}"')
+def start_two_plain(context, first, second):
+    start_scripted(context, "plain", [first, second], 2)
+
+
 def exchange(context, path, request_id, deadline_ms, fields=""):
     """Send a request on a new connection and return all bytes until the node closes it."""
     address = (context.settings.callers.host, context.settings.callers.port)
--- a/src/chervilrack/_internal/serving/state.py
+++ b/src/chervilrack/_internal/serving/state.py
@@ -218,11 +218,14 @@
             route=context.route.name,
             service=context.service,
             organisation=context.organisation,
-            configuration=context.configuration_version,
+            configuration=context.configuration.version,
             status=outcome.status,
             detail=outcome.detail,
             took_ms=round(outcome.took / timedelta(milliseconds=1)),
             target_ms=round((context.due - context.request.arrived) / timedelta(milliseconds=1)),
+            deadline_ms=round((context.deadline - context.request.arrived) / _MILLISECOND),
+            deadline_bound=str(context.deadline_bound),
+            bound=str(outcome.bound) if outcome.bound is not None else None,
             steps=context.steps,
         )
 
@@ -365,6 +368,8 @@
         route = context.route
         if not route.may_repeat or executions >= route.max_attempts:
             return False
+        if context.stream_begun and not context.events.can_resume:
+            return False
         now = self.clock.monotonic()
         with self.lock:
             entries = self._registered(context.service)
@@ -373,7 +378,7 @@
                 for entry in self.balancer.standing.open_upstreams(entries, now)
                 if entry.id not in context.tried_upstreams
             ]
-            return bool(others) and self.budget.allowance(context.service, now) >= 1
+            return bool(others) and self.budget.can_take(context.service, now)
 
     # Directory
 
