Read what upstreams say of themselves in interim responses

Cause: the heads of responses with status 1xx were parsed and dropped. Change: a connection collects these heads; they are read with the answer, or with its failure if it breaks off. Conclusion: a statement counts even if the answer behind it never comes.

--- a/features/adapter/statements.feature
+++ b/features/adapter/statements.feature
@@ -21,6 +21,8 @@
       | leaving half an answer, break     | 1     | UPSTREAMS_LEAVING |
       | leaving half an answer, reset     | 1     | UPSTREAMS_LEAVING |
       | leaving answer without length, reset | 1  | UPSTREAMS_LEAVING |
+      | leaving 103, answer               | 1     | UPSTREAMS_LEAVING |
+      | leaving 103, break                | 1     | UPSTREAMS_LEAVING |
       | pausing refusal                   | 1     | UPSTREAMS_PAUSED  |
       | pausing 503                       | 1     | UPSTREAMS_PAUSED  |
 
--- a/src/chervilrack/_internal/common/http_responses.py
+++ b/src/chervilrack/_internal/common/http_responses.py
@@ -49,14 +49,22 @@
 class StrictResponse(http.client.HTTPResponse):
     """Response whose head, chunks and trailers are whole and unambiguous (RFC 9112).
 
-    Skips the interim responses before it. Raises HTTPException or OSError for any other response.
+    Adds the status and header fields of the interim responses before it to ``interim_heads``.
+    Raises HTTPException or OSError for any other response.
     """
 
     fp: Any
     chunk_left: Any
 
-    def __init__(self, sock: Any, *args: Any, **kwargs: Any) -> None:
+    def __init__(
+        self,
+        sock: Any,
+        *args: Any,
+        interim_heads: list[tuple[int, email.message.Message]] | None = None,
+        **kwargs: Any,
+    ) -> None:
         super().__init__(sock, *args, **kwargs)
+        self._interim_heads = [] if interim_heads is None else interim_heads
         self.fp = _LineReader(self.fp.detach())
 
     def begin(self) -> None:
@@ -75,7 +83,7 @@
                 raise http.client.HTTPException("the response switches protocols")
             if status >= HTTPStatus.OK:
                 return version, status, reason
-            http.client.parse_headers(self.fp)
+            self._interim_heads.append((status, http.client.parse_headers(self.fp)))
         raise http.client.HTTPException("too many interim responses")
 
     def _get_chunk_left(self) -> int | None:
--- a/src/chervilrack/_internal/forwarding/attempts.py
+++ b/src/chervilrack/_internal/forwarding/attempts.py
@@ -226,7 +226,19 @@
             detail = f"silent for {timeout.total_seconds():.2f} s"
             raise ExchangeFailed(detail, sent=True, limit=TimeLimit.FIRST_BYTE)
         left = context.time_left(self._clock.monotonic())
-        return exchange.read_head(left.total_seconds())
+        try:
+            return exchange.read_head(left.total_seconds())
+        finally:
+            self._read_interim_heads(context, entry, exchange)
+
+    def _read_interim_heads(
+        self, context: RequestContext, entry: UpstreamEntry, exchange: Exchange
+    ) -> None:
+        """Read what the upstream says of itself before its answer, even if that breaks off."""
+        for status, fields in exchange.interim_heads:
+            metadata = self._dialect.read_response(status, fields)
+            if metadata.request_id in (None, context.metadata.request_id):
+                self._observer.answer_received(entry.incarnation, metadata)
 
     def _begins_within(
         self, exchange: Exchange, timeout: timedelta, stages: StageRun | None
--- a/src/chervilrack/_internal/upstreams/exchange.py
+++ b/src/chervilrack/_internal/upstreams/exchange.py
@@ -5,12 +5,14 @@
 one round trip, about a thousandth of the shortest response time target.
 """
 
+import email.message
+import functools
 import math
 import select
 import socket
 import threading
 import time
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from contextlib import suppress
 from enum import Enum
 from types import TracebackType
@@ -19,7 +21,7 @@
 import urllib3
 from urllib3.util import SKIP_HEADER
 
-from chervilrack._internal.common.http_responses import StrictHTTPConnection
+from chervilrack._internal.common.http_responses import StrictHTTPConnection, StrictResponse
 from chervilrack._internal.exceptions import ChervilrackError
 
 # The kernel resends a lost SYN packet after one second; a second attempt connects sooner.
@@ -94,7 +96,17 @@
 
 
 class _Connection(StrictHTTPConnection):
-    """Connection that stops writing a request body once the upstream answers."""
+    """Connection that stops writing a request body once the upstream answers.
+
+    ``interim_heads`` holds the status and header fields of the interim responses so far.
+    """
+
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self.interim_heads: list[tuple[int, email.message.Message]] = []
+        self.response_class = functools.partial(  # type: ignore[assignment]
+            StrictResponse, interim_heads=self.interim_heads
+        )
 
     def _new_conn(self) -> socket.socket:
         connected = super()._new_conn()
@@ -161,6 +173,14 @@
         """Whether ``cancel`` was called."""
         return self._cancelled
 
+    @property
+    def interim_heads(self) -> list[tuple[int, Mapping[str, str]]]:
+        """Status and header fields of the interim responses (1xx) before the answer so far."""
+        if self._connection is None:
+            return []
+        heads = self._connection.interim_heads
+        return [(status, urllib3.HTTPHeaderDict(fields.items())) for status, fields in heads]
+
     def send(
         self,
         method: str,
