--- a/features/adapter/statements.feature
+++ b/features/adapter/statements.feature
@@ -118,6 +118,32 @@
       | a removal                         | nothing |
       | a reuse of its address            | nothing |
 
+  Scenario: a node that hears from a peer that plain-1 leaves avoids it, but uses it if it is the last
+    Given the second stage upstreams are known
+    When a peer's heartbeat says that plain-1 leaves
+    And callers send 20 further plain requests
+    Then plain-1 has run nothing more
+    When plain-2 is removed from the store
+    And callers send 1 further plain requests
+    Then plain-1 has run some more
+
+  Scenario: a node tells its peers that plain-1 leaves, once it has read so itself
+    Given upstream plain-1 answers and says that it leaves
+    Then the node's heartbeats name no upstream
+    When callers send plain requests until plain-1 has run one
+    Then the node's heartbeats name plain-1
+
+  Scenario Outline: heartbeats <change> are read
+    A rolling update must not make nodes take each other for lost.
+
+    When a peer sends a heartbeat <change>
+    Then the node knows the peer
+
+    Examples: nodes of the version before and after this one
+      | change                         |
+      | without leaving upstreams      |
+      | with a field of a later version |
+
   Scenario: a stage call that waited for a thread is not sent to an upstream that leaves meanwhile
     Its pieces would be made a second time elsewhere, or late.
 
--- a/features/balancing/standing.feature
+++ b/features/balancing/standing.feature
@@ -70,6 +70,29 @@
   Scenario: an upstream is used or not as its statements since its last start say
     Then for any course of statements, registrations and time, u1 is barred exactly as they say
 
+  Scenario: when the last upstream of a zone leaves, its requests cross zones
+    Given a serving state with the upstreams u1, u2 and u3
+    And the upstreams u2 and u3 are in another zone
+    When the state observes leaving
+    Then u1 is unused beside others
+
+  Scenario: results at an upstream that wants a pause are freed when the pause ends
+    A call that frees results is a request too.
+
+    Given a serving state with the upstreams u1, u2 and u3
+    And a stage coordinator
+    When the state observes pause of 10 s
+    And results at u1 and u2 are to be freed
+    Then the results at u2 are freed
+    When 10 s pass for the coordinator
+    Then the results at u1, u2 are freed
+
+  Scenario: a request whose stage waits for no upstream learns from the owner when to come back
+    Given a serving state with the upstreams u1, u2 and u3
+    And a stage coordinator
+    When the owner of a queue reports that all upstreams want a pause of 2.5 s
+    Then the request is told of a pause of 2.5 s
+
   Scenario Outline: all upstreams of <service> pause for <pauses> s, and callers come back after <low> to <high> s
     Callers that came back before the first upstream, or all at once, would be refused or crowd it.
 
--- a/features/steps/standing_steps.py
+++ b/features/steps/standing_steps.py
@@ -6,6 +6,7 @@
 import itertools
 import random
 from datetime import timedelta
+from types import SimpleNamespace
 
 from behave import given, then, when
 from hypothesis import given as for_all
@@ -13,6 +14,8 @@
 
 from chervilrack._internal.balancing.standing import Bar, LeavingReport
 from chervilrack._internal.balancing.state import RequestLoad
+from chervilrack._internal.batching.messages import PiecesMade
+from chervilrack._internal.batching.plan import PlannedStage
 from chervilrack._internal.catalogue.state import UpstreamEntry, UpstreamState
 from chervilrack._internal.common.clock import ManualClock
 from chervilrack._internal.common.ids import (
@@ -25,12 +28,15 @@
 )
 from chervilrack._internal.common.results import ResultCode
 from chervilrack._internal.fleet.messages import Heartbeat
-from chervilrack._internal.forwarding.dialect import ResponseMetadata
+from chervilrack._internal.forwarding.dialect import PieceFailure, ResponseMetadata
 from chervilrack._internal.forwarding.responses import retry_after
+from chervilrack._internal.forwarding.stages import StageOrder
 from chervilrack._internal.observability.decisions import DecisionLog
 from chervilrack._internal.serving.messages import serving_codec
 from chervilrack._internal.serving.settings import Address, ServingSettings
+from chervilrack._internal.serving.stage_coordinator import StageCoordinator
 from chervilrack._internal.serving.state import ServingState
+from chervilrack.platform.headers import PlatformDialect
 
 SERVICE = ServiceId("s")
 EARLIER, BORN, LATER = 1_790_000_000_000, 1_790_000_100_000, 1_790_000_200_000
@@ -161,6 +167,83 @@
             raise AssertionError(event)
 
 
+@given("the upstreams u2 and u3 are in another zone")
+def move_to_other_zone(context):
+    for number, name in enumerate(("u2", "u3"), 1):
+        moved = dataclasses.replace(entry(name, f"10.0.0.{number}:80"), zone=ZoneId("z2"))
+        register(context.state, moved)
+
+
+class RecordingCaller:
+    def __init__(self):
+        self.freed = []
+
+    def free(self, effect, upstream=None, on_ended=None):
+        self.freed.append(effect.address)
+
+
+class RecordingTransport:
+    def __init__(self):
+        self.sent = []
+
+    def send_to_address(self, address, message):
+        self.sent.append(message)
+
+
+@given("a stage coordinator")
+def create_coordinator(context):
+    state = context.state
+    state.fleet = SimpleNamespace(
+        owners=lambda: [NodeId("b")], address_of=lambda _: "10.9.0.2:1", heartbeat_interval=s(0.3)
+    )
+    context.caller = RecordingCaller()
+    context.coordinator = StageCoordinator(
+        NodeId("a"), Incarnation("01"), state, PlatformDialect(), context.caller
+    )
+    context.coordinator.transport = context.transport = RecordingTransport()
+
+
+@when("results at u1 and u2 are to be freed")
+def free_results(context):
+    upstreams = context.state.catalogue.upstreams
+    context.addresses = {name: upstreams[UpstreamId(name)].address for name in ("u1", "u2")}
+    handles = [f"{address}/h" for address in context.addresses.values()]
+    context.coordinator._free_unneeded(handles)
+
+
+@when("{seconds:d} s pass for the coordinator")
+def pass_time(context, seconds):
+    clock = context.state.clock
+    assert context.coordinator.next_time(clock.monotonic()) == clock.monotonic() + s(seconds)
+    clock.advance(s(seconds))
+    context.coordinator.tick(clock.monotonic())
+
+
+@then("the results at {names} are freed")
+def check_freed(context, names):
+    expected = {context.addresses[name] for name in names.split(", ")}
+    assert set(context.caller.freed) == expected, context.caller.freed
+
+
+@when("the owner of a queue reports that all upstreams want a pause of {seconds:g} s")
+def report_pause(context, seconds):
+    planned = PlannedStage(0, SERVICE, (0,), (), s(1), s(1), 100, "", 0)
+    request = SimpleNamespace(metadata=SimpleNamespace(request_id="r"), priority=0)
+    context.results = []
+    context.coordinator.place_order(StageOrder(request, planned, "k"), context.results.append)
+    ((wanted,)) = context.transport.sent
+    failure = f"!{PieceFailure.ALL_PAUSED.value}"
+    message = PiecesMade(wanted.order, ((0, failure),), round(seconds * 1000))
+    context.coordinator.on_results(NodeId("b"), message)
+
+
+@then("the request is told of a pause of {seconds:g} s")
+def check_told_pause(context, seconds):
+    (result,) = context.results
+    assert result.result is PieceFailure.ALL_PAUSED, result
+    assert result.retry_after == s(seconds), result
+
+
 @then("u1 is {use} beside others")
 def check_use(context, use):
     state = context.state
--- a/features/steps/statements_steps.py
+++ b/features/steps/statements_steps.py
@@ -4,6 +4,7 @@
 import threading
 from datetime import timedelta
 
+import msgspec
 from answers_steps import exchange, start_scripted
 from behave import given, then, when
 from serving_steps import get_management, send_request_of_kind, wait_for
@@ -13,6 +14,7 @@
 from chervilrack._internal.common.clock import SystemClock
 from chervilrack._internal.common.ids import NodeId, RequestId, ServiceId, UpstreamId
 from chervilrack._internal.common.results import ResultCode
+from chervilrack._internal.serving.messages import serving_codec
 from chervilrack._internal.serving.stage_calls import MAX_CONCURRENT_CALLS, CallFailed, StageCaller
 from chervilrack.platform.emulated.standins import UpstreamStandIn
 from chervilrack.platform.headers import PlatformDialect
@@ -313,3 +315,56 @@
     assert 'upstreams_barred{reason="paused"} 1.0' in text, text
     assert 'statements_total{event="leaving",source="own answer"} 1.0' in text, text
     assert 'statements_total{event="held off",source="own answer"} 1.0' in text, text
+
+
+@given("the second stage upstreams are known")
+def know_second_upstreams(context):
+    add_second_upstreams(context)
+
+
+def peer_heartbeat(*fields):
+    address = "127.0.0.1:9"
+    return (address, address, "z1", False, False, 0, 0, True, (), (), 0, 300, 1.0, *fields)
+
+
+def deliver_heartbeat(context, fields):
+    """Deliver a heartbeat with these fields as the transport does."""
+    codec = serving_codec()
+    frame = [1, "n9", "02", "fleet.heartbeat", msgspec.msgpack.encode(fields), ""]
+    context.node._on_message(codec.decode(msgspec.msgpack.encode(frame)))
+
+
+@when("a peer's heartbeat says that {name} leaves")
+def hear_of_leaving(context, name):
+    report = (name, context.upstreams[name].born)
+    deliver_heartbeat(context, peer_heartbeat((report,)))
+    context.runs_before = runs(context, name)
+
+
+@when("a peer sends a heartbeat {change}")
+def hear_other_version(context, change):
+    fields = {
+        "without leaving upstreams": peer_heartbeat(),
+        "with a field of a later version": peer_heartbeat((), "later"),
+    }[change]
+    deliver_heartbeat(context, fields)
+
+
+@then("the node knows the peer")
+def check_peer(context):
+    assert context.node._fleet.address_of(NodeId("n9")) is not None
+
+
+@when("{name} is removed from the store")
+def remove_from_store(context, name):
+    context.store.remove(f"servers/{name}")
+    catalogue = context.node._state.catalogue
+    wait_for(lambda: UpstreamId(name) not in catalogue.upstreams, f"{name} is gone")
+
+
+@then("the node's heartbeats name {names}")
+def check_heartbeat(context, names):
+    with context.node._state.lock:
+        reports = context.node._state.leaving_reports()
+    named = [report.upstream for report in reports]
+    assert named == ([] if names == "no upstream" else names.split(", ")), named
