--- a/src/chervilrack/_internal/forwarding/attempts.py
+++ b/src/chervilrack/_internal/forwarding/attempts.py
@@ -9,7 +9,7 @@
 import urllib3
 
 from chervilrack._internal.balancing.state import UpstreamChoice
-from chervilrack._internal.catalogue.state import RequestKind, UpstreamEntry
+from chervilrack._internal.catalogue.state import RequestKind, UpstreamEntry, UpstreamIncarnation
 from chervilrack._internal.common.clock import Clock
 from chervilrack._internal.forwarding.bounds import Bound
 from chervilrack._internal.forwarding.context import RequestContext
@@ -88,6 +88,9 @@
     ) -> None:
         """Count an attempt as in flight."""
 
+    def answer_received(self, upstream: UpstreamIncarnation, metadata: ResponseMetadata) -> None:
+        """Record what the upstream says of itself in the head of its response."""
+
     def first_byte_received(self, context: RequestContext, entry: UpstreamEntry) -> None:
         """Record that the upstream has begun its response."""
 
@@ -184,6 +187,7 @@
             return AttemptResult(
                 AttemptOutcome.FAILED, "an answer to another request", may_have_arrived=True
             )
+        self._observer.answer_received(entry.incarnation, metadata)
         if metadata.not_executed:
             return self._handle_not_executed(entry, response.status, metadata)
         context.executions += 1
@@ -224,7 +228,19 @@
             detail = f"silent for {timeout.total_seconds():.2f} s"
             raise ExchangeFailed(detail, sent=True, limit=TimeLimit.FIRST_BYTE)
         left = context.time_left(self._clock.monotonic())
-        return exchange.read_head(left.total_seconds())
+        try:
+            return exchange.read_head(left.total_seconds())
+        finally:
+            self._read_interim_heads(context, entry, exchange)
+
+    def _read_interim_heads(
+        self, context: RequestContext, entry: UpstreamEntry, exchange: Exchange
+    ) -> None:
+        """Read what the upstream says of itself before its answer, even if that breaks off."""
+        for status, fields in exchange.interim_heads:
+            metadata = self._dialect.read_response(status, fields)
+            if metadata.request_id in (None, context.metadata.request_id):
+                self._observer.answer_received(entry.incarnation, metadata)
 
     def _begins_within(
         self, exchange: Exchange, timeout: timedelta, stages: StageRun | None
