Name the end of the node's stop as the bound of the requests that it ends

Cause: the log named the caller's deadline, the route's timeout or no bound for requests that the stop had ended. Ruled out: requests whose own deadline came first keep that as their bound.

--- a/features/steps/stopping_steps.py
+++ b/features/steps/stopping_steps.py
@@ -61,6 +61,13 @@
     record_response(context)
 
 
+@then('the log names "{bound}" as the bound that ended the request')
+def check_logged_bound(context, bound):
+    lines = [json.loads(line) for line in context.log.getvalue().splitlines()]
+    ends = [line for line in lines if line.get("request") == "caller-1" and "took_ms" in line]
+    assert [line["bound"] for line in ends] == [bound], ends
+
+
 @when("the node stops while an engine has a stream")
 def stop_during_stream(context):
     with ThreadPoolExecutor(1) as pool:
--- a/features/stopping/node.feature
+++ b/features/stopping/node.feature
@@ -11,14 +11,15 @@
     And the node has 1 s to stop
     When the node stops while an upstream has a <kind> request with a deadline of <deadline> ms
     Then the caller gets status <status> and is told that it has maybe run
+    And the log names <bound> as the bound that ended the request
 
     Examples:
-      | script                 | kind    | deadline | status |
-      | silence                | plain   | 8000     | 504    |
-      | silence                | look-up | 8000     | 504    |
-      | silence                | plain   | 600      | 504    |
-      | pause of 3 s, answer   | plain   | 8000     | 504    |
-      | half an answer, silence | plain   | 8000     | 504    |
+      | script                  | kind    | deadline | status | bound                         |
+      | silence                 | plain   | 8000     | 504    | "7 the end of the node's stop" |
+      | silence                 | look-up | 8000     | 504    | "7 the end of the node's stop" |
+      | silence                 | plain   | 600      | 504    | "1 the caller's deadline"      |
+      | pause of 3 s, answer    | plain   | 8000     | 504    | "7 the end of the node's stop" |
+      | half an answer, silence | plain   | 8000     | 504    | "7 the end of the node's stop" |
 
   # Guards against a stop that cuts requests off although they can end in time.
   Scenario Outline: an upstream that needs 0.3 s has a <kind> request when the node stops, and it is answered
--- a/src/chervilrack/_internal/forwarding/attempts.py
+++ b/src/chervilrack/_internal/forwarding/attempts.py
@@ -361,6 +361,8 @@
 
 def _bound(context: RequestContext, error: ExchangeFailed) -> Bound | None:
     """Return the bound that ended an exchange, None if it ended otherwise."""
+    if context.node_stopping:
+        return Bound.NODE_STOP
     if error.limit is TimeLimit.DEADLINE:
         return context.deadline_bound
     return _BOUNDS.get(error.limit) if error.limit is not None else None
--- a/src/chervilrack/_internal/forwarding/bounds.py
+++ b/src/chervilrack/_internal/forwarding/bounds.py
@@ -16,6 +16,7 @@
     FIRST_BYTE = (4, "the longest wait for the first byte")
     EVENT_GAP = (5, "the longest gap between two events")
     CONNECT = (6, "the time to connect to the upstream")
+    NODE_STOP = (7, "the end of the node's stop")
 
     @property
     def number(self) -> int:
--- a/src/chervilrack/_internal/forwarding/forwarder.py
+++ b/src/chervilrack/_internal/forwarding/forwarder.py
@@ -420,12 +420,14 @@
         """Return the outcome of a request; its name is "gone" if the caller has left.
 
         ``bound`` is the one that ended the last attempt. A request that ends at its deadline ended
-        by the bound that sets the deadline.
+        by the bound that sets the deadline, one that the node's stop has ended by that.
         """
         now = self._clock.monotonic()
         if context.caller_gone:
             name = "gone"
-        if name != "answered" and context.time_left(now) <= timedelta(0):
+        if name != "answered" and context.is_ended_by_stop(now):
+            bound = Bound.NODE_STOP
+        elif name != "answered" and context.time_left(now) <= timedelta(0):
             bound = context.deadline_bound
         return ForwardingOutcome(name, status, detail, now - context.request.arrived, bound)
 
