Show that a node that is late at its stop still answers what is in progress

Cause: the stop now waits by the clock for the final responses; a thread that runs late skips that wait. Ruled out: connections without an answer in this case. The requests are ended before the listener closes, which waits for their threads. Change: one scenario: 50 requests at silent upstreams, the stopping thread 3 s late. Conclusion: none beyond the test.

--- a/features/stopping/node.feature
+++ b/features/stopping/node.feature
@@ -113,6 +113,14 @@
     When 200 requests are at the upstreams, 0 more wait for a thread, and the node stops
     Then 200 callers get status 504 and 0 get status 503
 
+  # Guards against final responses that are not written because the stopping thread runs late.
+  Scenario: requests in progress get a final response even if the node is late at its stop
+    Given scripted plain upstreams that send "silence"
+    And the node has 2 s to stop
+    And the thread that stops the node is late by 3 s
+    When 50 requests are at the upstreams, 0 more wait for a thread, and the node stops
+    Then 50 callers get status 504 and 0 get status 503
+
   # Guards against a kept connection whose next request crosses the close of the connection.
   Scenario Outline: a kept connection whose next request arrives <time> gets <end>
     Given scripted plain upstreams that send "answer"
