--- a/src/chervilrack/_internal/forwarding/attempts.py
+++ b/src/chervilrack/_internal/forwarding/attempts.py
@@ -329,7 +329,8 @@
                 return AttemptResult(
                     AttemptOutcome.CUT_OFF, "the caller left", may_have_arrived=True
                 )
-            self._observer.attempt_failed(entry, error.detail, certain=False)
+            if not context.node_stopping:
+                self._observer.attempt_failed(entry, error.detail, certain=False)
             return AttemptResult(
                 AttemptOutcome.FAILED,
                 error.detail,
@@ -376,6 +377,8 @@
 
 def _bound(context: RequestContext, error: ExchangeFailed) -> Bound | None:
     """Return the bound that ended an exchange, None if it ended otherwise."""
+    if context.node_stopping:
+        return Bound.NODE_STOP
     if error.limit is TimeLimit.DEADLINE:
         return context.deadline_bound
     return _BOUNDS.get(error.limit) if error.limit is not None else None
