Run the features file by file, the largest first

Cause: folders ran as a whole, and features/adapter alone took over 5 min beside load, longer than all others together. Change: tools/run_tests.py runs each file by itself. Nothing is left out: the counts are those of all files.

--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -1,4 +1,4 @@
-"""Runs the behave features folder by folder and prints a closing line with the counts."""
+"""Runs the behave features file by file and prints a closing line with the counts."""
 
 import json
 import os
@@ -30,12 +30,25 @@
     return str(scenario["name"]).strip()
 
 
-def run_folder(folder: Path) -> tuple[Path, int, str, list[dict[str, object]]]:
-    """Run the features of ``folder``; return the folder, exit status, output and scenarios."""
+def feature_files(requested: list[Path]) -> list[Path]:
+    """Return the feature files of ``requested`` files and folders, the largest first.
+
+    Large files take long, and would end last if they did not start first.
+    """
+    files = [
+        file
+        for path in requested
+        for file in (path.rglob("*.feature") if path.is_dir() else [path])
+    ]
+    return sorted(set(files), key=lambda file: (-file.stat().st_size, file))
+
+
+def run_file(file: Path) -> tuple[Path, int, str, list[dict[str, object]]]:
+    """Run the feature ``file``; return it, the exit status, output and scenarios."""
     with tempfile.TemporaryDirectory() as scratch:
         report = Path(scratch) / "report.json"
         command = [sys.executable, "-m", "behave", "--no-color", "--no-capture"]
-        command += ["-f", "json", "-o", str(report), "-f", "progress", str(folder)]
+        command += ["-f", "json", "-o", str(report), "-f", "progress", str(file)]
         completed = subprocess.run(
             command, cwd=ROOT, capture_output=True, text=True, check=False, env=os.environ
         )
@@ -49,29 +62,28 @@
         for element in feature.get("elements", [])
         if element.get("type") == "scenario"
     ]
-    return folder, completed.returncode, completed.stdout + completed.stderr, scenarios
+    return file, completed.returncode, completed.stdout + completed.stderr, scenarios
 
 
 def main() -> int:
-    """Run the folders named on the command line, or else all folders that hold features.
+    """Run the files and folders named on the command line, or else all features.
 
     Return 0 only if at least one scenario passed and none failed, apart from the known failures.
     """
-    requested = [Path(name) for name in sys.argv[1:]]
-    folders = requested or sorted({path.parent for path in (ROOT / "features").rglob("*.feature")})
+    files = feature_files([Path(name) for name in sys.argv[1:]] or [ROOT / "features"])
     known_red = known_red_names()
     passed = failed = 0
     known_failures: list[str] = []
     new_failures: list[str] = []
     with ThreadPoolExecutor(PARALLEL_RUNS) as pool:
-        for folder, status, output, scenarios in pool.map(run_folder, folders):
+        for file, status, output, scenarios in pool.map(run_file, files):
             not_passed = [scenario for scenario in scenarios if scenario.get("status") != "passed"]
-            known_in_folder = [
+            known_in_file = [
                 name for scenario in not_passed if (name := scenario_name(scenario)) in known_red
             ]
-            known_failures += known_in_folder
+            known_failures += known_in_file
             passed += len(scenarios) - len(not_passed)
-            failed += len(not_passed) - len(known_in_folder)
+            failed += len(not_passed) - len(known_in_file)
             run_failed = status != 0 and not not_passed
             failed += int(run_failed or not scenarios)
             new_failures += [
@@ -79,8 +91,8 @@
                 for scenario in not_passed
                 if (name := scenario_name(scenario)) not in known_red
             ]
-            if len(not_passed) > len(known_in_folder) or run_failed or not scenarios:
-                print(f"{folder}: exit status {status}\n{output}")
+            if len(not_passed) > len(known_in_file) or run_failed or not scenarios:
+                print(f"{file}: exit status {status}\n{output}")
     for name in known_failures:
         print(f"known red, passed over: {name}")
     # Failed scenarios are listed at the end, since a stored log may keep only its last lines.
