Own the idle time of callers' connections

What callers saw: requests on kept connections got neither an answer nor a refusal beside a change of the idle limit or a step of the clock; slow bodies and answers to slow readers were cut. Cause: the configuration's idle limit was cheroot's `timeout`. cheroot closes all connections that the value of the moment calls idle, by the wall clock and without a look at what has arrived, and the same value is the socket's time-out of connections accepted later. New connections occupied a thread before their request. A server that closes dropped the requests that it had read behind the one it answered. Heads have headerTimeoutMs, bodies and answers a bound on the time without progress. Closing servers answer what has arrived. Conclusion: a way in which a whole request gets no answer beside a change of the configuration.

--- /dev/null
+++ b/features/gateway/connections.feature
@@ -0,0 +1,79 @@
+Feature: Connections that callers keep
+  Callers send requests on connections that they keep, as long as the idle limit allows that they
+  know. A request that crosses a close, or that no thread reads, would get neither an answer nor a
+  refusal.
+
+  # Guards against closing a connection earlier than a caller may rely on, which loses a request.
+  Scenario Outline: <case>: a request after <idle> s is <end>
+    Given a pass-through server with an idle limit of <limit> s
+    And a connection with an answered request
+    When the following happens to the connection
+      """
+      <events>
+      """
+    And the connection has been idle for <idle> s
+    Then a further request on the connection is <end>
+
+    Examples: the limit that holds is the longest that the caller may know; it may use four fifths
+      | case                              | limit | events                                   | idle | end      |
+      | no change                         | 15    |                                          | 12   | answered |
+      | no change, past the limit         | 15    |                                          | 18   | closed   |
+      | lowered while it is idle          | 15    | 5 s pass, the limit becomes 2 s          | 12   | answered |
+      | lowered just before it is idle    | 15    | the limit becomes 2 s, 1 s pass, request | 12   | answered |
+      | lowered long before it is idle    | 15    | the limit becomes 2 s, 9 s pass, request | 1.6  | answered |
+      | long lowered, past the limit      | 15    | the limit becomes 2 s, 9 s pass, request | 5    | closed   |
+      | lowered twice while it is idle    | 15    | the limit becomes 8 s, the limit becomes 2 s | 12 | answered |
+      | lowered and raised while idle     | 15    | the limit becomes 2 s, the limit becomes 9 s | 12 | answered |
+      | raised while it is idle           | 2     | 1 s pass, the limit becomes 15 s         | 12   | answered |
+      | raised before this node knows it  | 2     | 3 s pass, the limit becomes 15 s         | 12   | answered |
+      | the clock is set forward          | 15    | the wall clock is set by 3600 s          | 1    | answered |
+      | the clock is set back             | 15    | the wall clock is set by -3600 s         | 18   | closed   |
+
+  # Guards against closing a connection on which a request has arrived but was not read yet.
+  Scenario: a request that arrives before its idle connection is closed is answered
+    Given a pass-through server with an idle limit of 15 s
+    And a connection with an answered request
+    When a request arrives while the server is about to close the idle connection
+    Then that request is answered
+
+  # Guards against the idle limit as a bound on requests and answers in progress.
+  Scenario Outline: with an idle limit of 1 s, a caller that <behaviour> gets the whole answer
+    Given a pass-through server with an idle limit of 1 s
+    When a caller <behaviour>
+    Then the caller gets the whole answer
+
+    Examples:
+      | behaviour                                      |
+      | pauses for 1.6 s within the body               |
+      | pauses for 1.6 s within a chunk                |
+      | reads nothing for 1.6 s of an answer of 16 MB  |
+
+  # Guards against a reset that destroys an answer whose caller is still sending.
+  Scenario Outline: a caller that sends more after <request> gets the answer and no reset
+    Given a pass-through server with an idle limit of 15 s
+    When the server receives <request> and more bytes, and the caller reads late
+    Then the caller gets status <status> and the end of the connection
+
+    Examples:
+      | request                     | status |
+      | a malformed request         | 400    |
+      | a body that is too large    | 413    |
+      | a request that is the last  | 200    |
+
+  # Guards against a request that was read and dropped because the connection closes.
+  Scenario: requests that have arrived together are all answered by a server that closes
+    Given a pass-through server that is closing
+    When the server receives 3 requests at once
+    Then the caller gets 3 answers, of which only the last one announces the close
+
+  # Guards against connections without a request that occupy threads.
+  Scenario: connections on which nothing has arrived hold no thread
+    Given a pass-through server with 2 threads
+    When 12 callers connect and send nothing
+    Then the request of another caller is answered
+
+  # Guards against closing kept connections without an announcement when there are too many.
+  Scenario: the answer on a connection beyond those that may be kept announces the close
+    Given a pass-through server that keeps 2 connections
+    When 3 callers send a request each on connections that stay open
+    Then 2 connections stay open and 1 answer announces the close
--- /dev/null
+++ b/src/chervilrack/_internal/gateway/connections.py
@@ -0,0 +1,225 @@
+"""Callers' connections that no thread serves: idle ones, and ones that are being closed.
+
+cheroot's own manager measures idle time with the wall clock, closes connections without a look at
+what has arrived on them, and gives each new connection to a thread before its request arrives.
+"""
+
+import contextlib
+import logging
+import select
+import socket
+import threading
+from collections.abc import Callable
+from datetime import timedelta
+from typing import Any
+
+from cheroot.connections import ConnectionManager
+from cheroot.makefile import BufferedWriter, StreamReader, StreamWriter
+from cheroot.server import HTTPConnection
+
+from chervilrack._internal.common.clock import Clock
+from chervilrack._internal.gateway.idle import IdleLimit
+
+logger = logging.getLogger(__name__)
+
+# Longest time in which a caller sends no byte of a body, or reads no byte of an answer.
+STALL_LIMIT = timedelta(seconds=30)
+# Time for which a connection that was shut down stays open for reading. Closing it at once would
+# reset it if bytes arrive meanwhile, and the reset may destroy the end of the answer.
+LINGER_TIME = timedelta(seconds=1)
+
+
+def is_readable(sock: socket.socket) -> bool:
+    """Whether bytes, or the caller's end of the connection, can be read without waiting."""
+    return _poll(sock, select.POLLIN)
+
+
+def has_caller_left(sock: socket.socket) -> bool:
+    """Whether the caller has closed or reset the connection."""
+    return _poll(sock, select.POLLRDHUP)
+
+
+def _poll(sock: socket.socket, events: int) -> bool:
+    poller = select.poll()
+    try:
+        poller.register(sock, events)
+        return bool(poller.poll(0))
+    except (OSError, ValueError):
+        return True
+
+
+class _BoundedSocketIO(socket.SocketIO):
+    """Raw reader of a connection that ends at the connection's time limits."""
+
+    def __init__(self, connection: "CallerConnection") -> None:
+        super().__init__(connection.socket, "rb")
+        self._connection = connection
+
+    def readinto(self, buffer: Any) -> int | None:
+        """Read into ``buffer``. Raises TimeoutError at the first limit."""
+        connection = self._connection
+        left = connection.read_limit
+        if connection.read_until is not None:
+            left = min(left, connection.read_until - connection.clock.monotonic())
+        if left <= timedelta(0):
+            raise TimeoutError("timed out")
+        connection.socket.settimeout(left.total_seconds())
+        return super().readinto(buffer)
+
+
+class _Reader(StreamReader):
+    """cheroot's reader over a raw reader with time limits."""
+
+    def __init__(self, connection: "CallerConnection", buffer_size: int) -> None:
+        super(StreamReader, self).__init__(_BoundedSocketIO(connection), buffer_size)
+        self.bytes_read = 0
+
+
+class CallerConnection(HTTPConnection):
+    """Connection of a caller.
+
+    ``idle_since`` is the monotonic time since which it has no request. Reads end at ``read_until``,
+    and once nothing arrives for ``read_limit``.
+    """
+
+    clock: Clock
+
+    def __init__(self, server: Any, sock: Any, makefile: Any = None) -> None:
+        super().__init__(server, sock, self._make_file)
+        self.clock = server.clock
+        self.idle_since = self.clock.monotonic()
+        self.read_until: timedelta | None = None
+        self.read_limit = STALL_LIMIT
+        self._is_shut_down = False
+
+    def _make_file(self, sock: Any, mode: str, buffer_size: int) -> BufferedWriter | StreamReader:
+        if "r" in mode:
+            return _Reader(self, buffer_size)
+        return StreamWriter(sock, mode, buffer_size)
+
+    @property
+    def has_next_request(self) -> bool:
+        """Whether bytes behind the request that is being served have arrived."""
+        return self.rfile.has_data() or is_readable(self.socket)
+
+    def begin_head(self, limit: timedelta) -> None:
+        """Limit the time to read the head of a request."""
+        self.read_until = self.clock.monotonic() + limit
+        self.read_limit = STALL_LIMIT
+
+    def begin_body(self, limit: timedelta) -> None:
+        """Limit the time without progress within the body of a request."""
+        self.read_until = None
+        self.read_limit = limit
+
+    def begin_answer(self) -> None:
+        """Limit the time without progress while the answer is written."""
+        self.socket.settimeout(STALL_LIMIT.total_seconds())
+
+    def close(self) -> None:
+        """Shut down the connection, and close it after LINGER_TIME."""
+        if self._is_shut_down or not self.server.ready or has_caller_left(self.socket):
+            self.close_at_once()
+            return
+        self._is_shut_down = True
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_WR)
+        self.server.linger(self)
+
+    def close_at_once(self) -> None:
+        """Close the connection, which resets it if the caller has sent more than was read."""
+        super().close()
+
+
+class CallerConnections(ConnectionManager):
+    """Keeps connections until a request arrives on them, or until their idle time ends.
+
+    A connection on which something has arrived is served, not closed. All methods but ``put`` and
+    ``linger`` run in the accepting thread.
+    """
+
+    _selector: Any
+    _stop_requested: bool
+    _remove_invalid_sockets: Callable[[], None]
+    _from_server_socket: Callable[[Any], CallerConnection | None]
+
+    def __init__(self, server: Any, idle_limit: IdleLimit, clock: Clock) -> None:
+        super().__init__(server)
+        self._idle_limit = idle_limit
+        self._clock = clock
+        self._lock = threading.Lock()
+        # Connections that were shut down, oldest first, with the time at which to close each.
+        self._lingering: list[tuple[timedelta, CallerConnection]] = []
+
+    def put(self, conn: CallerConnection) -> None:
+        """Keep a connection until its next request arrives."""
+        conn.idle_since = self._clock.monotonic()
+        super().put(conn)
+
+    def linger(self, conn: CallerConnection) -> None:
+        """Keep a connection that was shut down until the caller has read the answer."""
+        with self._lock:
+            self._lingering.append((self._clock.monotonic() + LINGER_TIME, conn))
+
+    def close(self) -> None:
+        """Close all connections."""
+        for _, conn in list(self._selector.connections):
+            if conn is not self.server:
+                conn.close_at_once()
+        with self._lock:
+            lingering, self._lingering = self._lingering, []
+        for _, conn in lingering:
+            conn.close_at_once()
+        self._selector.close()
+
+    def _run(self, expiration_interval: float) -> None:
+        last_check = self._clock.monotonic()
+        interval = timedelta(seconds=expiration_interval)
+        while not self._stop_requested:
+            self._dispatch(expiration_interval)
+            now = self._clock.monotonic()
+            if now - last_check >= interval:
+                self._close_idle(now)
+                self._close_lingering(now)
+                last_check = now
+
+    def _dispatch(self, timeout_s: float) -> None:
+        """Accept a connection and queue those on which something has arrived."""
+        try:
+            active = list(self._selector.select(timeout=timeout_s))
+        except OSError:
+            self._remove_invalid_sockets()
+            return
+        for descriptor, conn in active:
+            if conn is not self.server:
+                self._selector.unregister(descriptor)
+                self.server.process_conn(conn)
+                continue
+            accepted = self._from_server_socket(self.server.socket)
+            if accepted is not None:
+                self.put(accepted)
+
+    def _close_idle(self, now: timedelta) -> None:
+        expired = [
+            (descriptor, conn)
+            for descriptor, conn in self._selector.connections
+            if conn is not self.server and now >= self._idle_limit.expires_at(conn.idle_since)
+        ]
+        for descriptor, conn in expired:
+            self._selector.unregister(descriptor)
+            if is_readable(conn.socket):
+                self.server.process_conn(conn)
+            else:
+                conn.close()
+
+    def _close_lingering(self, now: timedelta) -> None:
+        ended: list[CallerConnection] = []
+        with self._lock:
+            lingering, self._lingering = self._lingering, []
+            for close_at, conn in lingering:
+                if now >= close_at or has_caller_left(conn.socket):
+                    ended.append(conn)
+                else:
+                    self._lingering.append((close_at, conn))
+        for conn in ended:
+            conn.close_at_once()
--- a/src/chervilrack/_internal/gateway/passthrough.py
+++ b/src/chervilrack/_internal/gateway/passthrough.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import logging
-import math
 import threading
 from collections.abc import Callable, Sequence
 from contextlib import AbstractContextManager
@@ -12,14 +11,20 @@
 from types import TracebackType
 from typing import Any, Self
 
-from cheroot.server import Gateway, HTTPConnection, HTTPServer
+from cheroot.server import Gateway, HTTPServer
 from cheroot.workers.threadpool import ThreadPool
 
 from chervilrack._internal.common.clock import Clock
-from chervilrack._internal.common.results import Problem, ResultCode
+from chervilrack._internal.common.results import Executed, Problem, ResultCode
 from chervilrack._internal.forwarding.messages import CallerGone, InboundRequest
 from chervilrack._internal.forwarding.responses import problem_response
 from chervilrack._internal.gateway.callers import CallerWatch
+from chervilrack._internal.gateway.connections import (
+    STALL_LIMIT,
+    CallerConnection,
+    CallerConnections,
+)
+from chervilrack._internal.gateway.idle import IdleLimit
 from chervilrack._internal.gateway.intake import (
     BodyTooLarge,
     ChunkedBody,
@@ -60,15 +65,22 @@
 
 @dataclass(frozen=True, slots=True)
 class ListenSettings:
-    """Listen address, thread bounds and limits on requests. Sizes are in bytes."""
+    """Listen address, thread bounds and limits on requests. Sizes are in bytes.
+
+    ``header_time`` is the time in which the head of a request has to arrive, ``idle_time`` the one
+    that a connection may be open without a request. Expired limits are noticed within
+    ``check_interval``.
+    """
 
     host: str
     port: int
     max_headers: int = 16 * 1024
     max_body: int = 4 * 1024 * 1024
+    header_time: timedelta = timedelta(seconds=3)
     idle_time: timedelta = timedelta(seconds=15)
     min_threads: int = MIN_THREADS
     max_threads: int = MAX_THREADS
+    check_interval: timedelta = timedelta(milliseconds=500)
 
 
 class _Request(StrictRequest):
@@ -80,6 +92,8 @@
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
         self.inheaders = RecordedHeaders()
+        # The limit holds for the whole request, even if a configuration changes it meanwhile.
+        self.max_body: int = self.server.max_request_body_size
 
     def respond(self) -> None:
         """Read the body and hand the request to the server's handler."""
@@ -89,6 +103,7 @@
         """Answer a request that cannot be parsed with a problem and close the connection."""
         number = int(str(status)[:3])
         code = self._result_code(number)
+        self.server.error_log(f"answered {code.http_status}: {msg or code.title}")
         status_number, headers, body = problem_response(Problem(code, msg or code.title), None)
         self.close_connection = True
         responder = ConnectionResponder(self, None)
@@ -99,19 +114,25 @@
         if status == 413:
             # cheroot also reports 413 for headers over their limit.
             declared = self.inheaders.get(b"Content-Length", b"0")
-            limit = self.server.max_request_body_size
-            is_body_too_large = declared.isdigit() and int(declared) > limit
+            is_body_too_large = declared.isdigit() and int(declared) > self.max_body
             return ResultCode.BODY_TOO_LARGE if is_body_too_large else ResultCode.HEADERS_TOO_LARGE
         if status == 414:
             return ResultCode.HEADERS_TOO_LARGE
         if status == 408:
             return ResultCode.REQUEST_TIMEOUT
+        if status == 500:
+            return ResultCode.INTERNAL_ERROR
         return ResultCode.MALFORMED_REQUEST
 
 
-class _Connection(HTTPConnection):
+class _Connection(CallerConnection):
     RequestHandlerClass = _Request
 
+    def communicate(self) -> bool:
+        """Serve one request; return whether the connection stays open."""
+        self.begin_head(self.server.header_time)
+        return bool(super().communicate())  # type: ignore[no-untyped-call]
+
 
 class ConnectionResponder:
     """Writes the response to one request to the caller's connection."""
@@ -160,7 +181,8 @@
     def _head(self, status: int, headers: Sequence[tuple[str, str]]) -> bytes:
         request = self._request
         request.sent_headers = True
-        if request.server.is_closing():
+        request.conn.begin_answer()
+        if not request.server.may_keep(request.conn):
             request.close_connection = True
         try:
             phrase = HTTPStatus(status).phrase
@@ -187,9 +209,11 @@
         """Answer one request."""
         request: _Request = self.req
         server: _Server = request.server
+        connection: _Connection = request.conn
         responder = ConnectionResponder(request, server.watch)
+        connection.begin_body(STALL_LIMIT)
         try:
-            body = _read_body(request, server.max_request_body_size)
+            body = _read_body(request, request.max_body)
         except BodyTooLarge as error:
             self._refuse(responder, ResultCode.BODY_TOO_LARGE, str(error))
             return
@@ -212,7 +236,8 @@
             logger.exception("gateway: the handler of a request raised an exception")
             request.close_connection = True
             if not request.sent_headers:
-                problem = Problem(ResultCode.INTERNAL_ERROR, "see the node's log")
+                detail = "see the node's log"
+                problem = Problem(ResultCode.INTERNAL_ERROR, detail, Executed.UNKNOWN)
                 with contextlib.suppress(CallerGone):
                     responder.send_response(*problem_response(problem, None))
 
@@ -253,10 +278,20 @@
 class _Server(HTTPServer):
     """cheroot server that adds threads while connections wait for one."""
 
+    requests: _Pool
     watch: CallerWatch | None = None
     handler: Handler
     clock: Clock
+    idle_limit: IdleLimit
+    header_time: timedelta
     is_closing: Callable[[], bool]
+    _connections: Any
+
+    def prepare(self) -> None:
+        """Bind the address and start the threads."""
+        super().prepare()
+        self._connections._selector.close()
+        self._connections = CallerConnections(self, self.idle_limit, self.clock)
 
     def process_conn(self, conn: Any) -> None:
         """Queue a connection that has a request to read."""
@@ -265,6 +300,19 @@
             pool.grow(THREADS_PER_GROWTH)
         super().process_conn(conn)
 
+    def linger(self, conn: CallerConnection) -> None:
+        """Close a connection that was shut down a little later."""
+        self._connections.linger(conn)
+
+    def may_keep(self, conn: CallerConnection) -> bool:
+        """Whether a connection stays open after the answer that is about to be sent.
+
+        A server that is closing answers the requests that have already arrived.
+        """
+        if self.is_closing() and not conn.has_next_request:
+            return False
+        return bool(self.can_add_keepalive_connection)
+
     def error_log(self, msg: str = "", level: int = 20, traceback: bool = False) -> None:
         """Log through the module's logger."""
         logger.log(max(level, logging.INFO), "gateway: %s", msg, exc_info=traceback)
@@ -289,15 +337,20 @@
         self._server.requests = _Pool(
             self._server, min=settings.min_threads, max=settings.max_threads
         )
+        self._clock = clock
         self._server.ConnectionClass = _Connection
         self._server.request_queue_size = QUEUED_CONNECTIONS
         self._server.keep_alive_conn_limit = MAX_IDLE_CONNECTIONS
+        self._server.expiration_interval = settings.check_interval.total_seconds()
         self._server.watch = watch
         self._server.handler = handler
         self._server.clock = clock
         self._server.is_closing = is_closing
         self._server.shutdown_timeout = 0
-        self.set_limits(settings.max_headers, settings.max_body, settings.idle_time)
+        self._server.idle_limit = IdleLimit(settings.idle_time)
+        self.set_limits(
+            settings.max_headers, settings.max_body, settings.header_time, settings.idle_time
+        )
         self._thread = threading.Thread(target=self._serve, name="http", daemon=True)
 
     @property
@@ -305,11 +358,18 @@
         """Port the server listens on."""
         return int(self._server.bind_addr[1])
 
-    def set_limits(self, max_headers: int, max_body: int, idle_time: timedelta) -> None:
-        """Set the size limits of requests and the time that connections may be idle."""
+    def set_limits(
+        self, max_headers: int, max_body: int, header_time: timedelta, idle_time: timedelta
+    ) -> None:
+        """Set the limits on the sizes of requests and on the times of callers.
+
+        They hold for requests that are read from now on, and for idle connections as IdleLimit
+        states. They do not bound the bodies of requests and the answers in progress.
+        """
         self._server.max_request_header_size = max_headers
         self._server.max_request_body_size = max_body
-        self._server.timeout = math.ceil(idle_time.total_seconds())
+        self._server.header_time = header_time
+        self._server.idle_limit.change(idle_time, self._clock.monotonic())
 
     def __enter__(self) -> Self:
         self._server.prepare()
--- a/src/chervilrack/_internal/serving/node.py
+++ b/src/chervilrack/_internal/serving/node.py
@@ -238,7 +238,9 @@
 
     def _apply_caller_limits(self, limits: CallerLimits) -> None:
         for server in self._servers[:1]:
-            server.set_limits(limits.max_headers, limits.max_body, limits.idle_timeout)
+            server.set_limits(
+                limits.max_headers, limits.max_body, limits.header_timeout, limits.idle_timeout
+            )
 
     def _answer_management(self, request: InboundRequest, responder: Responder) -> None:
         if request.path == self._dialect.readiness_path:
