Refuse requests for which no thread is free

What callers saw: with all 240 threads busy, a connection was accepted and its request read by nobody: neither an answer nor a refusal until the caller left. Cause: cheroot's pool queues connections without bound and without a limit on the time. Change: the accepting thread hands connections that have waited for 250 ms to a thread that only refuses: 503, not run, Retry-After, code 1304, logged as `forwarding: refused`. Its reads end after 100 ms, so that slow callers hold up nobody. Result: connections.feature, "while all threads are busy" (5 rows) and "half a head": failed before (no answer), pass now. A caller that waits and gets a thread in time passed before, too.

--- a/features/gateway/connections.feature
+++ b/features/gateway/connections.feature
@@ -72,6 +72,36 @@
     When 12 callers connect and send nothing
     Then the request of another caller is answered
 
+  # Guards against requests that wait for a thread for ever: accepted, but neither answered nor refused.
+  Scenario Outline: while all threads are busy, <what> is refused and not passed on
+    Given a pass-through server with 2 threads
+    And all threads are busy
+    When the busy server receives <what>
+    Then the caller gets status 503 with Retry-After while the threads are busy
+    And the handler gets nothing of it
+
+    Examples:
+      | what                               |
+      | a request on a new connection      |
+      | a request with a body              |
+      | a request on a kept connection     |
+      | a part of a body that is large     |
+      | two requests at once               |
+
+  # Guards against callers that stall and keep others from being refused or served.
+  Scenario: callers that send half a head while all threads are busy do not hold up the others
+    Given a pass-through server with 2 threads
+    And all threads are busy
+    When 5 callers send half a head and a byte each 50 ms
+    And the busy server receives a request on a new connection
+    Then the caller gets status 503 with Retry-After while the threads are busy
+
+  Scenario: a request that waits for a thread is answered once one is free
+    Given a pass-through server with 2 threads
+    And all threads are busy
+    When the threads become free as a caller sends a request
+    Then the caller gets the whole answer
+
   # Guards against closing kept connections without an announcement when there are too many.
   Scenario: the answer on a connection beyond those that may be kept announces the close
     Given a pass-through server that keeps 2 connections
--- a/features/steps/caller_connections_steps.py
+++ b/features/steps/caller_connections_steps.py
@@ -299,6 +299,75 @@
     assert exchange(connect(context))[0] == 200
 
 
+@given("all threads are busy")
+def occupy_threads(context):
+    context.kept = connect(context)
+    assert exchange(context.kept)[0] == 200
+    for _ in range(context.server._server.requests.max):
+        connect(context).sendall(REQUEST.replace(b"/a", b"/busy"))
+        assert context.handler.busy.acquire(timeout=LIMIT_S)
+    context.paths_before = list(context.handler.paths)
+
+
+@when("the busy server receives {what}")
+def send_while_busy(context, what):
+    large = REQUEST.replace(b": 2", b": 1000000")
+    caller = context.kept if what == "a request on a kept connection" else connect(context)
+    context.caller = caller
+    caller.sendall(
+        {
+            "a request on a new connection": REQUEST.replace(b"Content-Length: 2", b"X: y")[:-2],
+            "a request with a body": REQUEST,
+            "a request on a kept connection": REQUEST,
+            "a part of a body that is large": large + b"x" * 100_000,
+            "two requests at once": REQUEST * 2,
+        }[what]
+    )
+    context.answers = 2 if what == "two requests at once" else 1
+
+
+@then("the caller gets status 503 with Retry-After while the threads are busy")
+def check_refused(context):
+    for _ in range(context.answers):
+        status, head, body = read_answer(context.caller)
+        assert status == 503, (status, head)
+        assert float(re.search(rb"Retry-After: ([0-9.]+)", head)[1]) > 0, head
+        assert b'"executed":"no"' in body, body
+    assert not context.handler.free.is_set()
+
+
+@then("the handler gets nothing of it")
+def check_not_handled(context):
+    context.handler.free.set()
+    assert exchange(connect(context))[0] == 200
+    assert context.handler.paths == [*context.paths_before, "/a"], context.handler.paths
+
+
+@when("{count:d} callers send half a head and a byte each {interval:d} ms")
+def send_slowly(context, count, interval):
+    callers = [connect(context) for _ in range(count)]
+    stopping = threading.Event()
+    context.stack.callback(stopping.set)
+
+    def trickle():
+        while not stopping.wait(interval / 1000):
+            for caller in callers:
+                with contextlib.suppress(OSError):
+                    caller.sendall(b"x")
+
+    for caller in callers:
+        caller.sendall(REQUEST[:20])
+    threading.Thread(target=trickle, daemon=True).start()
+
+
+@when("the threads become free as a caller sends a request")
+def send_and_free(context):
+    caller = connect(context)
+    caller.sendall(REQUEST)
+    context.handler.free.set()
+    context.answer = read_answer(caller)
+
+
 @given("a pass-through server that keeps {count:d} connections")
 def start_with_few_connections(context, count):
     patch = mock.patch.object(passthrough, "MAX_IDLE_CONNECTIONS", count)
--- a/src/chervilrack/_internal/forwarding/forwarder.py
+++ b/src/chervilrack/_internal/forwarding/forwarder.py
@@ -39,6 +39,8 @@
 SHORTEST_CALLER_PATIENCE = timedelta(seconds=2)
 PATIENCE_TARGET_LATENCIES = 4
 PATIENCE_GAPS = 8
+# Delay after which callers retry that were refused because all threads were busy.
+OVERLOAD_RETRY_DELAY = timedelta(milliseconds=300)
 # Most attempts of one request, including those that an upstream rejects.
 MAX_ATTEMPTS = 4
 
@@ -161,6 +163,17 @@
             outcome = self._outcome(admitted, "gone", 0, "the caller left")
         self._backend.request_finished(admitted, outcome)
 
+    def refuse_overload(self, request: InboundRequest, responder: Responder) -> None:
+        """Refuse a request for which the node has no thread. Never raises CallerGone."""
+        try:
+            metadata = self._dialect.read_request(request.headers)
+        except MalformedMessage:
+            metadata = None
+        delay = retry_after(OVERLOAD_RETRY_DELAY, self._rng)
+        detail = "all threads of this node are busy"
+        problem = Problem(ResultCode.QUEUE_FULL, detail, Executed.NO, delay)
+        self._reject(request, metadata, responder, problem)
+
     # Admission
 
     def _admit(
--- a/src/chervilrack/_internal/gateway/connections.py
+++ b/src/chervilrack/_internal/gateway/connections.py
@@ -78,8 +78,9 @@
 class CallerConnection(HTTPConnection):
     """Connection of a caller.
 
-    ``idle_since`` is the monotonic time since which it has no request. Reads end at ``read_until``,
-    and once nothing arrives for ``read_limit``.
+    ``idle_since`` and ``queued_at`` are the monotonic times since which it has no request and since
+    which its request waits for a thread. Reads end at ``read_until``, and once nothing arrives for
+    ``read_limit``. While ``is_refused`` is set, its requests are refused.
     """
 
     clock: Clock
@@ -87,9 +88,10 @@
     def __init__(self, server: Any, sock: Any, makefile: Any = None) -> None:
         super().__init__(server, sock, self._make_file)
         self.clock = server.clock
-        self.idle_since = self.clock.monotonic()
+        self.idle_since = self.queued_at = self.clock.monotonic()
         self.read_until: timedelta | None = None
         self.read_limit = STALL_LIMIT
+        self.is_refused = False
         self._is_shut_down = False
 
     def _make_file(self, sock: Any, mode: str, buffer_size: int) -> BufferedWriter | StreamReader:
@@ -176,8 +178,9 @@
         last_check = self._clock.monotonic()
         interval = timedelta(seconds=expiration_interval)
         while not self._stop_requested:
-            self._dispatch(expiration_interval)
+            self._dispatch(self.server.time_to_refusal(interval).total_seconds())
             now = self._clock.monotonic()
+            self.server.refuse_overdue(now)
             if now - last_check >= interval:
                 self._close_idle(now)
                 self._close_lingering(now)
--- a/src/chervilrack/_internal/gateway/passthrough.py
+++ b/src/chervilrack/_internal/gateway/passthrough.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import logging
+import queue
 import threading
 from collections.abc import Callable, Sequence
 from contextlib import AbstractContextManager
@@ -44,6 +45,13 @@
 QUEUED_CONNECTIONS = 512
 # Idle connections that are kept open; file descriptors allow about 3,900 sockets.
 MAX_IDLE_CONNECTIONS = 2500
+# Longest time that a request waits for a thread. Callers leave after a third of their deadline if
+# nobody reads their request, and the shortest deadlines are one second.
+MAX_THREAD_WAIT = timedelta(milliseconds=250)
+# Interval of checks whether a thread has become idle for a request that has waited that long.
+OVERDUE_CHECK_INTERVAL = timedelta(milliseconds=10)
+# Time in which a request that is refused because no thread is free has to arrive.
+REFUSED_READ_TIME = timedelta(milliseconds=100)
 # Header fields that concern only the caller's connection and are not forwarded.
 _CONNECTION_FIELDS = frozenset(
     (
@@ -130,7 +138,8 @@
 
     def communicate(self) -> bool:
         """Serve one request; return whether the connection stays open."""
-        self.begin_head(self.server.header_time)
+        is_refused = self.is_refused
+        self.begin_head(REFUSED_READ_TIME if is_refused else self.server.header_time)
         return bool(super().communicate())  # type: ignore[no-untyped-call]
 
 
@@ -211,7 +220,7 @@
         server: _Server = request.server
         connection: _Connection = request.conn
         responder = ConnectionResponder(request, server.watch)
-        connection.begin_body(STALL_LIMIT)
+        connection.begin_body(REFUSED_READ_TIME if connection.is_refused else STALL_LIMIT)
         try:
             body = _read_body(request, request.max_body)
         except BodyTooLarge as error:
@@ -220,6 +229,11 @@
         except ValueError as error:
             self._refuse(responder, ResultCode.MALFORMED_REQUEST, str(error))
             return
+        except TimeoutError:
+            if not connection.is_refused:
+                raise
+            request.close_connection = True
+            body = b""
         inbound = InboundRequest(
             method=request.method.decode("latin-1"),
             target=request.uri.decode("latin-1"),
@@ -229,7 +243,8 @@
             arrived=server.clock.monotonic(),
         )
         try:
-            server.handler(inbound, responder)
+            handler = server.refuse if connection.is_refused else server.handler
+            handler(inbound, responder)
         except CallerGone:
             request.close_connection = True
         except Exception:
@@ -267,6 +282,7 @@
     """Thread pool that grows without waiting; cheroot's own pool sleeps in the accepting thread."""
 
     _threads: list[Any]
+    _queue: "queue.Queue[Any]"
     _spawn_worker: Callable[[], Any]
 
     def grow(self, amount: int) -> None:
@@ -274,30 +290,71 @@
         count = min(amount, max(0, int(self.max) - len(self._threads)))
         self._threads.extend(self._spawn_worker() for _ in range(count))
 
+    @property
+    def has_capacity(self) -> bool:
+        """Whether a thread is idle, or may be started."""
+        return self.idle > 0 or len(self._threads) < int(self.max)
+
+    @property
+    def oldest_queued_at(self) -> timedelta | None:
+        """Time since which the oldest connection waits for a thread, None if none waits."""
+        with self._queue.mutex:
+            oldest = self._queue.queue[0] if self._queue.queue else None
+        return oldest.queued_at if isinstance(oldest, _Connection) else None
+
+    def take_queued_before(self, time: timedelta) -> _Connection | None:
+        """Remove and return the oldest waiting connection if it was queued before ``time``."""
+        with self._queue.mutex:
+            waiting = self._queue.queue
+            if not waiting or not isinstance(waiting[0], _Connection):
+                return None
+            oldest: _Connection = waiting[0]
+            if oldest.queued_at >= time:
+                return None
+            waiting.popleft()
+            return oldest
+
 
 class _Server(HTTPServer):
-    """cheroot server that adds threads while connections wait for one."""
+    """cheroot server that adds threads while connections wait for one.
+
+    Requests that wait for a thread for longer than MAX_THREAD_WAIT are passed to ``refuse`` in a
+    thread of their own.
+    """
 
     requests: _Pool
     watch: CallerWatch | None = None
     handler: Handler
+    refuse: Handler
     clock: Clock
     idle_limit: IdleLimit
     header_time: timedelta
     is_closing: Callable[[], bool]
     _connections: Any
 
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self._overdue: queue.SimpleQueue[_Connection | None] = queue.SimpleQueue()
+        self._refuser = threading.Thread(target=self._refuse_all, name="refuser", daemon=True)
+
     def prepare(self) -> None:
         """Bind the address and start the threads."""
         super().prepare()
         self._connections._selector.close()
         self._connections = CallerConnections(self, self.idle_limit, self.clock)
+        self._refuser.start()
+
+    def stop(self) -> None:
+        """Close the listener and all connections."""
+        self._overdue.put(None)
+        super().stop()
 
     def process_conn(self, conn: Any) -> None:
         """Queue a connection that has a request to read."""
         pool = self.requests
         if pool.idle <= pool.qsize:
             pool.grow(THREADS_PER_GROWTH)
+        conn.queued_at = self.clock.monotonic()
         super().process_conn(conn)
 
     def linger(self, conn: CallerConnection) -> None:
@@ -313,13 +370,57 @@
             return False
         return bool(self.can_add_keepalive_connection)
 
+    def time_to_refusal(self, longest: timedelta) -> timedelta:
+        """Return the time until a waiting request is refused, at most ``longest``."""
+        queued_at = self.requests.oldest_queued_at
+        if queued_at is None:
+            return longest
+        left = queued_at + MAX_THREAD_WAIT - self.clock.monotonic()
+        return min(max(left, OVERDUE_CHECK_INTERVAL), longest)
+
+    def refuse_overdue(self, now: timedelta) -> None:
+        """Refuse the requests that have waited too long for a thread.
+
+        None is refused while a thread is idle, which may start late on a busy machine.
+        """
+        if self.requests.oldest_queued_at is None:
+            return
+        if self.requests.has_capacity:
+            self.requests.grow(THREADS_PER_GROWTH if not self.requests.idle else 0)
+            return
+        while (conn := self.requests.take_queued_before(now - MAX_THREAD_WAIT)) is not None:
+            self._overdue.put(conn)
+
+    def _refuse_all(self) -> None:
+        while (conn := self._overdue.get()) is not None:
+            keeps_open = False
+            conn.is_refused = True
+            try:
+                keeps_open = conn.communicate()
+            except Exception as error:
+                self.error_log(f"a connection failed while it was refused: {error}", traceback=True)
+            conn.is_refused = False
+            if keeps_open:
+                self.put_conn(conn)
+            else:
+                conn.close()
+
     def error_log(self, msg: str = "", level: int = 20, traceback: bool = False) -> None:
         """Log through the module's logger."""
         logger.log(max(level, logging.INFO), "gateway: %s", msg, exc_info=traceback)
 
 
+def _refuse_overload(_request: InboundRequest, responder: ConnectionResponder) -> None:
+    problem = Problem(ResultCode.QUEUE_FULL, "all threads are busy")
+    responder.send_response(*problem_response(problem, None))
+
+
 class PassThroughServer:
-    """Serves requests at one address until the context ends."""
+    """Serves requests at one address until the context ends.
+
+    ``handler`` is called with each request, and ``refuse`` with each one for which no thread was
+    free in time; ``refuse`` must answer at once.
+    """
 
     def __init__(
         self,
@@ -328,6 +429,7 @@
         clock: Clock,
         watch: CallerWatch | None = None,
         is_closing: Callable[[], bool] = lambda: False,
+        refuse: Handler = _refuse_overload,
     ) -> None:
         self._server = _Server(
             (settings.host, settings.port),
@@ -344,6 +446,7 @@
         self._server.expiration_interval = settings.check_interval.total_seconds()
         self._server.watch = watch
         self._server.handler = handler
+        self._server.refuse = refuse
         self._server.clock = clock
         self._server.is_closing = is_closing
         self._server.shutdown_timeout = 0
--- a/src/chervilrack/_internal/serving/node.py
+++ b/src/chervilrack/_internal/serving/node.py
@@ -221,6 +221,7 @@
                 self._clock,
                 self._caller_watch,
                 lambda: self._closes_connections,
+                self._forwarder.refuse_overload,
             )
         ]
         management_addresses = {settings.readiness, settings.lookup}
