Serve stages of services that a configuration has removed

What callers saw: a request admitted before a version that removed the services of its stages was held until its deadline and refused then; its pieces could go to an upstream that drained. Cause: queues took their parameters and their upstreams from the configuration in force only. Without the service there, a new queue started no call at all, and an existing one kept the upstreams of before. Change: the catalogue remembers removed services (Catalogue.service); an owner that does not know a service returns the order, so that the next owner runs it. A fake catalogue of stage_coordinator_steps.py is now a real, empty one, because the coordinator asks it more.

--- a/features/batching/queue.feature
+++ b/features/batching/queue.feature
@@ -339,3 +339,10 @@
       | a node joins that owns no queue         | undisrupted |
       | a node joins that owns the queue        | disrupted   |
       | the other owner is lost and node a stays | undisrupted |
+
+  # Guards against orders that wait in vain at an owner that does not know their service.
+  Scenario: a node returns the pieces of a service that its configuration does not have
+    Given a node whose orders go to owner b
+    And that node knows no services
+    When owner b orders pieces 0, 1 from that node
+    Then that node returns pieces 0, 1 to owner b
--- a/features/steps/stage_coordinator_steps.py
+++ b/features/steps/stage_coordinator_steps.py
@@ -17,6 +17,7 @@
     ResultsReleased,
 )
 from chervilrack._internal.batching.plan import PlannedStage
+from chervilrack._internal.catalogue.core import Catalogue
 from chervilrack._internal.common.clock import ManualClock
 from chervilrack._internal.common.hashing import rendezvous_order
 from chervilrack._internal.common.ids import Incarnation, NodeId, ServiceId, ZoneId
@@ -159,7 +160,7 @@
 def own_queue(context):
     start_coordinator(context)
     context.state.balancer = Balancer(ZoneId("z1"), random.Random(1))
-    context.state.catalogue = SimpleNamespace(configuration=None)
+    context.state.catalogue = Catalogue()
     context.state.report_actions = lambda: None
     context.fleet.current_owners = [NodeId("a")]
     planned = PlannedStage(0, SERVICE, (0,), (), timedelta(60), timedelta(60), 100, "", 0)
@@ -187,3 +188,35 @@
 @then("the queue is {state}")
 def check_disruption(context, state):
     assert context.coordinator.is_disrupted(SERVICE) == (state == "disrupted")
+
+
+@given("that node knows no services")
+def know_no_services(context):
+    context.state.catalogue = Catalogue()
+
+
+@when("owner b orders pieces 0, 1 from that node")
+def order_unknown_pieces(context):
+    message = PiecesWanted(
+        order=7,
+        service=SERVICE,
+        request_id="r",
+        stage=0,
+        segments=(0, 1),
+        key="k",
+        inputs=(),
+        due_ms=1000,
+        remaining_ms=1000,
+        result_size=100,
+        zone="",
+        move_bytes=0,
+        priority=0,
+    )
+    context.coordinator.on_pieces_wanted(NodeId("b"), message)
+
+
+@then("that node returns pieces 0, 1 to owner b")
+def check_returned(context):
+    assert context.transport.sent == [
+        (f"tcp://{context.fleet.alive['b']}", PiecesReturned(7, (0, 1)))
+    ], context.transport.sent
--- a/src/chervilrack/_internal/catalogue/core.py
+++ b/src/chervilrack/_internal/catalogue/core.py
@@ -9,6 +9,7 @@
 from datetime import timedelta
 
 from chervilrack._internal.catalogue.state import (
+    ServiceSpec,
     ServingConfiguration,
     UpstreamEntry,
     UpstreamState,
@@ -19,6 +20,9 @@
 # two seconds of its return.
 REREGISTRATION_GRACE = timedelta(seconds=2.2)
 
+# Removed services that are remembered, for requests that were admitted before the removal.
+MAX_FORMER_SERVICES = 256
+
 _ZERO = timedelta(0)
 
 
@@ -54,6 +58,8 @@
 
     def __init__(self) -> None:
         self._configuration: ServingConfiguration | None = None
+        # Services that are no longer configured, those that left last at the end.
+        self._former_services: dict[ServiceId, ServiceSpec] = {}
         self._upstreams: dict[UpstreamId, UpstreamEntry] = {}
         self._ready_by_service: dict[ServiceId, tuple[UpstreamEntry, ...]] = {}
         self._revisions: dict[UpstreamId, int] = {}
@@ -69,6 +75,14 @@
         """Configuration in force, or None before the first one is known."""
         return self._configuration
 
+    def service(self, service: ServiceId) -> ServiceSpec | None:
+        """Return the newest known specification of a service, also of one that was removed.
+
+        Requests that were admitted before the removal still need it.
+        """
+        configured = self._configuration.services if self._configuration is not None else {}
+        return configured.get(service) or self._former_services.get(service)
+
     @property
     def upstreams(self) -> Mapping[UpstreamId, UpstreamEntry]:
         """All known upstreams by id, including draining ones."""
@@ -88,9 +102,22 @@
         current = self._configuration
         if current is not None and configuration.version <= current.version:
             return []
+        if current is not None:
+            self._remember_services(current, configuration)
         self._configuration = configuration
         return [ConfigurationApplied(configuration, current.version if current else 0)]
 
+    def _remember_services(
+        self, current: ServingConfiguration, following: ServingConfiguration
+    ) -> None:
+        former = self._former_services
+        for service, spec in current.services.items():
+            former.pop(service, None)
+            if service not in following.services:
+                former[service] = spec
+        for service in list(former)[: max(0, len(former) - MAX_FORMER_SERVICES)]:
+            del former[service]
+
     def mark_store_unavailable(self, now: timedelta) -> None:
         """Record that the store does not answer this node."""
         if self._unavailable_since is None:
--- a/src/chervilrack/_internal/serving/stage_coordinator.py
+++ b/src/chervilrack/_internal/serving/stage_coordinator.py
@@ -162,7 +162,15 @@
     # Messages of other nodes; the caller holds the lock
 
     def on_pieces_wanted(self, sender: NodeId, message: PiecesWanted) -> None:
-        """Queue another node's order and confirm it."""
+        """Queue another node's order and confirm it, or return it if the service is unknown.
+
+        The other node may know a configuration that this one does not know yet, or, if this node
+        started late, not any more.
+        """
+        if self._state.catalogue.service(ServiceId(message.service)) is None:
+            self._state.log.note("batching", "service unknown", service=message.service)
+            self._send(sender, PiecesReturned(message.order, message.segments))
+            return
         now = self._state.clock.monotonic()
         queue = self._queue_of(ServiceId(message.service))
         order = Order(
@@ -424,10 +432,7 @@
         return queue
 
     def _configure(self, queue: StageQueue) -> None:
-        configuration = self._state.catalogue.configuration
-        if configuration is None:
-            return
-        spec = configuration.services.get(queue.service)
+        spec = self._state.catalogue.service(queue.service)
         if spec is not None and spec.batching is not None:
             queue.configure(spec.batching, self._state.upstreams(queue.service))
 
