Finish requests that end by an exception

What callers saw: a node with one such request waited for it until the end of the grace period when it stopped. Cause: Forwarder.handle counted a request as finished only on its usual ways. Change: request_finished in a finally, outcome `failed`. After the head was sent, the connection closes without the last chunk or byte, which shows as incomplete.

--- a/features/adapter/configuration.feature
+++ b/features/adapter/configuration.feature
@@ -96,3 +96,11 @@
     And the request goes on
     Then both callers get the whole answer
     And the pieces of the other request ran at the other upstream
+
+  # Guards against an exception that ends a connection, and keeps the node from stopping in time.
+  Scenario: a request during which the node raises an exception gets status 500
+    Given an exception in the choice of an upstream
+    When a caller sends a plain request
+    Then the caller gets status 500
+    And the answer states that the request may have run
+    And no request is in progress
--- a/src/chervilrack/_internal/forwarding/forwarder.py
+++ b/src/chervilrack/_internal/forwarding/forwarder.py
@@ -156,12 +156,14 @@
         if isinstance(admitted, Problem):
             self._reject(request, metadata, responder, admitted)
             return
+        outcome = self._outcome(admitted, "failed", 0, "an exception, see the log")
         try:
             with responder.on_caller_gone(admitted.mark_caller_gone):
                 outcome = self._serve(admitted, responder)
         except CallerGone:
             outcome = self._outcome(admitted, "gone", 0, "the caller left")
-        self._backend.request_finished(admitted, outcome)
+        finally:
+            self._backend.request_finished(admitted, outcome)
 
     def refuse_overload(self, request: InboundRequest, responder: Responder) -> None:
         """Refuse a request for which the node has no thread. Never raises CallerGone."""
