Survive SIGHUP while the settings file is being written

What callers saw: all requests of the node ended without an answer, at the SIGHUP of a node whose settings file was read while only a part of it was written. Cause: a seed that is cut within its address, and a file cut within a character, raised ValueError and UnicodeDecodeError, which the reload did not expect; the exception left the main thread and ended the process. Change: load_settings reports both as mistakes of the file; the reload logs any other exception and goes on. Result: translation.feature "SIGHUP while only a part of a settings file ... is written ends no node": each beginning of a file in YAML and in JSON; both rows failed before (ValueError, UnicodeDecodeError), pass now.

--- a/features/adapter/translation.feature
+++ b/features/adapter/translation.feature
@@ -91,6 +91,16 @@
     When a settings file is loaded that lacks zone and has a frontend without port
     Then 2 mistakes are reported that name zone and frontend
 
+  # Guards against a node that ends, with all its requests, by SIGHUP while its settings file is written.
+  Scenario Outline: SIGHUP while only a part of a settings file in <format> is written ends no node
+    When a node reloads each beginning of a settings file in <format>
+    Then it goes on each time, and takes no seed that the whole file does not have
+
+    Examples:
+      | format |
+      | YAML   |
+      | JSON   |
+
   Scenario Outline: response <status> with <header> means that stage results are <state>
     Then response <status> with <header> means that stage results are <state>
 
--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -4,6 +4,7 @@
 import tempfile
 from datetime import timedelta
 from pathlib import Path
+from types import SimpleNamespace
 
 import yaml
 from behave import given, then, when
@@ -18,6 +19,7 @@
     decode_upstream,
 )
 from chervilrack.platform.headers import PlatformDialect
+from chervilrack.platform.run import _reload
 from chervilrack.platform.settings import load_settings
 
 REGISTRATION = {
@@ -249,6 +251,32 @@
             context.mistakes = error.mistakes
 
 
+@when("a node reloads each beginning of a settings file in {form}")
+def reload_beginnings(context, form):
+    # The name of the zone is not ASCII, so that a beginning may end within a character.
+    settings = {**SETTINGS, "zone": "zön", "seeds": ["10.1.0.9:7000", "10.2.0.25:7000"]}
+    if form == "YAML":
+        content = yaml.safe_dump(settings, sort_keys=False, allow_unicode=True).encode()
+    else:
+        content = json.dumps(settings, ensure_ascii=False).encode()
+    reloaded = context.reloaded = []
+    node = SimpleNamespace(reload=reloaded.append)
+    with tempfile.TemporaryDirectory() as folder:
+        file = Path(folder) / "boot.yaml"
+        for length in range(len(content) + 1):
+            file.write_bytes(content[:length])
+            _reload(node, file)
+
+
+@then("it goes on each time, and takes no seed that the whole file does not have")
+def check_reloaded(context):
+    seeds = [tuple(str(seed) for seed in settings.seeds) for settings in context.reloaded]
+    whole = ("10.1.0.9:7740", "10.2.0.25:7740")
+    assert seeds[-1] == whole, seeds
+    for some_seeds in seeds:
+        assert some_seeds == whole[: len(some_seeds)], some_seeds
+
+
 @then("{count:d} mistakes are reported that name {first} and {second}")
 def check_mistakes(context, count, first, second):
     assert len(context.mistakes) == count, context.mistakes
--- a/src/chervilrack/platform/run.py
+++ b/src/chervilrack/platform/run.py
@@ -73,3 +73,6 @@
         logger.warning(
             "settings: the file was not reloaded, the old settings stay in force: %s", error
         )
+    except Exception:
+        # The node serves requests, which a mistake in the file must not end.
+        logger.exception("settings: the file was not reloaded, the old settings stay in force")
--- a/src/chervilrack/platform/settings.py
+++ b/src/chervilrack/platform/settings.py
@@ -68,7 +68,7 @@
         raw: Any = yaml.load(
             file.read_text(encoding="utf-8"), getattr(yaml, "CSafeLoader", yaml.SafeLoader)
         )
-    except yaml.YAMLError as error:
+    except (yaml.YAMLError, UnicodeDecodeError) as error:
         raise InvalidDocumentError([f"{file}: {error}"]) from None
     mistakes: list[str] = []
     content = _convert(raw, mistakes, str(file))
@@ -122,6 +122,9 @@
         listen = values.get("listen")
         if listen is not None and not _is_address(getattr(listen, listener)):
             mistakes.append(f"{file}: listen.{listener}: expected IP:PORT")
+    for seed in values.get("seeds", ()):
+        if not _is_address(seed):
+            mistakes.append(f"{file}: seeds: expected IP:PORT, not '{seed}'")
     if "platform" in values and not _is_address(values["platform"].address):
         mistakes.append(f"{file}: platform.address: expected IP:PORT")
     return None if mistakes else _SettingsFile(**values)
