Do not end the next connection's request for an earlier disconnect

What callers saw: a whole request on a sound connection got neither an answer nor a refusal, and its connection stayed open; its work at upstreams was cancelled. Cause: CallerWatch finds the request of an epoll event by the descriptor. Between the return of epoll and the look-up the request of the disconnected caller may end, its descriptor be closed and used again by the next connection; the look-up then finds the next request. The thread needs the interpreter's lock in between, so that the gap grows with whatever keeps the node busy: a burst, callers that leave, a large configuration being applied. Change: the descriptor is asked again, under the watch's lock, whether its caller has left. Result: callers.feature "the disconnect of one caller does not end the request of the next connection", which holds the event back: failed before (the next caller counted as gone), passes now. Ruled out: a lost disconnect of the next caller, which has its own registration (last steps of the scenario).

--- a/features/gateway/callers.feature
+++ b/features/gateway/callers.feature
@@ -15,3 +15,13 @@
       | whole    | before the answer      | gone         |
       | in parts | before the answer      | gone         |
       | in parts | after the first part   | gone         |
+
+  # Guards against a request without an answer: an event of a connection that was closed meanwhile
+  # ended the request of the next connection with the same descriptor.
+  Scenario: the disconnect of one caller does not end the request of the next connection
+    Given a caller that disconnects as its request ends
+    When its descriptor is used again by a connection whose request is in progress
+    And the disconnect is handled only then
+    Then that connection's caller does not count as gone
+    When that connection's caller disconnects
+    Then it counts as gone
--- a/features/steps/caller_watch_steps.py
+++ b/features/steps/caller_watch_steps.py
@@ -23,6 +23,7 @@
 
     def __init__(self, is_whole):
         self._is_whole = is_whole
+        self.is_silent = False
         self.step_count = 1 if is_whole else 3
         self.allowed_steps = threading.Semaphore(0)
         self.gone = threading.Event()
@@ -37,6 +38,8 @@
         self.ended.set()
 
     def _answer(self, responder):
+        if self.is_silent:
+            return []
         if self._is_whole:
             return [lambda: responder.send_response(200, [], b"whole")]
         return [lambda: responder.begin(200, []), lambda: responder.write(b"part"), responder.end]
@@ -47,6 +50,7 @@
     stack = contextlib.ExitStack()
     context.add_cleanup(stack.close)
     context.handler = Handler(answer == "whole")
+    context.handler.is_silent = answer == "nothing"
     (port,) = free_ports(1)
     settings = ListenSettings("127.0.0.1", port)
     watch = stack.enter_context(CallerWatch())
@@ -95,3 +99,85 @@
     context.handler.allowed_steps.release(4)
     assert context.handler.ended.wait(LIMIT_S)
     assert not context.handler.gone.is_set()
+
+
+@when("the handler ends without an answer")
+def end_without_answer(context):
+    context.handler.allowed_steps.release()
+    assert context.handler.ended.wait(LIMIT_S)
+
+
+@then("the caller sees the end of the connection")
+def check_end(context):
+    assert context.caller.recv(1) == b""
+
+
+class HeldPoller:
+    """epoll whose events are returned only once ``proceed`` is set."""
+
+    def __init__(self, poller):
+        self._poller = poller
+        self.has_event = threading.Event()
+        self.proceed = threading.Event()
+
+    def __getattr__(self, name):
+        return getattr(self._poller, name)
+
+    def poll(self):
+        events = self._poller.poll()
+        self.has_event.set()
+        assert self.proceed.wait(LIMIT_S)
+        return events
+
+
+@given("a caller that disconnects as its request ends")
+def disconnect_at_end(context):
+    stack = contextlib.ExitStack()
+    context.add_cleanup(stack.close)
+    context.stack = stack
+    context.watch = CallerWatch()
+    context.poller = context.watch._poller = HeldPoller(context.watch._poller)
+    stack.enter_context(context.watch)
+    stack.callback(context.poller.proceed.set)
+    caller, connection = socket.socketpair()
+    with context.watch.watching(connection, lambda: None):
+        caller.close()
+        assert context.poller.has_event.wait(LIMIT_S)
+    context.descriptor = connection.fileno()
+    connection.close()
+
+
+@when("its descriptor is used again by a connection whose request is in progress")
+def reuse_descriptor(context):
+    pairs = []
+    while not pairs or context.descriptor not in [item.fileno() for item in pairs[-1]]:
+        pairs.append(socket.socketpair())
+    first, second = pairs.pop()
+    is_first = first.fileno() == context.descriptor
+    context.connection, context.next_caller = (first, second) if is_first else (second, first)
+    for sockets in [*pairs, (first, second)]:
+        for item in sockets:
+            context.stack.callback(item.close)
+    context.gone = threading.Event()
+    context.stack.enter_context(context.watch.watching(context.connection, context.gone.set))
+
+
+@when("the disconnect is handled only then")
+def handle_disconnect(context):
+    context.poller.has_event.clear()
+    context.poller.proceed.set()
+
+
+@then("that connection's caller does not count as gone")
+def check_next_not_gone(context):
+    assert not context.gone.wait(SETTLE_S)
+
+
+@when("that connection's caller disconnects")
+def disconnect_next(context):
+    context.next_caller.close()
+
+
+@then("it counts as gone")
+def check_next_gone(context):
+    assert context.gone.wait(LIMIT_S)
--- a/src/chervilrack/_internal/gateway/callers.py
+++ b/src/chervilrack/_internal/gateway/callers.py
@@ -10,6 +10,8 @@
 from types import TracebackType
 from typing import Self
 
+from chervilrack._internal.gateway.connections import has_caller_left
+
 
 class CallerWatch:
     """Runs a callback when a caller disconnects; use as a context manager.
@@ -75,6 +77,8 @@
                 if descriptor == self._stop_reader:
                     return
                 with self._lock:
-                    entry = self._callbacks.pop(descriptor, None)
+                    # The event may be that of an earlier connection with the same descriptor.
+                    is_gone = has_caller_left(descriptor)
+                    entry = self._callbacks.pop(descriptor, None) if is_gone else None
                 if entry is not None:
                     entry[1]()
--- a/src/chervilrack/_internal/gateway/connections.py
+++ b/src/chervilrack/_internal/gateway/connections.py
@@ -34,12 +34,12 @@
     return _poll(sock, select.POLLIN)
 
 
-def has_caller_left(sock: socket.socket) -> bool:
-    """Whether the caller has closed or reset the connection."""
+def has_caller_left(sock: socket.socket | int) -> bool:
+    """Whether the caller has closed or reset the connection, a socket or its descriptor."""
     return _poll(sock, select.POLLRDHUP)
 
 
-def _poll(sock: socket.socket, events: int) -> bool:
+def _poll(sock: socket.socket | int, events: int) -> bool:
     poller = select.poll()
     try:
         poller.register(sock, events)
