Close connections whose request got no answer

What callers saw: a caller that was wrongly taken for gone waited on an open connection until its deadline. Cause: a handler that sends nothing, as for callers that have left, kept the connection open for a next request. Change: without a head sent, the connection is closed after the request. Result: callers.feature "a connection whose request got no answer is closed": failed before (no end of the connection), passes now; features/gateway 87 passed.

--- a/features/gateway/callers.feature
+++ b/features/gateway/callers.feature
@@ -25,3 +25,9 @@
     Then that connection's caller does not count as gone
     When that connection's caller disconnects
     Then it counts as gone
+
+  # Guards against a connection that stays open although its request got no answer.
+  Scenario: a connection whose request got no answer is closed
+    Given a pass-through server whose handler answers nothing
+    When the handler ends without an answer
+    Then the caller sees the end of the connection
--- a/src/chervilrack/_internal/gateway/passthrough.py
+++ b/src/chervilrack/_internal/gateway/passthrough.py
@@ -255,6 +255,9 @@
                 problem = Problem(ResultCode.INTERNAL_ERROR, detail, Executed.UNKNOWN)
                 with contextlib.suppress(CallerGone):
                     responder.send_response(*problem_response(problem, None))
+        if not request.sent_headers:
+            # A caller that was taken for gone must not wait for an answer.
+            request.close_connection = True
 
     def _refuse(self, responder: ConnectionResponder, code: ResultCode, detail: str) -> None:
         self.req.close_connection = True
