--- a/features/adapter/configuration.feature
+++ b/features/adapter/configuration.feature
@@ -87,6 +87,24 @@
       | route | there are no routes | 404    |
       | key   | the key is revoked  | 401    |
 
+  # Guards against a request that no thread reads, and that so gets neither an answer nor a refusal.
+  Scenario Outline: a request that waits for a thread gets status <status> if <change>
+    Given a node whose threads are all busy, where requests wait <wait> for a thread
+    And a caller that sends a plain request to the busy node
+    When the configuration changes so that <change>
+    And the threads become free <when> the request is answered
+    Then the waiting caller gets status <status>
+    And the request that waited has run <runs> times
+    And the log has the refusal of that request with code <code>
+
+    Examples: it is read under the configuration in force then, or refused without being run
+      | wait        | change                           | when   | status | runs | code |
+      | as usual    | the key is revoked               | after  | 503    | 0    | 1304 |
+      | as usual    | there are 350 more routes        | after  | 503    | 0    | 1304 |
+      | long enough | connections may be idle for 50 ms | before | 200   | 1    | none |
+      | long enough | the key is revoked               | before | 401    | 0    | 1102 |
+      | long enough | there are no routes              | before | 404    | 0    | 1004 |
+
   # Guards against calls to upstreams that drain, after their service has left the configuration.
   Scenario: pieces of a service that is no longer configured go to the upstreams that are ready
     Given a request that waits for its first stage
--- a/features/steps/configuration_changes_steps.py
+++ b/features/steps/configuration_changes_steps.py
@@ -4,10 +4,12 @@
 import json
 import threading
 import time
+from datetime import timedelta
 from unittest import mock
 
 from behave import given, then, when
 
+from chervilrack._internal.gateway import passthrough
 from chervilrack.platform.emulated.emulation import configuration
 from chervilrack.platform.emulated.standins import UpstreamStandIn
 
@@ -274,3 +276,64 @@
 @then("the answer states that the request may have run")
 def check_executed_unknown(context):
     assert json.loads(context.body)["executed"] == "unknown", context.body
+
+
+@given("a node whose threads are all busy, where requests wait {wait} for a thread")
+def occupy_threads(context, wait):
+    if wait == "long enough":
+        patch = mock.patch.object(passthrough, "MAX_THREAD_WAIT", timedelta(seconds=LIMIT_S))
+        patch.start()
+        context.add_cleanup(patch.stop)
+    pool = context.node._servers[0]._server.requests
+    pool.max = len(pool._threads)
+    context.gate = Gate()
+    context.add_cleanup(context.gate.opened.set)
+    for name in ("plain-1", "plain-2"):
+        context.gate.hold(context.upstreams[name], after_first_event=False)
+    context.busy_callers = [
+        Caller(context, "/order/1", f"busy-{number}", {}) for number in range(pool.max)
+    ]
+    wait_for(lambda: pool.idle == 0, "all threads are busy")
+
+
+@given("a caller that sends a plain request to the busy node")
+def send_to_busy_node(context):
+    context.waiting = Caller(context, "/order/1", "waiting", {})
+
+
+@when("the threads become free {moment} the request is answered")
+def free_threads(context, moment):
+    if moment == "after":
+        context.waiting.join()
+        assert not context.gate.opened.is_set()
+    context.gate.opened.set()
+    for caller in [context.waiting, *context.busy_callers]:
+        caller.join()
+    assert {caller.status for caller in context.busy_callers} == {200}
+
+
+@then("the waiting caller gets status {status:d}")
+def check_waiting_status(context, status):
+    assert context.waiting.status == status, (context.waiting.status, context.waiting.body)
+
+
+@then("the request that waited has run {count:d} times")
+def check_waiting_runs(context, count):
+    runs = [
+        run
+        for upstream in context.upstreams.values()
+        for run in upstream.seen
+        if run.headers["Chervilrack-Request-Id"] == "waiting"
+    ]
+    assert len(runs) == count, runs
+
+
+@then("the log has the refusal of that request with code {code}")
+def check_refusal_logged(context, code):
+    def codes():
+        entries = [json.loads(line) for line in context.log.getvalue().splitlines()]
+        lines = [entry for entry in entries if entry.get("request") == "waiting"]
+        return [str(entry.get("code", "none")) for entry in lines]
+
+    wait_for(codes, "the request's log line")
+    assert codes() == [code], codes()
