--- a/features/gateway/callers.feature
+++ b/features/gateway/callers.feature
@@ -16,15 +16,13 @@
       | in parts | before the answer      | gone         |
       | in parts | after the first part   | gone         |
 
-  # Guards against a request without an answer: an event of a connection that was closed meanwhile
-  # ended the request of the next connection with the same descriptor.
-  Scenario: the disconnect of one caller does not end the request of the next connection
-    Given a caller that disconnects as its request ends
-    When its descriptor is used again by a connection whose request is in progress
-    And the disconnect is handled only then
-    Then that connection's caller does not count as gone
-    When that connection's caller disconnects
-    Then it counts as gone
+  Scenario: a disconnect that is noticed late does not count for a later caller
+    # Guards against an executed request that gets no answer because an earlier caller left.
+    Given a watch of callers whose thread pauses after each event
+    When a caller disconnects and a later one gets its descriptor during the pause
+    Then the later caller does not count as gone
+    When the later caller disconnects
+    Then the later caller counts as gone
 
   # Guards against a connection that stays open although its request got no answer.
   Scenario: a connection whose request got no answer is closed
--- a/features/steps/caller_watch_steps.py
+++ b/features/steps/caller_watch_steps.py
@@ -1,8 +1,11 @@
 """Steps for callers that disconnect from a pass-through server."""
 
 import contextlib
+import os
+import select
 import socket
 import threading
+from unittest import mock
 
 from behave import given, then, when
 
@@ -101,83 +104,85 @@
     assert not context.handler.gone.is_set()
 
 
-@when("the handler ends without an answer")
-def end_without_answer(context):
-    context.handler.allowed_steps.release()
-    assert context.handler.ended.wait(LIMIT_S)
+class PausingPoller:
+    """epoll whose ``poll`` returns events only after ``resume`` was released once for each call.
 
+    ``paused`` is released when events have arrived, ``polling`` when ``poll`` begins.
+    """
 
-@then("the caller sees the end of the connection")
-def check_end(context):
-    assert context.caller.recv(1) == b""
-
-
-class HeldPoller:
-    """epoll whose events are returned only once ``proceed`` is set."""
-
-    def __init__(self, poller):
-        self._poller = poller
-        self.has_event = threading.Event()
-        self.proceed = threading.Event()
+    def __init__(self):
+        self._poller = create_epoll()
+        self.polling = threading.Semaphore(0)
+        self.paused = threading.Semaphore(0)
+        self.resume = threading.Semaphore(0)
 
     def __getattr__(self, name):
         return getattr(self._poller, name)
 
     def poll(self):
+        self.polling.release()
         events = self._poller.poll()
-        self.has_event.set()
-        assert self.proceed.wait(LIMIT_S)
+        self.paused.release()
+        assert self.resume.acquire(timeout=LIMIT_S)
         return events
 
 
-@given("a caller that disconnects as its request ends")
-def disconnect_at_end(context):
-    stack = contextlib.ExitStack()
-    context.add_cleanup(stack.close)
-    context.stack = stack
-    context.watch = CallerWatch()
-    context.poller = context.watch._poller = HeldPoller(context.watch._poller)
-    stack.enter_context(context.watch)
-    stack.callback(context.poller.proceed.set)
-    caller, connection = socket.socketpair()
-    with context.watch.watching(connection, lambda: None):
-        caller.close()
-        assert context.poller.has_event.wait(LIMIT_S)
-    context.descriptor = connection.fileno()
-    connection.close()
+create_epoll = select.epoll
 
 
-@when("its descriptor is used again by a connection whose request is in progress")
+@given("a watch of callers whose thread pauses after each event")
+def start_pausing_watch(context):
+    with mock.patch.object(select, "epoll", PausingPoller):
+        context.watch = CallerWatch()
+    context.poller = context.watch._poller
+    context.stack = contextlib.ExitStack()
+    context.add_cleanup(context.stack.close)
+    context.stack.enter_context(context.watch)
+    context.stack.callback(context.poller.resume.release, 4)
+    assert context.poller.polling.acquire(timeout=LIMIT_S)
+
+
+@when("a caller disconnects and a later one gets its descriptor during the pause")
 def reuse_descriptor(context):
-    pairs = []
-    while not pairs or context.descriptor not in [item.fileno() for item in pairs[-1]]:
-        pairs.append(socket.socketpair())
-    first, second = pairs.pop()
-    is_first = first.fileno() == context.descriptor
-    context.connection, context.next_caller = (first, second) if is_first else (second, first)
-    for sockets in [*pairs, (first, second)]:
-        for item in sockets:
-            context.stack.callback(item.close)
-    context.gone = threading.Event()
-    context.stack.enter_context(context.watch.watching(context.connection, context.gone.set))
+    earlier_gone, context.later_gone = threading.Event(), threading.Event()
+    connection, caller = socket.socketpair()
+    descriptor = connection.fileno()
+    with context.watch.watching(connection, earlier_gone.set):
+        caller.close()
+        assert context.poller.paused.acquire(timeout=LIMIT_S)
+    accepted, context.later_caller = socket.socketpair()
+    os.dup2(accepted.fileno(), descriptor)
+    accepted.close()
+    context.stack.enter_context(connection)
+    context.stack.enter_context(context.watch.watching(connection, context.later_gone.set))
+    context.poller.resume.release()
+    assert context.poller.polling.acquire(timeout=LIMIT_S)
+    assert not earlier_gone.is_set()
 
 
-@when("the disconnect is handled only then")
-def handle_disconnect(context):
-    context.poller.has_event.clear()
-    context.poller.proceed.set()
+@then("the later caller does not count as gone")
+def check_later_not_gone(context):
+    assert not context.later_gone.is_set()
 
 
-@then("that connection's caller does not count as gone")
-def check_next_not_gone(context):
-    assert not context.gone.wait(SETTLE_S)
+@when("the later caller disconnects")
+def disconnect_later_caller(context):
+    context.later_caller.close()
+    assert context.poller.paused.acquire(timeout=LIMIT_S)
+    context.poller.resume.release()
 
 
-@when("that connection's caller disconnects")
-def disconnect_next(context):
-    context.next_caller.close()
+@then("the later caller counts as gone")
+def check_later_gone(context):
+    assert context.later_gone.wait(LIMIT_S)
+
+
+@when("the handler ends without an answer")
+def end_without_answer(context):
+    context.handler.allowed_steps.release()
+    assert context.handler.ended.wait(LIMIT_S)
 
 
-@then("it counts as gone")
-def check_next_gone(context):
-    assert context.gone.wait(LIMIT_S)
+@then("the caller sees the end of the connection")
+def check_end(context):
+    assert context.caller.recv(1) == b""
--- a/features/steps/configuration_changes_steps.py
+++ b/features/steps/configuration_changes_steps.py
@@ -98,7 +98,7 @@
         if after_first_event:
             upstream._stream = self._stream
 
-    def _stream(self, request, response_headers, body):
+    def _stream(self, request, response_headers, body, free_slot):
         """Send the first event of a stream, and the others once the gate is open."""
         request.send_response(200)
         for name, value in [*response_headers, ("Content-Type", "text/event-stream")]:
@@ -111,6 +111,7 @@
             if number == 1:
                 self.reached.set()
                 assert self.opened.wait(LIMIT_S)
+        free_slot()
         request.wfile.write(b"0\r\n\r\n")
 
 
@@ -166,11 +167,14 @@
             upstream.behaviour = "fails"
     body = body_in_two_parts(context.gate) if place == "its body" else None
     if place == "a second attempt":
-        # Only the upstream that fails gets the first attempt.
-        context.upstreams["plain-2"].serve = type(context.upstreams["plain-2"]).serve.__get__(
-            context.upstreams["plain-2"]
-        )
+        # The upstream that fails gets the first attempt, and is not left before it has failed.
         prefer(context, "plain-1")
+        context.node._state._first_byte_times["plain"] = timedelta(seconds=5)
+    if place == "the next event":
+        # No other engine could go on with the stream.
+        context.store.remove("servers/engine-2")
+        catalogue = context.node._state.catalogue
+        wait_for(lambda: len(catalogue.ready_upstreams("engine")) == 1, "one engine is left")
     context.callers = [Caller(context, path, "waiting", fields, body)]
     wait_for(context.gate.reached.is_set, "the request waits")
 
@@ -227,6 +231,23 @@
     runs = [run for upstream in context.upstreams.values() for run in upstream.seen]
     assert len(runs) == count, runs
     assert all(run.headers["Chervilrack-Tenant"] == "bozi" for run in runs), runs
+    if context.place == "a second attempt":
+        check_retried_after_failure(context)
+
+
+def check_retried_after_failure(context):
+    """Check that the first upstream was left because it failed, not because it was silent."""
+
+    def steps():
+        entries = [json.loads(line) for line in context.log.getvalue().splitlines()]
+        return [step for entry in entries for step in entry.get("steps", ())]
+
+    wait_for(steps, "the request's log line")
+    assert [step.partition(" after")[0] for step in steps() if step.startswith("to")] == [
+        "to plain-1",
+        "to plain-2",
+    ], steps()
+    assert "failed: the upstream answered 500" in steps(), steps()
 
 
 @then("no request is in progress")
@@ -284,7 +305,7 @@
         patch = mock.patch.object(passthrough, "MAX_THREAD_WAIT", timedelta(seconds=LIMIT_S))
         patch.start()
         context.add_cleanup(patch.stop)
-    pool = context.node._servers[0]._server.requests
+    pool = context.node._caller_server._server.requests
     pool.max = len(pool._threads)
     context.gate = Gate()
     context.add_cleanup(context.gate.opened.set)
--- a/src/chervilrack/_internal/gateway/callers.py
+++ b/src/chervilrack/_internal/gateway/callers.py
@@ -10,8 +10,6 @@
 from types import TracebackType
 from typing import Self
 
-from chervilrack._internal.gateway.connections import has_caller_left
-
 
 class CallerWatch:
     """Runs a callback when a caller disconnects; use as a context manager.
@@ -77,8 +75,17 @@
                 if descriptor == self._stop_reader:
                     return
                 with self._lock:
-                    # The event may be that of an earlier connection with the same descriptor.
-                    is_gone = has_caller_left(descriptor)
-                    entry = self._callbacks.pop(descriptor, None) if is_gone else None
-                if entry is not None:
-                    entry[1]()
+                    entry = self._callbacks.get(descriptor)
+                    # The event may be one of an earlier connection with the same descriptor.
+                    if entry is None or not _is_disconnected(descriptor):
+                        continue
+                    del self._callbacks[descriptor]
+                entry[1]()
+
+
+def _is_disconnected(descriptor: int) -> bool:
+    """Whether the peer of the socket ``descriptor`` has closed its connection."""
+    poller = select.poll()
+    # poll always reports POLLHUP and POLLERR, too.
+    poller.register(descriptor, select.POLLRDHUP)
+    return bool(poller.poll(0))
