--- a/features/batching/queue.feature
+++ b/features/batching/queue.feature
@@ -377,3 +377,10 @@
       | with    | 6        | is called when the pause ends      |
       | with    | 1        | fails at once with 2 s to wait     |
       | without | 6        | fails at once with 2 s to wait     |
+
+  # Guards against orders that wait in vain at an owner that does not know their service.
+  Scenario: a node returns the pieces of a service that its configuration does not have
+    Given a node whose orders go to owner b
+    And that node knows no services
+    When owner b orders pieces 0, 1 from that node
+    Then that node returns pieces 0, 1 to owner b
--- a/features/steps/caller_watch_steps.py
+++ b/features/steps/caller_watch_steps.py
@@ -26,6 +26,7 @@
 
     def __init__(self, is_whole):
         self._is_whole = is_whole
+        self.is_silent = False
         self.step_count = 1 if is_whole else 3
         self.allowed_steps = threading.Semaphore(0)
         self.gone = threading.Event()
@@ -40,6 +41,8 @@
         self.ended.set()
 
     def _answer(self, responder):
+        if self.is_silent:
+            return []
         if self._is_whole:
             return [lambda: responder.send_response(200, [], b"whole")]
         return [lambda: responder.begin(200, []), lambda: responder.write(b"part"), responder.end]
@@ -50,6 +53,7 @@
     stack = contextlib.ExitStack()
     context.add_cleanup(stack.close)
     context.handler = Handler(answer == "whole")
+    context.handler.is_silent = answer == "nothing"
     (port,) = free_ports(1)
     settings = ListenSettings("127.0.0.1", port)
     watch = stack.enter_context(CallerWatch())
@@ -171,3 +175,14 @@
 @then("the later caller counts as gone")
 def check_later_gone(context):
     assert context.later_gone.wait(LIMIT_S)
+
+
+@when("the handler ends without an answer")
+def end_without_answer(context):
+    context.handler.allowed_steps.release()
+    assert context.handler.ended.wait(LIMIT_S)
+
+
+@then("the caller sees the end of the connection")
+def check_end(context):
+    assert context.caller.recv(1) == b""
--- a/src/chervilrack/_internal/serving/node.py
+++ b/src/chervilrack/_internal/serving/node.py
@@ -250,6 +250,7 @@
             self._clock,
             self._caller_watch,
             lambda: self._closes_connections,
+            self._refuse_overload,
         )
 
     def _make_management_servers(self) -> list[PassThroughServer]:
@@ -269,12 +270,18 @@
         return servers
 
     def _apply_caller_limits(self, limits: CallerLimits) -> None:
-        self._caller_server.set_limits(limits.max_headers, limits.max_body, limits.idle_timeout)
+        self._caller_server.set_limits(
+            limits.max_headers, limits.max_body, limits.header_timeout, limits.idle_timeout
+        )
 
     def _handle_request(self, request: InboundRequest, responder: Responder) -> None:
         with self._state.answering():
             self._forwarder.handle(request, responder)
 
+    def _refuse_overload(self, request: InboundRequest, responder: Responder) -> None:
+        with self._state.answering():
+            self._forwarder.refuse_overload(request, responder)
+
     def _answer_management(self, request: InboundRequest, responder: Responder) -> None:
         if request.path == self._dialect.readiness_path:
             responder.send_response(200 if self.is_ready else 503, [], b"")
