Do not call a request malformed because its node stops reading

Callers of a node that was stopped in calm got status 400 ("the body is shorter than Content-Length", "a chunk's first line has no end") for proper requests whose body was still on its way, and callers do not send a request again after 400.

Cause: at the end of a stop cheroot's thread pool shuts down the connections that its threads read. The reader sees the end of the connection within the request, which is indistinguishable from a caller that stopped sending. Ruled out: mistakes of the soak's callers (the same requests are served at other times; 400 came only within the last 0.3 s of a process). Change: once the server stops, what would be MALFORMED_REQUEST is refused as NOT_READY (503, not executed). A request may be malformed by itself at that time; it has not run either.

--- a/src/chervilrack/_internal/gateway/passthrough.py
+++ b/src/chervilrack/_internal/gateway/passthrough.py
@@ -87,8 +87,7 @@
 
     def simple_response(self, status: Any, msg: str = "") -> None:
         """Answer a request that cannot be parsed with a problem and close the connection."""
-        number = int(str(status)[:3])
-        code = self._result_code(number)
+        code = self.server.result_code(self._result_code(int(str(status)[:3])))
         status_number, headers, body = problem_response(Problem(code, msg or code.title), None)
         self.close_connection = True
         responder = ConnectionResponder(self, None)
@@ -194,7 +193,8 @@
             self._refuse(responder, ResultCode.BODY_TOO_LARGE, str(error))
             return
         except ValueError as error:
-            self._refuse(responder, ResultCode.MALFORMED_REQUEST, str(error))
+            code = server.result_code(ResultCode.MALFORMED_REQUEST)
+            self._refuse(responder, code, str(error))
             return
         inbound = InboundRequest(
             method=request.method.decode("latin-1"),
@@ -265,6 +265,16 @@
             pool.grow(THREADS_PER_GROWTH)
         super().process_conn(conn)
 
+    def result_code(self, code: ResultCode) -> ResultCode:
+        """Return the code of a refusal: a request may be malformed because the server stops.
+
+        A stop ends the reading of requests that are not complete.
+        """
+        has_stopped = not self.ready
+        return (
+            ResultCode.NOT_READY if has_stopped and code is ResultCode.MALFORMED_REQUEST else code
+        )
+
     def error_log(self, msg: str = "", level: int = 20, traceback: bool = False) -> None:
         """Log through the module's logger."""
         logger.log(max(level, logging.INFO), "gateway: %s", msg, exc_info=traceback)
