--- a/features/soak/soak.feature
+++ b/features/soak/soak.feature
@@ -21,6 +21,21 @@
       | no request served after the last fault       | recovery          |
       | more repeats than the budget allows          | retry budget      |
       | a node that ended by itself                  | exits             |
+      | an answer that another upstream signed       | whole answers     |
+      | an answer that nobody signed                 | whole answers     |
+      | a request that is called malformed           | proper requests   |
+      | a valid key that is refused                  | proper requests   |
+      | an order that ran and whose connection was closed        | no lost requests |
+      | an order that ran and whose connection was reset         | no lost requests |
+      | a connection that was closed long after the request was read | no lost requests |
+      | a request that got no answer                             | no lost requests |
+      | an answer that was cut off in a stop of its node         | no lost requests |
+      | an answer that was cut off in a stop of another node     | no lost requests |
+      | a plain answer that was cut off while its upstream failed | no lost requests |
+      | a stream that was cut off while another upstream failed  | no lost requests |
+      | a request cut off before its timeout after a change of the configuration | no lost requests |
+      | a request at an upstream that said long ago that it leaves | leaving upstreams |
+      | three requests at an upstream that holds off             | upstreams that hold off |
 
   Scenario Outline: evidence of <event> breaks no promise
     Given evidence of a soak without violations
@@ -29,14 +44,38 @@
 
     Examples:
       | event                                    |
-      | a stream that breaks off visibly         |
+      | a stream that its upstream breaks off    |
       | a read that ran twice                    |
       | a run with a key that was just replaced  |
       | a refusal while a fault lasts            |
+      | a refusal of a key that was replaced     |
+      | a request that crosses the close of its connection         |
+      | a request that was read just before the close of its connection |
+      | a request that nobody read                                 |
+      | a request that was not sent                                |
+      | a request that was cut off when its node was killed        |
+      | a request that was cut off at its deadline                 |
+      | a request cut off at its timeout after a change of the configuration |
+      | an early request that was at work at the end of a stop     |
+      | a request at an upstream that started again                |
+      | a request from a node that has started again               |
+      | a request from a node that was not told                    |
+      | a request at an upstream that said just now that it leaves |
+      | two late requests at an upstream that holds off            |
+      | requests at an upstream that no longer holds off           |
 
-  Scenario: the plan of a seed is reproducible and has no faults in the quiet time
-    Then two 30 s plans with seed 5 are equal, differ from seed 6 and leave the quiet time free
-    And every kind of fault occurs in the plan of some seed and has an injector
+  Scenario Outline: the <plan> plan of a seed is reproducible and has no faults at its end
+    Then two 30 s <plan> plans with seed 5 are equal, differ from seed 6 and leave the end free
+
+    Examples:
+      | plan    |
+      | mixed   |
+      | planned |
+      | calm    |
+
+  Scenario: no fault of the plan is without effect
+    Then every kind of fault occurs in the plan of some seed and has an injector
+    And every behaviour of the plan is one that the emulated upstreams have
 
   Scenario Outline: a link that is <mode> passes <forward> and <back>
     Given a proxied connection to an echo server
@@ -53,6 +92,18 @@
       | silent      | nothing | nothing |
       | reset       | nothing | nothing |
 
+  Scenario Outline: a proxy tells that a server <what> before it closed
+    A close that crosses a request loses nothing. One after the request was read does.
+
+    Given a proxied connection to a server that <what> and closes
+    Then the proxy says that the bytes were <read>
+
+    Examples:
+      | what                    | read   |
+      | reads all bytes         | read   |
+      | reads some bytes        | unread |
+      | ends the connection before bytes come | unread |
+
   Scenario: a node that gets SIGTERM right after a pause begins to leave
     A signal that is delivered to another thread than the main thread must be handled at once, and
     not only when the next signal arrives.
@@ -69,11 +120,11 @@
     When each node is killed, restarted and sent SIGHUP as soon as it blocks SIGHUP
     Then no node had logged anything before SIGHUP, and each is running 1 s later
 
-  Scenario Outline: all promises hold with seed <seed> and <kinds>
-    When a soak of 22 s runs with seed <seed> and <kinds>
+  Scenario Outline: all promises hold in a <plan> soak with seed <seed>
+    When a <plan> soak of <duration> s runs with seed <seed> and <callers> callers
     Then no promise is broken
     And faults were injected and requests of every kind were served
 
     Examples:
-      | seed | kinds      |
-      | 1    | all faults |
+      | plan    | duration | seed | callers |
+      | mixed   | 22       | 1    | 4       |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -12,27 +12,41 @@
 
 from behave import given, then, when
 
-from chervilrack._internal.soak import checks
+from chervilrack._internal.soak import checks, losses, notices
 from chervilrack._internal.soak.bed import SoakBed, SoakSize
 from chervilrack._internal.soak.injection import injectors
-from chervilrack._internal.soak.plan import QUIET_S, Targets, draw_plan, fault_kinds
+from chervilrack._internal.soak.plan import BEHAVIOURS, NOTICES, Targets, fault_kinds, plans
 from chervilrack._internal.soak.proxy import DELAY_S, LinkMode, LinkProxy
-from chervilrack._internal.soak.records import Attempt, Ending, Evidence, KeyRemoval, Kind, Run
+from chervilrack._internal.soak.records import (
+    RECOVERY_S,
+    Arrival,
+    Attempt,
+    Disruption,
+    Ending,
+    Evidence,
+    KeyRemoval,
+    Kind,
+    Notice,
+    NoticeKind,
+    Run,
+)
 from chervilrack._internal.soak.run import run_soak
+from chervilrack.platform.emulated.behaviours import behaviours
 from chervilrack.platform.emulated.emulation import PlatformEmulation
 
 TIMEOUT_S = 10.0
+# Upstreams of the short soaks answer before a node asks another upstream as well.
+CI_LONGEST_WORK_S = 1.5
 # How long a test waits for bytes that must not arrive.
 ABSENCE_WAIT_S = 0.3
 FAULTS_ENDED_AT = 100.0
-AFTER_RECOVERY = FAULTS_ENDED_AT + checks.RECOVER_S + 1.0
+AFTER_RECOVERY = FAULTS_ENDED_AT + RECOVERY_S + 1.0
 TARGETS = Targets(["n0", "n1", "n2"], ["plain-1", "plain-2", "engine-1"])
 
 
 def successful_attempt(name, kind, started_at, **fields):
-    result = Attempt(
-        name, kind, "n0", started_at, started_at + 0.1, Ending.ANSWERED, 200, key="key-1"
-    )
+    times = (started_at, started_at + 0.1)
+    result = Attempt(name, kind, "n0", *times, Ending.ANSWERED, 200, key="key-1", signer="u")
     result = dataclasses.replace(result, body=checks.expected_body(result))
     return dataclasses.replace(result, **fields)
 
@@ -67,6 +81,33 @@
         add_request(evidence, f"x{number}", Kind.READ, runs=2)
 
 
+def add_failure(
+    evidence, ending, duration, *, reached=False, read=True, disruption=None, kind=Kind.ORDER
+):
+    """Add a request that was sent at 50.0 and failed ``duration`` seconds later."""
+    attempt = Attempt("x", kind, "n0", 50.0, 50.0 + duration, ending, key="key-1", sent_at=50.0)
+    evidence.attempts.append(dataclasses.replace(attempt, was_read=read))
+    if reached or kind is Kind.STREAM:
+        evidence.arrivals.append(Arrival("x", "u", 50.01))
+        evidence.runs.append(Run("x", "u", 50.01, kind))
+    if disruption is not None:
+        evidence.disruptions.append(Disruption(*disruption))
+
+
+def add_notice(evidence, kind, delays, *, until=60.0, node="n0", disruption=None):
+    """Add a notice that is answered at 50.0, and requests ``delays`` seconds later."""
+    evidence.attempts.append(successful_attempt("told", Kind.READ, 49.9, ended_at=50.0))
+    evidence.runs.append(Run("told", "u", 49.9, Kind.READ))
+    evidence.notices.append(Notice(kind, "told", "u", 50.0, until))
+    for number, delay in enumerate(delays):
+        name, at = f"later-{number}", 50.0 + delay
+        evidence.attempts.append(successful_attempt(name, Kind.READ, at, node=node))
+        evidence.runs.append(Run(name, "u", at + 0.01, Kind.READ))
+        evidence.arrivals.append(Arrival(name, "u", at + 0.01))
+    if disruption is not None:
+        evidence.disruptions.append(Disruption(*disruption))
+
+
 EVENTS = {
     "an answer that belongs to another request": lambda e: add_request(
         e, "x", Kind.ORDER, body=b"answer to y"
@@ -91,8 +132,93 @@
     "no request served after the last fault": remove_requests_after_recovery,
     "more repeats than the budget allows": add_repeats_above_budget,
     "a node that ended by itself": lambda e: e.exit_problems.append("n1 ended by itself"),
-    "a stream that breaks off visibly": lambda e: add_request(
-        e, "x", Kind.STREAM, ending=Ending.CUT_OFF, body=b"id: 1"
+    "an answer that another upstream signed": lambda e: add_request(e, "x", Kind.READ, signer="v"),
+    "an answer that nobody signed": lambda e: add_request(e, "x", Kind.READ, signer=""),
+    "a request that is called malformed": lambda e: add_request(
+        e, "x", Kind.ORDER, runs=0, status=400, body=b""
+    ),
+    "a valid key that is refused": lambda e: add_request(
+        e, "x", Kind.ORDER, runs=0, status=401, body=b""
+    ),
+    "a refusal of a key that was replaced": lambda e: add_request(
+        e, "x", Kind.ORDER, runs=0, status=401, body=b"", key="key-old"
+    ),
+    "an order that ran and whose connection was closed": lambda e: add_failure(
+        e, Ending.CLOSED, 0.1, reached=True
+    ),
+    "an order that ran and whose connection was reset": lambda e: add_failure(
+        e, Ending.RESET, 0.1, reached=True
+    ),
+    "a connection that was closed long after the request was read": lambda e: add_failure(
+        e, Ending.CLOSED, losses.LOSS_SLACK_S + 0.1
+    ),
+    "a request that got no answer": lambda e: add_failure(e, Ending.TIMED_OUT, 6.0),
+    "an answer that was cut off in a stop of its node": lambda e: add_failure(
+        e, Ending.CUT_OFF, 1.0, disruption=("stop node", "n0", 47.0, 55.0)
+    ),
+    "an answer that was cut off in a stop of another node": lambda e: add_failure(
+        e, Ending.CUT_OFF, 1.0, disruption=("kill node", "n1", 49.0, 51.0)
+    ),
+    "a plain answer that was cut off while its upstream failed": lambda e: add_failure(
+        e, Ending.CUT_OFF, 1.0, reached=True, disruption=("upstream behaviour", "u", 49.0, 51.0)
+    ),
+    "a stream that was cut off while another upstream failed": lambda e: add_failure(
+        e, Ending.CUT_OFF, 1.0, disruption=("upstream behaviour", "v", 49.0, 51.0), kind=Kind.STREAM
+    ),
+    "a request cut off before its timeout after a change of the configuration": lambda e: (
+        add_failure(e, Ending.CLOSED, 2.5, disruption=("configuration", "x", 49.0, 50.5))
+    ),
+    "a request at an upstream that said long ago that it leaves": lambda e: add_notice(
+        e, NoticeKind.LEAVING, [notices.DRAIN_S + 0.3]
+    ),
+    "three requests at an upstream that holds off": lambda e: add_notice(
+        e, NoticeKind.HOLD_OFF, [0.6, 0.7, 0.8]
+    ),
+    "a stream that its upstream breaks off": lambda e: add_failure(
+        e,
+        Ending.CUT_OFF,
+        1.0,
+        reached=True,
+        disruption=("upstream behaviour", "u", 49.0, 51.0),
+        kind=Kind.STREAM,
+    ),
+    "a request that crosses the close of its connection": lambda e: add_failure(
+        e, Ending.CLOSED, losses.LOSS_SLACK_S + 0.1, read=False
+    ),
+    "a request that was read just before the close of its connection": lambda e: add_failure(
+        e, Ending.CLOSED, losses.LOSS_SLACK_S - 0.1
+    ),
+    "a request that nobody read": lambda e: add_failure(e, Ending.RESET, 2.0),
+    "a request that was not sent": lambda e: add_failure(e, Ending.NOT_SENT, 0.0),
+    "a request that was cut off when its node was killed": lambda e: add_failure(
+        e, Ending.CLOSED, 1.0, reached=True, disruption=("kill node", "n0", 48.0, 49.0)
+    ),
+    "a request that was cut off at its deadline": lambda e: add_failure(
+        e, Ending.CLOSED, losses.DEADLINE_S, reached=True
+    ),
+    "a request cut off at its timeout after a change of the configuration": lambda e: add_failure(
+        e, Ending.CLOSED, 3.1, disruption=("configuration", "x", 49.0, 50.5)
+    ),
+    "an early request that was at work at the end of a stop": lambda e: add_failure(
+        e, Ending.CLOSED, 3.9, reached=True, disruption=("stop node", "n0", 47.1, 55.0)
+    ),
+    "a request at an upstream that started again": lambda e: add_notice(
+        e, NoticeKind.LEAVING, [notices.DRAIN_S + 0.3], until=51.0
+    ),
+    "a request from a node that has started again": lambda e: add_notice(
+        e, NoticeKind.LEAVING, [notices.DRAIN_S + 0.3], disruption=("kill node", "n0", 50.5, 51.0)
+    ),
+    "a request from a node that was not told": lambda e: add_notice(
+        e, NoticeKind.LEAVING, [notices.DRAIN_S + 0.3], node="n1"
+    ),
+    "a request at an upstream that said just now that it leaves": lambda e: add_notice(
+        e, NoticeKind.LEAVING, [notices.DRAIN_S - 0.3]
+    ),
+    "two late requests at an upstream that holds off": lambda e: add_notice(
+        e, NoticeKind.HOLD_OFF, [0.1, 0.6, 0.7]
+    ),
+    "requests at an upstream that no longer holds off": lambda e: add_notice(
+        e, NoticeKind.HOLD_OFF, [2.1, 2.2, 2.3], until=52.0
     ),
     "a read that ran twice": lambda e: add_request(e, "x", Kind.READ, runs=2),
     "a run with a key that was just replaced": lambda e: add_request(
@@ -121,21 +247,29 @@
     assert broken == {promise}, broken
 
 
-@then("two 30 s plans with seed 5 are equal, differ from seed 6 and leave the quiet time free")
-def same_plan(context):
-    first, repeated, other = (draw_plan(seed, 30.0, TARGETS) for seed in (5, 5, 6))
+@then("two 30 s {name} plans with seed 5 are equal, differ from seed 6 and leave the end free")
+def same_plan(context, name):
+    first, repeated, other = (plans.get(name)(seed, 30.0, TARGETS) for seed in (5, 5, 6))
     assert first == repeated
     assert first != other
-    assert first
-    assert all(fault.start + fault.duration <= 30.0 - QUIET_S for fault in first)
+    assert first.faults
+    assert all(fault.start + fault.duration <= 30.0 - first.recovery for fault in first.faults)
 
 
 @then("every kind of fault occurs in the plan of some seed and has an injector")
 def all_kinds(context):
-    drawn = {fault.kind for seed in range(20) for fault in draw_plan(seed, 40.0, TARGETS)}
+    draw = plans.get("mixed")
+    drawn = {fault.kind for seed in range(20) for fault in draw(seed, 40.0, TARGETS).faults}
     assert drawn == set(fault_kinds.names) == set(injectors.names), drawn
 
 
+@then("every behaviour of the plan is one that the emulated upstreams have")
+def all_behaviours(context):
+    names = {name.removesuffix(":") for name in (*BEHAVIOURS, *NOTICES)}
+    rejecting = {"full", "hold off"}
+    assert names - rejecting == names & set(behaviours.names), names ^ set(behaviours.names)
+
+
 class EchoServer:
     """Sends received bytes back; ``arrived`` is set once bytes have arrived."""
 
@@ -210,13 +344,47 @@
     assert exchange(connect(context), TIMEOUT_S)
 
 
-@when("a soak of {duration:d} s runs with seed {seed:d} and {kinds}")
-def run_short_soak(context, duration, seed, kinds):
-    chosen = () if kinds == "all faults" else tuple(kinds.split(", "))
+BYTES_READ = {
+    "reads all bytes": 2,
+    "reads some bytes": 1,
+    "ends the connection before bytes come": 0,
+}
+
+
+@given("a proxied connection to a server that {what} and closes")
+def connect_to_closing_server(context, what):
+    listener = socket.create_server(("127.0.0.1", 0))
+    context.add_cleanup(listener.close)
+    context.link = LinkProxy(("127.0.0.1", 0), listener.getsockname()[:2])
+    context.link.__enter__()
+    context.add_cleanup(context.link.__exit__, None, None, None)
+    context.client = connect(context)
+    with listener.accept()[0] as server:
+        if BYTES_READ[what]:
+            context.client.sendall(b"ab")
+            while len(server.recv(2, socket.MSG_PEEK)) < 2:
+                time.sleep(0.01)
+            server.recv(BYTES_READ[what])
+    if not BYTES_READ[what]:
+        assert context.client.recv(1) == b""
+        context.client.sendall(b"ab")
+
+
+@then("the proxy says that the bytes were {state}")
+def proxy_knows_reading(context, state):
+    port = context.client.getsockname()[1]
+    with contextlib.suppress(ConnectionResetError):
+        context.client.recv(1)
+    context.client.close()
+    assert context.link.was_read(port, TIMEOUT_S) == (state == "read")
+
+
+@when("a {plan} soak of {duration:d} s runs with seed {seed:d} and {callers:d} callers")
+def run_short_soak(context, plan, duration, seed, callers):
     with tempfile.TemporaryDirectory() as folder:
-        size = SoakSize(nodes=3, callers=4)
+        size = SoakSize(nodes=3, callers=callers, longest_work=CI_LONGEST_WORK_S)
         emulation = PlatformEmulation()
-        result = run_soak(emulation, Path(folder), seed, float(duration), size, chosen)
+        result = run_soak(emulation, Path(folder), seed, float(duration), size, plan)
     context.evidence = result.evidence
 
 
--- a/src/chervilrack/_internal/commands/soak.py
+++ b/src/chervilrack/_internal/commands/soak.py
@@ -10,7 +10,7 @@
 
 from chervilrack._internal.cli.status_codes import ExitStatus
 from chervilrack._internal.soak.bed import SoakSize
-from chervilrack._internal.soak.plan import QUIET_S, fault_kinds
+from chervilrack._internal.soak.plan import QUIET_S, fault_kinds, plans
 from chervilrack._internal.soak.run import SoakResult, run_soak
 
 MAX_PRINTED_VIOLATIONS = 10
@@ -38,6 +38,21 @@
 )
 @click.option("--nodes", type=click.IntRange(1, 200), default=4, show_default=True)
 @click.option("--callers", type=click.IntRange(1, 200), default=8, show_default=True)
+@click.option(
+    "--longest-work",
+    type=click.FloatRange(0.6, 3.0),
+    default=2.5,
+    show_default=True,
+    help="Longest time in seconds that an upstream works on a request.",
+)
+@click.option(
+    "--plan",
+    "plan_name",
+    type=click.Choice(plans.names),
+    default="mixed",
+    show_default=True,
+    help="All kinds of faults, only planned work, or single stops of nodes with nothing else.",
+)
 @click.option(
     "--kind",
     "kinds",
@@ -56,6 +71,8 @@
     duration: float,
     nodes: int,
     callers: int,
+    longest_work: float,
+    plan_name: str,
     kinds: tuple[str, ...],
     folder: Path | None,
 ) -> int:
@@ -70,7 +87,8 @@
         with tempfile.TemporaryDirectory() as scratch:
             run_folder = Path(scratch) if folder is None else folder / str(run_seed)
             run_folder.mkdir(parents=True, exist_ok=True)
-            result = _run_one(run_folder, run_seed, duration, SoakSize(nodes, callers), kinds)
+            size = SoakSize(nodes, callers, longest_work)
+            result = _run_one(run_folder, run_seed, duration, size, plan_name, kinds)
         failed_soaks += bool(result.violations)
         _print_result(result)
     return ExitStatus.FAILED if failed_soaks else ExitStatus.SUCCESS
@@ -84,11 +102,16 @@
 
 
 def _run_one(
-    folder: Path, seed: int, duration: float, size: SoakSize, kinds: tuple[str, ...]
+    folder: Path,
+    seed: int,
+    duration: float,
+    size: SoakSize,
+    plan_name: str,
+    kinds: tuple[str, ...],
 ) -> SoakResult:
     from chervilrack.platform.emulated.emulation import PlatformEmulation
 
-    return run_soak(PlatformEmulation(), folder, seed, duration, size, kinds)
+    return run_soak(PlatformEmulation(), folder, seed, duration, size, plan_name, kinds)
 
 
 def _print_result(result: SoakResult) -> None:
--- a/src/chervilrack/_internal/soak/bed.py
+++ b/src/chervilrack/_internal/soak/bed.py
@@ -1,6 +1,7 @@
 """Test bed of a soak: node processes, an emulated platform and proxies between them."""
 
 import contextlib
+import dataclasses
 import os
 import random
 import threading
@@ -8,14 +9,20 @@
 from dataclasses import dataclass
 from pathlib import Path
 from types import TracebackType
-from typing import Self
+from typing import Any, Self
 
 from chervilrack._internal.soak.callers import LOOKUP_TIMEOUT_S, Caller, CallerKeys
 from chervilrack._internal.soak.emulation import Emulation
 from chervilrack._internal.soak.plan import Targets
 from chervilrack._internal.soak.processes import NodeProcess
 from chervilrack._internal.soak.proxy import LinkProxy
-from chervilrack._internal.soak.records import Attempt, Evidence, KeyRemoval
+from chervilrack._internal.soak.records import (
+    Attempt,
+    Configuration,
+    Disruption,
+    Evidence,
+    KeyRemoval,
+)
 
 KEY_COUNT = 12
 READY_TIMEOUT_S = 20.0
@@ -23,10 +30,14 @@
 
 @dataclass(frozen=True, slots=True)
 class SoakSize:
-    """Numbers of node processes and of callers in a soak."""
+    """Numbers of node processes and of callers, and longest time of a request at its upstream.
+
+    Times are in seconds.
+    """
 
     nodes: int = 4
     callers: int = 8
+    longest_work: float = 2.5
 
 
 class SoakBed:
@@ -47,7 +58,10 @@
         # Concurrent soaks use different loopback subnets, chosen by process id.
         self._subnet = f"{1 + os.getpid() // 250 % 100}.{1 + os.getpid() % 250}"
         self._callers: list[Caller] = []
+        self._hosts: dict[str, str] = {}
         self._exit_stack = contextlib.ExitStack()
+        self._configuration = Configuration(tuple(self.keys.valid))
+        self._settings_revision = 0
         self._lock = threading.Lock()
 
     @property
@@ -69,6 +83,12 @@
     ) -> None:
         self._exit_stack.close()
 
+    @property
+    def _addresses(self) -> dict[str, str]:
+        """Addresses for callers, by node."""
+        port = self.emulation.callers_port
+        return {name: f"{host}:{port}" for name, host in self._hosts.items()}
+
     def host(self, number: int) -> str:
         """Return the loopback address of the node with this number."""
         return f"127.{self._subnet}.{number + 1}"
@@ -79,23 +99,42 @@
             with self._lock:
                 self.evidence.exit_problems.append(text)
 
+    def record_disruption(self, kind: str, target: str, started_at: float) -> None:
+        """Record that a fault which began at ``started_at`` has ended."""
+        address = self._addresses.get(target, target)
+        with self._lock:
+            disruption = Disruption(kind, address, started_at, time.monotonic())
+            self.evidence.disruptions.append(disruption)
+
     def replace_key(self) -> None:
         """Replace one API key and write the configuration without the old key to the store."""
         with self._lock:
-            removed_key = self.keys.replace(self._rng)
-            self.emulation.configure(self.keys.valid)
-            self.evidence.key_removals.append(KeyRemoval(removed_key, time.monotonic()))
+            removed_key, new_key = self.keys.replace(self._rng)
+            self._configure(keys=tuple(self.keys.valid))
+            self.evidence.key_removals.append(KeyRemoval(removed_key, time.monotonic(), new_key))
+
+    def change_configuration(self, **changes: Any) -> None:
+        """Write a configuration with changed fields of ``Configuration`` to the store."""
+        with self._lock:
+            self._configure(**changes)
+
+    def change_settings(self, name: str) -> None:
+        """Write a changed settings file of a node."""
+        with self._lock:
+            self._settings_revision += 1
+            self._write_settings(name, self._settings_revision)
 
     def start_callers(self) -> None:
         """Start the callers, which send requests until they are stopped."""
         hosts = [self.host(number) for number in range(self._size.nodes)]
         port = self.emulation.callers_port
-        proxies = {
-            f"{self.host(number)}:{port}": _endpoint(self.caller_links[name].address)
+        links = {
+            f"{self.host(number)}:{port}": self.caller_links[name]
             for number, name in enumerate(self.nodes)
         }
+        longest_work = self._size.longest_work
         self._callers = [
-            Caller(number, self._seed, self.emulation, hosts, proxies, self.keys)
+            Caller(number, self._seed, self.emulation, hosts, links, self.keys, longest_work)
             for number in range(self._size.callers)
         ]
         for caller in self._callers:
@@ -115,7 +154,7 @@
             link = stack.enter_context(LinkProxy(("127.0.0.1", 0), address))
             self.upstream_links[name] = link
             self.emulation.register(name, link.address)
-        self.emulation.configure(self.keys.valid)
+        self.emulation.configure(self._configuration)
         for number in range(self._size.nodes):
             self._add_node(stack, number)
         self._await_all_nodes()
@@ -126,12 +165,25 @@
         store_link = enter(LinkProxy(("127.0.0.1", 0), self.emulation.store_address))
         caller_link = enter(LinkProxy(("127.0.0.1", 0), (host, self.emulation.callers_port)))
         self.store_links[name], self.caller_links[name] = store_link, caller_link
-        file = self._folder / f"{name}.yaml"
-        self.emulation.write_settings(file, name, host, store_link.address)
+        self._hosts[name] = host
+        self._write_settings(name, 0)
+        file = self._settings_file(name)
         settings_variable = self.emulation.settings_variable
         node = NodeProcess(name, self.emulation.node_command, file, settings_variable)
         self.nodes[name] = enter(node)
 
+    def _settings_file(self, name: str) -> Path:
+        return self._folder / f"{name}.yaml"
+
+    def _write_settings(self, name: str, revision: int) -> None:
+        store = self.store_links[name].address
+        file = self._settings_file(name)
+        self.emulation.write_settings(file, name, self._hosts[name], store, revision)
+
+    def _configure(self, **changes: Any) -> None:
+        self._configuration = dataclasses.replace(self._configuration, **changes)
+        self.emulation.configure(self._configuration)
+
     def _await_all_nodes(self) -> None:
         """Wait until the look-up of each node returns the addresses of all nodes."""
         deadline = time.monotonic() + READY_TIMEOUT_S
@@ -146,8 +198,3 @@
             return self.emulation.look_up(self.host(number), LOOKUP_TIMEOUT_S)
         except (OSError, ValueError):
             return []
-
-
-def _endpoint(address: str) -> tuple[str, int]:
-    host, _, port = address.rpartition(":")
-    return host, int(port)
--- a/src/chervilrack/_internal/soak/callers.py
+++ b/src/chervilrack/_internal/soak/callers.py
@@ -5,13 +5,17 @@
 import random
 import threading
 import time
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterator, Mapping, Sequence
+from dataclasses import dataclass
 
-from chervilrack._internal.soak.checks import DEADLINE_S
 from chervilrack._internal.soak.emulation import Emulation
+from chervilrack._internal.soak.losses import DEADLINE_S
+from chervilrack._internal.soak.proxy import LinkProxy
 from chervilrack._internal.soak.records import Attempt, Ending, Kind
 
 LOOKUP_TIMEOUT_S = 0.5
+# Time for a proxy to see that a caller has closed its connection.
+LINK_TIMEOUT_S = 5.0
 # Callers cache the result of a look-up for this time and reuse connections that were idle for less.
 LOOKUP_TTL_S = 2.0
 # Callers wait longer than the deadline in their requests, so that a node can report that it passed.
@@ -19,6 +23,31 @@
 MEAN_REQUEST_PAUSE_S = 0.08
 # Probability that a request uses a removed key, once a key has been removed.
 REMOVED_KEY_PROBABILITY = 0.1
+# Probabilities and bounds of the time that an upstream needs for a request, in seconds; the last
+# ones go on to the longest time of a soak.
+WORK_S = ((0.5, 0.0, 0.04), (0.3, 0.1, 0.6), (0.2, 0.6, None))
+
+
+@dataclass(frozen=True, slots=True)
+class CallerStyle:
+    """How a caller uses its connections.
+
+    A caller that ``keeps_node`` sends all requests to one node over one connection, and connects
+    to it again, until the node accepts no connection or a request fails. Pauses are between
+    requests, in seconds. ``sends_slowly`` sends bodies in parts after the header fields.
+    """
+
+    keeps_node: bool
+    pauses: tuple[float, float] = (0.0, 0.0)
+    sends_slowly: bool = False
+
+
+STYLES = (
+    CallerStyle(keeps_node=False, pauses=(0.0, 2 * MEAN_REQUEST_PAUSE_S)),
+    CallerStyle(keeps_node=True),
+    CallerStyle(keeps_node=True, pauses=(0.3, 1.6)),
+    CallerStyle(keeps_node=True, pauses=(0.0, 0.05), sends_slowly=True),
+)
 
 
 class CallerKeys:
@@ -40,12 +69,12 @@
             return rng.choice(self._removed)
         return rng.choice(self._valid)
 
-    def replace(self, rng: random.Random) -> str:
-        """Replace a random valid key by a new key and return the removed key."""
+    def replace(self, rng: random.Random) -> tuple[str, str]:
+        """Replace a random valid key by a new key and return the removed key and the new one."""
         index = rng.randrange(len(self._valid))
         removed_key, self._valid[index] = self._valid[index], self._next_key()
         self._removed.append(removed_key)
-        return removed_key
+        return removed_key, self._valid[index]
 
     def _next_key(self) -> str:
         return f"key-{next(self._numbers)}"
@@ -60,17 +89,21 @@
         seed: int,
         emulation: Emulation,
         hosts: Sequence[str],
-        proxies: Mapping[str, tuple[str, int]],
+        links: Mapping[str, LinkProxy],
         keys: CallerKeys,
+        longest_work: float,
     ) -> None:
         super().__init__(name=f"caller-{number}", daemon=True)
         self.attempts: list[Attempt] = []
         self._number = number
+        self._style = STYLES[number % len(STYLES)]
+        self._kept_node: str | None = None
         self._rng = random.Random(f"{seed}-{number}")
         self._emulation = emulation
         self._hosts = hosts
-        self._proxies = proxies
+        self._links = links
         self._keys = keys
+        self._longest_work = longest_work
         self._stopping = threading.Event()
         self._node_addresses: list[str] = []
         self._looked_up_at = -LOOKUP_TTL_S
@@ -82,10 +115,12 @@
 
     def run(self) -> None:
         """Send requests with random pauses between them."""
-        while not self._stopping.wait(self._rng.expovariate(1 / MEAN_REQUEST_PAUSE_S)):
-            address = self._choose_node()
-            if address is not None:
-                self.attempts.append(self._send_request(address))
+        while not self._stopping.wait(self._rng.uniform(*self._style.pauses)):
+            address = self._kept_node or self._choose_node()
+            if address is None:
+                self._stopping.wait(LOOKUP_TIMEOUT_S / 10)
+                continue
+            self.attempts.append(self._send_request(address))
         for connection, _ in self._connections.values():
             connection.close()
 
@@ -105,34 +140,93 @@
     def _send_request(self, address: str) -> Attempt:
         kind = self._rng.choice(list(Kind))
         request = f"c{self._number}-{len(self.attempts)}"
+        target = f"{kind.value}{request}?workMs={self._draw_work_ms()}"
         key = self._keys.draw(self._rng)
+        headers = self._emulation.request_headers(request, kind, key, DEADLINE_S)
         started_at = time.monotonic()
-        status, body = 0, b""
+        sent_at, status, body, signer = 0.0, 0, b"", ""
+        connection = self._take_connection(address, started_at)
+        is_closing, was_read, port = False, False, 0
         try:
-            connection = self._take_connection(address, started_at)
-            headers = self._emulation.request_headers(request, kind, key, DEADLINE_S)
-            connection.request("POST", f"{kind.value}{request}", request.encode(), headers)
+            content = self._content(request.encode(), headers)
+            connection.request("POST", target, content, headers)
+            sent_at = time.monotonic()
+            port = connection.sock.getsockname()[1]
             response = connection.getresponse()
             status = response.status
+            signer = self._emulation.signer(response.headers)
+            is_closing = response.will_close
             body = response.read()
             ending = Ending.ANSWERED
         except TimeoutError:
-            ending = Ending.TIMED_OUT
-        except (OSError, http.client.HTTPException):
-            ending = Ending.CUT_OFF if status else Ending.NO_CONNECTION
+            ending = Ending.TIMED_OUT if sent_at else Ending.NOT_SENT
+        except (OSError, http.client.HTTPException) as error:
+            ending = _failed_ending(error, sent=sent_at > 0, begun=status > 0)
         ended_at = time.monotonic()
-        if ending is Ending.ANSWERED:
-            self._connections[address] = (connection, ended_at)
+        self._keep_or_close(address, connection, ending, ended_at, is_closing=is_closing)
+        if ending is Ending.CLOSED:
+            was_read = self._links[address].was_read(port, LINK_TIMEOUT_S)
+        times = (started_at, ended_at)
+        return Attempt(
+            request, kind, address, *times, ending, status, body, key, sent_at, signer, was_read
+        )
+
+    def _draw_work_ms(self) -> int:
+        ((_, shortest, longest),) = self._rng.choices(WORK_S, [share for share, _, _ in WORK_S])
+        work = self._rng.uniform(shortest, self._longest_work if longest is None else longest)
+        return round(work * 1000)
+
+    def _content(self, body: bytes, headers: dict[str, str]) -> bytes | Iterator[bytes]:
+        """Return a body, or its parts for a slow sender; without a length it is sent in chunks."""
+        if not self._style.sends_slowly:
+            return body
+        if self._rng.random() < 0.5:
+            headers["Content-Length"] = str(len(body))
+        return self._parts(body)
+
+    def _parts(self, body: bytes) -> Iterator[bytes]:
+        for part in (body[:1], body[1:]):
+            time.sleep(self._rng.uniform(0.0, 0.2))
+            yield part
+
+    def _keep_or_close(
+        self,
+        address: str,
+        connection: http.client.HTTPConnection,
+        ending: Ending,
+        now: float,
+        *,
+        is_closing: bool,
+    ) -> None:
+        """Keep a connection for the next request, unless it failed or the node closes it."""
+        is_usable = ending is Ending.ANSWERED and not is_closing
+        if is_usable:
+            self._connections[address] = (connection, now)
         else:
+            connection.close()
+        if ending is not Ending.ANSWERED:
             self._node_addresses = []
-        return Attempt(request, kind, address, started_at, ended_at, ending, status, body, key)
+        keeps_node = self._style.keeps_node and ending is Ending.ANSWERED
+        self._kept_node = address if keeps_node else None
 
     def _take_connection(self, address: str, now: float) -> http.client.HTTPConnection:
         """Remove and return the idle connection to a node, or return a new connection."""
         connection, idle_since = self._connections.pop(address, (None, 0.0))
-        if connection is not None and now - idle_since < LOOKUP_TTL_S:
+        if connection is not None and (self._style.keeps_node or now - idle_since < LOOKUP_TTL_S):
             return connection
         if connection is not None:
             connection.close()
-        host, port = self._proxies[address]
-        return http.client.HTTPConnection(host, port, timeout=RESPONSE_TIMEOUT_S)
+        link = self._links[address].address
+        return http.client.HTTPConnection(link, timeout=RESPONSE_TIMEOUT_S)
+
+
+def _failed_ending(error: Exception, *, sent: bool, begun: bool) -> Ending:
+    """Return how a request ended whose connection failed."""
+    if not sent:
+        return Ending.NOT_SENT
+    if begun:
+        return Ending.CUT_OFF
+    if isinstance(error, http.client.RemoteDisconnected):
+        return Ending.CLOSED
+    # Bytes that are no response are a response that is not whole.
+    return Ending.RESET if isinstance(error, OSError) else Ending.CUT_OFF
--- a/src/chervilrack/_internal/soak/checks.py
+++ b/src/chervilrack/_internal/soak/checks.py
@@ -1,26 +1,26 @@
 """Checks of the promises that the service keeps under faults, from the evidence of a soak."""
 
 from collections import Counter, defaultdict
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 
-from chervilrack._internal.common.registry import Registry
+from chervilrack._internal.soak import notices  # noqa: F401 - registers promises
+from chervilrack._internal.soak.losses import DEADLINE_S
+from chervilrack._internal.soak.promises import promises
 from chervilrack._internal.soak.records import Attempt, Ending, Evidence, Kind, Violation
 
-# Documented bounds of the smallest site: ``recoverS``, ``revokeMs``, ``budgetWindowS``,
-# ``retryBudgetRatio`` and ``retrySlack``.
-RECOVER_S = 12.0
+# Documented bounds of the smallest site: ``revokeMs``, ``budgetWindowS``, ``retryBudgetRatio`` and
+# ``retrySlack``.
 REVOKE_S = 5.0
 BUDGET_WINDOW_S = 10.0
 BUDGET_RATIO = 0.2
 BUDGET_SLACK = 54
-# Deadline of each request, and the time after it within which a node must have reported that the
-# deadline has passed.
-DEADLINE_S = 4.0
+# Time after the deadline within which a node must have reported that it has passed.
 DEADLINE_SLACK_S = 1.0
 STREAM_EVENTS = 5
-
-Check = Callable[[Evidence], Iterator[Violation]]
-promises: Registry[Check] = Registry("promise")
+# Statuses of responses that say that the request did not run.
+REFUSALS = (401, 408, 421, 429, 503)
+# Statuses of responses that blame the caller, whatever its key.
+DENIALS = (400, 403, 404, 405, 411, 413, 414, 431)
 
 
 def violations(evidence: Evidence) -> list[Violation]:
@@ -39,11 +39,14 @@
 
 @promises.register("whole answers")
 def whole_answers(evidence: Evidence) -> Iterator[Violation]:
-    """Check that a complete response with status 200 has the body that belongs to its request."""
+    """Check that a complete response with status 200 is the whole signed one of its upstream."""
+    executed = {(run.request, run.upstream) for run in evidence.runs}
     for attempt in evidence.attempts:
-        is_success = attempt.ending is Ending.ANSWERED and attempt.status == 200
-        if is_success and attempt.body != expected_body(attempt):
-            detail = f"{attempt.kind.name} got {attempt.body[:120]!r}"
+        if attempt.ending is not Ending.ANSWERED or attempt.status != 200:
+            continue
+        is_signed = (attempt.id, attempt.signer) in executed
+        if attempt.body != expected_body(attempt) or not is_signed:
+            detail = f"{attempt.kind.name} got {attempt.body[:120]!r} signed by '{attempt.signer}'"
             yield Violation("whole answers", attempt.id, detail)
 
 
@@ -58,15 +61,28 @@
 
 @promises.register("truthful refusals")
 def truthful_refusals(evidence: Evidence) -> Iterator[Violation]:
-    """Check that requests which were rejected with status 401 or 503 were not executed."""
+    """Check that requests whose response says that they did not run were not executed."""
     runs = Counter(run.request for run in evidence.runs)
     for attempt in evidence.attempts:
-        is_rejected = attempt.ending is Ending.ANSWERED and attempt.status in (401, 503)
+        is_rejected = attempt.ending is Ending.ANSWERED and attempt.status in REFUSALS
         if is_rejected and runs[attempt.id]:
             detail = f"{attempt.kind.name} was refused with {attempt.status} and ran"
             yield Violation("truthful refusals", attempt.id, detail)
 
 
+@promises.register("proper requests")
+def proper_requests(evidence: Evidence) -> Iterator[Violation]:
+    """Check that no proper request is answered as a mistake of its caller."""
+    changed_keys = {key for change in evidence.key_removals for key in (change.key, change.new_key)}
+    for attempt in evidence.attempts:
+        is_denied = attempt.status in DENIALS or (
+            attempt.status == 401 and attempt.key not in changed_keys
+        )
+        if is_denied:
+            detail = f"{attempt.kind.name} got {attempt.status}: {attempt.body[:160]!r}"
+            yield Violation("proper requests", attempt.id, detail)
+
+
 @promises.register("removed keys")
 def removed_keys(evidence: Evidence) -> Iterator[Violation]:
     """Check that no request with a removed key is executed more than REVOKE_S after the removal."""
@@ -100,11 +116,13 @@
 
 @promises.register("recovery")
 def recovery(evidence: Evidence) -> Iterator[Violation]:
-    """Check that every request is served from RECOVER_S after the last fault on."""
+    """Check that every request is served once the time for recovery has passed."""
     served = 0
     invalid_keys = {removal.key for removal in evidence.key_removals}
     for attempt in evidence.attempts:
-        if attempt.started_at < evidence.faults_ended_at + RECOVER_S or attempt.key in invalid_keys:
+        if attempt.started_at < evidence.faults_ended_at + evidence.recovery:
+            continue
+        if attempt.key in invalid_keys:
             continue
         if attempt.ending is Ending.ANSWERED and attempt.status == 200:
             served += 1
--- a/src/chervilrack/_internal/soak/emulation.py
+++ b/src/chervilrack/_internal/soak/emulation.py
@@ -2,10 +2,11 @@
 
 from collections.abc import Mapping, Sequence
 from contextlib import AbstractContextManager
+from email.message import Message
 from pathlib import Path
 from typing import Protocol
 
-from chervilrack._internal.soak.records import Kind, Run
+from chervilrack._internal.soak.records import Arrival, Configuration, Kind, Notice, Run
 
 
 class Emulation(Protocol):
@@ -26,17 +27,28 @@
     def upstreams(self) -> Mapping[str, tuple[str, int]]:
         """Host and port of each upstream, by name."""
 
-    def write_settings(self, file: Path, node: str, host: str, store: str) -> None:
-        """Write the settings file of a node on ``host`` that calls the store at ``store``."""
+    def write_settings(
+        self, file: Path, node: str, host: str, store: str, revision: int = 0
+    ) -> None:
+        """Write the settings file of a node on ``host`` that calls the store at ``store``.
+
+        Files with different revisions differ in values that need no restart.
+        """
 
     def register(self, upstream: str, address: str, *, drains: bool = False) -> None:
         """Write the registration of an upstream to the store; ``drains`` marks it as draining."""
 
-    def configure(self, keys: Sequence[str]) -> None:
-        """Write a new configuration, in which exactly the API keys ``keys`` are valid."""
+    def restart(self, upstream: str) -> None:
+        """Make the next registration of an upstream that of a new start, which ends notices."""
+
+    def configure(self, configuration: Configuration) -> None:
+        """Write the next version of the configuration."""
 
     def behave(self, upstream: str, behaviour: str) -> None:
-        """Set the behaviour of an upstream, such as "good" or "fails"."""
+        """Set the behaviour of an upstream, such as "good" or "fails".
+
+        Some behaviours have an argument after a colon, such as "hold off: 1.5".
+        """
 
     def look_up(self, host: str, timeout: float) -> list[str]:
         """Return the addresses for callers from the endpoint look-up of the node on ``host``.
@@ -49,5 +61,14 @@
     ) -> dict[str, str]:
         """Return the header fields of a caller's request; ``deadline`` is in seconds."""
 
+    def signer(self, headers: Message) -> str:
+        """Return the upstream that signed a response with these header fields, "" if none did."""
+
     def runs(self) -> list[Run]:
         """Return all requests that the upstreams have executed."""
+
+    def arrivals(self) -> list[Arrival]:
+        """Return all requests, and requests of pieces, that reached the upstreams."""
+
+    def notices(self) -> list[Notice]:
+        """Return all that upstreams have said about themselves in responses."""
--- a/src/chervilrack/_internal/soak/injection.py
+++ b/src/chervilrack/_internal/soak/injection.py
@@ -1,15 +1,25 @@
 """Injection of the planned faults of a soak."""
 
+import json
+import random
 import threading
 import time
 from collections.abc import Callable, Sequence
 
 from chervilrack._internal.common.registry import Registry
 from chervilrack._internal.soak.bed import SoakBed
+from chervilrack._internal.soak.plan import CONFIGURATION_VALUES
 from chervilrack._internal.soak.proxy import LinkMode, LinkProxy
 from chervilrack._internal.soak.records import Fault
 
-PROCESS_FAULTS = frozenset(("kill node", "stop node", "pause node"))
+STORM_S = 3.0
+STORM_INTERVAL_S = 0.3
+CONFIGURATION_DEFAULTS = {name: values[0] for name, values in CONFIGURATION_VALUES.items()}
+# Kinds of faults that must not overlap on one target.
+_EXCLUSIVE_KINDS = {
+    "process": frozenset(("kill node", "stop node", "pause node")),
+    "answers": frozenset(("upstream behaviour", "upstream notice", "upstream drains")),
+}
 
 # An injector starts a fault and returns a function that ends the fault.
 UndoFault = Callable[[], None]
@@ -28,7 +38,7 @@
 def _stop(bed: SoakBed, fault: Fault) -> UndoFault:
     node = bed.nodes[fault.target]
     node.resume()
-    bed.record_exit_problem(node.stop())
+    bed.record_exit_problem(node.stop(int(fault.detail)))
     return node.start
 
 
@@ -45,6 +55,13 @@
     return lambda: None
 
 
+@injectors.register("settings change")
+def _change_settings(bed: SoakBed, fault: Fault) -> UndoFault:
+    bed.change_settings(fault.target)
+    bed.nodes[fault.target].reload()
+    return lambda: None
+
+
 @injectors.register("store link")
 def _store_link(bed: SoakBed, fault: Fault) -> UndoFault:
     names = list(bed.store_links) if fault.target == "all" else [fault.target]
@@ -73,9 +90,18 @@
 
 
 @injectors.register("upstream behaviour")
+@injectors.register("upstream notice")
 def _behaviour(bed: SoakBed, fault: Fault) -> UndoFault:
     bed.emulation.behave(fault.target, fault.detail)
-    return lambda: bed.emulation.behave(fault.target, "good")
+
+    def undo() -> None:
+        bed.emulation.behave(fault.target, "good")
+        if fault.kind == "upstream notice":
+            # A new start ends what the upstream has said about itself.
+            bed.emulation.restart(fault.target)
+            bed.emulation.register(fault.target, bed.upstream_links[fault.target].address)
+
+    return undo
 
 
 @injectors.register("upstream drains")
@@ -91,6 +117,26 @@
     return lambda: None
 
 
+@injectors.register("configuration")
+def _change_configuration(bed: SoakBed, fault: Fault) -> UndoFault:
+    """Change one field for the time of the fault."""
+    field, _, value = fault.detail.partition("=")
+    bed.change_configuration(**{field: json.loads(value)})
+    return lambda: bed.change_configuration(**{field: CONFIGURATION_DEFAULTS[field]})
+
+
+@injectors.register("configuration storm")
+def _storm(bed: SoakBed, fault: Fault) -> UndoFault:
+    """Change one field after the other, ``STORM_INTERVAL_S`` apart."""
+    rng = random.Random(fault.detail)
+    end = time.monotonic() + STORM_S
+    while time.monotonic() < end:
+        field = rng.choice(sorted(CONFIGURATION_VALUES))
+        bed.change_configuration(**{field: rng.choice(CONFIGURATION_VALUES[field])})
+        time.sleep(STORM_INTERVAL_S)
+    return lambda: bed.change_configuration(**CONFIGURATION_DEFAULTS)
+
+
 def inject(bed: SoakBed, plan: Sequence[Fault], load_started_at: float) -> None:
     """Inject all faults of a plan on schedule and return when the last fault has ended.
 
@@ -114,8 +160,10 @@
 
 def _exclusion_key(fault: Fault) -> tuple[str, str]:
     """Return a key that is shared by faults which must not overlap."""
-    kind = "process" if fault.kind in PROCESS_FAULTS else fault.kind
-    return kind, fault.target
+    for group, kinds in _EXCLUSIVE_KINDS.items():
+        if fault.kind in kinds:
+            return group, fault.target
+    return fault.kind, fault.target
 
 
 def _apply_on_schedule(
@@ -123,8 +171,10 @@
 ) -> None:
     time.sleep(max(0.0, load_started_at + fault.start - time.monotonic()))
     with lock:
+        started_at = time.monotonic()
         undo = injectors.get(fault.kind)(bed, fault)
         try:
             time.sleep(fault.duration)
         finally:
             undo()
+            bed.record_disruption(fault.kind, fault.target, started_at)
--- a/src/chervilrack/_internal/soak/processes.py
+++ b/src/chervilrack/_internal/soak/processes.py
@@ -5,6 +5,7 @@
 import signal
 import subprocess
 import sys
+import time
 from collections.abc import Sequence
 from pathlib import Path
 from types import TracebackType
@@ -13,6 +14,7 @@
 # A node must exit within ``graceS`` after SIGTERM. A busy machine gets some slack.
 GRACE_S = 8.0
 GRACE_SLACK_S = 2.0
+SIGNAL_INTERVAL_S = 0.5
 
 
 class NodeProcess:
@@ -75,12 +77,18 @@
         if self._process is not None:
             self._process.wait()
 
-    def stop(self) -> str | None:
-        """Send SIGTERM and wait; return a description of an unexpected exit, otherwise None."""
+    def stop(self, signal_count: int = 1) -> str | None:
+        """Send SIGTERM and wait; return a description of an unexpected exit, otherwise None.
+
+        Further signals follow ``SIGNAL_INTERVAL_S`` apart.
+        """
         process = self._process
         if process is None:
             return None
         self._send(signal.SIGTERM)
+        for _ in range(signal_count - 1):
+            time.sleep(SIGNAL_INTERVAL_S)
+            self._send(signal.SIGTERM)
         try:
             status = process.wait(GRACE_S + GRACE_SLACK_S)
         except subprocess.TimeoutExpired:
--- a/src/chervilrack/_internal/soak/proxy.py
+++ b/src/chervilrack/_internal/soak/proxy.py
@@ -4,6 +4,7 @@
 import enum
 import socket
 import struct
+import sys
 import threading
 import time
 from types import TracebackType
@@ -14,6 +15,8 @@
 CONNECT_TIMEOUT_S = 2.0
 # Interval at which a connection that holds bytes checks the mode.
 HOLD_POLL_S = 0.02
+# State of a TCP connection that only the peer has closed, in the first byte of ``TCP_INFO``.
+_CLOSE_WAIT = 8
 DELAY_S = 0.15
 
 
@@ -45,6 +48,9 @@
         self._closing = False
         self._sockets: set[socket.socket] = set()
         self._lock = threading.Lock()
+        self._ended = threading.Condition(self._lock)
+        # Whether the server had read all bytes, by port of the client, for ended connections.
+        self._were_read: dict[int, bool] = {}
         self._listener = socket.create_server(listen, backlog=_BACKLOG)
         self._thread = threading.Thread(target=self._accept, name="proxy", daemon=True)
 
@@ -65,6 +71,16 @@
         if mode is LinkMode.RESET:
             self._reset_all()
 
+    def was_read(self, client_port: int, timeout: float) -> bool:
+        """Return whether the server had read all bytes of a connection before it closed it.
+
+        The client must have closed the connection. Connections from the same port overwrite
+        earlier ones. Returns False if the connection has not ended within ``timeout`` seconds.
+        """
+        with self._ended:
+            self._ended.wait_for(lambda: client_port in self._were_read, timeout)
+            return self._were_read.pop(client_port, False)
+
     def __enter__(self) -> Self:
         self._thread.start()
         return self
@@ -102,22 +118,44 @@
         server.settimeout(None)
         for connection in (client, server):
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        client_port = int(client.getpeername()[1])
         with self._lock:
             self._sockets |= {client, server}
+            self._were_read.pop(client_port, None)
+        is_reset = threading.Event()
         to_client = threading.Thread(
-            target=self._forward, args=(server, client, _MODES_HOLDING_RESPONSES), daemon=True
+            target=self._forward_responses, args=(server, client, is_reset), daemon=True
         )
         to_client.start()
-        self._forward(client, server, _MODES_HOLDING_REQUESTS)
+        self._forward(client, server, _MODES_HOLDING_REQUESTS, is_reset)
+        was_read = not is_reset.is_set() and _is_read(server)
+        if not is_reset.is_set():
+            _end_writing(server)
         to_client.join()
-        with self._lock:
+        with self._ended:
             self._sockets -= {client, server}
-        client.close()
-        server.close()
+            self._were_read[client_port] = was_read
+            self._ended.notify_all()
+        for connection in (client, server):
+            if is_reset.is_set():
+                _close_with_reset(connection)
+            connection.close()
+
+    def _forward_responses(
+        self, server: socket.socket, client: socket.socket, is_reset: threading.Event
+    ) -> None:
+        self._forward(server, client, _MODES_HOLDING_RESPONSES, is_reset)
+        if not is_reset.is_set():
+            _end_writing(client)
 
     def _forward(
-        self, source: socket.socket, target: socket.socket, holding_modes: frozenset[LinkMode]
+        self,
+        source: socket.socket,
+        target: socket.socket,
+        holding_modes: frozenset[LinkMode],
+        is_reset: threading.Event,
     ) -> None:
+        """Forward bytes until ``source`` ends; a reset of one side resets the other side."""
         try:
             while data := source.recv(_CHUNK_BYTES):
                 if self._mode is LinkMode.DELAYED:
@@ -125,10 +163,12 @@
                 while self._mode in holding_modes and not self._closing:
                     time.sleep(HOLD_POLL_S)
                 target.sendall(data)
-            target.shutdown(socket.SHUT_WR)
         except OSError:
-            _shut_down(source)
-            _shut_down(target)
+            is_reset.set()
+            # Only wakes the other thread: a shutdown for writing would look like a normal close.
+            for connection in (source, target):
+                with contextlib.suppress(OSError):
+                    connection.shutdown(socket.SHUT_RD)
 
     def _reset_all(self) -> None:
         with self._lock:
@@ -137,6 +177,21 @@
             _shut_down(connection, reset=True)
 
 
+def _is_read(server: socket.socket) -> bool:
+    """Whether a server that has closed a connection had read all bytes sent to it.
+
+    A kernel answers bytes that were unread, or came later, with a reset.
+    """
+    information = server.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 32)
+    unacknowledged = int.from_bytes(information[24:28], sys.byteorder)
+    return information[0] == _CLOSE_WAIT and not unacknowledged
+
+
+def _end_writing(connection: socket.socket) -> None:
+    with contextlib.suppress(OSError):
+        connection.shutdown(socket.SHUT_WR)
+
+
 def _shut_down(connection: socket.socket, *, reset: bool = False) -> None:
     with contextlib.suppress(OSError):
         if reset:
--- a/src/chervilrack/_internal/soak/records.py
+++ b/src/chervilrack/_internal/soak/records.py
@@ -1,8 +1,12 @@
 """Observations of a soak by its callers and upstreams. Times are monotonic seconds."""
 
 import enum
+import math
 from dataclasses import dataclass, field
 
+# Documented bound ``recoverS`` of the smallest site.
+RECOVERY_S = 12.0
+
 
 class Kind(enum.Enum):
     """Kind of a request; the value is the path prefix of its route."""
@@ -20,14 +24,24 @@
     ANSWERED = "answered"
     # The connection failed after the header fields and before the end of the body.
     CUT_OFF = "cut off"
-    # The connection failed before the header fields of a response.
-    NO_CONNECTION = "no connection"
+    # The connection was closed before the header fields of a response.
+    CLOSED = "closed"
+    # The connection was reset before the header fields. A process that ends, or closes a
+    # connection, with unread bytes resets it.
+    RESET = "reset"
+    # No connection was made, or it failed before the last byte of the request was sent.
+    NOT_SENT = "not sent"
     TIMED_OUT = "timed out"
 
 
 @dataclass(frozen=True, slots=True)
 class Attempt:
-    """One request, as its caller observed it."""
+    """One request, as its caller observed it.
+
+    ``node`` is the address that it was sent to. ``sent_at`` is when its last byte was sent, 0 if
+    it wasn't. ``signer`` is the upstream that signed the response, "" if none did. ``was_read`` is
+    whether the node had read all bytes of a connection that it closed without a response.
+    """
 
     id: str
     kind: Kind
@@ -38,6 +52,9 @@
     status: int = 0
     body: bytes = b""
     key: str = ""
+    sent_at: float = 0.0
+    signer: str = ""
+    was_read: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,24 +78,86 @@
     detail: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """Arrival of a request, or of pieces of its stages, at an upstream; it may be rejected."""
+
+    request: str
+    upstream: str
+    at: float
+
+
+class NoticeKind(enum.Enum):
+    """What an upstream says about itself in a response."""
+
+    LEAVING = "leaving"
+    HOLD_OFF = "hold off"
+
+
+@dataclass(frozen=True, slots=True)
+class Notice:
+    """Statement of an upstream about itself in its response to a request.
+
+    ``until`` is when it stops to apply: the upstream's next start or the end of its hold.
+    """
+
+    kind: NoticeKind
+    request: str
+    upstream: str
+    at: float
+    until: float = math.inf
+
+
+@dataclass(frozen=True, slots=True)
+class Disruption:
+    """Time in which a fault was in force; ``target`` is the address of a node or an upstream."""
+
+    kind: str
+    target: str
+    started_at: float
+    ended_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Configuration:
+    """Contents of the operator's configuration that a soak changes. Times are in seconds."""
+
+    keys: tuple[str, ...]
+    organisations: int = 1
+    idle_timeout: float = 15.0
+    route_timeout: float = 5.0
+    is_moved: bool = False
+    moved_share: float = 0.0
+    extra_routes: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class KeyRemoval:
-    """Removal of an API key; ``removed_at`` is when the store had acknowledged the removal."""
+    """Replacement of an API key; ``removed_at`` is when the store had acknowledged it."""
 
     key: str
     removed_at: float
+    new_key: str = ""
 
 
 @dataclass(slots=True)
 class Evidence:
-    """All observations of a soak; ``faults_ended_at`` is when the last fault had ended."""
+    """All observations of a soak.
+
+    ``faults_ended_at`` is when the last fault had ended; every request that starts ``recovery``
+    seconds later must be served.
+    """
 
     attempts: list[Attempt] = field(default_factory=list)
     runs: list[Run] = field(default_factory=list)
+    arrivals: list[Arrival] = field(default_factory=list)
+    notices: list[Notice] = field(default_factory=list)
+    disruptions: list[Disruption] = field(default_factory=list)
     faults: list[Fault] = field(default_factory=list)
     key_removals: list[KeyRemoval] = field(default_factory=list)
     exit_problems: list[str] = field(default_factory=list)
     faults_ended_at: float = 0.0
+    recovery: float = RECOVERY_S
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/chervilrack/_internal/soak/run.py
+++ b/src/chervilrack/_internal/soak/run.py
@@ -10,7 +10,7 @@
 from chervilrack._internal.soak.checks import violations
 from chervilrack._internal.soak.emulation import Emulation
 from chervilrack._internal.soak.injection import inject
-from chervilrack._internal.soak.plan import QUIET_S, draw_plan
+from chervilrack._internal.soak.plan import SERVED_S, Plan, draw_faults, plans
 from chervilrack._internal.soak.records import Evidence, Violation
 
 
@@ -37,22 +37,26 @@
     seed: int,
     duration: float,
     size: SoakSize,
+    plan_name: str = "mixed",
     kinds: Sequence[str] = (),
 ) -> SoakResult:
     """Run a soak with a load of about ``duration`` seconds.
 
     Logs and settings files of the nodes are written to ``folder``. ``kinds`` limits the kinds of
-    faults; if it is empty, all kinds are used.
+    faults of a plan; if it is empty, all kinds of the plan are used.
     """
     with SoakBed(emulation, folder, seed, size) as bed:
-        plan = draw_plan(seed, duration, bed.targets, kinds)
+        plan = plans.get(plan_name)(seed, duration, bed.targets)
+        if kinds:
+            end = duration - plan.recovery - SERVED_S
+            plan = Plan(draw_faults(seed, end, bed.targets, kinds), plan.recovery)
         bed.start_callers()
         load_started_at = time.monotonic()
-        inject(bed, plan, load_started_at)
+        inject(bed, plan.faults, load_started_at)
         bed.evidence.faults_ended_at = time.monotonic()
         # The quiet time starts here and not at its planned time: a node may need its whole
         # grace period to stop, so that faults may end later than planned.
-        time.sleep(QUIET_S)
+        time.sleep(plan.recovery + SERVED_S)
         bed.evidence.attempts = bed.stop_callers()
         for node in bed.nodes.values():
             if not node.is_running:
@@ -60,5 +64,8 @@
                     f"{node.name} ended by itself with status {node.exit_status}"
                 )
         bed.evidence.runs = emulation.runs()
-        bed.evidence.faults = plan
+        bed.evidence.arrivals = emulation.arrivals()
+        bed.evidence.notices = emulation.notices()
+        bed.evidence.faults = list(plan.faults)
+        bed.evidence.recovery = plan.recovery
     return SoakResult(seed, bed.evidence, violations(bed.evidence))
--- a/src/chervilrack/platform/emulated/emulation.py
+++ b/src/chervilrack/platform/emulated/emulation.py
@@ -4,14 +4,19 @@
 import http.client
 import json
 from collections.abc import Iterator, Mapping, Sequence
+from email.message import Message
 from pathlib import Path
 from typing import Any, Final
 
 import yaml
 
-from chervilrack._internal.soak.records import Kind, Run
+from chervilrack._internal.soak.records import Arrival, Configuration, Kind, Notice, Run
 from chervilrack.platform.configuration import CONFIGURATION_KEY, UPSTREAM_PREFIX
-from chervilrack.platform.emulated.standins import StoreStandIn, UpstreamStandIn
+from chervilrack.platform.emulated.standins import (
+    SIGNATURE_PREFIX,
+    StoreStandIn,
+    UpstreamStandIn,
+)
 from chervilrack.platform.settings import SETTINGS_VARIABLE
 
 HOST: Final = "app.example"
@@ -23,6 +28,7 @@
     "engine": ("engine-1", "engine-2", "engine-3"),
     "first": ("first-1", "first-2"),
     "second": ("second-1", "second-2"),
+    "other": ("other-1", "other-2"),
 }
 _STAGE_SERVICE: Final = {
     "slots": 1,
@@ -72,9 +78,14 @@
         """Host and port of each upstream, by name."""
         return {name: _endpoint(upstream.address) for name, upstream in self._upstreams.items()}
 
-    def write_settings(self, file: Path, node: str, host: str, store: str) -> None:
+    def write_settings(
+        self, file: Path, node: str, host: str, store: str, revision: int = 0
+    ) -> None:
         """Write the settings file of a node on ``host`` that calls the store at ``store``."""
         settings = {
+            # Unknown fields and seeds may change while a node runs.
+            "revision": revision,
+            "seeds": [f"{host}:{_PEER_PORTS[0] + revision}"],
             "nodeName": node,
             "ip": host,
             "zone": "z1",
@@ -90,10 +101,14 @@
         entry = self._upstreams[upstream].entry(state, address)
         self._store.put(f"{UPSTREAM_PREFIX}{upstream}", entry)
 
-    def configure(self, keys: Sequence[str]) -> None:
-        """Write a configuration with the next version, in which the API keys ``keys`` are valid."""
+    def restart(self, upstream: str) -> None:
+        """Make the next registration of an upstream that of a new start."""
+        self._upstreams[upstream].restart()
+
+    def configure(self, configuration: Configuration) -> None:
+        """Write the next version of the configuration."""
         self._version += 1
-        self._store.put(CONFIGURATION_KEY, configuration(self._version, keys))
+        self._store.put(CONFIGURATION_KEY, changed_configuration(self._version, configuration))
 
     def behave(self, upstream: str, behaviour: str) -> None:
         """Set the behaviour of an upstream, see ``UpstreamStandIn``."""
@@ -124,6 +139,10 @@
             headers |= _STAGED_HEADERS
         return headers
 
+    def signer(self, headers: Message) -> str:
+        """Return the upstream that signed a response with these header fields, "" if none did."""
+        return str(headers.get("Chervilrack-Response-Signature", "")).removeprefix(SIGNATURE_PREFIX)
+
     def runs(self) -> list[Run]:
         """Return all requests that the upstreams have executed."""
         return [
@@ -132,6 +151,38 @@
             for run in list(upstream.seen)
         ]
 
+    def arrivals(self) -> list[Arrival]:
+        """Return all requests, and requests of pieces, that reached the upstreams."""
+        return [a for upstream in self._upstreams.values() for a in list(upstream.arrivals)]
+
+    def notices(self) -> list[Notice]:
+        """Return all that upstreams have said about themselves in responses."""
+        return [notice for upstream in self._upstreams.values() for notice in upstream.notices]
+
+
+def changed_configuration(version: int, state: Configuration) -> dict[str, Any]:
+    """Return the configuration document for the fields that a soak changes."""
+    document = configuration(version, state.keys)
+    document["limits"]["idleTimeoutMs"] = round(state.idle_timeout * 1000)
+    document["services"].append({"name": "other"})
+    for route in document["routes"]:
+        route["timeoutMs"] = round(state.route_timeout * 1000)
+        if route.get("service") == "plain" and state.is_moved:
+            route["service"] = "other"
+        elif route.get("service") == "plain" and state.moved_share:
+            weights = (("plain", 1.0 - state.moved_share), ("other", state.moved_share))
+            route["trafficSplit"] = [{"service": s, "weight": weight} for s, weight in weights]
+            del route["service"]
+    document["routes"] += [
+        {**document["routes"][1], "name": f"extra-{number}", "pathPrefix": f"/extra/{number}/"}
+        for number in range(state.extra_routes)
+    ]
+    document["tenants"] = [
+        {"name": f"bozi-{number}", "apiKeys": list(state.keys[number :: state.organisations])}
+        for number in range(state.organisations)
+    ]
+    return document
+
 
 def configuration(version: int, keys: Sequence[str]) -> dict[str, Any]:
     """Return a configuration document with one route of each kind."""
--- a/src/chervilrack/platform/emulated/standins.py
+++ b/src/chervilrack/platform/emulated/standins.py
@@ -8,22 +8,26 @@
 import contextlib
 import itertools
 import json
+import math
 import socket
 import threading
 import time
 from abc import ABC, abstractmethod
 from collections import Counter
 from collections.abc import Iterator, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from email.utils import formatdate
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any, Self
 from urllib.parse import parse_qs, urlsplit
 
-# Number of events of a complete stream; their ids begin at 1.
-STREAM_EVENTS = 5
-SLOTS = 8
+from chervilrack._internal.soak.records import Arrival, Notice, NoticeKind
+from chervilrack.platform.emulated.behaviours import Call, Header, behaviours
 
-Header = tuple[str, str]
+SLOTS = 8
+SIGNATURE_PREFIX = "signed-by-"
+# Longest time in ``Retry-After`` after which an upstream of a soak can be held to it.
+MAX_HOLD_S = 10.0
 
 
 class _Handler(BaseHTTPRequestHandler):
@@ -204,9 +208,11 @@
 class UpstreamStandIn(_StandIn):
     """Stand-in for one upstream of any kind.
 
-    ``behaviour`` selects how requests are answered. ``seen`` holds the executed requests,
+    ``behaviour`` selects how requests are answered: a name in ``behaviours``, with its argument
+    after a colon, or "full", "hold off" or "stands still". ``seen`` holds the executed requests,
     ``pieces`` the pieces of stage calls and ``freed`` the handles of results that were freed.
-    ``left`` is set when a caller closes its connection during a stream.
+    ``arrivals`` are all requests that reached the upstream and ``notices`` what it has said about
+    itself. ``left`` is set when a caller closes its connection during a stream.
     """
 
     def __init__(self, id: str, service: str) -> None:
@@ -217,10 +223,22 @@
         self.seen: list[ExecutedRequest] = []
         self.pieces: list[Any] = []
         self.freed: list[str] = []
+        self.arrivals: list[Arrival] = []
         self.left = threading.Event()
+        self._notices: list[Notice] = []
+        self._starts: list[float] = []
+        self._born = 0
         self._handles = itertools.count(1)
         self._slots = threading.BoundedSemaphore(SLOTS)
 
+    @property
+    def notices(self) -> list[Notice]:
+        """What the upstream has said about itself; a later start ends it."""
+        return [
+            replace(notice, until=min([notice.until, *(s for s in self._starts if s > notice.at)]))
+            for notice in list(self._notices)
+        ]
+
     def entry(self, state: str = "ready", address: str | None = None) -> dict[str, Any]:
         """Return the upstream's registration for the store."""
         return {
@@ -231,26 +249,38 @@
             "slots": SLOTS,
             "state": state,
             "sequence": 1,
+            "born": self._born,
         }
 
+    def restart(self) -> None:
+        """Begin a new start in the registration and forget all results."""
+        self._born = time.time_ns() // 1_000_000
+        self._starts.append(time.monotonic())
+
     def serve(self, request: _Handler, body: bytes) -> None:
         """Execute one request, or reject it without execution."""
         target = request.headers.get("Chervilrack-Target-Instance")
+        is_stage_call = request.path == "/api/stage-run"
+        ids = self._request_ids(request, body, is_stage_call=is_stage_call)
+        self.arrivals += [Arrival(id, self.id, time.monotonic()) for id in ids]
+        behaviour, _, argument = self.behaviour.partition(":")
         if target not in (None, self.id):
             request.answer(421, headers=[("Chervilrack-Instance-Id", self.id)])
-        elif request.path == "/api/stage-run":
-            self._run_pieces(request, json.loads(body))
         elif request.path == "/api/stage-free":
             self.freed += json.loads(body)["handles"]
             request.answer(200)
-        elif self.behaviour == "full":
+        elif behaviour == "hold off":
+            self._hold_off(request, ids, argument.strip())
+        elif is_stage_call:
+            self._run_pieces(request, json.loads(body), self._own_headers(behaviour, ids))
+        elif behaviour == "full":
             self._reject(request)
         else:
             with self._slot() as has_slot:
                 if has_slot:
-                    self._run(request, body)
+                    self._run(request, body, behaviour, argument.strip())
                 else:
-                    self._reject(request)
+                    self._reject(request, self._own_headers(behaviour, ids))
 
     @contextlib.contextmanager
     def _slot(self) -> Iterator[bool]:
@@ -261,64 +291,75 @@
             if has_slot:
                 self._slots.release()
 
-    def _reject(self, request: _Handler) -> None:
-        request.answer(503, headers=[("Chervilrack-Not-Executed", "1")])
-
-    def _run_pieces(self, request: _Handler, body: Any) -> None:
+    def _request_ids(self, request: _Handler, body: bytes, *, is_stage_call: bool) -> list[str]:
+        if is_stage_call:
+            return [str(piece["id"]) for piece in json.loads(body)["entries"]]
+        id = request.headers.get("Chervilrack-Request-Id")
+        return [id] if id is not None else []
+
+    def _reject(self, request: _Handler, headers: Sequence[Header] = ()) -> None:
+        request.answer(503, headers=[("Chervilrack-Not-Executed", "1"), *headers])
+
+    def _hold_off(self, request: _Handler, ids: Sequence[str], retry_time: str) -> None:
+        """Reject a request, with ``Retry-After`` in one of several forms."""
+        values = {
+            "": [],
+            "date": [formatdate(time.time() + 2, usegmt=True)],
+            "twice": ["1", "2"],
+        }.get(retry_time, [retry_time])
+        with contextlib.suppress(ValueError):
+            seconds = float(retry_time)
+            # Other times are not a length of time that an upstream can mean.
+            if 0 < seconds <= MAX_HOLD_S:
+                now = time.monotonic()
+                self._note(NoticeKind.HOLD_OFF, ids, now, now + seconds)
+        self._reject(request, [("Retry-After", value) for value in values])
+
+    def _own_headers(self, behaviour: str, ids: Sequence[str]) -> list[Header]:
+        """Return the header fields in which the upstream speaks about itself."""
+        if behaviour != "leaving":
+            return []
+        self._note(NoticeKind.LEAVING, ids, time.monotonic(), math.inf)
+        return [("Server-Leaving", "1"), ("Connection", "close")]
+
+    def _note(self, kind: NoticeKind, ids: Sequence[str], at: float, until: float) -> None:
+        self._notices += [Notice(kind, id, self.id, at, until) for id in ids]
+
+    def _run_pieces(self, request: _Handler, body: Any, headers: Sequence[Header]) -> None:
         entries = []
         for piece in body["entries"]:
             self.pieces.append(piece)
             if self.behaviour == "stands still":
                 time.sleep(5.0)
             entries.append({"handle": f"{self.address}/{self.id}-{next(self._handles)}"})
-        request.answer(200, {"entries": entries})
+        request.answer(200, {"entries": entries}, headers)
 
-    def _run(self, request: _Handler, body: bytes) -> None:
+    def _run(self, request: _Handler, body: bytes, behaviour: str, argument: str) -> None:
         headers = dict(request.headers.items())
         executed = ExecutedRequest(request.command, request.path, headers, body, time.monotonic())
         self.seen.append(executed)
+        id = headers.get("Chervilrack-Request-Id", "")
         response_headers = [
-            ("Chervilrack-Request-Id", headers.get("Chervilrack-Request-Id", "")),
-            ("Chervilrack-Response-Signature", f"signed-by-{self.id}"),
+            ("Chervilrack-Request-Id", id),
+            ("Chervilrack-Response-Signature", f"{SIGNATURE_PREFIX}{self.id}"),
+            *self._own_headers(behaviour, [id]),
         ]
-        if self.behaviour == "late":
-            time.sleep(0.3)
-        if request.path.endswith("/slow"):
-            time.sleep(1.0)
-        if self.behaviour == "fails":
-            request.answer(500, headers=response_headers, body=b"no")
-        elif self.behaviour == "unsigned":
-            request.answer(200, headers=response_headers[:1], body=b"bytes")
-        elif self.behaviour == "cut off":
-            request.wfile.write(b"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n")
-            request.wfile.write("".join(f"{n}: {v}\r\n" for n, v in response_headers).encode())
-            request.wfile.write(b"\r\nhalf")
-            request.close_connection = True
-        elif "/stream/" in request.path:
-            self._stream(request, response_headers, body)
-        else:
-            request.answer(200, headers=response_headers, body=b"answer to " + body)
-
-    def _stream(self, request: _Handler, response_headers: Sequence[Header], body: bytes) -> None:
-        after = int(request.headers.get("Last-Event-Id") or 0)
-        request.send_response(200)
-        for name, value in [*response_headers, ("Content-Type", "text/event-stream")]:
-            request.send_header(name, value)
-        request.send_header("Transfer-Encoding", "chunked")
-        request.end_headers()
+        url = urlsplit(request.path)
+        work = int(parse_qs(url.query).get("workMs", ["0"])[0]) / 1000
+        call = Call(
+            request,
+            body,
+            tuple(response_headers),
+            is_stream="/stream/" in request.path,
+            last_event=int(request.headers.get("Last-Event-Id") or 0),
+            work=1.0 if url.path.endswith("/slow") else work,
+            argument=argument,
+        )
         try:
-            for number in range(after + 1, STREAM_EVENTS + 1):
-                event = b"id: %d\ndata: piece %d of %b\n\n" % (number, number, body)
-                if self.behaviour == "breaks" and number == 3:
-                    request.wfile.write(b"%x\r\n%b\r\n" % (9, event[:9]))
-                    request.close_connection = True
-                    return
-                request.wfile.write(b"%x\r\n%b\r\n" % (len(event), event))
-                if self.behaviour == "slow":
-                    time.sleep(0.2)
-            request.wfile.write(b"0\r\n\r\n")
+            behaviours.get(behaviour if behaviour in behaviours.names else "good")(call)
         except OSError:
-            self.left.set()
+            if call.is_stream:
+                self.left.set()
             raise
 
 
