--- a/src/chervilrack/platform/emulated/behaviours.py
+++ b/src/chervilrack/platform/emulated/behaviours.py
@@ -33,7 +33,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Call:
-    """One executed request. ``argument`` is that of the behaviour; times are in seconds."""
+    """One executed request. ``argument`` is that of the behaviour; times are in seconds.
+
+    ``free_slot`` lets the upstream take another request.
+    """
 
     handler: Connection
     body: bytes
@@ -41,6 +44,7 @@
     is_stream: bool
     last_event: int
     work: float
+    free_slot: Callable[[], None]
     argument: str = ""
 
 
@@ -58,13 +62,13 @@
     """Send the whole answer; streams spread their work over their events."""
     if not call.is_stream:
         time.sleep(call.work)
-        _write(call, _whole_answer(call))
+        _finish(call, _whole_answer(call))
         return
     _write(call, _stream_head(call))
     for number in range(call.last_event + 1, STREAM_EVENTS + 1):
         time.sleep(call.work / STREAM_EVENTS)
         _write(call, _chunk(event(number, call.body)))
-    _write(call, b"0\r\n\r\n")
+    _finish(call, b"0\r\n\r\n")
 
 
 @behaviours.register("leaving")
@@ -90,7 +94,7 @@
     for number in range(call.last_event + 1, STREAM_EVENTS + 1):
         _write(call, _chunk(event(number, call.body)))
         time.sleep(0.2)
-    _write(call, b"0\r\n\r\n")
+    _finish(call, b"0\r\n\r\n")
 
 
 @behaviours.register("pause")
@@ -104,41 +108,41 @@
     time.sleep(float(call.argument))
     for number in range(call.last_event + EVENTS_BEFORE_BREAK + 1, STREAM_EVENTS + 1):
         _write(call, _chunk(event(number, call.body)))
-    _write(call, b"0\r\n\r\n")
+    _finish(call, b"0\r\n\r\n")
 
 
 @behaviours.register("fails")
 def _fails(call: Call) -> None:
-    _write(call, _head(call, "500 Failed", ("Content-Length", "2")) + b"no")
+    _finish(call, _head(call, "500 Failed", ("Content-Length", "2")) + b"no")
 
 
 @behaviours.register("unsigned")
 def _unsigned(call: Call) -> None:
-    _write(call, _answer(call.headers[:1], b"bytes"))
+    _finish(call, _answer(call.headers[:1], b"bytes"))
 
 
 @behaviours.register("cut off")
 def _cut_off(call: Call) -> None:
-    _write(call, _head(call, "200 OK", ("Content-Length", "100")) + b"half")
+    _finish(call, _head(call, "200 OK", ("Content-Length", "100")) + b"half")
     call.handler.close_connection = True
 
 
 @behaviours.register("body reset")
 def _body_reset(call: Call) -> None:
-    _write(call, _whole_answer(call)[:-CUT_BYTES])
+    _finish(call, _whole_answer(call)[:-CUT_BYTES])
     _reset(call)
 
 
 @behaviours.register("head cut")
 def _head_cut(call: Call) -> None:
     """Close the connection after at most ``argument`` bytes of the head."""
-    _write(call, _part_of_head(call))
+    _finish(call, _part_of_head(call))
     call.handler.close_connection = True
 
 
 @behaviours.register("head reset")
 def _head_reset(call: Call) -> None:
-    _write(call, _part_of_head(call))
+    _finish(call, _part_of_head(call))
     _reset(call)
 
 
@@ -149,7 +153,7 @@
         _good(call)
         return
     _begin_stream(call)
-    _write(call, _chunk(event(EVENTS_BEFORE_BREAK + 1, call.body)[:9]))
+    _finish(call, _chunk(event(EVENTS_BEFORE_BREAK + 1, call.body)[:9]))
     call.handler.close_connection = True
 
 
@@ -182,19 +186,19 @@
 def _foreign_answer(call: Call) -> None:
     """Send the signed answer to another request."""
     headers = [("Chervilrack-Request-Id", FOREIGN_REQUEST), *call.headers[1:]]
-    _write(call, _answer(headers, b"answer to " + FOREIGN_REQUEST.encode()))
+    _finish(call, _answer(headers, b"answer to " + FOREIGN_REQUEST.encode()))
 
 
 @behaviours.register("unframed")
 def _unframed(call: Call) -> None:
     """Send an answer that ends with its connection."""
-    _write(call, _head(call, "200 OK") + _content(call))
+    _finish(call, _head(call, "200 OK") + _content(call))
     call.handler.close_connection = True
 
 
 @behaviours.register("unframed reset")
 def _unframed_reset(call: Call) -> None:
-    _write(call, _head(call, "200 OK") + _content(call)[:-CUT_BYTES])
+    _finish(call, _head(call, "200 OK") + _content(call)[:-CUT_BYTES])
     # The bytes must arrive before the reset, which discards unread ones.
     time.sleep(LATE_COPY_S)
     _reset(call)
@@ -202,7 +206,7 @@
 
 @behaviours.register("not HTTP")
 def _not_http(call: Call) -> None:
-    _write(call, b"\x00\x01 no answer\r\n\r\n")
+    _finish(call, b"\x00\x01 no answer\r\n\r\n")
     call.handler.close_connection = True
 
 
@@ -255,6 +259,12 @@
     call.handler.wfile.write(content)
 
 
+def _finish(call: Call, content: bytes) -> None:
+    """Send the last bytes of an answer."""
+    call.free_slot()
+    _write(call, content)
+
+
 def _reset(call: Call) -> None:
     """Reset the connection."""
     call.handler.close_connection = True
--- a/src/chervilrack/platform/emulated/standins.py
+++ b/src/chervilrack/platform/emulated/standins.py
@@ -14,7 +14,7 @@
 import time
 from abc import ABC, abstractmethod
 from collections import Counter
-from collections.abc import Iterator, Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, replace
 from email.utils import formatdate
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
@@ -273,23 +273,12 @@
             self._hold_off(request, ids, argument.strip())
         elif is_stage_call:
             self._run_pieces(request, json.loads(body), self._own_headers(behaviour, ids))
-        elif behaviour == "full":
-            self._reject(request)
+        elif behaviour == "full" or not self._slots.acquire(blocking=False):
+            self._reject(request, self._own_headers(behaviour, ids))
         else:
-            with self._slot() as has_slot:
-                if has_slot:
-                    self._run(request, body, behaviour, argument.strip())
-                else:
-                    self._reject(request, self._own_headers(behaviour, ids))
-
-    @contextlib.contextmanager
-    def _slot(self) -> Iterator[bool]:
-        has_slot = self._slots.acquire(blocking=False)
-        try:
-            yield has_slot
-        finally:
-            if has_slot:
-                self._slots.release()
+            with contextlib.ExitStack() as slot:
+                slot.callback(self._slots.release)
+                self._run(request, body, behaviour, argument.strip(), slot.close)
 
     def _request_ids(self, request: _Handler, body: bytes, *, is_stage_call: bool) -> list[str]:
         if is_stage_call:
@@ -334,7 +323,18 @@
             entries.append({"handle": f"{self.address}/{self.id}-{next(self._handles)}"})
         request.answer(200, {"entries": entries}, headers)
 
-    def _run(self, request: _Handler, body: bytes, behaviour: str, argument: str) -> None:
+    def _run(
+        self,
+        request: _Handler,
+        body: bytes,
+        behaviour: str,
+        argument: str,
+        free_slot: Callable[[], None],
+    ) -> None:
+        """Execute a request. Its slot is freed before the last bytes of the answer are sent.
+
+        The caller may send its next request as soon as it has them.
+        """
         headers = dict(request.headers.items())
         executed = ExecutedRequest(request.command, request.path, headers, body, time.monotonic())
         self.seen.append(executed)
@@ -354,6 +354,7 @@
             last_event=int(request.headers.get("Last-Event-Id") or 0),
             work=1.0 if url.path.endswith("/slow") else work,
             argument=argument,
+            free_slot=free_slot,
         )
         try:
             behaviours.get(behaviour if behaviour in behaviours.names else "good")(call)
