--- a/features/steps/soak_upstream_steps.py
+++ b/features/steps/soak_upstream_steps.py
@@ -44,7 +44,9 @@
     + FIELDS
     + rb"..",
     "20 bytes of a head": OK + rb"Che",
-    "a head without its end": OK + SIGNED + rb"Content-Length: 12\r\n",
+    "a head without its end": OK
+    + SIGNED
+    + rb"Content-Type: text/plain\r\nCache-Control: no-store\r\nContent-Length: 12\r\n",
     "a part of a body": OK + SIGNED + rb"Content-Length: 100\r\n\r\nhalf",
     "an answer without 4 bytes": ANSWER[:-4],
     "two answers": ANSWER * 2,
--- a/src/chervilrack/_internal/commands/soak.py
+++ b/src/chervilrack/_internal/commands/soak.py
@@ -10,7 +10,8 @@
 
 from chervilrack._internal.cli.status_codes import ExitStatus
 from chervilrack._internal.soak.bed import SoakSize
-from chervilrack._internal.soak.plan import QUIET_S, fault_kinds, plans
+from chervilrack._internal.soak.emulation import Emulation
+from chervilrack._internal.soak.plan import BEHAVIOURS, QUIET_S, fault_kinds, plans
 from chervilrack._internal.soak.run import SoakResult, run_soak
 
 MAX_PRINTED_VIOLATIONS = 10
@@ -60,6 +61,13 @@
     type=click.Choice(fault_kinds.names),
     help="Kind of fault to inject; may be given several times; default: all kinds.",
 )
+@click.option(
+    "--behaviour",
+    "behaviours",
+    multiple=True,
+    type=click.Choice(BEHAVIOURS),
+    help="Behaviour of upstreams, with a colon if it has an argument; default: all behaviours.",
+)
 @click.option(
     "--folder",
     type=click.Path(file_okay=False, path_type=Path),
@@ -74,6 +82,7 @@
     longest_work: float,
     plan_name: str,
     kinds: tuple[str, ...],
+    behaviours: tuple[str, ...],
     folder: Path | None,
 ) -> int:
     """Run soaks with successive seeds; exit with 1 if a promise was broken.
@@ -88,7 +97,16 @@
             run_folder = Path(scratch) if folder is None else folder / str(run_seed)
             run_folder.mkdir(parents=True, exist_ok=True)
             size = SoakSize(nodes, callers, longest_work)
-            result = _run_one(run_folder, run_seed, duration, size, plan_name, kinds)
+            result = run_soak(
+                _create_emulation(),
+                run_folder,
+                run_seed,
+                duration,
+                size,
+                plan_name,
+                kinds,
+                behaviours,
+            )
         failed_soaks += bool(result.violations)
         _print_result(result)
     return ExitStatus.FAILED if failed_soaks else ExitStatus.SUCCESS
@@ -101,17 +119,10 @@
         signal.signal(number, signal.default_int_handler)
 
 
-def _run_one(
-    folder: Path,
-    seed: int,
-    duration: float,
-    size: SoakSize,
-    plan_name: str,
-    kinds: tuple[str, ...],
-) -> SoakResult:
+def _create_emulation() -> Emulation:
     from chervilrack.platform.emulated.emulation import PlatformEmulation
 
-    return run_soak(PlatformEmulation(), folder, seed, duration, size, plan_name, kinds)
+    return PlatformEmulation()
 
 
 def _print_result(result: SoakResult) -> None:
--- a/src/chervilrack/_internal/soak/plan.py
+++ b/src/chervilrack/_internal/soak/plan.py
@@ -56,8 +56,8 @@
 RETRY_TIMES = ("1", "2", "1.5", "0.7", "3")
 UNUSUAL_RETRY_TIMES = ("", "-1", "soon", "nan", "1e9", "99999999999", "1, 2", "date", "twice")
 _ARGUMENTS: dict[str, Callable[[random.Random], str]] = {
-    "head cut:": lambda rng: str(rng.randint(1, 200)),
-    "head reset:": lambda rng: str(rng.randint(1, 200)),
+    "head cut:": lambda rng: str(rng.randint(1, 220)),
+    "head reset:": lambda rng: str(rng.randint(1, 220)),
     "pause:": lambda rng: str(round(rng.uniform(0.5, 1.5), 2)),
     "hold off:": lambda rng: rng.choice((*RETRY_TIMES, *RETRY_TIMES, *UNUSUAL_RETRY_TIMES)),
 }
@@ -84,10 +84,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Targets:
-    """Nodes and upstreams that faults may be applied to."""
+    """Nodes and upstreams that faults may be applied to, and behaviours of upstreams."""
 
     nodes: Sequence[str]
     upstreams: Sequence[str]
+    behaviours: Sequence[str] = BEHAVIOURS
+    notices: Sequence[str] = NOTICES
 
 
 # Returns the target and the detail of a new fault of one kind.
@@ -126,12 +128,12 @@
 
 @fault_kinds.register("upstream behaviour")
 def _draw_upstream_behaviour(rng: random.Random, targets: Targets) -> tuple[str, str]:
-    return rng.choice(targets.upstreams), _draw_argument(rng, rng.choice(BEHAVIOURS))
+    return rng.choice(targets.upstreams), _draw_argument(rng, rng.choice(targets.behaviours))
 
 
 @fault_kinds.register("upstream notice")
 def _draw_upstream_notice(rng: random.Random, targets: Targets) -> tuple[str, str]:
-    return rng.choice(targets.upstreams), _draw_argument(rng, rng.choice(NOTICES))
+    return rng.choice(targets.upstreams), _draw_argument(rng, rng.choice(targets.notices))
 
 
 @fault_kinds.register("configuration")
--- a/src/chervilrack/_internal/soak/run.py
+++ b/src/chervilrack/_internal/soak/run.py
@@ -1,5 +1,6 @@
 """Run of one soak: load, faults and the check of the promises."""
 
+import dataclasses
 import time
 from collections import Counter
 from collections.abc import Sequence
@@ -39,17 +40,22 @@
     size: SoakSize,
     plan_name: str = "mixed",
     kinds: Sequence[str] = (),
+    behaviours: Sequence[str] = (),
 ) -> SoakResult:
     """Run a soak with a load of about ``duration`` seconds.
 
     Logs and settings files of the nodes are written to ``folder``. ``kinds`` limits the kinds of
-    faults of a plan; if it is empty, all kinds of the plan are used.
+    faults of a plan, and ``behaviours`` those of upstreams; if they are empty, all of the plan are
+    used.
     """
     with SoakBed(emulation, folder, seed, size) as bed:
-        plan = plans.get(plan_name)(seed, duration, bed.targets)
+        targets = bed.targets
+        if behaviours:
+            targets = dataclasses.replace(targets, behaviours=behaviours)
+        plan = plans.get(plan_name)(seed, duration, targets)
         if kinds:
             end = duration - plan.recovery - SERVED_S
-            plan = Plan(draw_faults(seed, end, bed.targets, kinds), plan.recovery)
+            plan = Plan(draw_faults(seed, end, targets, kinds), plan.recovery)
         bed.start_callers()
         load_started_at = time.monotonic()
         inject(bed, plan.faults, load_started_at)
--- a/src/chervilrack/platform/emulated/behaviours.py
+++ b/src/chervilrack/platform/emulated/behaviours.py
@@ -19,6 +19,8 @@
 # Bytes that faults cut from a body, and a request id that no caller uses.
 CUT_BYTES: Final = 4
 FOREIGN_REQUEST: Final = "foreign"
+# Fields between the signature and the length in heads that break off.
+FURTHER_FIELDS: Final = (("Content-Type", "text/plain"), ("Cache-Control", "no-store"))
 
 Header = tuple[str, str]
 
@@ -224,8 +226,10 @@
 
 
 def _part_of_head(call: Call) -> bytes:
-    whole = _whole_answer(call)
-    return whole[: min(int(call.argument), whole.index(b"\r\n\r\n") + 2)]
+    """Return the first bytes of a head whose length is its last field."""
+    length = ("Content-Length", str(len(_content(call))))
+    head = _head(call, "200 OK", *FURTHER_FIELDS, length)
+    return head[: min(int(call.argument), len(head) - 2)]
 
 
 def _begin_stream(call: Call) -> None:
