--- a/src/chervilrack/_internal/soak/callers.py
+++ b/src/chervilrack/_internal/soak/callers.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass
 
+from chervilrack._internal.common.http_responses import StrictResponse
 from chervilrack._internal.soak.emulation import Emulation
 from chervilrack._internal.soak.losses import DEADLINE_S
 from chervilrack._internal.soak.proxy import LinkProxy
@@ -217,7 +218,9 @@
         if connection is not None:
             connection.close()
         link = self._links[address].address
-        return http.client.HTTPConnection(link, timeout=RESPONSE_TIMEOUT_S)
+        connection = http.client.HTTPConnection(link, timeout=RESPONSE_TIMEOUT_S)
+        connection.response_class = StrictResponse
+        return connection
 
 
 def _failed_ending(error: Exception, *, sent: bool, begun: bool) -> Ending:
