Count a stage call as one request at an upstream that holds off

Cause: each piece of a stage call counted as an arrival, so that one call for three requests broke "upstreams that hold off" by itself. Change: arrivals name their call; calls are counted. A request whose pieces come in one call arrives once. Conclusion: found by reading the check, not by a run.

--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -103,7 +103,7 @@
         name, at = f"later-{number}", 50.0 + delay
         evidence.attempts.append(successful_attempt(name, Kind.READ, at, node=node))
         evidence.runs.append(Run(name, "u", at + 0.01, Kind.READ))
-        evidence.arrivals.append(Arrival(name, "u", at + 0.01))
+        evidence.arrivals.append(Arrival(name, "u", at + 0.01, call=number))
     if disruption is not None:
         evidence.disruptions.append(Disruption(*disruption))
 
--- a/src/chervilrack/_internal/soak/notices.py
+++ b/src/chervilrack/_internal/soak/notices.py
@@ -44,7 +44,7 @@
 def upstreams_that_hold_off(evidence: Evidence) -> Iterator[Violation]:
     """Check that an upstream is spared for the time that it has asked for."""
     for notice, told, later in _notices(evidence, NoticeKind.HOLD_OFF):
-        count = sum(arrival.at > notice.at + HOLD_SLACK_S for _, arrival in later)
+        count = len({a.call for _, a in later if a.at > notice.at + HOLD_SLACK_S})
         if count > MAX_STRAGGLERS:
             detail = f"{count} requests from {told.node} reached it before the end of its hold"
             yield Violation("upstreams that hold off", notice.upstream, detail)
--- a/src/chervilrack/_internal/soak/records.py
+++ b/src/chervilrack/_internal/soak/records.py
@@ -80,11 +80,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Arrival:
-    """Arrival of a request, or of pieces of its stages, at an upstream; it may be rejected."""
+    """Arrival of a request, or of pieces of its stages, at an upstream; it may be rejected.
+
+    Pieces of several requests that arrive together have the same ``call``.
+    """
 
     request: str
     upstream: str
     at: float
+    call: int = 0
 
 
 class NoticeKind(enum.Enum):
--- a/src/chervilrack/platform/emulated/standins.py
+++ b/src/chervilrack/platform/emulated/standins.py
@@ -212,7 +212,8 @@
     after a colon, or "full", "hold off" or "stands still". ``seen`` holds the executed requests,
     ``pieces`` the pieces of stage calls and ``freed`` the handles of results that were freed.
     ``arrivals`` are all requests that reached the upstream and ``notices`` what it has said about
-    itself. ``left`` is set when a caller closes its connection during a stream.
+    itself. ``left`` is set when a caller closes its connection during a stream. ``born`` is its
+    start time as it is registered.
     """
 
     def __init__(self, id: str, service: str) -> None:
@@ -227,8 +228,9 @@
         self.left = threading.Event()
         self._notices: list[Notice] = []
         self._starts: list[float] = []
-        self._born = 0
+        self.born = 1
         self._handles = itertools.count(1)
+        self._calls = itertools.count(1)
         self._slots = threading.BoundedSemaphore(SLOTS)
 
     @property
@@ -249,12 +251,12 @@
             "slots": SLOTS,
             "state": state,
             "sequence": 1,
-            "born": self._born,
+            "born": self.born,
         }
 
     def restart(self) -> None:
         """Begin a new start in the registration and forget all results."""
-        self._born = time.time_ns() // 1_000_000
+        self.born = time.time_ns() // 1_000_000
         self._starts.append(time.monotonic())
 
     def serve(self, request: _Handler, body: bytes) -> None:
@@ -262,7 +264,8 @@
         target = request.headers.get("Chervilrack-Target-Instance")
         is_stage_call = request.path == "/api/stage-run"
         ids = self._request_ids(request, body, is_stage_call=is_stage_call)
-        self.arrivals += [Arrival(id, self.id, time.monotonic()) for id in ids]
+        call, now = next(self._calls), time.monotonic()
+        self.arrivals += [Arrival(id, self.id, now, call) for id in ids]
         behaviour, _, argument = self.behaviour.partition(":")
         if target not in (None, self.id):
             request.answer(421, headers=[("Chervilrack-Instance-Id", self.id)])
@@ -282,7 +285,7 @@
 
     def _request_ids(self, request: _Handler, body: bytes, *, is_stage_call: bool) -> list[str]:
         if is_stage_call:
-            return [str(piece["id"]) for piece in json.loads(body)["entries"]]
+            return sorted({str(piece["id"]) for piece in json.loads(body)["entries"]})
         id = request.headers.get("Chervilrack-Request-Id")
         return [id] if id is not None else []
 
