--- a/features/soak/soak.feature
+++ b/features/soak/soak.feature
@@ -128,3 +128,4 @@
     Examples:
       | plan    | duration | seed | callers |
       | mixed   | 22       | 1    | 4       |
+      | calm    | 22       | 1    | 24      |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -36,7 +36,7 @@
 
 TIMEOUT_S = 10.0
 # Upstreams of the short soaks answer before a node asks another upstream as well.
-CI_LONGEST_WORK_S = 1.5
+CI_LONGEST_WORK_S = 1.7
 # How long a test waits for bytes that must not arrive.
 ABSENCE_WAIT_S = 0.3
 FAULTS_ENDED_AT = 100.0
--- a/src/chervilrack/_internal/soak/bed.py
+++ b/src/chervilrack/_internal/soak/bed.py
@@ -11,7 +11,7 @@
 from types import TracebackType
 from typing import Any, Self
 
-from chervilrack._internal.soak.callers import LOOKUP_TIMEOUT_S, Caller, CallerKeys
+from chervilrack._internal.soak.callers import LOOKUP_TIMEOUT_S, Caller, CallerKeys, WorkTimes
 from chervilrack._internal.soak.emulation import Emulation
 from chervilrack._internal.soak.plan import Targets
 from chervilrack._internal.soak.processes import NodeProcess
@@ -124,17 +124,21 @@
             self._settings_revision += 1
             self._write_settings(name, self._settings_revision)
 
-    def start_callers(self) -> None:
-        """Start the callers, which send requests until they are stopped."""
+    def start_callers(self, shortest_work: float | None = None) -> None:
+        """Start the callers, which send requests until they are stopped.
+
+        Upstreams work on each request for ``shortest_work`` seconds or more; if it is None, mostly
+        for a few milliseconds.
+        """
         hosts = [self.host(number) for number in range(self._size.nodes)]
         port = self.emulation.callers_port
         links = {
             f"{self.host(number)}:{port}": self.caller_links[name]
             for number, name in enumerate(self.nodes)
         }
-        longest_work = self._size.longest_work
+        work = WorkTimes(self._size.longest_work, shortest_work)
         self._callers = [
-            Caller(number, self._seed, self.emulation, hosts, links, self.keys, longest_work)
+            Caller(number, self._seed, self.emulation, hosts, links, self.keys, work)
             for number in range(self._size.callers)
         ]
         for caller in self._callers:
--- a/src/chervilrack/_internal/soak/callers.py
+++ b/src/chervilrack/_internal/soak/callers.py
@@ -29,6 +29,24 @@
 WORK_S = ((0.5, 0.0, 0.04), (0.3, 0.1, 0.6), (0.2, 0.6, None))
 
 
+@dataclass(frozen=True, slots=True)
+class WorkTimes:
+    """Times that upstreams work on requests, in seconds.
+
+    All are at least ``shortest``, or half of them are a few milliseconds if it is None.
+    """
+
+    longest: float
+    shortest: float | None = None
+
+    def draw(self, rng: random.Random) -> float:
+        """Return a random time."""
+        if self.shortest is not None:
+            return rng.uniform(self.shortest, self.longest)
+        ((_, shortest, longest),) = rng.choices(WORK_S, [share for share, _, _ in WORK_S])
+        return rng.uniform(shortest, self.longest if longest is None else longest)
+
+
 @dataclass(frozen=True, slots=True)
 class CallerStyle:
     """How a caller uses its connections.
@@ -92,7 +110,7 @@
         hosts: Sequence[str],
         links: Mapping[str, LinkProxy],
         keys: CallerKeys,
-        longest_work: float,
+        work: WorkTimes,
     ) -> None:
         super().__init__(name=f"caller-{number}", daemon=True)
         self.attempts: list[Attempt] = []
@@ -104,7 +122,7 @@
         self._hosts = hosts
         self._links = links
         self._keys = keys
-        self._longest_work = longest_work
+        self._work = work
         self._stopping = threading.Event()
         self._node_addresses: list[str] = []
         self._looked_up_at = -LOOKUP_TTL_S
@@ -141,7 +159,7 @@
     def _send_request(self, address: str) -> Attempt:
         kind = self._rng.choice(list(Kind))
         request = f"c{self._number}-{len(self.attempts)}"
-        target = f"{kind.value}{request}?workMs={self._draw_work_ms()}"
+        target = f"{kind.value}{request}?workMs={round(self._work.draw(self._rng) * 1000)}"
         key = self._keys.draw(self._rng)
         headers = self._emulation.request_headers(request, kind, key, DEADLINE_S)
         started_at = time.monotonic()
@@ -172,11 +190,6 @@
             request, kind, address, *times, ending, status, body, key, sent_at, signer, was_read
         )
 
-    def _draw_work_ms(self) -> int:
-        ((_, shortest, longest),) = self._rng.choices(WORK_S, [share for share, _, _ in WORK_S])
-        work = self._rng.uniform(shortest, self._longest_work if longest is None else longest)
-        return round(work * 1000)
-
     def _content(self, body: bytes, headers: dict[str, str]) -> bytes | Iterator[bytes]:
         """Return a body, or its parts for a slow sender; without a length it is sent in chunks."""
         if not self._style.sends_slowly:
--- a/src/chervilrack/_internal/soak/plan.py
+++ b/src/chervilrack/_internal/soak/plan.py
@@ -27,6 +27,7 @@
 PLANNED_RECOVERY_S = 8.0
 # Time from one stop of a node to the next one in a calm plan: the grace period, and a start.
 CALM_STOP_S = 10.0
+CALM_SHORTEST_WORK_S = 0.1
 
 _LINK_MODES = [mode.value for mode in LinkMode if mode is not LinkMode.OPEN]
 
@@ -166,10 +167,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Plan:
-    """Faults of a soak ordered by start, and the time for recovery after them in seconds."""
+    """Faults of a soak ordered by start, and the time for recovery after them in seconds.
+
+    If ``shortest_work`` is set, upstreams work for at least this time on each request.
+    """
 
     faults: Sequence[Fault]
     recovery: float = RECOVERY_S
+    shortest_work: float | None = None
 
 
 # Returns the plan of a seed, for a load of a number of seconds.
@@ -201,7 +206,7 @@
         node = nodes[len(faults) % len(nodes)]
         faults.append(Fault(round(start, 3), "stop node", node, 0.2, "1"))
         start += CALM_STOP_S + rng.uniform(0.0, 1.0)
-    return Plan(faults, PLANNED_RECOVERY_S)
+    return Plan(faults, PLANNED_RECOVERY_S, CALM_SHORTEST_WORK_S)
 
 
 def draw_faults(seed: int, end: float, targets: Targets, kinds: Sequence[str] = ()) -> list[Fault]:
--- a/src/chervilrack/_internal/soak/run.py
+++ b/src/chervilrack/_internal/soak/run.py
@@ -11,7 +11,7 @@
 from chervilrack._internal.soak.checks import violations
 from chervilrack._internal.soak.emulation import Emulation
 from chervilrack._internal.soak.injection import inject
-from chervilrack._internal.soak.plan import SERVED_S, Plan, draw_faults, plans
+from chervilrack._internal.soak.plan import SERVED_S, draw_faults, plans
 from chervilrack._internal.soak.records import Evidence, Violation
 
 
@@ -55,8 +55,9 @@
         plan = plans.get(plan_name)(seed, duration, targets)
         if kinds:
             end = duration - plan.recovery - SERVED_S
-            plan = Plan(draw_faults(seed, end, targets, kinds), plan.recovery)
-        bed.start_callers()
+            faults = draw_faults(seed, end, targets, kinds)
+            plan = dataclasses.replace(plan, faults=faults)
+        bed.start_callers(plan.shortest_work)
         load_started_at = time.monotonic()
         inject(bed, plan.faults, load_started_at)
         bed.evidence.faults_ended_at = time.monotonic()
