--- a/features/adapter/answers.feature
+++ b/features/adapter/answers.feature
@@ -121,6 +121,8 @@
       | plain   | half a chunk, break                   | 502    |
       | plain   | chunks without the last, break        | 502    |
       | plain   | break                                 | 502    |
+      | plain   | reset                                 | 502    |
+      | plain   | silence                               | 504    |
       | plain   | no HTTP, break                        | 502    |
       | plain   | chunked answer                        | 200    |
       | plain   | status line of 100000 bytes           | 502    |
@@ -195,3 +197,50 @@
       | slow chunk for 12 s       |
       | slow trailer for 12 s     |
       | interim answers for 12 s  |
+
+  Scenario Outline: a plain request whose upstream sends a flood of <bytes> fails before its deadline
+    # Guards against memory or processor time that a faulty upstream can take without a bound.
+    Given scripted plain upstreams that send "flood of <bytes>"
+    When a caller sends a plain request with a deadline of 20000 ms
+    Then the caller gets status 502
+    And the upstream's connection was closed before it had sent everything
+
+    Examples: bytes that never become an answer, as fast as they are read
+      | bytes                |
+      | status line          |
+      | header               |
+      | headers              |
+      | interim answers      |
+      | chunk size           |
+      | chunk notes          |
+      | chunks               |
+      | trailers             |
+      | bytes without length |
+
+  Scenario: a stream with an event that never ends is cut before its deadline
+    # Guards against an event that is kept in memory until the deadline.
+    Given scripted engines that first send "flood of event" and then "events 2 to 5"
+    When a caller reads a stream
+    Then the caller gets the events 1 2 3 4 5 and the stream is complete
+    And the upstream's connection was closed before it had sent everything
+
+  Scenario Outline: a plain request whose HTTP/1.0 upstream sends <answer> gets status <status>
+    Given scripted plain upstreams that send "<answer>"
+    When a caller sends a plain request with a deadline of 4000 ms
+    Then the caller gets status <status>
+    And no later request gets a part of that answer
+
+    Examples:
+      | answer                                         | status |
+      | HTTP/1.0 answer                                | 200    |
+      | HTTP/1.0 answer, answer                        | 200    |
+      | HTTP/1.0 answer up to s-caller-1, break        | 502    |
+      | HTTP/1.0 answer up to Content-Length: 1, break | 502    |
+      | HTTP/1.0 answer up to answer to, break         | 502    |
+      | HTTP/1.0 answer up to answer to, reset         | 502    |
+
+  Scenario: requests that a caller sends at once get their own answers in their order
+    # Guards against answers that are exchanged between the requests of one connection.
+    Given scripted plain upstreams that send "103, answer, foreign answer"
+    When a caller sends 4 plain requests at once on one connection
+    Then the caller gets the answers to its 4 requests in their order
