--- a/features/stopping/node.feature
+++ b/features/stopping/node.feature
@@ -11,14 +11,15 @@
     And the node has 1 s to stop
     When the node stops while an upstream has a <kind> request with a deadline of <deadline> ms
     Then the caller gets status <status> and is told that it has maybe run
+    And the log names <bound> as the bound that ended the request
 
     Examples:
-      | script                 | kind    | deadline | status |
-      | silence                | plain   | 8000     | 504    |
-      | silence                | look-up | 8000     | 504    |
-      | silence                | plain   | 600      | 504    |
-      | pause of 3 s, answer   | plain   | 8000     | 504    |
-      | half an answer, silence | plain   | 8000     | 504    |
+      | script                  | kind    | deadline | status | bound                         |
+      | silence                 | plain   | 8000     | 504    | "7 the end of the node's stop" |
+      | silence                 | look-up | 8000     | 504    | "7 the end of the node's stop" |
+      | silence                 | plain   | 600      | 504    | "1 the caller's deadline"      |
+      | pause of 3 s, answer    | plain   | 8000     | 504    | "7 the end of the node's stop" |
+      | half an answer, silence | plain   | 8000     | 504    | "7 the end of the node's stop" |
 
   # Guards against a stop that cuts requests off although they can end in time.
   Scenario Outline: an upstream that needs 0.3 s has a <kind> request when the node stops, and it is answered
@@ -81,12 +82,14 @@
       | 2     | 502    | 1     |
       | 6     | 200    | 2     |
 
-  # Guards against a stream that looks complete though the stop has cut it off.
+  # Guards against a stream that looks complete though the stop has cut it off, and against reports
+  # to other nodes that its engine has failed.
   Scenario Outline: a stream whose engine sends "<script>" when the node stops ends as <end>
     Given one scripted engine that sends "<script>"
     And the node has 1 s to stop
     When the node stops while an engine has a stream
     Then the caller's stream ends as <end>
+    And the scripted upstreams do not count as failed
 
     Examples:
       | script                                  | end            |
@@ -110,6 +113,14 @@
     When 200 requests are at the upstreams, 0 more wait for a thread, and the node stops
     Then 200 callers get status 504 and 0 get status 503
 
+  # Guards against final responses that are not written because the stopping thread runs late.
+  Scenario: requests in progress get a final response even if the node is late at its stop
+    Given scripted plain upstreams that send "silence"
+    And the node has 2 s to stop
+    And the thread that stops the node is late by 3 s
+    When 50 requests are at the upstreams, 0 more wait for a thread, and the node stops
+    Then 50 callers get status 504 and 0 get status 503
+
   # Guards against a kept connection whose next request crosses the close of the connection.
   Scenario Outline: a kept connection whose next request arrives <time> gets <end>
     Given scripted plain upstreams that send "answer"
--- a/src/chervilrack/platform/emulated/standins.py
+++ b/src/chervilrack/platform/emulated/standins.py
@@ -49,6 +49,12 @@
 
     do_GET = do_POST = do_DELETE = _serve  # noqa: N815 - names that http.server calls
 
+    def end_headers(self) -> None:
+        """End the header fields of an answer with those that the stand-in adds to each one."""
+        for name, value in self.server.stand_in.added_headers:  # type: ignore[attr-defined]
+            self.send_header(name, value)
+        super().end_headers()
+
     def answer(
         self,
         status: int,
@@ -77,6 +83,11 @@
 class _StandIn(ABC):
     """HTTP server in its own thread; a context manager."""
 
+    @property
+    def added_headers(self) -> Sequence[Header]:
+        """Header fields that each answer gets."""
+        return ()
+
     def __init__(self) -> None:
         self._http = _Server(("127.0.0.1", 0), _Handler)
         self._http.stand_in = self
@@ -212,8 +223,10 @@
     after a colon, or "full", "hold off" or "stands still". ``seen`` holds the executed requests,
     ``pieces`` the pieces of stage calls and ``freed`` the handles of results that were freed.
     ``arrivals`` are all requests that reached the upstream and ``notices`` what it has said about
-    itself. ``left`` is set when a caller closes its connection during a stream. ``born`` is its
-    start time as it is registered.
+    itself. ``left`` is set when a caller closes its connection during a stream. With ``leaving``,
+    each answer says that the upstream leaves. With ``retry_after``, it turns requests and stage
+    calls away with that value of ``Retry-After``; ``turned_away`` counts these and other refusals.
+    ``born`` is its start time as it is registered.
     """
 
     def __init__(self, id: str, service: str) -> None:
@@ -221,6 +234,10 @@
         self.id = id
         self.service = service
         self.behaviour = "good"
+        self.leaving = False
+        self.retry_after: str | None = None
+        self.born = 1
+        self.turned_away = 0
         self.seen: list[ExecutedRequest] = []
         self.pieces: list[Any] = []
         self.freed: list[str] = []
@@ -228,11 +245,15 @@
         self.left = threading.Event()
         self._notices: list[Notice] = []
         self._starts: list[float] = []
-        self.born = 1
         self._handles = itertools.count(1)
         self._calls = itertools.count(1)
         self._slots = threading.BoundedSemaphore(SLOTS)
 
+    @property
+    def added_headers(self) -> Sequence[Header]:
+        """Header fields that each answer gets."""
+        return [("Server-Leaving", "1")] if self.leaving else []
+
     @property
     def notices(self) -> list[Notice]:
         """What the upstream has said about itself; a later start ends it."""
@@ -272,6 +293,8 @@
         elif request.path == "/api/stage-free":
             self.freed += json.loads(body)["handles"]
             request.answer(200)
+        elif self.retry_after is not None:
+            self._reject(request, [("Retry-After", self.retry_after)])
         elif behaviour == "hold off":
             self._hold_off(request, ids, argument.strip())
         elif is_stage_call:
@@ -290,6 +313,7 @@
         return [id] if id is not None else []
 
     def _reject(self, request: _Handler, headers: Sequence[Header] = ()) -> None:
+        self.turned_away += 1
         request.answer(503, headers=[("Chervilrack-Not-Executed", "1"), *headers])
 
     def _hold_off(self, request: _Handler, ids: Sequence[str], retry_time: str) -> None:
@@ -346,6 +370,7 @@
             ("Chervilrack-Request-Id", id),
             ("Chervilrack-Response-Signature", f"{SIGNATURE_PREFIX}{self.id}"),
             *self._own_headers(behaviour, [id]),
+            *self.added_headers,
         ]
         url = urlsplit(request.path)
         work = int(parse_qs(url.query).get("workMs", ["0"])[0]) / 1000
