Stop what a node has started when a later part cannot start

Cause: a run of features/adapter hung for 16 minutes after its last scenario. One scenario had failed at the start of its node after 20 ms; two worker threads of the node's management listener went on and kept the process from ending (stacks taken with gdb). The start entered an ExitStack that nobody closes if __enter__ raises. That the port was taken by another run is likely, since the tests pick free ports and bind them later; the error itself was not kept. Change: the parts are started in an ExitStack that is closed on an error. Result: behave features/adapter/serving.feature -n "finds its port taken" failed before, and its process had to be ended after 200 s; now it passes and ends. Conclusion: a clash of ports fails one scenario and no longer a whole run.

--- a/features/adapter/serving.feature
+++ b/features/adapter/serving.feature
@@ -143,3 +143,9 @@
     And the thread that stops the node is late by 1 s
     When a staged stream request waits while the node leaves
     Then the caller gets status 503 because the node stops
+
+  Scenario: a node that finds its port taken stops what it has started
+    Threads that go on keep the process from ending.
+
+    When a second node starts at the callers' port of the first
+    Then its start fails and no further thread runs
--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -483,3 +483,37 @@
 @when("the node has left")
 def leave_node(context):
     context.node.leave()
+
+
+@when("a second node starts at the callers' port of the first")
+def start_at_taken_port(context):
+    management, peer = (Address("127.0.0.1", port) for port in free_ports(2))
+    settings = dataclasses.replace(
+        context.settings,
+        node=NodeId("n2"),
+        readiness=management,
+        lookup=management,
+        metrics=management,
+        peer=peer,
+    )
+    context.threads = set(threading.enumerate())
+    node = ServingNode(settings, PlatformDialect(), SCHEMA, None, SystemClock(), context.node._log)
+    context.start_error = None
+    try:
+        node.__enter__()
+    except OSError as error:
+        context.start_error = error
+
+
+@then("its start fails and no further thread runs")
+def check_start_failed(context):
+    assert context.start_error is not None
+
+    def names():
+        return [
+            thread.name
+            for thread in threading.enumerate()
+            if thread not in context.threads and not thread.daemon
+        ]
+
+    wait_for(lambda: not names(), f"the threads of the second node end: {names()}")
--- a/src/chervilrack/_internal/serving/node.py
+++ b/src/chervilrack/_internal/serving/node.py
@@ -154,7 +154,15 @@
 
     def __enter__(self) -> Self:
         logging.getLogger().addHandler(DecisionHandler(self._log))
-        enter = self._exit.enter_context
+        with contextlib.ExitStack() as started:
+            self._start_parts(started)
+            self._exit = started.pop_all()
+        self._log.note("node", "started", zone=self._settings.zone, process=os.getpid())
+        return self
+
+    def _start_parts(self, stack: contextlib.ExitStack) -> None:
+        """Start the parts of the node; ``stack`` stops them, also if a later one cannot start."""
+        enter = stack.enter_context
         now = self._clock.monotonic()
         self._fleet.add_addresses([str(seed) for seed in self._settings.seeds], now)
         enter(self._stage_caller)
@@ -166,8 +174,6 @@
         if self._store_sync is not None:
             enter(self._store_sync)
         enter(self._timers)
-        self._log.note("node", "started", zone=self._settings.zone, process=os.getpid())
-        return self
 
     def __exit__(
         self,
