Test the lag of emulated reports without a race against it

Cause: two scenarios of standins/upstreams.feature ask for a report that must still be hidden for 200 and 300 ms, and again after a sleep. A test thread that is late by that before its first question finds the report visible.

Change: the lag is 30 s, and the clock of the emulation is set forward by 30 s between the two questions. What has to be seen is unchanged; the two scenarios take 0.6 s less.

Found by reading.

--- a/features/standins/upstreams.feature
+++ b/features/standins/upstreams.feature
@@ -41,9 +41,9 @@
 
   Scenario: standins engine reports cache events late and with gaps
     # Guards against events that are better than those of real engines.
-    Given standins an engine whose events are 200 ms late and lack every third
+    Given standins an engine whose events are 30 s late and lack every third
     When standins a prompt of 6 blocks is sent
-    Then standins no event is visible at first and 4 of 6 later
+    Then standins no event is visible at first and 4 of 6 after 30 s
 
   Scenario: standins engine stops when its client leaves
     # Guards against cancelled work that goes on and hides wasted capacity.
@@ -53,9 +53,9 @@
 
   Scenario: standins load reports lag
     # Guards against a load report that is fresher than real ones.
-    Given standins a plain service that reports its load 300 ms late
+    Given standins a plain service that reports its load 30 s late
     When standins 3 requests hang there
-    Then standins the load report shows 0 at first and 3 later
+    Then standins the load report shows 0 at first and 3 after 30 s
 
   Scenario Outline: standins record a breach of the limit <kind>
     # Guards against experiments that pass although a limit was exceeded.
@@ -86,7 +86,7 @@
 
   Scenario Outline: standins serve the fault <fault>
     # Guards against a fault that does nothing, which would make every experiment pass.
-    Given standins a plain service that reports its load 0 ms late
+    Given standins a plain service that reports its load 0 s late
     When standins the fault <fault> is posted and a request is sent
     Then standins the request <outcome>
 
@@ -108,20 +108,20 @@
 
   Scenario: standins stop gracefully
     # Guards against a planned stop that cuts off work.
-    Given standins a plain service that reports its load 0 ms late
+    Given standins a plain service that reports its load 0 s late
     When standins it is stopped gracefully while a request runs and another comes
     Then standins the running one is answered and the new one is refused
     And standins nothing was cut off
 
   Scenario: standins record what a crash cuts off
     # Guards against a cut-off request that nobody counts.
-    Given standins a plain service that reports its load 0 ms late
+    Given standins a plain service that reports its load 0 s late
     When standins it crashes while a request runs
     Then standins the record names the cut-off request
 
   Scenario: standins record repeated executions and work after a withdrawal
     # Guards against doubled orders and late dispatches that are not seen.
-    Given standins a plain service that reports its load 0 ms late
+    Given standins a plain service that reports its load 0 s late
     When standins an order is sent twice and again after its withdrawal
     Then standins the record at /record shows 3 executions and 1 late arrival
 
--- a/features/steps/standins_steps.py
+++ b/features/steps/standins_steps.py
@@ -16,6 +16,8 @@
 from chervilrack._internal.exceptions import StreamBroken
 from chervilrack._internal.releases.state import Limits
 from chervilrack._internal.standins.upstreams import engine as engine_module
+from chervilrack._internal.standins.upstreams import prefix_cache
+from chervilrack._internal.standins.upstreams import upstream as upstream_module
 from chervilrack._internal.standins.upstreams.engine import EngineTiming, ModelEngine
 from chervilrack._internal.standins.upstreams.server import StandinServer
 from chervilrack._internal.standins.upstreams.simple import PlainService
@@ -42,9 +44,29 @@
     context.upstream = enter(context, ModelEngine("engine", cache_blocks=blocks, timing=FAST))
 
 
-@given("standins an engine whose events are {late:d} ms late and lack every third")
+class ShiftedTime:
+    """Stands for the module ``time``, with a monotonic clock that can be set forward."""
+
+    sleep = staticmethod(time.sleep)
+
+    def __init__(self):
+        self.shift_s = 0.0
+
+    def monotonic(self):
+        return time.monotonic() + self.shift_s
+
+
+def shift_time_of(context, module):
+    context.clock = ShiftedTime()
+    patch = mock.patch.object(module, "time", context.clock)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@given("standins an engine whose events are {late:d} s late and lack every third")
 def engine_with_events(context, late):
-    engine = ModelEngine("engine", timing=FAST, event_lag=late / 1000, event_gap=3)
+    shift_time_of(context, prefix_cache)
+    engine = ModelEngine("engine", timing=FAST, event_lag=float(late), event_gap=3)
     context.upstream = enter(context, engine)
 
 
@@ -54,9 +76,10 @@
     context.upstream = enter(context, engine)
 
 
-@given("standins a plain service that reports its load {late:d} ms late")
+@given("standins a plain service that reports its load {late:d} s late")
 def service_with_lag(context, late):
-    service = PlainService("service", service_time=0.02, load_lag=late / 1000)
+    shift_time_of(context, upstream_module)
+    service = PlainService("service", service_time=0.02, load_lag=float(late))
     context.upstream = enter(context, service)
 
 
@@ -216,12 +239,12 @@
     assert send(context, context.upstream, 1, body).is_ok()
 
 
-@then("standins no event is visible at first and {visible:d} of {count:d} later")
-def late_events(context, visible, count):
+@then("standins no event is visible at first and {visible:d} of {count:d} after {late:d} s")
+def late_events(context, visible, count, late):
     commands = UpstreamCommands(context.pools)
     known = commands.cache_events(context.upstream.address, 0).ok_value
     assert known == (), known
-    time.sleep(0.25)
+    context.clock.shift_s = float(late)
     known = commands.cache_events(context.upstream.address, 0).ok_value
     assert [event.sequence for event in known] == [n for n in range(1, count + 1) if n % 3]
     assert len(known) == visible
@@ -254,11 +277,11 @@
     wait_for(lambda: context.upstream.record.running == count)
 
 
-@then("standins the load report shows {first:d} at first and {later:d} later")
-def lagging_load(context, first, later):
+@then("standins the load report shows {first:d} at first and {later:d} after {late:d} s")
+def lagging_load(context, first, later, late):
     commands = UpstreamCommands(context.pools)
     assert commands.load(context.upstream.address).ok_value["running"] == first
-    time.sleep(0.35)
+    context.clock.shift_s = float(late)
     assert commands.load(context.upstream.address).ok_value["running"] == later
 
 
