--- a/features/steps/broken_off_steps.py
+++ b/features/steps/broken_off_steps.py
@@ -12,6 +12,7 @@
 from hypothesis import strategies as st
 
 from chervilrack._internal.batching.state import Order, Piece, StartCall
+from chervilrack._internal.catalogue.state import UpstreamIncarnation
 from chervilrack._internal.cli.client import NodeClient, NodeRefused
 from chervilrack._internal.common.clock import SystemClock
 from chervilrack._internal.exceptions import (
@@ -61,8 +62,10 @@
 def call_stage(stack, address, _head_only):
     order = Order("o", "first", "r", 0, "key", (), LIMIT, LIMIT, 1, timedelta(0))
     pieces = (Piece(order, 0),)
-    call = StartCall(1, "first-1", address, pieces, timedelta(0), LIMIT, LIMIT, None)
-    caller = stack.enter_context(StageCaller(PlatformDialect(), SystemClock()))
+    upstream = UpstreamIncarnation("first-1", 1)
+    call = StartCall(1, upstream, address, pieces, timedelta(0), LIMIT, LIMIT, None)
+    observer = SimpleNamespace(may_send=lambda _: True, answer_received=lambda *_: None)
+    caller = stack.enter_context(StageCaller(PlatformDialect(), observer, SystemClock()))
     try:
         assert caller._call(call, lambda: None) == ["host:1/name"]
     except CallFailed as failure:
--- a/features/steps/stopping_steps.py
+++ b/features/steps/stopping_steps.py
@@ -61,6 +61,13 @@
     record_response(context)
 
 
+@then('the log names "{bound}" as the bound that ended the request')
+def check_logged_bound(context, bound):
+    lines = [json.loads(line) for line in context.log.getvalue().splitlines()]
+    ends = [line for line in lines if line.get("request") == "caller-1" and "took_ms" in line]
+    assert [line["bound"] for line in ends] == [bound], ends
+
+
 @when("the node stops while an engine has a stream")
 def stop_during_stream(context):
     with ThreadPoolExecutor(1) as pool:
@@ -92,6 +99,16 @@
     assert is_complete == (end == "complete"), context.raw
 
 
+@then("the scripted upstreams do not count as failed")
+def check_no_failures(context):
+    balancer = context.node.balancer
+    failures = {
+        f"scripted-{number}": balancer.status(f"scripted-{number}").consecutive_failures
+        for number in range(len(context.scripted.addresses))
+    }
+    assert not any(failures.values()), failures
+
+
 @then("the caller gets the upstream's answer")
 def check_answer(context):
     assert context.raw.startswith("HTTP/1.1 200"), context.raw
