Take evidence by silence back when an upstream goes on

Cause: whatever an upstream did not answer in time counted as a failure of it. Two look-ups that waited 250 ms, or two streams without an event for 0.75 s, ejected it for 1 s and more; a connection that timed out after 0.5 s ejected it at once. Answers that took long because of one silence raised its pace up to 20 times, so that it got hardly any request for seconds. The only upstream of a service was given up after 0.5 s without a handshake: 503. A sound upstream may be silent for a second or so. Ruled out: orders that wait (they are never repeated and got their answers before, too). Change: balancing/silence.py owns the bounds. Silent attempts are evidence from the first on: the upstream costs as much as its silence may still last, to this node and to peers that hear of it from two nodes; any byte on any connection ends that. Silence alone ejects after more than 1.6 s and several attempts. Refusals and resets eject as before. A pace that one silence may explain counts once a later request confirms it. A resumable stream is continued elsewhere after 1.6 s, not 0.75 to 1.5 s, a request without a first byte when another upstream is expected sooner. The only upstream of a service is connected to for 1.6 s.

--- a/features/steps/answers_steps.py
+++ b/features/steps/answers_steps.py
@@ -11,8 +11,8 @@
 LIMIT_S = 30.0
 
 
-def start_scripted(context, service, scripts, count):
-    upstreams = ScriptedUpstreams(scripts, count)
+def start_scripted(context, service, scripts, count, *, is_deaf=False):
+    upstreams = ScriptedUpstreams(scripts, count, is_deaf=is_deaf)
     upstreams.__enter__()
     context.add_cleanup(upstreams.__exit__)
     context.scripted = upstreams
--- a/features/support/scripted_upstream.py
+++ b/features/support/scripted_upstream.py
@@ -75,12 +75,22 @@
     """Listeners that answer the n-th request with the n-th script, or the last one.
 
     ``requests`` holds the heads of the requests and ``unsent`` the actions whose bytes could not be
-    sent, because the connection was closed. Use as a context manager.
+    sent, because the connection was closed. Upstreams that are deaf do not complete the handshakes
+    of new connections until ``hear`` is called. Use as a context manager.
     """
 
-    def __init__(self, scripts, count):
+    def __init__(self, scripts, count, *, is_deaf=False):
         self._scripts = scripts
-        self._listeners = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+        backlog = 0 if is_deaf else 128
+        self._listeners = [
+            socket.create_server(("127.0.0.1", 0), backlog=backlog) for _ in range(count)
+        ]
+        self._hears = threading.Event()
+        self._fillers = []
+        if is_deaf:
+            self._fill_queues()
+        else:
+            self._hears.set()
         self.addresses = [f"127.0.0.1:{item.getsockname()[1]}" for item in self._listeners]
         self._lock = threading.Lock()
         self._stopping = threading.Event()
@@ -92,14 +102,36 @@
             threading.Thread(target=self._serve, args=(listener,), daemon=True).start()
         return self
 
+    def _fill_queues(self):
+        """Fill the queues of connections that wait to be accepted."""
+        for listener in self._listeners:
+            for _ in range(2):
+                filler = socket.socket()
+                filler.setblocking(False)
+                with suppress(BlockingIOError):
+                    filler.connect(listener.getsockname())
+                self._fillers.append(filler)
+
+    def hear(self):
+        """Accept connections from now on."""
+        for filler in self._fillers:
+            filler.close()
+        self._hears.set()
+
     def __exit__(self, *_exception):
         self._stopping.set()
+        self.hear()
+        self.close()
+
+    def close(self):
+        """Refuse connections from now on."""
         for listener in self._listeners:
             with suppress(OSError):
                 listener.shutdown(socket.SHUT_RDWR)
             listener.close()
 
     def _serve(self, listener):
+        self._hears.wait()
         while True:
             try:
                 connection, _ = listener.accept()
--- a/src/chervilrack/_internal/balancing/core.py
+++ b/src/chervilrack/_internal/balancing/core.py
@@ -67,6 +67,8 @@
         # Reports of the peers by upstream; a peer reports few of the upstreams.
         self._reports: dict[UpstreamId, dict[NodeId, UpstreamReport]] = {}
         self._reported: dict[NodeId, tuple[UpstreamId, ...]] = {}
+        # Starts of the silences that peers report, by upstream.
+        self._reported_silences: dict[UpstreamId, dict[NodeId, timedelta]] = {}
         self._actions: list[ActionTaken] = []
 
     def choose(
@@ -148,6 +150,7 @@
 
     def record_success(self, upstream: UpstreamId, now: timedelta) -> None:
         """Record a successful response; it ends an ejection."""
+        self.record_heard(upstream, now)
         status = self.status(upstream)
         status.consecutive_failures = 0
         status.last_success = now
@@ -158,6 +161,89 @@
             status.ejections = max(0, status.ejections - 1)
             self._record_action("return", upstream, "answered on probation")
 
+    def is_silent(self, upstream: UpstreamId) -> bool:
+        """Whether attempts at an upstream have waited in vain, and nothing has come from it since.
+
+        May be called without a lock.
+        """
+        status = self._status.get(upstream)
+        return status is not None and status.silent_since is not None
+
+    def may_be_silent(self, upstream: UpstreamId, now: timedelta) -> bool:
+        """Whether a new request would probably meet the silence that earlier ones have met."""
+        status = self.status(upstream)
+        return (
+            status.silent_since is not None
+            and now - status.silent_until <= self.settings.silence.bound
+        )
+
+    def record_heard(self, upstream: UpstreamId, now: timedelta) -> None:
+        """Record that bytes have arrived from an upstream, which ends its silence.
+
+        Takes back what the silence was evidence for: silent attempts and an ejection due to them.
+        Without a silence, it may be called without a lock.
+        """
+        status = self.status(upstream)
+        status.last_heard = now
+        if status.silent_since is None:
+            return
+        duration = now - status.silent_since
+        status.silent_since = None
+        status.silent_attempts = 0
+        if status.silent_ejections:
+            status.probing = False
+            status.consecutive_failures = 0
+            status.ejected_until = _ZERO
+            status.ejections = max(0, status.ejections - status.silent_ejections)
+            status.silent_ejections = 0
+        self._record_action("heard again", upstream, f"after {duration.total_seconds():.2f} s")
+
+    def silence(self, upstream: UpstreamId, since: timedelta, now: timedelta) -> timedelta:
+        """Return for how long an upstream has said nothing to a request that waits since ``since``.
+
+        The silence may have begun before the request.
+        """
+        status = self.status(upstream)
+        if status.silent_since is not None:
+            since = min(since, status.silent_since)
+        if status.last_heard is not None:
+            since = max(since, status.last_heard)
+        return now - since
+
+    def record_silence(
+        self, upstream: UpstreamId, since: timedelta, now: timedelta, reason: str
+    ) -> None:
+        """Record that an attempt has waited since ``since`` in vain.
+
+        If the upstream has sent bytes on other connections meanwhile, the request takes long and
+        the upstream is not silent. A silence ejects the upstream only when it is longer than that
+        of a sound one and several attempts, or this one and peers, have met it. It also ejects an
+        upstream that was ejected before and is being probed.
+        """
+        policy = self.settings.silence
+        status = self.status(upstream)
+        if status.last_heard is not None:
+            since = max(since, status.last_heard)
+        if now - since < policy.shortest_evidence:
+            return
+        last_known = max(status.silent_until, status.ejected_until)
+        if since - last_known > 2 * policy.bound:
+            status.silent_since = None  # The upstream may have gone on unnoticed.
+        if status.silent_since is None:
+            status.silent_since, status.silent_attempts = since, 0
+            self._record_action("silent", upstream, reason)
+        status.silent_since = min(status.silent_since, since)
+        status.silent_until = now
+        status.silent_attempts += 1
+        started, attempts = status.silent_since, status.silent_attempts
+        if (reported := self._silence_of_peers(upstream)) is not None:
+            started, attempts = min(started, reported), attempts + 1
+        is_too_long = now - started > policy.bound and attempts >= self.settings.ejection_failures
+        if is_too_long or status.probing:
+            ejections = status.silent_ejections + (now >= status.ejected_until)
+            self.record_failure(upstream, now, reason, certain=True)
+            status.silent_ejections = ejections
+
     def record_failure(
         self, upstream: UpstreamId, now: timedelta, reason: str, certain: bool = False
     ) -> None:
@@ -177,6 +263,7 @@
         if now < status.ejected_until:
             return
         settings = self.settings
+        status.silent_ejections = 0
         duration = min(settings.ejection_time * 2**status.ejections, settings.longest_ejection_time)
         status.ejections = min(status.ejections + 1, 8)
         status.ejected_until = now + duration
@@ -190,6 +277,7 @@
         cost of choosing it.
         """
         status = self.status(upstream)
+        self.record_heard(upstream, now)
         status.probing = False
         self._update_error_share(status, 1.0, now)
 
@@ -208,13 +296,36 @@
     ) -> None:
         """Update the pace of an upstream with the ratio of the observed to the expected time."""
         status = self.status(upstream)
-        if expected <= _ZERO:
+        if expected <= _ZERO or self._may_be_silence(status, expected, took, now):
             return
         ratio = min(20.0, max(0.2, took / expected))
         weight = self.settings.pace_weight
         status.pace = (1 - weight) * self.pace(status, now) + weight * ratio
         status.pace_at = now
 
+    def _may_be_silence(
+        self, status: UpstreamStatus, expected: timedelta, took: timedelta, now: timedelta
+    ) -> bool:
+        """Whether a silence, and not the pace of the upstream, may explain an observation.
+
+        All requests that wait during a silence take long. Only one that was sent later can show
+        that the upstream itself is slow.
+        """
+        started = now - took
+        is_recent = (
+            status.slow_since is not None
+            and now - status.slow_since <= self.settings.pace_half_life
+        )
+        is_later = status.slow_since is not None and started >= status.slow_since
+        if not self.settings.silence.may_explain(took - expected):
+            if is_later:
+                status.slow_since = None
+            return False
+        if not is_recent:
+            status.slow_since = now
+            return True
+        return not is_later
+
     def pace(self, status: UpstreamStatus, now: timedelta) -> float:
         """Return the pace of an upstream, decayed towards 1 since the last observation."""
         age = max(_ZERO, now - status.pace_at)
@@ -227,12 +338,18 @@
         if status is not None and status.in_flight == 0:
             del self._status[upstream]
 
-    def set_peer_reports(self, node: NodeId, reports: Sequence[UpstreamReport]) -> None:
-        """Replace the reports of a peer."""
+    def set_peer_reports(
+        self, node: NodeId, reports: Sequence[UpstreamReport], now: timedelta = _ZERO
+    ) -> None:
+        """Replace the reports of a peer with those that have arrived now."""
         self.forget_peer(node)
         self._reported[node] = tuple(UpstreamId(report.upstream) for report in reports)
         for report in reports:
-            self._reports.setdefault(UpstreamId(report.upstream), {})[node] = report
+            upstream = UpstreamId(report.upstream)
+            self._reports.setdefault(upstream, {})[node] = report
+            if report.silent_ms:
+                since = now - timedelta(milliseconds=report.silent_ms)
+                self._reported_silences.setdefault(upstream, {})[node] = since
 
     def forget_peer(self, node: NodeId) -> None:
         """Drop the reports of a peer that is gone."""
@@ -241,6 +358,9 @@
             del reports[node]
             if not reports:
                 del self._reports[upstream]
+            silences = self._reported_silences.get(upstream)
+            if silences is not None and silences.pop(node, None) is not None and not silences:
+                del self._reported_silences[upstream]
 
     def local_reports(self, now: timedelta) -> list[UpstreamReport]:
         """Return this node's reports for its peers.
@@ -253,7 +373,8 @@
             pace = self.pace(status, now)
             error_share = self.error_share(status, now)
             is_usual = abs(pace - 1.0) <= 0.3 and error_share <= self.settings.tolerated_error_share
-            if status.in_flight or suspected or not is_usual:
+            silent = self._reported_silence(status, now)
+            if status.in_flight or suspected or silent or not is_usual:
                 report = UpstreamReport(
                     upstream,
                     status.in_flight,
@@ -261,10 +382,20 @@
                     suspected,
                     round(pace, 2),
                     round(error_share, 2),
+                    silent,
                 )
                 reports.append(report)
         return reports
 
+    def _reported_silence(self, status: UpstreamStatus, now: timedelta) -> int:
+        """Return the milliseconds for which an upstream is silent, or 0.
+
+        Without a new silent attempt the upstream may have gone on, unnoticed by this node.
+        """
+        if status.silent_since is None or now - status.silent_until > self.settings.silence.bound:
+            return 0
+        return max(1, round((now - status.silent_since) / timedelta(milliseconds=1)))
+
     def drain_actions(self) -> list[ActionTaken]:
         """Return the ejections and returns since the last call, and forget them."""
         actions, self._actions = self._actions, []
@@ -297,8 +428,24 @@
             suspecting_peers=sum(report.suspected for report in peer_reports),
             pace=statistics.median(report.pace for report in peer_reports),
             error_share=statistics.fmean(report.error_share for report in peer_reports),
+            silent_since=self._silence_of_peers(upstream),
         )
 
+    def _silence_of_peers(self, upstream: UpstreamId) -> timedelta | None:
+        """Return when an upstream fell silent to enough peers, unless this node heard it since."""
+        silences = self._reported_silences.get(upstream, {})
+        if len(silences) < self.settings.min_suspecting_peers:
+            return None
+        since = max(silences.values())
+        heard = self.status(upstream).last_heard
+        return since if heard is None or heard < since else None
+
+    def rest_of_silence(self, candidate: Candidate, now: timedelta) -> timedelta:
+        """Return how long a request has to wait at most for a silent upstream that is sound."""
+        starts = (candidate.status.silent_since, candidate.peers.silent_since)
+        rests = [self.settings.silence.longest_rest(now - at) for at in starts if at is not None]
+        return max(rests, default=_ZERO)
+
     def _usable(self, allowed: Sequence[Candidate], now: timedelta) -> list[Candidate]:
         """Return the candidates without suspected upstreams, but at least the minimum share.
 
@@ -393,6 +540,7 @@
         # Requests beyond the slots queue at the upstream, for about 250 ms per round.
         seconds += 0.25 * (1 + (candidate.in_flight - entry.slots) / max(1, entry.slots))
     seconds *= _pace(balancer, candidate, now)
+    seconds += balancer.rest_of_silence(candidate, now).total_seconds()
     error_share = max(balancer.error_share(status, now), candidate.peers.error_share)
     seconds += max(0.0, error_share - settings.tolerated_error_share) * settings.error_cost_s
     if entry.zone != balancer.zone:
--- a/src/chervilrack/_internal/balancing/state.py
+++ b/src/chervilrack/_internal/balancing/state.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from chervilrack._internal.balancing.silence import SilencePolicy
 from chervilrack._internal.common.ids import UpstreamId, ZoneId
 
 _ZERO = timedelta(0)
@@ -55,12 +56,14 @@
     sampled_candidates: int = 2
     # Prompt parts that are remembered as cached by one upstream.
     max_cached_parts: int = 4096
+    silence: SilencePolicy = field(default_factory=SilencePolicy)
 
 
 class UpstreamReport(msgspec.Struct, frozen=True, array_like=True):
     """One node's report about one upstream: its own requests there and the failures it has seen.
 
-    The fields are as in ``UpstreamStatus``.
+    The fields are as in ``UpstreamStatus``. ``silent_ms`` is for how long the upstream has been
+    silent, 0 if it is not.
     """
 
     upstream: str
@@ -69,6 +72,7 @@
     suspected: bool
     pace: float
     error_share: float
+    silent_ms: int = 0
 
 
 @dataclass(slots=True)
@@ -82,6 +86,12 @@
     ``ejections`` sets the length of the next ejection; a return after an ejection lowers it by 1.
     ``cached_parts`` holds the prompt parts that were sent to the upstream, oldest first, with the
     time of their last use.
+
+    ``last_heard`` is when the last bytes arrived from the upstream on any connection. While
+    ``silent_since`` is set, ``silent_attempts`` attempts have waited in vain since then, the last
+    one until ``silent_until``, and ``silent_ejections`` of the ``ejections`` have no other cause.
+    ``slow_since`` is the time of an observation of the pace that one silence may explain, and that
+    does not count until a later request confirms it.
     """
 
     in_flight: int = 0
@@ -96,6 +106,12 @@
     error_share: float = 0.0
     error_share_at: timedelta = _ZERO
     cached_parts: OrderedDict[str, timedelta] = field(default_factory=OrderedDict)
+    last_heard: timedelta | None = None
+    silent_since: timedelta | None = None
+    silent_until: timedelta = _ZERO
+    silent_attempts: int = 0
+    silent_ejections: int = 0
+    slow_since: timedelta | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,7 +119,8 @@
     """Summary of the peers' reports about one upstream.
 
     ``pace`` is the median and ``error_share`` the mean of the reported values; the highest of them
-    would grow with the number of peers. The other fields are sums.
+    would grow with the number of peers. ``silent_since`` is when the upstream fell silent if enough
+    peers report that. The other fields are sums.
     """
 
     in_flight: int = 0
@@ -111,6 +128,7 @@
     suspecting_peers: int = 0
     pace: float = 1.0
     error_share: float = 0.0
+    silent_since: timedelta | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/chervilrack/_internal/forwarding/attempts.py
+++ b/src/chervilrack/_internal/forwarding/attempts.py
@@ -97,8 +97,28 @@
     def attempt_misdirected(self, entry: UpstreamEntry) -> None:
         """Record that another upstream has the address of ``entry``."""
 
+    def upstream_heard(self, entry: UpstreamEntry) -> None:
+        """Record that bytes have arrived from the upstream."""
+
+    def attempt_silent(self, entry: UpstreamEntry, since: timedelta, reason: str) -> None:
+        """Record that the attempt has waited since ``since`` in vain."""
+
     def first_byte_timeout(self, context: RequestContext, choice: UpstreamChoice) -> timedelta:
-        """Return the time to wait for the first byte before the request is tried elsewhere."""
+        """Return the time to wait for the first byte before ``time_to_stay`` is asked."""
+
+    def time_to_stay(
+        self, context: RequestContext, choice: UpstreamChoice, started: timedelta
+    ) -> timedelta | None:
+        """Return how much longer to wait for the first byte of an attempt begun at ``started``.
+
+        Zero means that the request is to be tried elsewhere, None that it cannot be.
+        """
+
+    def may_reconnect(self, context: RequestContext, started: timedelta) -> bool:
+        """Whether to go on connecting to the upstream of an attempt begun at ``started``."""
+
+    def stream_gap(self, max_gap: timedelta | None) -> timedelta:
+        """Return the time without an event after which a stream may be continued elsewhere."""
 
     def is_overdue(
         self, context: RequestContext, choice: UpstreamChoice, waited: timedelta
@@ -128,7 +148,11 @@
     ) -> AttemptResult:
         """Send the request to ``entry``, and relay a successful response to the caller."""
         relay = StreamRelay(
-            context, responder, lambda: self._observer.can_retry(context, context.executions)
+            context,
+            responder,
+            lambda: self._observer.can_retry(context, context.executions),
+            self._observer.stream_gap(context.route.max_gap),
+            lambda: self._observer.upstream_heard(entry),
         )
         self._observer.attempt_started(context, entry, choice)
         try:
@@ -163,8 +187,9 @@
                 now
             ) > DEADLINE_TOLERANCE or self._observer.is_overdue(context, choice, now - started)
             return self._handle_exchange_failure(
-                context, entry, error, is_upstream_fault=is_upstream_fault
+                context, entry, error, started, is_upstream_fault=is_upstream_fault
             )
+        self._observer.upstream_heard(entry)
         headers = response.headers
         metadata = self._dialect.read_response(response.status, headers)
         if metadata.request_id not in (None, context.metadata.request_id):
@@ -195,7 +220,8 @@
         stages: StageRun | None,
     ) -> urllib3.BaseHTTPResponse:
         request = context.request
-        left = context.time_left(self._clock.monotonic())
+        started = self._clock.monotonic()
+        left = context.time_left(started)
         forwarded = ForwardedMetadata(
             deadline=left,
             target=entry.id,
@@ -205,15 +231,41 @@
             last_event=context.events.last_id,
         )
         headers = self._dialect.request_headers(request.headers, forwarded)
-        exchange.send(request.method, request.target, headers, request.body, left.total_seconds())
+        self._write(context, exchange, headers, started)
         context.sent_attempts += 1
         timeout = self._observer.first_byte_timeout(context, choice)
         begins = self._begins_within(exchange, timeout, stages)
-        if not begins and self._observer.can_retry(context, context.executions + 1):
-            raise ExchangeFailed(f"silent for {timeout.total_seconds():.2f} s", sent=True)
+        while not begins:
+            stay = self._observer.time_to_stay(context, choice, started)
+            if stay is None:
+                break
+            if stay <= timedelta(0):
+                waited = self._clock.monotonic() - started
+                detail = f"silent for {waited.total_seconds():.2f} s"
+                raise ExchangeFailed(detail, sent=True, silent=True)
+            begins = exchange.wait_readable(stay.total_seconds())
         left = context.time_left(self._clock.monotonic())
         return exchange.read_head(left.total_seconds())
 
+    def _write(
+        self,
+        context: RequestContext,
+        exchange: Exchange,
+        headers: Sequence[tuple[str, str]],
+        started: timedelta,
+    ) -> None:
+        """Connect and write the request; go on connecting while no other upstream can take it."""
+        request = context.request
+        while True:
+            left = context.time_left(self._clock.monotonic()).total_seconds()
+            try:
+                exchange.send(request.method, request.target, headers, request.body, left)
+                return
+            except ExchangeFailed as error:
+                is_connecting = error.silent and not error.sent
+                if not is_connecting or not self._observer.may_reconnect(context, started):
+                    raise
+
     def _begins_within(
         self, exchange: Exchange, timeout: timedelta, stages: StageRun | None
     ) -> bool:
@@ -234,6 +286,7 @@
         context: RequestContext,
         entry: UpstreamEntry,
         error: ExchangeFailed,
+        started: timedelta,
         *,
         is_upstream_fault: bool,
     ) -> AttemptResult:
@@ -247,12 +300,21 @@
                 AttemptOutcome.CUT_OFF, "the caller left", may_have_arrived=error.sent
             )
         if is_upstream_fault:
-            self._observer.attempt_failed(entry, error.detail, certain=error.unreachable)
+            self._record_failure(entry, error, started)
         if not error.sent:
             return AttemptResult(AttemptOutcome.NOT_RUN, error.detail)
         context.executions += 1
         return AttemptResult(AttemptOutcome.FAILED, error.detail, may_have_arrived=True)
 
+    def _record_failure(
+        self, entry: UpstreamEntry, error: ExchangeFailed, since: timedelta
+    ) -> None:
+        """Record a failed exchange; a silent one has waited since ``since``."""
+        if error.silent:
+            self._observer.attempt_silent(entry, since, error.detail)
+        else:
+            self._observer.attempt_failed(entry, error.detail, certain=error.unreachable)
+
     def _handle_not_executed(
         self, entry: UpstreamEntry, status: int, metadata: ResponseMetadata
     ) -> AttemptResult:
@@ -287,6 +349,7 @@
             )
         headers = end_to_end_headers(response.headers)
         deadline = context.deadline.total_seconds()
+        begun = self._clock.monotonic()
         try:
             if context.route.kind is RequestKind.STREAM:
                 relay.run(response.status, headers, exchange, deadline)
@@ -298,7 +361,7 @@
                 return AttemptResult(
                     AttemptOutcome.CUT_OFF, "the caller left", may_have_arrived=True
                 )
-            self._observer.attempt_failed(entry, error.detail, certain=False)
+            self._record_failure(entry, error, begun)
             return AttemptResult(AttemptOutcome.FAILED, error.detail, may_have_arrived=True)
         self._observer.attempt_succeeded(entry)
         return AttemptResult(
--- a/src/chervilrack/_internal/forwarding/streams.py
+++ b/src/chervilrack/_internal/forwarding/streams.py
@@ -3,31 +3,35 @@
 import math
 import time
 from collections.abc import Callable, Sequence
+from datetime import timedelta
 
 from chervilrack._internal.forwarding.context import RequestContext
 from chervilrack._internal.forwarding.messages import Responder
 from chervilrack._internal.upstreams.event_stream import EventSplitter
 from chervilrack._internal.upstreams.exchange import Exchange, ExchangeFailed
 
-# A resumable stream counts as broken after a pause of this multiple of the longest one that its
-# route allows, but at the latest after LONGEST_GAP_S.
-GAP_FACTOR = 3.0
-LONGEST_GAP_S = 2.0
-
 
 class StreamRelay:
     """Relays events as they arrive. The response head is sent with the first event.
 
-    ``can_retry`` returns whether another upstream may continue the stream.
+    ``can_retry`` returns whether another upstream may continue the stream, ``gap`` is the time
+    without an event after which it does. ``on_bytes`` is called whenever bytes have arrived.
     """
 
     def __init__(
-        self, context: RequestContext, responder: Responder, can_retry: Callable[[], bool]
+        self,
+        context: RequestContext,
+        responder: Responder,
+        can_retry: Callable[[], bool],
+        gap: timedelta,
+        on_bytes: Callable[[], None],
     ) -> None:
         self._context = context
         self._responder = responder
         self._can_retry = can_retry
-        self._gap = self._longest_gap()
+        self._on_bytes = on_bytes
+        may_move = context.route.resumable and context.route.max_gap is not None
+        self._gap_s = gap.total_seconds() if may_move else None
         # Monotonic time in seconds at which the next event is due.
         self._next_event_due = math.inf
 
@@ -46,6 +50,7 @@
         try:
             sequence.begin_attempt(headers)
             for part in exchange.parts(deadline, self._progress_deadline):
+                self._on_bytes()
                 events = splitter.feed(part)
                 while events:
                     accepted = sequence.check(events, is_continuation=is_continuation)
@@ -67,8 +72,8 @@
             self._responder.begin(status, headers)
 
     def _expect_event(self) -> None:
-        if self._gap is not None:
-            self._next_event_due = time.monotonic() + self._gap
+        if self._gap_s is not None:
+            self._next_event_due = time.monotonic() + self._gap_s
 
     def _progress_deadline(self) -> float:
         """Return the time at which the stream counts as broken unless an event arrives.
@@ -78,10 +83,3 @@
         if time.monotonic() >= self._next_event_due and not self._can_retry():
             self._expect_event()
         return self._next_event_due
-
-    def _longest_gap(self) -> float | None:
-        """Return the seconds without an event after which the stream counts as broken."""
-        gap = self._context.route.max_gap
-        if gap is None or not self._context.route.resumable:
-            return None
-        return min(LONGEST_GAP_S, GAP_FACTOR * gap.total_seconds())
--- a/src/chervilrack/_internal/serving/node.py
+++ b/src/chervilrack/_internal/serving/node.py
@@ -298,7 +298,7 @@
     def _on_heartbeat(self, sender: NodeId, incarnation: Incarnation, heartbeat: Heartbeat) -> None:
         now = self._clock.monotonic()
         self._perform(self._fleet.receive_heartbeat(sender, incarnation, heartbeat, now))
-        self._state.balancer.set_peer_reports(sender, heartbeat.reports)
+        self._state.balancer.set_peer_reports(sender, heartbeat.reports, now)
         self._directory.on_heartbeat(heartbeat)
         self._relay.observe_revision(heartbeat.directory_revision)
 
--- a/src/chervilrack/_internal/serving/state.py
+++ b/src/chervilrack/_internal/serving/state.py
@@ -47,6 +47,8 @@
 MIN_FIRST_BYTE_TIMEOUT = timedelta(milliseconds=250)
 MIN_STREAM_FIRST_BYTE_TIMEOUT = timedelta(milliseconds=1200)
 _MILLISECOND = timedelta(milliseconds=1)
+# Time after which an overdue attempt is compared with other upstreams again.
+REVIEW_INTERVAL = timedelta(milliseconds=100)
 # Share of the remaining time after which an attempt without a first byte is repeated at the latest.
 FIRST_BYTE_TIMEOUT_SHARE = 0.45
 
@@ -265,6 +267,22 @@
             self.balancer.record_failure(entry.id, self.clock.monotonic(), reason, certain)
             self.report_actions()
 
+    def upstream_heard(self, entry: UpstreamEntry) -> None:
+        """Record that bytes have arrived from an upstream."""
+        now = self.clock.monotonic()
+        if self.balancer.is_silent(entry.id):
+            with self.lock:
+                self.balancer.record_heard(entry.id, now)
+                self.report_actions()
+        else:
+            self.balancer.record_heard(entry.id, now)
+
+    def attempt_silent(self, entry: UpstreamEntry, since: timedelta, reason: str) -> None:
+        """Record that an attempt has waited since ``since`` for an upstream in vain."""
+        with self.lock:
+            self.balancer.record_silence(entry.id, since, self.clock.monotonic(), reason)
+            self.report_actions()
+
     def error_response_received(self, entry: UpstreamEntry) -> None:
         """Record an answer by which the upstream itself reports a failure."""
         with self.lock:
@@ -285,6 +303,46 @@
         shortest = MIN_STREAM_FIRST_BYTE_TIMEOUT if is_stream else MIN_FIRST_BYTE_TIMEOUT
         return min(max(wait, shortest), remaining * FIRST_BYTE_TIMEOUT_SHARE)
 
+    def time_to_stay(
+        self, context: RequestContext, choice: UpstreamChoice, started: timedelta
+    ) -> timedelta | None:
+        """Return how much longer an overdue request should wait at its upstream.
+
+        The attempt began at ``started``. Zero means that another upstream is likely to answer
+        sooner or that the silence is too long for a sound upstream, None that the request cannot
+        be sent elsewhere.
+        """
+        if not self.can_retry(context, context.executions + 1):
+            return None
+        now = self.clock.monotonic()
+        policy = self.balancer.settings.silence
+        if now - started >= policy.bound:
+            return timedelta(0)
+        with self.lock:
+            silence = self.balancer.silence(choice.upstream, started, now)
+        if silence < now - started:
+            # The upstream is alive, so the request itself takes long.
+            return timedelta(0)
+        other = self.choose(context.service, context.load, tuple(context.tried_upstreams))
+        rest_here = policy.expected_rest(silence) + choice.usual_wait
+        if other is None or other[1].expected_wait < rest_here:
+            return timedelta(0)
+        return min(policy.bound - (now - started), REVIEW_INTERVAL)
+
+    def may_reconnect(self, context: RequestContext, started: timedelta) -> bool:
+        """Whether to go on connecting to a silent upstream: no other one can take the request."""
+        now = self.clock.monotonic()
+        if now - started >= self.balancer.settings.silence.bound or context.caller_gone:
+            return False
+        if context.time_left(now) <= timedelta(0):
+            return False
+        with self.lock:
+            return not self._untried(context)
+
+    def stream_gap(self, max_gap: timedelta | None) -> timedelta:
+        """Return the time without an event after which a stream may be continued elsewhere."""
+        return self.balancer.settings.silence.stream_gap(max_gap)
+
     def is_overdue(
         self, context: RequestContext, choice: UpstreamChoice, waited: timedelta
     ) -> bool:
@@ -306,10 +364,12 @@
             return False
         now = self.clock.monotonic()
         with self.lock:
-            others = [
-                e for e in self._usable(context.service) if e.id not in context.tried_upstreams
-            ]
-            return bool(others) and self.budget.allowance(context.service, now) >= 1
+            return bool(self._untried(context)) and self.budget.allowance(context.service, now) >= 1
+
+    def _untried(self, context: RequestContext) -> list[UpstreamEntry]:
+        """Return the usable upstreams at which a request has not been tried."""
+        tried = context.tried_upstreams
+        return [entry for entry in self._usable(context.service) if entry.id not in tried]
 
     # Directory
 
--- a/src/chervilrack/_internal/upstreams/exchange.py
+++ b/src/chervilrack/_internal/upstreams/exchange.py
@@ -36,14 +36,18 @@
     """The exchange ended without a whole answer.
 
     ``sent`` is whether a byte of the request may have reached the upstream. ``unreachable`` is
-    whether no connection could be made.
+    whether the upstream certainly takes no connections. ``silent`` is whether it has only said
+    nothing in time, which a sound one may do for a while.
     """
 
-    def __init__(self, detail: str, *, sent: bool, unreachable: bool = False) -> None:
+    def __init__(
+        self, detail: str, *, sent: bool, unreachable: bool = False, silent: bool = False
+    ) -> None:
         super().__init__(detail)
         self.detail = detail
         self.sent = sent
         self.unreachable = unreachable
+        self.silent = silent
 
 
 class _DeadlineSocket(socket.socket):
@@ -244,9 +248,11 @@
         while not response.closed:  # http.client closes the response at the end of the body
             now = time.monotonic()
             if now >= deadline:
-                raise ExchangeFailed("the deadline passed within the answer", sent=True)
+                raise ExchangeFailed(
+                    "the deadline passed within the answer", sent=True, silent=True
+                )
             if limit is not None and now >= limit():
-                raise ExchangeFailed("the answer makes no progress", sent=True)
+                raise ExchangeFailed("the answer makes no progress", sent=True, silent=True)
             try:
                 part = response.read1(_READ_BYTES)
             except (OSError, ValueError, urllib3.exceptions.HTTPError) as error:
@@ -304,8 +310,12 @@
                 return
         if self._cancelled:
             raise ExchangeFailed("the exchange was cancelled", sent=False)
+        timed_out = _is_timeout(last_error)
         raise ExchangeFailed(
-            f"no connection ({type(last_error).__name__})", sent=False, unreachable=True
+            f"no connection ({type(last_error).__name__})",
+            sent=False,
+            unreachable=not timed_out,
+            silent=timed_out,
         )
 
     def _has_answer(self) -> bool:
@@ -319,4 +329,14 @@
     def _create_failure(self, description: str, error: Exception) -> ExchangeFailed:
         if self._cancelled:
             return ExchangeFailed("the exchange was cancelled", sent=self._sent)
-        return ExchangeFailed(f"{description} ({type(error).__name__})", sent=self._sent)
+        return ExchangeFailed(
+            f"{description} ({type(error).__name__})", sent=self._sent, silent=_is_timeout(error)
+        )
+
+
+def _is_timeout(error: Exception | None) -> bool:
+    """Whether an operation failed only because nothing came in time."""
+    # urllib3 derives NewConnectionError, which a refused connection raises, from its TimeoutError.
+    if isinstance(error, urllib3.exceptions.NewConnectionError):
+        return False
+    return isinstance(error, TimeoutError | urllib3.exceptions.TimeoutError)
--- a/src/chervilrack/platform/emulated/standins.py
+++ b/src/chervilrack/platform/emulated/standins.py
@@ -15,6 +15,7 @@
 from collections import Counter
 from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
+from datetime import timedelta
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any, Self
 from urllib.parse import parse_qs, urlsplit
@@ -206,7 +207,8 @@
 
     ``behaviour`` selects how requests are answered. ``seen`` holds the executed requests,
     ``pieces`` the pieces of stage calls and ``freed`` the handles of results that were freed.
-    ``left`` is set when a caller closes its connection during a stream.
+    ``left`` is set when a caller closes its connection during a stream. ``received`` counts the
+    requests and stage calls that have arrived.
     """
 
     def __init__(self, id: str, service: str) -> None:
@@ -218,9 +220,19 @@
         self.pieces: list[Any] = []
         self.freed: list[str] = []
         self.left = threading.Event()
+        self.received = 0
+        self._silent_until = 0.0
         self._handles = itertools.count(1)
         self._slots = threading.BoundedSemaphore(SLOTS)
 
+    def fall_silent(self, duration: timedelta) -> None:
+        """Accept connections, but neither execute nor answer anything, for ``duration``."""
+        self._silent_until = time.monotonic() + duration.total_seconds()
+
+    def _wait_out_silence(self) -> None:
+        while (left := self._silent_until - time.monotonic()) > 0:
+            time.sleep(left)
+
     def entry(self, state: str = "ready", address: str | None = None) -> dict[str, Any]:
         """Return the upstream's registration for the store."""
         return {
@@ -235,6 +247,9 @@
 
     def serve(self, request: _Handler, body: bytes) -> None:
         """Execute one request, or reject it without execution."""
+        if request.path != "/api/stage-free":
+            self.received += 1
+        self._wait_out_silence()
         target = request.headers.get("Chervilrack-Target-Instance")
         if target not in (None, self.id):
             request.answer(421, headers=[("Chervilrack-Instance-Id", self.id)])
@@ -309,6 +324,7 @@
         try:
             for number in range(after + 1, STREAM_EVENTS + 1):
                 event = b"id: %d\ndata: piece %d of %b\n\n" % (number, number, body)
+                self._wait_out_silence()
                 if self.behaviour == "breaks" and number == 3:
                     request.wfile.write(b"%x\r\n%b\r\n" % (9, event[:9]))
                     request.close_connection = True
