--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -4,8 +4,9 @@
 from datetime import timedelta
 
 from behave import given, then, when
-from steps.answers_steps import exchange, start_scripted
+from steps.answers_steps import exchange
 from steps.serving_steps import KEY, send_request, send_request_of_kind, wait_for
+from support.scripted_upstream import start_scripted
 
 from chervilrack._internal.balancing.silence import SilencePolicy
 from chervilrack._internal.common.clock import SystemClock
--- a/src/chervilrack/_internal/serving/state.py
+++ b/src/chervilrack/_internal/serving/state.py
@@ -187,11 +187,14 @@
             route=context.route.name,
             service=context.service,
             organisation=context.organisation,
-            configuration=context.configuration_version,
+            configuration=context.configuration.version,
             status=outcome.status,
             detail=outcome.detail,
             took_ms=round(outcome.took / timedelta(milliseconds=1)),
             target_ms=round((context.due - context.request.arrived) / timedelta(milliseconds=1)),
+            deadline_ms=round((context.deadline - context.request.arrived) / _MILLISECOND),
+            deadline_bound=str(context.deadline_bound),
+            bound=str(outcome.bound) if outcome.bound is not None else None,
             steps=context.steps,
         )
 
@@ -362,9 +365,12 @@
         route = context.route
         if not route.may_repeat or executions >= route.max_attempts:
             return False
+        if context.stream_begun and not context.events.can_resume:
+            return False
         now = self.clock.monotonic()
         with self.lock:
-            return bool(self._untried(context)) and self.budget.allowance(context.service, now) >= 1
+            others = self._untried(context)
+            return bool(others) and self.budget.can_take(context.service, now)
 
     def _untried(self, context: RequestContext) -> list[UpstreamEntry]:
         """Return the usable upstreams at which a request has not been tried."""
