Do not leave a silent engine for a continuation that its stages delay

Cause: a stream with stages frees their results at its first byte. When its engine then said nothing for longer than the longest gap, the node broke the stream off and ordered all stages again, which takes longer than the silence and was often rejected at once: begin_by is the time by which callers must have the first event, also for a stream that they have long had events of. Ruled out: the bound alone (a silence of 1.8 or 2.4 s exceeds any bound that leaves time for streams without stages). Change: a stalled stream whose stages would have to run again is continued elsewhere only once there is other evidence (the entry ended, the upstream restarted, refusals, resets) or once its caller's patience, from the last event, is no longer than the stages need. begin_by of stages that run again follows the last event. Result: features/adapter/silence.feature: pauses of 2.4 s with stages that can run again, 1.8 and 2.4 s with stages that cannot failed before (second request, incomplete), pass; an engine whose entry ends is left, before and after.

--- a/features/adapter/silence.feature
+++ b/features/adapter/silence.feature
@@ -39,6 +39,30 @@
       | 1.0  |
       | 1.5  |
 
+  Scenario Outline: a stream whose stages <run> is not cut when its engine pauses for <time> s
+    Guards against a stream that is cut for a continuation that needs the results of its stages. They
+    have been freed, and to make them again takes longer than the silence.
+
+    Given scripted engines that first send "events 1 to 2, pause of <time> s, events 3 to 5" and then "events 3 to 5"
+    When a caller reads a stream with stages that <run>
+    Then the caller gets the events 1 2 3 4 5 and the stream is complete
+    And 1 request has reached the scripted upstreams
+
+    Examples: longer than a sound silence, but callers of the route wait for 5 s
+      | run              | time |
+      | can run again    | 1.5  |
+      | can run again    | 2.4  |
+      | cannot run again | 1.8  |
+      | cannot run again | 2.4  |
+
+  Scenario: a stream with stages is continued elsewhere once the entry of its silent engine ends
+    Guards against a stream that waits for an engine that has failed.
+
+    Given scripted engines that first send "events 1 to 2, silence" and then "events 3 to 5"
+    When a caller reads a stream with stages while the entry of its engine ends
+    Then the caller gets the events 1 2 3 4 5 and the stream is complete
+    And 2 requests have reached the scripted upstreams
+
   Scenario Outline: the only plain upstream accepts no connection for <time> s and then answers
     Guards against a refusal although the one upstream that can answer goes on in time.
 
--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -1,5 +1,6 @@
 """Steps for upstreams that fall silent for a while, before a serving node in the test process."""
 
+import re
 import threading
 from datetime import timedelta
 
@@ -13,6 +14,7 @@
 from chervilrack.platform.emulated.emulation import configuration
 
 PATHS = {"plain": "/order/1", "look-up": "/read/1", "stream": "/stream/1"}
+STAGED_FIELDS = "Chervilrack-Chunk-Count: 2,3\r\nChervilrack-Chunk-Key: piece-key\r\n"
 # Requests that follow a silence, and how many of them the silent upstream gets at least.
 LATER_REQUESTS = 40
 LEAST_LATER_REQUESTS = 5
@@ -106,6 +108,41 @@
     wait_for(lambda: catalogue.configuration.version == 2, "the configuration is applied")
 
 
+@when("a caller reads a stream with stages that {run}")
+def read_staged_stream(context, run):
+    if run == "cannot run again":
+        begin(context, hang_stages)
+    context.raw = exchange(context, "/stream/staged/1", "caller-1", 5000, STAGED_FIELDS)
+
+
+@when("a caller reads a stream with stages while the entry of its engine ends")
+def read_while_entry_ends(context):
+    begin(context, remove_engine)
+    context.raw = exchange(context, "/stream/staged/1", "caller-1", 5000, STAGED_FIELDS)
+
+
+def begin(context, action):
+    """Run ``action`` in a thread when an engine has the request."""
+
+    def run():
+        wait_for(lambda: context.scripted.requests, "an engine has the request")
+        action(context)
+
+    thread = threading.Thread(target=run)
+    thread.start()
+    context.add_cleanup(thread.join)
+
+
+def hang_stages(context):
+    for name in ("first-1", "second-1"):
+        context.upstreams[name].behaviour = "stands still"
+
+
+def remove_engine(context):
+    target = re.search(r"(?i)Target-Instance: (\S+)", context.scripted.requests[0])[1]
+    context.store.remove(f"servers/{target}")
+
+
 @given('one scripted plain upstream that accepts no connection for {time:g} s and sends "{script}"')
 def start_deaf(context, time, script):
     start_scripted(context, "plain", [script], 1, is_deaf=True)
--- a/src/chervilrack/_internal/balancing/core.py
+++ b/src/chervilrack/_internal/balancing/core.py
@@ -169,6 +169,11 @@
         status = self._status.get(upstream)
         return status is not None and status.silent_since is not None
 
+    def has_failed(self, upstream: UpstreamId, now: timedelta) -> bool:
+        """Whether an upstream is ejected by more than its silence."""
+        status = self.status(upstream)
+        return now < status.ejected_until and not status.silent_ejections
+
     def may_be_silent(self, upstream: UpstreamId, now: timedelta) -> bool:
         """Whether a new request would probably meet the silence that earlier ones have met."""
         status = self.status(upstream)
--- a/src/chervilrack/_internal/batching/plan.py
+++ b/src/chervilrack/_internal/batching/plan.py
@@ -24,8 +24,9 @@
 class RequestTimes:
     """Monotonic times of one request.
 
-    ``due`` is the end of the target latency. The caller must have the first byte of a stream at
-    ``begin_by``, and the whole answer at ``deadline``.
+    ``due`` is the end of the target latency. The caller must have the first byte of a stream, or
+    the next event of a stream to be continued, at ``begin_by``, and the whole answer at
+    ``deadline``.
     """
 
     arrived: timedelta
@@ -54,6 +55,7 @@
 
     ``tokens`` holds the numbers of prompt and output tokens. ``zone_hint`` is the zone where the
     request is expected to run. ``zone_of`` returns the zone of the upstream that keeps a handle.
+    ``begin_by`` may be changed when stages have to run again.
     """
 
     def __init__(
@@ -70,10 +72,18 @@
         self._progress = progress
         self._services = services
         self._times = times
+        self.begin_by = times.begin_by
         self._prompt_tokens, self._output_tokens = tokens
         self._zone_hint = zone_hint
         self._zone_of = zone_of
 
+    @property
+    def usual_time(self) -> timedelta:
+        """Usual time from the start of the first stages to the first byte of the answer."""
+        stages = range(len(self._route.stages))
+        times = [self._time_to_end(stage) for stage in stages if self._progress.pieces(stage)]
+        return max(times, default=timedelta(0))
+
     def take_ready(self) -> list[PlannedStage]:
         """Return the stages to order now, and mark them as started.
 
@@ -98,7 +108,7 @@
             segments=progress.missing(stage),
             inputs=inputs,
             due=times.due - time_after,
-            deadline=min(times.deadline - self._stream_time(), times.begin_by) - time_after,
+            deadline=min(times.deadline - self._stream_time(), self.begin_by) - time_after,
             result_size=spec.result_size,
             zone=zone,
             move_bytes=move_bytes,
--- a/src/chervilrack/_internal/forwarding/attempts.py
+++ b/src/chervilrack/_internal/forwarding/attempts.py
@@ -126,6 +126,14 @@
     def may_reconnect(self, context: RequestContext, started: timedelta) -> bool:
         """Whether to go on connecting to the upstream of an attempt begun at ``started``."""
 
+    def should_move_stream(
+        self, context: RequestContext, entry: UpstreamEntry, restart_time: timedelta
+    ) -> bool:
+        """Whether a stalled stream should be continued elsewhere, after ``restart_time``.
+
+        ``restart_time`` is the time that its stages need to run again, zero if they need not.
+        """
+
     def stream_gap(self, max_gap: timedelta | None) -> timedelta:
         """Return the time without an event after which a stream may be continued elsewhere."""
 
@@ -159,7 +167,7 @@
         relay = StreamRelay(
             context,
             responder,
-            lambda: self._observer.can_retry(context, context.executions),
+            lambda: self._should_move(context, entry, stages),
             self._observer.stream_gap(context.route.max_gap),
             lambda: self._observer.upstream_heard(entry),
         )
@@ -176,6 +184,15 @@
         finally:
             self._observer.attempt_ended(context, entry)
 
+    def _should_move(
+        self, context: RequestContext, entry: UpstreamEntry, stages: StageRun | None
+    ) -> bool:
+        """Whether a stalled stream should be continued at another upstream now."""
+        restart_time = timedelta(0)
+        if stages is not None and stages.needs_restart:
+            restart_time = stages.restart_time
+        return self._observer.should_move_stream(context, entry, restart_time)
+
     def _exchange(
         self,
         context: RequestContext,
--- a/src/chervilrack/_internal/forwarding/context.py
+++ b/src/chervilrack/_internal/forwarding/context.py
@@ -24,8 +24,9 @@
     leave if they have no byte of it at ``first_byte_deadline``.
 
     ``sent_attempts`` counts the attempts whose request was written to an upstream, ``executions``
-    those that an upstream has executed or may have executed. ``events`` is the position of a stream
-    that has been relayed. ``steps`` describes the course of the request for the decision log.
+    those that an upstream has executed or may have executed. ``last_event_at`` is the monotonic
+    time of the last event that was relayed. ``events`` is the position of a stream that has been
+    relayed. ``steps`` describes the course of the request for the decision log.
     """
 
     request: InboundRequest
@@ -43,6 +44,7 @@
     sent_attempts: int = 0
     executions: int = 0
     stream_begun: bool = False
+    last_event_at: timedelta | None = None
     events: EventSequence = field(default_factory=EventSequence)
     tried_upstreams: set[UpstreamId] = field(default_factory=set)
     steps: list[str] = field(default_factory=list)
@@ -56,6 +58,14 @@
         """Whether the caller has left."""
         return self._caller_gone.is_set()
 
+    @property
+    def next_event_deadline(self) -> timedelta:
+        """Monotonic time at which the caller of a stream leaves unless it gets an event."""
+        if self.last_event_at is None:
+            return self.first_byte_deadline
+        patience = self.first_byte_deadline - self.request.arrived
+        return min(self.deadline, self.last_event_at + patience)
+
     @property
     def node_stopping(self) -> bool:
         """Whether the node stops before the stages of the request can end."""
--- a/src/chervilrack/_internal/forwarding/stages.py
+++ b/src/chervilrack/_internal/forwarding/stages.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
+from datetime import timedelta
 from typing import Protocol
 
 from result import Err, Ok, Result
@@ -99,7 +100,7 @@
             self._progress,
             services,
             RequestTimes(
-                context.request.arrived, context.due, context.first_byte_deadline, context.deadline
+                context.request.arrived, context.due, context.next_event_deadline, context.deadline
             ),
             (context.metadata.prompt_tokens, context.metadata.output_tokens),
             zone_hint,
@@ -117,6 +118,11 @@
         """Whether the inputs of the request have been used up or lost."""
         return self._needs_restart
 
+    @property
+    def restart_time(self) -> timedelta:
+        """Usual time until the first byte of the answer if all stages have to run again."""
+        return self._plan.usual_time
+
     @property
     def inputs(self) -> tuple[str, ...]:
         """Handles of the stage results that are the inputs of the request itself."""
@@ -154,6 +160,7 @@
             return False
         self._restarts += 1
         self._needs_restart = False
+        self._plan.begin_by = self._context.next_event_deadline
         self._restart_inputs(None)
         return True
 
--- a/src/chervilrack/_internal/forwarding/streams.py
+++ b/src/chervilrack/_internal/forwarding/streams.py
@@ -10,25 +10,28 @@
 from chervilrack._internal.upstreams.event_stream import EventSplitter
 from chervilrack._internal.upstreams.exchange import Exchange, ExchangeFailed
 
+# Time after which it is asked again whether a stalled stream should be continued elsewhere.
+_REVIEW_INTERVAL_S = 0.25
+
 
 class StreamRelay:
     """Relays events as they arrive. The response head is sent with the first event.
 
-    ``can_retry`` returns whether another upstream may continue the stream, ``gap`` is the time
-    without an event after which it does. ``on_bytes`` is called whenever bytes have arrived.
+    After ``gap`` without an event, ``should_move`` returns whether another upstream should continue
+    the stream. ``on_bytes`` is called whenever bytes have arrived.
     """
 
     def __init__(
         self,
         context: RequestContext,
         responder: Responder,
-        can_retry: Callable[[], bool],
+        should_move: Callable[[], bool],
         gap: timedelta,
         on_bytes: Callable[[], None],
     ) -> None:
         self._context = context
         self._responder = responder
-        self._can_retry = can_retry
+        self._should_move = should_move
         self._on_bytes = on_bytes
         may_move = context.route.resumable and context.route.max_gap is not None
         self._gap_s = gap.total_seconds() if may_move else None
@@ -57,6 +60,7 @@
                     self._begin(status, headers)
                     self._responder.write(b"".join(event.data for event in accepted))
                     if not all(event.is_comment for event in accepted):
+                        self._context.last_event_at = timedelta(seconds=time.monotonic())
                         self._expect_event()
                     events = events[len(accepted) :]
         except ValueError as error:  # SequenceBroken, or an event without an end
@@ -78,8 +82,9 @@
     def _progress_deadline(self) -> float:
         """Return the time at which the stream counts as broken unless an event arrives.
 
-        A stream that no other upstream may continue is not broken off: it may only be slow.
+        A stream that no other upstream can continue sooner is not broken off: it may only be slow.
         """
-        if time.monotonic() >= self._next_event_due and not self._can_retry():
-            self._expect_event()
+        now = time.monotonic()
+        if now >= self._next_event_due and not self._should_move():
+            self._next_event_due = now + _REVIEW_INTERVAL_S
         return self._next_event_due
--- a/src/chervilrack/_internal/serving/state.py
+++ b/src/chervilrack/_internal/serving/state.py
@@ -342,6 +342,24 @@
         with self.lock:
             return not self._untried(context)
 
+    def should_move_stream(
+        self, context: RequestContext, entry: UpstreamEntry, restart_time: timedelta
+    ) -> bool:
+        """Whether a stalled stream should be continued elsewhere, after ``restart_time``.
+
+        If its stages have to run again first, its upstream is likely to go on sooner, unless there
+        is other evidence that the upstream has failed or the caller would soon leave.
+        """
+        if not self.can_retry(context, context.executions):
+            return False
+        now = self.clock.monotonic()
+        if restart_time <= timedelta(0) or context.next_event_deadline - now <= restart_time:
+            return True
+        with self.lock:
+            current = self.catalogue.upstreams.get(entry.id)
+            is_gone = current is None or current.started_at_ms != entry.started_at_ms
+            return is_gone or self.balancer.has_failed(entry.id, now)
+
     def stream_gap(self, max_gap: timedelta | None) -> timedelta:
         """Return the time without an event after which a stream may be continued elsewhere."""
         return self.balancer.settings.silence.stream_gap(max_gap)
