Probe an ejected upstream again after a probe without an outcome

Cause: the first request to an upstream after its ejection marks it as being probed, which keeps other requests away until a success or a failure is recorded. A request whose caller left, or that ended at its own short deadline, recorded neither; nor did a stage call that the upstream rejected as full. The node then never used that upstream again (unless half of the service was suspected). Ruled out: peers (each node keeps its own mark). Change: when the last request in flight at an upstream has ended, it is no longer being probed. Result: features/adapter/silence.feature "the caller of its probe has left" and features/batching/queue.feature "whose probe is rejected": failed without the two calls of end_probe, pass.

--- a/features/adapter/silence.feature
+++ b/features/adapter/silence.feature
@@ -104,3 +104,11 @@
     Given scripted plain upstreams that send "reset"
     When 4 callers send plain requests one after another
     Then the scripted upstreams are suspected
+
+  Scenario: an ejected engine is used again after the caller of its probe has left
+    Guards against an engine that is never used again because its probe showed nothing.
+
+    Given all engines are "slow"
+    And engine engine-1 was ejected and may be probed
+    When callers disconnect during streams until engine-1 was probed
+    Then no engine is suspected
--- a/features/balancing/choice.feature
+++ b/features/balancing/choice.feature
@@ -37,6 +37,18 @@
     When the balancer records a success of u1
     Then the balancer does not suspect u1
 
+  # Guards against an upstream that is never used again because its probe showed nothing.
+  Scenario: an ejected upstream is probed again after a probe that ends without an outcome
+    A caller that leaves says nothing about the upstream.
+
+    Given a balancer over 4 upstreams with 6 slots each
+    When the balancer sees 1 upstreams refuse a connection
+    And the balancer's clock advances by 1.1 s
+    And the balancer records the start of a request at u1
+    Then the balancer suspects u1
+    When the balancer records that the probe ends without an outcome
+    Then the balancer does not suspect u1
+
   Scenario: an upstream that two peers report as failing is avoided until a request succeeds
     Given a balancer over 4 upstreams with 6 slots each
     When the balancer receives reports of 2 peers that u1 fails
--- a/features/batching/queue.feature
+++ b/features/batching/queue.feature
@@ -78,6 +78,12 @@
       | failure            | times |
       | a connection reset | 3     |
 
+  # Guards against an ejected upstream that gets no further call once its queue was full.
+  Scenario: an upstream whose probe is rejected without being run is called again
+    Given a stage queue with 3 upstreams and 4 pieces per call
+    When upstream u1 is ejected, and probed by a call that it rejects without running it
+    Then the queue does not suspect upstream u1
+
   Scenario: an order that cannot meet its deadline fails at once
     Given a stage queue with 1 upstreams and 4 pieces per call
     When the queue receives orders of 4, 4, 4, 4 pieces with a deadline in 0.9 s
--- a/features/steps/balancing_steps.py
+++ b/features/steps/balancing_steps.py
@@ -104,6 +104,12 @@
     context.balancer.record_start(U1, EMPTY_LOAD, context.now)
 
 
+@when("the balancer records that the probe ends without an outcome")
+def end_probe(context):
+    context.balancer.record_end(U1)
+    context.balancer.end_probe(U1)
+
+
 @when("the balancer records a success of u1")
 def succeed_at_u1(context):
     context.balancer.record_success(U1, context.now)
--- a/features/steps/batching_steps.py
+++ b/features/steps/batching_steps.py
@@ -464,3 +464,21 @@
 def check_call_counts(context, ratio):
     first, second = context.call_counts
     assert second <= ratio * first, context.call_counts
+
+
+@when("upstream u1 is ejected, and probed by a call that it rejects without running it")
+def reject_probe(context):
+    upstream = UpstreamId("u1")
+    balancer = context.queue._balancer
+    balancer.record_failure(upstream, context.now, "refused", certain=True)
+    context.now += timedelta(seconds=1.1)
+    for _ in context.entries:
+        submit(context, 1)
+    (call,) = [call for call in context.active_calls if call.upstream == upstream]
+    assert balancer.is_suspected(upstream, context.now)
+    perform(context, context.queue.call_failed(call.call_id, "full", context.now, False, True))
+
+
+@then("the queue does not suspect upstream u1")
+def check_not_suspected(context):
+    assert not context.queue._balancer.is_suspected(UpstreamId("u1"), context.now)
--- a/features/steps/silence_steps.py
+++ b/features/steps/silence_steps.py
@@ -6,7 +6,7 @@
 
 from behave import given, then, when
 from steps.answers_steps import exchange
-from steps.serving_steps import KEY, send_request, send_request_of_kind, wait_for
+from steps.serving_steps import KEY, disconnect_caller, send_request, send_request_of_kind, wait_for
 from support.scripted_upstream import start_scripted
 
 from chervilrack._internal.balancing.silence import SilencePolicy
@@ -168,3 +168,30 @@
     now = SystemClock().monotonic()
     for number in range(len(context.scripted.addresses)):
         assert context.node.balancer.is_suspected(f"scripted-{number}", now), number
+
+
+@given("engine {name} was ejected and may be probed")
+def eject_engine(context, name):
+    balancer = context.node.balancer
+    now = SystemClock().monotonic()
+    balancer.record_failure(name, now - timedelta(seconds=2), "refused", certain=True)
+    assert not balancer.is_suspected(name, now)
+
+
+@when("callers disconnect during streams until {name} was probed")
+def disconnect_during_probe(context, name):
+    for _ in range(100):
+        disconnect_caller(context)
+        if context.upstreams[name].seen:
+            return
+    raise AssertionError("not probed")
+
+
+@then("no engine is suspected")
+def check_no_engine_suspected(context):
+    def is_usable():
+        now = SystemClock().monotonic()
+        names = ("engine-1", "engine-2")
+        return not any(context.node.balancer.is_suspected(name, now) for name in names)
+
+    wait_for(is_usable, "no engine is suspected")
--- a/src/chervilrack/_internal/balancing/core.py
+++ b/src/chervilrack/_internal/balancing/core.py
@@ -148,6 +148,16 @@
         status = self.status(upstream)
         status.in_flight = max(0, status.in_flight - 1)
 
+    def end_probe(self, upstream: UpstreamId) -> None:
+        """End the probe of an upstream if no request that may still show its state is in flight.
+
+        A request may end without an outcome, for example because its caller leaves. Another one
+        then has to probe the upstream.
+        """
+        status = self.status(upstream)
+        if status.in_flight == 0:
+            status.probing = False
+
     def record_success(self, upstream: UpstreamId, now: timedelta) -> None:
         """Record a successful response; it ends an ejection."""
         self.record_heard(upstream, now)
--- a/src/chervilrack/_internal/batching/core.py
+++ b/src/chervilrack/_internal/batching/core.py
@@ -325,6 +325,8 @@
         self.record_disruption(now)
         if silent:
             self._balancer.record_silence(call.upstream, call.started, now, reason)
+        if silent or not_executed:
+            self._balancer.end_probe(call.upstream)
         if not not_executed and not silent:
             self._balancer.record_failure(call.upstream, now, reason, certain)
         elif not_executed:
--- a/src/chervilrack/_internal/serving/state.py
+++ b/src/chervilrack/_internal/serving/state.py
@@ -252,6 +252,7 @@
         """Count an attempt as no longer in flight."""
         with self.lock:
             self.balancer.record_end(entry.id)
+            self.balancer.end_probe(entry.id)
             if (
                 self._awaited_first_bytes.pop((context.metadata.request_id, entry.id), None)
                 is not None
