--- a/features/standins/upstreams.feature
+++ b/features/standins/upstreams.feature
@@ -96,6 +96,8 @@
       | {"refuse": true}     | is refused            |
       | {"crash": true}      | breaks                |
       | {"hang": true}       | times out             |
+      | {"silent_s": 30.0}   | times out             |
+      | {"silent_s": 0.2}    | is answered           |
       | {"straggle": 100.0}  | times out             |
       | {"fail": true}       | fails after execution |
       | {"unknown": true}    | is answered           |
--- a/src/chervilrack/_internal/experiments/scenarios/failures.py
+++ b/src/chervilrack/_internal/experiments/scenarios/failures.py
@@ -38,6 +38,23 @@
     )
 
 
+@SCENARIOS.register("upstream-silence")
+def upstream_silence(profile: Profile) -> Scenario:
+    """Let engines and an encoder say nothing for 0.5 to 1.5 s and go on."""
+    del profile
+    return Scenario(
+        "two engines and one encoder fall silent for 0.5 to 1.5 s and go on",
+        Workload(),
+        (
+            TimedFault(0.2, "generate-1 silent for 0.5 s", _upstream("generate", 1, silent_s=0.5)),
+            TimedFault(0.4, "generate-2 silent for 1.0 s", _upstream("generate", 2, silent_s=1.0)),
+            TimedFault(0.6, "generate-1 silent for 1.5 s", _upstream("generate", 1, silent_s=1.5)),
+            TimedFault(0.8, "encode-1 silent for 1.5 s", _upstream("encode", 1, silent_s=1.5)),
+        ),
+        (bounds.attainment(0.97),),
+    )
+
+
 @SCENARIOS.register("upstream-failure")
 def upstream_failure(profile: Profile) -> Scenario:
     """Let one engine drop its connections and one encoder answer with errors."""
--- a/src/chervilrack/_internal/experiments/testbed.py
+++ b/src/chervilrack/_internal/experiments/testbed.py
@@ -105,12 +105,13 @@
 class UpstreamFaults:
     """Faults of an upstream stand-in; the defaults are a healthy one.
 
-    ``straggle`` multiplies service times; ``break_after`` cuts streams after so many tokens;
-    ``fail`` answers with status 500; ``crash`` cuts connections; ``refuse`` answers that the work
-    was not executed.
+    ``straggle`` multiplies service times; ``silent_s`` is a time for which the upstream says
+    nothing before it goes on; ``break_after`` cuts streams after so many tokens; ``fail`` answers
+    with status 500; ``crash`` cuts connections; ``refuse`` answers that the work was not executed.
     """
 
     straggle: float = 1.0
+    silent_s: float = 0.0
     break_after: int | None = None
     fail: bool = False
     crash: bool = False
--- a/src/chervilrack/_internal/standins/upstreams/upstream.py
+++ b/src/chervilrack/_internal/standins/upstreams/upstream.py
@@ -19,14 +19,16 @@
 class Faults(msgspec.Struct, forbid_unknown_fields=True, omit_defaults=True):
     """Faults in force. ``POST /faults`` takes the same fields; ``{}`` clears all.
 
-    ``straggle`` multiplies service times; ``hang`` leaves requests unanswered; ``crash`` cuts
-    connections; ``refuse`` answers ``X-Executed: no``; ``break_after`` cuts streams after this
-    many tokens; ``answer_twice`` sends each whole answer twice; ``swap_answers`` sends the
-    previous request's answer with its headers; ``fail`` answers status 500 after executing.
+    ``straggle`` multiplies service times; ``hang`` leaves requests unanswered; ``silent_s`` does so
+    for this many seconds, after which the upstream goes on by itself; ``crash`` cuts connections;
+    ``refuse`` answers ``X-Executed: no``; ``break_after`` cuts streams after this many tokens;
+    ``answer_twice`` sends each whole answer twice; ``swap_answers`` sends the previous request's
+    answer with its headers; ``fail`` answers status 500 after executing.
     """
 
     straggle: float = 1.0
     hang: bool = False
+    silent_s: float = 0.0
     crash: bool = False
     refuse: bool = False
     break_after: int | None = None
@@ -58,6 +60,7 @@
         self._name = name
         self._record = Record(limits)
         self._faults = Faults()
+        self._silent_until = 0.0
         self._shared = server
         self._server = server or StandinServer(host, port)
         self._address = ""
@@ -264,13 +267,14 @@
                 raise ClientLeft
 
     def _wait_while_hanging(self, exchange: Exchange) -> None:
-        while self._faults.hang:
+        while self._faults.hang or time.monotonic() < self._silent_until:
             time.sleep(POLL_S)
             if self._faults.crash or exchange.disconnected():
                 raise ClientLeft
 
     def _apply_faults(self, faults: Faults) -> None:
         self._faults = faults
+        self._silent_until = time.monotonic() + faults.silent_s
         if faults.crash:
             with self._state_lock:
                 open_exchanges = list(self._open.values())
