--- a/features/support/silence_load.py
+++ b/features/support/silence_load.py
@@ -19,12 +19,14 @@
 from chervilrack._internal.catalogue.state import (
     RequestKind,
     Route,
+    ServingConfiguration,
     UpstreamEntry,
     UpstreamState,
 )
 from chervilrack._internal.common.clock import ManualClock
 from chervilrack._internal.common.ids import NodeId, RequestId, ServiceId, UpstreamId, ZoneId
 from chervilrack._internal.fleet.core import FleetSettings
+from chervilrack._internal.forwarding.bounds import Bound
 from chervilrack._internal.forwarding.context import RequestContext
 from chervilrack._internal.forwarding.dialect import RequestMetadata
 from chervilrack._internal.forwarding.messages import InboundRequest
@@ -143,6 +145,8 @@
     ),
 }
 
+CONFIGURATION = ServingConfiguration(1, tuple(ROUTES.values()), {})
+
 
 class SilenceSimulation:
     """One simulation with a seed, in which upstream 0 may have trouble."""
@@ -286,7 +290,8 @@
             deadline=now + route.timeout,
             due=now + route.target_latency,
             first_byte_deadline=now + route.timeout,
-            configuration_version=1,
+            deadline_bound=Bound.ROUTE_TIMEOUT,
+            configuration=CONFIGURATION,
             load=load,
         )
         node = self._rng.randrange(len(self._nodes))
