--- a/features/support/silence_load.py
+++ b/features/support/silence_load.py
@@ -296,7 +296,7 @@
         )
         node = self._rng.randrange(len(self._nodes))
         request = _Request(kind, node, context, EVENTS if kind == "stream" else 1)
-        self._nodes[node].admit_request(context.service)
+        self._nodes[node].admit_request(context)
         self._at(context.deadline, lambda: self._end(request, "failed"))
         if kind == "stream":
             self._after(PATIENCE, lambda: self._check_patience(request))
--- a/src/chervilrack/_internal/forwarding/attempts.py
+++ b/src/chervilrack/_internal/forwarding/attempts.py
@@ -9,7 +9,7 @@
 import urllib3
 
 from chervilrack._internal.balancing.state import UpstreamChoice
-from chervilrack._internal.catalogue.state import RequestKind, UpstreamEntry
+from chervilrack._internal.catalogue.state import RequestKind, UpstreamEntry, UpstreamIncarnation
 from chervilrack._internal.common.clock import Clock
 from chervilrack._internal.forwarding.bounds import Bound
 from chervilrack._internal.forwarding.context import RequestContext
@@ -88,6 +88,9 @@
     ) -> None:
         """Count an attempt as in flight."""
 
+    def answer_received(self, upstream: UpstreamIncarnation, metadata: ResponseMetadata) -> None:
+        """Record what the upstream says of itself in the head of its response."""
+
     def first_byte_received(self, context: RequestContext, entry: UpstreamEntry) -> None:
         """Record that the upstream has begun its response."""
 
@@ -175,12 +178,14 @@
         try:
             with Exchange(entry.address) as exchange:
                 context.add_gone_action(exchange.cancel)
+                context.add_stop_action(exchange.cancel)
                 try:
                     return self._exchange(
                         context, relay, responder, entry, choice, inputs, exchange, stages
                     )
                 finally:
                     context.remove_gone_action(exchange.cancel)
+                    context.remove_stop_action(exchange.cancel)
         finally:
             self._observer.attempt_ended(context, entry)
 
@@ -224,6 +229,7 @@
             return AttemptResult(
                 AttemptOutcome.FAILED, "an answer to another request", may_have_arrived=True
             )
+        self._observer.answer_received(entry.incarnation, metadata)
         if metadata.not_executed:
             return self._handle_not_executed(entry, response.status, metadata)
         context.executions += 1
@@ -271,7 +277,19 @@
                 raise ExchangeFailed(detail, sent=True, limit=TimeLimit.FIRST_BYTE)
             begins = exchange.wait_readable(stay.total_seconds())
         left = context.time_left(self._clock.monotonic())
-        return exchange.read_head(left.total_seconds())
+        try:
+            return exchange.read_head(left.total_seconds())
+        finally:
+            self._read_interim_heads(context, entry, exchange)
+
+    def _read_interim_heads(
+        self, context: RequestContext, entry: UpstreamEntry, exchange: Exchange
+    ) -> None:
+        """Read what the upstream says of itself before its answer, even if that breaks off."""
+        for status, fields in exchange.interim_heads:
+            metadata = self._dialect.read_response(status, fields)
+            if metadata.request_id in (None, context.metadata.request_id):
+                self._observer.answer_received(entry.incarnation, metadata)
 
     def _write(
         self,
@@ -325,7 +343,7 @@
             return AttemptResult(
                 AttemptOutcome.CUT_OFF, "the caller left", may_have_arrived=error.sent
             )
-        if is_upstream_fault:
+        if is_upstream_fault and not context.node_stopping:
             self._record_failure(entry, error, started)
         bound = _bound(context, error)
         if not error.sent:
@@ -390,7 +408,8 @@
                 return AttemptResult(
                     AttemptOutcome.CUT_OFF, "the caller left", may_have_arrived=True
                 )
-            self._record_failure(entry, error, begun)
+            if not context.node_stopping:
+                self._record_failure(entry, error, begun)
             return AttemptResult(
                 AttemptOutcome.FAILED,
                 error.detail,
@@ -437,6 +456,8 @@
 
 def _bound(context: RequestContext, error: ExchangeFailed) -> Bound | None:
     """Return the bound that ended an exchange, None if it ended otherwise."""
+    if context.node_stopping:
+        return Bound.NODE_STOP
     if error.limit is TimeLimit.DEADLINE:
         return context.deadline_bound
     return _BOUNDS.get(error.limit) if error.limit is not None else None
--- a/src/chervilrack/_internal/forwarding/forwarder.py
+++ b/src/chervilrack/_internal/forwarding/forwarder.py
@@ -39,6 +39,8 @@
 SHORTEST_CALLER_PATIENCE = timedelta(seconds=2)
 PATIENCE_TARGET_LATENCIES = 4
 PATIENCE_GAPS = 8
+# Shortest time until a caller should retry, without jitter.
+RETRY_DELAY = timedelta(milliseconds=300)
 # Most attempts of one request, including those that an upstream rejects.
 MAX_ATTEMPTS = 4
 
@@ -72,11 +74,14 @@
     def is_accepting(self) -> bool:
         """Whether the node takes new requests."""
 
-    def can_finish(self, route: Route) -> bool:
-        """Whether a new request of a route can finish before the node stops."""
+    def check_stop(self, context: RequestContext, *, is_admitted: bool) -> str | None:
+        """Return why a request cannot be completed before the node stops; None if it can.
 
-    def upstreams(self, service: ServiceId) -> Sequence[UpstreamEntry]:
-        """Return the ready upstreams of a service."""
+        For an admitted request, the answer concerns the next attempt at an upstream.
+        """
+
+    def unavailability(self, service: ServiceId) -> Problem | None:
+        """Return why no upstream of a service may be used, None if one may be."""
 
     def choose(
         self, service: ServiceId, load: RequestLoad, excluded: Sequence[UpstreamId]
@@ -89,15 +94,15 @@
         Returns "" if the zone of the inputs should determine the upstream instead.
         """
 
-    def admit_request(self, service: ServiceId) -> bool:
-        """Count a request until ``request_finished``; return False if the node has left."""
-
-    def request_started(self, context: RequestContext) -> None:
-        """Keep the context of a request until ``request_finished``."""
+    def admit_request(self, context: RequestContext) -> bool:
+        """Keep a request until ``request_finished``; return False if the node has left."""
 
     def take_retry(self, service: ServiceId) -> bool:
         """Take one retry from the retry budget; return False if the budget is used up."""
 
+    def give_back_retry(self, service: ServiceId) -> None:
+        """Give a retry back to the retry budget for which nothing was sent."""
+
     def request_finished(self, context: RequestContext, outcome: "ForwardingOutcome") -> None:
         """Record how a request ended."""
 
@@ -177,12 +182,12 @@
         if configuration.has_organisations and not route.anonymous and organisation is None:
             code = ResultCode.KEY_MISSING if metadata.key is None else ResultCode.KEY_INVALID
             return Problem(code, "the route needs a key of an organisation")
-        if not self._backend.can_finish(route):
-            return Problem(ResultCode.NOT_READY, "this node stops too soon for the request")
         context = self._create_context(request, metadata, configuration, route, organisation)
-        if not self._backend.admit_request(context.service):
-            return Problem(ResultCode.NOT_READY, "this node has left")
-        self._backend.request_started(context)
+        stop_reason = self._backend.check_stop(context, is_admitted=False)
+        if stop_reason is not None:
+            return _stop_problem(stop_reason)
+        if not self._backend.admit_request(context):
+            return _stop_problem("this node has left")
         return context
 
     def _create_context(
@@ -227,8 +232,8 @@
     # Serving
 
     def _serve(self, context: RequestContext, responder: Responder) -> ForwardingOutcome:
-        if not self._backend.upstreams(context.service):
-            problem = Problem(ResultCode.NO_UPSTREAM, "no upstream of the service is known")
+        problem = self._backend.unavailability(context.service)
+        if problem is not None:
             return self._fail(context, responder, problem)
         stages = self._create_stage_run(context)
         try:
@@ -255,23 +260,35 @@
         """Try upstreams in turn until one has answered or no further attempt is allowed."""
         last: AttemptResult | None = None
         for _ in range(MAX_ATTEMPTS):
-            if last is not None and context.sent_attempts and not self._may_retry(context, last):
-                break
-            load = context.load
-            if stages is not None:
-                load = replace(load, inputs=stages.input_sizes())
-            chosen = self._backend.choose(context.service, load, tuple(context.tried_upstreams))
+            stop_reason = self._backend.check_stop(context, is_admitted=True)
+            if stop_reason is not None:
+                context.step(f"no further attempt: {stop_reason}")
+                return self._end_by_stop(context, responder, last, stop_reason)
+            chosen = self._choose(context, stages)
             if chosen is None:
                 break
-            entry, choice = chosen
-            context.tried_upstreams.add(entry.id)
+            is_retry = last is not None and context.sent_attempts > 0
+            if is_retry and last is not None and not self._may_retry(context, last):
+                break
+            is_charged = is_retry and last is not None and last.may_have_arrived
             if stages is not None and stages.needs_restart:
                 problem = self._restart_stages(stages)
+                # Meanwhile, an upstream may have begun to leave.
+                chosen = self._choose(context, stages)
+                if is_charged and (problem is not None or chosen is None):
+                    self._backend.give_back_retry(context.service)
                 if problem is not None:
                     return self._fail(context, responder, self._true_problem(context, problem))
+                if chosen is None:
+                    break
+            entry, choice = chosen
+            context.tried_upstreams.add(entry.id)
             inputs = stages.inputs if stages is not None else ()
             context.step(f"to {entry.id} after {self._elapsed_ms(context)} ms: {choice.reason}")
+            sent_before = context.sent_attempts
             last = self._attempts.run(context, responder, entry, choice, inputs, stages)
+            if is_charged and context.sent_attempts == sent_before and not last.may_have_arrived:
+                self._backend.give_back_retry(context.service)
             bound = f"; bound {last.bound}" if last.bound is not None else ""
             context.step(f"{last.outcome.value}: {last.detail}{bound}")
             if last.outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.CUT_OFF):
@@ -283,6 +300,14 @@
                 break
         return self._give_up(context, responder, last)
 
+    def _choose(
+        self, context: RequestContext, stages: StageRun | None
+    ) -> tuple[UpstreamEntry, UpstreamChoice] | None:
+        load = context.load
+        if stages is not None:
+            load = replace(load, inputs=stages.input_sizes())
+        return self._backend.choose(context.service, load, tuple(context.tried_upstreams))
+
     def _restart_stages(self, stages: StageRun) -> Problem | None:
         """Produce the stage results again that an earlier attempt has used up or that were lost."""
         if not stages.restart():
@@ -326,13 +351,32 @@
         problem = self._final_problem(context, last)
         return self._fail(context, responder, problem, last.bound if last else None)
 
+    def _end_by_stop(
+        self,
+        context: RequestContext,
+        responder: Responder,
+        last: AttemptResult | None,
+        stop_reason: str,
+    ) -> ForwardingOutcome:
+        """End a request that cannot be tried any more, because the node stops."""
+        if context.executions == 0:
+            return self._fail(context, responder, _stop_problem(stop_reason))
+        return self._give_up(context, responder, last)
+
     def _final_problem(self, context: RequestContext, last: AttemptResult | None) -> Problem:
-        is_past_deadline = context.time_left(self._clock.monotonic()) <= timedelta(0)
+        now = self._clock.monotonic()
+        is_past_deadline = context.time_left(now) <= timedelta(0)
+        if context.is_ended_by_stop(now):
+            if context.executions == 0:
+                return _stop_problem("this node stops")
+            detail = "this node stops before the upstream has answered"
+            return Problem(ResultCode.NODE_STOPPED, detail, Executed.UNKNOWN)
         if context.executions == 0:
             if is_past_deadline:
                 return Problem(ResultCode.DEADLINE_UNREACHABLE, "no upstream took it in time")
             detail = "no upstream can be used" if last is None else last.detail
-            return Problem(ResultCode.NO_UPSTREAM, detail)
+            unavailability = self._backend.unavailability(context.service)
+            return unavailability or Problem(ResultCode.NO_UPSTREAM, detail)
         if is_past_deadline:
             return Problem(ResultCode.DEADLINE_PASSED, "no answer in time", Executed.UNKNOWN)
         detail = last.detail if last is not None else ""
@@ -348,6 +392,8 @@
         code = ResultCode.UPSTREAM_FAILED
         if problem.code is ResultCode.DEADLINE_UNREACHABLE:
             code = ResultCode.DEADLINE_PASSED
+        elif problem.code is ResultCode.NOT_READY:
+            code = ResultCode.NODE_STOPPED
         return Problem(code, problem.detail, Executed.UNKNOWN)
 
     # Responses and outcomes
@@ -363,8 +409,9 @@
         if context.stream_begun:
             responder.abort()
             return self._outcome(context, "cut off", 0, problem.detail, bound)
-        if problem.code.http_status == 503:
-            wait = retry_after(timedelta(milliseconds=300), self._rng)
+        # Callers may come back at once where another node can serve them.
+        if problem.code.http_status == 503 and problem.retry_after != timedelta(0):
+            wait = retry_after(max(problem.retry_after or RETRY_DELAY, RETRY_DELAY), self._rng)
             problem = Problem(problem.code, problem.detail, problem.executed, wait)
         if not context.caller_gone:
             responder.send_response(*problem_response(problem, context.metadata.request_id))
@@ -396,12 +443,14 @@
         """Return the outcome of a request; its name is "gone" if the caller has left.
 
         ``bound`` is the one that ended the last attempt. A request that ends at its deadline ended
-        by the bound that sets the deadline.
+        by the bound that sets the deadline, one that the node's stop has ended by that.
         """
         now = self._clock.monotonic()
         if context.caller_gone:
             name = "gone"
-        if name != "answered" and context.time_left(now) <= timedelta(0):
+        if name != "answered" and context.is_ended_by_stop(now):
+            bound = Bound.NODE_STOP
+        elif name != "answered" and context.time_left(now) <= timedelta(0):
             bound = context.deadline_bound
         return ForwardingOutcome(name, status, detail, now - context.request.arrived, bound)
 
@@ -409,3 +458,8 @@
         return round(
             (self._clock.monotonic() - context.request.arrived) / timedelta(milliseconds=1)
         )
+
+
+def _stop_problem(detail: str) -> Problem:
+    """Return the refusal of a request that has not been executed; other nodes take it at once."""
+    return Problem(ResultCode.NOT_READY, detail, retry_after=timedelta(0))
--- a/src/chervilrack/_internal/forwarding/stages.py
+++ b/src/chervilrack/_internal/forwarding/stages.py
@@ -19,13 +19,17 @@
 from chervilrack._internal.catalogue.state import ServiceSpec
 from chervilrack._internal.common.clock import Clock
 from chervilrack._internal.common.ids import ServiceId, ZoneId
-from chervilrack._internal.common.results import Problem, ResultCode
+from chervilrack._internal.common.results import Executed, Problem, ResultCode
 from chervilrack._internal.forwarding.context import RequestContext
 from chervilrack._internal.forwarding.dialect import PieceFailure
 
 # Most restarts of stages of one request after the loss of results. A lost result may restart every
 # stage before it, and pipelines have up to six stages.
 MAX_RESTARTS = 6
+_FAILURE_CODES = {
+    PieceFailure.ALL_LEAVING: ResultCode.UPSTREAMS_LEAVING,
+    PieceFailure.ALL_PAUSED: ResultCode.UPSTREAMS_PAUSED,
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,12 +45,14 @@
 class PieceResult:
     """Result of one piece of a stage: its handle, or the reason why there is none.
 
-    ``segment`` is the number of the piece within its stage.
+    ``segment`` is the number of the piece within its stage. ``retry_after`` is the time until the
+    first upstream takes calls again if all of them want a pause.
     """
 
     stage: int
     segment: int
     result: str | PieceFailure
+    retry_after: timedelta | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -195,11 +201,11 @@
             try:
                 numbered_event = self._events.get(timeout=max(0.0, left.total_seconds()))
             except queue.Empty:
-                return Err(_deadline_problem("the stages did not end in time"))
+                return Err(self._timeout_problem())
             if self._context.caller_gone:
                 return Err(Problem(ResultCode.CALLER_GONE, "the caller left during the stages"))
             if self._context.node_stopping:
-                return Err(Problem(ResultCode.NOT_READY, "this node stops before the stages end"))
+                return Err(_stop_problem())
             if numbered_event is None:
                 continue
             failure = self._handle_event(*numbered_event)
@@ -207,6 +213,11 @@
                 return Err(failure)
         return Ok(None)
 
+    def _timeout_problem(self) -> Problem:
+        if self._context.is_ended_by_stop(self._clock.monotonic() + HOP_TIME):
+            return _stop_problem()
+        return _deadline_problem("the stages did not end in time")
+
     def _handle_event(self, generation: int, event: StageEvent) -> Problem | None:
         if isinstance(event, PieceResult):
             return self._handle_result(generation, event)
@@ -231,7 +242,13 @@
             return None
         if result.result is PieceFailure.LATE:
             return _deadline_problem(f"stage {result.stage} cannot end in time")
-        return Problem(ResultCode.NO_UPSTREAM, f"stage {result.stage} failed")
+        code = _FAILURE_CODES.get(result.result, ResultCode.NO_UPSTREAM)
+        return Problem(
+            code,
+            f"stage {result.stage} failed: {result.result.value}",
+            Executed.NO,
+            result.retry_after,
+        )
 
     def _place_order(self, planned: PlannedStage) -> None:
         has_inputs = bool(self._progress.spec(planned.stage).after)
@@ -262,5 +279,10 @@
             self._client.release(self._progress.spec(stage).service, handles)
 
 
+def _stop_problem() -> Problem:
+    detail = "this node stops before the stages end"
+    return Problem(ResultCode.NOT_READY, detail, retry_after=timedelta(0))
+
+
 def _deadline_problem(detail: str) -> Problem:
     return Problem(ResultCode.DEADLINE_UNREACHABLE, detail)
