--- a/features/steps/configuration_changes_steps.py
+++ b/features/steps/configuration_changes_steps.py
@@ -1,6 +1,7 @@
 """Steps for requests that wait while the configuration changes."""
 
 import http.client
+import itertools
 import json
 import threading
 import time
@@ -96,23 +97,19 @@
 
         upstream.serve = held
         if after_first_event:
-            upstream._stream = self._stream
-
-    def _stream(self, request, response_headers, body, free_slot):
-        """Send the first event of a stream, and the others once the gate is open."""
-        request.send_response(200)
-        for name, value in [*response_headers, ("Content-Type", "text/event-stream")]:
-            request.send_header(name, value)
-        request.send_header("Transfer-Encoding", "chunked")
-        request.end_headers()
-        for number in range(1, 6):
-            event = b"id: %d\ndata: piece %d of %b\n\n" % (number, number, body)
-            request.wfile.write(b"%x\r\n%b\r\n" % (len(event), event))
-            if number == 1:
+            self._hold_events(upstream)
+
+    def _hold_events(self, upstream):
+        """Let a stream send its first event, and the others once the gate is open."""
+        # The stand-in asks once when a request arrives and once before each event.
+        questions = itertools.count(1)
+
+        def wait_for_gate():
+            if next(questions) == 3:
                 self.reached.set()
                 assert self.opened.wait(LIMIT_S)
-        free_slot()
-        request.wfile.write(b"0\r\n\r\n")
+
+        upstream._wait_out_silence = wait_for_gate
 
 
 class Caller:
--- a/src/chervilrack/_internal/serving/state.py
+++ b/src/chervilrack/_internal/serving/state.py
@@ -47,6 +47,8 @@
 MIN_FIRST_BYTE_TIMEOUT = timedelta(milliseconds=250)
 MIN_STREAM_FIRST_BYTE_TIMEOUT = timedelta(milliseconds=1200)
 _MILLISECOND = timedelta(milliseconds=1)
+# Time after which an overdue attempt is compared with other upstreams again.
+REVIEW_INTERVAL = timedelta(milliseconds=100)
 # Share of the remaining time after which an attempt without a first byte is repeated at the latest.
 FIRST_BYTE_TIMEOUT_SHARE = 0.45
 
@@ -371,6 +373,7 @@
         now = self.clock.monotonic()
         with self.lock:
             self.balancer.record_end(entry.id)
+            self.balancer.end_probe(entry.id)
             if context.attempt_began is not None and not (
                 context.caller_gone or context.node_stopping
             ):
@@ -394,6 +397,22 @@
             self.balancer.record_failure(entry.id, self.clock.monotonic(), reason, certain)
             self.report_actions()
 
+    def upstream_heard(self, entry: UpstreamEntry) -> None:
+        """Record that bytes have arrived from an upstream."""
+        now = self.clock.monotonic()
+        if self.balancer.is_silent(entry.id):
+            with self.lock:
+                self.balancer.record_heard(entry.id, now)
+                self.report_actions()
+        else:
+            self.balancer.record_heard(entry.id, now)
+
+    def attempt_silent(self, entry: UpstreamEntry, since: timedelta, reason: str) -> None:
+        """Record that an attempt has waited since ``since`` for an upstream in vain."""
+        with self.lock:
+            self.balancer.record_silence(entry.id, since, self.clock.monotonic(), reason)
+            self.report_actions()
+
     def error_response_received(self, entry: UpstreamEntry) -> None:
         """Record an answer by which the upstream itself reports a failure."""
         with self.lock:
@@ -414,6 +433,66 @@
         shortest = MIN_STREAM_FIRST_BYTE_TIMEOUT if is_stream else MIN_FIRST_BYTE_TIMEOUT
         return min(max(wait, shortest), remaining * FIRST_BYTE_TIMEOUT_SHARE)
 
+    def time_to_stay(
+        self, context: RequestContext, choice: UpstreamChoice, started: timedelta
+    ) -> timedelta | None:
+        """Return how much longer an overdue request should wait at its upstream.
+
+        The attempt began at ``started``. Zero means that another upstream is likely to answer
+        sooner or that the silence is too long for a sound upstream, None that the request cannot
+        be sent elsewhere.
+        """
+        if not self.can_retry(context, context.executions + 1):
+            return None
+        now = self.clock.monotonic()
+        policy = self.balancer.settings.silence
+        if now - started >= policy.bound:
+            return timedelta(0)
+        with self.lock:
+            silence = self.balancer.silence(choice.upstream, started, now)
+        if silence < now - started:
+            # The upstream is alive, so the request itself takes long.
+            return timedelta(0)
+        other = self.choose(context.service, context.load, tuple(context.tried_upstreams))
+        rest_here = policy.expected_rest(silence) + choice.usual_wait
+        if other is None or other[1].expected_wait < rest_here:
+            return timedelta(0)
+        return min(policy.bound - (now - started), REVIEW_INTERVAL)
+
+    def may_reconnect(self, context: RequestContext, started: timedelta) -> bool:
+        """Whether to go on connecting to a silent upstream: no other one can take the request."""
+        now = self.clock.monotonic()
+        if context.caller_gone or context.node_stopping:
+            return False
+        if now - started >= self.balancer.settings.silence.bound:
+            return False
+        if context.time_left(now) <= timedelta(0):
+            return False
+        with self.lock:
+            return not self._untried(context, now)
+
+    def should_move_stream(
+        self, context: RequestContext, entry: UpstreamEntry, restart_time: timedelta
+    ) -> bool:
+        """Whether a stalled stream should be continued elsewhere, after ``restart_time``.
+
+        If its stages have to run again first, its upstream is likely to go on sooner, unless there
+        is other evidence that the upstream has failed or the caller would soon leave.
+        """
+        if not self.can_retry(context, context.executions):
+            return False
+        now = self.clock.monotonic()
+        if restart_time <= timedelta(0) or context.next_event_deadline - now <= restart_time:
+            return True
+        with self.lock:
+            current = self.catalogue.upstreams.get(entry.id)
+            is_gone = current is None or current.started_at_ms != entry.started_at_ms
+            return is_gone or self.balancer.has_failed(entry.id, now)
+
+    def stream_gap(self, max_gap: timedelta | None) -> timedelta:
+        """Return the time without an event after which a stream may be continued elsewhere."""
+        return self.balancer.settings.silence.stream_gap(max_gap)
+
     def is_overdue(
         self, context: RequestContext, choice: UpstreamChoice, waited: timedelta
     ) -> bool:
@@ -439,14 +518,14 @@
             return False
         now = self.clock.monotonic()
         with self.lock:
-            entries = self._registered(context.service)
-            others = [
-                entry
-                for entry in self.balancer.standing.open_upstreams(entries, now)
-                if entry.id not in context.tried_upstreams
-            ]
+            others = self._untried(context, now)
             return bool(others) and self.budget.can_take(context.service, now)
 
+    def _untried(self, context: RequestContext, now: timedelta) -> list[UpstreamEntry]:
+        """Return the usable upstreams at which a request has not been tried."""
+        entries = self.balancer.standing.open_upstreams(self._registered(context.service), now)
+        return [entry for entry in entries if entry.id not in context.tried_upstreams]
+
     # Directory
 
     def upstream_changed(self, change: UpstreamChanged) -> None:
--- a/src/chervilrack/_internal/upstreams/exchange.py
+++ b/src/chervilrack/_internal/upstreams/exchange.py
@@ -46,8 +46,8 @@
     """The exchange ended without a whole answer.
 
     ``sent`` is whether a byte of the request may have reached the upstream. ``unreachable`` is
-    whether no connection could be made. ``limit`` is the time limit that ended the exchange, None
-    if the upstream ended it.
+    whether the upstream certainly takes no connections. ``limit`` is the time limit that ended the
+    exchange, None if the upstream ended it.
     """
 
     def __init__(
@@ -64,6 +64,11 @@
         self.unreachable = unreachable
         self.limit = limit
 
+    @property
+    def silent(self) -> bool:
+        """Whether the upstream has only said nothing in time, as a sound one may for a while."""
+        return self.limit is not None
+
 
 class _DeadlineSocket(socket.socket):
     """Socket whose reads end at one time in all, however often bytes arrive before it.
@@ -335,11 +340,14 @@
                 return
         if self._cancelled:
             raise ExchangeFailed("the exchange was cancelled", sent=False)
-        timed_out = isinstance(last_error, urllib3.exceptions.ConnectTimeoutError)
+        # urllib3 derives NewConnectionError, which a refused connection raises, from the other.
+        timed_out = isinstance(
+            last_error, urllib3.exceptions.ConnectTimeoutError
+        ) and not isinstance(last_error, urllib3.exceptions.NewConnectionError)
         raise ExchangeFailed(
             f"no connection ({type(last_error).__name__})",
             sent=False,
-            unreachable=True,
+            unreachable=not timed_out,
             limit=TimeLimit.CONNECT if timed_out else None,
         )
 
--- a/src/chervilrack/platform/emulated/behaviours.py
+++ b/src/chervilrack/platform/emulated/behaviours.py
@@ -37,7 +37,8 @@
 class Call:
     """One executed request. ``argument`` is that of the behaviour; times are in seconds.
 
-    ``free_slot`` lets the upstream take another request.
+    ``free_slot`` lets the upstream take another request. ``wait_out_silence`` returns when the
+    upstream is not silent.
     """
 
     handler: Connection
@@ -47,6 +48,7 @@
     last_event: int
     work: float
     free_slot: Callable[[], None]
+    wait_out_silence: Callable[[], None]
     argument: str = ""
 
 
@@ -69,6 +71,7 @@
     _write(call, _stream_head(call))
     for number in range(call.last_event + 1, STREAM_EVENTS + 1):
         time.sleep(call.work / STREAM_EVENTS)
+        call.wait_out_silence()
         _write(call, _chunk(event(number, call.body)))
     _finish(call, b"0\r\n\r\n")
 
@@ -94,6 +97,7 @@
         return
     _write(call, _stream_head(call))
     for number in range(call.last_event + 1, STREAM_EVENTS + 1):
+        call.wait_out_silence()
         _write(call, _chunk(event(number, call.body)))
         time.sleep(0.2)
     _finish(call, b"0\r\n\r\n")
--- a/src/chervilrack/platform/emulated/standins.py
+++ b/src/chervilrack/platform/emulated/standins.py
@@ -16,6 +16,7 @@
 from collections import Counter
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, replace
+from datetime import timedelta
 from email.utils import formatdate
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from typing import Any, Self
@@ -222,11 +223,11 @@
     ``behaviour`` selects how requests are answered: a name in ``behaviours``, with its argument
     after a colon, or "full", "hold off" or "stands still". ``seen`` holds the executed requests,
     ``pieces`` the pieces of stage calls and ``freed`` the handles of results that were freed.
-    ``arrivals`` are all requests that reached the upstream and ``notices`` what it has said about
-    itself. ``left`` is set when a caller closes its connection during a stream. With ``leaving``,
-    each answer says that the upstream leaves. With ``retry_after``, it turns requests and stage
-    calls away with that value of ``Retry-After``; ``turned_away`` counts these and other refusals.
-    ``born`` is its start time as it is registered.
+    ``received`` counts the requests and stage calls that have arrived, ``arrivals`` names them, and
+    ``notices`` are what the upstream has said about itself. ``left`` is set when a caller closes
+    its connection during a stream. With ``leaving``, each answer says that the upstream leaves.
+    With ``retry_after``, it turns requests and stage calls away with that value of ``Retry-After``;
+    ``turned_away`` counts these and other refusals. ``born`` is its start time as it is registered.
     """
 
     def __init__(self, id: str, service: str) -> None:
@@ -245,10 +246,20 @@
         self.left = threading.Event()
         self._notices: list[Notice] = []
         self._starts: list[float] = []
+        self.received = 0
+        self._silent_until = 0.0
         self._handles = itertools.count(1)
         self._calls = itertools.count(1)
         self._slots = threading.BoundedSemaphore(SLOTS)
 
+    def fall_silent(self, duration: timedelta) -> None:
+        """Accept connections, but neither execute nor answer anything, for ``duration``."""
+        self._silent_until = time.monotonic() + duration.total_seconds()
+
+    def _wait_out_silence(self) -> None:
+        while (left := self._silent_until - time.monotonic()) > 0:
+            time.sleep(left)
+
     @property
     def added_headers(self) -> Sequence[Header]:
         """Header fields that each answer gets."""
@@ -282,6 +293,9 @@
 
     def serve(self, request: _Handler, body: bytes) -> None:
         """Execute one request, or reject it without execution."""
+        if request.path != "/api/stage-free":
+            self.received += 1
+        self._wait_out_silence()
         target = request.headers.get("Chervilrack-Target-Instance")
         is_stage_call = request.path == "/api/stage-run"
         ids = self._request_ids(request, body, is_stage_call=is_stage_call)
@@ -383,6 +397,7 @@
             work=1.0 if url.path.endswith("/slow") else work,
             argument=argument,
             free_slot=free_slot,
+            wait_out_silence=self._wait_out_silence,
         )
         try:
             behaviours.get(behaviour if behaviour in behaviours.names else "good")(call)
