--- a/features/support/scripted_upstream.py
+++ b/features/support/scripted_upstream.py
@@ -41,9 +41,17 @@
 
 _NOT_RUN = "Chervilrack-Not-Executed: 1\r\n"
 
+# Fields that the word before the name of an action adds to its answer.
+_STATEMENTS = {
+    "leaving": "Server-Leaving: 1\r\n",
+    "pausing": "Retry-After: 600\r\n",
+    "shortly-pausing": "Retry-After: 0.5\r\n",
+    "nonsense-pausing": "Retry-After: soon\r\n",
+}
 # Bytes of an action, by its name; they depend on the id of the request.
 _ACTIONS = {
     "answer": lambda id: _whole("200 OK", id, f"answer to {id}"),
+    "HTTP/1.0 answer": lambda id: _ACTIONS["answer"](id).replace("HTTP/1.1", "HTTP/1.0"),
     "foreign answer": lambda id: _whole("200 OK", FOREIGN_ID, f"answer to {FOREIGN_ID}"),
     "103": lambda id: "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n",
     "misdirected": lambda id: _whole("421 Misdirected Request", id, "not here"),
@@ -60,6 +68,8 @@
     "refusal of another request": lambda id: _whole(
         "503 Service Unavailable", FOREIGN_ID, "full", _NOT_RUN
     ),
+    "421": lambda id: _whole("421 Misdirected Request", id, "not me"),
+    "503": lambda id: _whole("503 Service Unavailable", id, "it failed"),
     "inputs gone": lambda id: _whole("409 Conflict", id, "gone", _NOT_RUN),
     "JSON with blank lines": lambda id: _whole(
         "200 OK", id, '{"error":\n\n"none"}\n\n', "Content-Type: application/json\r\n"
@@ -81,12 +91,30 @@
     "comments": ("", _chunk(":\n\n")),
     "slow event": (_chunk("id: 3\ndata: "), _chunk("x")),
 }
+# Beginning and repeated part of an answer that is sent without a pause and never ends.
+_FLOODS = {
+    "status line": ("HTTP/1.1 200 O", "K" * 1000),
+    "header": (f"{OK}X-Long: ", "x" * 1000),
+    "headers": (OK, "X-Field: value\r\n" * 50),
+    "interim answers": ("", "HTTP/1.1 103 Early Hints\r\n\r\n" * 50),
+    "chunk size": (f"{OK}{{identity}}{_CHUNKED}\r\n", "0" * 1000),
+    "chunk notes": (f"{OK}{{identity}}{_CHUNKED}\r\n4;note=", "x" * 1000),
+    "chunks": (f"{OK}{{identity}}{_CHUNKED}\r\n", _chunk("x" * 60_000)),
+    "trailers": (f"{OK}{{identity}}{_CHUNKED}\r\n4\r\nbody\r\n0\r\n", "X-T: 1\r\n" * 100),
+    "bytes without length": (f"{OK}{{identity}}\r\n", "x" * 60_000),
+    "event": (
+        f"{OK}{{identity}}Content-Type: text/event-stream\r\n{_CHUNKED}\r\n"
+        + _chunk(_event(1) + "id: 2\ndata: "),
+        _chunk("x" * 10_000),
+    ),
+}
 
 
 class ScriptedUpstreams:
     """Listeners that answer the n-th request with the n-th script, or the last one.
 
-    ``requests`` holds the heads of the requests and ``unsent`` the actions whose bytes could not be
+    ``requests`` holds the heads of the requests, ``arrivals`` their monotonic times in seconds, and
+    ``unsent`` the actions whose bytes could not be
     sent, because the connection was closed. Use as a context manager.
     """
 
@@ -97,6 +125,7 @@
         self._lock = threading.Lock()
         self._stopping = threading.Event()
         self.requests = []
+        self.arrivals = []
         self.unsent = []
 
     def __enter__(self):
@@ -111,6 +140,12 @@
                 listener.shutdown(socket.SHUT_RDWR)
             listener.close()
 
+    def close_listener(self, number):
+        """Refuse connections at one of the addresses."""
+        with suppress(OSError):
+            self._listeners[number].shutdown(socket.SHUT_RDWR)
+        self._listeners[number].close()
+
     def _serve(self, listener):
         while True:
             try:
@@ -130,6 +165,7 @@
             with self._lock:
                 number = len(self.requests)
                 self.requests.append(content.decode())
+                self.arrivals.append(time.monotonic())
             request_id = re.search(r"(?i)Chervilrack-Request-Id: (\S+)", content.decode())[1]
             script = self._scripts[min(number, len(self._scripts) - 1)]
             for action in script.split(", "):
@@ -166,14 +202,13 @@
                 self._send_stream_part(connection, _chunk(": hello\n\n"), request_id, is_first)
             case ["nothing", "more"]:
                 self._send_stream_part(connection, "", request_id, is_first)
+            case ["flood", "of", *name]:
+                self._send_flood(connection, " ".join(name), request_id)
             case [*name, "for", seconds, "s"]:
                 self._send_slowly(connection, " ".join(name), float(seconds), request_id, is_first)
                 return
             case _:
-                name, _, end = action.partition(" up to ")
-                content = _ACTIONS[name](request_id)
-                size = content.index(end) + len(end) if end else len(content)
-                connection.sendall(content[:size].encode())
+                connection.sendall(_response(action, request_id).encode())
         is_last_part = script.split(", ")[-1] == action or "foreign answer" in script
         is_stream = action.startswith(("events", "nothing"))
         if is_stream and is_last_part and not script.endswith("break"):
@@ -183,6 +218,12 @@
         head = f"{OK}{_identity(request_id)}Content-Type: text/event-stream\r\n{_CHUNKED}\r\n"
         connection.sendall(((head if is_first else "") + chunks).encode())
 
+    def _send_flood(self, connection, name, request_id):
+        begin, part = _FLOODS[name]
+        connection.sendall(begin.replace("{identity}", _identity(request_id)).encode())
+        while not self._stopping.is_set():
+            connection.sendall(part.encode())
+
     def _send_slowly(self, connection, name, seconds, request_id, is_first):
         if name == "slow chunk" and not is_first:
             begin, part = "", "0"  # the size of the next chunk, a digit at a time
@@ -194,6 +235,17 @@
             connection.sendall(part.encode())
 
 
+def _response(action, request_id):
+    """Return the response that an action names, with statements or cut off behind some text."""
+    word, _, name = action.partition(" ")
+    if word in _STATEMENTS:
+        status_line, rest = _ACTIONS[name](request_id).split("\r\n", 1)
+        return f"{status_line}\r\n{_STATEMENTS[word]}{rest}"
+    name, _, end = action.partition(" up to ")
+    content = _ACTIONS[name](request_id)
+    return content[: content.index(end) + len(end)] if end else content
+
+
 def start_scripted(context, service, scripts, count):
     """Replace the upstreams of a service by ``count`` scripted ones, and wait until it is known."""
     upstreams = ScriptedUpstreams(scripts, count)
--- a/features/upstreams/broken_off.feature
+++ b/features/upstreams/broken_off.feature
@@ -77,6 +77,10 @@
       | a forwarded request | a chunk size with an underscore  |
       | a forwarded request | a chunk longer than its size     |
       | a forwarded request | a status that switches protocols |
+      | a forwarded request | a blank before its status line   |
+      | a forwarded request | a control character in a version |
+      | a forwarded request | a status of two digits           |
+      | a forwarded request | a malformed interim response     |
       | a native call       | a header line without a colon    |
       | a native call       | two lengths                      |
       | a native call       | a signed chunk size              |
@@ -84,6 +88,21 @@
       | a store write       | a signed chunk size              |
       | an etcd write       | a folded field                   |
 
+  Scenario Outline: a response with <form> is whole for <client>
+    # Guards against strictness that refuses what sound servers may send.
+    Then <client> believes a response with <form>
+
+    Examples:
+      | client              | form                            |
+      | a forwarded request | a blank behind the length       |
+      | a forwarded request | the same length twice           |
+      | a forwarded request | a blank before a chunk's note   |
+      | a forwarded request | capital letters in its coding   |
+      | a forwarded request | a multipart type                |
+      | a forwarded request | an empty field                  |
+      | a native call       | the same length twice           |
+      | a store write       | a blank before a chunk's note   |
+
   Scenario Outline: the outcome of <client> that is answered with <response> is <outcome>
     # Guards against a write that may have been applied and is reported as not applied.
     Then the outcome of <client> that is answered with <response> is <outcome>
@@ -100,3 +119,7 @@
       | a store write | a 429                 | known   |
       | an etcd write | a 200 without JSON    | unknown |
       | an etcd write | a 500                 | unknown |
+
+  Scenario: a response with any change is read by the grammar or refused
+    # Guards against a body or a status that is not the one that the bytes say.
+    Then a forwarded request reads changed responses by the grammar or not at all
