Leave a look-up at its upstream while a second attempt would have no more time

What callers saw: reads that take over 0.45 of their time got 504, although their upstream was sound. Cause: the wait for the first byte was at most 0.45 of the remaining time, whatever requests of the service usually take; the second attempt then had less time than the first one had needed. Ruled out: streams, whose silence has its own policy; they keep the bound. Change: a plain request is left for another upstream only as long as the typical time for it remains. Result: serving.feature 'a look-up that takes over half of its time': 504 before, 200 now. Conclusion: a request whose upstream has lost it waits longer for its second attempt where requests take long.

--- a/features/adapter/serving.feature
+++ b/features/adapter/serving.feature
@@ -90,6 +90,12 @@
     When 6 callers send requests that exceed 600 ms while others are answered
     Then no upstream is ejected
 
+  # Guards against a sound look-up that is given up halfway and has no time for a second attempt.
+  Scenario: a look-up that takes over half of its time is answered if look-ups usually take long
+    When a caller sends 4 look-ups that take 1000 ms, with a deadline of 5000 ms
+    And a caller sends 1 look-ups that take 1300 ms, with a deadline of 2200 ms
+    Then all look-ups are answered with status 200
+
   Scenario: the stream of a caller that disconnects is cancelled
     Given all engines are "slow"
     When a caller disconnects after the first event of a stream
--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -87,6 +87,19 @@
     return response, content
 
 
+@when("a caller sends {count:d} look-ups that take {work:d} ms, with a deadline of {deadline:d} ms")
+def send_lookups(context, count, work, deadline):
+    extra = {"Chervilrack-Deadline-Ms": str(deadline)}
+    responses = [send_request(context, f"/read/1?workMs={work}", **extra) for _ in range(count)]
+    context.statuses = getattr(context, "statuses", [])
+    context.statuses += [response.status for response, _ in responses]
+
+
+@then("all look-ups are answered with status {status:d}")
+def check_lookups(context, status):
+    assert set(context.statuses) == {status}, context.statuses
+
+
 def event_ids(content):
     return [
         line.partition(":")[2].strip() for line in content.decode().split("\n") if "id:" in line
--- a/src/chervilrack/_internal/serving/state.py
+++ b/src/chervilrack/_internal/serving/state.py
@@ -49,7 +49,8 @@
 _MILLISECOND = timedelta(milliseconds=1)
 # Time after which an overdue attempt is compared with other upstreams again.
 REVIEW_INTERVAL = timedelta(milliseconds=100)
-# Share of the remaining time after which an attempt without a first byte is repeated at the latest.
+# Share of the remaining time after which an attempt without a first byte is repeated at the latest,
+# unless the typical time of a request is left later, too.
 FIRST_BYTE_TIMEOUT_SHARE = 0.45
 
 
@@ -431,7 +432,11 @@
         wait = max(typical, choice.expected_wait) * FIRST_BYTE_TIMEOUT_RATIO
         is_stream = context.route.kind is RequestKind.STREAM
         shortest = MIN_STREAM_FIRST_BYTE_TIMEOUT if is_stream else MIN_FIRST_BYTE_TIMEOUT
-        return min(max(wait, shortest), remaining * FIRST_BYTE_TIMEOUT_SHARE)
+        longest = remaining * FIRST_BYTE_TIMEOUT_SHARE
+        if not is_stream:
+            # A second attempt is useful as long as it has the typical time.
+            longest = max(longest, remaining - typical)
+        return min(max(wait, shortest), longest)
 
     def time_to_stay(
         self, context: RequestContext, choice: UpstreamChoice, started: timedelta
