Keep the ports that tests choose from being given to others

Cause: free_ports closed its sockets, and a node bound the ports later. Change: each port keeps a closed connection, which the kernel leaves alone for a minute.

--- a/src/chervilrack/platform/emulated/standins.py
+++ b/src/chervilrack/platform/emulated/standins.py
@@ -408,11 +408,23 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return ports of loopback that are free at the moment, chosen by the kernel."""
-    sockets = [socket.socket() for _ in range(count)]
-    for opened in sockets:
-        opened.bind(("127.0.0.1", 0))
-    ports = [int(opened.getsockname()[1]) for opened in sockets]
-    for opened in sockets:
-        opened.close()
-    return ports
+    """Return ports of loopback that are free, chosen by the kernel.
+
+    Each port keeps a closed connection for a minute. Until then the kernel gives it to nobody who
+    asks for any port, while servers, which reuse addresses, can listen on it.
+    """
+    with contextlib.ExitStack() as stack:
+        listeners = [stack.enter_context(_listen()) for _ in range(count)]
+        for listener in listeners:
+            with socket.create_connection(listener.getsockname()):
+                # The side that closes first keeps the closed connection.
+                listener.accept()[0].close()
+        return [int(listener.getsockname()[1]) for listener in listeners]
+
+
+def _listen() -> socket.socket:
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(1)
+    return listener
