--- a/features/steps/cli_process_steps.py
+++ b/features/steps/cli_process_steps.py
@@ -2,7 +2,6 @@
 
 import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -17,6 +16,7 @@
 from chervilrack._internal.cli.status_codes import ExitStatus
 from chervilrack._internal.experiments.profile import load_profile
 from chervilrack._internal.gateway.authentication import key_digest
+from chervilrack.platform.emulated.standins import free_ports
 
 ROOT = Path(__file__).resolve().parents[2]
 TIMEOUT_S = 40  # long enough for a machine that runs other feature folders at the same time
@@ -78,12 +78,6 @@
         return self._process.wait(TIMEOUT_S)
 
 
-def _free_port():
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        return listener.getsockname()[1]
-
-
 @given("the platform and upstream stand-ins of profile {profile}")
 def start_standins(context, profile):
     context.profile = load_profile(profile)
@@ -97,7 +91,7 @@
 
 @given("{count:d} node processes with settings files")
 def start_nodes(context, count):
-    ports = [(_free_port(), _free_port()) for _ in range(count)]
+    ports = [tuple(free_ports(2)) for _ in range(count)]
     context.nodes = []
     context.addresses = [f"http://127.0.0.1:{http}" for http, _ in ports]
     for number, (http, peer) in enumerate(ports, 1):
@@ -127,7 +121,7 @@
 
 @given("a node address on which no process listens")
 def unused_address(context):
-    context.node_environment = {"CHERVILRACK_NODE": f"http://127.0.0.1:{_free_port()}"}
+    context.node_environment = {"CHERVILRACK_NODE": f"http://127.0.0.1:{free_ports(1)[0]}"}
 
 
 @then("every node reports release revision {revision:d} in time")
