Limit the time for the body of a request that is refused

Cause: one thread refuses all requests. It limited the time for a head, but for a body only the time without progress. Change: the body of a request that is refused has to arrive within the same 100 ms in all. The row head is the former scenario, unchanged. Conclusion: open: each stalled caller still takes up to 0.2 s of the only thread that refuses.

--- a/features/gateway/connections.feature
+++ b/features/gateway/connections.feature
@@ -89,13 +89,18 @@
       | two requests at once               |
 
   # Guards against callers that stall and keep others from being refused or served.
-  Scenario: callers that send half a head while all threads are busy do not hold up the others
+  Scenario Outline: callers that send half a <part> while all threads are busy do not hold up the others
     Given a pass-through server with 2 threads
     And all threads are busy
-    When 5 callers send half a head and a byte each 50 ms
+    When <count> callers send half a <part> and a byte each 50 ms
     And the busy server receives a request on a new connection
     Then the caller gets status 503 with Retry-After while the threads are busy
 
+    Examples:
+      | part | count |
+      | head | 5     |
+      | body | 5     |
+
   Scenario: a request that waits for a thread is answered once one is free
     Given a pass-through server with 2 threads
     And all threads are busy
--- a/features/steps/caller_connections_steps.py
+++ b/features/steps/caller_connections_steps.py
@@ -343,8 +343,9 @@
     assert context.handler.paths == [*context.paths_before, "/a"], context.handler.paths
 
 
-@when("{count:d} callers send half a head and a byte each {interval:d} ms")
-def send_slowly(context, count, interval):
+@when("{count:d} callers send half a {part} and a byte each {interval:d} ms")
+def send_slowly(context, count, part, interval):
+    begin = REQUEST[:20] if part == "head" else REQUEST.replace(b": 2", b": 1000000")
     callers = [connect(context) for _ in range(count)]
     stopping = threading.Event()
     context.stack.callback(stopping.set)
@@ -356,7 +357,7 @@
                     caller.sendall(b"x")
 
     for caller in callers:
-        caller.sendall(REQUEST[:20])
+        caller.sendall(begin)
     threading.Thread(target=trickle, daemon=True).start()
 
 
--- a/src/chervilrack/_internal/gateway/connections.py
+++ b/src/chervilrack/_internal/gateway/connections.py
@@ -109,9 +109,9 @@
         self.read_until = self.clock.monotonic() + limit
         self.read_limit = STALL_LIMIT
 
-    def begin_body(self, limit: timedelta) -> None:
-        """Limit the time without progress within the body of a request."""
-        self.read_until = None
+    def begin_body(self, limit: timedelta, *, is_total: bool = False) -> None:
+        """Limit the time without progress within a body, or the time for all of it."""
+        self.read_until = self.clock.monotonic() + limit if is_total else None
         self.read_limit = limit
 
     def begin_answer(self) -> None:
--- a/src/chervilrack/_internal/gateway/passthrough.py
+++ b/src/chervilrack/_internal/gateway/passthrough.py
@@ -50,7 +50,8 @@
 MAX_THREAD_WAIT = timedelta(milliseconds=250)
 # Interval of checks whether a thread has become idle for a request that has waited that long.
 OVERDUE_CHECK_INTERVAL = timedelta(milliseconds=10)
-# Time in which a request that is refused because no thread is free has to arrive.
+# Time in which the head, and then the body, of a request has to arrive that is refused because no
+# thread is free.
 REFUSED_READ_TIME = timedelta(milliseconds=100)
 # Header fields that concern only the caller's connection and are not forwarded.
 _CONNECTION_FIELDS = frozenset(
@@ -219,7 +220,10 @@
         server: _Server = request.server
         connection: _Connection = request.conn
         responder = ConnectionResponder(request, server.watch)
-        connection.begin_body(REFUSED_READ_TIME if connection.is_refused else STALL_LIMIT)
+        if connection.is_refused:
+            connection.begin_body(REFUSED_READ_TIME, is_total=True)
+        else:
+            connection.begin_body(STALL_LIMIT)
         try:
             body = _read_body(request, request.max_body)
         except BodyTooLarge as error:
