Go on closing connections while none can be accepted

Cause: accept() raised EMFILE out of the loop that closes idle connections and those that linger. cheroot starts the loop again, which first accepts, and fails again. Change: a connection that cannot be accepted waits; the loop pauses for 10 ms and goes on with its other work.

--- a/features/gateway/connections.feature
+++ b/features/gateway/connections.feature
@@ -112,3 +112,10 @@
     Given a pass-through server that keeps 2 connections
     When 3 callers send a request each on connections that stay open
     Then 2 connections stay open and 1 answer announces the close
+
+  # Guards against a server that, once out of descriptors, closes no connections and stays out of them.
+  Scenario: a server that cannot accept a connection still closes others, and accepts it then
+    Given a pass-through server with 2 threads
+    When no further connection can be accepted while one that was shut down is open
+    And a caller sends its last request and leaves
+    Then the request of another caller is answered
--- a/features/steps/caller_connections_steps.py
+++ b/features/steps/caller_connections_steps.py
@@ -1,6 +1,7 @@
 """Steps for the connections that callers keep to a pass-through server."""
 
 import contextlib
+import errno
 import re
 import socket
 import threading
@@ -398,3 +399,28 @@
         else:
             assert exchange(caller)[0] == 200
     assert len(announced) - sum(announced) == kept
+
+
+@when("no further connection can be accepted while one that was shut down is open")
+def exhaust_descriptors(context):
+    connections = context.server._server._connections
+    accept = connections._from_server_socket
+    context.has_lingered = threading.Event()
+
+    def accept_or_fail(listener):
+        if connections._lingering:
+            context.has_lingered.set()
+            raise OSError(errno.EMFILE, "Too many open files")
+        return accept(listener)
+
+    connections._from_server_socket = accept_or_fail
+
+
+@when("a caller sends its last request and leaves")
+def send_last_and_leave(context):
+    with connect(context) as caller:
+        assert exchange(caller, LAST_REQUEST)[0] == 200
+        end = time.monotonic() + LIMIT_S
+        while not context.has_lingered.wait(CHECK_S):
+            assert time.monotonic() < end, "the connection did not linger"
+            connect(context)
--- a/src/chervilrack/_internal/gateway/connections.py
+++ b/src/chervilrack/_internal/gateway/connections.py
@@ -9,6 +9,7 @@
 import select
 import socket
 import threading
+import time
 from collections.abc import Callable
 from datetime import timedelta
 from typing import Any
@@ -27,6 +28,8 @@
 # Time for which a connection that was shut down stays open for reading. Closing it at once would
 # reset it if bytes arrive meanwhile, and the reset may destroy the end of the answer.
 LINGER_TIME = timedelta(seconds=1)
+# Pause after a connection could not be accepted, mostly because no file descriptor was free.
+ACCEPT_RETRY_INTERVAL = timedelta(milliseconds=10)
 
 
 def is_readable(sock: socket.socket) -> bool:
@@ -152,6 +155,7 @@
         self._lock = threading.Lock()
         # Connections that were shut down, oldest first, with the time at which to close each.
         self._lingering: list[tuple[timedelta, CallerConnection]] = []
+        self._is_accepting = True
 
     def put(self, conn: CallerConnection) -> None:
         """Keep a connection until its next request arrives."""
@@ -198,9 +202,21 @@
                 self._selector.unregister(descriptor)
                 self.server.process_conn(conn)
                 continue
+            self._accept()
+
+    def _accept(self) -> None:
+        """Accept a connection. One that cannot be accepted waits until others are closed."""
+        try:
             accepted = self._from_server_socket(self.server.socket)
-            if accepted is not None:
-                self.put(accepted)
+        except OSError as error:
+            if self._is_accepting:
+                logger.warning("gateway: connections cannot be accepted: %s", error)
+            self._is_accepting = False
+            time.sleep(ACCEPT_RETRY_INTERVAL.total_seconds())
+            return
+        self._is_accepting = True
+        if accepted is not None:
+            self.put(accepted)
 
     def _close_idle(self, now: timedelta) -> None:
         expired = [
