Keep a connection whose request finds no thread to be started

What callers saw: a request whose arrival made the server start a thread got neither an answer nor a refusal if the system allowed no further thread (limit on processes or memory); its connection stayed open (trial script: no answer within 6 s). Cause: the error left the accepting thread's loop after the connection had been taken from the selector and before it was queued. Change: the pool starts as many threads as it can and logs the rest; the connection is queued. Conclusion: open: such a server counts as one with capacity, so that `refuse_overdue` does not refuse what waits over 250 ms.

--- a/features/gateway/connections.feature
+++ b/features/gateway/connections.feature
@@ -119,3 +119,10 @@
     When no further connection can be accepted while one that was shut down is open
     And a caller sends its last request and leaves
     Then the request of another caller is answered
+
+  # Guards against a connection that is dropped with its request because no thread can be started.
+  Scenario: a request that arrives while no thread can be started is answered by another thread
+    Given a pass-through server with at least 2 and at most 4 threads
+    And 2 threads are busy and no further one can be started
+    When a caller sends a request, and the threads become free once no further one could be started
+    Then the caller gets the whole answer
--- a/features/steps/caller_connections_steps.py
+++ b/features/steps/caller_connections_steps.py
@@ -424,3 +424,33 @@
         while not context.has_lingered.wait(CHECK_S):
             assert time.monotonic() < end, "the connection did not linger"
             connect(context)
+
+
+@given("a pass-through server with at least {least:d} and at most {most:d} threads")
+def start_with_bounds(context, least, most):
+    start(context, SystemClock(), min_threads=least, max_threads=most)
+
+
+@given("{count:d} threads are busy and no further one can be started")
+def occupy_and_refuse_threads(context, count):
+    context.refused_threads = threading.Semaphore(0)
+
+    def refuse():
+        context.refused_threads.release()
+        raise RuntimeError("can't start new thread")
+
+    for _ in range(count):
+        connect(context).sendall(REQUEST.replace(b"/a", b"/busy"))
+        assert context.handler.busy.acquire(timeout=LIMIT_S)
+    context.server._server.requests._spawn_worker = refuse
+
+
+@when(
+    "a caller sends a request, and the threads become free once no further one could be started"
+)
+def send_and_free_later(context):
+    caller = connect(context)
+    caller.sendall(REQUEST)
+    assert context.refused_threads.acquire(timeout=LIMIT_S)
+    context.handler.free.set()
+    context.answer = read_answer(caller)
--- a/src/chervilrack/_internal/gateway/passthrough.py
+++ b/src/chervilrack/_internal/gateway/passthrough.py
@@ -293,9 +293,14 @@
     _spawn_worker: Callable[[], Any]
 
     def grow(self, amount: int) -> None:
-        """Start up to ``amount`` more threads."""
+        """Start up to ``amount`` more threads, fewer if the system allows no more."""
         count = min(amount, max(0, int(self.max) - len(self._threads)))
-        self._threads.extend(self._spawn_worker() for _ in range(count))
+        for _ in range(count):
+            try:
+                self._threads.append(self._spawn_worker())
+            except RuntimeError as error:
+                logger.warning("gateway: a thread could not be started: %s", error)
+                return
 
     @property
     def has_capacity(self) -> bool:
