Count a repetition that follows an attempt that was not sent

What upstreams saw: more repetitions than the retry budget allows, while some upstreams refuse connections. Cause: since a retry goes back to the budget if its upstream cannot be connected. The next attempt is then taken for one that needs no retry, as the attempt before it was not sent; but it repeats an earlier attempt that was. It was sent without a count. Change: a request keeps the retry that it has taken until something is sent for it, and gives it back only at its end. Result: statements.feature, "a repetition that follows an upstream that refuses connections ...": before 0 retries counted for 1 sent, now 1. The two scenarios "leaves the retry budget unused" still pass; their step now shares its sum with the new one.

--- a/features/adapter/statements.feature
+++ b/features/adapter/statements.feature
@@ -64,6 +64,14 @@
     When a caller sends 3 look-up requests with a deadline of 1500 ms
     Then the retry budget is unused
 
+  # Guards against repetitions beyond the retry budget: sent for one that was given back.
+  Scenario: a repetition that follows an upstream that refuses connections counts in the retry budget
+    Given 3 scripted plain upstreams that send "500" and are tried in their order
+    And the second of them refuses connections
+    When a caller sends 1 look-up requests with a deadline of 1500 ms
+    Then 2 requests have reached the scripted upstreams
+    And the retry budget counts 1 retry
+
   Scenario Outline: a <kind> request that upstream <name> <behaviour> and says that it leaves is its last
     Given upstream <name> <behaviour> and says that it leaves
     When callers send <kind> requests until <name> has run one
--- a/features/steps/caller_connections_steps.py
+++ b/features/steps/caller_connections_steps.py
@@ -445,9 +445,7 @@
     context.server._server.requests._spawn_worker = refuse
 
 
-@when(
-    "a caller sends a request, and the threads become free once no further one could be started"
-)
+@when("a caller sends a request, and the threads become free once no further one could be started")
 def send_and_free_later(context):
     caller = connect(context)
     caller.sendall(REQUEST)
--- a/features/steps/statements_steps.py
+++ b/features/steps/statements_steps.py
@@ -78,11 +78,32 @@
         assert low - 5 <= float(fields["Retry-After"]) <= high, fields
 
 
+@given('{count:d} scripted plain upstreams that send "{script}" and are tried in their order')
+def start_plain_in_order(context, count, script):
+    start_scripted(context, "plain", [script], count)
+    names = [UpstreamId(f"scripted-{number}") for number in range(count)]
+    choose = context.node._state.choose
+
+    def choose_in_order(service, load, excluded):
+        following = [name for name in names if name not in excluded]
+        return choose(service, load, [*excluded, *following[1:]])
+
+    context.node._state.choose = choose_in_order
+
+
+def count_retries(context):
+    budget, now = context.node._state.budget, context.node._clock.monotonic()
+    return sum(window.count(now) for window in budget._retries.values())
+
+
 @then("the retry budget is unused")
 def check_budget(context):
-    budget, now = context.node._state.budget, context.node._clock.monotonic()
-    retries = {service: window.count(now) for service, window in budget._retries.items()}
-    assert not any(retries.values()), retries
+    assert count_retries(context) == 0
+
+
+@then("the retry budget counts {count:d} retry")
+def check_counted(context, count):
+    assert count_retries(context) == count, count_retries(context)
 
 
 @given("upstream {name} {behaviour} and says that it leaves")
--- a/src/chervilrack/_internal/forwarding/context.py
+++ b/src/chervilrack/_internal/forwarding/context.py
@@ -25,7 +25,9 @@
 
     ``sent_attempts`` counts the attempts whose request was written to an upstream, ``executions``
     those that an upstream has executed or may have executed. ``events`` is the position of a stream
-    that has been relayed. ``steps`` describes the course of the request for the decision log.
+    that has been relayed. ``holds_retry`` is whether a retry was taken from the retry budget for
+    which nothing has been sent yet. ``steps`` describes the course of the request for the decision
+    log.
 
     ``node_stops_at`` is the time at which the node ends the request because it stops, and
     ``attempt_began`` the start of the current attempt.
@@ -46,6 +48,7 @@
     sent_attempts: int = 0
     executions: int = 0
     stream_begun: bool = False
+    holds_retry: bool = False
     node_stops_at: timedelta | None = None
     attempt_began: timedelta | None = None
     events: EventSequence = field(default_factory=EventSequence)
--- a/src/chervilrack/_internal/forwarding/forwarder.py
+++ b/src/chervilrack/_internal/forwarding/forwarder.py
@@ -259,6 +259,8 @@
         finally:
             if stages is not None:
                 stages.close()
+            if context.holds_retry:
+                self._backend.give_back_retry(context.service)
 
     def _create_stage_run(self, context: RequestContext) -> StageRun | None:
         if not context.route.stages:
@@ -283,13 +285,10 @@
             is_retry = last is not None and context.sent_attempts > 0
             if is_retry and last is not None and not self._may_retry(context, last):
                 break
-            is_charged = is_retry and last is not None and last.may_have_arrived
             if stages is not None and stages.needs_restart:
                 problem = self._restart_stages(stages)
                 # Meanwhile, an upstream may have begun to leave.
                 chosen = self._choose(context, stages)
-                if is_charged and (problem is not None or chosen is None):
-                    self._backend.give_back_retry(context.service)
                 if problem is not None:
                     return self._fail(context, responder, self._true_problem(context, problem))
                 if chosen is None:
@@ -299,9 +298,10 @@
             inputs = stages.inputs if stages is not None else ()
             context.step(f"to {entry.id} after {self._elapsed_ms(context)} ms: {choice.reason}")
             sent_before = context.sent_attempts
+            held_retry, context.holds_retry = context.holds_retry, False
             last = self._attempts.run(context, responder, entry, choice, inputs, stages)
-            if is_charged and context.sent_attempts == sent_before and not last.may_have_arrived:
-                self._backend.give_back_retry(context.service)
+            if context.sent_attempts == sent_before and not last.may_have_arrived:
+                context.holds_retry = held_retry
             bound = f"; bound {last.bound}" if last.bound is not None else ""
             context.step(f"{last.outcome.value}: {last.detail}{bound}")
             if last.outcome in (AttemptOutcome.ANSWERED, AttemptOutcome.CUT_OFF):
@@ -342,12 +342,12 @@
                 f"allowed {route.max_attempts if route.may_repeat else 1}"
             )
             return False
-        if not last.may_have_arrived:
+        if not last.may_have_arrived or context.holds_retry:
             return True
-        is_within_budget = self._backend.take_retry(context.service)
-        if not is_within_budget:
+        context.holds_retry = self._backend.take_retry(context.service)
+        if not context.holds_retry:
             context.step("retry budget used up")
-        return is_within_budget
+        return context.holds_retry
 
     def _give_up(
         self, context: RequestContext, responder: Responder, last: AttemptResult | None
