--- a/src/chervilrack/_internal/forwarding/context.py
+++ b/src/chervilrack/_internal/forwarding/context.py
@@ -24,10 +24,10 @@
     leave if they have no byte of it at ``first_byte_deadline``.
 
     ``sent_attempts`` counts the attempts whose request was written to an upstream, ``executions``
-    those that an upstream has executed or may have executed. ``events`` is the position of a stream
-    that has been relayed. ``holds_retry`` is whether a retry was taken from the retry budget for
-    which nothing has been sent yet. ``steps`` describes the course of the request for the decision
-    log.
+    those that an upstream has executed or may have executed. ``last_event_at`` is the monotonic
+    time of the last event that was relayed. ``events`` is the position of a stream that has been
+    relayed. ``holds_retry`` is whether a retry was taken from the retry budget for which nothing
+    has been sent yet. ``steps`` describes the course of the request for the decision log.
 
     ``node_stops_at`` is the time at which the node ends the request because it stops, and
     ``attempt_began`` the start of the current attempt.
@@ -49,6 +49,7 @@
     executions: int = 0
     stream_begun: bool = False
     holds_retry: bool = False
+    last_event_at: timedelta | None = None
     node_stops_at: timedelta | None = None
     attempt_began: timedelta | None = None
     events: EventSequence = field(default_factory=EventSequence)
@@ -64,6 +65,14 @@
         """Whether the caller has left."""
         return self._caller_gone.is_set()
 
+    @property
+    def next_event_deadline(self) -> timedelta:
+        """Monotonic time at which the caller of a stream leaves unless it gets an event."""
+        if self.last_event_at is None:
+            return self.first_byte_deadline
+        patience = self.first_byte_deadline - self.request.arrived
+        return min(self.deadline, self.last_event_at + patience)
+
     @property
     def node_stopping(self) -> bool:
         """Whether the request has to end because the node stops."""
