End a scripted server whose caller closes within a body

Cause: the fake read on for ever at the end of the connection, and the exit of the test waited for its thread without a limit.

--- a/features/support/scripted_server.py
+++ b/features/support/scripted_server.py
@@ -64,7 +64,10 @@
             line.split(": ", 1) for line in head.decode().split("\r\n")[1:] if ": " in line
         )
         while len(body) < int(headers.get("Content-Length", 0)):
-            body += connection.recv(65536)
+            block = connection.recv(65536)
+            if not block:
+                return
+            body += block
         for number, template in enumerate(self._blocks, start=1):
             answer = template
             for name, value in headers.items():
