--- a/features/gateway/connections.feature
+++ b/features/gateway/connections.feature
@@ -89,13 +89,18 @@
       | two requests at once               |
 
   # Guards against callers that stall and keep others from being refused or served.
-  Scenario: callers that send half a head while all threads are busy do not hold up the others
+  Scenario Outline: callers that send half a <part> while all threads are busy do not hold up the others
     Given a pass-through server with 2 threads
     And all threads are busy
-    When 5 callers send half a head and a byte each 50 ms
+    When <count> callers send half a <part> and a byte each 50 ms
     And the busy server receives a request on a new connection
     Then the caller gets status 503 with Retry-After while the threads are busy
 
+    Examples:
+      | part | count |
+      | head | 5     |
+      | body | 5     |
+
   Scenario: a request that waits for a thread is answered once one is free
     Given a pass-through server with 2 threads
     And all threads are busy
@@ -107,3 +112,17 @@
     Given a pass-through server that keeps 2 connections
     When 3 callers send a request each on connections that stay open
     Then 2 connections stay open and 1 answer announces the close
+
+  # Guards against a server that, once out of descriptors, closes no connections and stays out of them.
+  Scenario: a server that cannot accept a connection still closes others, and accepts it then
+    Given a pass-through server with 2 threads
+    When no further connection can be accepted while one that was shut down is open
+    And a caller sends its last request and leaves
+    Then the request of another caller is answered
+
+  # Guards against a connection that is dropped with its request because no thread can be started.
+  Scenario: a request that arrives while no thread can be started is answered by another thread
+    Given a pass-through server with at least 2 and at most 4 threads
+    And 2 threads are busy and no further one can be started
+    When a caller sends a request, and the threads become free once no further one could be started
+    Then the caller gets the whole answer
--- a/features/steps/caller_connections_steps.py
+++ b/features/steps/caller_connections_steps.py
@@ -1,6 +1,7 @@
 """Steps for the connections that callers keep to a pass-through server."""
 
 import contextlib
+import errno
 import re
 import socket
 import threading
@@ -343,8 +344,9 @@
     assert context.handler.paths == [*context.paths_before, "/a"], context.handler.paths
 
 
-@when("{count:d} callers send half a head and a byte each {interval:d} ms")
-def send_slowly(context, count, interval):
+@when("{count:d} callers send half a {part} and a byte each {interval:d} ms")
+def send_slowly(context, count, part, interval):
+    begin = REQUEST[:20] if part == "head" else REQUEST.replace(b": 2", b": 1000000")
     callers = [connect(context) for _ in range(count)]
     stopping = threading.Event()
     context.stack.callback(stopping.set)
@@ -356,7 +358,7 @@
                     caller.sendall(b"x")
 
     for caller in callers:
-        caller.sendall(REQUEST[:20])
+        caller.sendall(begin)
     threading.Thread(target=trickle, daemon=True).start()
 
 
@@ -397,3 +399,56 @@
         else:
             assert exchange(caller)[0] == 200
     assert len(announced) - sum(announced) == kept
+
+
+@when("no further connection can be accepted while one that was shut down is open")
+def exhaust_descriptors(context):
+    connections = context.server._server._connections
+    accept = connections._from_server_socket
+    context.has_lingered = threading.Event()
+
+    def accept_or_fail(listener):
+        if connections._lingering:
+            context.has_lingered.set()
+            raise OSError(errno.EMFILE, "Too many open files")
+        return accept(listener)
+
+    connections._from_server_socket = accept_or_fail
+
+
+@when("a caller sends its last request and leaves")
+def send_last_and_leave(context):
+    with connect(context) as caller:
+        assert exchange(caller, LAST_REQUEST)[0] == 200
+        end = time.monotonic() + LIMIT_S
+        while not context.has_lingered.wait(CHECK_S):
+            assert time.monotonic() < end, "the connection did not linger"
+            connect(context)
+
+
+@given("a pass-through server with at least {least:d} and at most {most:d} threads")
+def start_with_bounds(context, least, most):
+    start(context, SystemClock(), min_threads=least, max_threads=most)
+
+
+@given("{count:d} threads are busy and no further one can be started")
+def occupy_and_refuse_threads(context, count):
+    context.refused_threads = threading.Semaphore(0)
+
+    def refuse():
+        context.refused_threads.release()
+        raise RuntimeError("can't start new thread")
+
+    for _ in range(count):
+        connect(context).sendall(REQUEST.replace(b"/a", b"/busy"))
+        assert context.handler.busy.acquire(timeout=LIMIT_S)
+    context.server._server.requests._spawn_worker = refuse
+
+
+@when("a caller sends a request, and the threads become free once no further one could be started")
+def send_and_free_later(context):
+    caller = connect(context)
+    caller.sendall(REQUEST)
+    assert context.refused_threads.acquire(timeout=LIMIT_S)
+    context.handler.free.set()
+    context.answer = read_answer(caller)
--- a/src/chervilrack/_internal/gateway/passthrough.py
+++ b/src/chervilrack/_internal/gateway/passthrough.py
@@ -50,7 +50,8 @@
 MAX_THREAD_WAIT = timedelta(milliseconds=250)
 # Interval of checks whether a thread has become idle for a request that has waited that long.
 OVERDUE_CHECK_INTERVAL = timedelta(milliseconds=10)
-# Time in which a request that is refused because no thread is free has to arrive.
+# Time in which the head, and then the body, of a request has to arrive that is refused because no
+# thread is free.
 REFUSED_READ_TIME = timedelta(milliseconds=100)
 # Header fields that concern only the caller's connection and are not forwarded.
 _CONNECTION_FIELDS = frozenset(
@@ -219,7 +220,10 @@
         server: _Server = request.server
         connection: _Connection = request.conn
         responder = ConnectionResponder(request, server.watch)
-        connection.begin_body(REFUSED_READ_TIME if connection.is_refused else STALL_LIMIT)
+        if connection.is_refused:
+            connection.begin_body(REFUSED_READ_TIME, is_total=True)
+        else:
+            connection.begin_body(STALL_LIMIT)
         try:
             body = _read_body(request, request.max_body)
         except BodyTooLarge as error:
@@ -288,10 +292,30 @@
     _queue: "queue.Queue[Any]"
     _spawn_worker: Callable[[], Any]
 
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self._growth_lock = threading.Lock()
+        self._has_stopped = False
+
     def grow(self, amount: int) -> None:
-        """Start up to ``amount`` more threads."""
-        count = min(amount, max(0, int(self.max) - len(self._threads)))
-        self._threads.extend(self._spawn_worker() for _ in range(count))
+        """Start up to ``amount`` more threads, fewer if the system allows no more.
+
+        Starts none after ``stop``, which counts the threads to end each of them.
+        """
+        with self._growth_lock:
+            count = min(amount, max(0, int(self.max) - len(self._threads)))
+            for _ in range(0 if self._has_stopped else count):
+                try:
+                    self._threads.append(self._spawn_worker())
+                except RuntimeError as error:
+                    logger.warning("gateway: a thread could not be started: %s", error)
+                    return
+
+    def stop(self, timeout: float | None = 5) -> None:
+        """End all threads."""
+        with self._growth_lock:
+            self._has_stopped = True
+        super().stop(timeout)
 
     @property
     def has_capacity(self) -> bool:
