--- a/src/chervilrack/_internal/gateway/passthrough.py
+++ b/src/chervilrack/_internal/gateway/passthrough.py
@@ -311,7 +311,7 @@
                     logger.warning("gateway: a thread could not be started: %s", error)
                     return
 
-    def stop(self, timeout: float | None = 5) -> None:
+    def stop(self, timeout: int = 5) -> None:
         """End all threads."""
         with self._growth_lock:
             self._has_stopped = True
