Start no thread for callers once the server has begun to end them

What operators and tests saw: a stop that never ends. A process of tests hung in a futex wait; whether by this cause is not shown. Cause: a worker that passes on bytes behind a request queues its connection itself, which may start threads. The stop queues one end mark for each thread that it knows and then waits for these without a limit; threads started meanwhile take marks of others. Change: after the stop has begun to end threads, none is started; one lock orders the two. Result: stop.feature, "a server stops while one of its threads passes on bytes behind a request": failed before (the stop still waited after 10 s), passes now, twice. Conclusion: open: the connection that is queued behind the end marks is closed only with the process.

--- a/features/gateway/stop.feature
+++ b/features/gateway/stop.feature
@@ -19,3 +19,9 @@
     Given a server to which a caller has sent half a head of a request
     When the caller ends its side of the connection
     Then the caller is told that the request is malformed
+
+  # Guards against a stop that waits for ever for a thread that was started during the stop.
+  Scenario: a server stops while one of its threads passes on bytes behind a request
+    Given a server whose only thread is about to pass on a second request on its connection
+    When the server stops before the thread does so
+    Then the stop ends and no thread of the server is left
--- a/features/steps/server_stop_steps.py
+++ b/features/steps/server_stop_steps.py
@@ -76,3 +76,52 @@
 def malformed(context):
     answer = read_answer(context.caller)
     assert answer.startswith(b"HTTP/1.1 400 "), answer
+
+
+@given("a server whose only thread is about to pass on a second request on its connection")
+def hold_thread(context):
+    def answer(request, responder):
+        responder.send_response(200, [], b"")
+
+    settings = ListenSettings("127.0.0.1", 0, min_threads=1, max_threads=8)
+    context.server = PassThroughServer(settings, answer, SystemClock())
+    context.server.__enter__()
+    context.server_threads = context.server._server.requests._threads
+    connections = context.server._server._connections
+    put, held, context.pass_on = connections.put, threading.Event(), threading.Event()
+
+    def put_late(connection):
+        if connection.rfile.has_data():
+            held.set()
+            assert context.pass_on.wait(LIMIT_S)
+        put(connection)
+
+    connections.put = put_late
+    request = b"POST /a HTTP/1.1\r\nHost: n\r\nContent-Length: 0\r\n\r\n"
+    caller = socket.create_connection(("127.0.0.1", context.server.port), timeout=LIMIT_S)
+    context.add_cleanup(caller.close)
+    caller.sendall(request * 2)
+    assert held.wait(LIMIT_S)
+    context.worker = context.server_threads[0]
+
+
+@when("the server stops before the thread does so")
+def stop_before(context):
+    # A daemon, since a stop that hangs would keep the tests from ending.
+    context.stop = threading.Thread(
+        target=context.server.__exit__, args=(None, None, None), daemon=True
+    )
+    context.stop.start()
+    end = time.monotonic() + LIMIT_S
+    while context.server_threads:  # the stop has taken the threads that it ends
+        assert time.monotonic() < end
+        time.sleep(0.01)
+    context.pass_on.set()
+
+
+@then("the stop ends and no thread of the server is left")
+def check_stopped(context):
+    context.stop.join(LIMIT_S)
+    assert not context.stop.is_alive()
+    assert not context.worker.is_alive()
+    assert not context.server_threads
--- a/src/chervilrack/_internal/gateway/passthrough.py
+++ b/src/chervilrack/_internal/gateway/passthrough.py
@@ -292,15 +292,30 @@
     _queue: "queue.Queue[Any]"
     _spawn_worker: Callable[[], Any]
 
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self._growth_lock = threading.Lock()
+        self._has_stopped = False
+
     def grow(self, amount: int) -> None:
-        """Start up to ``amount`` more threads, fewer if the system allows no more."""
-        count = min(amount, max(0, int(self.max) - len(self._threads)))
-        for _ in range(count):
-            try:
-                self._threads.append(self._spawn_worker())
-            except RuntimeError as error:
-                logger.warning("gateway: a thread could not be started: %s", error)
-                return
+        """Start up to ``amount`` more threads, fewer if the system allows no more.
+
+        Starts none after ``stop``, which counts the threads to end each of them.
+        """
+        with self._growth_lock:
+            count = min(amount, max(0, int(self.max) - len(self._threads)))
+            for _ in range(0 if self._has_stopped else count):
+                try:
+                    self._threads.append(self._spawn_worker())
+                except RuntimeError as error:
+                    logger.warning("gateway: a thread could not be started: %s", error)
+                    return
+
+    def stop(self, timeout: int = 5) -> None:
+        """End all threads."""
+        with self._growth_lock:
+            self._has_stopped = True
+        super().stop(timeout)
 
     @property
     def has_capacity(self) -> bool:
