Reproduce engines that a part of a prompt crashes, one after the other (known red)

Callers saw 502 for such requests, and 502, 503 and broken streams for the sound ones beside them. Cause: not fixed yet. Each request that shares the part reaches the next engine. Change: the emulated upstreams crash on a part (all connections end, new ones are refused, the entry lapses and the upstream returns under a new id); a scenario with three real nodes and six engines.

--- /dev/null
+++ b/features/steps/crash_steps.py
@@ -0,0 +1,72 @@
+"""Steps for requests that crash engine after engine, with real serving nodes."""
+
+import time
+
+from behave import given, then, when
+from serving_steps import start_serving_node, start_stand_ins, wait_for
+from support.crash_load import CONTACT_S, CRASHING_PART, CrashLoad, late_arrivals, started_share
+
+from chervilrack.platform.emulated.crashes import CrashCycle
+from chervilrack.platform.emulated.standins import UpstreamStandIn
+
+LEAD_S = 3.0
+
+
+@given("{nodes:d} serving nodes and {engines:d} engines that a part of a prompt crashes")
+def start_fleet(context, nodes, engines):
+    start_stand_ins(context)
+    for number in range(3, engines + 1):
+        name = f"engine-{number}"
+        engine = context.stack.enter_context(UpstreamStandIn(name, "engine"))
+        context.upstreams[name] = engine
+        context.store.put(f"servers/{name}", engine.entry())
+    context.engines = [u for u in context.upstreams.values() if u.service == "engine"]
+    cycle = context.stack.enter_context(CrashCycle(context.store))
+    for engine in context.engines:
+        engine.crashing_part = CRASHING_PART
+        cycle.watch(engine)
+    context.nodes, context.addresses = [], []
+    for number in range(nodes):
+        start_serving_node(context, f"n{number}")
+        context.nodes.append(context.node)
+        context.addresses.append(str(context.settings.callers))
+
+    def all_known():
+        return all(node._fleet.size == nodes for node in context.nodes)
+
+    wait_for(all_known, "the nodes know each other")
+
+
+@when("requests with that part in place {position:d} come for {seconds:d} s beside sound ones")
+def send_load(context, position, seconds):
+    context.load = CrashLoad(context.addresses, position - 1)
+    context.began_at = context.load.run(LEAD_S, seconds)
+    context.ended_at = time.monotonic()
+
+
+def crashes_of(context):
+    return sorted((c for engine in context.engines for c in engine.crashes), key=lambda c: c[1])
+
+
+def arrivals_of(context):
+    return [arrival for engine in context.engines for arrival in engine.arrivals]
+
+
+@then("at most {count:d} of them reach an engine later than the contact time after the fifth crash")
+def check_late_arrivals(context, count):
+    crashing = {a.request for a in context.load.answers if a.is_crashing}
+    late = late_arrivals(crashes_of(context), arrivals_of(context), crashing)
+    sent = sum(1 for answer in context.load.answers if answer.is_crashing)
+    assert len(late) <= count, f"{len(late)} of {sent}, {len(crashes_of(context))} crashes"
+
+
+@then("later, sound requests are served at least half as often as before")
+def check_sound_requests(context):
+    crashes = crashes_of(context)
+    after = crashes[min(4, len(crashes) - 1)][1] + 2 * CONTACT_S
+    load = context.load
+    assert after < context.ended_at - 2.0, "the load ended too soon"
+    before = started_share(load.answers, arrivals_of(context), 0, context.began_at - 1.0)
+    later = started_share(load.answers, arrivals_of(context), after, context.ended_at)
+    assert before > 0.9, before
+    assert later >= before / 2, f"{later:.2f} later, {before:.2f} before"
--- a/src/chervilrack/platform/emulated/behaviours.py
+++ b/src/chervilrack/platform/emulated/behaviours.py
@@ -38,7 +38,7 @@
     """One executed request. ``argument`` is that of the behaviour; times are in seconds.
 
     ``free_slot`` lets the upstream take another request. ``wait_out_silence`` returns when the
-    upstream is not silent.
+    upstream is not silent. ``crash`` ends the upstream.
     """
 
     handler: Connection
@@ -50,6 +50,7 @@
     free_slot: Callable[[], None]
     wait_out_silence: Callable[[], None]
     argument: str = ""
+    crash: Callable[[], None] = lambda: None
 
 
 Behaviour = Callable[[Call], None]
@@ -216,6 +217,14 @@
     call.handler.close_connection = True
 
 
+@behaviours.register("crashes")
+def _crashes(call: Call) -> None:
+    """Begin the answer and end the upstream before the first event."""
+    time.sleep(call.work / STREAM_EVENTS)
+    _write(call, _stream_head(call) if call.is_stream else _head(call, "200 OK"))
+    call.crash()
+
+
 def _content(call: Call) -> bytes:
     if not call.is_stream:
         return b"answer to " + call.body
--- a/src/chervilrack/platform/emulated/standins.py
+++ b/src/chervilrack/platform/emulated/standins.py
@@ -14,7 +14,7 @@
 import time
 from abc import ABC, abstractmethod
 from collections import Counter
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, replace
 from datetime import timedelta
 from email.utils import formatdate
@@ -39,9 +39,14 @@
         pass
 
     def handle(self) -> None:
-        # The caller closed the connection.
-        with contextlib.suppress(ConnectionError, TimeoutError):
-            super().handle()
+        server: _Server = self.server  # type: ignore[assignment]
+        server.open_connections.add(self.connection)
+        try:
+            # The caller closed the connection.
+            with contextlib.suppress(ConnectionError, TimeoutError):
+                super().handle()
+        finally:
+            server.open_connections.discard(self.connection)
 
     def _serve(self) -> None:
         length = int(self.headers.get("Content-Length") or 0)
@@ -77,6 +82,19 @@
     request_queue_size = 128
     stand_in: "_StandIn"
 
+    def __init__(self, address: tuple[str, int], stand_in: "_StandIn") -> None:
+        self.stand_in = stand_in
+        self.open_connections: set[socket.socket] = set()
+        super().__init__(address, _Handler)
+
+    def break_off(self) -> None:
+        """Refuse new connections and end all others at once, as the end of a process does."""
+        with contextlib.suppress(OSError):
+            self.socket.shutdown(socket.SHUT_RDWR)
+        for connection in list(self.open_connections):
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
+
     def handle_error(self, request: Any, client_address: Any) -> None:
         """Ignore errors of connections that the caller closed."""
 
@@ -90,15 +108,16 @@
         return ()
 
     def __init__(self) -> None:
-        self._http = _Server(("127.0.0.1", 0), _Handler)
-        self._http.stand_in = self
+        self._http = _Server(("127.0.0.1", 0), self)
         self.address = f"127.0.0.1:{self._http.server_address[1]}"
-        self._thread = threading.Thread(target=self._http.serve_forever, args=(0.05,), daemon=True)
 
     def __enter__(self) -> Self:
-        self._thread.start()
+        self._listen()
         return self
 
+    def _listen(self) -> None:
+        threading.Thread(target=self._http.serve_forever, args=(0.05,), daemon=True).start()
+
     def __exit__(self, *_: object) -> None:
         self._http.shutdown()
         self._http.server_close()
@@ -228,6 +247,10 @@
     its connection during a stream. With ``leaving``, each answer says that the upstream leaves.
     With ``retry_after``, it turns requests and stage calls away with that value of ``Retry-After``;
     ``turned_away`` counts these and other refusals. ``born`` is its start time as it is registered.
+
+    A request with ``crashing_part`` among the shared parts of its prompt ends the upstream once the
+    head of its answer is written; ``on_crash`` is called then. ``crashes`` holds the requests that
+    did so, with monotonic times in seconds.
     """
 
     def __init__(self, id: str, service: str) -> None:
@@ -239,6 +262,11 @@
         self.retry_after: str | None = None
         self.born = 1
         self.turned_away = 0
+        self.crashing_part: str | None = None
+        self.on_crash: Callable[[], None] = lambda: None
+        self.crashes: list[tuple[str, float]] = []
+        self._is_down = False
+        self._lock = threading.Lock()
         self.seen: list[ExecutedRequest] = []
         self.pieces: list[Any] = []
         self.freed: list[str] = []
@@ -292,6 +320,29 @@
         self.born = time.time_ns() // 1_000_000
         self._starts.append(time.monotonic())
 
+    def crash(self, request: str = "") -> None:
+        """End as a process that crashes: all connections at once, new ones are refused."""
+        with self._lock:
+            if self._is_down:
+                return
+            self._is_down = True
+        self.crashes.append((request, time.monotonic()))
+        self._http.break_off()
+        self._http.shutdown()
+        self._http.server_close()
+        self.on_crash()
+
+    def start_again(self, id: str) -> None:
+        """Listen again after a crash, at the same address and under another id."""
+        self.id = id
+        self.freed.clear()
+        self.restart()
+        host, _, port = self.address.rpartition(":")
+        self._http = _Server((host, int(port)), self)
+        self._slots = threading.BoundedSemaphore(SLOTS)
+        self._listen()
+        self._is_down = False
+
     def serve(self, request: _Handler, body: bytes) -> None:
         """Execute one request, or reject it without execution."""
         if request.path != "/api/stage-free":
@@ -400,6 +451,9 @@
             free_slot=free_slot,
             wait_out_silence=self._wait_out_silence,
         )
+        if self.crashing_part is not None and self.crashing_part in _shared_parts(headers):
+            behaviour = "crashes"
+            call = replace(call, crash=lambda: self.crash(id))
         try:
             behaviours.get(behaviour if behaviour in behaviours.names else "good")(call)
         except OSError:
@@ -408,6 +462,12 @@
             raise
 
 
+def _shared_parts(headers: Mapping[str, str]) -> list[str]:
+    """Return the parts of a prompt that other requests may have, which are all but the last."""
+    parts = headers.get("Chervilrack-Prefix-Hash", "").split(",")[:-1]
+    return [part.partition(":")[0] for part in parts]
+
+
 def free_ports(count: int) -> list[int]:
     """Return ports of loopback that are free, chosen by the kernel.
 
