Refuse requests that crash one upstream after the other

What callers saw: 502 for requests with one part in their prompts; 502, 503 and broken streams for the sound ones beside them, as long as such requests came. Cause: nothing related the end of an upstream to what the requests at it had in common. Limits of attempts and the retry budget bound repeats of one request; here each crash had a request of its own. Ruled out: repeats by the node (no such request stood beside two crashes in the record); overload (the scenario crashes idle engines as well). Peers stop using a crashed upstream with the report. Requests without parts and pieces of stages remain.

--- a/features/adapter/statements.feature
+++ b/features/adapter/statements.feature
@@ -186,6 +186,7 @@
     Examples: nodes of the version before and after this one
       | change                         |
       | without leaving upstreams      |
+      | without suspects               |
       | with a field of a later version |
 
   Scenario: a stage call that waited for a thread is not sent to an upstream that leaves meanwhile
--- a/features/steps/statements_steps.py
+++ b/features/steps/statements_steps.py
@@ -521,7 +521,8 @@
 def hear_other_version(context, change):
     fields = {
         "without leaving upstreams": peer_heartbeat(),
-        "with a field of a later version": peer_heartbeat((), "later"),
+        "without suspects": peer_heartbeat(()),
+        "with a field of a later version": peer_heartbeat((), (), "later"),
     }[change]
     deliver_heartbeat(context, fields)
 
--- a/src/chervilrack/_internal/fleet/messages.py
+++ b/src/chervilrack/_internal/fleet/messages.py
@@ -7,6 +7,7 @@
 from chervilrack._internal.balancing.standing import LeavingReport
 from chervilrack._internal.balancing.state import UpstreamReport
 from chervilrack._internal.common.units import Count, Milliseconds
+from chervilrack._internal.quarantine.messages import SuspectReport
 
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
@@ -17,7 +18,8 @@
     and ``directory_revision`` are the newest configuration version and store revision that the
     node holds. ``ready_for_ms`` is the time since the node became ready and ``interval_ms`` the
     time until its next heartbeat. ``cpu_cores`` is the processor time that the node may use, in
-    cores. ``leaving_upstreams`` names upstreams that have told the node that they leave.
+    cores. ``leaving_upstreams`` names upstreams that have told the node that they leave, and
+    ``suspects`` are inputs that may crash upstreams.
     """
 
     address: str
@@ -34,6 +36,7 @@
     interval_ms: Milliseconds = 0
     cpu_cores: Annotated[float, msgspec.Meta(ge=0, le=1e6)] = 1.0
     leaving_upstreams: tuple[LeavingReport, ...] = ()
+    suspects: tuple[SuspectReport, ...] = ()
 
 
 class StateRequest(msgspec.Struct, frozen=True, array_like=True):
--- a/src/chervilrack/_internal/forwarding/attempts.py
+++ b/src/chervilrack/_internal/forwarding/attempts.py
@@ -78,7 +78,8 @@
 
     ``may_have_arrived`` is whether the upstream may have received the request. ``error_response``
     is the upstream's error response, which the caller gets if no other attempt succeeds. ``bound``
-    is the bound that ended the attempt, None if the upstream or the caller ended it.
+    is the bound that ended the attempt, None if the upstream or the caller ended it. ``broke_off``
+    is whether the upstream ended the connection before the end of its answer.
     """
 
     outcome: AttemptOutcome
@@ -87,6 +88,7 @@
     may_have_arrived: bool = False
     error_response: tuple[int, list[tuple[str, str]], bytes] | None = None
     bound: Bound | None = None
+    broke_off: bool = False
 
 
 class AttemptObserver(Protocol):
@@ -118,6 +120,17 @@
     def attempt_failed(self, entry: UpstreamEntry, reason: str, certain: bool) -> None:
         """Record a failure of the upstream; ``certain`` ones show that it is unreachable."""
 
+    def answer_begun(self, context: RequestContext) -> None:
+        """Record that the upstream has gone on after the start of its answer."""
+
+    def answer_ended(self, context: RequestContext) -> None:
+        """Record a whole, successful answer."""
+
+    def answer_broke_off(
+        self, context: RequestContext, entry: UpstreamEntry, *, at_start: bool
+    ) -> None:
+        """Record that the upstream has broken off its answer, ``at_start`` before any event."""
+
     def error_response_received(self, entry: UpstreamEntry) -> None:
         """Record a response that reports an error of the upstream itself."""
 
@@ -188,6 +201,7 @@
             lambda: self._should_move(context, entry, stages),
             self._observer.stream_gap(context.route.max_gap),
             lambda: self._observer.upstream_heard(entry),
+            lambda: self._observer.answer_begun(context),
         )
         self._observer.attempt_started(context, entry, choice)
         try:
@@ -195,7 +209,7 @@
                 context.add_gone_action(exchange.cancel)
                 context.add_stop_action(exchange.cancel)
                 try:
-                    return self._exchange(
+                    result = self._exchange(
                         context, relay, responder, entry, choice, inputs, exchange, stages
                     )
                 except CallerGone:
@@ -209,6 +223,10 @@
                     context.remove_stop_action(exchange.cancel)
         finally:
             self._observer.attempt_ended(context, entry)
+        if result.broke_off and not context.node_stopping:
+            at_start = not relay.has_events
+            self._observer.answer_broke_off(context, entry, at_start=at_start)
+        return result
 
     def _handle_unusable_entry(self, entry: UpstreamEntry, error: Exception) -> AttemptResult:
         """Return the result of an attempt for which no request could be made of an entry."""
@@ -390,7 +408,11 @@
             return AttemptResult(AttemptOutcome.NOT_RUN, error.detail, bound=bound)
         context.executions += 1
         return AttemptResult(
-            AttemptOutcome.FAILED, error.detail, may_have_arrived=True, bound=bound
+            AttemptOutcome.FAILED,
+            error.detail,
+            may_have_arrived=True,
+            bound=bound,
+            broke_off=not error.silent,
         )
 
     def _record_failure(
@@ -456,9 +478,14 @@
             if context.stream_begun and bound is context.deadline_bound:
                 self._observer.stream_ended(context, size, self._clock.monotonic() - begun)
             return AttemptResult(
-                AttemptOutcome.FAILED, error.detail, may_have_arrived=True, bound=bound
+                AttemptOutcome.FAILED,
+                error.detail,
+                may_have_arrived=True,
+                bound=bound,
+                broke_off=not error.silent,
             )
         self._observer.attempt_succeeded(entry)
+        self._observer.answer_ended(context)
         return AttemptResult(
             AttemptOutcome.ANSWERED, f"by {entry.id}", response.status, may_have_arrived=True
         )
--- a/src/chervilrack/_internal/forwarding/context.py
+++ b/src/chervilrack/_internal/forwarding/context.py
@@ -8,11 +8,14 @@
 from chervilrack._internal.balancing.state import RequestLoad
 from chervilrack._internal.catalogue.state import Route, ServingConfiguration
 from chervilrack._internal.common.ids import OrganisationId, ServiceId, UpstreamId
+from chervilrack._internal.common.results import Problem
 from chervilrack._internal.forecast.state import Rest, StreamSize
 from chervilrack._internal.forwarding.bounds import Bound
 from chervilrack._internal.forwarding.dialect import RequestMetadata
 from chervilrack._internal.forwarding.event_sequence import EventSequence
 from chervilrack._internal.forwarding.messages import InboundRequest
+from chervilrack._internal.quarantine.messages import MAX_TRAIT_LENGTH, MAX_TRAITS
+from chervilrack._internal.quarantine.state import RequestProfile, Trait
 
 
 @dataclass(slots=True)
@@ -30,6 +33,9 @@
     relayed. ``holds_retry`` is whether a retry was taken from the retry budget for which nothing
     has been sent yet. ``steps`` describes the course of the request for the decision log.
 
+    ``refusal`` is set while the request
+    waits for its stages if requests like it get no upstream any more.
+
     ``node_stops_at`` is the time at which the node ends the request because it stops, and
     ``attempt_began`` the start of the current attempt. ``forecast`` is the rest that was forecast
     when that attempt was chosen.
@@ -47,6 +53,7 @@
     deadline_bound: Bound
     configuration: ServingConfiguration
     load: RequestLoad
+    refusal: Problem | None = None
     sent_attempts: int = 0
     executions: int = 0
     stream_begun: bool = False
@@ -60,6 +67,7 @@
     steps: list[str] = field(default_factory=list)
     _caller_gone: threading.Event = field(default_factory=threading.Event)
     _gone_actions: list[Callable[[], None]] = field(default_factory=list)
+    _refusal_actions: list[Callable[[], None]] = field(default_factory=list)
     _stop_actions: list[Callable[[], None]] = field(default_factory=list)
     _node_stopping: threading.Event = field(default_factory=threading.Event)
 
@@ -68,6 +76,19 @@
         """Whether the caller has left."""
         return self._caller_gone.is_set()
 
+    @property
+    def profile(self) -> RequestProfile:
+        """What the request has in common with others, for the search of what crashes upstreams.
+
+        The last part of a prompt belongs to the request alone.
+        """
+        shared = self.metadata.prefix[:-1]
+        return RequestProfile(
+            self.service,
+            tuple(_trait("part", part.id) for part in shared[:MAX_TRAITS]),
+            _trait("organisation", self.organisation or ""),
+        )
+
     @property
     def stream_size(self) -> StreamSize:
         """Size of the stream as its caller states it; a stream that has begun is resumed."""
@@ -94,6 +115,22 @@
         for action in list(self._stop_actions):
             action()
 
+    def refuse(self, problem: Problem) -> None:
+        """End the wait for stages with a problem; a request that was sent goes on."""
+        self.refusal = problem
+        for action in list(self._refusal_actions):
+            action()
+
+    def add_refusal_action(self, action: Callable[[], None]) -> None:
+        """Run ``action`` when the request is refused during its stages; at once if it was."""
+        self._refusal_actions.append(action)
+        if self.refusal is not None:
+            action()
+
+    def remove_refusal_action(self, action: Callable[[], None]) -> None:
+        """Remove an action that was added with ``add_refusal_action``."""
+        self._refusal_actions.remove(action)
+
     def mark_caller_gone(self) -> None:
         """Mark the caller as gone, and run the actions that cancel the work for it."""
         self._caller_gone.set()
@@ -136,3 +173,7 @@
         """Add an entry to ``steps``; entries beyond the 40th are dropped."""
         if len(self.steps) < 40:
             self.steps.append(text)
+
+
+def _trait(kind: str, value: str) -> Trait:
+    return Trait(f"{kind} {value}"[:MAX_TRAIT_LENGTH])
--- a/src/chervilrack/_internal/forwarding/forwarder.py
+++ b/src/chervilrack/_internal/forwarding/forwarder.py
@@ -111,6 +111,12 @@
     def stages_ended(self, context: RequestContext, pieces: Sequence[int]) -> None:
         """Record that all stages of a request have ended for the first time."""
 
+    def quarantined(self, context: RequestContext, *, is_sent: bool) -> Problem | None:
+        """Return why requests like this one get no upstream, None if they may.
+
+        ``is_sent`` is whether the request would be sent now; it may then be a probe.
+        """
+
     def take_retry(self, service: ServiceId) -> bool:
         """Take one retry from the retry budget; return False if the budget is used up."""
 
@@ -259,7 +265,9 @@
     # Serving
 
     def _serve(self, context: RequestContext, responder: Responder) -> ForwardingOutcome:
-        problem = self._unavailability(context)
+        problem = self._backend.quarantined(context, is_sent=False)
+        if problem is None:
+            problem = self._unavailability(context)
         if problem is not None:
             return self._fail(context, responder, problem)
         stages = self._create_stage_run(context)
@@ -329,9 +337,9 @@
                     return self._fail(context, responder, self._true_problem(context, problem))
                 if chosen is None:
                     break
-            misfit = self._backend.check_rest(context, ())
-            if misfit is not None:
-                return self._end_by_misfit(context, responder, last, misfit)
+            obstacle = self._obstacle(context)
+            if obstacle is not None:
+                return self._end_by_obstacle(context, responder, last, obstacle)
             entry, choice = chosen
             context.tried_upstreams.add(entry.id)
             inputs = stages.inputs if stages is not None else ()
@@ -403,19 +411,28 @@
         problem = self._final_problem(context, last)
         return self._fail(context, responder, problem, last.bound if last else None)
 
-    def _end_by_misfit(
+    def _obstacle(self, context: RequestContext) -> Problem | None:
+        """Return why the next attempt must not be made, None if it may be.
+
+        It cannot end in time, or requests like this one crash upstreams.
+        """
+        misfit = self._backend.check_rest(context, ())
+        if misfit is not None:
+            return _misfit_problem(misfit)
+        return self._backend.quarantined(context, is_sent=True)
+
+    def _end_by_obstacle(
         self,
         context: RequestContext,
         responder: Responder,
         last: AttemptResult | None,
-        misfit: Misfit,
+        obstacle: Problem,
     ) -> ForwardingOutcome:
-        """End a request whose next attempt cannot end in time."""
-        context.step(f"no further attempt: {misfit}")
+        """End a request whose next attempt must not be made."""
+        context.step(f"no further attempt: {obstacle.detail}")
         if last is not None and last.error_response is not None:
             return self._give_up(context, responder, last)
-        problem = self._true_problem(context, _misfit_problem(misfit))
-        return self._fail(context, responder, problem)
+        return self._fail(context, responder, self._true_problem(context, obstacle))
 
     def _end_by_stop(
         self,
--- a/src/chervilrack/_internal/forwarding/stages.py
+++ b/src/chervilrack/_internal/forwarding/stages.py
@@ -164,9 +164,11 @@
         wake: Callable[[], None] = lambda: self._events.put(None)  # noqa: E731
         self._context.add_gone_action(wake)
         self._context.add_stop_action(wake)
+        self._context.add_refusal_action(wake)
         try:
             return self._run()
         finally:
+            self._context.remove_refusal_action(wake)
             self._context.remove_gone_action(wake)
             self._context.remove_stop_action(wake)
 
@@ -220,6 +222,8 @@
                 return Err(Problem(ResultCode.CALLER_GONE, "the caller left during the stages"))
             if self._context.node_stopping:
                 return Err(_stop_problem())
+            if self._context.refusal is not None:
+                return Err(self._context.refusal)
             if numbered_event is None:
                 continue
             failure = self._handle_event(*numbered_event)
--- a/src/chervilrack/_internal/forwarding/streams.py
+++ b/src/chervilrack/_internal/forwarding/streams.py
@@ -10,6 +10,8 @@
 from chervilrack._internal.upstreams.event_stream import EventSplitter
 from chervilrack._internal.upstreams.exchange import Exchange, ExchangeFailed
 
+# An upstream that crashes on a request may still have sent one event of its answer.
+BEGUN_EVENTS = 2
 # Time after which it is asked again whether a stalled stream should be continued elsewhere.
 _REVIEW_INTERVAL_S = 0.25
 
@@ -18,7 +20,8 @@
     """Relays events as they arrive. The response head is sent with the first event.
 
     After ``gap`` without an event, ``should_move`` returns whether another upstream should continue
-    the stream. ``on_bytes`` is called whenever bytes have arrived.
+    the stream. ``on_bytes`` is called whenever bytes have arrived, and ``on_begun`` once the
+    upstream has sent ``BEGUN_EVENTS`` events and has thus survived the start of its answer.
     """
 
     def __init__(
@@ -28,16 +31,24 @@
         should_move: Callable[[], bool],
         gap: timedelta,
         on_bytes: Callable[[], None],
+        on_begun: Callable[[], None] = lambda: None,
     ) -> None:
         self._context = context
         self._responder = responder
         self._should_move = should_move
         self._on_bytes = on_bytes
+        self._on_begun = on_begun
+        self._events = 0
         may_move = context.route.resumable and context.route.max_gap is not None
         self._gap_s = gap.total_seconds() if may_move else None
         # Monotonic time in seconds at which the next event is due.
         self._next_event_due = math.inf
 
+    @property
+    def has_events(self) -> bool:
+        """Whether an event of this attempt has been relayed."""
+        return self._events > 0
+
     def run(
         self,
         status: int,
@@ -59,6 +70,7 @@
                     accepted = sequence.check(events, is_continuation=is_continuation)
                     self._begin(status, headers)
                     self._responder.write(b"".join(event.data for event in accepted))
+                    self._count(sum(not event.is_comment for event in accepted))
                     if not all(event.is_comment for event in accepted):
                         self._context.last_event_at = timedelta(seconds=time.monotonic())
                         self._expect_event()
@@ -70,6 +82,11 @@
         self._begin(status, headers)
         self._responder.end()
 
+    def _count(self, events: int) -> None:
+        before, self._events = self._events, self._events + events
+        if before < BEGUN_EVENTS <= self._events:
+            self._on_begun()
+
     def _begin(self, status: int, headers: Sequence[tuple[str, str]]) -> None:
         if not self._context.stream_begun:
             self._context.stream_begun = True
--- /dev/null
+++ b/src/chervilrack/_internal/quarantine/core.py
@@ -0,0 +1,447 @@
+"""Decides which traits of requests crash upstreams, from crashes and sound answers of all nodes.
+
+Each crash ends all requests at its upstream, and one of them may be the cause. A trait becomes a
+suspect when requests with it are ended, and is cleared by an answer to a request with it. One that
+crashes every upstream never has an answer, so crashes without an answer in between block it. All
+times are monotonic times of this node.
+"""
+
+import random
+from collections import OrderedDict
+from collections.abc import Iterable, Sequence
+from datetime import timedelta
+
+from chervilrack._internal.catalogue.state import UpstreamIncarnation
+from chervilrack._internal.common.ids import ServiceId
+from chervilrack._internal.quarantine.state import (
+    AnnounceProbe,
+    AnnounceSoundness,
+    Crash,
+    CrashedRequest,
+    QuarantineEffect,
+    QuarantineSettings,
+    Refusal,
+    RequestProfile,
+    Suspect,
+    SuspectChanged,
+    SuspectEvent,
+    Trait,
+)
+
+_Key = tuple[ServiceId, Trait]
+# Level from which a suspect is shared in heartbeats and its sound answers are announced.
+SHARED_LEVEL = 2.0
+MAX_CRASHES = 16
+SHORTEST_RETRY = timedelta(seconds=1)
+
+
+class Quarantine:
+    """Suspect and blocked traits of one node; every call passes the current time."""
+
+    def __init__(
+        self, rng: random.Random | None = None, settings: QuarantineSettings | None = None
+    ) -> None:
+        self.settings = settings or QuarantineSettings()
+        self._rng = rng or random.Random()
+        # The least recently implicated suspect comes first.
+        self._suspects: OrderedDict[_Key, Suspect] = OrderedDict()
+        self._blocked: dict[_Key, Suspect] = {}
+        # Time of the latest start of an answer, and of the latest whole answer, by trait.
+        self._started: OrderedDict[_Key, timedelta] = OrderedDict()
+        self._answered: OrderedDict[_Key, timedelta] = OrderedDict()
+        self._next_shared = 0
+        # Crashes without a blocked trait, by service and incarnation.
+        self._unexplained: OrderedDict[tuple[ServiceId, UpstreamIncarnation], Crash] = OrderedDict()
+        # Sound answers that other nodes may not know, with the times at which to announce them.
+        self._announcements: dict[_Key, tuple[timedelta, AnnounceSoundness]] = {}
+
+    @property
+    def next_announcement(self) -> timedelta | None:
+        """Time at which ``take_announcements`` has effects."""
+        return min((due for due, _ in self._announcements.values()), default=None)
+
+    @property
+    def suspects(self) -> Sequence[Suspect]:
+        """All suspects, blocked ones included."""
+        return tuple(self._suspects.values())
+
+    @property
+    def blocked(self) -> Sequence[Suspect]:
+        """Suspects whose requests are refused."""
+        return tuple(self._blocked.values())
+
+    # Evidence
+
+    def record_crash(
+        self,
+        upstream: UpstreamIncarnation,
+        crashed_at: timedelta,
+        requests: Iterable[CrashedRequest],
+        now: timedelta,
+    ) -> list[QuarantineEffect]:
+        """Record requests that the crash of an upstream has ended, at this or another node."""
+        effects: list[QuarantineEffect] = []
+        requests = list(requests)
+        # A crash at which a request with a blocked trait was present needs no other cause.
+        is_explained = any(
+            (request.profile.service, trait) in self._blocked
+            for request in requests
+            for trait in request.profile.traits
+        )
+        touched: dict[_Key, Suspect] = {}
+        if requests and not is_explained:
+            self._unexplained[(requests[0].profile.service, upstream)] = Crash(crashed_at, True)
+            if len(self._unexplained) > self.settings.max_crashes:
+                self._unexplained.popitem(last=False)
+        for request in requests:
+            profile = request.profile
+            for trait in profile.traits:
+                key = (profile.service, trait)
+                if is_explained and key not in self._blocked:
+                    continue
+                suspect = self._implicate(key, profile.all_traits, upstream, now, effects)
+                self._add_crash(suspect, upstream, Crash(crashed_at, request.at_start))
+                touched[key] = suspect
+        return effects + self._review(touched, now)
+
+    def merge(
+        self,
+        key: _Key,
+        common: frozenset[Trait],
+        crashes: Iterable[tuple[UpstreamIncarnation, Crash]],
+        probes: int,
+        next_probe: timedelta,
+        now: timedelta,
+    ) -> list[QuarantineEffect]:
+        """Add the evidence of another node against a trait."""
+        effects: list[QuarantineEffect] = []
+        new_suspect: Suspect | None = None
+        for upstream, crash in list(crashes)[:MAX_CRASHES]:
+            known = self._suspects.get(key)
+            if known is None or upstream not in known.crashes or not known.common <= common:
+                new_suspect = self._implicate(key, common, upstream, now, effects)
+                self._add_crash(new_suspect, upstream, crash)
+        if new_suspect is not None:
+            effects += self._review({key: new_suspect}, now)
+        blocked = self._blocked.get(key)
+        if blocked is not None and probes > blocked.probes:
+            blocked.probes = probes
+            blocked.next_probe = max(blocked.next_probe, next_probe)
+        return effects
+
+    def record_start(self, profile: RequestProfile, now: timedelta) -> list[QuarantineEffect]:
+        """Record that an answer has begun and that its upstream has gone on."""
+        return self._record_sound(profile, now, is_whole=False)
+
+    def record_answer(self, profile: RequestProfile, now: timedelta) -> list[QuarantineEffect]:
+        """Record a whole answer."""
+        return self._record_sound(profile, now, is_whole=True)
+
+    def receive_soundness(
+        self, service: ServiceId, trait: Trait, at: timedelta, *, is_whole: bool
+    ) -> list[QuarantineEffect]:
+        """Record an answer that another node has seen."""
+        key = (service, trait)
+        self._remember(key, at, is_whole=is_whole)
+        planned = self._announcements.get(key)
+        if planned is not None and planned[1].at <= at + self.settings.announcement_delay:
+            del self._announcements[key]
+        return self._clear(key, at, is_whole=is_whole)
+
+    def take_announcements(self, now: timedelta) -> list[QuarantineEffect]:
+        """Return the announcements that are due and that no other node has made meanwhile."""
+        due = [key for key, (at, _) in self._announcements.items() if at <= now]
+        return [self._announcements.pop(key)[1] for key in due]
+
+    def receive_probe(self, service: ServiceId, trait: Trait, now: timedelta) -> None:
+        """Record that another node probes a trait."""
+        suspect = self._blocked.get((service, trait))
+        if suspect is not None:
+            self._postpone_probe(suspect, now)
+
+    # Requests
+
+    def refusal(self, profile: RequestProfile, now: timedelta) -> Refusal | None:
+        """Return why a request may not be sent to an upstream now, None if it may."""
+        for suspect in self._blocks_of(profile):
+            if now < suspect.next_probe:
+                return self._refuse(suspect, now)
+        return None
+
+    def admit(
+        self, profile: RequestProfile, now: timedelta, *, may_probe: bool
+    ) -> tuple[Refusal | None, list[QuarantineEffect]]:
+        """Decide on a request that would be sent now; one that is blocked may go as a probe."""
+        effects: list[QuarantineEffect] = []
+        blocks = list(self._blocks_of(profile))
+        for suspect in blocks:
+            if now < suspect.next_probe or not may_probe:
+                return self._refuse(suspect, now), []
+        for suspect in blocks:
+            self._postpone_probe(suspect, now)
+            effects.append(AnnounceProbe(suspect.service, suspect.trait))
+            effects.append(_changed(SuspectEvent.PROBED, suspect))
+        return None, effects
+
+    def take_shared(self, limit: int) -> list[Suspect]:
+        """Return the next suspects to share in a heartbeat, in turn."""
+        shared = [
+            s
+            for s in self._suspects.values()
+            if s.blocked_at is not None or self._level(s) >= SHARED_LEVEL
+        ]
+        first = self._next_shared if self._next_shared < len(shared) else 0
+        chosen = shared[first : first + limit]
+        self._next_shared = first + len(chosen)
+        return chosen
+
+    def expire(self, now: timedelta) -> None:
+        """Forget suspects without new evidence or refused requests for the evidence's lifetime."""
+        for key, suspect in list(self._suspects.items()):
+            if now - suspect.seen_at > self.settings.evidence_lifetime:
+                self._forget(key)
+
+    # Internals
+
+    def _implicate(
+        self,
+        key: _Key,
+        traits: frozenset[Trait],
+        upstream: UpstreamIncarnation,
+        now: timedelta,
+        effects: list[QuarantineEffect],
+    ) -> Suspect:
+        suspect = self._suspects.get(key)
+        if suspect is None:
+            suspect = self._suspects[key] = Suspect(key[0], key[1], traits)
+            self._drop_excess()
+        elif not suspect.crashes:
+            suspect.common = traits
+        elif suspect.blocked_at is not None and not suspect.common <= traits:
+            suspect.common &= traits
+            effects.append(_changed(SuspectEvent.NARROWED, suspect))
+        else:
+            suspect.common &= traits
+        suspect.seen_at = now
+        self._suspects.move_to_end(key)
+        if suspect.blocked_at is not None and upstream not in suspect.crashes:
+            self._set_next_probe(suspect, now)
+        return suspect
+
+    def _add_crash(self, suspect: Suspect, upstream: UpstreamIncarnation, crash: Crash) -> None:
+        known = suspect.crashes.get(upstream)
+        if known is not None:
+            crash = Crash(min(known.at, crash.at), known.at_start or crash.at_start)
+        elif len(suspect.crashes) >= MAX_CRASHES:
+            return
+        suspect.crashes[upstream] = crash
+
+    def _review(self, touched: dict[_Key, Suspect], now: timedelta) -> list[QuarantineEffect]:
+        """Apply known sound answers to suspects with new evidence; block what it suffices for."""
+        effects: list[QuarantineEffect] = []
+        for key, suspect in touched.items():
+            level = self._level(suspect)
+            if level >= SHARED_LEVEL:
+                self._plan_announcement(key, suspect, now)
+            for records, is_whole in ((self._answered, True), (self._started, False)):
+                at = records.get(key)
+                if at is not None and suspect.crashes and at >= suspect.first_crash_at:
+                    effects += self._clear(key, at, is_whole=is_whole)
+            if (
+                suspect.blocked_at is None
+                and level >= SHARED_LEVEL
+                and self._level(suspect) >= level
+            ):
+                effects.append(_changed(SuspectEvent.SUSPECTED, suspect))
+        for service in {key[0] for key in touched}:
+            effects += self._block_suspects(service, now)
+        return effects
+
+    def _plan_announcement(self, key: _Key, suspect: Suspect, now: timedelta) -> None:
+        """Plan to announce what this node knows in favour of a suspect.
+
+        That is a sound answer after the first crash, or else a whole answer shortly before it.
+        """
+        horizon = suspect.first_crash_at - self.settings.soundness_memory
+        answered, started = self._answered.get(key), self._started.get(key)
+        if started is not None and started >= suspect.first_crash_at:
+            is_whole = answered is not None and answered >= suspect.first_crash_at
+            at = answered if is_whole and answered is not None else started
+            announcement = AnnounceSoundness(*key, at, is_whole)
+        elif answered is not None and answered >= horizon:
+            announcement = AnnounceSoundness(*key, answered, True)
+        else:
+            return
+        due = now + self.settings.announcement_delay * self._rng.random()
+        if key not in self._announcements:
+            self._announcements[key] = (due, announcement)
+
+    def _block_suspects(self, service: ServiceId, now: timedelta) -> list[QuarantineEffect]:
+        """Block the suspects that explain most crashes, then look at the crashes that remain."""
+        effects: list[QuarantineEffect] = []
+        while True:
+            levels = [
+                (self._level(suspect), suspect)
+                for suspect in self._suspects.values()
+                if suspect.service == service and suspect.blocked_at is None
+            ]
+            ripe = [(level, s) for level, s in levels if level >= self._threshold(s)]
+            if not ripe:
+                return effects
+            highest = max(level for level, _ in ripe)
+            tied = [suspect for level, suspect in ripe if level == highest]
+            # Of two signatures that fit, the one that refuses fewer requests.
+            narrowest = [s for s in tied if not any(s.common < other.common for other in tied)]
+            if len({s.common for s in narrowest}) > 1 and highest < self.settings.crashes_if_tied:
+                return effects
+            for suspect in narrowest:
+                effects.append(self._block(suspect, now))
+            explained = {upstream for s in narrowest for upstream in s.crashes}
+            for upstream in explained:
+                self._unexplained.pop((service, upstream), None)
+            for other in self._suspects.values():
+                if other.service == service and other.blocked_at is None:
+                    for upstream in explained & other.crashes.keys():
+                        del other.crashes[upstream]
+
+    def _block(self, suspect: Suspect, now: timedelta) -> SuspectChanged:
+        suspect.blocked_at = now
+        suspect.was_blocked = True
+        self._blocked[(suspect.service, suspect.trait)] = suspect
+        # Traits that others use without a crash are not part of the cause.
+        horizon = now - self.settings.soundness_memory
+        suspect.common = frozenset(
+            trait
+            for trait in suspect.common
+            if trait == suspect.trait
+            or self._started.get((suspect.service, trait), horizon) <= horizon
+        )
+        self._set_next_probe(suspect, now)
+        return _changed(SuspectEvent.BLOCKED, suspect)
+
+    def _threshold(self, suspect: Suspect) -> float:
+        settings = self.settings
+        if suspect.was_blocked:
+            return settings.crashes_after_block
+        answered = self._answered.get((suspect.service, suspect.trait))
+        if (
+            answered is not None
+            and suspect.crashes
+            and suspect.first_crash_at - answered <= settings.soundness_memory
+        ):
+            return settings.crashes_after_soundness
+        if suspect.crashes:
+            first = suspect.first_crash_at
+            since = [
+                crash
+                for (service, _), crash in self._unexplained.items()
+                if service == suspect.service and crash.at >= first
+            ]
+            if len(suspect.crashes) < settings.usual_share * self._count(since):
+                return settings.crashes_if_unusual
+        return settings.crashes
+
+    def _level(self, suspect: Suspect) -> float:
+        return self._count(suspect.crashes.values())
+
+    def _count(self, crashes: Iterable[Crash]) -> float:
+        """Return the weighted number of crashes that were not close to an earlier one."""
+        count = 0.0
+        last: timedelta | None = None
+        for crash in sorted(crashes, key=lambda crash: crash.at):
+            if last is None or crash.at - last >= self.settings.crash_spacing:
+                count += 1.0 if crash.at_start else self.settings.late_crash_weight
+                last = crash.at
+        return count
+
+    def _record_sound(
+        self, profile: RequestProfile, now: timedelta, *, is_whole: bool
+    ) -> list[QuarantineEffect]:
+        effects: list[QuarantineEffect] = []
+        for trait in profile.traits:
+            key = (profile.service, trait)
+            self._remember(key, now, is_whole=is_whole)
+            suspect = self._suspects.get(key)
+            if suspect is not None and self._level(suspect) >= SHARED_LEVEL:
+                cleared = self._clear(key, now, is_whole=is_whole)
+                if cleared:
+                    effects += [AnnounceSoundness(*key, now, is_whole), *cleared]
+            elif suspect is not None:
+                effects += self._clear(key, now, is_whole=is_whole)
+        return effects
+
+    def _remember(self, key: _Key, at: timedelta, *, is_whole: bool) -> None:
+        for records in (self._started, self._answered) if is_whole else (self._started,):
+            records[key] = max(at, records.get(key, at))
+            records.move_to_end(key)
+            if len(records) > self.settings.max_known_traits:
+                records.popitem(last=False)
+
+    def _clear(self, key: _Key, at: timedelta, *, is_whole: bool) -> list[QuarantineEffect]:
+        """Drop the crashes before a sound answer; the start of one says nothing of later crashes.
+
+        Returns a change if a suspect that other nodes may know has been cleared.
+        """
+        suspect = self._suspects.get(key)
+        if suspect is None:
+            return []
+        level = self._level(suspect)
+        kept = {
+            upstream: crash
+            for upstream, crash in suspect.crashes.items()
+            if crash.at > at or not (is_whole or crash.at_start)
+        }
+        if len(kept) == len(suspect.crashes):
+            return []
+        cleared = _changed(SuspectEvent.CLEARED, suspect)
+        suspect.crashes = kept
+        was_blocked = suspect.blocked_at is not None
+        if was_blocked and self._level(suspect) < self.settings.crashes:
+            suspect.blocked_at = None
+            self._blocked.pop(key, None)
+        elif not kept and not suspect.was_blocked:
+            self._forget(key)
+        return [cleared] if was_blocked or level >= SHARED_LEVEL else []
+
+    def _blocks_of(self, profile: RequestProfile) -> Iterable[Suspect]:
+        if not self._blocked:
+            return
+        traits = profile.all_traits
+        for trait in profile.traits:
+            suspect = self._blocked.get((profile.service, trait))
+            if suspect is not None and suspect.common <= traits:
+                yield suspect
+
+    def _refuse(self, suspect: Suspect, now: timedelta) -> Refusal:
+        suspect.refused += 1
+        suspect.seen_at = now
+        wait = max(suspect.next_probe - now, SHORTEST_RETRY)
+        return Refusal(suspect.trait, len(suspect.crashes), wait)
+
+    def _postpone_probe(self, suspect: Suspect, now: timedelta) -> None:
+        suspect.probes += 1
+        self._set_next_probe(suspect, now)
+
+    def _set_next_probe(self, suspect: Suspect, now: timedelta) -> None:
+        settings = self.settings
+        interval = min(
+            settings.probe_interval * 2 ** min(suspect.probes, 16), settings.longest_probe_interval
+        )
+        suspect.next_probe = now + interval * (1 + settings.probe_jitter * self._rng.random())
+
+    def _drop_excess(self) -> None:
+        """Forget the oldest suspect, if possible one that is not blocked, but not the newest."""
+        if len(self._suspects) > self.settings.max_suspects:
+            newest = next(reversed(self._suspects))
+            others = [key for key in self._suspects if key != newest]
+            unblocked = (key for key in others if key not in self._blocked)
+            self._forget(next(unblocked, others[0]))
+
+    def _forget(self, key: _Key) -> None:
+        self._suspects.pop(key, None)
+        self._blocked.pop(key, None)
+
+
+def _changed(event: SuspectEvent, suspect: Suspect) -> SuspectChanged:
+    crashes = tuple(suspect.crashes.items())
+    return SuspectChanged(event, suspect.service, suspect.trait, suspect.common, crashes)
--- a/src/chervilrack/_internal/serving/messages.py
+++ b/src/chervilrack/_internal/serving/messages.py
@@ -4,6 +4,7 @@
 from chervilrack._internal.changefeed import messages as changefeed
 from chervilrack._internal.fleet import messages as fleet
 from chervilrack._internal.peering.envelope import MessageCodec
+from chervilrack._internal.quarantine import messages as quarantine
 
 
 def serving_codec() -> MessageCodec:
@@ -20,4 +21,7 @@
     codec.register("batching.pieces-returned", batching.PiecesReturned)
     codec.register("batching.results-released", batching.ResultsReleased)
     codec.register("changefeed.progress", changefeed.StoreProgress)
+    codec.register("quarantine.crash", quarantine.CrashReport)
+    codec.register("quarantine.soundness", quarantine.SoundnessReport)
+    codec.register("quarantine.probe", quarantine.ProbeReport)
     return codec
--- a/src/chervilrack/_internal/serving/metrics.py
+++ b/src/chervilrack/_internal/serving/metrics.py
@@ -20,6 +20,7 @@
     ThreadFailureMetric,
     TrafficRanking,
 )
+from chervilrack._internal.quarantine.state import SuspectEvent
 
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 # In seconds. Target latencies lie between 0.15 and 2.3 s, deadlines between 1 and 20 s.
@@ -131,6 +132,24 @@
             ["kind"],
             registry=self._registry,
         )
+        self._crashes = Counter(
+            "chervilrack_serving_upstream_crashes",
+            "Crashes of upstreams that this node has found out itself, by service.",
+            ["service"],
+            registry=self._registry,
+        )
+        self._suspects = Counter(
+            "chervilrack_serving_suspects",
+            "Changes of inputs that may crash upstreams, by event.",
+            ["event"],
+            registry=self._registry,
+        )
+        self._quarantined = Counter(
+            "chervilrack_serving_quarantined_requests",
+            "Requests refused because requests like them crash upstreams, by service.",
+            ["service"],
+            registry=self._registry,
+        )
         self._thread_failures = ThreadFailureMetric(self._registry)
         self._forecasts = Counter(
             "chervilrack_serving_stream_forecasts",
@@ -177,6 +196,18 @@
         reader = source if source in (OWN_ANSWER, "") else "peer"
         self._statements.labels(event.value, reader or "directory").inc()
 
+    def upstream_crashed(self, service: str) -> None:
+        """Count a crash of an upstream."""
+        self._crashes.labels(self._services.label(service)).inc()
+
+    def suspect_changed(self, event: SuspectEvent) -> None:
+        """Count a change of a suspect."""
+        self._suspects.labels(event.value).inc()
+
+    def request_quarantined(self, service: str) -> None:
+        """Count a request that gets no upstream because requests like it crash them."""
+        self._quarantined.labels(self._services.label(service)).inc()
+
     def entry_unreadable(self, kind: str) -> None:
         """Count a revision of an entry that was left out; ``kind`` is what its key names."""
         self._unreadable.labels(kind).inc()
--- a/src/chervilrack/_internal/serving/node.py
+++ b/src/chervilrack/_internal/serving/node.py
@@ -12,6 +12,8 @@
 from typing import Self
 from urllib.parse import parse_qsl
 
+import msgspec
+
 from chervilrack._internal.balancing.core import Balancer
 from chervilrack._internal.batching.messages import (
     PiecesBegun,
@@ -39,6 +41,7 @@
 from chervilrack._internal.observability.decisions import DecisionHandler, DecisionLog
 from chervilrack._internal.peering.envelope import Envelope
 from chervilrack._internal.peering.transport import PeerTransport
+from chervilrack._internal.quarantine.messages import CrashReport, ProbeReport, SoundnessReport
 from chervilrack._internal.serving.directory import StoreDirectory
 from chervilrack._internal.serving.messages import serving_codec
 from chervilrack._internal.serving.metrics import CONTENT_TYPE
@@ -106,6 +109,7 @@
             self._on_message,
         )
         self._coordinator.transport = self._transport
+        self._state.crash_watch.broadcast = self._broadcast
         self._directory = StoreDirectory(
             settings,
             schema,
@@ -129,10 +133,16 @@
             clock,
             self._state.lock,
             self._next_time,
-            (self._beat, self._coordinator.tick, self._relay.tick),
+            (
+                self._beat,
+                self._coordinator.tick,
+                self._relay.tick,
+                self._state.crash_watch.tick,
+            ),
             self._on_pause,
         )
         self._coordinator.wake = self._timers.wake
+        self._state.crash_watch.wake = self._timers.wake
         self._next_heartbeat = timedelta(0)
         self._caller_server = self._make_caller_server()
         self._management_servers = self._make_management_servers()
@@ -344,29 +354,47 @@
                     self._directory.on_state_reply(message)
                 case StoreProgress():
                     self._relay.on_progress(message)
-                case PiecesWanted():
-                    self._coordinator.on_pieces_wanted(sender, message)
-                case PiecesQueued():
-                    self._coordinator.on_order_queued(message)
-                case PiecesBegun():
-                    self._coordinator.on_inputs_read(message)
-                case PiecesMade():
-                    self._coordinator.on_results(sender, message)
-                case PiecesDropped():
-                    self._coordinator.on_order_dropped(sender, message)
-                case PiecesReturned():
-                    self._coordinator.on_pieces_returned(sender, message)
-                case ResultsReleased():
-                    self._coordinator.on_results_released(message)
+                case CrashReport():
+                    self._state.crash_watch.on_crash_report(message)
+                    self._state.report_actions()
+                case SoundnessReport():
+                    self._state.crash_watch.on_soundness_report(message)
+                case ProbeReport():
+                    self._state.crash_watch.on_probe_report(message)
+                case _:
+                    self._on_stage_message(sender, message)
+
+    def _on_stage_message(self, sender: NodeId, message: msgspec.Struct) -> None:
+        match message:
+            case PiecesWanted():
+                self._coordinator.on_pieces_wanted(sender, message)
+            case PiecesQueued():
+                self._coordinator.on_order_queued(message)
+            case PiecesBegun():
+                self._coordinator.on_inputs_read(message)
+            case PiecesMade():
+                self._coordinator.on_results(sender, message)
+            case PiecesDropped():
+                self._coordinator.on_order_dropped(sender, message)
+            case PiecesReturned():
+                self._coordinator.on_pieces_returned(sender, message)
+            case ResultsReleased():
+                self._coordinator.on_results_released(message)
 
     def _on_heartbeat(self, sender: NodeId, incarnation: Incarnation, heartbeat: Heartbeat) -> None:
         now = self._clock.monotonic()
         self._perform(self._fleet.receive_heartbeat(sender, incarnation, heartbeat, now))
         self._state.balancer.set_peer_reports(sender, heartbeat.reports, now)
         self._state.leaving_reported(sender, heartbeat.leaving_upstreams)
+        self._state.crash_watch.on_suspects(heartbeat.suspects)
         self._directory.on_heartbeat(heartbeat)
         self._relay.observe_revision(heartbeat.directory_revision)
 
+    def _broadcast(self, message: msgspec.Struct) -> None:
+        """Send a message to all nodes whose addresses are known."""
+        addresses = [f"tcp://{address}" for address in self._fleet.addresses]
+        self._transport.send_to_addresses(addresses, message)
+
     def _perform(self, effects: list[FleetEffect]) -> None:
         if effects:
             self._coordinator.on_owners_changed()
@@ -412,9 +440,9 @@
             interval_ms=round(self._fleet.heartbeat_interval / _MILLISECOND),
             cpu_cores=self._settings.cpu_cores,
             leaving_upstreams=self._state.leaving_reports(),
+            suspects=self._state.crash_watch.share_suspects(),
         )
-        addresses = [f"tcp://{address}" for address in self._fleet.addresses]
-        self._transport.send_to_addresses(addresses, heartbeat)
+        self._broadcast(heartbeat)
         self._next_heartbeat = now + self._fleet.heartbeat_interval
         self._coordinator.hand_over_queues()
         self._update_zone_members()
@@ -430,6 +458,7 @@
             self._next_heartbeat,
             self._coordinator.next_time(self._clock.monotonic()),
             self._relay.next_time,
+            self._state.crash_watch.next_time,
         ]
         return min(time for time in times if time is not None)
 
--- a/src/chervilrack/_internal/serving/state.py
+++ b/src/chervilrack/_internal/serving/state.py
@@ -35,9 +35,12 @@
 from chervilrack._internal.forwarding.messages import InboundRequest
 from chervilrack._internal.limits.retry_budget import RetryBudget
 from chervilrack._internal.observability.decisions import DecisionLog
+from chervilrack._internal.quarantine.state import CrashedRequest
+from chervilrack._internal.serving.crash_watch import CrashWatch
 from chervilrack._internal.serving.metrics import ForecastOutcome, ServingMetrics
 from chervilrack._internal.serving.settings import ServingSettings
 from chervilrack._internal.serving.stopping import StopPlan
+from chervilrack._internal.upstreams.reachability import refuses_connections
 
 # Time to the first byte that is assumed for a service before its first answer.
 INITIAL_FIRST_BYTE_TIME = timedelta(milliseconds=100)
@@ -77,6 +80,8 @@
         self.budget = RetryBudget(settings.retry_budget, lambda: self.fleet.size)
         self.in_progress = 0
         self.metrics = ServingMetrics()
+        self.crash_watch = CrashWatch(self.catalogue, self.balancer, clock, log, self.metrics)
+        self.crash_watch.on_blocked = self._refuse_waiting_requests
         self._misdirected: dict[UpstreamId, UpstreamEntry] = {}
         # Moving average of the time to the first byte.
         self._first_byte_times: dict[ServiceId, timedelta] = {}
@@ -439,6 +444,54 @@
             self.balancer.record_success(entry.id, self.clock.monotonic())
             self.report_actions()
 
+    def answer_begun(self, context: RequestContext) -> None:
+        """Record that an upstream has gone on after the start of its answer."""
+        with self.lock:
+            self.crash_watch.answer_begun(context.profile)
+
+    def answer_ended(self, context: RequestContext) -> None:
+        """Record a whole answer, which clears what it has in common with others."""
+        with self.lock:
+            self.crash_watch.answered(context.profile)
+
+    def answer_broke_off(
+        self, context: RequestContext, entry: UpstreamEntry, *, at_start: bool
+    ) -> None:
+        """Record that an upstream has broken off its answer, and find out whether it crashed."""
+        with self.lock:
+            request = CrashedRequest(context.profile, at_start)
+            must_check = self.crash_watch.answer_broken(entry, request)
+        if not must_check:
+            return
+        refuses = refuses_connections(entry.address)
+        with self.lock:
+            self.crash_watch.upstream_checked(entry, refuses_connections=refuses)
+            if refuses:
+                now = self.clock.monotonic()
+                self.balancer.record_failure(entry.id, now, "crashed", certain=True)
+            self.report_actions()
+
+    def quarantined(self, context: RequestContext, *, is_sent: bool) -> Problem | None:
+        """Return why requests like this one get no upstream, None if they may."""
+        with self.lock:
+            if is_sent:
+                # A probe may end an upstream; the last one of a service is not risked.
+                may_probe = len(self._registered(context.service)) > 1
+                problem = self.crash_watch.admit(context.profile, may_probe=may_probe)
+            else:
+                problem = self.crash_watch.refusal(context.profile)
+        if problem is not None:
+            self.metrics.request_quarantined(context.service)
+        return problem
+
+    def _refuse_waiting_requests(self) -> None:
+        """Refuse requests that wait for their stages and would get no upstream then."""
+        for context in list(self._open_requests.values()):
+            if context.sent_attempts == 0 and context.refusal is None:
+                problem = self.crash_watch.refusal(context.profile)
+                if problem is not None:
+                    context.refuse(problem)
+
     def attempt_failed(self, entry: UpstreamEntry, reason: str, certain: bool) -> None:
         """Record a failure of an upstream; a ``certain`` one ejects it at once."""
         with self.lock:
@@ -582,6 +635,7 @@
 
     def upstream_changed(self, change: UpstreamChanged) -> None:
         """Drop what a change of an upstream has made obsolete. The caller holds the lock."""
+        self.crash_watch.upstream_changed(change)
         misdirected_entry = self._misdirected.get(change.id)
         if misdirected_entry is not None and (
             change.entry is None or change.entry.address != misdirected_entry.address
