Crash engines on a part of prompts in the soak, and check that nodes stop sending it

Change: a fault kind "crashing part" (the engines crash on it, lapse after 0.6 s and are back after 2 s under the same id and a later start), callers that share parts, the promise "crashing parts" (three arrivals after the contact time that follows the fifth crash, nodes in touch). A suspicion is logged once, not with every crash.

--- a/features/soak/soak.feature
+++ b/features/soak/soak.feature
@@ -37,6 +37,7 @@
       | a request cut off before its timeout after a change of the configuration | no lost requests |
       | a request at an upstream that said long ago that it leaves | leaving upstreams |
       | three requests at an upstream that holds off             | upstreams that hold off |
+      | four requests with a part on which five engines have crashed | crashing parts |
 
   Scenario Outline: evidence of <event> breaks no promise
     Given evidence of a soak without violations
@@ -59,6 +60,9 @@
       | a request cut off at its timeout after a change of the configuration |
       | an early request that was at work at the end of a stop     |
       | a request at an upstream that started again                |
+      | three requests with a part on which five engines have crashed |
+      | requests with a part on which four engines have crashed |
+      | requests from a node out of touch with a part on which five engines have crashed |
       | a request from a node that has started again               |
       | a request from a node that was not told                    |
       | a request at an upstream that said just now that it leaves |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -29,6 +29,7 @@
     Notice,
     NoticeKind,
     Run,
+    UpstreamCrash,
 )
 from chervilrack._internal.soak.run import run_soak
 from chervilrack.platform.emulated.behaviours import behaviours
@@ -108,6 +109,25 @@
         evidence.disruptions.append(Disruption(*disruption))
 
 
+def add_crashes(evidence, count, delays, disruption=None):
+    """Add crashes up to 50.0, and requests that reach an engine ``delays`` seconds later."""
+    for number in range(count):
+        at = 50.0 - 0.1 * (count - 1 - number)
+        add_crashing_request(evidence, f"crash-{number}", at)
+        evidence.crashes.append(UpstreamCrash("u", f"crash-{number}", at, at + 2.0))
+    for number, delay in enumerate(delays):
+        add_crashing_request(evidence, f"late-{number}", 50.0 + delay)
+    if disruption is not None:
+        evidence.disruptions.append(Disruption(*disruption))
+
+
+def add_crashing_request(evidence, name, at):
+    attempt = successful_attempt(name, Kind.STREAM, at, status=502, crashing_part="dead")
+    evidence.attempts.append(attempt)
+    evidence.arrivals.append(Arrival(name, "u", at))
+    evidence.runs.append(Run(name, "u", at, Kind.STREAM))
+
+
 EVENTS = {
     "an answer that belongs to another request": lambda e: add_request(
         e, "x", Kind.ORDER, body=b"answer to y"
@@ -182,6 +202,18 @@
     "three requests at an upstream that holds off": lambda e: add_notice(
         e, NoticeKind.HOLD_OFF, [0.6, 0.7, 0.8]
     ),
+    "four requests with a part on which five engines have crashed": lambda e: add_crashes(
+        e, 5, [3.2, 3.3, 3.4, 3.5]
+    ),
+    "three requests with a part on which five engines have crashed": lambda e: add_crashes(
+        e, 5, [0.1, 2.9, 3.2, 3.3, 3.4]
+    ),
+    "requests with a part on which four engines have crashed": lambda e: add_crashes(
+        e, 4, [3.2, 3.3, 3.4, 3.5]
+    ),
+    "requests from a node out of touch with a part on which five engines have crashed": lambda e: (
+        add_crashes(e, 5, [3.2, 3.3, 3.4, 3.5], ("pause node", "n0", 50.0, 50.5))
+    ),
     "a stream that its upstream breaks off": lambda e: add_failure(
         e,
         Ending.CUT_OFF,
--- a/src/chervilrack/_internal/quarantine/core.py
+++ b/src/chervilrack/_internal/quarantine/core.py
@@ -249,9 +249,10 @@
                     effects += self._clear(key, at, is_whole=is_whole)
             if (
                 suspect.blocked_at is None
-                and level >= SHARED_LEVEL
-                and self._level(suspect) >= level
+                and not suspect.is_reported
+                and self._level(suspect) >= SHARED_LEVEL
             ):
+                suspect.is_reported = True
                 effects.append(_changed(SuspectEvent.SUSPECTED, suspect))
         for service in {key[0] for key in touched}:
             effects += self._block_suspects(service, now)
@@ -362,12 +363,12 @@
             key = (profile.service, trait)
             self._remember(key, now, is_whole=is_whole)
             suspect = self._suspects.get(key)
-            if suspect is not None and self._level(suspect) >= SHARED_LEVEL:
-                cleared = self._clear(key, now, is_whole=is_whole)
-                if cleared:
-                    effects += [AnnounceSoundness(*key, now, is_whole), *cleared]
-            elif suspect is not None:
-                effects += self._clear(key, now, is_whole=is_whole)
+            if suspect is None:
+                continue
+            crashes, is_shared = len(suspect.crashes), self._level(suspect) >= SHARED_LEVEL
+            effects += self._clear(key, now, is_whole=is_whole)
+            if is_shared and len(suspect.crashes) < crashes:
+                effects.append(AnnounceSoundness(*key, now, is_whole))
         return effects
 
     def _remember(self, key: _Key, at: timedelta, *, is_whole: bool) -> None:
@@ -385,7 +386,6 @@
         suspect = self._suspects.get(key)
         if suspect is None:
             return []
-        level = self._level(suspect)
         kept = {
             upstream: crash
             for upstream, crash in suspect.crashes.items()
@@ -395,13 +395,15 @@
             return []
         cleared = _changed(SuspectEvent.CLEARED, suspect)
         suspect.crashes = kept
+        was_reported, suspect.is_reported = suspect.is_reported, False
         was_blocked = suspect.blocked_at is not None
         if was_blocked and self._level(suspect) < self.settings.crashes:
             suspect.blocked_at = None
             self._blocked.pop(key, None)
         elif not kept and not suspect.was_blocked:
+            # Of no interest any more; a blocked one keeps its lower threshold.
             self._forget(key)
-        return [cleared] if was_blocked or level >= SHARED_LEVEL else []
+        return [cleared] if was_blocked or was_reported else []
 
     def _blocks_of(self, profile: RequestProfile) -> Iterable[Suspect]:
         if not self._blocked:
--- a/src/chervilrack/_internal/quarantine/state.py
+++ b/src/chervilrack/_internal/quarantine/state.py
@@ -91,8 +91,8 @@
     """A trait and the crashes in which requests with it were ended.
 
     ``common`` holds what all of these requests had in common; only requests with all of it are
-    refused. ``blocked_at`` is None while the evidence does not suffice. ``refused`` counts
-    refusals of this node.
+    refused. ``blocked_at`` is None while the evidence does not suffice. ``is_reported`` is whether
+    the suspicion has been reported, ``refused`` counts refusals of this node.
     """
 
     service: ServiceId
@@ -101,6 +101,7 @@
     crashes: dict[UpstreamIncarnation, Crash] = field(default_factory=dict)
     blocked_at: timedelta | None = None
     was_blocked: bool = False
+    is_reported: bool = False
     probes: int = 0
     next_probe: timedelta = _ZERO
     refused: int = 0
--- a/src/chervilrack/_internal/serving/crash_watch.py
+++ b/src/chervilrack/_internal/serving/crash_watch.py
@@ -333,6 +333,7 @@
         self._log.note(
             "quarantine",
             change.event.value,
+            routine=change.event is SuspectEvent.SUSPECTED,
             trait=change.trait,
             service=change.service,
             with_all_of=sorted(change.common - {change.trait})[:MAX_TRAITS],
--- a/src/chervilrack/_internal/soak/bed.py
+++ b/src/chervilrack/_internal/soak/bed.py
@@ -11,7 +11,13 @@
 from types import TracebackType
 from typing import Any, Self
 
-from chervilrack._internal.soak.callers import LOOKUP_TIMEOUT_S, Caller, CallerKeys, WorkTimes
+from chervilrack._internal.soak.callers import (
+    LOOKUP_TIMEOUT_S,
+    Caller,
+    CallerKeys,
+    Prompts,
+    WorkTimes,
+)
 from chervilrack._internal.soak.emulation import Emulation
 from chervilrack._internal.soak.plan import Targets
 from chervilrack._internal.soak.processes import NodeProcess
@@ -47,6 +53,7 @@
         self.emulation = emulation
         self.evidence = Evidence()
         self.keys = CallerKeys(KEY_COUNT)
+        self.prompts = Prompts()
         self._rng = random.Random(f"operator-{seed}")
         self.nodes: dict[str, NodeProcess] = {}
         self.store_links: dict[str, LinkProxy] = {}
@@ -138,7 +145,7 @@
         }
         work = WorkTimes(self._size.longest_work, shortest_work)
         self._callers = [
-            Caller(number, self._seed, self.emulation, hosts, links, self.keys, work)
+            Caller(number, self._seed, self.emulation, hosts, links, self.keys, work, self.prompts)
             for number in range(self._size.callers)
         ]
         for caller in self._callers:
--- a/src/chervilrack/_internal/soak/callers.py
+++ b/src/chervilrack/_internal/soak/callers.py
@@ -24,6 +24,10 @@
 MEAN_REQUEST_PAUSE_S = 0.08
 # Probability that a request uses a removed key, once a key has been removed.
 REMOVED_KEY_PROBABILITY = 0.1
+# Parts of the prompts of streams, and the probability that one has the part that crashes engines.
+FIRST_PART = "a0"
+FURTHER_PARTS = 4
+CRASHING_PROBABILITY = 0.3
 # Probabilities and bounds of the time that an upstream needs for a request, in seconds; the last
 # ones go on to the longest time of a soak.
 WORK_S = ((0.5, 0.0, 0.04), (0.3, 0.1, 0.6), (0.2, 0.6, None))
@@ -99,6 +103,24 @@
         return f"key-{next(self._numbers)}"
 
 
+class Prompts:
+    """Parts of prompts that callers share, and the part on which engines crash at present."""
+
+    def __init__(self) -> None:
+        self.crashing_part = ""
+
+    def draw(self, rng: random.Random, kind: Kind) -> tuple[list[str], str]:
+        """Return the shared parts of a request, and which of them crashes engines, if any."""
+        if kind not in (Kind.STREAM, Kind.STAGED):
+            return [], ""
+        parts = [FIRST_PART, *(f"{level}{rng.randrange(FURTHER_PARTS)}" for level in "bcd")]
+        crashing_part = self.crashing_part
+        if not crashing_part or rng.random() >= CRASHING_PROBABILITY:
+            return parts, ""
+        parts.insert(rng.randrange(len(parts) + 1), crashing_part)
+        return parts, crashing_part
+
+
 class Caller(threading.Thread):
     """Thread that sends requests one after the other until it is stopped."""
 
@@ -111,6 +133,7 @@
         links: Mapping[str, LinkProxy],
         keys: CallerKeys,
         work: WorkTimes,
+        prompts: Prompts,
     ) -> None:
         super().__init__(name=f"caller-{number}", daemon=True)
         self.attempts: list[Attempt] = []
@@ -123,6 +146,7 @@
         self._links = links
         self._keys = keys
         self._work = work
+        self._prompts = prompts
         self._stopping = threading.Event()
         self._node_addresses: list[str] = []
         self._looked_up_at = -LOOKUP_TTL_S
@@ -161,7 +185,8 @@
         request = f"c{self._number}-{len(self.attempts)}"
         target = f"{kind.value}{request}?workMs={round(self._work.draw(self._rng) * 1000)}"
         key = self._keys.draw(self._rng)
-        headers = self._emulation.request_headers(request, kind, key, DEADLINE_S)
+        parts, crashing_part = self._prompts.draw(self._rng, kind)
+        headers = self._emulation.request_headers(request, kind, key, DEADLINE_S, parts)
         started_at = time.monotonic()
         sent_at, status, body, signer = 0.0, 0, b"", ""
         connection = self._take_connection(address, started_at)
@@ -187,7 +212,18 @@
             was_read = self._links[address].was_read(port, LINK_TIMEOUT_S)
         times = (started_at, ended_at)
         return Attempt(
-            request, kind, address, *times, ending, status, body, key, sent_at, signer, was_read
+            request,
+            kind,
+            address,
+            *times,
+            ending,
+            status,
+            body,
+            key,
+            sent_at,
+            signer,
+            was_read,
+            crashing_part,
         )
 
     def _content(self, body: bytes, headers: dict[str, str]) -> bytes | Iterator[bytes]:
--- a/src/chervilrack/_internal/soak/emulation.py
+++ b/src/chervilrack/_internal/soak/emulation.py
@@ -6,7 +6,14 @@
 from pathlib import Path
 from typing import Protocol
 
-from chervilrack._internal.soak.records import Arrival, Configuration, Kind, Notice, Run
+from chervilrack._internal.soak.records import (
+    Arrival,
+    Configuration,
+    Kind,
+    Notice,
+    Run,
+    UpstreamCrash,
+)
 
 
 class Emulation(Protocol):
@@ -59,10 +66,16 @@
         Raises OSError, ValueError or http.client.HTTPException if the look-up fails.
         """
 
+    def crash_on(self, part: str) -> None:
+        """Make all engines crash on requests with a part of the prompt; they start again."""
+
     def request_headers(
-        self, request: str, kind: Kind, key: str, deadline: float
+        self, request: str, kind: Kind, key: str, deadline: float, parts: Sequence[str] = ()
     ) -> dict[str, str]:
-        """Return the header fields of a caller's request; ``deadline`` is in seconds."""
+        """Return the header fields of a caller's request; ``deadline`` is in seconds.
+
+        ``parts`` are the parts of the prompt that other requests have, too.
+        """
 
     def signer(self, headers: Message) -> str:
         """Return the upstream that signed a response with these header fields, "" if none did."""
@@ -73,5 +86,8 @@
     def arrivals(self) -> list[Arrival]:
         """Return all requests, and requests of pieces, that reached the upstreams."""
 
+    def crashes(self) -> list[UpstreamCrash]:
+        """Return all crashes of upstreams because of requests."""
+
     def notices(self) -> list[Notice]:
         """Return all that upstreams have said about themselves in responses."""
--- a/src/chervilrack/_internal/soak/injection.py
+++ b/src/chervilrack/_internal/soak/injection.py
@@ -120,6 +120,18 @@
     return lambda: bed.emulation.register(fault.target, address)
 
 
+@injectors.register("crashing part")
+def _crashing_part(bed: SoakBed, fault: Fault) -> UndoFault:
+    """Let callers send requests on which engines crash."""
+    bed.emulation.crash_on(fault.detail)
+    bed.prompts.crashing_part = fault.detail
+
+    def undo() -> None:
+        bed.prompts.crashing_part = ""
+
+    return undo
+
+
 @injectors.register("key replaced")
 def _key_replaced(bed: SoakBed, fault: Fault) -> UndoFault:
     bed.replace_key()
--- a/src/chervilrack/_internal/soak/losses.py
+++ b/src/chervilrack/_internal/soak/losses.py
@@ -26,7 +26,9 @@
 SHORTEST_TIMEOUT_S = 3.0
 
 _NODE_DISRUPTIONS = frozenset(("kill node", "pause node", "caller link"))
-_UPSTREAM_DISRUPTIONS = frozenset(("upstream link", "upstream behaviour", "upstream notice"))
+_UPSTREAM_DISRUPTIONS = frozenset(
+    ("upstream link", "upstream behaviour", "upstream notice", "upstream crash")
+)
 _CONFIGURATION_CHANGES = frozenset(("configuration", "configuration storm"))
 
 
--- a/src/chervilrack/_internal/soak/plan.py
+++ b/src/chervilrack/_internal/soak/plan.py
@@ -15,7 +15,7 @@
 MIN_FAULT_S = 0.2
 MAX_FAULT_S = 3.0
 # Faults that show only after a bound has passed last longer by this time.
-FURTHER_S = {"upstream notice": 3.0, "upstream silence": 1.6}
+FURTHER_S = {"upstream notice": 3.0, "upstream silence": 1.6, "crashing part": 6.0}
 # Longest silence of a sound upstream. Faults of this kind last longer, so that two do not add up.
 MAX_SILENCE_S = 1.5
 # A series repeats one fault at one target; its faults are shorter in proportion.
@@ -166,6 +166,12 @@
     return rng.choice(targets.upstreams), ""
 
 
+@fault_kinds.register("crashing part")
+def _draw_crashing_part(rng: random.Random, targets: Targets) -> tuple[str, str]:
+    """Draw the id of a part of prompts on which all engines crash."""
+    return "engines", f"{rng.randrange(16**8):08x}"
+
+
 @fault_kinds.register("key replaced")
 def _key_replaced(rng: random.Random, targets: Targets) -> tuple[str, str]:
     return "operator", ""
--- a/src/chervilrack/_internal/soak/records.py
+++ b/src/chervilrack/_internal/soak/records.py
@@ -41,6 +41,7 @@
     ``node`` is the address that it was sent to. ``sent_at`` is when its last byte was sent, 0 if
     it wasn't. ``signer`` is the upstream that signed the response, "" if none did. ``was_read`` is
     whether the node had read all bytes of a connection that it closed without a response.
+    ``crashing_part`` is the part of the prompt on which engines crash, "" for sound requests.
     """
 
     id: str
@@ -55,6 +56,7 @@
     sent_at: float = 0.0
     signer: str = ""
     was_read: bool = False
+    crashing_part: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,6 +93,16 @@
     call: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamCrash:
+    """End of an upstream because of a request; it is back ``returned_at``."""
+
+    upstream: str
+    request: str
+    at: float
+    returned_at: float
+
+
 class NoticeKind(enum.Enum):
     """What an upstream says about itself in a response."""
 
@@ -156,6 +168,7 @@
     runs: list[Run] = field(default_factory=list)
     arrivals: list[Arrival] = field(default_factory=list)
     notices: list[Notice] = field(default_factory=list)
+    crashes: list[UpstreamCrash] = field(default_factory=list)
     disruptions: list[Disruption] = field(default_factory=list)
     faults: list[Fault] = field(default_factory=list)
     key_removals: list[KeyRemoval] = field(default_factory=list)
--- a/src/chervilrack/_internal/soak/run.py
+++ b/src/chervilrack/_internal/soak/run.py
@@ -12,7 +12,7 @@
 from chervilrack._internal.soak.emulation import Emulation
 from chervilrack._internal.soak.injection import inject
 from chervilrack._internal.soak.plan import SERVED_S, draw_faults, plans
-from chervilrack._internal.soak.records import Evidence, Violation
+from chervilrack._internal.soak.records import Disruption, Evidence, Violation
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +73,11 @@
         bed.evidence.runs = emulation.runs()
         bed.evidence.arrivals = emulation.arrivals()
         bed.evidence.notices = emulation.notices()
+        bed.evidence.crashes = emulation.crashes()
+        bed.evidence.disruptions += [
+            Disruption("upstream crash", crash.upstream, crash.at, crash.returned_at)
+            for crash in bed.evidence.crashes
+        ]
         bed.evidence.faults = list(plan.faults)
         bed.evidence.recovery = plan.recovery
     return SoakResult(seed, bed.evidence, violations(bed.evidence))
--- a/src/chervilrack/platform/emulated/crashes.py
+++ b/src/chervilrack/platform/emulated/crashes.py
@@ -17,15 +17,21 @@
 class CrashCycle:
     """Removes the entries of crashed upstreams and starts them again; a context manager.
 
-    Each start has an id of its own. On exit, no upstream is started any more.
+    If ``renames``, each start has an id of its own. On exit, no upstream is started any more.
     """
 
     def __init__(
-        self, store: StoreStandIn, lapse_s: float = LAPSE_S, return_s: float = RETURN_S
+        self,
+        store: StoreStandIn,
+        lapse_s: float = LAPSE_S,
+        return_s: float = RETURN_S,
+        *,
+        renames: bool = True,
     ) -> None:
         self._store = store
         self._lapse_s = lapse_s
         self._return_s = return_s
+        self._renames = renames
         self._numbers = itertools.count(1)
         self._stopping = threading.Event()
         self._threads: list[threading.Thread] = []
@@ -60,6 +66,8 @@
             self._store.remove(f"{UPSTREAM_PREFIX}{upstream.id}")
         if self._stopping.wait(self._return_s - self._lapse_s):
             return
-        name = upstream.id.partition("+")[0]
-        upstream.start_again(f"{name}+{next(self._numbers)}")
+        id = upstream.id
+        if self._renames:
+            id = f"{id.partition('+')[0]}+{next(self._numbers)}"
+        upstream.start_again(id)
         self._store.put(f"{UPSTREAM_PREFIX}{upstream.id}", upstream.entry(address=address))
--- a/src/chervilrack/platform/emulated/emulation.py
+++ b/src/chervilrack/platform/emulated/emulation.py
@@ -3,6 +3,7 @@
 import contextlib
 import http.client
 import json
+import zlib
 from collections.abc import Iterator, Mapping, Sequence
 from datetime import timedelta
 from email.message import Message
@@ -11,16 +12,26 @@
 
 import yaml
 
-from chervilrack._internal.soak.records import Arrival, Configuration, Kind, Notice, Run
+from chervilrack._internal.soak.records import (
+    Arrival,
+    Configuration,
+    Kind,
+    Notice,
+    Run,
+    UpstreamCrash,
+)
 from chervilrack.platform.configuration import CONFIGURATION_KEY, UPSTREAM_PREFIX
+from chervilrack.platform.emulated.crashes import RETURN_S, CrashCycle
 from chervilrack.platform.emulated.standins import (
     SIGNATURE_PREFIX,
     StoreStandIn,
     UpstreamStandIn,
 )
+from chervilrack.platform.headers import PREFIX_HASH, TOKEN_USAGE
 from chervilrack.platform.settings import SETTINGS_VARIABLE
 
 HOST: Final = "app.example"
+PART_TOKENS: Final = 100
 _PORTS: Final = {"frontend": 8625, "readiness": 8621, "directory": 8620}
 _PEER_PORTS: Final = [7740, 7755]
 # Names of the upstreams by service.
@@ -60,11 +71,13 @@
             for name in names
         }
         self._version = 0
+        self._crash_cycle = CrashCycle(self._store, renames=False)
 
     @contextlib.contextmanager
     def running(self) -> Iterator[None]:
         """Run the store and the upstreams."""
         with contextlib.ExitStack() as stack:
+            stack.enter_context(self._crash_cycle)
             for server in (self._store, *self._upstreams.values()):
                 stack.enter_context(server)
             yield
@@ -98,6 +111,7 @@
 
     def register(self, upstream: str, address: str, *, drains: bool = False) -> None:
         """Write the registration of an upstream to the store."""
+        self._crash_cycle.watch(self._upstreams[upstream], address)
         state = "draining" if drains else "ready"
         entry = self._upstreams[upstream].entry(state, address)
         self._store.put(f"{UPSTREAM_PREFIX}{upstream}", entry)
@@ -130,10 +144,19 @@
             raise ValueError(f"the look-up returned status {response.status}")
         return [str(address) for address in json.loads(body)["addresses"]]
 
+    def crash_on(self, part: str) -> None:
+        """Make all engines crash on requests with a part of the prompt; they start again."""
+        for upstream in self._upstreams.values():
+            if upstream.service == "engine":
+                upstream.crashing_part = part
+
     def request_headers(
-        self, request: str, kind: Kind, key: str, deadline: float
+        self, request: str, kind: Kind, key: str, deadline: float, parts: Sequence[str] = ()
     ) -> dict[str, str]:
-        """Return the header fields of a caller's request; ``deadline`` is in seconds."""
+        """Return the header fields of a caller's request; ``deadline`` is in seconds.
+
+        ``parts`` are the parts of the prompt that other requests have, too.
+        """
         headers = {
             "Host": HOST,
             "Chervilrack-Request-Id": request,
@@ -142,6 +165,10 @@
         }
         if kind is Kind.STAGED:
             headers |= _STAGED_HEADERS
+        if parts:
+            own_part = f"{zlib.crc32(request.encode()):08x}"
+            headers[PREFIX_HASH] = ",".join(f"{part}:{PART_TOKENS}" for part in (*parts, own_part))
+            headers[TOKEN_USAGE] = f"{PART_TOKENS * (len(parts) + 1)},15"
         return headers
 
     def signer(self, headers: Message) -> str:
@@ -160,6 +187,14 @@
         """Return all requests, and requests of pieces, that reached the upstreams."""
         return [a for upstream in self._upstreams.values() for a in list(upstream.arrivals)]
 
+    def crashes(self) -> list[UpstreamCrash]:
+        """Return all crashes of upstreams because of requests."""
+        return [
+            UpstreamCrash(name, request, at, at + RETURN_S)
+            for name, upstream in self._upstreams.items()
+            for request, at in list(upstream.crashes)
+        ]
+
     def notices(self) -> list[Notice]:
         """Return all that upstreams have said about themselves in responses."""
         return [notice for upstream in self._upstreams.values() for notice in upstream.notices]
