Bound crashes by paths, bodies and pieces, too, and judge a crash when all nodes have reported it

Cause: reports of one crash come from several nodes one after the other, and a node judged by the first; peers that had not found the cause yet brought explained crashes back; a crash counted for good for the part that was blocked first, also when that one was wrong. Ruled out: late crashes (their weight was lowered before; the crashes were at the start of answers). Change: a crash counts 0.1 s after its first report; crashes of a blocked trait count for no other while it is blocked; ties by all crashes; an early probe where something else may be the cause.

--- a/features/observability/decisions.feature
+++ b/features/observability/decisions.feature
@@ -9,6 +9,12 @@
     Then the timeline names the node, the stage call that failed and the ejected upstream
     And the timeline leaves out other requests and events long after the request
 
+  # Guards against refusals whose cause lies long before the request, at other nodes.
+  Scenario: the timeline of a quarantined request shows the block and the crashes behind it
+    Given the decision logs of three nodes about a request that was refused for crashing upstreams
+    When the timeline of the rejected request is built
+    Then the timeline names the block and the crashes of u1 and u2, and nothing of other traits
+
   Scenario: a full buffer drops routine lines first, counts them and never blocks
     A slow reader of the log must neither delay requests nor cause the loss of failures.
     Given a decision log whose output blocks
--- a/features/quarantine/core.feature
+++ b/features/quarantine/core.feature
@@ -31,7 +31,7 @@
       | crash on x of o1, crash on x of o1, crash on x of o1, answer on x             | x     | o1     | sent    |
       | crash on x of o1, crash on x of o1, crash on x of o1, start on x              | x     | o1     | sent    |
       | crash on x of o1, crash on x of o1, crash on x of o1, peer answer on x        | x     | o1     | sent    |
-      | crash on x of o1, crash on x of o1, crash on x of o1, answer on x, crash on x of o1, crash on x of o1 | x | o1 | refused |
+      | 3 crashes on x of o1, 1 s, answer on x, crash on x of o1, crash on x of o1    | x     | o1     | refused |
 
     Examples: crashes of other causes
       | events                                                                        | parts | sender | fate    |
@@ -66,6 +66,22 @@
     When another one that had an answer on x meanwhile hears what it shares
     Then the other one announces the answer within 0.1 s
 
+  # Guards against blocks on the first of several reports of a crash, which may not name its cause.
+  Scenario: a crash is judged when all nodes have reported it
+    Given a quarantine
+    When 3 crashes on x of o1 are reported, each with y of o1 before
+    And it observes crash on x of o1
+    Then a request with y of o1 is sent
+    And a request with x of o1 is refused
+
+  # Guards against evidence of peers that have not found the cause of the same crashes yet.
+  Scenario: evidence about crashes whose cause is blocked blocks nothing else
+    Given a quarantine
+    When it observes 3 crashes on x of o1, 1 s
+    And a node that has blocked nothing shares its evidence against y
+    Then a request with y of o1 is sent
+    And a request with x of o1 is refused
+
   Scenario: memory and messages are bounded whatever crashes
     Given a quarantine
     When 3000 upstreams crash on requests with 32 parts each
--- a/features/quarantine/load.feature
+++ b/features/quarantine/load.feature
@@ -28,6 +28,12 @@
       | 7     | 6       | 4    | racks that lose power                | 30      | 1-8   | 3       | 10      |
       | 67    | 26      | 4    | a fifth of the messages lost         | 16      | 1     | 3       | 1       |
 
+    # Guards against sound parts that are blocked while one part crashes all engines of a small fleet.
+    Examples: so few engines that hardly any request gets an answer
+      | nodes | engines | rate | trouble                              | seconds | seeds | contact | refused |
+      | 4     | 3       | 4    | three engines, from the start        | 30      | 1-12  | 3       | 1       |
+      | 4     | 3       | 4    | three engines, two nodes away        | 30      | 1-12  | 3       | 1       |
+
     Examples: engines that crash without a common cause
       | nodes | engines | rate | trouble                              | seconds | seeds | contact | refused |
       | 7     | 6       | 0    | crashes of other causes              | 30      | 1-8   | 3       | 10      |
--- a/features/quarantine/nodes.feature
+++ b/features/quarantine/nodes.feature
@@ -5,12 +5,24 @@
 
   # Guards against requests with one part of their prompts that crash one engine after the other.
   Scenario Outline: engines are not crashed for long by a part in place <place>
-    Given 3 serving nodes and 6 engines that a part of a prompt crashes
+    Given 3 serving nodes and 6 engine upstreams that a part crashes
     When requests with that part in place <place> come for 12 s beside sound ones
-    Then at most 3 of them reach an engine later than the contact time after the fifth crash
+    Then at most 3 of them reach an upstream later than the contact time after the fifth crash
     And later, sound requests are served at least half as often as before
 
     Examples:
       | place |
       | 2     |
       | 3     |
+
+  # Guards against plain requests and pieces of stages that crash one upstream after the other.
+  Scenario Outline: <service> upstreams are not crashed for long by a <kind>
+    Given 3 serving nodes and 4 <service> upstreams that a <kind> crashes
+    When requests with that <kind> come for 12 s beside sound ones
+    Then at most 3 of them reach an upstream later than the contact time after the fifth crash
+    And later, sound requests are served at least half as often as before
+
+    Examples:
+      | service | kind |
+      | plain   | path |
+      | first   | key  |
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -4,7 +4,7 @@
 
 from behave import given, then, when
 from serving_steps import start_serving_node, start_stand_ins, wait_for
-from support.crash_load import CONTACT_S, CRASHING_PART, CrashLoad, late_arrivals, started_share
+from support.crash_load import CONTACT_S, CRASHES_ON, CrashLoad, late_arrivals, started_share
 
 from chervilrack.platform.emulated.crashes import CrashCycle
 from chervilrack.platform.emulated.standins import UpstreamStandIn
@@ -12,18 +12,24 @@
 LEAD_S = 3.0
 
 
-@given("{nodes:d} serving nodes and {engines:d} engines that a part of a prompt crashes")
-def start_fleet(context, nodes, engines):
+SERVICES = {"part": "engine", "path": "plain", "key": "first"}
+
+
+@given("{nodes:d} serving nodes and {count:d} {service} upstreams that a {kind} crashes")
+def start_fleet(context, nodes, count, service, kind):
+    assert service == SERVICES[kind]
     start_stand_ins(context)
-    for number in range(3, engines + 1):
-        name = f"engine-{number}"
-        engine = context.stack.enter_context(UpstreamStandIn(name, "engine"))
-        context.upstreams[name] = engine
-        context.store.put(f"servers/{name}", engine.entry())
-    context.engines = [u for u in context.upstreams.values() if u.service == "engine"]
+    for number in range(1, count + 1):
+        name = f"{service}-{number}"
+        if name not in context.upstreams:
+            upstream = context.stack.enter_context(UpstreamStandIn(name, service))
+            context.upstreams[name] = upstream
+            context.store.put(f"servers/{name}", upstream.entry())
+    context.kind = kind
+    context.engines = [u for u in context.upstreams.values() if u.service == service]
     cycle = context.stack.enter_context(CrashCycle(context.store))
     for engine in context.engines:
-        engine.crashing_part = CRASHING_PART
+        engine.crashes_on = CRASHES_ON[kind]
         cycle.watch(engine)
     context.nodes, context.addresses = [], []
     for number in range(nodes):
@@ -38,8 +44,18 @@
 
 
 @when("requests with that part in place {position:d} come for {seconds:d} s beside sound ones")
-def send_load(context, position, seconds):
-    context.load = CrashLoad(context.addresses, position - 1)
+def send_prompts(context, position, seconds):
+    send_load(context, seconds, position)
+
+
+@when("requests with that {kind} come for {seconds:d} s beside sound ones")
+def send_others(context, kind, seconds):
+    assert kind == context.kind
+    send_load(context, seconds)
+
+
+def send_load(context, seconds, position=2):
+    context.load = CrashLoad(context.addresses, context.kind, position - 1)
     context.began_at = context.load.run(LEAD_S, seconds)
     context.ended_at = time.monotonic()
 
@@ -52,7 +68,9 @@
     return [arrival for engine in context.engines for arrival in engine.arrivals]
 
 
-@then("at most {count:d} of them reach an engine later than the contact time after the fifth crash")
+@then(
+    "at most {count:d} of them reach an upstream later than the contact time after the fifth crash"
+)
 def check_late_arrivals(context, count):
     crashing = {a.request for a in context.load.answers if a.is_crashing}
     late = late_arrivals(crashes_of(context), arrivals_of(context), crashing)
--- a/features/steps/decisions_steps.py
+++ b/features/steps/decisions_steps.py
@@ -33,6 +33,34 @@
     ]  # fmt: skip
 
 
+@given("the decision logs of three nodes about a request that was refused for crashing upstreams")
+def write_quarantine_logs(context):
+    def crash(upstream):
+        return {"upstream": upstream, "started_at_ms": 5, "age_ms": 100, "at_start": True}
+
+    context.texts = [
+        decision_line(50, "n1", "forwarding", "rejected", request="r1", status=503, took_ms=2,
+             detail="2 upstreams crashed on requests with part dead", steps=[]),
+        decision_line(10, "n2", "quarantine", "upstream crashed", upstream="u1", started_at_ms=5),
+        decision_line(11, "n3", "quarantine", "upstream crashed", upstream="u2", started_at_ms=5),
+        decision_line(12, "n3", "quarantine", "upstream crashed", upstream="u2", started_at_ms=6),
+        decision_line(13, "n1", "quarantine", "blocked", trait="part dead",
+             crashes=[crash("u1"), crash("u2")]),
+        decision_line(14, "n2", "quarantine", "blocked", trait="part beef", crashes=[crash("u3")]),
+    ]  # fmt: skip
+
+
+@then("the timeline names the block and the crashes of u1 and u2, and nothing of other traits")
+def check_block(context):
+    lines = context.context_text.splitlines()
+    assert [line.split(";")[0].split(" ", 1)[1] for line in lines] == [
+        "n2 quarantine: upstream crashed",
+        "n3 quarantine: upstream crashed",
+        "n1 quarantine: blocked",
+    ], lines
+    assert "part dead" in lines[2], lines
+
+
 @when("the timeline of the rejected request is built")
 def build_rejected_timeline(context):
     timeline = build_timeline(parse_lines(context.texts), "r1")
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -39,7 +39,14 @@
         upstream = UpstreamIncarnation(UpstreamId(f"u{self.upstreams}"), self.upstreams)
         self.effects += self.core.record_crash(upstream, self.now, requests, self.now)
 
+    def settle(self):
+        """Let the reports of all nodes on past crashes arrive."""
+        while self.core.next_time is not None:
+            self.now = max(self.now, self.core.next_time)
+            self.effects += self.core.tick(self.now)
+
     def admit(self, request):
+        self.settle()
         refusal, effects = self.core.admit(request, self.now, may_probe=True)
         self.effects += effects
         return refusal
@@ -66,6 +73,7 @@
             case ["request", "with", parts, "of", sender]:
                 assert self.admit(profile(parts, sender)) is None, "the probe is refused"
             case [seconds, "s"]:
+                self.settle()
                 self.now += timedelta(seconds=float(seconds))
                 self.core.expire(self.now)
 
@@ -97,6 +105,37 @@
     context.quarantine = ObservedQuarantine()
 
 
+@when("{count:d} crashes on {parts} of {sender} are reported, each with {others} of {other} before")
+def report_in_pieces(context, count, parts, sender, others, other):
+    """Report each crash twice, 50 ms apart, as two nodes do that had requests there."""
+    quarantine = context.quarantine
+    for _ in range(count):
+        quarantine.observe(f"crash on {others} of {other}")
+        upstream = UpstreamIncarnation(UpstreamId(f"u{quarantine.upstreams}"), quarantine.upstreams)
+        crashed_at = quarantine.now
+        quarantine.now += timedelta(seconds=0.05)
+        quarantine.effects += quarantine.core.tick(quarantine.now)
+        request = CrashedRequest(profile(parts, sender), True)
+        quarantine.effects += quarantine.core.record_crash(
+            upstream, crashed_at, [request], quarantine.now
+        )
+
+
+@when("a node that has blocked nothing shares its evidence against {part}")
+def share_evidence(context, part):
+    """Share all crashes with a part that was present at each of them."""
+    quarantine = context.quarantine
+    crashes = [crash for suspect in quarantine.core.suspects for crash in suspect.crashes.items()]
+    quarantine.effects += quarantine.core.merge(
+        (SERVICE, Trait(part)),
+        frozenset((Trait(part), Trait("o1"))),
+        crashes,
+        0,
+        quarantine.now,
+        quarantine.now,
+    )
+
+
 @given("a quarantine that has observed {events}")
 def create_with_evidence(context, events):
     create(context)
@@ -138,7 +177,7 @@
 @then("the other one announces the answer within {seconds:g} s")
 def check_announcement(context, seconds):
     due = context.other.now + timedelta(seconds=seconds)
-    announced = context.other.core.take_announcements(due)
+    announced = context.other.core.tick(due)
     assert [effect.trait for effect in announced] == ["x"], announced
     assert isinstance(announced[0], AnnounceSoundness)
 
@@ -222,6 +261,14 @@
     "a fifth of the messages lost": ({}, {"lost": 0.2}),
     "three nodes away for 4 s": ({}, {"away": 3, "away_until": 9.0}),
     "crashes of other causes": ({}, {"random_crashes": (5, 5.5, 6, 6.9, 8, 9)}),
+    "three engines, from the start": (
+        {"sound_rate": 10.0, "first_parts": 1, "organisations": 1},
+        {"begin": 0.1},
+    ),
+    "three engines, two nodes away": (
+        {"sound_rate": 10.0, "first_parts": 1, "organisations": 1},
+        {"begin": 0.1, "away": 2, "away_until": 4.0},
+    ),
     "racks that lose power": (
         {"first_parts": 20, "further_parts": 30},
         {"racks": (5.5, 9.0, 13.0)},
--- a/features/support/crash_load.py
+++ b/features/support/crash_load.py
@@ -14,6 +14,12 @@
 CONTACT_S = 3.0
 FIRST_PART = "aaaa:500"
 CRASHING_PART = "dead"
+CRASHING_KEY = "crash-key"
+CRASHES_ON = {
+    "part": f"part {CRASHING_PART}",
+    "path": "path /read/crash",
+    "key": f"key {CRASHING_KEY}",
+}
 TIMEOUT_S = 6.0
 
 
@@ -30,10 +36,16 @@
 
 
 class CrashLoad:
-    """Sends sound streams and such with a crashing part to nodes, at steady rates a second."""
+    """Sends sound requests and such that crash upstreams to nodes, at steady rates a second.
 
-    def __init__(self, addresses, position, sound_rate=16.0, crashing_rate=4.0, seed=1):
+    ``kind`` is "part", "path" or "key"; a crashing part is in place ``position`` of its prompt.
+    """
+
+    def __init__(
+        self, addresses, kind="part", position=1, sound_rate=16.0, crashing_rate=4.0, seed=1
+    ):
         self._addresses = addresses
+        self._kind = kind
         self._position = position
         self._rates = (sound_rate, crashing_rate)
         self._rng = random.Random(seed)
@@ -60,34 +72,47 @@
 
     def _start(self, is_crashing):
         number = next(self._numbers)
-        # Further parts, in all requests, so that the crashing one has nothing else to itself.
-        parts = [FIRST_PART, *(f"b{level}{self._rng.randrange(4)}:80" for level in range(3))]
-        if is_crashing:
-            parts.insert(self._position, f"{CRASHING_PART}:90")
-        parts.append(f"f{number:07x}:20")
         address = self._rng.choice(self._addresses)
         answer = Answer(f"r{number}", is_crashing, time.monotonic())
         self.answers.append(answer)
+        path, fields = self._request(number, is_crashing)
         thread = threading.Thread(
-            target=self._send, args=(address, answer, ",".join(parts)), daemon=True
+            target=self._send, args=(address, answer, path, fields), daemon=True
         )
         self._threads.append(thread)
         thread.start()
 
+    def _request(self, number, is_crashing):
+        if self._kind == "path":
+            return f"/read/{'crash' if is_crashing else number % 4}?workMs=100", {}
+        if self._kind == "key":
+            key = CRASHING_KEY if is_crashing else f"key-{number}"
+            counts = {"Chervilrack-Chunk-Count": "2,2", "Chervilrack-Chunk-Key": key}
+            return "/stream/staged/1?workMs=100", counts
+        # Further parts, in all requests, so that the crashing one has nothing else to itself.
+        parts = [FIRST_PART, *(f"b{level}{self._rng.randrange(4)}:80" for level in range(3))]
+        if is_crashing:
+            parts.insert(self._position, f"{CRASHING_PART}:90")
+        parts.append(f"f{number:07x}:20")
+        prompt = {
+            "Chervilrack-Token-Usage": "1000,15",
+            "Chervilrack-Prefix-Hash": ",".join(parts),
+        }
+        return "/stream/1?workMs=400", prompt
+
     @staticmethod
-    def _send(address, answer, parts):
+    def _send(address, answer, path, fields):
         connection = http.client.HTTPConnection(address, timeout=TIMEOUT_S)
         connection.response_class = StrictResponse
         headers = {
             "Host": "app.example",
             "Chervilrack-Request-Id": answer.request,
             "Chervilrack-Deadline-Ms": "4000",
-            "Chervilrack-Token-Usage": "1000,15",
-            "Chervilrack-Prefix-Hash": parts,
             "Authorization": f"Token {KEY}",
+            **fields,
         }
         try:
-            connection.request("POST", "/stream/1?workMs=400", answer.request.encode(), headers)
+            connection.request("POST", path, answer.request.encode(), headers)
             response = connection.getresponse()
             answer.status, answer.headers = response.status, dict(response.headers)
             response.read()
--- a/features/support/quarantine_load.py
+++ b/features/support/quarantine_load.py
@@ -246,9 +246,9 @@
     # Messages
 
     def _perform(self, node, effects):
-        due = self.nodes[node].next_announcement
+        due = self.nodes[node].next_time
         if due is not None:
-            self._at(due.total_seconds() + 1e-6, lambda: self._announce(node))
+            self._at(max(self._now, due.total_seconds()) + 1e-6, lambda: self._tick(node))
         for effect in effects:
             match effect:
                 case AnnounceSoundness(service, trait, at, is_whole):
@@ -272,8 +272,8 @@
                     if trait not in self.trouble.crashing:
                         self.wrongly_blocked[trait] += 1
 
-    def _announce(self, node):
-        effects = self.nodes[node].take_announcements(td(self._now))
+    def _tick(self, node):
+        effects = self.nodes[node].tick(td(self._now))
         if effects:
             self._perform(node, effects)
 
--- a/src/chervilrack/_internal/forwarding/context.py
+++ b/src/chervilrack/_internal/forwarding/context.py
@@ -14,8 +14,8 @@
 from chervilrack._internal.forwarding.dialect import RequestMetadata
 from chervilrack._internal.forwarding.event_sequence import EventSequence
 from chervilrack._internal.forwarding.messages import InboundRequest
-from chervilrack._internal.quarantine.messages import MAX_TRAIT_LENGTH, MAX_TRAITS
-from chervilrack._internal.quarantine.state import RequestProfile, Trait
+from chervilrack._internal.quarantine.profiles import plain_profile, prompt_profile
+from chervilrack._internal.quarantine.state import RequestProfile
 
 
 @dataclass(slots=True)
@@ -65,6 +65,7 @@
     events: EventSequence = field(default_factory=EventSequence)
     tried_upstreams: set[UpstreamId] = field(default_factory=set)
     steps: list[str] = field(default_factory=list)
+    _profile: RequestProfile | None = None
     _caller_gone: threading.Event = field(default_factory=threading.Event)
     _gone_actions: list[Callable[[], None]] = field(default_factory=list)
     _refusal_actions: list[Callable[[], None]] = field(default_factory=list)
@@ -78,15 +79,19 @@
 
     @property
     def profile(self) -> RequestProfile:
-        """What the request has in common with others, for the search of what crashes upstreams.
-
-        The last part of a prompt belongs to the request alone.
-        """
-        shared = self.metadata.prefix[:-1]
-        return RequestProfile(
-            self.service,
-            tuple(_trait("part", part.id) for part in shared[:MAX_TRAITS]),
-            _trait("organisation", self.organisation or ""),
+        """What the request has in common with others, for the search of what crashes upstreams."""
+        if self._profile is None:
+            self._profile = self._create_profile()
+        return self._profile
+
+    def _create_profile(self) -> RequestProfile:
+        request, prefix = self.request, self.metadata.prefix
+        if prefix:
+            # The last part belongs to the request alone.
+            parts = (part.id for part in prefix[:-1])
+            return prompt_profile(self.service, parts, self.organisation)
+        return plain_profile(
+            self.service, request.method, request.path, request.body, self.organisation
         )
 
     @property
@@ -173,7 +178,3 @@
         """Add an entry to ``steps``; entries beyond the 40th are dropped."""
         if len(self.steps) < 40:
             self.steps.append(text)
-
-
-def _trait(kind: str, value: str) -> Trait:
-    return Trait(f"{kind} {value}"[:MAX_TRAIT_LENGTH])
--- a/src/chervilrack/_internal/observability/timelines.py
+++ b/src/chervilrack/_internal/observability/timelines.py
@@ -24,6 +24,11 @@
         ("node", "leaving"),
         ("node", "paused"),
         ("node", "started"),
+        ("quarantine", "upstream crashed"),
+        ("quarantine", "blocked"),
+        ("quarantine", "narrowed"),
+        ("quarantine", "probed"),
+        ("quarantine", "cleared"),
         ("store", "lost"),
         ("store", "regained"),
     )
@@ -34,7 +39,9 @@
 class RequestTimeline:
     """Log lines of one request and state changes around it, each sorted by time.
 
-    ``context_lines`` are state changes at the nodes, or of the upstreams, that handled the request.
+    ``context_lines`` are state changes at the nodes, or of the upstreams, that handled the request,
+    and for a request that was refused because such requests crash upstreams, the block and the
+    crashes that it names, however long ago.
     """
 
     request_lines: tuple[dict[str, Any], ...]
@@ -70,6 +77,7 @@
     nodes = {line.get("node") for line in request_lines}
     longest_s = max((float(line.get("took_ms", 0)) for line in request_lines), default=0.0) / 1000
     end = _second_of_day(request_lines[-1])
+    block_lines = _block_lines(all_lines, request_lines)
     context_lines = [
         line
         for line in all_lines
@@ -77,7 +85,9 @@
         and not _concerns_request(line, request_id)
         and end - longest_s - CONTEXT_S <= _second_of_day(line) <= end + 1
         and (line.get("node") in nodes or line.get("upstream") in upstreams)
+        and line not in block_lines
     ]
+    context_lines += block_lines
     context_lines.sort(key=lambda line: str(line["time"]))
     return RequestTimeline(tuple(request_lines), tuple(context_lines))
 
@@ -99,6 +109,33 @@
     return line.get("request") == request_id or request_id in (line.get("requests") or ())
 
 
+def _block_lines(
+    lines: Iterable[dict[str, Any]], request_lines: Iterable[dict[str, Any]]
+) -> list[dict[str, Any]]:
+    """Return the lines of the blocks that refused a request, and of the crashes behind them."""
+    details = [str(line.get("detail", "")) for line in request_lines]
+    changes = [
+        line
+        for line in lines
+        if line["part"] == "quarantine"
+        and line.get("trait")
+        and line.get("event") != "suspected"
+        and any(detail.endswith(f"requests with {line['trait']}") for detail in details)
+    ]
+    crashed = {
+        (crash.get("upstream"), crash.get("started_at_ms"))
+        for line in changes
+        for crash in line.get("crashes") or ()
+    }
+    crashes = [
+        line
+        for line in lines
+        if (line["part"], line.get("event")) == ("quarantine", "upstream crashed")
+        and (line.get("upstream"), line.get("started_at_ms")) in crashed
+    ]
+    return changes + crashes
+
+
 def _upstreams(line: dict[str, Any]) -> Iterator[str]:
     if line.get("upstream"):
         yield str(line["upstream"])
--- a/src/chervilrack/_internal/quarantine/core.py
+++ b/src/chervilrack/_internal/quarantine/core.py
@@ -8,8 +8,9 @@
 
 import random
 from collections import OrderedDict
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from datetime import timedelta
+from typing import TypeVar
 
 from chervilrack._internal.catalogue.state import UpstreamIncarnation
 from chervilrack._internal.common.ids import ServiceId
@@ -29,6 +30,9 @@
 )
 
 _Key = tuple[ServiceId, Trait]
+_CrashKey = tuple[ServiceId, UpstreamIncarnation]
+_K = TypeVar("_K")
+_V = TypeVar("_V")
 # Level from which a suspect is shared in heartbeats and its sound answers are announced.
 SHARED_LEVEL = 2.0
 MAX_CRASHES = 16
@@ -50,15 +54,20 @@
         self._started: OrderedDict[_Key, timedelta] = OrderedDict()
         self._answered: OrderedDict[_Key, timedelta] = OrderedDict()
         self._next_shared = 0
-        # Crashes without a blocked trait, by service and incarnation.
-        self._unexplained: OrderedDict[tuple[ServiceId, UpstreamIncarnation], Crash] = OrderedDict()
+        # All crashes, and the blocked traits that explain some of them.
+        self._crashes: OrderedDict[_CrashKey, Crash] = OrderedDict()
+        self._explained: OrderedDict[_CrashKey, frozenset[Trait]] = OrderedDict()
+        # When this node has first heard of each crash.
+        self._heard_at: OrderedDict[_CrashKey, timedelta] = OrderedDict()
+        self._reviews: dict[_CrashKey, timedelta] = {}
         # Sound answers that other nodes may not know, with the times at which to announce them.
         self._announcements: dict[_Key, tuple[timedelta, AnnounceSoundness]] = {}
 
     @property
-    def next_announcement(self) -> timedelta | None:
-        """Time at which ``take_announcements`` has effects."""
-        return min((due for due, _ in self._announcements.values()), default=None)
+    def next_time(self) -> timedelta | None:
+        """Time at which ``tick`` has work."""
+        announcements = (due for due, _ in self._announcements.values())
+        return min((*announcements, *self._reviews.values()), default=None)
 
     @property
     def suspects(self) -> Sequence[Suspect]:
@@ -82,23 +91,23 @@
         """Record requests that the crash of an upstream has ended, at this or another node."""
         effects: list[QuarantineEffect] = []
         requests = list(requests)
-        # A crash at which a request with a blocked trait was present needs no other cause.
-        is_explained = any(
-            (request.profile.service, trait) in self._blocked
-            for request in requests
-            for trait in request.profile.traits
+        if not requests:
+            return effects
+        service = requests[0].profile.service
+        crash_key = (service, upstream)
+        self._hear(crash_key, now)
+        # A crash at which a request that is refused now was present needs no other cause.
+        blocked = frozenset(
+            suspect.trait for request in requests for suspect in self._blocks_of(request.profile)
         )
+        if blocked:
+            self._explain(crash_key, blocked)
+        _put(self._crashes, crash_key, Crash(crashed_at, True), self.settings.max_crashes)
         touched: dict[_Key, Suspect] = {}
-        if requests and not is_explained:
-            self._unexplained[(requests[0].profile.service, upstream)] = Crash(crashed_at, True)
-            if len(self._unexplained) > self.settings.max_crashes:
-                self._unexplained.popitem(last=False)
         for request in requests:
             profile = request.profile
             for trait in profile.traits:
                 key = (profile.service, trait)
-                if is_explained and key not in self._blocked:
-                    continue
                 suspect = self._implicate(key, profile.all_traits, upstream, now, effects)
                 self._add_crash(suspect, upstream, Crash(crashed_at, request.at_start))
                 touched[key] = suspect
@@ -117,6 +126,7 @@
         effects: list[QuarantineEffect] = []
         new_suspect: Suspect | None = None
         for upstream, crash in list(crashes)[:MAX_CRASHES]:
+            self._hear((key[0], upstream), now)
             known = self._suspects.get(key)
             if known is None or upstream not in known.crashes or not known.common <= common:
                 new_suspect = self._implicate(key, common, upstream, now, effects)
@@ -148,10 +158,19 @@
             del self._announcements[key]
         return self._clear(key, at, is_whole=is_whole)
 
-    def take_announcements(self, now: timedelta) -> list[QuarantineEffect]:
-        """Return the announcements that are due and that no other node has made meanwhile."""
+    def tick(self, now: timedelta) -> list[QuarantineEffect]:
+        """Block what the crashes suffice for of which all nodes have reported by now.
+
+        The effects include announcements that are due and that no other node has made meanwhile.
+        """
         due = [key for key, (at, _) in self._announcements.items() if at <= now]
-        return [self._announcements.pop(key)[1] for key in due]
+        effects: list[QuarantineEffect] = [self._announcements.pop(key)[1] for key in due]
+        settled = [key for key, at in self._reviews.items() if at <= now]
+        for key in settled:
+            del self._reviews[key]
+        for service in {service for service, _ in settled}:
+            effects += self._block_suspects(service, now)
+        return effects
 
     def receive_probe(self, service: ServiceId, trait: Trait, now: timedelta) -> None:
         """Record that another node probes a trait."""
@@ -171,11 +190,14 @@
     def admit(
         self, profile: RequestProfile, now: timedelta, *, may_probe: bool
     ) -> tuple[Refusal | None, list[QuarantineEffect]]:
-        """Decide on a request that would be sent now; one that is blocked may go as a probe."""
+        """Decide on a request that would be sent now; one that is blocked may go as a probe.
+
+        A request with two blocked traits would say nothing of either.
+        """
         effects: list[QuarantineEffect] = []
         blocks = list(self._blocks_of(profile))
         for suspect in blocks:
-            if now < suspect.next_probe or not may_probe:
+            if now < suspect.next_probe or not may_probe or len(blocks) > 1:
                 return self._refuse(suspect, now), []
         for suspect in blocks:
             self._postpone_probe(suspect, now)
@@ -254,8 +276,6 @@
             ):
                 suspect.is_reported = True
                 effects.append(_changed(SuspectEvent.SUSPECTED, suspect))
-        for service in {key[0] for key in touched}:
-            effects += self._block_suspects(service, now)
         return effects
 
     def _plan_announcement(self, key: _Key, suspect: Suspect, now: timedelta) -> None:
@@ -281,31 +301,79 @@
         """Block the suspects that explain most crashes, then look at the crashes that remain."""
         effects: list[QuarantineEffect] = []
         while True:
-            levels = [
-                (self._level(suspect), suspect)
+            suspects = [
+                suspect
                 for suspect in self._suspects.values()
                 if suspect.service == service and suspect.blocked_at is None
             ]
-            ripe = [(level, s) for level, s in levels if level >= self._threshold(s)]
+            ripe = [s for s in suspects if self._settled_level(s, now) >= self._threshold(s)]
             if not ripe:
                 return effects
-            highest = max(level for level, _ in ripe)
-            tied = [suspect for level, suspect in ripe if level == highest]
+            # Crashes that are not settled yet decide between suspects, but block none.
+            ranks = [
+                (self._settled_level(s, now), self._level(s), len(self._effective_crashes(s)))
+                for s in ripe
+            ]
+            tied = [s for s, rank in zip(ripe, ranks, strict=True) if rank == max(ranks)]
             # Of two signatures that fit, the one that refuses fewer requests.
             narrowest = [s for s in tied if not any(s.common < other.common for other in tied)]
-            if len({s.common for s in narrowest}) > 1 and highest < self.settings.crashes_if_tied:
+            is_tied = len({s.common for s in narrowest}) > 1
+            if is_tied and max(ranks)[0] < self.settings.crashes_if_tied:
                 return effects
+            is_doubtful = is_tied or self._has_rivals(suspects, narrowest, now)
             for suspect in narrowest:
-                effects.append(self._block(suspect, now))
-            explained = {upstream for s in narrowest for upstream in s.crashes}
-            for upstream in explained:
-                self._unexplained.pop((service, upstream), None)
-            for other in self._suspects.values():
-                if other.service == service and other.blocked_at is None:
-                    for upstream in explained & other.crashes.keys():
-                        del other.crashes[upstream]
-
-    def _block(self, suspect: Suspect, now: timedelta) -> SuspectChanged:
+                effects.append(self._block(suspect, now, is_doubtful=is_doubtful))
+            causes = frozenset(suspect.trait for suspect in narrowest)
+            for upstream in {upstream for s in narrowest for upstream in s.crashes}:
+                self._explain((service, upstream), causes)
+
+    def _has_rivals(
+        self, suspects: Iterable[Suspect], chosen: Sequence[Suspect], now: timedelta
+    ) -> bool:
+        """Whether something else than the chosen suspects may have caused their crashes."""
+        recently = now - self.settings.early_probe_window
+        others = [s for s in suspects if s not in chosen and s.common != chosen[0].common]
+        return any(self._level(suspect) >= SHARED_LEVEL for suspect in others) or any(
+            suspect.service == chosen[0].service
+            and suspect.blocked_at is not None
+            and suspect.blocked_at >= recently
+            for suspect in self._blocked.values()
+        )
+
+    def _settled_level(self, suspect: Suspect, now: timedelta) -> float:
+        """Return the level by the crashes of which all nodes have reported by now."""
+        heard_before = now - self.settings.settle_time
+        return self._count(
+            crash
+            for upstream, crash in self._effective_crashes(suspect).items()
+            if self._heard_at.get((suspect.service, upstream), heard_before) <= heard_before
+        )
+
+    def _effective_crashes(self, suspect: Suspect) -> Mapping[UpstreamIncarnation, Crash]:
+        """Return the crashes of a suspect that no blocked trait explains."""
+        if suspect.blocked_at is not None or not self._blocked:
+            return suspect.crashes
+        return {
+            upstream: crash
+            for upstream, crash in suspect.crashes.items()
+            if not self._is_explained((suspect.service, upstream))
+        }
+
+    def _is_explained(self, key: _CrashKey) -> bool:
+        causes = self._explained.get(key, ())
+        return any((key[0], cause) in self._blocked for cause in causes)
+
+    def _hear(self, key: _CrashKey, now: timedelta) -> None:
+        if key not in self._heard_at:
+            _put(self._heard_at, key, now, self.settings.max_crashes)
+            self._reviews[key] = now + self.settings.settle_time
+
+    def _explain(self, key: _CrashKey, causes: frozenset[Trait]) -> None:
+        """Record the causes of a crash, which counts for no other while one of them is blocked."""
+        causes |= self._explained.get(key, frozenset())
+        _put(self._explained, key, causes, self.settings.max_crashes)
+
+    def _block(self, suspect: Suspect, now: timedelta, *, is_doubtful: bool) -> SuspectChanged:
         suspect.blocked_at = now
         suspect.was_blocked = True
         self._blocked[(suspect.service, suspect.trait)] = suspect
@@ -318,6 +386,9 @@
             or self._started.get((suspect.service, trait), horizon) <= horizon
         )
         self._set_next_probe(suspect, now)
+        if is_doubtful:
+            jitter = 1 + self.settings.probe_jitter * self._rng.random()
+            suspect.next_probe = now + self.settings.early_probe_interval * jitter
         return _changed(SuspectEvent.BLOCKED, suspect)
 
     def _threshold(self, suspect: Suspect) -> float:
@@ -335,15 +406,15 @@
             first = suspect.first_crash_at
             since = [
                 crash
-                for (service, _), crash in self._unexplained.items()
-                if service == suspect.service and crash.at >= first
+                for key, crash in self._crashes.items()
+                if key[0] == suspect.service and crash.at >= first and not self._is_explained(key)
             ]
-            if len(suspect.crashes) < settings.usual_share * self._count(since):
+            if self._level(suspect) < settings.usual_share * self._count(since):
                 return settings.crashes_if_unusual
         return settings.crashes
 
     def _level(self, suspect: Suspect) -> float:
-        return self._count(suspect.crashes.values())
+        return self._count(self._effective_crashes(suspect).values())
 
     def _count(self, crashes: Iterable[Crash]) -> float:
         """Return the weighted number of crashes that were not close to an earlier one."""
@@ -361,8 +432,9 @@
         effects: list[QuarantineEffect] = []
         for trait in profile.traits:
             key = (profile.service, trait)
-            self._remember(key, now, is_whole=is_whole)
             suspect = self._suspects.get(key)
+            if suspect is not None or trait not in profile.rare:
+                self._remember(key, now, is_whole=is_whole)
             if suspect is None:
                 continue
             crashes, is_shared = len(suspect.crashes), self._level(suspect) >= SHARED_LEVEL
@@ -373,10 +445,7 @@
 
     def _remember(self, key: _Key, at: timedelta, *, is_whole: bool) -> None:
         for records in (self._started, self._answered) if is_whole else (self._started,):
-            records[key] = max(at, records.get(key, at))
-            records.move_to_end(key)
-            if len(records) > self.settings.max_known_traits:
-                records.popitem(last=False)
+            _put(records, key, max(at, records.get(key, at)), self.settings.max_known_traits)
 
     def _clear(self, key: _Key, at: timedelta, *, is_whole: bool) -> list[QuarantineEffect]:
         """Drop the crashes before a sound answer; the start of one says nothing of later crashes.
@@ -444,6 +513,14 @@
         self._blocked.pop(key, None)
 
 
+def _put(records: OrderedDict[_K, _V], key: _K, value: _V, limit: int) -> None:
+    """Set a record; the oldest ones beyond the limit are dropped."""
+    records[key] = value
+    records.move_to_end(key)
+    while len(records) > limit:
+        records.popitem(last=False)
+
+
 def _changed(event: SuspectEvent, suspect: Suspect) -> SuspectChanged:
     crashes = tuple(suspect.crashes.items())
     return SuspectChanged(event, suspect.service, suspect.trait, suspect.common, crashes)
--- a/src/chervilrack/_internal/quarantine/state.py
+++ b/src/chervilrack/_internal/quarantine/state.py
@@ -33,6 +33,9 @@
     crashes_after_block: int = 2
     # Crashes that block all suspects which the evidence does not tell apart.
     crashes_if_tied: int = 5
+    # Time after the first report of a crash in which those of other nodes arrive. Only one of them
+    # names the request that caused it.
+    settle_time: timedelta = timedelta(milliseconds=100)
     # Crashes closer to each other than this count as one: an input ends an upstream by itself,
     # while a host or a rack ends several at once.
     crash_spacing: timedelta = timedelta(milliseconds=100)
@@ -45,6 +48,10 @@
     # Time from a block to the first probe; it doubles with each probe, up to the longest.
     probe_interval: timedelta = timedelta(seconds=30)
     longest_probe_interval: timedelta = timedelta(minutes=10)
+    # Time to the first probe if another suspect was blocked shortly before or at once: while one
+    # input crashes upstreams, sound ones get few answers, and may be blocked in its stead.
+    early_probe_interval: timedelta = timedelta(seconds=1)
+    early_probe_window: timedelta = timedelta(seconds=10)
     # Random share that a node adds to the time of its probe, so that one node probes for all.
     probe_jitter: float = 0.5
     max_suspects: int = 1024
@@ -56,13 +63,15 @@
 class RequestProfile:
     """What a request has in common with others.
 
-    ``traits`` are those that may crash an upstream of ``service``. ``sender`` says who sent the
-    request, which crashes none, but limits a block to the senders of the requests that did.
+    ``traits`` are those that may crash an upstream of ``service``; sound answers on ``rare`` ones,
+    which few other requests have, are not remembered. ``sender`` says who sent the request, which
+    crashes none, but limits a block to the senders of the requests that did.
     """
 
     service: ServiceId
     traits: tuple[Trait, ...]
     sender: Trait
+    rare: frozenset[Trait] = frozenset()
 
     @property
     def all_traits(self) -> frozenset[Trait]:
--- a/src/chervilrack/_internal/serving/crash_watch.py
+++ b/src/chervilrack/_internal/serving/crash_watch.py
@@ -299,11 +299,11 @@
     @property
     def next_time(self) -> timedelta | None:
         """Time at which ``tick`` has work."""
-        return self.quarantine.next_announcement
+        return self.quarantine.next_time
 
     def tick(self, now: timedelta) -> None:
-        """Announce sound answers on suspects that are due."""
-        self._perform(self.quarantine.take_announcements(now))
+        """Block what crashes suffice for, and announce sound answers on suspects."""
+        self._perform(self.quarantine.tick(now))
 
     # Effects
 
--- a/src/chervilrack/_internal/serving/stage_calls.py
+++ b/src/chervilrack/_internal/serving/stage_calls.py
@@ -35,17 +35,25 @@
 
     ``upstream_absent`` means that the upstream is certainly not at its address: no connection
     could be made or another upstream answered. ``not_executed`` means that the call did not run.
-    ``silent`` means that the upstream has only said nothing in time.
+    ``silent`` means that the upstream has only said nothing in time, ``broke_off`` that it has
+    ended the connection before the end of its answer.
     """
 
     def __init__(
-        self, detail: str, *, upstream_absent: bool, not_executed: bool, silent: bool = False
+        self,
+        detail: str,
+        *,
+        upstream_absent: bool,
+        not_executed: bool,
+        silent: bool = False,
+        broke_off: bool = False,
     ) -> None:
         super().__init__(detail)
         self.detail = detail
         self.upstream_absent = upstream_absent
         self.not_executed = not_executed
         self.silent = silent
+        self.broke_off = broke_off
 
 
 class StageCallObserver(Protocol):
@@ -164,6 +172,7 @@
                     upstream_absent=error.unreachable,
                     not_executed=not error.sent,
                     silent=error.silent,
+                    broke_off=error.sent and not error.silent,
                 ) from None
         if status != HTTPStatus.OK:
             raise CallFailed(
--- a/src/chervilrack/_internal/serving/stage_coordinator.py
+++ b/src/chervilrack/_internal/serving/stage_coordinator.py
@@ -29,6 +29,7 @@
     StageOrder,
 )
 from chervilrack._internal.peering.transport import PeerTransport
+from chervilrack._internal.quarantine.profiles import piece_profile
 from chervilrack._internal.serving.stage_calls import CallFailed, StageCaller
 from chervilrack._internal.serving.state import ServingState
 
@@ -590,6 +591,11 @@
                 effects = queue.call_ended(call.call_id, outcome, now)
             self._perform(queue, effects)
         self.wake()
+        profiles = [piece_profile(queue.service, key) for key in _keys(call)]
+        if isinstance(outcome, CallFailed) and outcome.broke_off:
+            self._state.stage_call_broke_off(call.incarnation, profiles)
+        elif not isinstance(outcome, CallFailed):
+            self._state.stage_call_ended(profiles)
 
     def _send_results(self, effect: Deliver) -> None:
         node, number = effect.order
@@ -638,6 +644,11 @@
             self._free(FreeResults(address, tuple(address_handles)), None)
 
 
+def _keys(call: StartCall) -> list[str]:
+    """Return the keys of the pieces of a call; pieces with inputs have none."""
+    return sorted({piece.order.key for piece in call.pieces if piece.order.key})
+
+
 def _count_failures(outcome: Sequence[str | PieceFailure] | CallFailed) -> dict[str, int]:
     """Return the number of failed pieces by kind; empty if the whole call failed."""
     if isinstance(outcome, CallFailed):
--- a/src/chervilrack/_internal/serving/state.py
+++ b/src/chervilrack/_internal/serving/state.py
@@ -35,7 +35,8 @@
 from chervilrack._internal.forwarding.messages import InboundRequest
 from chervilrack._internal.limits.retry_budget import RetryBudget
 from chervilrack._internal.observability.decisions import DecisionLog
-from chervilrack._internal.quarantine.state import CrashedRequest
+from chervilrack._internal.quarantine.profiles import piece_profile
+from chervilrack._internal.quarantine.state import CrashedRequest, RequestProfile
 from chervilrack._internal.serving.crash_watch import CrashWatch
 from chervilrack._internal.serving.metrics import ForecastOutcome, ServingMetrics
 from chervilrack._internal.serving.settings import ServingSettings
@@ -458,10 +459,28 @@
         self, context: RequestContext, entry: UpstreamEntry, *, at_start: bool
     ) -> None:
         """Record that an upstream has broken off its answer, and find out whether it crashed."""
+        self._check_broken(entry, [CrashedRequest(context.profile, at_start)])
+
+    def stage_call_broke_off(
+        self, upstream: UpstreamIncarnation, profiles: Sequence[RequestProfile]
+    ) -> None:
+        """Record that an upstream has broken off its answer to a stage call."""
+        with self.lock:
+            entry = self.catalogue.upstreams.get(upstream.id)
+        if entry is not None and entry.incarnation == upstream:
+            self._check_broken(entry, [CrashedRequest(profile, True) for profile in profiles])
+
+    def stage_call_ended(self, profiles: Sequence[RequestProfile]) -> None:
+        """Record that a stage call was answered."""
         with self.lock:
-            request = CrashedRequest(context.profile, at_start)
-            must_check = self.crash_watch.answer_broken(entry, request)
-        if not must_check:
+            for profile in profiles:
+                self.crash_watch.answered(profile)
+
+    def _check_broken(self, entry: UpstreamEntry, requests: Sequence[CrashedRequest]) -> None:
+        with self.lock:
+            # Each of them is recorded, whether or not an earlier one asks for the check.
+            must_check = [self.crash_watch.answer_broken(entry, request) for request in requests]
+        if not any(must_check):
             return
         refuses = refuses_connections(entry.address)
         with self.lock:
@@ -473,24 +492,36 @@
 
     def quarantined(self, context: RequestContext, *, is_sent: bool) -> Problem | None:
         """Return why requests like this one get no upstream, None if they may."""
+        watch = self.crash_watch
         with self.lock:
             if is_sent:
                 # A probe may end an upstream; the last one of a service is not risked.
                 may_probe = len(self._registered(context.service)) > 1
-                problem = self.crash_watch.admit(context.profile, may_probe=may_probe)
+                problem = watch.admit(context.profile, may_probe=may_probe)
             else:
-                problem = self.crash_watch.refusal(context.profile)
+                problem = watch.refusal(context.profile)
+                for profile in self._piece_profiles(context):
+                    problem = problem or watch.admit(profile, may_probe=True)
         if problem is not None:
             self.metrics.request_quarantined(context.service)
         return problem
 
+    def _piece_profiles(self, context: RequestContext) -> list[RequestProfile]:
+        """Return the profiles of the pieces that a request orders by its key."""
+        key = context.metadata.piece_key
+        if not key:
+            return []
+        services = {stage.service for stage in context.route.stages if not stage.after}
+        return [piece_profile(service, key) for service in sorted(services)]
+
     def _refuse_waiting_requests(self) -> None:
         """Refuse requests that wait for their stages and would get no upstream then."""
         for context in list(self._open_requests.values()):
             if context.sent_attempts == 0 and context.refusal is None:
-                problem = self.crash_watch.refusal(context.profile)
-                if problem is not None:
-                    context.refuse(problem)
+                for profile in (context.profile, *self._piece_profiles(context)):
+                    problem = self.crash_watch.refusal(profile)
+                    if problem is not None:
+                        context.refuse(problem)
 
     def attempt_failed(self, entry: UpstreamEntry, reason: str, certain: bool) -> None:
         """Record a failure of an upstream; a ``certain`` one ejects it at once."""
--- a/src/chervilrack/platform/emulated/behaviours.py
+++ b/src/chervilrack/platform/emulated/behaviours.py
@@ -221,7 +221,9 @@
 def _crashes(call: Call) -> None:
     """Begin the answer and end the upstream before the first event."""
     time.sleep(call.work / STREAM_EVENTS)
-    _write(call, _stream_head(call) if call.is_stream else _head(call, "200 OK"))
+    # Without a length, the end of the connection would be the end of a plain answer.
+    length = ("Content-Length", str(len(_content(call))))
+    _write(call, _stream_head(call) if call.is_stream else _head(call, "200 OK", length))
     call.crash()
 
 
--- a/src/chervilrack/platform/emulated/emulation.py
+++ b/src/chervilrack/platform/emulated/emulation.py
@@ -148,7 +148,7 @@
         """Make all engines crash on requests with a part of the prompt; they start again."""
         for upstream in self._upstreams.values():
             if upstream.service == "engine":
-                upstream.crashing_part = part
+                upstream.crashes_on = f"part {part}"
 
     def request_headers(
         self, request: str, kind: Kind, key: str, deadline: float, parts: Sequence[str] = ()
--- a/src/chervilrack/platform/emulated/standins.py
+++ b/src/chervilrack/platform/emulated/standins.py
@@ -248,9 +248,10 @@
     With ``retry_after``, it turns requests and stage calls away with that value of ``Retry-After``;
     ``turned_away`` counts these and other refusals. ``born`` is its start time as it is registered.
 
-    A request with ``crashing_part`` among the shared parts of its prompt ends the upstream once the
-    head of its answer is written; ``on_crash`` is called then. ``crashes`` holds the requests that
-    did so, with monotonic times in seconds.
+    ``crashes_on`` is what ends the upstream: "part ID" among the shared parts of a prompt, when
+    the head of the answer is written, "path PATH" of a request, or "key KEY" of a piece.
+    ``on_crash`` is called then, and ``crashes`` holds the requests that did so, with monotonic
+    times in seconds.
     """
 
     def __init__(self, id: str, service: str) -> None:
@@ -262,7 +263,7 @@
         self.retry_after: str | None = None
         self.born = 1
         self.turned_away = 0
-        self.crashing_part: str | None = None
+        self.crashes_on = ""
         self.on_crash: Callable[[], None] = lambda: None
         self.crashes: list[tuple[str, float]] = []
         self._is_down = False
@@ -411,6 +412,9 @@
         entries = []
         for piece in body["entries"]:
             self.pieces.append(piece)
+            if "key" in piece and self.crashes_on == f"key {piece['key']}":
+                self.crash(piece["id"])
+                return
             if self.behaviour == "stands still":
                 time.sleep(5.0)
             entries.append({"handle": f"{self.address}/{self.id}-{next(self._handles)}"})
@@ -451,7 +455,8 @@
             free_slot=free_slot,
             wait_out_silence=self._wait_out_silence,
         )
-        if self.crashing_part is not None and self.crashing_part in _shared_parts(headers):
+        is_path = self.crashes_on == f"path {url.path}"
+        if is_path or self.crashes_on in _shared_parts(headers):
             behaviour = "crashes"
             call = replace(call, crash=lambda: self.crash(id))
         try:
@@ -465,7 +470,7 @@
 def _shared_parts(headers: Mapping[str, str]) -> list[str]:
     """Return the parts of a prompt that other requests may have, which are all but the last."""
     parts = headers.get("Chervilrack-Prefix-Hash", "").split(",")[:-1]
-    return [part.partition(":")[0] for part in parts]
+    return [f"part {part.partition(':')[0]}" for part in parts]
 
 
 def free_ports(count: int) -> list[int]:
