Keep the newest crashes of a suspect, and take no end of a leaving upstream for a crash

Change: the oldest crash is dropped; only a newer crash puts a probe off; answers that break off count only while the entry of that start is there and ready.

--- a/src/chervilrack/_internal/quarantine/core.py
+++ b/src/chervilrack/_internal/quarantine/core.py
@@ -108,8 +108,8 @@
             profile = request.profile
             for trait in profile.traits:
                 key = (profile.service, trait)
-                suspect = self._implicate(key, profile.all_traits, upstream, now, effects)
-                self._add_crash(suspect, upstream, Crash(crashed_at, request.at_start))
+                suspect = self._implicate(key, profile.all_traits, now, effects)
+                self._add_crash(suspect, upstream, Crash(crashed_at, request.at_start), now)
                 touched[key] = suspect
         return effects + self._review(touched, now)
 
@@ -129,8 +129,8 @@
             self._hear((key[0], upstream), now)
             known = self._suspects.get(key)
             if known is None or upstream not in known.crashes or not known.common <= common:
-                new_suspect = self._implicate(key, common, upstream, now, effects)
-                self._add_crash(new_suspect, upstream, crash)
+                new_suspect = self._implicate(key, common, now, effects)
+                self._add_crash(new_suspect, upstream, crash, now)
         if new_suspect is not None:
             effects += self._review({key: new_suspect}, now)
         blocked = self._blocked.get(key)
@@ -229,7 +229,6 @@
         self,
         key: _Key,
         traits: frozenset[Trait],
-        upstream: UpstreamIncarnation,
         now: timedelta,
         effects: list[QuarantineEffect],
     ) -> Suspect:
@@ -246,20 +245,25 @@
             suspect.common &= traits
         suspect.seen_at = now
         self._suspects.move_to_end(key)
-        if suspect.blocked_at is not None and upstream not in suspect.crashes:
-            self._set_next_probe(suspect, now)
         return suspect
 
-    def _add_crash(self, suspect: Suspect, upstream: UpstreamIncarnation, crash: Crash) -> None:
-        known = suspect.crashes.get(upstream)
+    def _add_crash(
+        self, suspect: Suspect, upstream: UpstreamIncarnation, crash: Crash, now: timedelta
+    ) -> None:
+        """Add a crash; the oldest one beyond the limit is dropped."""
+        crashes = suspect.crashes
+        known = crashes.get(upstream)
         if known is not None:
-            crash = Crash(min(known.at, crash.at), known.at_start or crash.at_start)
-        elif len(suspect.crashes) >= MAX_CRASHES:
+            crashes[upstream] = Crash(min(known.at, crash.at), known.at_start or crash.at_start)
             return
-        suspect.crashes[upstream] = crash
+        if suspect.blocked_at is not None and all(crash.at > c.at for c in crashes.values()):
+            self._set_next_probe(suspect, now)
+        crashes[upstream] = crash
+        if len(crashes) > MAX_CRASHES:
+            del crashes[min(crashes, key=lambda key: crashes[key].at)]
 
     def _review(self, touched: dict[_Key, Suspect], now: timedelta) -> list[QuarantineEffect]:
-        """Apply known sound answers to suspects with new evidence; block what it suffices for."""
+        """Apply known sound answers to suspects with new evidence, and report the others."""
         effects: list[QuarantineEffect] = []
         for key, suspect in touched.items():
             level = self._level(suspect)
@@ -484,7 +488,6 @@
                 yield suspect
 
     def _refuse(self, suspect: Suspect, now: timedelta) -> Refusal:
-        suspect.refused += 1
         suspect.seen_at = now
         wait = max(suspect.next_probe - now, SHORTEST_RETRY)
         return Refusal(suspect.trait, len(suspect.crashes), wait)
--- a/src/chervilrack/_internal/quarantine/state.py
+++ b/src/chervilrack/_internal/quarantine/state.py
@@ -101,7 +101,7 @@
 
     ``common`` holds what all of these requests had in common; only requests with all of it are
     refused. ``blocked_at`` is None while the evidence does not suffice. ``is_reported`` is whether
-    the suspicion has been reported, ``refused`` counts refusals of this node.
+    the suspicion has been reported, and ``seen_at`` the time of the last evidence or refusal.
     """
 
     service: ServiceId
@@ -113,7 +113,6 @@
     is_reported: bool = False
     probes: int = 0
     next_probe: timedelta = _ZERO
-    refused: int = 0
     seen_at: timedelta = _ZERO
 
     @property
--- a/src/chervilrack/_internal/serving/crash_watch.py
+++ b/src/chervilrack/_internal/serving/crash_watch.py
@@ -71,8 +71,7 @@
 class CrashWatch:
     """Finds out which broken answers are crashes, and tells the quarantine and the peers.
 
-    The callers hold the node's lock, except those of ``must_check`` and ``attempt_broke_off``.
-    ``broadcast`` sends a message to all nodes.
+    The callers hold the node's lock. ``broadcast`` sends a message to all nodes.
     """
 
     def __init__(
@@ -124,11 +123,16 @@
     def answer_broken(self, entry: UpstreamEntry, request: CrashedRequest) -> bool:
         """Record an answer that broke off; return whether the upstream is to be checked.
 
-        Upstreams that leave end their last answers without a crash.
+        Upstreams that leave end their last answers without a crash. Some of them only end their
+        entries before; the entry of one that crashes is still there.
         """
         known = self._catalogue.upstreams.get(entry.id)
-        leaves = known is not None and known.state is UpstreamState.DRAINING
-        if leaves or self._balancer.standing.is_leaving(entry.incarnation):
+        is_registered = (
+            known is not None
+            and known.incarnation == entry.incarnation
+            and known.state is UpstreamState.READY
+        )
+        if not is_registered or self._balancer.standing.is_leaving(entry.incarnation):
             return False
         now = self._clock.monotonic()
         broken = self._broken.get(entry.incarnation)
