--- a/features/quarantine/core.feature
+++ b/features/quarantine/core.feature
@@ -82,6 +82,26 @@
     Then a request with y of o1 is sent
     And a request with x of o1 is refused
 
+  # Guards against probes that peers put off for ever by repeating crashes which are long known.
+  Scenario: older crashes that peers repeat do not put a probe off
+    Given a quarantine
+    When it observes 20 crashes on x of o1
+    And peers repeat older crashes on x of o1 each second for 46 s
+    Then a request with x of o1 is sent
+
+  # Guards against the end of an upstream that leaves, which is no crash.
+  Scenario Outline: an answer that breaks off is <what> if the entry of its upstream is <state>
+    Given a serving state with the upstreams u1, u2 and u3
+    When the entry of u1 is <state>
+    Then an answer of u1 that breaks off is <what>
+
+    Examples:
+      | state    | what                |
+      | there    | checked for a crash |
+      | gone     | no crash            |
+      | replaced | no crash            |
+      | draining | no crash            |
+
   Scenario: memory and messages are bounded whatever crashes
     Given a quarantine
     When 3000 upstreams crash on requests with 32 parts each
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -1,18 +1,21 @@
 """Steps for the quarantine of one node, and of simulated fleets."""
 
+import dataclasses
 import random
 from datetime import timedelta
 
 from behave import given, then, when
 from hypothesis import given as for_all
 from hypothesis import strategies as st
+from standing_steps import LATER, perform, register
 from support.quarantine_load import Fleet, QuarantineLoad, Trouble
 
-from chervilrack._internal.catalogue.state import UpstreamIncarnation
+from chervilrack._internal.catalogue.state import UpstreamIncarnation, UpstreamState
 from chervilrack._internal.common.ids import ServiceId, UpstreamId
 from chervilrack._internal.quarantine.core import Quarantine
 from chervilrack._internal.quarantine.state import (
     AnnounceSoundness,
+    Crash,
     CrashedRequest,
     RequestProfile,
     SuspectChanged,
@@ -121,6 +124,45 @@
         )
 
 
+@when("peers repeat older crashes on {part} of {sender} each second for {seconds:d} s")
+def repeat_older(context, part, sender, seconds):
+    quarantine = context.quarantine
+    quarantine.settle()
+    for number in range(seconds):
+        quarantine.now += timedelta(seconds=1)
+        upstream = UpstreamIncarnation(UpstreamId(f"older-{number}"), 1)
+        crash = Crash(timedelta(seconds=50), True)
+        quarantine.effects += quarantine.core.merge(
+            (SERVICE, Trait(part)),
+            frozenset((Trait(part), Trait(sender))),
+            [(upstream, crash)],
+            0,
+            quarantine.now,
+            quarantine.now,
+        )
+
+
+@when("the entry of u1 is {state}")
+def change_entry(context, state):
+    known = context.state.catalogue.upstreams[UpstreamId("u1")]
+    context.known = known
+    revision = next(context.state.revision)
+    if state == "gone":
+        now = context.state.clock.monotonic()
+        perform(context.state, context.state.catalogue.remove_upstream(known.id, revision, now))
+    elif state == "replaced":
+        register(context.state, dataclasses.replace(known, started_at_ms=LATER))
+    elif state == "draining":
+        register(context.state, dataclasses.replace(known, state=UpstreamState.DRAINING))
+
+
+@then("an answer of u1 that breaks off is {what}")
+def check_broken(context, what):
+    request = CrashedRequest(profile("x"), True)
+    must_check = context.state.crash_watch.answer_broken(context.known, request)
+    assert must_check == (what == "checked for a crash"), must_check
+
+
 @when("a node that has blocked nothing shares its evidence against {part}")
 def share_evidence(context, part):
     """Share all crashes with a part that was present at each of them."""
