--- a/review/4/run.py
+++ b/review/4/run.py
@@ -1,4 +1,4 @@
-"""Case 4: a cut watch makes a node use a worker for longer than drainMs after its entry's end."""
+"""Case 4: after the store has turned one node away, the others keep a worker that has left."""
 
 import sys
 import threading
@@ -20,9 +20,11 @@
 
 KEY = "key-of-tenant-a"
 DEADLINE_MS = 4000
-CLIENTS, PAUSE_S = 6, 0.05
+NODES, CLIENTS, PAUSE_S = 6, 12, 0.05
 # Quiet time before the worker leaves: longer than contactMs.
 CALM_S = 5.0
+# Time for which the store turns a node away, and from its return until the worker leaves.
+AWAY_S, LEAVES_AFTER_S = 4.0, 0.1
 # The worker goes on for drainMs and some seconds more.
 STAYS_S = 6.0
 
@@ -67,8 +69,8 @@
     for desk in desks:
         desk.register()
     bed.store.put("op/config", configuration())
-    bed.start_nodes(2)
-    stop, sent_at = threading.Event(), {}
+    bed.start_nodes(NODES)
+    stop, sent_at, sent_to = threading.Event(), {}, {}
 
     def client(number):
         count = 0
@@ -76,7 +78,7 @@
             count += 1
             id = f"c{number}-{count}"
             node = bed.nodes[(number + count) % len(bed.nodes)]
-            sent_at[id] = time.monotonic()
+            sent_at[id], sent_to[id] = time.monotonic(), node.name
             got = call(node, "GET", "/status/1", request_headers(id, KEY, DEADLINE_MS))
             bed.record.add(f"client: {id} sent to {node.name}, got {got.status or got.error}")
             time.sleep(PAUSE_S)
@@ -86,8 +88,16 @@
         thread.start()
     time.sleep(CALM_S)
     leaving = desks[0]
+    watchers = [node.name for node in bed.nodes if bed.store.watching[node.name]]
+    if len(watchers) == NODES:
+        raise CannotRun("no node follows others that watch the store")
+    away = watchers[0]
+    bed.record.add(f"waiting watches: {', '.join(watchers)}")
     if TROUBLE:
-        bed.store.cut_watches()
+        bed.store.turn_away(away)
+        time.sleep(AWAY_S)
+        bed.store.take_back(away)
+    time.sleep(LEAVES_AFTER_S)
     leaving.unregister()
     gone_at = time.monotonic()
     time.sleep(STAYS_S)
@@ -99,10 +109,11 @@
         raise CannotRun("no requests were served")
     bound = gone_at + BOUNDS["drainMs"] / 1000
     return [
-        f"{request.id} was sent {sent_at[request.id] - gone_at:.3f} s and reached {leaving.id} "
-        f"{at - gone_at:.3f} s after the acknowledged end of its entry"
+        f"{request.id} was sent {sent_at[request.id] - gone_at:.3f} s and reached {leaving.id} from "
+        f"{sent_to[request.id]} {at - gone_at:.3f} s after the acknowledged end of its entry"
         for at, request in leaving.arrivals
-        if at > bound
+        # Only nodes that were in touch all the time.
+        if at > bound and sent_to[request.id] != away
     ]
 
 
--- a/review/lib/bed.py
+++ b/review/lib/bed.py
@@ -19,6 +19,7 @@
 import threading
 import time
 import tomllib
+from collections import Counter
 from contextlib import suppress
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
@@ -227,18 +228,43 @@
     connection.sendall("\r\n".join([*lines, "", ""]).encode("latin-1") + body)
 
 
-class Store(Server):
-    """The platform's store: one revision counter, watches, leases and conditions."""
+class StoreDoor(Server):
+    """The store's address for one node, so that the store knows which node calls."""
+
+    def __init__(self, store, node):
+        self._store, self._node = store, node
+        super().__init__()
+
+    def serve(self, connection, request):
+        return self._store.serve_node(connection, request, self._node)
+
+
+class Store:
+    """The platform's store: one revision counter, watches, leases and conditions.
+
+    ``watching`` counts the watches of each node that wait, ``served`` its reads that were answered.
+    """
 
     def __init__(self, record):
         self._items, self._history, self._revision = {}, [], 1
         self._leases, self._lease_numbers = {}, itertools.count(1)
         self._changed = threading.Condition()
-        self._cuts = 0
+        self._turned_away = set()
+        self.served = Counter()
         self._record = record
-        super().__init__()
+        self.watching = Counter()
+        self._doors = []
         threading.Thread(target=self._end_leases, daemon=True).start()
 
+    def door(self, node):
+        """Return the address of the store for a node."""
+        self._doors.append(StoreDoor(self, node))
+        return self._doors[-1].address
+
+    def close(self):
+        for door in self._doors:
+            door.close()
+
     # The operator and the workers
 
     def put(self, key, document):
@@ -251,16 +277,30 @@
             self._remove(key)
         self._record.add(f"store: end of {key} acknowledged")
 
-    def cut_watches(self):
-        """Close the connection of each watch that waits, without an answer."""
-        with self._changed:
-            self._cuts += 1
-            self._changed.notify_all()
-        self._record.add("store: all waiting watches cut")
+    def turn_away(self, node):
+        """Answer each further call of a node with 503: nothing was done."""
+        self._turned_away.add(node)
+        self._record.add(f"store: turns {node} away from now on")
+
+    def take_back(self, node, limit_s=5.0):
+        """Serve a node again; return once one of its calls was answered."""
+        self._turned_away.discard(node)
+        served = self.served[node]
+        self._record.add(f"store: serves {node} again")
+        end = time.monotonic() + limit_s
+        while self.served[node] == served:
+            if time.monotonic() > end:
+                raise CannotRun(f"{node} did not call the store again")
+            time.sleep(0.005)
+        self._record.add(f"store: has answered {node} again")
 
     # Calls
 
-    def serve(self, connection, request):
+    def serve_node(self, connection, request, node):
+        """Answer a call of a node; return whether the connection stays open."""
+        if node in self._turned_away:
+            answer(connection, 503, [], b"")
+            return True
         url = urlsplit(request.target)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         call = f"{request.method} {url.path}"
@@ -272,7 +312,11 @@
             item = self._items.get(query["key"])
             result = (200, item) if item is not None else (404, {})
         elif call == "GET /api/kv-watch":
-            result = self._watch(connection, query)
+            self.watching[node] += 1
+            try:
+                result = self._watch(connection, query)
+            finally:
+                self.watching[node] -= 1
             if result is None:
                 return False
         elif call == "POST /api/kv-txn":
@@ -299,6 +343,8 @@
             [("Content-Type", "application/json")],
             json.dumps(content).encode(),
         )
+        if not call.startswith("POST"):
+            self.served[node] += 1
         return True
 
     def _range(self, query):
@@ -315,7 +361,6 @@
         prefix, after = query.get("pathPrefix", ""), int(query["after"])
         deadline = time.monotonic() + min(30_000, int(query["waitMs"])) / 1000
         with self._changed:
-            cuts = self._cuts
             while True:
                 events = [
                     event
@@ -323,8 +368,6 @@
                     if event["revision"] > after and event["key"].startswith(prefix)
                 ]
                 left = deadline - time.monotonic()
-                if cuts != self._cuts:
-                    return None
                 if events or left <= 0:
                     return 200, {"events": events, "at": self._revision}
                 self._changed.wait(min(left, 0.5))
@@ -469,7 +512,7 @@
                     "heartbeatMs": round(BEAT_S * 1000),
                     "bounds": BOUNDS,
                     "platform": {
-                        "address": store.address,
+                        "address": store.door(name),
                         "form": "kv",
                         "writesPerS": 400,
                         "readsPerS": 2000,
