--- a/review/4/run.py
+++ b/review/4/run.py
@@ -1,4 +1,4 @@
-"""Case 4: after the store has turned one node away, the others keep a worker that has left."""
+"""Case 4: a listing of the store that arrives late brings a worker back that has left, for good."""
 
 import sys
 import threading
@@ -20,13 +20,13 @@
 
 KEY = "key-of-tenant-a"
 DEADLINE_MS = 4000
-NODES, CLIENTS, PAUSE_S = 6, 12, 0.05
-# Quiet time before the worker leaves: longer than contactMs.
+NODES, CLIENTS, PAUSE_S = 3, 6, 0.05
 CALM_S = 5.0
-# Time for which the store turns a node away, and from its return until the worker leaves.
-AWAY_S, LEAVES_AFTER_S = 4.0, 0.1
+# The store turns a node away for AWAY_S. The answer to the first listing after that is late by
+# LATE_S, as if a packet of it was lost and sent again. Meanwhile, a worker leaves.
+AWAY_S, LATE_S, LEAVES_AFTER_S = 4.0, 0.25, 0.03
 # The worker goes on for drainMs and some seconds more.
-STAYS_S = 6.0
+STAYS_S = 12.0
 
 
 class Desk(Worker):
@@ -87,17 +87,13 @@
     for thread in threads:
         thread.start()
     time.sleep(CALM_S)
-    leaving = desks[0]
-    watchers = [node.name for node in bed.nodes if bed.store.watching[node.name]]
-    if len(watchers) == NODES:
-        raise CannotRun("no node follows others that watch the store")
-    away = watchers[0]
-    bed.record.add(f"waiting watches: {', '.join(watchers)}")
+    leaving, away = desks[0], bed.nodes[0].name
     if TROUBLE:
         bed.store.turn_away(away)
         time.sleep(AWAY_S)
+        bed.store.late = (away, LATE_S)
         bed.store.take_back(away)
-    time.sleep(LEAVES_AFTER_S)
+        time.sleep(LEAVES_AFTER_S)
     leaving.unregister()
     gone_at = time.monotonic()
     time.sleep(STAYS_S)
@@ -105,15 +101,22 @@
     for thread in threads:
         thread.join()
     leaving.close()
-    if not any(at > gone_at + 3 for desk in desks[1:] for at, _ in desk.arrivals):
+    if not any(at > gone_at + 5 for desk in desks[1:] for at, _ in desk.arrivals):
         raise CannotRun("no requests were served")
-    bound = gone_at + BOUNDS["drainMs"] / 1000
-    return [
-        f"{request.id} was sent {sent_at[request.id] - gone_at:.3f} s and reached {leaving.id} from "
-        f"{sent_to[request.id]} {at - gone_at:.3f} s after the acknowledged end of its entry"
+    # From contactMs after the last disruption, the node that was turned away is in touch again.
+    in_touch_at = gone_at + LATE_S + BOUNDS["contactMs"] / 1000
+    bound = max(gone_at + BOUNDS["drainMs"] / 1000, in_touch_at)
+    late = [
+        (at - gone_at, request.id, sent_to[request.id])
         for at, request in leaving.arrivals
-        # Only nodes that were in touch all the time.
-        if at > bound and sent_to[request.id] != away
+        if sent_at[request.id] > bound
+    ]
+    if not late:
+        return []
+    nodes = ", ".join(sorted({node for _, _, node in late}))
+    return [
+        f"{len(late)} requests from {nodes} reached {leaving.id} {late[0][0]:.1f} to "
+        f"{late[-1][0]:.1f} s after the acknowledged end of its entry"
     ]
 
 
--- /dev/null
+++ b/review/5/run.py
@@ -0,0 +1,120 @@
+"""Case 5: after the store has turned one node away, the others keep a worker that has left."""
+
+import sys
+import threading
+import time
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib"))
+
+from bed import (  # noqa: E402
+    BOUNDS,
+    TROUBLE,
+    CannotRun,
+    Worker,
+    answer,
+    call,
+    main,
+    request_headers,
+)
+
+KEY = "key-of-tenant-a"
+DEADLINE_MS = 4000
+NODES, CLIENTS, PAUSE_S = 6, 12, 0.05
+# Quiet time before the worker leaves: longer than contactMs.
+CALM_S = 5.0
+# Time for which the store turns a node away, and from its return until the worker leaves.
+AWAY_S, LEAVES_AFTER_S = 4.0, 0.1
+# The worker goes on for drainMs and some seconds more.
+STAYS_S = 6.0
+
+
+class Desk(Worker):
+    """Worker of a plain service."""
+
+    def run(self, connection, request):
+        time.sleep(0.02)
+        answer(connection, 200, self.signed(request), b"status of " + request.id.encode())
+        return True
+
+
+def configuration():
+    route = {
+        "name": "status",
+        "host": "app.example",
+        "pathPrefix": "/status/",
+        "kind": "idempotent",
+        "timeoutMs": 2000,
+        "targetLatencyMs": 300,
+        "maxAttempts": 2,
+        "priority": 2,
+        "service": "desk",
+    }
+    return {
+        "version": 3,
+        "routes": [route],
+        "services": [{"name": "desk"}],
+        "limits": {
+            "maxHeaderBytes": 16384,
+            "maxBodyBytes": 4194304,
+            "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
+        "tenants": [{"name": "tenant-a", "apiKeys": [KEY]}],
+    }
+
+
+def case(bed):
+    desks = [Desk(bed.record, bed.store, f"i-desk-{n}", "desk") for n in (1, 2, 3)]
+    for desk in desks:
+        desk.register()
+    bed.store.put("op/config", configuration())
+    bed.start_nodes(NODES)
+    stop, sent_at, sent_to = threading.Event(), {}, {}
+
+    def client(number):
+        count = 0
+        while not stop.is_set():
+            count += 1
+            id = f"c{number}-{count}"
+            node = bed.nodes[(number + count) % len(bed.nodes)]
+            sent_at[id], sent_to[id] = time.monotonic(), node.name
+            got = call(node, "GET", "/status/1", request_headers(id, KEY, DEADLINE_MS))
+            bed.record.add(f"client: {id} sent to {node.name}, got {got.status or got.error}")
+            time.sleep(PAUSE_S)
+
+    threads = [threading.Thread(target=client, args=(number,)) for number in range(CLIENTS)]
+    for thread in threads:
+        thread.start()
+    time.sleep(CALM_S)
+    leaving = desks[0]
+    watchers = [node.name for node in bed.nodes if bed.store.watching[node.name]]
+    if len(watchers) == NODES:
+        raise CannotRun("no node follows others that watch the store")
+    away = watchers[0]
+    bed.record.add(f"waiting watches: {', '.join(watchers)}")
+    if TROUBLE:
+        bed.store.turn_away(away)
+        time.sleep(AWAY_S)
+        bed.store.take_back(away)
+    time.sleep(LEAVES_AFTER_S)
+    leaving.unregister()
+    gone_at = time.monotonic()
+    time.sleep(STAYS_S)
+    stop.set()
+    for thread in threads:
+        thread.join()
+    leaving.close()
+    if not any(at > gone_at + 3 for desk in desks[1:] for at, _ in desk.arrivals):
+        raise CannotRun("no requests were served")
+    bound = gone_at + BOUNDS["drainMs"] / 1000
+    return [
+        f"{request.id} was sent {sent_at[request.id] - gone_at:.3f} s and reached {leaving.id} from "
+        f"{sent_to[request.id]} {at - gone_at:.3f} s after the acknowledged end of its entry"
+        for at, request in leaving.arrivals
+        # Only nodes that were in touch all the time.
+        if at > bound and sent_to[request.id] != away
+    ]
+
+
+main(case, __file__)
--- a/review/lib/bed.py
+++ b/review/lib/bed.py
@@ -250,6 +250,8 @@
         self._leases, self._lease_numbers = {}, itertools.count(1)
         self._changed = threading.Condition()
         self._turned_away = set()
+        # A node, and the seconds by which its next listing arrives late.
+        self.late = None
         self.served = Counter()
         self._record = record
         self.watching = Counter()
@@ -336,6 +338,11 @@
             with self._changed:
                 self._end_lease(int(url.path.rpartition("/")[2]))
             result = 200, {}
+        if not call.startswith("POST"):
+            self.served[node] += 1
+        if self.late is not None and self.late[0] == node and call == "GET /api/kv-range":
+            (_, seconds), self.late = self.late, None
+            time.sleep(seconds)
         status, content = result
         answer(
             connection,
@@ -343,8 +350,6 @@
             [("Content-Type", "application/json")],
             json.dumps(content).encode(),
         )
-        if not call.startswith("POST"):
-            self.served[node] += 1
         return True
 
     def _range(self, query):
