--- a/review/4/run.py
+++ b/review/4/run.py
@@ -58,8 +58,20 @@
     return {
         "version": 3,
         "routes": [
-            {**common, "name": "status", "pathPrefix": "/status/", "kind": "idempotent", "maxAttempts": 2},
-            {**common, "name": "order", "pathPrefix": "/order/", "kind": "non_idempotent", "maxAttempts": 1},
+            {
+                **common,
+                "name": "status",
+                "pathPrefix": "/status/",
+                "kind": "idempotent",
+                "maxAttempts": 2,
+            },
+            {
+                **common,
+                "name": "order",
+                "pathPrefix": "/order/",
+                "kind": "non_idempotent",
+                "maxAttempts": 1,
+            },
         ],
         "services": [{"name": "desk"}],
         "limits": {
