Review: nodes killed together forget the part that crashes workers

Change: case 4 with its script takes the place of the lesser one of long bodies above 1,024 descriptors.

--- a/review/4/run.py
+++ b/review/4/run.py
@@ -1,173 +1,196 @@
-"""Case 4: with over 1,024 open descriptors, a request with a long body is sent to every worker."""
+"""Case 4: nodes that are killed together forget the part that crashes workers."""
 
-import http.client
-import resource
+import itertools
 import sys
 import threading
 import time
-from collections import Counter
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib"))
 
 from bed import (  # noqa: E402
     BOUNDS,
-    HOST,
     TROUBLE,
     CannotRun,
     Worker,
-    answer,
     call,
+    has_left,
     main,
     request_headers,
 )
 
-KEY = "key-of-tenant-a"
-DEADLINE_MS = 4000
-# The node has 4,100 descriptors; each client keeps one connection, as the pages say.
-KEPT = 1100
-ORDERS, GAP_S, BODY = 200, 0.025, b"x" * 60_000
+KEYS = {"tenant-a": "key-of-tenant-a", "tenant-b": "key-of-tenant-b"}
+DEADLINE_MS = 8000
+BAD_PART = "badbadba"
+ENGINES = 6
+# Time until a worker begins to write an answer (it reads the prompt), and time of the answer.
+READ_S, EVENTS, GAP_S = 0.4, 4, 0.05
+BACK_S = 3.0
+BAD_BEFORE, BAD_AFTER, DOWN_S = 30, 12, 1.2
+# The part crashes workers in both runs; the nodes are killed only in the one with trouble.
+KILL = TROUBLE
+CONTACT_S = BOUNDS["contactMs"] / 1000
 
 
-class Desk(Worker):
-    """Worker of the order service. A request arrives with its head; it runs with its whole body."""
+class Engine(Worker):
+    """Model worker that crashes when it begins to write an answer on the bad part."""
 
-    def __init__(self, *args):
-        super().__init__(*args)
-        self.heads, self.runs = [], []
-
-    def head(self, request):
-        self.heads.append((time.monotonic(), request.id))
-        self.record.add(f"{self.id}: the head of {request.id} arrives")
+    def __init__(self, bed, number, crashes):
+        self._name, self._starts, self._crashes = f"i-engine-{number}", 1, crashes
+        self._down = threading.Lock()
+        super().__init__(bed.record, bed.store, f"{self._name}-1", "engine", 64)
 
     def run(self, connection, request):
-        self.runs.append(request.id)
-        time.sleep(0.02)
-        answer(connection, 200, self.signed(request), b"done " + request.id.encode())
+        time.sleep(READ_S)
+        if has_left(connection):
+            return False
+        parts = [part.partition(":")[0] for part in parts_of(request)]
+        if BAD_PART in parts[:-1]:
+            self._crash(request)
+            return False
+        fields = [*self.signed(request), ("Content-Type", "text/event-stream")]
+        lines = ["HTTP/1.1 200 OK", *(f"{k}: {v}" for k, v in fields)]
+        lines += ["Transfer-Encoding: chunked", "", ""]
+        connection.sendall("\r\n".join(lines).encode())
+        for number in range(1, EVENTS + 1):
+            event = b"id: %d\ndata: piece %d\n\n" % (number, number)
+            connection.sendall(b"%x\r\n%b\r\n" % (len(event), event))
+            time.sleep(GAP_S)
+        connection.sendall(b"0\r\n\r\n")
         return True
 
+    def _crash(self, request):
+        if not self._down.acquire(blocking=False):
+            return
+        self._crashes.append(time.monotonic())
+        self.record.add(f"{self.id}: crashes as it begins to answer {request.id}")
+        self.close()
+        threading.Thread(target=self._come_back, args=(self.id,), daemon=True).start()
+
+    def _come_back(self, old_id):
+        time.sleep(BACK_S)
+        self._store.remove(f"servers/{old_id}")
+        self._starts += 1
+        self.id, self.born = f"{self._name}-{self._starts}", time.time_ns() // 1_000_000
+        self.open()
+        self._down.release()
+        self.register()
+
+
+def parts_of(request):
+    return request.headers.get("chervilrack-prefix-hash", "").split(",")
+
 
 def configuration():
-    common = {
+    route = {
+        "name": "chat",
         "host": "app.example",
-        "timeoutMs": 2000,
-        "targetLatencyMs": 300,
-        "priority": 2,
-        "service": "desk",
+        "pathPrefix": "/chat/",
+        "kind": "streaming",
+        "timeoutMs": DEADLINE_MS,
+        "targetLatencyMs": 2300,
+        "targetGapMs": 600,
+        "maxAttempts": 2,
+        "streamResume": True,
+        "sessionAffinity": True,
+        "priority": 1,
+        "service": "engine",
     }
     return {
         "version": 3,
-        "routes": [
-            {
-                **common,
-                "name": "status",
-                "pathPrefix": "/status/",
-                "kind": "idempotent",
-                "maxAttempts": 2,
-            },
-            {
-                **common,
-                "name": "order",
-                "pathPrefix": "/order/",
-                "kind": "non_idempotent",
-                "maxAttempts": 1,
-            },
-        ],
-        "services": [{"name": "desk"}],
+        "routes": [route],
+        "services": [{"name": "engine", "engine": {"slots": 64, "kvCapacityTokens": 324847}}],
         "limits": {
             "maxHeaderBytes": 16384,
             "maxBodyBytes": 4194304,
             "headerTimeoutMs": 3000,
-            "idleTimeoutMs": 30000,
+            "idleTimeoutMs": 15000,
         },
-        "tenants": [{"name": "tenant-a", "apiKeys": [KEY]}],
+        "tenants": [{"name": name, "apiKeys": [key]} for name, key in KEYS.items()],
     }
 
 
-def keep_connections(node, count):
-    """Send a short request on each of ``count`` connections and keep them open."""
-    kept = []
-
-    def open_some(first):
-        for number in range(first, count, 10):
-            connection = http.client.HTTPConnection(*node.callers, timeout=10)
-            connection.request(
-                "GET",
-                "/status/1",
-                headers={"Host": HOST, **request_headers(f"kept-{number}", KEY, DEADLINE_MS)},
-            )
-            response = connection.getresponse()
-            response.read()
-            if response.status == 200 and not response.will_close:
-                kept.append(connection)
-
-    threads = [threading.Thread(target=open_some, args=(first,)) for first in range(10)]
-    for thread in threads:
-        thread.start()
-    for thread in threads:
-        thread.join()
-    return kept
-
-
 def case(bed):
-    resource.setrlimit(resource.RLIMIT_NOFILE, (4100, 4100))
-    desks = [Desk(bed.record, bed.store, f"i-desk-{n}", "desk") for n in (1, 2, 3, 4)]
-    for desk in desks:
-        desk.register()
+    crashes = []
+    engines = [Engine(bed, number, crashes) for number in range(1, ENGINES + 1)]
+    for engine in engines:
+        engine.register()
     bed.store.put("op/config", configuration())
-    bed.start_nodes(2)
-    time.sleep(4)
-    node = bed.nodes[0]
-    kept = keep_connections(node, KEPT if TROUBLE else KEPT // 10)
-    bed.record.add(f"clients keep {len(kept)} connections to {node.name}")
-    if TROUBLE and len(kept) < 1050:
-        raise CannotRun("too few connections were kept")
-    answers = {}
-
-    def order(number):
-        id = f"order-{number}"
-        bed.record.add(f"client: {id} sent to {node.name} with {len(BODY)} bytes")
-        headers = request_headers(id, KEY, DEADLINE_MS)
-        answers[id] = got = call(node, "POST", "/order/1", headers, BODY)
-        bed.record.add(f"client: {id} got {got.status or got.error}")
-
+    bed.start_nodes(3)
+    stop, numbers, sent_at = threading.Event(), itertools.count(1), {}
     threads = []
-    for number in range(1, ORDERS + 1):
-        threads.append(threading.Thread(target=order, args=(number,)))
-        threads[-1].start()
-        time.sleep(GAP_S)
+
+    def send(id, tenant, parts):
+        number = next(numbers)
+        node = bed.nodes[number % len(bed.nodes)]
+        headers = request_headers(
+            id,
+            KEYS[tenant],
+            DEADLINE_MS,
+            Chervilrack_Model="m",
+            Chervilrack_Token_Usage=f"{100 * (len(parts) + 1)},16",
+            Chervilrack_Prefix_Hash=",".join(f"{p}:100" for p in (*parts, f"{number:08x}")),
+        )
+        sent_at[id] = time.monotonic()
+        bed.record.add(f"client: {id} of {tenant} sent to {node.name}")
+        got = call(node, "POST", "/chat/1", headers, b"prompt")
+        whole = "whole" if got.is_whole else "not whole"
+        bed.record.add(f"client: {id} got {got.status or got.error}, {whole}")
+
+    def start(*arguments):
+        thread = threading.Thread(target=send, args=arguments, daemon=True)
+        thread.start()
+        threads.append(thread)
+
+    def sound():
+        """Sound requests of both tenants, which share their first part with the bad ones."""
+        for count in itertools.count(1):
+            if stop.wait(0.1):
+                return
+            tenant = sorted(KEYS)[count % 2]
+            start(f"sound-{count}", tenant, ["c0c0c0c0", f"5e{count % 8:06x}"])
+
+    steady = threading.Thread(target=sound)
+    steady.start()
+    time.sleep(5.0)
+    # Both tenants send requests with the bad part until it is refused.
+    for count in range(1, BAD_BEFORE + 1):
+        start(f"bad-1-{count}", sorted(KEYS)[count % 2], ["c0c0c0c0", BAD_PART])
+        time.sleep(0.15)
+    time.sleep(BACK_S)
+    seen = len(crashes)
+    if KILL:
+        bed.record.add("all nodes are killed")
+        for node in bed.nodes:
+            node.end()
+        time.sleep(DOWN_S)
+        for node in bed.nodes:
+            node.start()
+        started_at = time.monotonic()
+        bed.await_nodes()
+        time.sleep(max(0.0, started_at + CONTACT_S + 1.0 - time.monotonic()))
+    for count in range(1, BAD_AFTER + 1):
+        start(f"bad-2-{count}", sorted(KEYS)[count % 2], ["c0c0c0c0", BAD_PART])
+        time.sleep(0.1)
+    time.sleep(3.0)
+    stop.set()
+    steady.join()
     for thread in threads:
         thread.join()
-    for connection in kept:
-        connection.close()
-    heads = sorted(head for desk in desks for head in desk.heads)
-    runs = [id for desk in desks for id in desk.runs if id.startswith("order")]
-    statuses = Counter(got.status or got.error for got in answers.values())
-    bed.record.add(
-        f"{ORDERS} orders: {sum(id.startswith('order') for _, id in heads)} arrivals at workers, "
-        f"{len(runs)} runs; statuses {dict(statuses)}"
+    bed.record.add(f"{seen} crashes before, {len(crashes)} in all")
+    arrivals = [entry for engine in engines for entry in engine.arrivals]
+    if not any(request.id.startswith("bad") for _, request in arrivals):
+        raise CannotRun("no request with the bad part reached a worker")
+    if len(crashes) < 5:
+        raise CannotRun("fewer than five crashes")
+    fifth = sorted(crashes)[4]
+    late = sorted(
+        (at, request.id)
+        for at, request in arrivals
+        if request.id.startswith("bad") and sent_at[request.id] > fifth + CONTACT_S
     )
-    return budget_breaks(heads)
-
-
-def budget_breaks(heads):
-    """Return the first window in which a service gets more repeats than the budget allows."""
-    window = BOUNDS["budgetWindowS"]
-    firsts, repeats, seen = [], [], set()
-    for at, id in heads:
-        (repeats if id in seen else firsts).append(at)
-        seen.add(id)
-
-    def count(times, end):
-        return sum(end - window < at <= end for at in times)
-
-    for end in repeats:
-        requests = max(count(firsts, end - shift) for shift in (0, window / 2, window))
-        allowed = BOUNDS["retryBudgetRatio"] * requests + BOUNDS["retrySlack"]
-        if (found := count(repeats, end)) > allowed:
-            text = f"{found} repeats in {window} s, {requests} requests: {allowed:.1f} are allowed"
-            return [text]
-    return []
+    texts = [f"{id} reached a worker {at - fifth:.2f} s after the fifth crash" for at, id in late]
+    return texts if len(late) > 3 else []
 
 
 main(case, __file__)
