--- a/review/2/run.py
+++ b/review/2/run.py
@@ -24,7 +24,7 @@
 CALM_S = 5.0
 # The store turns a node away for AWAY_S. The answer to the first listing after that is late by
 # LATE_S, as if a packet of it was lost and sent again. Meanwhile, a worker leaves.
-AWAY_S, LATE_S, LEAVES_AFTER_S = 4.0, 0.25, 0.03
+AWAY_S, LATE_S, LEAVES_AFTER_S = 4.0, 0.4, 0.03
 # The worker goes on for drainMs and some seconds more.
 STAYS_S = 12.0
 
--- a/review/5/run.py
+++ b/review/5/run.py
@@ -82,7 +82,11 @@
     for thread in threads:
         thread.start()
     time.sleep(CALM_S)
-    watchers = [node.name for node in bed.nodes if bed.store.watching[node.name]]
+    seen = set()
+    for _ in range(10):
+        seen.update(node.name for node in bed.nodes if bed.store.watching[node.name])
+        time.sleep(0.05)
+    watchers = sorted(seen)
     bed.record.add(f"waiting watches: {', '.join(watchers)}")
     if len(watchers) != 2:
         raise CannotRun("it is not two nodes that watch the store")
