--- a/review/bed.py
+++ b/review/bed.py
@@ -111,7 +111,11 @@
     def open(self):
         listener = socket.socket()
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind((self._host, self._port))
+        try:
+            listener.bind((self._host, self._port))
+        except OSError:
+            # The kernel has given the port to another connection: a new start, a new address.
+            listener.bind((self._host, 0))
         listener.listen(128)
         self._port = listener.getsockname()[1]
         self._listener = listener
