Tell an answer's end by the upstream from one made by this node

Cause: `Exchange.cancel` shuts the connection down, and the reader took the end of the connection for the end of the body. Only exceptions were checked for a cancellation. The same held for callers that leave and for native calls. Ruled out: the caller's side, which closes an aborted answer without the last chunk; stage calls, the store and peers, which nobody else ends. Change: a body that ends with its connection is whole only if the exchange was not cancelled. `ExchangeFailed` tells time limits (`limit`), this node (`cancelled`) and the upstream (`broke_off`) apart, and native calls fail as cancelled. Why it works: the mark is set before the connection is shut down, so that an end that is read without the mark is the upstream's.

--- a/features/steps/broken_off_steps.py
+++ b/features/steps/broken_off_steps.py
@@ -75,13 +75,13 @@
 
 def call_native(stack, address, _head_only):
     client = create_clients(stack.enter_context(ConnectionPools()))["json"]
-    outcome = client.call(_create_call(address))
+    outcome = client.call(create_call(address))
     return outcome.is_ok() or _is_known(outcome.err_value)
 
 
 def stream_tokens(stack, address, _head_only):
     client = create_clients(stack.enter_context(ConnectionPools()))["openai-completions"]
-    opened = stack.enter_context(client.stream(_create_call(address)))
+    opened = stack.enter_context(client.stream(create_call(address)))
     if opened.is_err():
         return _is_known(opened.err_value)
     try:
@@ -97,7 +97,7 @@
     return outcome.is_ok() or _is_known(outcome.err_value)
 
 
-def _create_call(address):
+def create_call(address):
     return UpstreamCall(
         upstream="u",
         base_url=f"http://{address}",
--- a/features/stopping/node.feature
+++ b/features/stopping/node.feature
@@ -21,6 +21,12 @@
       | pause of 3 s, answer    | plain   | 8000     | 504    | "7 the end of the node's stop" |
       | half an answer, silence | plain   | 8000     | 504    | "7 the end of the node's stop" |
 
+    # Guards against the node's own end of a connection that is taken for the end of a body without length.
+    Examples: an answer that ends with its connection
+      | script                          | kind    | deadline | status | bound                         |
+      | answer without length, silence  | plain   | 8000     | 504    | "7 the end of the node's stop" |
+      | answer without length, silence  | look-up | 8000     | 504    | "7 the end of the node's stop" |
+
   # Guards against a stop that cuts requests off although they can end in time.
   Scenario Outline: an upstream that needs 0.3 s has a <kind> request when the node stops, and it is answered
     Given scripted plain upstreams that send "pause of 0.3 s, answer"
@@ -96,6 +102,8 @@
       | silence                                 | error 504      |
       | events 1 to 2, silence                  | cut off        |
       | events 1 to 2, pause of 0.3 s, events 3 to 3 | complete  |
+      | unframed events 1 to 2, silence         | cut off        |
+      | unframed events 1 to 2, pause of 0.3 s, unframed events 3 to 3 | complete  |
 
   # Guards against requests that wait for a thread when the node stops, and are read by nobody.
   Scenario: requests that wait for a thread when the node stops are refused, those at upstreams get 504
--- a/features/support/scripted_upstream.py
+++ b/features/support/scripted_upstream.py
@@ -227,11 +227,11 @@
                 (self._released if action == "hold" else self._stopping).wait(20)
             case ["pause", "of", seconds, "s"]:
                 self._stopping.wait(float(seconds))
-            case ["events", first, "to", last]:
-                events = "".join(
-                    _chunk(_event(number)) for number in range(int(first), int(last) + 1)
-                )
-                self._send_stream_part(connection, events, request_id, is_first)
+            case [*framing, "events", first, "to", last]:
+                events = [_event(number) for number in range(int(first), int(last) + 1)]
+                is_framed = framing != ["unframed"]
+                content = "".join(map(_chunk, events) if is_framed else events)
+                self._send_stream_part(connection, content, request_id, is_first, is_framed)
             case ["events", "without", "ids"]:
                 self._send_stream_part(
                     connection, _chunk("data: one\n\ndata: two\n\n"), request_id, is_first
@@ -252,9 +252,10 @@
         if is_stream and is_last_part and not script.endswith("break"):
             connection.sendall(b"0\r\n\r\n")
 
-    def _send_stream_part(self, connection, chunks, request_id, is_first):
-        head = f"{OK}{_identity(request_id)}Content-Type: text/event-stream\r\n{_CHUNKED}\r\n"
-        connection.sendall(((head if is_first else "") + chunks).encode())
+    def _send_stream_part(self, connection, content, request_id, is_first, is_framed=True):
+        coding = _CHUNKED if is_framed else ""
+        head = f"{OK}{_identity(request_id)}Content-Type: text/event-stream\r\n{coding}\r\n"
+        connection.sendall(((head if is_first else "") + content).encode())
 
     def _send_flood(self, connection, name, request_id):
         begin, part = _FLOODS[name]
--- a/src/chervilrack/_internal/forwarding/attempts.py
+++ b/src/chervilrack/_internal/forwarding/attempts.py
@@ -223,7 +223,7 @@
                     context.remove_stop_action(exchange.cancel)
         finally:
             self._observer.attempt_ended(context, entry)
-        if result.broke_off and not context.node_stopping:
+        if result.broke_off:
             at_start = not relay.has_events
             self._observer.answer_broke_off(context, entry, at_start=at_start)
         return result
@@ -401,7 +401,7 @@
             return AttemptResult(
                 AttemptOutcome.CUT_OFF, "the caller left", may_have_arrived=error.sent
             )
-        if is_upstream_fault and not context.node_stopping:
+        if is_upstream_fault and not (error.cancelled or context.node_stopping):
             self._record_failure(entry, error, started)
         bound = _bound(context, error)
         if not error.sent:
@@ -412,7 +412,7 @@
             error.detail,
             may_have_arrived=True,
             bound=bound,
-            broke_off=not error.silent,
+            broke_off=error.broke_off,
         )
 
     def _record_failure(
@@ -473,7 +473,7 @@
                     AttemptOutcome.CUT_OFF, "the caller left", may_have_arrived=True
                 )
             bound = _bound(context, error)
-            if not context.node_stopping:
+            if not (error.cancelled or context.node_stopping):
                 self._record_failure(entry, error, begun)
             if context.stream_begun and bound is context.deadline_bound:
                 self._observer.stream_ended(context, size, self._clock.monotonic() - begun)
@@ -482,7 +482,7 @@
                 error.detail,
                 may_have_arrived=True,
                 bound=bound,
-                broke_off=not error.silent,
+                broke_off=error.broke_off,
             )
         self._observer.attempt_succeeded(entry)
         self._observer.answer_ended(context)
--- a/src/chervilrack/_internal/serving/stage_calls.py
+++ b/src/chervilrack/_internal/serving/stage_calls.py
@@ -172,7 +172,7 @@
                     upstream_absent=error.unreachable,
                     not_executed=not error.sent,
                     silent=error.silent,
-                    broke_off=error.sent and not error.silent,
+                    broke_off=error.broke_off,
                 ) from None
         if status != HTTPStatus.OK:
             raise CallFailed(
--- a/src/chervilrack/_internal/upstreams/exchange.py
+++ b/src/chervilrack/_internal/upstreams/exchange.py
@@ -55,7 +55,8 @@
 
     ``sent`` is whether a byte of the request may have reached the upstream. ``unreachable`` is
     whether the upstream certainly takes no connections. ``limit`` is the time limit that ended the
-    exchange, None if the upstream ended it.
+    exchange, None if anything else did. ``cancelled`` is whether this node ended it with
+    ``Exchange.cancel``.
     """
 
     def __init__(
@@ -65,18 +66,25 @@
         sent: bool,
         unreachable: bool = False,
         limit: TimeLimit | None = None,
+        cancelled: bool = False,
     ) -> None:
         super().__init__(detail)
         self.detail = detail
         self.sent = sent
         self.unreachable = unreachable
         self.limit = limit
+        self.cancelled = cancelled
 
     @property
     def silent(self) -> bool:
         """Whether the upstream has only said nothing in time, as a sound one may for a while."""
         return self.limit is not None
 
+    @property
+    def broke_off(self) -> bool:
+        """Whether the upstream got the request and ended the exchange without a whole answer."""
+        return self.sent and not self.silent and not self.cancelled
+
 
 class _DeadlineSocket(socket.socket):
     """Socket whose reads end at one time in all, however often bytes arrive before it.
@@ -276,7 +284,7 @@
         """Return the whole body of the answer.
 
         Raises ExchangeFailed if the body breaks off, is too large, or is not complete at
-        ``deadline`` (monotonic seconds).
+        ``deadline`` (monotonic seconds), or if the exchange is cancelled before.
         """
         parts = list(self.parts(deadline))
         return parts[0] if len(parts) == 1 else b"".join(parts)
@@ -287,7 +295,8 @@
         """Yield the body of the answer as it arrives.
 
         Raises ExchangeFailed if the body breaks off, is too large, or is not complete at
-        ``deadline`` (monotonic seconds). ``progress_deadline`` returns the time at which waiting
+        ``deadline`` (monotonic seconds), or if the exchange is cancelled before.
+        ``progress_deadline`` returns the time at which waiting
         ends sooner; it is asked again at that time, and may return a later one.
         """
         response = self._response
@@ -315,6 +324,9 @@
             except Exception as error:  # http.client's IncompleteRead is not an urllib3 HTTPError
                 raise self._create_failure("the answer broke off", error) from None
             if not part:
+                # A body without length ends with its connection, which ``cancel`` ends, too.
+                if self._cancelled and _ends_with_connection(response):
+                    raise ExchangeFailed("the exchange was cancelled", sent=True, cancelled=True)
                 return
             size += len(part)
             if size > MAX_ANSWER_BYTES:
@@ -371,7 +383,7 @@
             if not self._cancelled:
                 return
         if self._cancelled:
-            raise ExchangeFailed("the exchange was cancelled", sent=False)
+            raise ExchangeFailed("the exchange was cancelled", sent=False, cancelled=True)
         # urllib3 derives NewConnectionError, which a refused connection raises, from the other.
         timed_out = isinstance(
             last_error, urllib3.exceptions.ConnectTimeoutError
@@ -393,7 +405,7 @@
 
     def _create_failure(self, description: str, error: Exception) -> ExchangeFailed:
         if self._cancelled:
-            return ExchangeFailed("the exchange was cancelled", sent=self._sent)
+            return ExchangeFailed("the exchange was cancelled", sent=self._sent, cancelled=True)
         detail = f"{description} ({type(error).__name__})"
         return ExchangeFailed(detail, sent=self._sent, limit=self._expired_limit(error))
 
@@ -407,3 +419,8 @@
         if time.monotonic() >= self._deadline - 0.001:
             return TimeLimit.DEADLINE
         return TimeLimit.PROGRESS
+
+
+def _ends_with_connection(response: urllib3.BaseHTTPResponse) -> bool:
+    """Whether only the end of the connection shows the end of a response's body."""
+    return not response.chunked and response.length_remaining is None
--- a/src/chervilrack/_internal/upstreams/http_client.py
+++ b/src/chervilrack/_internal/upstreams/http_client.py
@@ -241,7 +241,8 @@
 def read_block(exchange: OpenExchange) -> bytes:
     """Return the next bytes of the answer body, or b"" at its end.
 
-    Raises TimeoutError once the deadline has passed.
+    Raises TimeoutError once the deadline has passed, and ConnectionAbortedError if the exchange was
+    cancelled: the end of the body may then be this node's end of the connection.
     """
     if exchange.response.closed:
         return b""  # the connection may already serve another request
@@ -250,4 +251,6 @@
     exchange.transmission.set_read_timeout()
     block = exchange.response.read1(_READ_BYTES)
     assert isinstance(block, bytes)
+    if not block and exchange.transmission.cancelled:
+        raise ConnectionAbortedError("the attempt was cancelled")
     return block
