Send callers that know no chunks whole streams with a length

What callers saw: a caller of HTTP/1.0 that reads a stream got chunk sizes within the body, and, if it strips them by its own means, nothing that tells a stream that broke off from a whole one. Cause: `ConnectionResponder.begin` always used chunked coding, which HTTP/1.0 does not know (RFC 9112, 7.1). Ruled out: a body that ends with its connection, reset when it breaks off: a process that ends closes its connections without a reset. Change: such a stream is collected and sent with its length once it has ended; one that breaks off gets 502, executed unknown.

--- a/features/adapter/answers.feature
+++ b/features/adapter/answers.feature
@@ -239,6 +239,19 @@
       | HTTP/1.0 answer up to answer to, break         | 502    |
       | HTTP/1.0 answer up to answer to, reset         | 502    |
 
+  # Guards against chunk sizes within the body, and a part that looks whole: such callers know no chunks.
+  Scenario Outline: an HTTP/1.0 caller of a stream whose engine sends "<script>" gets <answer>
+    Given one scripted engine that sends "<script>"
+    When an HTTP/1.0 caller reads a stream
+    Then it gets <answer> with a length
+
+    Examples:
+      | script                        | answer              |
+      | events 1 to 3                 | the events 1 2 3    |
+      | unframed events 1 to 3        | the events 1 2 3    |
+      | events without ids, break     | an error 502        |
+      | unframed events 1 to 2, reset | an error 502        |
+
   Scenario: requests that a caller sends at once get their own answers in their order
     # Guards against answers that are exchanged between the requests of one connection.
     Given scripted plain upstreams that send "103, answer, foreign answer"
--- a/features/steps/answers_steps.py
+++ b/features/steps/answers_steps.py
@@ -68,6 +68,32 @@
     context.raw = exchange(context, "/stream/1", "caller-1", 20_000)
 
 
+@when("an HTTP/1.0 caller reads a stream")
+def read_stream_without_chunks(context):
+    request = build_request("/stream/1", "caller-1", 4000).replace("HTTP/1.1", "HTTP/1.0")
+    context.raw = exchange_raw(context, request)
+
+
+@then("it gets the events {events} with a length")
+def check_events_with_length(context, events):
+    expected = "".join(f"id: {n}\ndata: piece {n}\n\n" for n in events.split())
+    assert read_body_by_length(context, 200) == expected, context.raw
+
+
+@then("it gets an error {status:d} with a length")
+def check_error_with_length(context, status):
+    assert json.loads(read_body_by_length(context, status))["executed"] == "unknown", context.raw
+
+
+def read_body_by_length(context, status):
+    """Return the body of a response with the given status, which has to have the stated length."""
+    head, _, body = context.raw.partition("\r\n\r\n")
+    assert head.split()[1] == str(status), context.raw
+    assert "Transfer-Encoding" not in head, head
+    assert f"Content-Length: {len(body)}" in head.split("\r\n"), context.raw
+    return body
+
+
 @when("a caller reads a stream with stages, which hang once an engine has the request")
 def read_stream_with_hanging_stages(context):
     def hang_stages():
--- a/src/chervilrack/_internal/gateway/passthrough.py
+++ b/src/chervilrack/_internal/gateway/passthrough.py
@@ -165,6 +165,9 @@
         self._request = request
         self._watch = watch
         self._is_ending = False
+        # Head and body of an answer to a caller that knows no chunks. Without them, only a stated
+        # length lets it tell an answer that was cut off from a whole one.
+        self._collected: tuple[int, list[tuple[str, str]], list[bytes]] | None = None
 
     def send_response(self, status: int, headers: Sequence[tuple[str, str]], body: bytes) -> None:
         """Send a complete response."""
@@ -173,22 +176,38 @@
         self._send(head if self._request.method == b"HEAD" else head + body)
 
     def begin(self, status: int, headers: Sequence[tuple[str, str]]) -> None:
-        """Send the status line and headers of a response in chunked coding."""
+        """Send the status line and headers of a response in chunked coding.
+
+        To a caller of HTTP/1.0, the whole response is sent once it has ended.
+        """
+        if self._request.response_protocol != "HTTP/1.1":
+            self._collected = (status, list(headers), [])
+            return
         self._send(self._head(status, [*headers, ("Transfer-Encoding", "chunked")]))
 
     def write(self, part: bytes) -> None:
         """Send one chunk."""
-        if part:
+        if self._collected is not None:
+            self._collected[2].append(part)
+        elif part:
             self._send(b"%x\r\n%b\r\n" % (len(part), part))
 
     def end(self) -> None:
         """Send the last chunk."""
         self._is_ending = True
+        if self._collected is not None:
+            status, headers, parts = self._collected
+            self.send_response(status, headers, b"".join(parts))
+            return
         self._send(b"0\r\n\r\n")
 
     def abort(self) -> None:
         """Close the connection without sending the last chunk."""
         self._request.close_connection = True
+        if self._collected is not None:
+            detail = "the answer broke off"
+            problem = Problem(ResultCode.UPSTREAM_FAILED, detail, Executed.UNKNOWN)
+            self.send_response(*problem_response(problem, None))
 
     def on_caller_gone(self, action: Callable[[], None]) -> AbstractContextManager[None]:
         """Run ``action`` once if the caller disconnects before the last part is sent."""
