Ignore a listing of the store that is older than what the node knows

Cause: while the store is away, a node takes a peer's directory at the peer's revision. A listing that arrives late was applied although it is older, and the watch begins at the newer revision, behind the removal. Older listings also removed upstreams that had registered since. Ruled out: watches, peers' states and relayed changes, which each compare revisions. Change: once the node has had a complete state, an older listing is ignored and logged. Remembering each removal was rejected: it says nothing about upstreams that the node never knew.

--- a/features/catalogue/directory.feature
+++ b/features/catalogue/directory.feature
@@ -50,3 +50,14 @@
     When node a watches the store for node b
     Then node a counts 1 node as watching
     And node b counts 195 nodes as watching
+
+  # Guards against a source of the store's contents that is older than another one and undoes its removals (DRAIN).
+  Scenario Outline: whatever the order in which <sources> arrive, a node knows the upstreams of its revision
+    When <orders> orders of arrival of <sources> are drawn
+    Then the node has at each time the upstreams that the store had at its revision
+    And at the end it has those of the store
+
+    Examples: late, lost and repeated answers and messages
+      | sources                                               | orders |
+      | listings, watches, states of a peer, relayed changes  | 400    |
+      | listings in pages, watches, states of a peer, relayed changes | 400 |
--- a/src/chervilrack/_internal/serving/directory.py
+++ b/src/chervilrack/_internal/serving/directory.py
@@ -66,6 +66,8 @@
         # Items by key with their values as stored, to be sent to peers.
         self._stored_items: dict[str, KeyValue] = {}
         self._revision = 0
+        # Whether the upstreams up to that revision are known, from a listing or a peer's state.
+        self._is_listed = False
         self._queues_outdated = False
         self._store_answers = False
         self._state_requested_at = -STATE_REQUEST_INTERVAL
@@ -127,8 +129,19 @@
             self._state.catalogue.mark_store_unavailable(self._state.clock.monotonic())
 
     def _apply_listing(self, items: tuple[KeyValue, ...], revision: int) -> None:
+        """Apply a listing, unless a peer's state or relayed changes have overtaken it.
+
+        A listing that is older than the node's revision holds upstreams that were removed since,
+        and lacks new ones. The watch, which begins at the node's revision, would not correct this.
+        """
+        if self._is_listed and revision < self._revision:
+            self._state.log.note(
+                "store", "older listing ignored", listed=revision, revision=self._revision
+            )
+            return
         now = self._state.clock.monotonic()
         self._revision = max(self._revision, revision)
+        self._is_listed = True
         self._unreadable.keep_only({item.key for item in items})
         for item in items:
             if not item.key.startswith(self._schema.upstream_prefix):
@@ -328,6 +341,7 @@
             return
         items = tuple(KeyValue(key, value, rev) for key, value, rev in message.upstreams)
         self._revision = message.revision
+        self._is_listed = True
         missing = [UpstreamId(name) for name in message.missing]
         now = self._state.clock.monotonic()
         upstreams = self._replace_upstreams(items)
