Order configurations by their version, not by a peer's revision

Cause: a peer's configuration was filed under the peer's revision of the store. A newer version that the peer could not read, as during an update of the software, has a lower revision, and the node's own listing of it was passed over. Ruled out: a configuration that goes back: the catalogue compares versions. Change: configurations are compared by version alone, and only an applied one is passed on to peers. Evidence: catalogue/directory.feature, "a node that has version 2 from a peer and then lists version 3 of revision 7": failed before, passes.

--- a/features/catalogue/directory.feature
+++ b/features/catalogue/directory.feature
@@ -61,3 +61,18 @@
       | sources                                               | orders |
       | listings, watches, states of a peer, relayed changes  | 400    |
       | listings in pages, watches, states of a peer, relayed changes | 400 |
+
+  # Guards against a newer configuration that is passed over, because an older one bears a later revision.
+  Scenario Outline: a node that has version <known> from a peer and then <arrives> has version <in force>
+    Given node a and node b that both list upstreams u1 and u2
+    When node b is cut off from the store
+    And node b gets version <known> of the configuration from a peer at revision 9
+    And node b <arrives>
+    Then node b has version <in force> in force, and passes it on
+
+    Examples: the peer could not read version 3, as older software cannot
+      | known | arrives                                        | in force |
+      | 2     | lists version 3 of revision 7, at revision 9   | 3        |
+      | 2     | lists version 3 of revision 10, at revision 10 | 3        |
+      | 3     | lists version 2 of revision 7, at revision 9   | 3        |
+      | 2     | lists version 2 of revision 7, at revision 9   | 2        |
--- a/features/steps/directory_steps.py
+++ b/features/steps/directory_steps.py
@@ -182,3 +182,33 @@
     known = set(context.b.catalogue.upstreams)
     expected = {UpstreamId("u1")} | ({UpstreamId("u2")} if state == "ready" else set())
     assert known == expected, known
+
+
+def configuration_item(version, revision):
+    return KeyValue("op/config", json.dumps(configuration(version, ["k1"])).encode(), revision)
+
+
+@when("node b gets version {version:d} of the configuration from a peer at revision {revision:d}")
+def get_configuration(context, version, revision):
+    items = (upstream("u1", 2), upstream("u2", 3))
+    upstreams = tuple((item.key, item.value, item.mod_revision) for item in items)
+    content = configuration_item(version, revision).value
+    context.b.directory.on_state_reply(StateReply(content, revision, upstreams, ()))
+
+
+@when("node b lists version {version:d} of revision {changed:d}, at revision {revision:d}")
+def list_configuration(context, version, changed, revision):
+    context.b.relay.on_available()
+    items = (configuration_item(version, changed), upstream("u1", 2), upstream("u2", 3))
+    context.b.relay.on_listing(items, revision)
+
+
+@then("node b has version {version:d} in force, and passes it on")
+def check_configuration(context, version):
+    assert context.b.catalogue.configuration.version == version
+    context.b.fleet.receive_heartbeat(
+        NodeId("a"), Incarnation("1"), context.a.heartbeat(), context.b.clock.monotonic()
+    )
+    context.b.directory.on_state_request(NodeId("a"), StateRequest(1))
+    reply = context.b.sent[-1]
+    assert json.loads(reply.configuration)["version"] == version, reply
--- a/src/chervilrack/_internal/serving/directory.py
+++ b/src/chervilrack/_internal/serving/directory.py
@@ -222,14 +222,20 @@
         self._perform(self._state.catalogue.drop_upstream(upstream, item.mod_revision))
 
     def _apply_configuration(self, item: KeyValue) -> None:
+        """Apply a configuration if its version is newer than that in force.
+
+        Versions are compared, and not revisions of the store: the revision of a configuration from
+        a peer is only an upper bound.
+        """
         stored = self._stored_items.get(item.key)
-        if stored is not None and stored.mod_revision >= item.mod_revision:
+        if stored is not None and stored.value == item.value:
             return
         configuration = self._schema.decode_configuration(item.value)
         current = self._state.catalogue.configuration
-        if current is None or configuration.version > current.version:
-            # May raise: before anything else, so that the configuration in force stays whole.
-            self._apply_caller_limits(configuration.limits)
+        if current is not None and configuration.version <= current.version:
+            return
+        # May raise: before anything else, so that the configuration in force stays whole.
+        self._apply_caller_limits(configuration.limits)
         self._unreadable.forget(item.key)
         self._stored_items[item.key] = item
         self._perform(self._state.catalogue.apply_configuration(configuration))
