Record blocked traits in the store, so that they outlive all nodes

Cause: blocks were held in the memory of nodes and shared by messages only. Ruled out: the evidence (the same requests are refused without the kill), lost messages. Change: one node, by rendezvous order, writes a record of each block, compared by revision; a node reads the records with its first listing or gets them with a peer's state, before it accepts requests. Bounded in number, per sender and in bytes; a sound answer overwrites it. The stand-in of the store compares revisions now. Left: suspects that are not blocked are lost with all nodes (bounded, docs/design/quarantine.md).

--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -31,18 +31,30 @@
     for engine in context.engines:
         engine.crashes_on = CRASHES_ON[kind]
         cycle.watch(engine)
+    context.answers = []
+    start_nodes(context, [f"n{number}" for number in range(nodes)])
+
+
+def start_nodes(context, names):
     context.nodes, context.addresses = [], []
-    for number in range(nodes):
-        start_serving_node(context, f"n{number}")
+    for name in names:
+        start_serving_node(context, name)
         context.nodes.append(context.node)
         context.addresses.append(str(context.settings.callers))
 
     def all_known():
-        return all(node._fleet.size == nodes for node in context.nodes)
+        return all(node._fleet.size == len(names) for node in context.nodes)
 
     wait_for(all_known, "the nodes know each other")
 
 
+@when("all nodes are killed at once, and {count:d} others start")
+def kill_all(context, count):
+    for node in context.nodes:
+        node.__exit__(None, None, None)
+    start_nodes(context, [f"later-{number}" for number in range(count)])
+
+
 @when("requests with that part in place {position:d} come for {seconds:d} s beside sound ones")
 def send_prompts(context, position, seconds):
     send_load(context, seconds, position)
@@ -55,8 +67,10 @@
 
 
 def send_load(context, seconds, position=2):
-    context.load = CrashLoad(context.addresses, context.kind, position - 1)
+    first_number = len(context.answers) + 1
+    context.load = CrashLoad(context.addresses, context.kind, position - 1, first=first_number)
     context.began_at = context.load.run(LEAD_S, seconds)
+    context.answers += context.load.answers
     context.ended_at = time.monotonic()
 
 
@@ -72,9 +86,9 @@
     "at most {count:d} of them reach an upstream later than the contact time after the fifth crash"
 )
 def check_late_arrivals(context, count):
-    crashing = {a.request for a in context.load.answers if a.is_crashing}
+    crashing = {a.request for a in context.answers if a.is_crashing}
     late = late_arrivals(crashes_of(context), arrivals_of(context), crashing)
-    sent = sum(1 for answer in context.load.answers if answer.is_crashing)
+    sent = len(crashing)
     assert len(late) <= count, f"{len(late)} of {sent}, {len(crashes_of(context))} crashes"
 
 
--- a/features/steps/directory_steps.py
+++ b/features/steps/directory_steps.py
@@ -41,7 +41,7 @@
 class DirectoryNode:
     """A node's store directory with its surroundings; ``sent`` holds its messages to peers."""
 
-    def __init__(self, name, number, schema=SCHEMA):
+    def __init__(self, name, number, schema=SCHEMA, *, lists=True):
         self.clock = ManualClock()
         self.sent = []
         own_address = Address(f"10.1.0.{number}", 1)
@@ -50,7 +50,8 @@
         )
         self.address = str(own_address)
         self.fleet = Fleet(settings.node, self.address, None)
-        self.log = DecisionLog(name, io.StringIO())
+        self.output = io.StringIO()
+        self.log = DecisionLog(name, self.output)
         self.state = state = ServingState(settings, self.fleet, self.clock, self.log)
         self.catalogue = state.catalogue
         self.directory = StoreDirectory(
@@ -65,6 +66,8 @@
         self.relay = StoreRelay(self.feed, self.directory, state, self.pass_on)
         # Node that gets the messages of the change feed.
         self.follower = None
+        if not lists:
+            return
         self.relay.on_available()
         items = (CONFIGURATION, upstream("u1", 2), upstream("u2", 3))
         self.relay.on_listing(items, 3)
--- a/features/support/crash_load.py
+++ b/features/support/crash_load.py
@@ -39,17 +39,18 @@
     """Sends sound requests and such that crash upstreams to nodes, at steady rates a second.
 
     ``kind`` is "part", "path" or "key"; a crashing part is in place ``position`` of its prompt.
+    ``first`` is the number of the first request.
     """
 
     def __init__(
-        self, addresses, kind="part", position=1, sound_rate=16.0, crashing_rate=4.0, seed=1
+        self, addresses, kind="part", position=1, sound_rate=16.0, crashing_rate=4.0, first=1
     ):
         self._addresses = addresses
         self._kind = kind
         self._position = position
         self._rates = (sound_rate, crashing_rate)
-        self._rng = random.Random(seed)
-        self._numbers = itertools.count(1)
+        self._rng = random.Random(first)
+        self._numbers = itertools.count(first)
         self._threads = []
         self.answers = []
 
--- a/src/chervilrack/_internal/fleet/messages.py
+++ b/src/chervilrack/_internal/fleet/messages.py
@@ -8,6 +8,7 @@
 from chervilrack._internal.balancing.state import UpstreamReport
 from chervilrack._internal.common.units import Count, Milliseconds
 from chervilrack._internal.quarantine.messages import SuspectReport
+from chervilrack._internal.quarantine.records import BlockRecord
 
 
 class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
@@ -51,9 +52,11 @@
     ``configuration`` is empty if the requesting node already has the version. ``upstreams`` holds
     key, value and modification revision of each registration. ``missing`` names the upstreams
     whose registrations have ended but which the sender still keeps, since they may come back.
+    ``blocks`` are the traits that the sender blocks.
     """
 
     configuration: bytes
     revision: Count
     upstreams: tuple[tuple[str, bytes, Count], ...]
     missing: tuple[str, ...] = ()
+    blocks: Annotated[tuple[BlockRecord, ...], msgspec.Meta(max_length=1024)] = ()
--- a/src/chervilrack/_internal/quarantine/core.py
+++ b/src/chervilrack/_internal/quarantine/core.py
@@ -139,6 +139,45 @@
             blocked.next_probe = max(blocked.next_probe, next_probe)
         return effects
 
+    def restore(
+        self,
+        key: _Key,
+        common: frozenset[Trait],
+        crashes: Sequence[tuple[UpstreamIncarnation, Crash]],
+        probes: int,
+        now: timedelta,
+        *,
+        is_doubtful: bool,
+    ) -> list[QuarantineEffect]:
+        """Block a trait that another node, or an earlier process of this one, has blocked.
+
+        A sound answer that this node knows and that is later than the crashes goes before.
+        """
+        blocked = self._blocked.get(key)
+        if blocked is not None:
+            blocked.probes = max(blocked.probes, probes)
+            return []
+        effects: list[QuarantineEffect] = []
+        suspect = self._implicate(key, common, now, effects)
+        sound_at = max((r[key] for r in (self._answered, self._started) if key in r), default=None)
+        last_crash = max((crash.at for _, crash in crashes), default=now)
+        if sound_at is not None and sound_at >= last_crash:
+            suspect.was_blocked = True
+            return effects
+        for upstream, crash in crashes[:MAX_CRASHES]:
+            self._add_crash(suspect, upstream, crash, now)
+            self._explain((key[0], upstream), frozenset((key[1],)))
+        suspect.probes = probes
+        self._block(suspect, now, is_doubtful=is_doubtful)
+        return [*effects, _changed(SuspectEvent.RESTORED, suspect)]
+
+    def lift(self, key: _Key, now: timedelta) -> list[QuarantineEffect]:
+        """Unblock a trait that another node knows to be sound again."""
+        if key not in self._blocked:
+            return []
+        self._remember(key, now, is_whole=True)
+        return self._clear(key, now, is_whole=True)
+
     def record_start(self, profile: RequestProfile, now: timedelta) -> list[QuarantineEffect]:
         """Record that an answer has begun and that its upstream has gone on."""
         return self._record_sound(profile, now, is_whole=False)
@@ -390,6 +429,7 @@
             or self._started.get((suspect.service, trait), horizon) <= horizon
         )
         self._set_next_probe(suspect, now)
+        suspect.is_doubtful = is_doubtful
         if is_doubtful:
             jitter = 1 + self.settings.probe_jitter * self._rng.random()
             suspect.next_probe = now + self.settings.early_probe_interval * jitter
@@ -494,6 +534,7 @@
 
     def _postpone_probe(self, suspect: Suspect, now: timedelta) -> None:
         suspect.probes += 1
+        suspect.is_doubtful = False
         self._set_next_probe(suspect, now)
 
     def _set_next_probe(self, suspect: Suspect, now: timedelta) -> None:
--- a/src/chervilrack/_internal/quarantine/state.py
+++ b/src/chervilrack/_internal/quarantine/state.py
@@ -13,6 +13,8 @@
 Trait = NewType("Trait", str)
 
 _ZERO = timedelta(0)
+# Begin of the traits that say who sent a request.
+SENDER_PREFIXES = ("organisation ", "sender ")
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,7 +102,8 @@
     """A trait and the crashes in which requests with it were ended.
 
     ``common`` holds what all of these requests had in common; only requests with all of it are
-    refused. ``blocked_at`` is None while the evidence does not suffice. ``is_reported`` is whether
+    refused. ``blocked_at`` is None while the evidence does not suffice, and ``is_doubtful`` is
+    whether something else may have caused the crashes behind a block. ``is_reported`` is whether
     the suspicion has been reported, and ``seen_at`` the time of the last evidence or refusal.
     """
 
@@ -110,6 +113,7 @@
     crashes: dict[UpstreamIncarnation, Crash] = field(default_factory=dict)
     blocked_at: timedelta | None = None
     was_blocked: bool = False
+    is_doubtful: bool = False
     is_reported: bool = False
     probes: int = 0
     next_probe: timedelta = _ZERO
@@ -120,6 +124,11 @@
         """Time of the first crash."""
         return min(crash.at for crash in self.crashes.values())
 
+    @property
+    def senders(self) -> frozenset[Trait]:
+        """Who sent all the requests, empty if they came from several senders."""
+        return frozenset(trait for trait in self.common if trait.startswith(SENDER_PREFIXES))
+
 
 class SuspectEvent(Enum):
     """What has changed about a suspect."""
@@ -128,6 +137,7 @@
     BLOCKED = "blocked"
     NARROWED = "narrowed"
     PROBED = "probed"
+    RESTORED = "restored"
     CLEARED = "cleared"
 
 
--- a/src/chervilrack/_internal/serving/crash_watch.py
+++ b/src/chervilrack/_internal/serving/crash_watch.py
@@ -30,6 +30,11 @@
     SoundnessReport,
     SuspectReport,
 )
+from chervilrack._internal.quarantine.records import (
+    BlockRecord,
+    RecordState,
+    block_record,
+)
 from chervilrack._internal.quarantine.state import (
     AnnounceProbe,
     AnnounceSoundness,
@@ -88,6 +93,8 @@
         self.wake: Callable[[], None] = lambda: None
         # Called when more requests than before are refused.
         self.on_blocked: Callable[[], None] = lambda: None
+        # Called when a record of a blocked trait may have to be written.
+        self.on_record_outdated: Callable[[], None] = lambda: None
         self._catalogue = catalogue
         self._balancer = balancer
         self._clock = clock
@@ -268,6 +275,7 @@
         """Record that a peer probes a trait."""
         now = self._clock.monotonic()
         self.quarantine.receive_probe(ServiceId(report.service), Trait(report.trait), now)
+        self.on_record_outdated()
 
     def on_suspects(self, reports: Sequence[SuspectReport]) -> None:
         """Record what a peer holds against traits."""
@@ -300,6 +308,28 @@
             for suspect in self.quarantine.take_shared(MAX_SHARED_SUSPECTS)
         )
 
+    # Records, which outlive all nodes
+
+    def block_records(self) -> tuple[BlockRecord, ...]:
+        """Return the records of all blocked traits, for a node that starts."""
+        now = self._clock.monotonic()
+        return tuple(block_record(suspect, now) for suspect in self.quarantine.blocked)
+
+    def on_block_record(self, record: BlockRecord) -> None:
+        """Block a trait that was blocked before this node started, or unblock a sound one."""
+        now = self._clock.monotonic()
+        key = (ServiceId(record.service), Trait(record.trait))
+        if record.state is RecordState.CLEARED:
+            self._perform(self.quarantine.lift(key, now))
+            return
+        common = frozenset(Trait(trait) for trait in record.common)
+        crashes = record.crashes_at(now)
+        self._perform(
+            self.quarantine.restore(
+                key, common, crashes, record.probes, now, is_doubtful=record.is_doubtful
+            )
+        )
+
     @property
     def next_time(self) -> timedelta | None:
         """Time at which ``tick`` has work."""
@@ -325,12 +355,11 @@
                     self.broadcast(ProbeReport(service, trait))
                 case SuspectChanged():
                     self._note(effect, now)
-        if any(
-            isinstance(effect, SuspectChanged)
-            and effect.event in (SuspectEvent.BLOCKED, SuspectEvent.NARROWED)
-            for effect in effects
-        ):
+        events = {effect.event for effect in effects if isinstance(effect, SuspectChanged)}
+        if events & {SuspectEvent.BLOCKED, SuspectEvent.NARROWED, SuspectEvent.RESTORED}:
             self.on_blocked()
+        if events - {SuspectEvent.SUSPECTED}:
+            self.on_record_outdated()
 
     def _note(self, change: SuspectChanged, now: timedelta) -> None:
         self._metrics.suspect_changed(change.event)
--- a/src/chervilrack/_internal/serving/directory.py
+++ b/src/chervilrack/_internal/serving/directory.py
@@ -11,11 +11,13 @@
     UpstreamChanged,
 )
 from chervilrack._internal.catalogue.state import CallerLimits, UpstreamEntry
-from chervilrack._internal.common.decoding import decode_json
+from chervilrack._internal.common.decoding import UnreadableValue, decode_json
 from chervilrack._internal.common.ids import NodeId, UpstreamId
 from chervilrack._internal.common.supervision import FAILURES
 from chervilrack._internal.fleet.messages import Heartbeat, StateReply, StateRequest
 from chervilrack._internal.kvstore.port import Change, ChangeKind, KeyValue
+from chervilrack._internal.quarantine.archive import BlockArchive
+from chervilrack._internal.quarantine.records import decode_record
 from chervilrack._internal.serving.settings import Address, ServingSettings
 from chervilrack._internal.serving.state import ServingState
 from chervilrack._internal.serving.store_schema import StoreSchema
@@ -63,6 +65,7 @@
         self._apply_caller_limits = apply_caller_limits
         self._reconfigure_queues = reconfigure_queues
         self._unreadable = UnreadableEntries(state.log, state.metrics)
+        self._archive = BlockArchive(settings.node)
         # Items by key with their values as stored, to be sent to peers.
         self._stored_items: dict[str, KeyValue] = {}
         self._revision = 0
@@ -77,6 +80,11 @@
         """Newest revision of the store that this node knows."""
         return self._revision
 
+    @property
+    def archive(self) -> BlockArchive:
+        """Records of blocked traits in the store."""
+        return self._archive
+
     @property
     def store_answers(self) -> bool:
         """Whether the last call of this node to the store succeeded."""
@@ -143,6 +151,10 @@
         self._revision = max(self._revision, revision)
         self._is_listed = True
         self._unreadable.keep_only({item.key for item in items})
+        prefix = self._schema.block_prefix
+        self._archive.keep_only(
+            item.key.removeprefix(prefix) for item in items if item.key.startswith(prefix)
+        )
         for item in items:
             if not item.key.startswith(self._schema.upstream_prefix):
                 self._apply_item(item)
@@ -181,6 +193,8 @@
                     self._apply_upstream(item)
                 case EntryKind.NODE:
                     self._apply_node_registration(item)
+                case EntryKind.BLOCK:
+                    self._apply_block(item)
         except Exception as error:
             self._unreadable.record(kind, item, error)
 
@@ -189,10 +203,15 @@
             return EntryKind.CONFIGURATION
         if key.startswith(self._schema.upstream_prefix):
             return EntryKind.UPSTREAM
+        if key.startswith(self._schema.block_prefix):
+            return EntryKind.BLOCK
         return EntryKind.NODE if key.startswith(self._schema.node_prefix) else EntryKind.OTHER
 
     def _apply_deletion(self, key: str, revision: int) -> None:
         self._unreadable.forget(key)
+        if key.startswith(self._schema.block_prefix):
+            self._archive.observe(key.removeprefix(self._schema.block_prefix), None, revision)
+            self._state.crash_watch.on_record_outdated()
         if key.startswith(self._schema.upstream_prefix):
             self._stored_items.pop(key, None)
             upstream = UpstreamId(key.removeprefix(self._schema.upstream_prefix))
@@ -246,6 +265,15 @@
         self._unreadable.forget(item.key)
         self._state.fleet.add_addresses([peer], self._state.clock.monotonic())
 
+    def _apply_block(self, item: KeyValue) -> None:
+        record = decode_record(item.key, item.value)
+        self._unreadable.forget(item.key)
+        name = item.key.removeprefix(self._schema.block_prefix)
+        if name != record.name:
+            raise UnreadableValue(item.key, "the key is not that of the record's trait")
+        self._archive.observe(name, record, item.mod_revision)
+        self._state.crash_watch.on_block_record(record)
+
     def _perform(self, effects: list[CatalogueEffect]) -> None:
         self._queues_outdated = self._queues_outdated or bool(effects)
         for effect in effects:
@@ -331,14 +359,18 @@
             if registered.key.startswith(self._schema.upstream_prefix)
         )
         missing = self._state.catalogue.lapsed_upstreams
-        reply = StateReply(item.value if newer else b"", self._revision, upstreams, missing)
+        blocks = self._state.crash_watch.block_records()
+        content = item.value if newer else b""
+        reply = StateReply(content, self._revision, upstreams, missing, blocks)
         self._send(f"tcp://{address}", reply)
 
     def on_state_reply(self, message: StateReply) -> None:
-        """Apply a peer's configuration if newer, and its upstreams if the store is unavailable.
+        """Apply a peer's blocks and newer configuration, and its upstreams without the store.
 
         The upstreams are applied only if the peer's store revision is newer than this node's.
         """
+        for record in message.blocks:
+            self._state.crash_watch.on_block_record(record)
         if message.configuration:
             key = self._schema.configuration_key
             self._apply_item(KeyValue(key, message.configuration, message.revision))
--- a/src/chervilrack/_internal/serving/node.py
+++ b/src/chervilrack/_internal/serving/node.py
@@ -42,6 +42,7 @@
 from chervilrack._internal.peering.envelope import Envelope
 from chervilrack._internal.peering.transport import PeerTransport
 from chervilrack._internal.quarantine.messages import CrashReport, ProbeReport, SoundnessReport
+from chervilrack._internal.serving.block_store import BlockStore
 from chervilrack._internal.serving.directory import StoreDirectory
 from chervilrack._internal.serving.messages import serving_codec
 from chervilrack._internal.serving.metrics import CONTENT_TYPE
@@ -123,8 +124,13 @@
             self._feed, self._directory, self._state, self._transport.send_to_addresses
         )
         self._store_sync: StoreSync | None = None
+        self._block_store: BlockStore | None = None
         if store is not None:
             self._store_sync = StoreSync(store, self._relay, self._directory.registration, rng)
+            self._block_store = BlockStore(
+                store, schema.block_prefix, self._directory.archive, self._state, self._live_nodes
+            )
+            self._state.crash_watch.on_record_outdated = self._block_store.wake
         self._leaving = threading.Event()
         # Whether responses close the connections of callers.
         self._closes_connections = False
@@ -189,8 +195,9 @@
             enter(server)
         stack.callback(self._note_closed)
         enter(self._caller_server)
-        if self._store_sync is not None:
+        if self._store_sync is not None and self._block_store is not None:
             enter(self._store_sync)
+            enter(self._block_store)
         enter(self._timers)
 
     def __exit__(
@@ -390,6 +397,11 @@
         self._directory.on_heartbeat(heartbeat)
         self._relay.observe_revision(heartbeat.directory_revision)
 
+    def _live_nodes(self) -> list[NodeId]:
+        """Return this node and those that are alive."""
+        peers = [peer.node for peer in self._fleet.alive if peer.node is not None]
+        return [self._settings.node, *peers]
+
     def _broadcast(self, message: msgspec.Struct) -> None:
         """Send a message to all nodes whose addresses are known."""
         addresses = [f"tcp://{address}" for address in self._fleet.addresses]
--- a/src/chervilrack/_internal/serving/store_schema.py
+++ b/src/chervilrack/_internal/serving/store_schema.py
@@ -16,5 +16,6 @@
     configuration_key: str
     upstream_prefix: str
     node_prefix: str
+    block_prefix: str
     decode_configuration: Callable[[bytes], ServingConfiguration]
     decode_upstream: Callable[[str, bytes], UpstreamEntry]
--- a/src/chervilrack/_internal/serving/unreadable.py
+++ b/src/chervilrack/_internal/serving/unreadable.py
@@ -17,6 +17,7 @@
     CONFIGURATION = ("configuration", "catalogue", "configuration unreadable")
     UPSTREAM = ("upstream", "catalogue", "entry unreadable")
     NODE = ("node", "fleet", "registration unreadable")
+    BLOCK = ("block", "quarantine", "record unreadable")
     OTHER = ("other", "catalogue", "entry unreadable")
 
     @property
--- a/src/chervilrack/platform/emulated/standins.py
+++ b/src/chervilrack/platform/emulated/standins.py
@@ -219,10 +219,18 @@
 
     def _txn(self, request: _Handler, body: Any) -> None:
         with self._changed:
-            for put in body["puts"]:
+            current = [
+                {"key": row["key"], "revision": self._items.get(row["key"], {}).get("revision", 0)}
+                for row in body["expectedRevision"]
+            ]
+            is_current = current == body["expectedRevision"]
+            for put in body["puts"] if is_current else ():
                 self._put(put["key"], put["value"], put["lease"])
             revision = self._revision
-        request.answer(200, {"revision": revision})
+        if is_current:
+            request.answer(200, {"revision": revision})
+        else:
+            request.answer(412, {"entries": current})
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/chervilrack/platform/run.py
+++ b/src/chervilrack/platform/run.py
@@ -25,10 +25,12 @@
 logger = logging.getLogger(__name__)
 
 NODE_PREFIX = "nodes/"
+BLOCK_PREFIX = "blocks/"
 SCHEMA = StoreSchema(
     configuration_key=CONFIGURATION_KEY,
     upstream_prefix=UPSTREAM_PREFIX,
     node_prefix=NODE_PREFIX,
+    block_prefix=BLOCK_PREFIX,
     decode_configuration=decode_configuration,
     decode_upstream=decode_upstream,
 )
