Count the age of relayed changes from the store's answer, within one bound

Cause: three limits in series with the whole bound each: a hanging call (1.8 s), followers that trust the last keepalive for 1 s, and look each 0.2 s. Keepalives went on while the call hung. Ruled out: own calls of the followers (milliseconds), heartbeats of other zones (there was one zone). Change: messages carry the age of the store's last answer; all limits are shares of min(configApplyMs, drainMs) of the settings, whose sum is that bound; followers sleep until their copy ceases to be current; a watcher passes each answer on; the pause after a change is a part of the time between two answers. Deployments with longer bounds make fewer calls. Rows with the old limit of 1 s since the last message name the new one, 1.6 s since the store's answer: the sum keeps the 2 s that were promised, which it did not before.

--- a/features/catalogue/directory.feature
+++ b/features/catalogue/directory.feature
@@ -37,8 +37,23 @@
       | an outage and then the end of u2           | 0    | ready | need not     |
       | an outage and then the end of u2           | 2.3  | gone  | has to       |
       | a listing without u2                       | 0    | ready | has to       |
-      | nothing                                    | 0.9  | ready | need not     |
-      | nothing                                    | 1.1  | ready | has to       |
+      | nothing                                    | 1.5  | ready | need not     |
+      | nothing                                    | 1.7  | ready | has to       |
+
+  # Guards against time limits in series that each take the whole bound: the relay's call and its messages (CONFIG).
+  Scenario Outline: node b follows node a, to which the store last answered <time> s ago: b <duty> watch
+    Given node a and node b that both list upstreams u1 and u2
+    And node a watches the store for node b
+    When the store gives node a no response for <time> s, while node a sends what is due
+    Then node b <duty> watch the store itself
+
+    Examples: the bound is 2 s; an idle watch is answered after 1.4 s, and the own call needs time, too
+      | time | duty     |
+      | 0.5  | need not |
+      | 1.4  | need not |
+      | 1.65 | has to   |
+      | 1.9  | has to   |
+      | 2.5  | has to   |
 
   Scenario: a node that is not fed counts all nodes as watching, a watcher only the watchers
     Every change ends all watch calls. In a starting fleet, or after a lost message, all nodes watch.
--- a/features/changefeed/feed.feature
+++ b/features/changefeed/feed.feature
@@ -27,8 +27,12 @@
       | events                                     | state                        |
       | nothing                                    | watches from revision 10     |
       | keepalive 10                               | is current at revision 10    |
-      | keepalive 10, 0.9 s                        | is current at revision 10    |
-      | keepalive 10, 1.1 s                        | watches from revision 10     |
+      | keepalive 10, 1.5 s                        | is current at revision 10    |
+      | keepalive 10, 1.7 s                        | watches from revision 10     |
+      | keepalive 10 of age 1.0, 0.5 s             | is current at revision 10    |
+      | keepalive 10 of age 1.0, 0.7 s             | watches from revision 10     |
+      | keepalive 10, keepalive 10 of age 1.5, 0.5 s | is current at revision 10  |
+      | keepalive 10 of age 1.5, keepalive 10, 0.5 s | is current at revision 10  |
       | changes 10 to 12                           | is current at revision 12    |
       | changes 10 to 12, changes 10 to 12         | is current at revision 12    |
       | changes 8 to 12                            | is current at revision 12    |
@@ -42,6 +46,42 @@
       | keepalive 10, other zone 12, 0.4 s, keepalive 10, 0.3 s   | watches from revision 10 |
       | keepalive 10, other zone 12, 0.4 s, changes 10 to 12, 0.3 s | is current at revision 12 |
 
+  # Guards against time limits in series that each take the whole bound (CONFIG, DRAIN).
+  Scenario Outline: with a bound of <bound> s, the time limits of the change feed keep it in sum
+    Then with a bound of <bound> s, a relay's age limit and the own call last as long
+    And an idle watch is answered before the age limit, and its call fails within the bound
+
+    Examples:
+      | bound |
+      | 1     |
+      | 2     |
+      | 3     |
+      | 4     |
+
+  # Guards against a relay that passes on messages, but nothing new, while the store does not answer it (CONFIG).
+  Scenario Outline: <nodes> nodes in <zones> zones learn a change within <bound> s with <count> watchers of each zone <how>
+    Given <nodes> nodes in <zones> zones that follow the store, with a bound of <bound> s
+    When <count> watchers of each zone are <how>, and the store changes right after its last answer to one of them
+    Then every other node that is alive learns the change within <bound> s
+
+    Examples: of 8 seeds each; in zones of fewer than five nodes, all nodes watch
+      | nodes | zones | bound | count | how         |
+      | 1     | 1     | 2     | 0     | silent      |
+      | 4     | 1     | 2     | 1     | silent      |
+      | 5     | 1     | 2     | 1     | silent      |
+      | 5     | 1     | 2     | 2     | silent      |
+      | 6     | 1     | 2     | 2     | silent      |
+      | 6     | 1     | 2     | 2     | turned away |
+      | 6     | 1     | 2     | 2     | frozen      |
+      | 6     | 1     | 2     | 2     | killed      |
+      | 12    | 2     | 2     | 2     | silent      |
+      | 18    | 3     | 2     | 2     | frozen      |
+      | 30    | 1     | 2     | 2     | silent      |
+      | 30    | 1     | 2     | 2     | killed      |
+      | 30    | 1     | 3     | 2     | silent      |
+      | 60    | 2     | 4     | 2     | turned away |
+      | 60    | 2     | 4     | 2     | silent      |
+
   Scenario Outline: <nodes> nodes in <zones> zones learn every change within <late> s when <event>
     Given <nodes> nodes in <zones> zones that follow the store
     When the store changes every 0.7 s for 20 s and <event>
--- a/features/steps/changefeed_steps.py
+++ b/features/steps/changefeed_steps.py
@@ -3,9 +3,10 @@
 from datetime import timedelta
 
 from behave import given, then, when
-from support.feed_load import FeedSimulation
+from support.feed_load import FeedSimulation, Service
 
 from chervilrack._internal.changefeed.core import ChangeFeed, ZoneMember
+from chervilrack._internal.changefeed.limits import ApplyLimits
 from chervilrack._internal.changefeed.messages import RelayedChange, StoreProgress
 from chervilrack._internal.common.ids import NodeId, ZoneId
 
@@ -78,8 +79,9 @@
             case [seconds, "s"]:
                 context.now += timedelta(seconds=float(seconds))
                 context.feed.is_current(context.revision, context.now)
-            case ["keepalive", revision]:
-                receive(context, StoreProgress(int(revision), int(revision)))
+            case ["keepalive", revision, *age]:
+                age_ms = round(float(age[-1]) * 1000) if age else 0
+                receive(context, StoreProgress(int(revision), int(revision), age_ms=age_ms))
             case [*large, "changes", first, "to", last]:
                 value = b"x" * (9000 if large else 100)
                 changes = [
@@ -150,3 +152,64 @@
 def check_calls(context, limit):
     calls = sum(node.calls for node in context.simulation.nodes) / context.node_seconds
     assert calls <= limit, calls
+
+
+@then("with a bound of {bound:g} s, a relay's age limit and the own call last as long")
+def check_sum(context, bound):
+    limits = context.limits = ApplyLimits(timedelta(seconds=bound))
+    assert limits.max_age + limits.own_call_time == limits.bound
+    assert limits.own_call_time >= limits.bound * 0.15
+
+
+@then("an idle watch is answered before the age limit, and its call fails within the bound")
+def check_order(context):
+    limits = context.limits
+    assert limits.change_delay < limits.watch_wait
+    assert limits.watch_wait + limits.answer_time <= limits.max_age
+    assert limits.watch_wait < limits.watch_timeout <= limits.bound
+    assert limits.keepalive_interval < limits.max_age
+    assert limits.lag_limit < limits.bound
+
+
+SEEDS = 8
+
+
+@given("{nodes:d} nodes in {zones:d} zones that follow the store, with a bound of {bound:d} s")
+def create_bounded_fleet(context, nodes, zones, bound):
+    limits = ApplyLimits(timedelta(seconds=bound))
+    context.simulations = [
+        FeedSimulation(nodes, zones, seed, limits=limits) for seed in range(SEEDS)
+    ]
+
+
+@when(
+    "{count:d} watchers of each zone are {how}, "
+    "and the store changes right after its last answer to one of them"
+)
+def disturb(context, count, how):
+    for number, simulation in enumerate(context.simulations):
+        simulation.schedule_change(5.0)
+        simulation.run(5.0 + 0.1 * number)
+        watchers = [node for node in simulation.nodes if node.feed.is_watcher]
+        answered = max(node.answered_at for node in watchers)
+        # The next answer to a watcher, after which the trouble and the change come.
+        while max(node.answered_at for node in watchers) == answered:
+            simulation.run(simulation.now.total_seconds() + 0.002)
+        if how == "killed":
+            simulation.kill_watchers()
+        else:
+            simulation.disturb_watchers(count, how)
+        simulation.schedule_change(simulation.now.total_seconds() + 0.001)
+        simulation.run(simulation.now.total_seconds() + 8)
+
+
+@then("every other node that is alive learns the change within {bound:d} s")
+def check_learned(context, bound):
+    for simulation in context.simulations:
+        changed_at = simulation.changed_at[2]
+        for node in simulation.nodes:
+            if not node.alive or node.is_frozen or node.service is not Service.SERVED:
+                continue
+            assert 2 in node.learned, node.name
+            delay = (node.learned[2] - changed_at).total_seconds()
+            assert delay <= bound, (node.name, delay)
--- a/features/steps/directory_steps.py
+++ b/features/steps/directory_steps.py
@@ -158,6 +158,14 @@
     assert not context.b.relay.must_watch()
 
 
+@when("the store gives node a no response for {seconds:g} s, while node a sends what is due")
+def send_keepalives(context, seconds):
+    for _ in range(round(seconds / 0.05)):
+        for node in (context.a, context.b):
+            node.clock.advance(timedelta(seconds=0.05))
+        context.a.relay.tick(context.a.clock.monotonic())
+
+
 @then("node b {duty} watch the store itself")
 def check_duty(context, duty):
     assert context.b.relay.must_watch() == (duty == "has to")
--- a/features/support/feed_load.py
+++ b/features/support/feed_load.py
@@ -9,24 +9,40 @@
 import random
 from collections.abc import Callable
 from datetime import timedelta
+from enum import Enum
 
-from chervilrack._internal.changefeed.core import ChangeFeed, ZoneMember
+from chervilrack._internal.changefeed.core import ChangeFeed, FeedSettings, ZoneMember
+from chervilrack._internal.changefeed.limits import ApplyLimits
 from chervilrack._internal.changefeed.messages import RelayedChange, StoreProgress
 from chervilrack._internal.common.ids import NodeId, ZoneId
-from chervilrack._internal.serving.store_relay import FEED_CHECK_INTERVAL_S
 
 STORE_LATENCY = timedelta(milliseconds=5)
 LINK_LATENCY = timedelta(milliseconds=3)
-WATCH_WAIT = timedelta(milliseconds=1400)
 CHANGE_DELAY_S = 0.005
-FEED_CHECK = timedelta(seconds=FEED_CHECK_INTERVAL_S)
+# Time from a failed call to the next one.
+BACKOFF = timedelta(milliseconds=300)
+# Least time until a node that does not watch looks again whether it has to.
+FEED_CHECK = timedelta(milliseconds=10)
+LONGEST_CHECK = timedelta(seconds=1)
+
+
+class Service(Enum):
+    """What the store does with the calls of a node."""
+
+    SERVED = "served"
+    SILENT = "silent"
+    TURNED_AWAY = "turned away"
 
 
 class _Node:
-    def __init__(self, number: int, zone: str) -> None:
+    def __init__(self, number: int, zone: str, limits: ApplyLimits) -> None:
         self.name = NodeId(f"n{number}")
         self.zone = zone
-        self.feed = ChangeFeed(self.name, ZoneId(zone))
+        self.feed = ChangeFeed(self.name, ZoneId(zone), FeedSettings(limits))
+        self.service = Service.SERVED
+        self.is_frozen = False
+        # Time of the store's last answer, None while it does not answer.
+        self.answered_at: timedelta | None = timedelta(0)
         self.revision = 0
         self.learned: dict[int, timedelta] = {}
         self.alive = True
@@ -45,7 +61,15 @@
 class FeedSimulation:
     """One simulation; ``changed_at`` holds the time of each revision of the store."""
 
-    def __init__(self, nodes: int, zones: int, seed: int, value_bytes: int = 300) -> None:
+    def __init__(
+        self,
+        nodes: int,
+        zones: int,
+        seed: int,
+        value_bytes: int = 300,
+        limits: ApplyLimits | None = None,
+    ) -> None:
+        self._limits = limits or ApplyLimits()
         self._rng = random.Random(seed)
         self._value = b"x" * value_bytes
         self._events: list[tuple[timedelta, int, Callable[[], None]]] = []
@@ -56,12 +80,15 @@
         self.now = timedelta(0)
         self.revision = 0
         self.changed_at: dict[int, timedelta] = {}
-        self.nodes = [_Node(number, f"z{number % zones}") for number in range(nodes)]
+        self.nodes = [_Node(number, f"z{number % zones}", self._limits) for number in range(nodes)]
         self._by_address = {node.name: node for node in self.nodes}
         self._members_changed()
         sizes = [sum(node.zone == f"z{zone}" for node in self.nodes) for zone in range(zones)]
         self._change_delay = timedelta(
-            seconds=min(0.3, CHANGE_DELAY_S * self.nodes[0].feed.count_watchers(sizes))
+            seconds=min(
+                self._limits.change_delay.total_seconds(),
+                CHANGE_DELAY_S * self.nodes[0].feed.count_watchers(sizes),
+            )
         )
         for node in self.nodes:
             self._schedule(self._jitter(FEED_CHECK), lambda node=node: self._check(node))
@@ -84,6 +111,16 @@
             node.alive = node.alive and not node.feed.is_watcher
         self._schedule(self.now + self._detection_time, self._members_changed)
 
+    def disturb_watchers(self, count: int, how: str) -> None:
+        """Freeze ``count`` watchers of each zone, or have the store not serve them."""
+        for zone in {node.zone for node in self.nodes}:
+            watchers = [n for n in self.nodes if n.zone == zone and n.feed.is_watcher]
+            for node in watchers[:count]:
+                if how == "frozen":
+                    node.is_frozen = True
+                else:
+                    node.service = Service(how)
+
     def silence_one_watcher_per_zone(self) -> None:
         """Drop all messages of one watcher of each zone, which goes on watching."""
         for node in {n.zone: n for n in self.nodes if n.feed.is_watcher}.values():
@@ -117,39 +154,62 @@
 
     def _check(self, node: _Node) -> None:
         """Watch if the node has to, as the thread that follows the store does."""
-        if not node.alive or node.open_call is not None:
+        if not node.alive or node.is_frozen or node.open_call is not None:
             return
-        due = node.feed.next_keepalive
-        if due is not None and self.now >= due:
-            self._send(node, node.feed.progress(node.revision, node.revision, (), self.now))
-        if node.feed.is_current(node.revision, self.now):
-            self._schedule(self.now + FEED_CHECK, lambda: self._check(node))
-        else:
+        until = node.feed.current_until(node.revision)
+        if until is None or until < self.now:
             self._watch(node)
+        else:
+            wait = min(max(until - self.now, FEED_CHECK), LONGEST_CHECK)
+            self._schedule(self.now + wait, lambda: self._check(node))
 
     def _watch(self, node: _Node) -> None:
         node.calls += 1
         node.open_call = call = next(self._calls)
-        answered_in = STORE_LATENCY if self.revision > node.revision else WATCH_WAIT
-        self._schedule(self.now + answered_in, lambda: self._answer(node, call))
+        if node.service is Service.TURNED_AWAY:
+            self._schedule(self.now + STORE_LATENCY, lambda: self._fail(node, call))
+        else:
+            limits = self._limits
+            last = node.answered_at if node.answered_at is not None else self.now
+            wait = max(limits.watch_wait - (self.now - last), STORE_LATENCY)
+            answered_in = STORE_LATENCY if self.revision > node.revision else wait
+            self._schedule(self.now + answered_in, lambda: self._answer(node, call))
+            self._schedule(self.now + limits.watch_timeout, lambda: self._fail(node, call))
         self._keep_alive(node, call)
 
     def _keep_alive(self, node: _Node, call: int) -> None:
         due = node.feed.next_keepalive
-        if node.open_call != call or due is None or not node.alive:
+        if node.open_call != call or due is None or not node.alive or node.is_frozen:
             return
         if self.now >= due:
-            self._send(node, node.feed.progress(node.revision, node.revision, (), self.now))
+            self._send_keepalive(node)
         self._schedule(
             max(due, self.now) + timedelta(milliseconds=4), lambda: self._keep_alive(node, call)
         )
 
+    def _send_keepalive(self, node: _Node) -> None:
+        answered_at = node.answered_at
+        age = self.now - answered_at if answered_at is not None else timedelta(0)
+        message = node.feed.progress(node.revision, node.revision, (), self.now, age=age)
+        if answered_at is not None:
+            self._send(node, message)
+
+    def _fail(self, node: _Node, call: int) -> None:
+        if node.open_call != call or not node.alive or node.is_frozen:
+            return
+        node.open_call = None
+        node.answered_at = None
+        self._schedule(self.now + BACKOFF, lambda: self._check(node))
+
     def _answer(self, node: _Node, call: int) -> None:
-        if node.open_call != call or not node.alive:
+        is_served = node.service is Service.SERVED
+        if node.open_call != call or not node.alive or node.is_frozen or not is_served:
             return
         node.open_call = None
+        node.answered_at = self.now
         previous, revision = node.revision, self.revision
         if revision <= previous:
+            self._send_keepalive(node)
             self._check(node)
             return
         node.advance(revision, self.now)
@@ -170,7 +230,7 @@
             )
 
     def _receive(self, node: _Node, message: StoreProgress) -> None:
-        if not node.alive:
+        if not node.alive or node.is_frozen:
             return
         if node.feed.receive(message, node.revision, self.now):
             node.advance(message.revision, self.now)
--- a/src/chervilrack/_internal/changefeed/core.py
+++ b/src/chervilrack/_internal/changefeed/core.py
@@ -1,18 +1,25 @@
 """Decides which nodes of a zone watch the store, and whether the feed keeps a node current."""
 
+import math
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 
+from chervilrack._internal.changefeed.limits import ApplyLimits
 from chervilrack._internal.changefeed.messages import RelayedChange, StoreProgress
 from chervilrack._internal.common.hashing import rendezvous_order
 from chervilrack._internal.common.ids import NodeId, ZoneId
 
+_ZERO = timedelta(0)
+_MILLISECOND = timedelta(milliseconds=1)
+
 
 @dataclass(frozen=True, slots=True)
 class FeedSettings:
     """Timing and size of the change feed."""
 
+    limits: ApplyLimits = field(default_factory=ApplyLimits)
+
     # One watcher may be killed, frozen or cut off without an effect on the other nodes of its zone.
     watchers_per_zone: int = 2
     # In smaller zones every node watches the store.
@@ -20,12 +27,6 @@
     # Nodes with less than this share of the processor time of the largest node of the zone do not
     # watch: a watcher sends messages to all nodes of its zone.
     watcher_cpu_share: float = 0.5
-    keepalive_interval: timedelta = timedelta(milliseconds=400)
-    # A node that hears from no watcher for this time watches the store itself. A change of the
-    # store has to take effect within two seconds, also if all watchers are killed at once.
-    silence_limit: timedelta = timedelta(seconds=1)
-    # A node that is older than another node's copy for this time watches the store itself.
-    lag_limit: timedelta = timedelta(milliseconds=500)
     # Changes with more bytes of values are only announced, and each node reads them from the store,
     # whose link is faster than those of the nodes.
     max_relayed_bytes: int = 8192
@@ -50,7 +51,8 @@
         self._settings = settings or FeedSettings()
         self._watchers: frozenset[NodeId] = frozenset((node,))
         self._recipients: tuple[str, ...] = ()
-        self._heard_at: timedelta | None = None
+        # Time of the store's latest answer to a watcher of this zone.
+        self._answered_at: timedelta | None = None
         # Newest revision that a watcher of this zone, or any other node, has announced.
         self._announced = 0
         self._known_elsewhere = 0
@@ -97,14 +99,23 @@
 
         If it does not, the node has to watch the store itself. Watchers always have to.
         """
-        if self.is_watcher or self._heard_at is None:
-            return False
-        if now - self._heard_at > self._settings.silence_limit or revision < self._announced:
-            return False
+        until = self.current_until(revision)
+        return until is not None and now <= until
+
+    def current_until(self, revision: int) -> timedelta | None:
+        """Return the time until which ``is_current`` holds without a further message.
+
+        None means that it does not hold now.
+        """
+        if self.is_watcher or self._answered_at is None or revision < self._announced:
+            return None
+        limits = self._settings.limits
+        until = self._answered_at + limits.max_age
         if revision >= self._known_elsewhere:
             self._lagging_since = None
-            return True
-        return self._lagging_since is None or now - self._lagging_since <= self._settings.lag_limit
+        if self._lagging_since is not None:
+            until = min(until, self._lagging_since + limits.lag_limit)
+        return until
 
     def receive(
         self, progress: StoreProgress, revision: int, now: timedelta
@@ -114,7 +125,9 @@
         ``revision`` is that of the node's copy. If changes before those of the message are missing,
         none are returned, and ``is_current`` is false until the node has read them from the store.
         """
-        self._heard_at = now
+        answered_at = now - progress.age_ms * _MILLISECOND
+        if self._answered_at is None or answered_at > self._answered_at:
+            self._answered_at = answered_at
         self._announced = max(self._announced, progress.revision)
         if progress.revision <= revision or progress.previous > revision:
             return ()
@@ -135,16 +148,19 @@
         changes: Sequence[RelayedChange],
         now: timedelta,
         *,
+        age: timedelta = _ZERO,
         regained: bool = False,
     ) -> StoreProgress:
         """Return the message that passes changes on, and postpone the next keepalive.
 
-        Changes that are too large are left out; their receivers read them from the store.
+        ``age`` is the time since the store's last answer. Changes that are too large are left out;
+        their receivers read them from the store.
         """
-        self._next_keepalive = now + self._settings.keepalive_interval
+        self._next_keepalive = now + self._settings.limits.keepalive_interval
+        age_ms = max(0, math.ceil(age / _MILLISECOND))
         if sum(len(change.value) for change in changes) > self._settings.max_relayed_bytes:
-            return StoreProgress(revision, revision, regained=regained)
-        return StoreProgress(previous, revision, tuple(changes), regained)
+            return StoreProgress(revision, revision, (), regained, age_ms)
+        return StoreProgress(previous, revision, tuple(changes), regained, age_ms)
 
     @property
     def next_keepalive(self) -> timedelta | None:
--- a/src/chervilrack/_internal/changefeed/messages.py
+++ b/src/chervilrack/_internal/changefeed/messages.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from chervilrack._internal.common.units import Count
+from chervilrack._internal.common.units import Count, Milliseconds
 
 
 class RelayedChange(msgspec.Struct, frozen=True, array_like=True):
@@ -15,14 +15,16 @@
 
 
 class StoreProgress(msgspec.Struct, frozen=True, array_like=True):
-    """State of a watcher's copy of the store, sent with each change and periodically.
+    """State of a watcher's copy of the store, sent with each answer of the store and periodically.
 
     ``changes`` are all changes after the revision ``previous`` up to ``revision``. A receiver whose
     copy is older than ``previous`` has to read the changes in between from the store.
-    ``regained`` is whether the store has just begun to answer the watcher again.
+    ``regained`` is whether the store has just begun to answer the watcher again. ``age_ms`` is the
+    time since the store's last answer to the watcher.
     """
 
     previous: Count
     revision: Count
     changes: tuple[RelayedChange, ...] = ()
     regained: bool = False
+    age_ms: Milliseconds = 0
--- a/src/chervilrack/_internal/serving/node.py
+++ b/src/chervilrack/_internal/serving/node.py
@@ -25,7 +25,7 @@
     ResultsReleased,
 )
 from chervilrack._internal.catalogue.state import CallerLimits
-from chervilrack._internal.changefeed.core import ChangeFeed, ZoneMember
+from chervilrack._internal.changefeed.core import ChangeFeed, FeedSettings, ZoneMember
 from chervilrack._internal.changefeed.messages import StoreProgress
 from chervilrack._internal.common.clock import Clock
 from chervilrack._internal.common.ids import Incarnation, NodeId
@@ -119,14 +119,17 @@
             self._apply_caller_limits,
             self._coordinator.reconfigure,
         )
-        self._feed = ChangeFeed(settings.node, settings.zone)
+        limits = settings.apply_limits
+        self._feed = ChangeFeed(settings.node, settings.zone, FeedSettings(limits))
         self._relay = StoreRelay(
             self._feed, self._directory, self._state, self._transport.send_to_addresses
         )
         self._store_sync: StoreSync | None = None
         self._block_store: BlockStore | None = None
         if store is not None:
-            self._store_sync = StoreSync(store, self._relay, self._directory.registration, rng)
+            self._store_sync = StoreSync(
+                store, self._relay, self._directory.registration, rng, limits
+            )
             self._block_store = BlockStore(
                 store, schema.block_prefix, self._directory.archive, self._state, self._live_nodes
             )
--- a/src/chervilrack/_internal/serving/settings.py
+++ b/src/chervilrack/_internal/serving/settings.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 from typing import Self
 
+from chervilrack._internal.changefeed.limits import ApplyLimits
 from chervilrack._internal.common.ids import NodeId, ZoneId
 from chervilrack._internal.limits.retry_budget import RetryBudgetSettings
 
@@ -61,3 +62,5 @@
     balancing_policy: str = "expected-wait"
     batching: str = "shared"
     cpu_cores: float = 1.0
+    # How a change of the store takes effect in time.
+    apply_limits: ApplyLimits = field(default_factory=ApplyLimits)
--- a/src/chervilrack/_internal/serving/store_relay.py
+++ b/src/chervilrack/_internal/serving/store_relay.py
@@ -12,11 +12,9 @@
 from chervilrack._internal.serving.directory import StoreDirectory
 from chervilrack._internal.serving.state import ServingState
 
-# A watcher whose last answer of the store is older than this passes on no keepalives. Watch calls
-# are answered or fail within this time.
-LONGEST_ANSWER_AGE = timedelta(seconds=2)
-# Interval at which a node that does not watch checks whether it has to.
-FEED_CHECK_INTERVAL_S = 0.2
+# Longest and shortest wait of a node that does not watch until it checks whether it has to.
+LONGEST_FEED_WAIT_S = 1.0
+SHORTEST_FEED_WAIT_S = 0.01
 
 
 class StoreRelay:
@@ -70,8 +68,12 @@
             return not self._feed.is_current(self._directory.revision, now)
 
     def wait_for_feed(self) -> None:
-        """Wait until the feed may have changed, for a short time at most."""
-        self._feed_changed.wait(FEED_CHECK_INTERVAL_S)
+        """Wait until the feed has changed, or no longer keeps the node's copy current."""
+        with self._state.lock:
+            now = self._state.clock.monotonic()
+            until = self._feed.current_until(self._directory.revision)
+        left = (until - now).total_seconds() if until is not None else 0.0
+        self._feed_changed.wait(max(SHORTEST_FEED_WAIT_S, min(left, LONGEST_FEED_WAIT_S)))
         self._feed_changed.clear()
 
     def on_listing(self, items: tuple[KeyValue, ...], revision: int) -> None:
@@ -95,6 +97,12 @@
             self._answered_at = self._state.clock.monotonic()
             self._directory.on_available()
 
+    def on_unchanged(self) -> None:
+        """Tell the followers that the store has said so now."""
+        with self._state.lock:
+            if self._feed.recipients:
+                self._send_keepalive(self._state.clock.monotonic())
+
     def on_unavailable(self, reason: str) -> None:
         """Record that the store does not answer this node."""
         self._directory.on_unavailable(reason)
@@ -145,16 +153,16 @@
         due = self._feed.next_keepalive
         if due is None or now < due:
             return
-        message = self._feed.progress(self._directory.revision, self._directory.revision, (), now)
-        if self._is_fresh(now):
+        self._send_keepalive(now)
+
+    def _send_keepalive(self, now: timedelta) -> None:
+        revision, age = self._directory.revision, self._answer_age(now)
+        message = self._feed.progress(revision, revision, (), now, age=age or timedelta(0))
+        if self._directory.store_answers and age is not None:
             self._send_to_zone(message)
 
-    def _is_fresh(self, now: timedelta) -> bool:
-        return (
-            self._directory.store_answers
-            and self._answered_at is not None
-            and now - self._answered_at <= LONGEST_ANSWER_AGE
-        )
+    def _answer_age(self, now: timedelta) -> timedelta | None:
+        return now - self._answered_at if self._answered_at is not None else None
 
     def _pass_on(self, previous: int, changes: tuple[Change, ...]) -> None:
         if not self._feed.recipients:
@@ -170,7 +178,12 @@
             for change in changes
         ]
         message = self._feed.progress(
-            previous, self._directory.revision, relayed, now, regained=self._regained
+            previous,
+            self._directory.revision,
+            relayed,
+            now,
+            age=self._answer_age(now) or timedelta(0),
+            regained=self._regained,
         )
         self._regained = False
         self._send_to_zone(message)
--- a/src/chervilrack/_internal/serving/store_sync.py
+++ b/src/chervilrack/_internal/serving/store_sync.py
@@ -8,6 +8,7 @@
 from types import TracebackType
 from typing import Protocol, Self
 
+from chervilrack._internal.changefeed.limits import ApplyLimits
 from chervilrack._internal.common.supervision import SupervisedThread, handling
 from chervilrack._internal.exceptions import (
     PlatformError,
@@ -29,8 +30,6 @@
 # Delay before a watch call that follows a change, per watching node. Every change ends the watch
 # calls of all these nodes, and the registrations of a starting fleet arrive one by one.
 CHANGE_DELAY_PER_NODE_S = 0.005
-# Limits the delay, because a change has to take effect within two seconds.
-MAX_CHANGE_DELAY_S = 0.3
 
 
 class StoreListener(Protocol):
@@ -48,6 +47,9 @@
     def on_available(self) -> None:
         """Handle a successful call to the store."""
 
+    def on_unchanged(self) -> None:
+        """Handle an answer that there is no change after ``revision``."""
+
     @property
     def revision(self) -> int:
         """Revision of the store up to which all changes have been applied."""
@@ -72,6 +74,7 @@
     They go on after any exception. After one, the watching thread lists the keys again.
 
     ``registration`` returns the key and value under which the node registers itself.
+    ``limits`` bound the pause before the watch call that follows a change.
     """
 
     def __init__(
@@ -80,11 +83,13 @@
         listener: StoreListener,
         registration: Callable[[], tuple[str, bytes]],
         rng: random.Random,
+        limits: ApplyLimits | None = None,
     ) -> None:
         self._store = store
         self._listener = listener
         self._registration = registration
         self._rng = rng
+        self._max_change_delay_s = (limits or ApplyLimits()).change_delay.total_seconds()
         self._stopping = threading.Event()
         self._threads = [
             SupervisedThread("store-watch", self._run_watch, self._stopping),
@@ -134,7 +139,9 @@
         with self._store.watch("", revision + 1) as batches:
             for batch in batches:
                 self._listener.on_available()
-                if batch is not None:
+                if batch is None:
+                    self._listener.on_unchanged()
+                else:
                     with handling(f"the changes up to revision {batch.revision}"):
                         self._listener.on_changes(batch.changes, batch.revision)
                     self._stopping.wait(self._change_delay())
@@ -167,7 +174,8 @@
 
     def _change_delay(self) -> float:
         """Return the seconds in which further changes collect before the next watch call."""
-        return min(MAX_CHANGE_DELAY_S, CHANGE_DELAY_PER_NODE_S * self._listener.watching_nodes)
+        delay = CHANGE_DELAY_PER_NODE_S * self._listener.watching_nodes
+        return min(self._max_change_delay_s, delay)
 
     def _backoff(self, failures: int) -> float:
         """Return the seconds to wait after ``failures`` failed calls in a row, with jitter."""
--- a/src/chervilrack/platform/run.py
+++ b/src/chervilrack/platform/run.py
@@ -56,7 +56,7 @@
             settings,
             PlatformDialect(),
             SCHEMA,
-            PlatformStore(str(settings.store)),
+            PlatformStore(str(settings.store), settings.apply_limits),
             SystemClock(),
             log,
         )
--- a/src/chervilrack/platform/settings.py
+++ b/src/chervilrack/platform/settings.py
@@ -7,6 +7,7 @@
 import msgspec
 import yaml
 
+from chervilrack._internal.changefeed.limits import ApplyLimits
 from chervilrack._internal.common.addresses import is_address, parse_address
 from chervilrack._internal.common.decoding import UnreadableValue, decode_value
 from chervilrack._internal.common.ids import NodeId, ZoneId
@@ -26,6 +27,8 @@
 _Port = Annotated[int, msgspec.Meta(ge=0, le=65_535)]
 # Up to a week.
 _Seconds = Annotated[float, msgspec.Meta(ge=0, le=604_800)]
+# From a tenth of a second, below which the calls to the store would be too many, to a minute.
+_BoundMs = Annotated[float, msgspec.Meta(ge=100, le=60_000)]
 _Amount = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
 
 
@@ -43,6 +46,8 @@
     retry_budget_ratio: _Amount = 0.2
     budget_window_s: _Seconds = 10.0
     retry_slack: _Amount = 50.0
+    config_apply_ms: _BoundMs = 2000.0
+    drain_ms: _BoundMs = 2000.0
     ttl_max_s: _Seconds = msgspec.field(default=5.0, name="ttl_max_s")
 
 
@@ -74,8 +79,8 @@
 def load_settings(file: Path) -> ServingSettings:
     """Read the settings file. Raises OSError and InvalidDocumentError.
 
-    Times are from 0 s to a week, shares and numbers of cores from 0 to 1e9, names from 1 to
-    MAX_NAME_LENGTH characters long.
+    Times are from 0 s to a week, those for changes of the store from 0.1 s to a minute, shares and
+    numbers of cores from 0 to 1e9, names from 1 to MAX_NAME_LENGTH characters long.
     """
     try:
         raw = decode_value(str(file), file.read_bytes(), _load_yaml)
@@ -108,6 +113,9 @@
             slack=content.bounds.retry_slack,
         ),
         cpu_cores=content.limits.cpu_share * content.limits.cores,
+        apply_limits=ApplyLimits(
+            timedelta(milliseconds=min(content.bounds.config_apply_ms, content.bounds.drain_ms))
+        ),
     )
 
 
--- a/src/chervilrack/platform/store.py
+++ b/src/chervilrack/platform/store.py
@@ -11,7 +11,9 @@
 import urllib3
 from urllib3.exceptions import ConnectTimeoutError, HTTPError, NewConnectionError
 
+from chervilrack._internal.changefeed.limits import ApplyLimits
 from chervilrack._internal.common.addresses import parse_address
+from chervilrack._internal.common.clock import Clock, SystemClock
 from chervilrack._internal.common.decoding import (
     MAX_NAME_LENGTH,
     UnreadableValue,
@@ -39,12 +41,6 @@
 
 logger = logging.getLogger(__name__)
 
-# The store answers an idle watch call after this time. A connection that delivers nothing is
-# therefore detected within the 2 s in which a change has to take effect.
-WATCH_WAIT: Final = timedelta(milliseconds=1400)
-# Time beyond WATCH_WAIT after which an unanswered watch call fails. The store itself answers within
-# milliseconds.
-WATCH_TIMEOUT_MARGIN: Final = timedelta(milliseconds=400)
 CONNECT_TIMEOUT_S: Final = 0.5
 READ_TIMEOUT_S: Final = 1.0
 # A page has about 500 items. The limit ends a listing that claims to have more pages for ever.
@@ -107,10 +103,15 @@
 class PlatformStore:
     """Client of the platform's store; thread-safe.
 
-    An item of a listing or a watch that cannot be read is left out, with a warning.
+    An item of a listing or a watch that cannot be read is left out, with a warning. ``limits`` are
+    those of watch calls.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self, address: str, limits: ApplyLimits | None = None, clock: Clock | None = None
+    ) -> None:
+        self._limits = limits or ApplyLimits()
+        self._clock = clock or SystemClock()
         host, port = parse_address(address)
         self._pool = StrictHTTPConnectionPool(
             host,
@@ -189,19 +190,24 @@
 
     @contextmanager
     def watch(self, prefix: str, from_revision: int) -> Iterator[Iterator[WatchBatch | None]]:
-        """Open a watch that yields batches, and None after each WATCH_WAIT without a change."""
+        """Open a watch that yields batches, and None after each ``watch_wait`` without one."""
         yield self._batches(prefix, from_revision - 1)
 
     def _batches(self, prefix: str, after: int) -> Iterator[WatchBatch | None]:
-        wait_ms = round(WATCH_WAIT / timedelta(milliseconds=1))
         timeout = urllib3.Timeout(
-            connect=CONNECT_TIMEOUT_S, read=(WATCH_WAIT + WATCH_TIMEOUT_MARGIN).total_seconds()
+            connect=CONNECT_TIMEOUT_S, read=self._limits.watch_timeout.total_seconds()
         )
+        answered_at = self._clock.monotonic()
         while True:
+            # What the consumer of the last batch took is a part of the time between two answers.
+            taken = self._clock.monotonic() - answered_at
+            wait = max(timedelta(0), self._limits.watch_wait - taken)
+            wait_ms = round(wait / timedelta(milliseconds=1))
             query = {"pathPrefix": prefix, "after": str(after), "waitMs": str(wait_ms)}
             status, body = self._read("GET", "/api/kv-watch", query, timeout)
             if status == 410:
                 raise WatchCompacted(f"the changes after revision {after} are compacted")
+            answered_at = self._clock.monotonic()
             response = _decode(body, _Events)
             after = max(after, response.at)
             if not response.events:
