Bound the bytes of answers and of request bodies by the memory of the process

What callers saw (reported by other operators): an upstream sends bytes without end, the node that called it runs out of memory and ends, and the requests of all other callers there with it. Cause: 64 MiB for each answer, no bound on their sum, up to four copies of each; bodies of requests likewise; clients of the store, of reports and of the operator's interface read without a limit. glibc kept the memory of large buffers. Ruled out: heads, trailers, interim responses and events, bounded before. Change: ByteBudget bounds the sum, shares of memoryMb; the largest answer that still grows gives way, a body that does not fit is refused with 503 before it is read; no copies of whole answers; read_limited for all other clients; large buffers go back to the system.

--- a/features/steps/stopping_steps.py
+++ b/features/steps/stopping_steps.py
@@ -245,7 +245,7 @@
     assert "Connection: close" in context.raw, context.raw
 
 
-def process_request(context, number, path, deadline_ms, request_id):
+def process_request(context, number, path, deadline_ms, request_id, body=b"body"):
     """Send a request to a node process, and return the status of the response."""
     bed = context.bed
     connection = http.client.HTTPConnection(
@@ -255,7 +255,7 @@
         request_id, Kind.ORDER, bed.keys.valid[0], deadline_ms / 1000
     )
     try:
-        connection.request("POST", path, b"body", headers)
+        connection.request("POST", path, body, headers)
         response = connection.getresponse()
         response.read()
         return response.status
--- a/features/support/scripted_upstream.py
+++ b/features/support/scripted_upstream.py
@@ -102,6 +102,8 @@
     "chunks": (f"{OK}{{identity}}{_CHUNKED}\r\n", _chunk("x" * 60_000)),
     "trailers": (f"{OK}{{identity}}{_CHUNKED}\r\n4\r\nbody\r\n0\r\n", "X-T: 1\r\n" * 100),
     "bytes without length": (f"{OK}{{identity}}\r\n", "x" * 60_000),
+    "bytes of huge length": (f"{OK}{{identity}}Content-Length: {10**15}\r\n\r\n", "x" * 60_000),
+    "error bytes": ("HTTP/1.1 500 Failed\r\n{identity}\r\n", "x" * 60_000),
     "event": (
         f"{OK}{{identity}}Content-Type: text/event-stream\r\n{_CHUNKED}\r\n"
         + _chunk(_event(1) + "id: 2\ndata: "),
--- a/src/chervilrack/_internal/cli/client.py
+++ b/src/chervilrack/_internal/cli/client.py
@@ -1,12 +1,13 @@
 """HTTP client through which the command line calls the operator interface of a node."""
 
+import json
 from collections.abc import Callable, Mapping
 from typing import Any
 
 import click
 import urllib3
 
-from chervilrack._internal.common.http_responses import StrictPoolManager
+from chervilrack._internal.common.http_responses import StrictPoolManager, read_limited
 from chervilrack._internal.exceptions import ChervilrackError, NodeUnreachable
 
 CONNECT_TIMEOUT_S = 2.0
@@ -51,11 +52,15 @@
             headers["Authorization"] = f"Bearer {self._key}"
         try:
             response = self._pool.request(
-                method, f"{self._address}{path}", body=body, headers=headers
+                method, f"{self._address}{path}", body=body, headers=headers, preload_content=False
             )
+            content = read_limited(response)
         except urllib3.exceptions.HTTPError as error:
             raise NodeUnreachable(f"{self._address} does not answer: {error}") from None
-        document = response.json()
+        try:
+            document = json.loads(content)
+        except ValueError:
+            raise NodeUnreachable(f"{self._address} answers with something else") from None
         if response.status >= 400:
             raise NodeRefused(document)
         return document
--- a/src/chervilrack/_internal/common/http_responses.py
+++ b/src/chervilrack/_internal/common/http_responses.py
@@ -9,6 +9,7 @@
 import http.client
 import io
 import re
+import time
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import Any, Final
@@ -18,6 +19,11 @@
 
 # Interim responses (1xx) before a response; more than these count as a malformed response.
 MAX_INTERIM_RESPONSES: Final = 16
+# Limits of a whole body that is read with ``read_limited``. The longest answer of the platform is
+# that of a watch after a long pause.
+MAX_BODY_BYTES: Final = 32 * 1024 * 1024
+MAX_BODY_TIME_S: Final = 20.0
+_READ_BYTES: Final = 65_536
 # Limit of a status line, and of a chunk's size line with its extensions.
 MAX_LINE_BYTES: Final = 65_536
 MAX_TRAILER_BYTES: Final = 8 * 1024
@@ -157,6 +163,39 @@
     return None
 
 
+class OversizeResponse(urllib3.exceptions.HTTPError):
+    """A body exceeds the limits of its reader."""
+
+
+def read_limited(
+    response: urllib3.BaseHTTPResponse,
+    max_bytes: int = MAX_BODY_BYTES,
+    max_seconds: float = MAX_BODY_TIME_S,
+) -> bytes:
+    """Return the whole body of a response that was requested without preloading it.
+
+    Raises OversizeResponse if it has more than ``max_bytes``, or is not whole in time; the
+    connection is then closed. Raises HTTPError for any other failure.
+    """
+    end = time.monotonic() + max_seconds
+    body = bytearray()
+    try:
+        while not response.closed and (part := response.read1(_READ_BYTES)):
+            body += part
+            if len(body) > max_bytes:
+                raise OversizeResponse(f"the body exceeds {max_bytes} bytes")
+            if time.monotonic() > end:
+                raise OversizeResponse(f"the body is not whole after {max_seconds:g} s")
+    except (http.client.HTTPException, OSError) as error:
+        response.close()
+        raise urllib3.exceptions.ProtocolError(f"the body broke off: {error!r}", error) from error
+    except BaseException:
+        response.close()
+        raise
+    response.release_conn()
+    return bytes(body)
+
+
 class StrictHTTPConnection(HTTPConnection):
     """Connection with strict responses."""
 
--- a/src/chervilrack/_internal/forwarding/attempts.py
+++ b/src/chervilrack/_internal/forwarding/attempts.py
@@ -11,6 +11,7 @@
 
 from chervilrack._internal.balancing.state import UpstreamChoice
 from chervilrack._internal.catalogue.state import RequestKind, UpstreamEntry, UpstreamIncarnation
+from chervilrack._internal.common.byte_budget import ByteBudget
 from chervilrack._internal.common.clock import Clock
 from chervilrack._internal.exceptions import ChervilrackError
 from chervilrack._internal.forecast.state import StreamSize
@@ -50,6 +51,8 @@
     TimeLimit.FIRST_BYTE: Bound.FIRST_BYTE,
     TimeLimit.PROGRESS: Bound.EVENT_GAP,
 }
+# Error responses are kept while the request is tried elsewhere, apart from the memory for answers.
+MAX_ERROR_BODY_BYTES = 256 * 1024
 # Socket timeouts are rounded and may expire this long before the deadline.
 DEADLINE_TOLERANCE = timedelta(milliseconds=20)
 
@@ -180,7 +183,14 @@
 class AttemptRunner:
     """Runs attempts over HTTP, and reports their course to an observer."""
 
-    def __init__(self, dialect: Dialect, observer: AttemptObserver, clock: Clock) -> None:
+    def __init__(
+        self,
+        dialect: Dialect,
+        observer: AttemptObserver,
+        clock: Clock,
+        memory: ByteBudget | None = None,
+    ) -> None:
+        self._memory = memory
         self._dialect = dialect
         self._observer = observer
         self._clock = clock
@@ -205,7 +215,7 @@
         )
         self._observer.attempt_started(context, entry, choice)
         try:
-            with Exchange(entry.address) as exchange:
+            with Exchange(entry.address, self._memory) as exchange:
                 context.add_gone_action(exchange.cancel)
                 context.add_stop_action(exchange.cancel)
                 try:
@@ -503,6 +513,8 @@
             self._observer.error_response_received(entry)
         try:
             body = exchange.read_body(context.deadline.total_seconds())
+            if len(body) > MAX_ERROR_BODY_BYTES:
+                raise ExchangeFailed("the error response is too large", sent=True)
         except ExchangeFailed as error:
             return AttemptResult(
                 AttemptOutcome.FAILED,
@@ -513,7 +525,7 @@
             )
         error_response = None
         if response.status not in NOT_EXECUTED_STATUSES:
-            error_response = (response.status, end_to_end_headers(response.headers), body)
+            error_response = (response.status, end_to_end_headers(response.headers), bytes(body))
         return AttemptResult(
             AttemptOutcome.FAILED,
             detail,
--- a/src/chervilrack/_internal/forwarding/messages.py
+++ b/src/chervilrack/_internal/forwarding/messages.py
@@ -37,7 +37,9 @@
 class Responder(Protocol):
     """Sends the response to one request. Methods raise CallerGone if the caller has left."""
 
-    def send_response(self, status: int, headers: Sequence[tuple[str, str]], body: bytes) -> None:
+    def send_response(
+        self, status: int, headers: Sequence[tuple[str, str]], body: bytes | bytearray
+    ) -> None:
         """Send a complete response."""
 
     def begin(self, status: int, headers: Sequence[tuple[str, str]]) -> None:
--- a/src/chervilrack/_internal/forwarding/streams.py
+++ b/src/chervilrack/_internal/forwarding/streams.py
@@ -66,6 +66,7 @@
             for part in exchange.parts(deadline, self._progress_deadline):
                 self._on_bytes()
                 events = splitter.feed(part)
+                exchange.reserve(len(splitter.rest))
                 while events:
                     accepted = sequence.check(events, is_continuation=is_continuation)
                     self._begin(status, headers)
--- a/src/chervilrack/_internal/gateway/intake.py
+++ b/src/chervilrack/_internal/gateway/intake.py
@@ -1,6 +1,7 @@
 """Strict parsing of headers and body framing: ambiguous requests are refused (RFC 9112)."""
 
 import re
+from collections.abc import Callable
 from typing import Any, Final
 
 from cheroot.server import HeaderReader
@@ -11,6 +12,8 @@
 # Limit of a chunk's size line, extensions included; callers need no extensions.
 MAX_CHUNK_LINE_BYTES: Final = 256
 MAX_TRAILER_BYTES: Final = 8 * 1024
+# Bodies of up to this size need no reservation, so that larger ones cannot take their place.
+SMALL_BODY_BYTES: Final = 16 * 1024
 # Fields that a request may contain only once.
 _SINGLE_FIELDS: Final = frozenset((b"Content-Length", b"Transfer-Encoding", b"Host"))
 
@@ -77,9 +80,16 @@
 
 
 class ChunkedBody:
-    """Reads a body in chunked coding, trailers included; raises ValueError if it is malformed."""
+    """Reads a body in chunked coding, trailers included; raises ValueError if it is malformed.
 
-    def __init__(self, rfile: Any, max_bytes: int) -> None:
+    ``reserve`` is called with the size of the body so far before each chunk is read, once that is
+    more than SMALL_BODY_BYTES; what it raises ends the reading.
+    """
+
+    def __init__(
+        self, rfile: Any, max_bytes: int, reserve: Callable[[int], None] = lambda _: None
+    ) -> None:
+        self._reserve = reserve
         self._rfile = rfile
         self._max_bytes = max_bytes
         self._is_read = False
@@ -102,6 +112,8 @@
             total += length
             if total > self._max_bytes:
                 raise BodyTooLarge(f"the body is larger than {self._max_bytes} bytes")
+            if total > SMALL_BODY_BYTES:
+                self._reserve(total)
             part = self._rfile.read(length)
             if len(part) < length or self._rfile.read(2) != b"\r\n":
                 raise ValueError("a chunk does not end where its size says")
--- a/src/chervilrack/_internal/gateway/passthrough.py
+++ b/src/chervilrack/_internal/gateway/passthrough.py
@@ -19,6 +19,7 @@
     ThreadPool,
 )
 
+from chervilrack._internal.common.byte_budget import BudgetExceeded, ByteBudget, Reservation
 from chervilrack._internal.common.clock import Clock
 from chervilrack._internal.common.results import Executed, Problem, ResultCode
 from chervilrack._internal.common.supervision import FAILURES, SupervisedThread
@@ -33,6 +34,7 @@
 )
 from chervilrack._internal.gateway.idle import IdleLimit
 from chervilrack._internal.gateway.intake import (
+    SMALL_BODY_BYTES,
     BodyTooLarge,
     ChunkedBody,
     RecordedHeaders,
@@ -62,6 +64,11 @@
 # Time in which the head, and then the body, of a request has to arrive that is refused because no
 # thread is free.
 REFUSED_READ_TIME = timedelta(milliseconds=100)
+# Time after which a request may come back for whose body there was no memory.
+REFUSED_RETRY_TIME = timedelta(milliseconds=500)
+# Memory for the bodies of requests if nothing else is said, in bytes.
+BODY_MEMORY = 64 * 1024 * 1024
+_WRITE_BYTES = 64 * 1024
 # Longest time that a server takes to close if nothing else is said.
 CLOSE_TIME = timedelta(seconds=2)
 # Time that a server takes to close at least, if its time is over.
@@ -167,13 +174,22 @@
         self._is_ending = False
         # Head and body of an answer to a caller that knows no chunks. Without them, only a stated
         # length lets it tell an answer that was cut off from a whole one.
-        self._collected: tuple[int, list[tuple[str, str]], list[bytes]] | None = None
+        self._collected: tuple[int, list[tuple[str, str]], bytearray] | None = None
+        self._buffer: Reservation = request.server.body_memory.open()
 
-    def send_response(self, status: int, headers: Sequence[tuple[str, str]], body: bytes) -> None:
+    def send_response(
+        self, status: int, headers: Sequence[tuple[str, str]], body: bytes | bytearray
+    ) -> None:
         """Send a complete response."""
         self._is_ending = True
         head = self._head(status, [*headers, ("Content-Length", str(len(body)))])
-        self._send(head if self._request.method == b"HEAD" else head + body)
+        if self._request.method == b"HEAD":
+            self._send(head)
+        elif len(body) < _WRITE_BYTES:
+            self._send(head + body)
+        else:
+            self._send(head)
+            self._send(body)
 
     def begin(self, status: int, headers: Sequence[tuple[str, str]]) -> None:
         """Send the status line and headers of a response in chunked coding.
@@ -181,23 +197,31 @@
         To a caller of HTTP/1.0, the whole response is sent once it has ended.
         """
         if self._request.response_protocol != "HTTP/1.1":
-            self._collected = (status, list(headers), [])
+            self._collected = (status, list(headers), bytearray())
             return
         self._send(self._head(status, [*headers, ("Transfer-Encoding", "chunked")]))
 
     def write(self, part: bytes) -> None:
         """Send one chunk."""
         if self._collected is not None:
-            self._collected[2].append(part)
+            self._collect(part, self._collected[2])
         elif part:
             self._send(b"%x\r\n%b\r\n" % (len(part), part))
 
+    def _collect(self, part: bytes, body: bytearray) -> None:
+        try:
+            self._buffer.add(len(part))
+        except BudgetExceeded:
+            self.abort()
+            raise CallerGone from None
+        body += part
+
     def end(self) -> None:
         """Send the last chunk."""
         self._is_ending = True
         if self._collected is not None:
-            status, headers, parts = self._collected
-            self.send_response(status, headers, b"".join(parts))
+            self.send_response(*self._collected)
+            self._buffer.close()
             return
         self._send(b"0\r\n\r\n")
 
@@ -207,6 +231,7 @@
         if self._collected is not None:
             detail = "the answer broke off"
             problem = Problem(ResultCode.UPSTREAM_FAILED, detail, Executed.UNKNOWN)
+            self._buffer.close()
             self.send_response(*problem_response(problem, None))
 
     def on_caller_gone(self, action: Callable[[], None]) -> AbstractContextManager[None]:
@@ -238,9 +263,12 @@
             lines.append("Connection: close")
         return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
 
-    def _send(self, data: bytes) -> None:
+    def _send(self, data: bytes | bytearray) -> None:
+        """Write bytes, in pieces, since the writer copies what it gets."""
+        view = memoryview(data)
         try:
-            self._request.conn.wfile.write(data)
+            for start in range(0, len(data), _WRITE_BYTES):
+                self._request.conn.wfile.write(view[start : start + _WRITE_BYTES])
         except (OSError, ValueError):
             self._request.close_connection = True
             raise CallerGone from None
@@ -259,8 +287,21 @@
             connection.begin_body(REFUSED_READ_TIME, is_total=True)
         else:
             connection.begin_body(STALL_LIMIT)
+        with server.body_memory.open() as buffer:
+            self._serve(request, responder, buffer)
+
+    def _serve(
+        self, request: _Request, responder: ConnectionResponder, buffer: Reservation
+    ) -> None:
+        """Read the body, for which ``buffer`` reserves memory, and call the handler."""
+        server: _Server = request.server
+        connection: _Connection = request.conn
         try:
-            body = _read_body(request, request.max_body)
+            body = _read_body(request, request.max_body, buffer)
+        except BudgetExceeded as error:
+            detail = f"no memory for the body of the request: {error}"
+            self._refuse(responder, ResultCode.QUEUE_FULL, detail, REFUSED_RETRY_TIME)
+            return
         except BodyTooLarge as error:
             self._refuse(responder, ResultCode.BODY_TOO_LARGE, str(error))
             return
@@ -300,19 +341,31 @@
             # A caller that was taken for gone must not wait for an answer.
             request.close_connection = True
 
-    def _refuse(self, responder: ConnectionResponder, code: ResultCode, detail: str) -> None:
+    def _refuse(
+        self,
+        responder: ConnectionResponder,
+        code: ResultCode,
+        detail: str,
+        retry_time: timedelta | None = None,
+    ) -> None:
         self.req.close_connection = True
+        problem = Problem(code, detail, retry_after=retry_time)
         with contextlib.suppress(CallerGone):
-            responder.send_response(*problem_response(Problem(code, detail), None))
+            responder.send_response(*problem_response(problem, None))
 
 
-def _read_body(request: _Request, limit: int) -> bytes:
+def _read_body(request: _Request, limit: int, buffer: Reservation) -> bytes:
+    """Return the body of a request; ``buffer`` reserves memory before any of it is read."""
     if request.chunked_read:
-        return ChunkedBody(request.conn.rfile, limit).read()
+        # The chunks are joined at the end, when they are held twice for a moment.
+        return ChunkedBody(request.conn.rfile, limit, lambda size: buffer.resize(2 * size)).read()
     length = int(request.inheaders.get(b"Content-Length", b"0"))
     if length > limit:
         raise BodyTooLarge(f"the body is larger than {limit} bytes")
-    body = bytes(request.conn.rfile.read(length)) if length else b""
+    if length > SMALL_BODY_BYTES:
+        buffer.resize(length)
+        buffer.finish()
+    body = request.conn.rfile.read(length) if length else b""
     if len(body) < length:
         raise ValueError("the body is shorter than Content-Length")
     return body
@@ -396,6 +449,7 @@
 
     requests: _Pool
     watch: CallerWatch | None = None
+    body_memory: ByteBudget
     handler: Handler
     refuse: Handler
     clock: Clock
@@ -516,7 +570,8 @@
     """Serves requests at one address until the context ends.
 
     ``handler`` is called with each request, and ``refuse`` with each one for which no thread was
-    free in time; ``refuse`` must answer at once.
+    free in time; ``refuse`` must answer at once. Bodies of requests take their memory from
+    ``body_memory`` until the request has ended.
     """
 
     def __init__(
@@ -527,6 +582,7 @@
         watch: CallerWatch | None = None,
         is_closing: Callable[[], bool] = lambda: False,
         refuse: Handler = _refuse_overload,
+        body_memory: ByteBudget | None = None,
     ) -> None:
         self._server = _Server(
             (settings.host, settings.port),
@@ -542,6 +598,7 @@
         self._server.keep_alive_conn_limit = MAX_IDLE_CONNECTIONS
         self._server.expiration_interval = settings.check_interval.total_seconds()
         self._server.watch = watch
+        self._server.body_memory = body_memory or ByteBudget(BODY_MEMORY)
         self._server.handler = handler
         self._server.refuse = refuse
         self._server.clock = clock
--- a/src/chervilrack/_internal/kvstore/etcd.py
+++ b/src/chervilrack/_internal/kvstore/etcd.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterator, Mapping, Sequence
 from contextlib import contextmanager
 from datetime import timedelta
-from typing import Any
+from typing import Any, NamedTuple
 
 import urllib3
 from urllib3.exceptions import (
@@ -22,7 +22,7 @@
 from urllib3.exceptions import SSLError as UrllibSslError
 
 from chervilrack._internal.common.clock import Clock, SystemClock
-from chervilrack._internal.common.http_responses import StrictPoolManager
+from chervilrack._internal.common.http_responses import StrictPoolManager, read_limited
 from chervilrack._internal.exceptions import (
     PlatformError,
     PlatformOutcomeUnknown,
@@ -50,6 +50,13 @@
 _CONNECT_ERRORS = (NewConnectionError, NameResolutionError, ConnectTimeoutError, LocationParseError)
 
 
+class _Answer(NamedTuple):
+    """Status and whole body of a response."""
+
+    status: int
+    body: bytes
+
+
 class EtcdPlatform:
     """PlatformService over etcd's HTTP gateway; safe for use by several threads."""
 
@@ -139,8 +146,8 @@
         while True:
             response = self._request(path, body, write)
             if response.status == 200:
-                return _parse_body(response.data, write)
-            error = _status_error(response.status, response.data, write)
+                return _parse_body(response.body, write)
+            error = _status_error(response.status, response.body, write)
             token_expired = response.status == 401 and self._settings.username is not None
             if not token_expired or token_renewed:
                 raise error
@@ -149,11 +156,23 @@
             self._etcd_token = None
             token_renewed = True
 
-    def _request(
-        self, path: str, body: Mapping[str, Any] | None, write: bool
-    ) -> urllib3.BaseHTTPResponse:
+    def _request(self, path: str, body: Mapping[str, Any] | None, write: bool) -> _Answer:
         headers = {"Content-Type": "application/json", **self._authorization()}
-        return self._send(path, body, write, headers, stream=False)
+        return self._send_whole(path, body, write, headers)
+
+    def _send_whole(
+        self,
+        path: str,
+        body: Mapping[str, Any] | None,
+        write: bool,
+        headers: Mapping[str, str],
+    ) -> _Answer:
+        """Send a request and read the whole response."""
+        response = self._send(path, body, write, headers, stream=False)
+        try:
+            return _Answer(response.status, read_limited(response))
+        except HTTPError as error:
+            raise _lost_response_error(error, write) from error
 
     def _open_stream(self, path: str, body: Mapping[str, Any]) -> urllib3.BaseHTTPResponse:
         for token_renewed in (False, True):
@@ -161,7 +180,11 @@
             response = self._send(path, body, False, headers, stream=True)
             if response.status == 200:
                 return response
-            error = _status_error(response.status, response.data, False)
+            try:
+                content = read_limited(response)
+            except HTTPError as failure:
+                raise _lost_response_error(failure, False) from failure
+            error = _status_error(response.status, content, False)
             response.close()
             if response.status != 401 or self._settings.username is None or token_renewed:
                 raise error
@@ -194,7 +217,7 @@
                     body=None if body is None else json.dumps(body).encode(),
                     headers=headers,
                     timeout=timeout,
-                    preload_content=not stream,
+                    preload_content=False,
                     redirect=False,
                 )
             except _CONNECT_ERRORS as error:
@@ -223,10 +246,10 @@
     def _authenticate(self) -> str:
         body = {"name": self._settings.username, "password": self._settings.password or ""}
         headers = {"Content-Type": "application/json"}
-        response = self._send("/v3/auth/authenticate", body, False, headers, stream=False)
+        response = self._send_whole("/v3/auth/authenticate", body, False, headers)
         if response.status != 200:
-            raise _status_error(response.status, response.data, False)
-        return str(_parse_body(response.data, False).get("token", ""))
+            raise _status_error(response.status, response.body, False)
+        return str(_parse_body(response.body, False).get("token", ""))
 
 
 def _key_range(prefix: str) -> dict[str, str]:
--- a/src/chervilrack/_internal/serving/node.py
+++ b/src/chervilrack/_internal/serving/node.py
@@ -27,6 +27,7 @@
 from chervilrack._internal.catalogue.state import CallerLimits
 from chervilrack._internal.changefeed.core import ChangeFeed, FeedSettings, ZoneMember
 from chervilrack._internal.changefeed.messages import StoreProgress
+from chervilrack._internal.common.byte_budget import ByteBudget
 from chervilrack._internal.common.clock import Clock
 from chervilrack._internal.common.ids import Incarnation, NodeId
 from chervilrack._internal.fleet.core import Fleet, FleetEffect, PeerJoined, PeerLeaving, PeerLost
@@ -69,6 +70,13 @@
 # the time for closing them.
 EXIT_MARGIN = timedelta(milliseconds=50)
 EXIT_MARGIN_SHARE = 0.25
+# Shares of the process's memory for answers that are not whole yet or not yet sent, and for the
+# bodies of requests. The process itself needs up to 70 MB, and its threads and sockets some more.
+ANSWER_MEMORY_SHARE = 0.25
+BODY_MEMORY_SHARE = 0.2
+LARGEST_ANSWER = 64 * 1024 * 1024
+# Requests for readiness, look-up and metrics have no body.
+MAX_MANAGEMENT_BODY = 64 * 1024
 _MILLISECOND = timedelta(milliseconds=1)
 # Threads per listener for readiness, look-up and metrics; most answers take microseconds.
 MIN_MANAGEMENT_THREADS = 2
@@ -95,12 +103,14 @@
         rng = random.Random()
         self._fleet = Fleet(settings.node, str(settings.peer), rng, cpu_cores=settings.cpu_cores)
         self._state = ServingState(settings, self._fleet, clock, log)
-        self._stage_caller = StageCaller(dialect, self._state, clock)
+        answers = ByteBudget(round(settings.memory_bytes * ANSWER_MEMORY_SHARE), LARGEST_ANSWER)
+        self._body_memory = ByteBudget(round(settings.memory_bytes * BODY_MEMORY_SHARE))
+        self._stage_caller = StageCaller(dialect, self._state, clock, answers)
         self._coordinator = StageCoordinator(
             settings.node, self._incarnation, self._state, dialect, self._stage_caller
         )
         self._caller_watch = CallerWatch()
-        attempts = AttemptRunner(dialect, self._state, clock)
+        attempts = AttemptRunner(dialect, self._state, clock, answers)
         self._forwarder = Forwarder(self._state, dialect, attempts, self._coordinator, clock, rng)
         self._transport = PeerTransport(
             settings.node,
@@ -291,6 +301,7 @@
             self._caller_watch,
             lambda: self._closes_connections,
             self._refuse_overload,
+            self._body_memory,
         )
 
     def _make_management_servers(self) -> list[PassThroughServer]:
@@ -303,6 +314,7 @@
             listen = ListenSettings(
                 address.host,
                 address.port,
+                max_body=MAX_MANAGEMENT_BODY,
                 min_threads=MIN_MANAGEMENT_THREADS,
                 max_threads=MAX_MANAGEMENT_THREADS,
             )
--- a/src/chervilrack/_internal/serving/settings.py
+++ b/src/chervilrack/_internal/serving/settings.py
@@ -62,5 +62,7 @@
     balancing_policy: str = "expected-wait"
     batching: str = "shared"
     cpu_cores: float = 1.0
+    # Above this many bytes of memory, the process is killed.
+    memory_bytes: int = 300_000_000
     # How a change of the store takes effect in time.
     apply_limits: ApplyLimits = field(default_factory=ApplyLimits)
--- a/src/chervilrack/_internal/serving/stage_calls.py
+++ b/src/chervilrack/_internal/serving/stage_calls.py
@@ -12,6 +12,7 @@
 
 from chervilrack._internal.batching.state import FreeResults, StartCall
 from chervilrack._internal.catalogue.state import UpstreamIncarnation
+from chervilrack._internal.common.byte_budget import ByteBudget
 from chervilrack._internal.common.clock import Clock
 from chervilrack._internal.common.ids import RequestId, UpstreamId
 from chervilrack._internal.forwarding.dialect import (
@@ -74,7 +75,14 @@
 class StageCaller:
     """Makes stage calls and frees results at upstreams; use as a context manager."""
 
-    def __init__(self, dialect: Dialect, observer: StageCallObserver, clock: Clock) -> None:
+    def __init__(
+        self,
+        dialect: Dialect,
+        observer: StageCallObserver,
+        clock: Clock,
+        memory: ByteBudget | None = None,
+    ) -> None:
+        self._memory = memory
         self._dialect = dialect
         self._observer = observer
         self._clock = clock
@@ -153,7 +161,7 @@
             ]
         )
         requests = {piece.order.request_id for piece in call.pieces}
-        with Exchange(call.address) as exchange:
+        with Exchange(call.address, self._memory) as exchange:
             try:
                 exchange.connect(call.timeout.total_seconds())
                 self._check_bar(call)
@@ -213,7 +221,7 @@
         )
         facts = self._dialect.read_response(response.status, response.headers)
         on_head(facts)
-        return response.status, facts, exchange.read_body(deadline)
+        return response.status, facts, bytes(exchange.read_body(deadline))
 
     def _free(
         self,
@@ -229,7 +237,7 @@
                 self._observer.answer_received(upstream, facts, ())
 
         try:
-            with Exchange(effect.address) as exchange:
+            with Exchange(effect.address, self._memory) as exchange:
                 exchange.connect(FREE_TIMEOUT_S)
                 if not may_free():
                     return
--- a/src/chervilrack/_internal/upstreams/commands.py
+++ b/src/chervilrack/_internal/upstreams/commands.py
@@ -12,6 +12,7 @@
 from result import Err, Ok, Result
 
 from chervilrack._internal.common.decoding import UnreadableValue, decode_json
+from chervilrack._internal.common.http_responses import read_limited
 from chervilrack._internal.common.ids import ModelId
 from chervilrack._internal.common.results import Executed
 from chervilrack._internal.upstreams.connections import (
@@ -23,6 +24,8 @@
 from chervilrack._internal.upstreams.port import CallFailure, FailureKind
 
 T = TypeVar("T")
+# Reports have a few kilobytes, a list of cache events up to some megabytes.
+MAX_REPORT_BYTES = 8 * 1024 * 1024
 
 
 class Role(Enum):
@@ -164,7 +167,7 @@
         transmission = Transmission(time.monotonic() + self._timeout.total_seconds(), may_send)
         try:
             response = self._pools.send(transmission, base_url, path, headers, body)
-            content = response.read()
+            content = read_limited(response, MAX_REPORT_BYTES, self._timeout.total_seconds())
         except (urllib3.exceptions.HTTPError, OSError, ValueError, NotPermittedError) as error:
             return Err(classify_failure(transmission, error))
         finally:
--- a/src/chervilrack/_internal/upstreams/connections.py
+++ b/src/chervilrack/_internal/upstreams/connections.py
@@ -11,6 +11,7 @@
 
 import urllib3
 
+from chervilrack._internal.common.byte_budget import ByteBudget
 from chervilrack._internal.common.http_responses import (
     StrictHTTPConnection,
     StrictHTTPSConnection,
@@ -158,10 +159,19 @@
 _CONNECT_TIMEOUT_S = 1.0
 
 
+# Memory for all answers that are being read, and for one of them, in bytes.
+ANSWER_MEMORY = 256 * 1024 * 1024
+LARGEST_ANSWER = 64 * 1024 * 1024
+
+
 class ConnectionPools:
-    """Thread-safe collection of connection pools, one for each base URL."""
+    """Thread-safe collection of connection pools, one for each base URL.
+
+    ``answer_memory`` bounds the answers that are read over all of them.
+    """
 
     def __init__(self, tls: TlsSettings | None = None, connections_per_pool: int = 64) -> None:
+        self.answer_memory = ByteBudget(ANSWER_MEMORY, LARGEST_ANSWER)
         self._tls = tls or TlsSettings()
         self._connections_per_pool = connections_per_pool
         self._pools: dict[str, tuple[urllib3.HTTPConnectionPool, str]] = {}
--- a/src/chervilrack/_internal/upstreams/exchange.py
+++ b/src/chervilrack/_internal/upstreams/exchange.py
@@ -23,6 +23,7 @@
 from urllib3.util import SKIP_HEADER
 
 from chervilrack._internal.common.addresses import parse_address
+from chervilrack._internal.common.byte_budget import BudgetExceeded, ByteBudget
 from chervilrack._internal.common.http_responses import (
     InterimObserver,
     StrictHTTPConnection,
@@ -33,7 +34,8 @@
 # The kernel resends a lost SYN packet after one second; a second attempt connects sooner.
 CONNECT_TIMEOUT_S = 0.25
 CONNECT_ATTEMPTS = 2
-MAX_ANSWER_BYTES = 64 * 1024 * 1024  # bounds the memory that a faulty upstream can use
+# Memory for answers of exchanges that share none.
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
 _READ_BYTES = 65_536
 # Bytes of a large request body that are written between two checks for an early answer.
 _WRITE_BYTES = 32_768
@@ -165,11 +167,13 @@
     """Sends one request and reads its answer. Any thread may cancel the exchange.
 
     ``address`` is HOST:PORT. One that ``parse_address`` refuses counts as an upstream that takes no
-    connections. The exchange is a context manager that closes the connection on exit.
+    connections. Bytes that are kept are taken from ``memory``. The exchange is a context manager
+    that closes the connection, and gives the bytes back, on exit.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, memory: ByteBudget | None = None) -> None:
         self._address = address
+        self._buffer = (memory or ByteBudget(MAX_ANSWER_BYTES)).open(self.cancel)
         self._lock = threading.Lock()
         self._connection: _Connection | None = None
         self._socket: socket.socket | None = None
@@ -189,6 +193,7 @@
         traceback: TracebackType | None,
     ) -> None:
         self.close()
+        self._buffer.close()
 
     @property
     def sent(self) -> bool:
@@ -280,28 +285,42 @@
             raise self._create_failure("the answer is malformed", error) from None
         return self._response
 
-    def read_body(self, deadline: float) -> bytes:
+    def read_body(self, deadline: float) -> bytes | bytearray:
         """Return the whole body of the answer.
 
         Raises ExchangeFailed if the body breaks off, is too large, or is not complete at
         ``deadline`` (monotonic seconds), or if the exchange is cancelled before.
         """
-        parts = list(self.parts(deadline))
-        return parts[0] if len(parts) == 1 else b"".join(parts)
+        body: bytes | bytearray = b""
+        for part in self.parts(deadline):
+            if not body:
+                body = part
+                continue
+            if isinstance(body, bytes):
+                body = bytearray(body)
+            self.reserve(len(body) + len(part))
+            body += part
+        self._buffer.finish()
+        return body
+
+    def reserve(self, size: int) -> None:
+        """Reserve memory for the bytes of the answer that are kept. Raises ExchangeFailed."""
+        try:
+            self._buffer.resize(size)
+        except BudgetExceeded as error:
+            raise ExchangeFailed(f"no memory for the answer: {error}", sent=True) from None
 
     def parts(
         self, deadline: float, progress_deadline: Callable[[], float] | None = None
     ) -> Iterator[bytes]:
         """Yield the body of the answer as it arrives.
 
-        Raises ExchangeFailed if the body breaks off, is too large, or is not complete at
-        ``deadline`` (monotonic seconds), or if the exchange is cancelled before.
-        ``progress_deadline`` returns the time at which waiting
-        ends sooner; it is asked again at that time, and may return a later one.
+        Raises ExchangeFailed if the body breaks off, or is not complete at ``deadline`` (monotonic
+        seconds), or if the exchange is cancelled before. ``progress_deadline`` returns the time at
+        which waiting ends sooner; it is asked again at that time, and may return a later one.
         """
         response = self._response
         assert response is not None
-        size = 0
         self._deadline = deadline
         limit = progress_deadline
         self._set_read_deadline(
@@ -325,12 +344,11 @@
                 raise self._create_failure("the answer broke off", error) from None
             if not part:
                 # A body without length ends with its connection, which ``cancel`` ends, too.
+                if self._buffer.is_revoked:
+                    self.reserve(0)
                 if self._cancelled and _ends_with_connection(response):
                     raise ExchangeFailed("the exchange was cancelled", sent=True, cancelled=True)
                 return
-            size += len(part)
-            if size > MAX_ANSWER_BYTES:
-                raise ExchangeFailed(f"the answer exceeds {MAX_ANSWER_BYTES} bytes", sent=True)
             yield part
 
     def cancel(self) -> None:
@@ -404,6 +422,8 @@
             sock.limit_reads(read_deadline)
 
     def _create_failure(self, description: str, error: Exception) -> ExchangeFailed:
+        if self._buffer.is_revoked:
+            return ExchangeFailed("no memory for the answer", sent=self._sent)
         if self._cancelled:
             return ExchangeFailed("the exchange was cancelled", sent=self._sent, cancelled=True)
         detail = f"{description} ({type(error).__name__})"
--- a/src/chervilrack/_internal/upstreams/http_client.py
+++ b/src/chervilrack/_internal/upstreams/http_client.py
@@ -12,6 +12,7 @@
 import urllib3
 from result import Err, Ok, Result
 
+from chervilrack._internal.common.byte_budget import BudgetExceeded, Reservation
 from chervilrack._internal.common.decoding import UnreadableValue, decode_json
 from chervilrack._internal.common.ids import AttemptId
 from chervilrack._internal.common.results import Executed
@@ -29,7 +30,6 @@
     UpstreamCall,
 )
 
-MAX_ANSWER_BYTES = 64 * 1024 * 1024  # bounds the memory that a faulty upstream can use
 _READ_BYTES = 65536
 _load_decoder = msgspec.json.Decoder(dict[str, float])
 
@@ -46,6 +46,7 @@
     transmission: Transmission
     response: urllib3.BaseHTTPResponse
     started: float
+    buffer: Reservation
 
 
 def request_headers(call: UpstreamCall) -> dict[str, str]:
@@ -138,7 +139,9 @@
             if failure is not None:
                 yield Err(failure)
             else:
-                yield Ok(OpenExchange(call, transmission, response, started))
+                buffer = self._pools.answer_memory.open(transmission.cancel)
+                with buffer:
+                    yield Ok(OpenExchange(call, transmission, response, started, buffer))
         finally:
             with self._lock:
                 self._running.pop(call.attempt_id, None)
@@ -228,14 +231,15 @@
 
 
 def _read_body(exchange: OpenExchange) -> bytes:
-    blocks: list[bytes] = []
-    size = 0
-    while block := read_block(exchange):
-        blocks.append(block)
-        size += len(block)
-        if size > MAX_ANSWER_BYTES:
-            raise MalformedAnswerError(f"the answer is larger than {MAX_ANSWER_BYTES} bytes")
-    return blocks[0] if len(blocks) == 1 else b"".join(blocks)
+    body = bytearray()
+    try:
+        while block := read_block(exchange):
+            exchange.buffer.add(len(block))
+            body += block
+    except BudgetExceeded as error:
+        raise MalformedAnswerError(f"no memory for the answer: {error}") from None
+    exchange.buffer.finish()
+    return bytes(body)
 
 
 def read_block(exchange: OpenExchange) -> bytes:
--- a/src/chervilrack/platform/run.py
+++ b/src/chervilrack/platform/run.py
@@ -6,6 +6,7 @@
 import threading
 from pathlib import Path
 
+from chervilrack._internal.common.byte_budget import return_large_buffers
 from chervilrack._internal.common.clock import SystemClock
 from chervilrack._internal.common.signals import ProcessSignals
 from chervilrack._internal.exceptions import InvalidDocumentError
@@ -44,6 +45,7 @@
     """Run a node until a signal tells it to stop; the node then leaves gracefully."""
     threading.stack_size(THREAD_STACK_BYTES)
     sys.setswitchinterval(SWITCH_INTERVAL_S)
+    return_large_buffers()
     try:
         settings_file = Path(os.environ[SETTINGS_VARIABLE])
         settings = load_settings(settings_file)
--- a/src/chervilrack/platform/settings.py
+++ b/src/chervilrack/platform/settings.py
@@ -56,10 +56,14 @@
 
 
 class _Limits(msgspec.Struct, rename="camel"):
-    """Resources of the VM: a share of a core that is ``cores`` times as fast as a usual one."""
+    """Resources of the VM: a share of a core that is ``cores`` times as fast as a usual one.
+
+    A process with more memory than ``memory_mb`` is killed.
+    """
 
     cpu_share: _Amount = 1.0
     cores: _Amount = 1.0
+    memory_mb: _Amount = 300.0
 
 
 class _SettingsFile(msgspec.Struct, rename="camel"):
@@ -113,6 +117,7 @@
             slack=content.bounds.retry_slack,
         ),
         cpu_cores=content.limits.cpu_share * content.limits.cores,
+        memory_bytes=round(content.limits.memory_mb * 1e6),
         apply_limits=ApplyLimits(
             timedelta(milliseconds=min(content.bounds.config_apply_ms, content.bounds.drain_ms))
         ),
--- a/src/chervilrack/platform/store.py
+++ b/src/chervilrack/platform/store.py
@@ -20,7 +20,7 @@
     decode_json,
     decode_value,
 )
-from chervilrack._internal.common.http_responses import StrictHTTPConnectionPool
+from chervilrack._internal.common.http_responses import StrictHTTPConnectionPool, read_limited
 from chervilrack._internal.exceptions import (
     PlatformOutcomeUnknown,
     PlatformOverloaded,
@@ -272,11 +272,13 @@
             fields=query,
             body=content,
             headers=headers,
+            preload_content=False,
             **({"timeout": timeout} if timeout is not None else {}),
         )
         status = response.status
+        content = read_limited(response)
         if status == _SUCCESS or status in returned_statuses:
-            return status, response.data
+            return status, content
         if status == 429:
             raise PlatformOverloaded(f"{method} {path}: the store's rate limit is exceeded")
         if status >= 500:
