Count an attempt whose request could not be written whole

What callers saw: an order that broke off while its body was written was sent to up to four upstreams, any of which may have run it. Cause: the attempt was counted behind the write. Without a counted attempt the forwarder took the request for one never sent, and asked neither the kind of the route, nor maxAttempts, nor the retry budget. Ruled out: attempts that fail after the write; stage calls, native calls and writes to the store, which go by whether a byte may have been sent. Change: the attempt counts if a byte may have been written. Evidence: adapter/answers.feature, "an order whose write fails within the request's body is sent once": 200 from the second upstream before, 502 now.

--- a/features/adapter/answers.feature
+++ b/features/adapter/answers.feature
@@ -169,6 +169,20 @@
       | misdirected up to s-caller-1               | break  |
       | 500 up to Internal Server Error            | break  |
 
+  # Guards against an attempt that breaks off within the body of the request and is not counted.
+  Scenario Outline: an order whose <ending> within the request's body is sent once
+    Given scripted plain upstreams that first send "<script>" and then "answer"
+    And the node takes bodies of 4000000 bytes
+    And writes to upstreams <writes>
+    When a caller sends an order with a body of 3900000 bytes
+    Then the caller gets status 502 and is told that it has maybe run
+    And 1 request has reached the scripted upstreams
+
+    Examples:
+      | ending                         | script  | writes                    |
+      | upstream resets its connection | reset   | succeed                   |
+      | write fails                    | silence | fail behind the head      |
+
   Scenario Outline: a look-up of which an upstream sends <answer> is answered by the next one
     # Guards against an empty answer to a request that another upstream could have answered.
     Given scripted plain upstreams that first send "<answer>, break" and then "answer"
--- a/features/steps/answers_steps.py
+++ b/features/steps/answers_steps.py
@@ -1,13 +1,18 @@
 """Steps for faulty answers of upstreams, written by scripts to the sockets of a serving node."""
 
 import json
+import os
 import socket
 import threading
 import time
+from unittest import mock
 
 from behave import given, then, when
 from support.scripted_upstream import FOREIGN_ID, start_scripted
 
+from chervilrack._internal.upstreams import exchange as exchange_module
+from chervilrack.platform.emulated.emulation import configuration
+
 LIMIT_S = 30.0
 
 
@@ -68,6 +73,51 @@
     context.raw = exchange(context, "/stream/1", "caller-1", 20_000)
 
 
+@when("a caller sends an {kind} with a body of {size:d} bytes")
+@when("a caller sends a {kind} request with a body of {size:d} bytes")
+def send_large_body(context, kind, size):
+    assert kind == "order"
+    head = build_request("/order/1", "caller-1", 8000, "Connection: close\r\n")
+    head = head.replace("Content-Length: 0", f"Content-Length: {size}")
+    context.raw = exchange_raw(context, head + "x" * size)
+    record_response(context)
+
+
+@given("the node takes bodies of {size:d} bytes")
+def allow_bodies(context, size):
+    document = configuration(2, ["k1"])
+    document["limits"]["maxBodyBytes"] = size
+    context.store.put("op/config", document)
+    server = context.node._caller_server._server
+    end = time.monotonic() + LIMIT_S
+    while server.max_request_body_size != size:
+        assert time.monotonic() < end, "the limit is not in force"
+        time.sleep(0.01)
+
+
+@given("writes to upstreams {succeed}")
+def break_writes(context, succeed):
+    if succeed == "succeed":
+        return
+    write = exchange_module._Connection.send
+
+    def write_head(connection, data):
+        if connection.has_written:
+            raise ConnectionResetError("reset")
+        write(connection, data)
+
+    patch = mock.patch.object(exchange_module._Connection, "send", write_head)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@given("the node has {count:d} open descriptors")
+def open_descriptors(context, count):
+    opened = [os.open(os.devnull, os.O_RDONLY) for _ in range(count)]
+    for descriptor in opened:
+        context.add_cleanup(os.close, descriptor)
+
+
 @when("an HTTP/1.0 caller reads a stream")
 def read_stream_without_chunks(context):
     request = build_request("/stream/1", "caller-1", 4000).replace("HTTP/1.1", "HTTP/1.0")
--- a/features/support/scripted_upstream.py
+++ b/features/support/scripted_upstream.py
@@ -225,10 +225,11 @@
                 time.sleep(0.1)
                 connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
                 connection.close()
-            case ["silence" | "hold"]:
-                (self._released if action == "hold" else self._stopping).wait(20)
-            case ["pause", "of", seconds, "s"]:
-                self._stopping.wait(float(seconds))
+            case ["read", "the", "body"]:
+                self._read_body(connection, self.requests[-1])
+            case ["silence" | "hold" | "pause", *words]:
+                seconds = float(words[1]) if words else 20.0
+                (self._released if action == "hold" else self._stopping).wait(seconds)
             case [*framing, "events", first, "to", last]:
                 events = [_event(number) for number in range(int(first), int(last) + 1)]
                 is_framed = framing != ["unframed"]
@@ -254,6 +255,14 @@
         if is_stream and is_last_part and not script.endswith("break"):
             connection.sendall(b"0\r\n\r\n")
 
+    @staticmethod
+    def _read_body(connection, request):
+        """Read the body of the latest request, whose begin may have come with its head."""
+        head, _, body = request.partition("\r\n\r\n")
+        left = int(re.search(r"(?i)Content-Length: (\d+)", head)[1]) - len(body)
+        while left > 0:
+            left -= len(connection.recv(65536))
+
     def _send_stream_part(self, connection, content, request_id, is_first, is_framed=True):
         coding = _CHUNKED if is_framed else ""
         head = f"{OK}{_identity(request_id)}Content-Type: text/event-stream\r\n{coding}\r\n"
--- a/src/chervilrack/_internal/forwarding/attempts.py
+++ b/src/chervilrack/_internal/forwarding/attempts.py
@@ -322,8 +322,12 @@
         )
         headers = self._dialect.request_headers(request.headers, forwarded)
         self._connect(context, entry, exchange, started)
-        self._write(context, exchange, headers)
-        context.sent_attempts += 1
+        try:
+            self._write(context, exchange, headers)
+        finally:
+            # Also if the write fails: the upstream may have got the request.
+            if exchange.sent:
+                context.sent_attempts += 1
         timeout = self._observer.first_byte_timeout(context, choice)
         begins = self._begins_within(exchange, timeout, stages)
         while not begins:
