Write large request bodies at nodes with more than 1,024 descriptors

What callers saw: 502 for each request with a body over 32,768 bytes, while the node had more than 1,024 descriptors. Cause: select.select takes no descriptor above 1023 and raises ValueError. Ruled out: any other use of select.select; there is none. Change: poll, registered once for a body. Evidence: adapter/answers.feature, "... at a node with 1100 open descriptors": 2 of 3 rows failed before (502), all pass.

--- a/features/adapter/answers.feature
+++ b/features/adapter/answers.feature
@@ -183,6 +183,21 @@
       | upstream resets its connection | reset   | succeed                   |
       | write fails                    | silence | fail behind the head      |
 
+  # Guards against system calls that cannot take large descriptors.
+  Scenario Outline: a <kind> request with a body of <size> bytes is answered at a node with <count> open descriptors
+    Given scripted plain upstreams that send "read the body, answer"
+    And the node takes bodies of 4000000 bytes
+    And the node has <count> open descriptors
+    When a caller sends a <kind> request with a body of <size> bytes
+    Then the caller gets status 200
+    And 1 request has reached the scripted upstreams
+
+    Examples:
+      | kind  | size    | count |
+      | order | 60000   | 10    |
+      | order | 60000   | 1100  |
+      | order | 3900000 | 1100  |
+
   Scenario Outline: a look-up of which an upstream sends <answer> is answered by the next one
     # Guards against an empty answer to a request that another upstream could have answered.
     Given scripted plain upstreams that first send "<answer>, break" and then "answer"
--- a/src/chervilrack/_internal/upstreams/exchange.py
+++ b/src/chervilrack/_internal/upstreams/exchange.py
@@ -152,13 +152,17 @@
             super().send(data)
             return
         view = memoryview(data)
+        timeout = self.sock.gettimeout()
+        limit_ms = None if timeout is None else math.ceil(timeout * 1000)
+        # select() takes no descriptor above 1023.
+        poller = select.poll()
+        poller.register(self.sock, select.POLLIN | select.POLLOUT)
         while view:
-            readable, _, _ = select.select([self.sock], [], [], 0)
-            if readable:
-                return
-            _, writable, _ = select.select([], [self.sock], [], self.sock.gettimeout())
-            if not writable:
+            ready = poller.poll(limit_ms)
+            if not ready:
                 raise TimeoutError("the upstream does not read the request")
+            if ready[0][1] & ~select.POLLOUT:
+                return
             sent = self.sock.send(view[:_WRITE_BYTES])
             view = view[sent:]
 
