--- a/features/steps/nesting_steps.py
+++ b/features/steps/nesting_steps.py
@@ -1,15 +1,16 @@
 """Steps for the function that turns any value into a result or one error."""
 
 import builtins
+import io
 import json
 import os
 import subprocess
 import sys
 from collections import Counter
 from pathlib import Path
-from types import SimpleNamespace
 
 import msgspec
+import urllib3
 from behave import then, when
 from hypothesis import given as for_all
 from hypothesis import strategies as st
@@ -125,7 +126,9 @@
 
 def read_platform_answer(content, status=200):
     platform = EtcdPlatform(PlatformSettings(endpoints=("http://10.0.0.1:2379",)))
-    platform._send = lambda *_args, **_kwargs: SimpleNamespace(status=status, data=content)
+    platform._send = lambda *_args, **_kwargs: urllib3.HTTPResponse(
+        io.BytesIO(content), status=status, preload_content=False
+    )
     return platform.get("servers/a")
 
 
