Keep ended registrations only after an outage that others had as well

What callers saw: requests reached a worker up to 2.4 s after its end (drainMs is 2 s), from nodes in touch, after the store had begun to answer another node of their zone again, or after one cut watch. Cause: a relay's `regained` was taken for an outage of the store, whoever else it had answered, and each failed call for an outage, however short. Ruled out: the grace of 2.2 s itself, which follows real outages, after which nodes are not in touch for longer. Change: relays say how long they had no answer; an outage counts only if no other watcher had an answer in it, and if it lasted 2 s or more since the store's last answer (a registration lapses after three missed renewals of 1.2 s). Evidence: catalogue/directory.feature, "while node c was served": fails with the former condition put back; catalogue/catalogue.feature: outages of 0.2 and 1.9 s. Rows with outages of no length have 3 s now.

--- a/features/catalogue/catalogue.feature
+++ b/features/catalogue/catalogue.feature
@@ -39,12 +39,12 @@
       | removed                                         | gone     |
       | draining                                        | draining |
       | store-down, removed                             | ready    |
-      | store-down, store-up, removed                   | ready    |
-      | store-down, store-up, removed, 2.3 s            | gone     |
-      | store-down, removed, store-up, 2.3 s            | gone     |
-      | store-down, removed, store-up, 1 s, listed, 2 s | ready    |
-      | store-down, draining, store-up, removed         | gone     |
-      | store-down, store-up, 2.3 s, removed            | gone     |
+      | store-down, 3 s, store-up, removed              | ready    |
+      | store-down, 3 s, store-up, removed, 2.3 s       | gone     |
+      | store-down, removed, 3 s, store-up, 2.3 s       | gone     |
+      | store-down, removed, 3 s, store-up, 1 s, listed, 2 s | ready |
+      | store-down, 3 s, draining, store-up, removed    | gone     |
+      | store-down, 3 s, store-up, 2.3 s, removed       | gone     |
       | store-down, removed, 10 s                       | ready    |
       | store-down, peer lists, 10 s                    | ready    |
       | store-down, peer dropped                        | gone     |
@@ -54,6 +54,15 @@
       | store-down, peer keeps, 1 s, peer keeps, 1.3 s  | gone     |
       | store-down, peer keeps, 1 s, peer lists, 2 s    | ready    |
 
+    # Guards against a worker that has left and is kept because a watch was cut for a moment (DRAIN).
+    Examples: in less than two seconds no registration lapses, which takes three missed renewals
+      | events                                          | state    |
+      | store-down, 0.2 s, store-up, removed            | gone     |
+      | store-down, 1.9 s, store-up, removed            | gone     |
+      | store-down, 2.1 s, store-up, removed            | ready    |
+      | store-down, 3 s, store-up, 1 s, store-down, 0.2 s, store-up, removed        | ready |
+      | store-down, 3 s, store-up, 1 s, store-down, 0.2 s, store-up, removed, 1.3 s | gone  |
+
   Scenario: an entry with an older revision than the known one is ignored
     Given a catalogue that lists upstream u1 as ready
     When the directory receives draining
--- a/features/steps/changefeed_steps.py
+++ b/features/steps/changefeed_steps.py
@@ -61,7 +61,7 @@
 
 
 def receive(context, message):
-    changes = context.feed.receive(message, context.revision, context.now)
+    changes = context.feed.receive(NodeId("b"), message, context.revision, context.now)
     if changes:
         assert [change.revision for change in changes] == list(
             range(context.revision + 1, message.revision + 1)
--- a/features/steps/directory_steps.py
+++ b/features/steps/directory_steps.py
@@ -74,7 +74,7 @@
 
     def pass_on(self, addresses, message):
         if self.follower is not None and f"tcp://{self.follower.address}" in addresses:
-            self.follower.relay.on_progress(message)
+            self.follower.relay.on_progress(NodeId("a"), message)
 
     def heartbeat(self):
         address = self.address
@@ -101,6 +101,18 @@
     directory_node.relay.on_changes((change,), revision)
 
 
+def have_outage(context, keepalive=None):
+    """Have the store away for node a for 3 s; node c's keepalives reach node b meanwhile."""
+    context.a.relay.on_unavailable("away")
+    for _ in range(6):
+        for node in (context.a, context.b):
+            node.clock.advance(timedelta(seconds=0.5))
+        if keepalive is not None:
+            context.b.relay.on_progress(NodeId("c"), keepalive)
+    context.a.relay.on_available()
+    context.a.relay.on_unchanged()
+
+
 @when("the store connection of node a reports {event}")
 def change_store(context, event):
     directory = context.a.relay
@@ -112,7 +124,7 @@
             # The message of another watcher with the changes before the deletion arrives later.
             item = upstream("u2", 3)
             change = RelayedChange(item.key, item.value, item.mod_revision, False)
-            context.b.relay.on_progress(StoreProgress(2, 3, (change,)))
+            context.b.relay.on_progress(NodeId("a"), StoreProgress(2, 3, (change,)))
         case "a change of u1":
             changed = Change(ChangeKind.PUT, upstream("u1", 4, version="v2"))
             directory.on_changes((changed,), 4)
@@ -121,8 +133,10 @@
         case "a listing without u2":
             directory.on_listing((CONFIGURATION, upstream("u1", 2)), 4)
         case "an outage and then the end of u2":
-            directory.on_unavailable("away")
-            directory.on_available()
+            have_outage(context)
+            delete_upstream(context.a, "u2", 4)
+        case "an outage and then the end of u2, while node c was served":
+            have_outage(context, keepalive=StoreProgress(3, 3))
             delete_upstream(context.a, "u2", 4)
 
 
--- a/features/steps/odd_entries_steps.py
+++ b/features/steps/odd_entries_steps.py
@@ -90,7 +90,7 @@
             node.relay.on_changes(tuple(map(put, items)), 6)
         case "a message of a watcher":
             changes = tuple(RelayedChange(i.key, i.value, i.mod_revision, False) for i in items)
-            node.relay.on_progress(StoreProgress(3, 6, changes))
+            node.relay.on_progress(NodeId("a"), StoreProgress(3, 6, changes))
         case "the state of a peer":
             node.directory.on_unavailable("cut off")
             node.directory.on_state_reply(
--- a/features/support/arrival_orders.py
+++ b/features/support/arrival_orders.py
@@ -191,7 +191,7 @@
             case StateReply():
                 self.b.directory.on_state_reply(message)
             case StoreProgress():
-                self.b.relay.on_progress(message)
+                self.b.relay.on_progress(NodeId("a"), message)
 
     def _pass_time(self):
         for node in (self.a, self.b):
--- a/features/support/feed_load.py
+++ b/features/support/feed_load.py
@@ -226,13 +226,14 @@
                 continue
             other = self._by_address[NodeId(address)]
             self._schedule(
-                self.now + LINK_LATENCY, lambda other=other: self._receive(other, message)
+                self.now + LINK_LATENCY,
+                lambda other=other: self._receive(other, node.name, message),
             )
 
-    def _receive(self, node: _Node, message: StoreProgress) -> None:
+    def _receive(self, node: _Node, sender: NodeId, message: StoreProgress) -> None:
         if not node.alive or node.is_frozen:
             return
-        if node.feed.receive(message, node.revision, self.now):
+        if node.feed.receive(sender, message, node.revision, self.now):
             node.advance(message.revision, self.now)
         if node.open_call is None and not node.feed.is_current(node.revision, self.now):
             self._check(node)
--- a/src/chervilrack/_internal/catalogue/core.py
+++ b/src/chervilrack/_internal/catalogue/core.py
@@ -20,6 +20,10 @@
 # two seconds of its return.
 REREGISTRATION_GRACE = timedelta(seconds=2.2)
 
+# Workers renew their registrations about each 1.2 s, and these lapse after three missed renewals.
+# No registration lapses in a shorter outage.
+SHORTEST_LAPSE = timedelta(seconds=2)
+
 # Removed services that are remembered, for requests that were admitted before the removal.
 MAX_FORMER_SERVICES = 256
 
@@ -118,21 +122,21 @@
         for service in list(former)[: max(0, len(former) - MAX_FORMER_SERVICES)]:
             del former[service]
 
-    def mark_store_unavailable(self, now: timedelta) -> None:
-        """Record that the store does not answer this node."""
+    def mark_store_unavailable(self, since: timedelta) -> None:
+        """Record that the store has not answered this node since a time."""
         if self._unavailable_since is None:
-            self._unavailable_since = now
+            self._unavailable_since = since
 
     def mark_store_available(self, now: timedelta) -> None:
         """Record that the store answers this node again."""
-        if self._unavailable_since is not None:
-            self._unavailable_since = None
+        since, self._unavailable_since = self._unavailable_since, None
+        if since is not None and now - since >= SHORTEST_LAPSE:
             self._had_outage = True
             self._available_again_at = now
 
-    def mark_outage(self, now: timedelta) -> None:
+    def mark_outage(self, since: timedelta, now: timedelta) -> None:
         """Record that the store was unavailable, to this node or a peer, until now."""
-        self.mark_store_unavailable(now)
+        self.mark_store_unavailable(since)
         self.mark_store_available(now)
 
     def apply_listing(
--- a/src/chervilrack/_internal/changefeed/core.py
+++ b/src/chervilrack/_internal/changefeed/core.py
@@ -51,8 +51,9 @@
         self._settings = settings or FeedSettings()
         self._watchers: frozenset[NodeId] = frozenset((node,))
         self._recipients: tuple[str, ...] = ()
-        # Time of the store's latest answer to a watcher of this zone.
+        # Time of the store's latest answer to a watcher of this zone, and to each of them.
         self._answered_at: timedelta | None = None
+        self._answers: dict[NodeId, timedelta] = {}
         # Newest revision that a watcher of this zone, or any other node, has announced.
         self._announced = 0
         self._known_elsewhere = 0
@@ -79,6 +80,8 @@
         least_cores = max(m.cpu_cores for m in candidates) * settings.watcher_cpu_share
         names = [member.node for member in candidates if member.cpu_cores >= least_cores]
         order = rendezvous_order(self._zone, names)
+        known = {member.node for member in members}
+        self._answers = {node: at for node, at in self._answers.items() if node in known}
         self._watchers = frozenset(NodeId(name) for name in order[: settings.watchers_per_zone])
         self._recipients = (
             tuple(member.address for member in members if member.node != self._node)
@@ -117,8 +120,19 @@
             until = min(until, self._lagging_since + limits.lag_limit)
         return until
 
+    def has_missed_outage(self, sender: NodeId, progress: StoreProgress, now: timedelta) -> bool:
+        """Whether the store was away for the sender, and answered no other watcher meanwhile.
+
+        ``receive`` has to be called afterwards.
+        """
+        if not progress.regained:
+            return False
+        began = now - progress.outage_ms * _MILLISECOND
+        others = [at for node, at in self._answers.items() if node != sender]
+        return not any(at > began for at in others)
+
     def receive(
-        self, progress: StoreProgress, revision: int, now: timedelta
+        self, sender: NodeId, progress: StoreProgress, revision: int, now: timedelta
     ) -> tuple[RelayedChange, ...]:
         """Record the message of a watcher; return the changes that the node has to apply.
 
@@ -128,6 +142,7 @@
         answered_at = now - progress.age_ms * _MILLISECOND
         if self._answered_at is None or answered_at > self._answered_at:
             self._answered_at = answered_at
+        self._answers[sender] = max(answered_at, self._answers.get(sender, answered_at))
         self._announced = max(self._announced, progress.revision)
         if progress.revision <= revision or progress.previous > revision:
             return ()
@@ -149,18 +164,22 @@
         now: timedelta,
         *,
         age: timedelta = _ZERO,
-        regained: bool = False,
+        outage: timedelta | None = None,
     ) -> StoreProgress:
         """Return the message that passes changes on, and postpone the next keepalive.
 
-        ``age`` is the time since the store's last answer. Changes that are too large are left out;
-        their receivers read them from the store.
+        ``age`` is the time since the store's last answer, and ``outage`` that without an answer
+        before it, if the store has just begun to answer again. Changes that are too large are left
+        out; their receivers read them from the store.
         """
         self._next_keepalive = now + self._settings.limits.keepalive_interval
         age_ms = max(0, math.ceil(age / _MILLISECOND))
         if sum(len(change.value) for change in changes) > self._settings.max_relayed_bytes:
-            return StoreProgress(revision, revision, (), regained, age_ms)
-        return StoreProgress(previous, revision, tuple(changes), regained, age_ms)
+            previous, changes = revision, ()
+        outage_ms = round((outage or _ZERO) / _MILLISECOND)
+        return StoreProgress(
+            previous, revision, tuple(changes), outage is not None, age_ms, outage_ms
+        )
 
     @property
     def next_keepalive(self) -> timedelta | None:
--- a/src/chervilrack/_internal/changefeed/messages.py
+++ b/src/chervilrack/_internal/changefeed/messages.py
@@ -20,7 +20,8 @@
     ``changes`` are all changes after the revision ``previous`` up to ``revision``. A receiver whose
     copy is older than ``previous`` has to read the changes in between from the store.
     ``regained`` is whether the store has just begun to answer the watcher again. ``age_ms`` is the
-    time since the store's last answer to the watcher.
+    time since the store's last answer to the watcher, ``outage_ms`` that without an answer before
+    the store began to answer again.
     """
 
     previous: Count
@@ -28,3 +29,4 @@
     changes: tuple[RelayedChange, ...] = ()
     regained: bool = False
     age_ms: Milliseconds = 0
+    outage_ms: Milliseconds = 0
--- a/src/chervilrack/_internal/serving/directory.py
+++ b/src/chervilrack/_internal/serving/directory.py
@@ -73,6 +73,8 @@
         self._is_listed = False
         self._queues_outdated = False
         self._store_answers = False
+        # Time of the store's last answer to this node, or to a watcher that it follows.
+        self._answered_at: timedelta | None = None
         self._state_requested_at = -STATE_REQUEST_INTERVAL
 
     @property
@@ -123,10 +125,11 @@
     def on_available(self) -> None:
         """Record that the store answers this node."""
         with self._state.lock:
+            self._answered_at = now = self._state.clock.monotonic()
             if not self._store_answers:
                 self._store_answers = True
                 self._state.log.note("store", "regained", revision=self._revision)
-                self._state.catalogue.mark_store_available(self._state.clock.monotonic())
+                self._state.catalogue.mark_store_available(now)
 
     def on_unavailable(self, reason: str) -> None:
         """Record that the store does not answer this node."""
@@ -134,7 +137,9 @@
             if self._store_answers:
                 self._state.log.note("store", "lost", reason=reason, revision=self._revision)
             self._store_answers = False
-            self._state.catalogue.mark_store_unavailable(self._state.clock.monotonic())
+            now = self._state.clock.monotonic()
+            last = self._answered_at if self._answered_at is not None else now
+            self._state.catalogue.mark_store_unavailable(last)
 
     def _apply_listing(self, items: tuple[KeyValue, ...], revision: int) -> None:
         """Apply a listing, unless a peer's state or relayed changes have overtaken it.
--- a/src/chervilrack/_internal/serving/node.py
+++ b/src/chervilrack/_internal/serving/node.py
@@ -375,7 +375,7 @@
                 case StateReply():
                     self._directory.on_state_reply(message)
                 case StoreProgress():
-                    self._relay.on_progress(message)
+                    self._relay.on_progress(sender, message)
                 case CrashReport():
                     self._state.crash_watch.on_crash_report(message)
                     self._state.report_actions()
--- a/src/chervilrack/_internal/serving/store_relay.py
+++ b/src/chervilrack/_internal/serving/store_relay.py
@@ -8,6 +8,7 @@
 
 from chervilrack._internal.changefeed.core import ChangeFeed, ZoneMember
 from chervilrack._internal.changefeed.messages import RelayedChange, StoreProgress
+from chervilrack._internal.common.ids import NodeId
 from chervilrack._internal.kvstore.port import Change, ChangeKind, KeyValue
 from chervilrack._internal.serving.directory import StoreDirectory
 from chervilrack._internal.serving.state import ServingState
@@ -15,6 +16,7 @@
 # Longest and shortest wait of a node that does not watch until it checks whether it has to.
 LONGEST_FEED_WAIT_S = 1.0
 SHORTEST_FEED_WAIT_S = 0.01
+_MILLISECOND = timedelta(milliseconds=1)
 
 
 class StoreRelay:
@@ -36,8 +38,8 @@
         self._state = state
         self._send = send
         self._answered_at: timedelta | None = None
-        # Whether the store has begun to answer this node again since the last message.
-        self._regained = False
+        # How long the store was away before it began to answer this node again, until it is said.
+        self._outage: timedelta | None = None
         self._feed_changed = threading.Event()
         # Nodes that watch in all zones, 0 until the members of this node's zone are known.
         self._watching_nodes = 0
@@ -92,9 +94,10 @@
     def on_available(self) -> None:
         """Record that the store has answered this node."""
         with self._state.lock:
+            now = self._state.clock.monotonic()
             if self._answered_at is not None and not self._directory.store_answers:
-                self._regained = True
-            self._answered_at = self._state.clock.monotonic()
+                self._outage = now - self._answered_at
+            self._answered_at = now
             self._directory.on_available()
 
     def on_unchanged(self) -> None:
@@ -109,14 +112,14 @@
 
     # Messages and timers
 
-    def on_progress(self, message: StoreProgress) -> None:
+    def on_progress(self, sender: NodeId, message: StoreProgress) -> None:
         """Apply the changes that a watcher passes on."""
         now = self._state.clock.monotonic()
         revision = self._directory.revision
-        if message.regained:
+        if self._feed.has_missed_outage(sender, message, now):
             # Registrations that end now may have lapsed during the outage.
-            self._state.catalogue.mark_outage(now)
-        to_apply = self._feed.receive(message, revision, now)
+            self._state.catalogue.mark_outage(now - message.outage_ms * _MILLISECOND, now)
+        to_apply = self._feed.receive(sender, message, revision, now)
         if to_apply:
             self._directory.on_changes(tuple(map(_change, to_apply)), message.revision)
         if self._feed.is_current(self._directory.revision, now):
@@ -157,8 +160,11 @@
 
     def _send_keepalive(self, now: timedelta) -> None:
         revision, age = self._directory.revision, self._answer_age(now)
-        message = self._feed.progress(revision, revision, (), now, age=age or timedelta(0))
+        message = self._feed.progress(
+            revision, revision, (), now, age=age or timedelta(0), outage=self._outage
+        )
         if self._directory.store_answers and age is not None:
+            self._outage = None
             self._send_to_zone(message)
 
     def _answer_age(self, now: timedelta) -> timedelta | None:
@@ -183,9 +189,9 @@
             relayed,
             now,
             age=self._answer_age(now) or timedelta(0),
-            regained=self._regained,
+            outage=self._outage,
         )
-        self._regained = False
+        self._outage = None
         self._send_to_zone(message)
 
     def _send_to_zone(self, message: StoreProgress) -> None:
