Count a watching node's own answers when another watcher regains the store

What callers saw: the other watcher of the zone, which the store had served all the time, still kept a worker for 2.2 s after its end. Change: the node's own answers count as well. Evidence: catalogue/directory.feature, "while node b was served": fails without, passes.

--- a/features/catalogue/directory.feature
+++ b/features/catalogue/directory.feature
@@ -38,6 +38,7 @@
       | an outage and then the end of u2           | 2.3  | gone  | has to       |
       | a listing without u2                       | 0    | ready | has to       |
       | an outage and then the end of u2, while node c was served | 0 | gone | need not |
+      | an outage and then the end of u2, while node b was served | 0 | gone | need not |
       | nothing                                    | 1.5  | ready | need not     |
       | nothing                                    | 1.7  | ready | has to       |
 
--- a/features/steps/directory_steps.py
+++ b/features/steps/directory_steps.py
@@ -101,14 +101,13 @@
     directory_node.relay.on_changes((change,), revision)
 
 
-def have_outage(context, keepalive=None):
-    """Have the store away for node a for 3 s; node c's keepalives reach node b meanwhile."""
+def have_outage(context, meanwhile=lambda: None):
+    """Have the store away for node a for 3 s, and call ``meanwhile`` each half second."""
     context.a.relay.on_unavailable("away")
     for _ in range(6):
         for node in (context.a, context.b):
             node.clock.advance(timedelta(seconds=0.5))
-        if keepalive is not None:
-            context.b.relay.on_progress(NodeId("c"), keepalive)
+        meanwhile()
     context.a.relay.on_available()
     context.a.relay.on_unchanged()
 
@@ -135,8 +134,13 @@
         case "an outage and then the end of u2":
             have_outage(context)
             delete_upstream(context.a, "u2", 4)
+        case "an outage and then the end of u2, while node b was served":
+            have_outage(context, context.b.relay.on_available)
+            delete_upstream(context.a, "u2", 4)
         case "an outage and then the end of u2, while node c was served":
-            have_outage(context, keepalive=StoreProgress(3, 3))
+            have_outage(
+                context, lambda: context.b.relay.on_progress(NodeId("c"), StoreProgress(3, 3))
+            )
             delete_upstream(context.a, "u2", 4)
 
 
--- a/src/chervilrack/_internal/changefeed/core.py
+++ b/src/chervilrack/_internal/changefeed/core.py
@@ -120,16 +120,25 @@
             until = min(until, self._lagging_since + limits.lag_limit)
         return until
 
-    def has_missed_outage(self, sender: NodeId, progress: StoreProgress, now: timedelta) -> bool:
+    def has_missed_outage(
+        self,
+        sender: NodeId,
+        progress: StoreProgress,
+        own_answer_at: timedelta | None,
+        now: timedelta,
+    ) -> bool:
         """Whether the store was away for the sender, and answered no other watcher meanwhile.
 
-        ``receive`` has to be called afterwards.
+        ``own_answer_at`` is the time of its last answer to this node itself. ``receive`` has to be
+        called afterwards.
         """
         if not progress.regained:
             return False
         began = now - progress.outage_ms * _MILLISECOND
-        others = [at for node, at in self._answers.items() if node != sender]
-        return not any(at > began for at in others)
+        answers = [at for node, at in self._answers.items() if node != sender]
+        if own_answer_at is not None:
+            answers.append(own_answer_at)
+        return not any(at > began for at in answers)
 
     def receive(
         self, sender: NodeId, progress: StoreProgress, revision: int, now: timedelta
--- a/src/chervilrack/_internal/serving/store_relay.py
+++ b/src/chervilrack/_internal/serving/store_relay.py
@@ -116,7 +116,7 @@
         """Apply the changes that a watcher passes on."""
         now = self._state.clock.monotonic()
         revision = self._directory.revision
-        if self._feed.has_missed_outage(sender, message, now):
+        if self._feed.has_missed_outage(sender, message, self._answered_at, now):
             # Registrations that end now may have lapsed during the outage.
             self._state.catalogue.mark_outage(now - message.outage_ms * _MILLISECOND, now)
         to_apply = self._feed.receive(sender, message, revision, now)
