Do not rewrite a record whose number of probes has reached its bound

What callers saw: nothing; found reading the diff. Cause: the record holds at most 1,000 probes, and was compared with the unbounded number. Change: the comparison is bounded, too. Evidence: quarantine/records.feature, "has probed x 2000 times": failed before, passes.

--- a/features/quarantine/records.feature
+++ b/features/quarantine/records.feature
@@ -20,6 +20,8 @@
       | blocks x          | x as blocked by more      | 1    | 0    | x as blocked   |
       | has probed x      | x as blocked              | 1    | 0    | x as blocked   |
       | has probed x      | x as blocked, probed once | 1    | 0    | nothing        |
+      | has probed x      | x as blocked, probed 1000 times | 1 | 0   | nothing        |
+      | has probed x 2000 times | x as blocked, probed 1000 times | 1 | 0 | nothing    |
       | suspects x        | nothing                   | 1    | 5    | nothing        |
       | has cleared x     | x as blocked              | 1    | 0    | x as cleared   |
       | has cleared x     | x as blocked              | 2    | 0    | nothing        |
--- a/features/steps/records_steps.py
+++ b/features/steps/records_steps.py
@@ -53,6 +53,9 @@
     if knows == "has probed x":
         quarantine.observe("50 s")
         assert quarantine.admit(profile("x", SENDER)) is None
+    if knows == "has probed x 2000 times":
+        for suspect in quarantine.core.blocked:
+            suspect.probes = 2000
     if knows == "has cleared x":
         quarantine.observe("peer answer on x")
 
@@ -78,7 +81,7 @@
         written,
         state=states[text.removesuffix(" by more")],
         common=tuple(common),
-        probes=int(more == "probed once"),
+        probes={"probed once": 1, "probed 1000 times": 1000}.get(more, 0),
         is_doubtful=more == "in doubt",
     )
 
--- a/src/chervilrack/_internal/quarantine/archive.py
+++ b/src/chervilrack/_internal/quarantine/archive.py
@@ -11,6 +11,7 @@
 from chervilrack._internal.common.hashing import rendezvous_order
 from chervilrack._internal.common.ids import NodeId
 from chervilrack._internal.quarantine.records import (
+    MAX_PROBES,
     BlockRecord,
     RecordState,
     block_record,
@@ -106,7 +107,8 @@
             return suspect.was_blocked and is_recorded
         if stored is None or not is_recorded:
             return self._has_room(suspect)
-        return stored[0].probes < suspect.probes or suspect.common < frozenset(stored[0].common)
+        probes = min(suspect.probes, MAX_PROBES)
+        return stored[0].probes < probes or suspect.common < frozenset(stored[0].common)
 
     def _has_room(self, suspect: Suspect) -> bool:
         """Whether the record of a further trait keeps the bounds."""
--- a/src/chervilrack/_internal/quarantine/records.py
+++ b/src/chervilrack/_internal/quarantine/records.py
@@ -19,6 +19,8 @@
 from chervilrack._internal.quarantine.state import Crash, Suspect, Trait
 
 _Name = Annotated[str, msgspec.Meta(max_length=MAX_TRAIT_LENGTH)]
+# Probes are at least ten minutes apart by then.
+MAX_PROBES = 1000
 _MILLISECOND = timedelta(milliseconds=1)
 
 
@@ -44,7 +46,7 @@
     crashes: Annotated[
         tuple[ReportedCrash, ...], msgspec.Meta(max_length=MAX_REPORTED_CRASHES)
     ] = ()
-    probes: Annotated[int, msgspec.Meta(ge=0, le=1000)] = 0
+    probes: Annotated[int, msgspec.Meta(ge=0, le=MAX_PROBES)] = 0
     is_doubtful: bool = False
 
     @property
@@ -89,7 +91,7 @@
             )
             for upstream, crash in latest
         ),
-        probes=min(suspect.probes, 1000),
+        probes=min(suspect.probes, MAX_PROBES),
         is_doubtful=suspect.is_doubtful,
     )
 
