Give back the memory of a stream that an HTTP/1.0 caller leaves

What callers saw: nothing yet; found reading the diff. Each caller of HTTP/1.0 that left within a stream kept the stream's bytes reserved, until the node would have refused large bodies of all callers. Cause: the reservation was given back only at the end or the abort of the stream. Change: the stream uses the reservation of its request, which ends with it; that of a body in chunks no longer gives way once it is read. Evidence: adapter/answers.feature, "an HTTP/1.0 caller that leaves within a stream leaves no memory reserved": failed before, passes.

--- a/features/adapter/answers.feature
+++ b/features/adapter/answers.feature
@@ -281,6 +281,12 @@
       | events without ids, break     | an error 502        |
       | unframed events 1 to 2, reset | an error 502        |
 
+  # Guards against memory that stays reserved for callers that leave.
+  Scenario: an HTTP/1.0 caller that leaves within a stream leaves no memory reserved
+    Given one scripted engine that sends "events 1 to 3, silence"
+    When an HTTP/1.0 caller leaves a stream once 3 events were sent
+    Then the node has no memory reserved for requests
+
   Scenario: requests that a caller sends at once get their own answers in their order
     # Guards against answers that are exchanged between the requests of one connection.
     Given scripted plain upstreams that send "103, answer, foreign answer"
--- a/features/steps/answers_steps.py
+++ b/features/steps/answers_steps.py
@@ -124,6 +124,28 @@
     context.raw = exchange_raw(context, request)
 
 
+@when("an HTTP/1.0 caller leaves a stream once 3 events were sent")
+def leave_stream(context):
+    request = build_request("/stream/1", "caller-1", 8000).replace("HTTP/1.1", "HTTP/1.0")
+    address = (context.settings.callers.host, context.settings.callers.port)
+    with socket.create_connection(address, timeout=LIMIT_S) as connection:
+        connection.sendall(request.encode())
+        wait_until(lambda: context.node._body_memory.used > 0, "events are kept")
+
+
+def wait_until(condition, description):
+    end = time.monotonic() + LIMIT_S
+    while not condition():
+        assert time.monotonic() < end, f"timed out: {description}"
+        time.sleep(0.01)
+
+
+@then("the node has no memory reserved for requests")
+def check_no_memory(context):
+    wait_until(lambda: context.node._state.in_progress == 0, "the request ends")
+    wait_until(lambda: context.node._body_memory.used == 0, "the memory is given back")
+
+
 @then("it gets the events {events} with a length")
 def check_events_with_length(context, events):
     expected = "".join(f"id: {n}\ndata: piece {n}\n\n" for n in events.split())
--- a/src/chervilrack/_internal/gateway/passthrough.py
+++ b/src/chervilrack/_internal/gateway/passthrough.py
@@ -168,14 +168,16 @@
 class ConnectionResponder:
     """Writes the response to one request to the caller's connection."""
 
-    def __init__(self, request: _Request, watch: CallerWatch | None) -> None:
+    def __init__(
+        self, request: _Request, watch: CallerWatch | None, buffer: Reservation | None = None
+    ) -> None:
         self._request = request
         self._watch = watch
         self._is_ending = False
         # Head and body of an answer to a caller that knows no chunks. Without them, only a stated
         # length lets it tell an answer that was cut off from a whole one.
         self._collected: tuple[int, list[tuple[str, str]], bytearray] | None = None
-        self._buffer: Reservation = request.server.body_memory.open()
+        self._buffer = buffer
 
     def send_response(
         self, status: int, headers: Sequence[tuple[str, str]], body: bytes | bytearray
@@ -210,7 +212,8 @@
 
     def _collect(self, part: bytes, body: bytearray) -> None:
         try:
-            self._buffer.add(len(part))
+            if self._buffer is not None:
+                self._buffer.add(len(part))
         except BudgetExceeded:
             self.abort()
             raise CallerGone from None
@@ -221,7 +224,6 @@
         self._is_ending = True
         if self._collected is not None:
             self.send_response(*self._collected)
-            self._buffer.close()
             return
         self._send(b"0\r\n\r\n")
 
@@ -231,7 +233,6 @@
         if self._collected is not None:
             detail = "the answer broke off"
             problem = Problem(ResultCode.UPSTREAM_FAILED, detail, Executed.UNKNOWN)
-            self._buffer.close()
             self.send_response(*problem_response(problem, None))
 
     def on_caller_gone(self, action: Callable[[], None]) -> AbstractContextManager[None]:
@@ -280,21 +281,18 @@
     def respond(self) -> None:
         """Answer one request."""
         request: _Request = self.req
-        server: _Server = request.server
         connection: _Connection = request.conn
-        responder = ConnectionResponder(request, server.watch)
         if connection.is_refused:
             connection.begin_body(REFUSED_READ_TIME, is_total=True)
         else:
             connection.begin_body(STALL_LIMIT)
-        with server.body_memory.open() as buffer:
-            self._serve(request, responder, buffer)
+        with request.server.body_memory.open() as buffer:
+            self._serve(request, buffer)
 
-    def _serve(
-        self, request: _Request, responder: ConnectionResponder, buffer: Reservation
-    ) -> None:
-        """Read the body, for which ``buffer`` reserves memory, and call the handler."""
+    def _serve(self, request: _Request, buffer: Reservation) -> None:
+        """Read the body and call the handler; ``buffer`` reserves memory until both are done."""
         server: _Server = request.server
+        responder = ConnectionResponder(request, server.watch, buffer)
         connection: _Connection = request.conn
         try:
             body = _read_body(request, request.max_body, buffer)
@@ -358,7 +356,9 @@
     """Return the body of a request; ``buffer`` reserves memory before any of it is read."""
     if request.chunked_read:
         # The chunks are joined at the end, when they are held twice for a moment.
-        return ChunkedBody(request.conn.rfile, limit, lambda size: buffer.resize(2 * size)).read()
+        body = ChunkedBody(request.conn.rfile, limit, lambda size: buffer.resize(2 * size)).read()
+        buffer.finish()
+        return body
     length = int(request.inheaders.get(b"Content-Length", b"0"))
     if length > limit:
         raise BodyTooLarge(f"the body is larger than {limit} bytes")
