--- a/features/steps/directory_steps.py
+++ b/features/steps/directory_steps.py
@@ -159,18 +159,23 @@
     assert getattr(context, name).relay.watching_nodes == count
 
 
-@given("node a watches the store for node b")
-@when("node a watches the store for node b")
-def start_feed(context):
+def follow(watcher, follower):
+    """Put two nodes into one zone, of which the first watches the store."""
     # Nodes c to e have too little processor time to watch.
     sizes = {"a": 2.0, "b": 0.5, "c": 0.5, "d": 0.5, "e": 0.5}
-    addresses = {"a": context.a.address, "b": context.b.address}
+    addresses = {"a": watcher.address, "b": follower.address}
     members = [
         ZoneMember(NodeId(name), addresses.get(name, name), cores, True)
         for name, cores in sizes.items()
     ]
-    for node in (context.a, context.b):
+    for node in (watcher, follower):
         node.relay.set_members(members, 1)
+
+
+@given("node a watches the store for node b")
+@when("node a watches the store for node b")
+def start_feed(context):
+    follow(context.a, context.b)
     context.a.follower = context.b
     context.a.relay.tick(context.a.clock.monotonic())
     assert not context.b.relay.must_watch()
--- a/features/steps/floods_steps.py
+++ b/features/steps/floods_steps.py
@@ -1,11 +1,10 @@
 """Steps for responses without end, and for the budget of the buffers that keep them."""
 
-import socket
-import threading
-from contextlib import ExitStack, suppress
+from contextlib import ExitStack
 
 from behave import given, then, when
 from broken_off_steps import CHUNKED, CLIENTS, OK_LINE
+from features.support.cut_server import CutServer
 
 from chervilrack._internal.common.byte_budget import BudgetExceeded, ByteBudget
 
@@ -22,39 +21,20 @@
 }
 
 
-class FloodServer:
+class FloodServer(CutServer):
     """Answers each request with a head and then one block without end; counts what is sent."""
 
     def __init__(self, head, block):
-        self._head, self._block = head, block
-        self._listener = socket.create_server(("127.0.0.1", 0))
-        self._thread = threading.Thread(target=self._serve, daemon=True)
-        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        super().__init__(head)
+        self._block = block
         self.sent = 0
 
-    def __enter__(self):
-        self._thread.start()
-        return self
-
-    def __exit__(self, *_exception):
-        with suppress(OSError):
-            self._listener.shutdown(socket.SHUT_RDWR)
-        self._listener.close()
-        self._thread.join()
-
-    def _serve(self):
-        while True:
-            try:
-                connection, _peer = self._listener.accept()
-            except OSError:
-                return
-            with connection, suppress(OSError):
-                connection.settimeout(5)
-                connection.recv(65536)
-                connection.sendall(self._head)
-                while self.sent < MAX_SENT:
-                    connection.sendall(self._block)
-                    self.sent += len(self._block)
+    def _answer(self, connection):
+        connection.recv(65536)
+        connection.sendall(self.response)
+        while self.sent < MAX_SENT:
+            connection.sendall(self._block)
+            self.sent += len(self._block)
 
 
 @when("{client} gets {content} without end")
--- a/features/support/arrival_orders.py
+++ b/features/support/arrival_orders.py
@@ -8,9 +8,8 @@
 import random
 from datetime import timedelta
 
-from directory_steps import CONFIGURATION, DirectoryNode, upstream
+from directory_steps import CONFIGURATION, DirectoryNode, follow, upstream
 
-from chervilrack._internal.changefeed.core import ZoneMember
 from chervilrack._internal.changefeed.messages import StoreProgress
 from chervilrack._internal.common.ids import Incarnation, NodeId
 from chervilrack._internal.fleet.messages import StateReply, StateRequest
@@ -128,14 +127,7 @@
         self.mistakes = []
 
     def _connect_feed(self):
-        sizes = {"a": 2.0, "b": 0.5, "c": 0.5, "d": 0.5, "e": 0.5}
-        addresses = {"a": self.a.address, "b": self.b.address}
-        members = [
-            ZoneMember(NodeId(name), addresses.get(name, name), cores, True)
-            for name, cores in sizes.items()
-        ]
-        for node in (self.a, self.b):
-            node.relay.set_members(members, 1)
+        follow(self.a, self.b)
         self.a.relay._send = self._keep_message
 
     def _keep_message(self, addresses, message):
