Restore recorded blocks only at nodes that have just started

Cause: one node, which had missed the sound answers of three crashing engines, blocked a sound part and recorded it; the others took the block from the record as it appeared, though their own evidence did not suffice. Ruled out: trials (one at a time, none refused these), blocks restored at a start (no node had started). Change: records are restored only before a node accepts requests; a record of a sound trait still lifts a block at any time.

--- a/features/quarantine/records.feature
+++ b/features/quarantine/records.feature
@@ -79,6 +79,19 @@
       | the store                            |
       | a peer, while the store does not answer |
 
+  # Guards against a wrong block of one node that its record spreads to those that have sound answers.
+  Scenario Outline: a node that accepts requests and then gets a block of x from <source> goes by its own evidence
+    Given a node that starts, and a block of x in the store
+    And it has accepted requests before the block
+    When it gets a block of x from <source>
+    Then it accepts requests, also those with x
+
+    Examples:
+      | source                                  |
+      | a watch                                 |
+      | a listing                               |
+      | a peer, while the store does not answer |
+
   # Guards against records of other writers that cost more than themselves.
   Scenario Outline: <content> under a key of records is left out
     Given a node that starts, and <content> under a key of records
--- a/features/steps/records_steps.py
+++ b/features/steps/records_steps.py
@@ -11,7 +11,7 @@
 from chervilrack._internal.common.hashing import rendezvous_order
 from chervilrack._internal.common.ids import Incarnation, NodeId
 from chervilrack._internal.fleet.messages import StateRequest
-from chervilrack._internal.kvstore.port import KeyValue
+from chervilrack._internal.kvstore.port import Change, ChangeKind, KeyValue
 from chervilrack._internal.quarantine.archive import BlockArchive
 from chervilrack._internal.quarantine.records import (
     BlockRecord,
@@ -179,7 +179,8 @@
 
 @when("it gets its first state from a peer, while the store does not answer")
 def take_state(context):
-    peer = DirectoryNode("a", 1)
+    peer = DirectoryNode("a", 1, lists=False)
+    peer.relay.on_available()
     peer.relay.on_listing(context.items, 4)
     now = peer.clock.monotonic()
     peer.fleet.receive_heartbeat(NodeId("b"), Incarnation("1"), context.b.heartbeat(), now)
@@ -189,6 +190,23 @@
     context.b.directory.on_state_reply(reply)
 
 
+@given("it has accepted requests before the block")
+def start_before_block(context):
+    context.b.relay.on_available()
+    context.b.relay.on_listing(context.items[:2], 2)
+    assert context.b.state.is_accepting()
+
+
+@when("it gets a block of x from {source}")
+def get_block(context, source):
+    if source == "a watch":
+        context.b.relay.on_changes((Change(ChangeKind.PUT, context.items[2]),), 3)
+    elif source == "a listing":
+        list_store(context)
+    else:
+        take_state(context)
+
+
 def is_refused(node):
     return node.state.crash_watch.refusal(profile("x", SENDER)) is not None
 
--- a/src/chervilrack/_internal/serving/crash_watch.py
+++ b/src/chervilrack/_internal/serving/crash_watch.py
@@ -321,12 +321,22 @@
         return tuple(block_record(suspect, now) for suspect in self.quarantine.blocked)
 
     def on_block_record(self, record: BlockRecord) -> None:
-        """Block a trait that was blocked before this node started, or unblock a sound one."""
-        now = self._clock.monotonic()
+        """Unblock a trait that another node knows to be sound."""
         key = (ServiceId(record.service), Trait(record.trait))
         if record.state is RecordState.CLEARED:
-            self._perform(self.quarantine.lift(key, now))
+            self._perform(self.quarantine.lift(key, self._clock.monotonic()))
+
+    def restore_block(self, record: BlockRecord) -> None:
+        """Block a trait that was blocked before this node started, or unblock a sound one.
+
+        Only for a node that accepts no requests yet. Later it goes by its own evidence and by what
+        the others tell of theirs: another node's block may be wrong.
+        """
+        self.on_block_record(record)
+        if record.state is not RecordState.BLOCKED:
             return
+        now = self._clock.monotonic()
+        key = (ServiceId(record.service), Trait(record.trait))
         common = frozenset(Trait(trait) for trait in record.common)
         crashes = record.crashes_at(now)
         self._perform(
--- a/src/chervilrack/_internal/serving/directory.py
+++ b/src/chervilrack/_internal/serving/directory.py
@@ -17,7 +17,7 @@
 from chervilrack._internal.fleet.messages import Heartbeat, StateReply, StateRequest
 from chervilrack._internal.kvstore.port import Change, ChangeKind, KeyValue
 from chervilrack._internal.quarantine.archive import BlockArchive
-from chervilrack._internal.quarantine.records import decode_record
+from chervilrack._internal.quarantine.records import BlockRecord, decode_record
 from chervilrack._internal.serving.settings import Address, ServingSettings
 from chervilrack._internal.serving.state import ServingState
 from chervilrack._internal.serving.store_schema import StoreSchema
@@ -277,7 +277,14 @@
         if name != record.name:
             raise UnreadableValue(item.key, "the key is not that of the record's trait")
         self._archive.observe(name, record, item.mod_revision)
-        self._state.crash_watch.on_block_record(record)
+        self._learn_block(record)
+
+    def _learn_block(self, record: BlockRecord) -> None:
+        """Use the record of a blocked trait, from the store or a peer."""
+        if self._state.is_accepting():
+            self._state.crash_watch.on_block_record(record)
+        else:
+            self._state.crash_watch.restore_block(record)
 
     def _perform(self, effects: list[CatalogueEffect]) -> None:
         self._queues_outdated = self._queues_outdated or bool(effects)
@@ -375,7 +382,7 @@
         The upstreams are applied only if the peer's store revision is newer than this node's.
         """
         for record in message.blocks:
-            self._state.crash_watch.on_block_record(record)
+            self._learn_block(record)
         if message.configuration:
             key = self._schema.configuration_key
             self._apply_item(KeyValue(key, message.configuration, message.revision))
