Keep the paces of upstreams in one module, measured and stated

Cause: the pace of an upstream lay in two fields of its status and knew only measured times; what an upstream states of the slowdown of its VM had no place. Change: balancing/pace.py holds both, each with its age. A statement moves the measured pace by its youth and by the trust that times measured beside it have earned; when reports stop, the measured pace remains, then the usual one. Engines and stage queues read Balancer.pace. silence_load_steps.py calls Balancer.pace with the id of the upstream instead of its status; what it checks is the same. Without statements the pace is the former one. Conclusion: deployments whose upstreams state no slowdown are served as before.

--- a/features/steps/silence_load_steps.py
+++ b/features/steps/silence_load_steps.py
@@ -199,7 +199,7 @@
 
 @then("its pace is {change}")
 def check_pace(context, change):
-    pace = context.balancer.pace(context.balancer.status(U1), context.now)
+    pace = context.balancer.pace(U1, context.now)
     assert (pace > SLOW_PACE) == (change == "slow"), pace
 
 
--- a/src/chervilrack/_internal/balancing/core.py
+++ b/src/chervilrack/_internal/balancing/core.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from chervilrack._internal.balancing.pace import PaceBook, PaceSettings
 from chervilrack._internal.balancing.standing import Standing
 from chervilrack._internal.balancing.state import (
     BalancingSettings,
@@ -65,6 +66,12 @@
         self.rng = rng
         # Statements of the upstreams, which bind the choice whatever their load and health are.
         self.standing = Standing()
+        self.paces = PaceBook(
+            PaceSettings(
+                measured_weight=self.settings.pace_weight,
+                measured_half_life=self.settings.pace_half_life,
+            )
+        )
         self._policy = balancing_policies.get(policy)
         self._status: dict[UpstreamId, UpstreamStatus] = {}
         # Reports of the peers by upstream; a peer reports few of the upstreams.
@@ -316,10 +323,15 @@
         status = self.status(upstream)
         if expected <= _ZERO or self._may_be_silence(status, expected, took, now):
             return
-        ratio = min(20.0, max(0.2, took / expected))
-        weight = self.settings.pace_weight
-        status.pace = (1 - weight) * self.pace(status, now) + weight * ratio
-        status.pace_at = now
+        self.paces.record_time(upstream, expected, took, now)
+
+    def record_stated_load(
+        self, upstream: UpstreamId, in_progress: int, slowdown: float | None, now: timedelta
+    ) -> None:
+        """Record what an upstream states of its load: its requests, and the slowdown of its VM."""
+        del in_progress
+        if slowdown is not None:
+            self.paces.record_statement(upstream, slowdown, now)
 
     def _may_be_silence(
         self, status: UpstreamStatus, expected: timedelta, took: timedelta, now: timedelta
@@ -344,17 +356,16 @@
             return True
         return not is_later
 
-    def pace(self, status: UpstreamStatus, now: timedelta) -> float:
-        """Return the pace of an upstream, decayed towards 1 since the last observation."""
-        age = max(_ZERO, now - status.pace_at)
-        decay = float(0.5 ** (age / self.settings.pace_half_life))
-        return 1.0 + (status.pace - 1.0) * decay
+    def pace(self, upstream: UpstreamId, now: timedelta) -> float:
+        """Return what this node believes of the pace of an upstream."""
+        return self.paces.believed(upstream, now).pace
 
     def forget(self, upstream: UpstreamId) -> None:
         """Drop the status of an upstream that is gone, unless requests are in flight at it."""
         status = self._status.get(upstream)
-        if status is not None and status.in_flight == 0:
-            del self._status[upstream]
+        if status is None or status.in_flight == 0:
+            self._status.pop(upstream, None)
+            self.paces.forget(upstream)
 
     def set_peer_reports(
         self, node: NodeId, reports: Sequence[UpstreamReport], now: timedelta = _ZERO
@@ -388,7 +399,7 @@
         reports = []
         for upstream, status in self._status.items():
             suspected = now < status.ejected_until
-            pace = self.pace(status, now)
+            pace = self.paces.measured(upstream, now)
             error_share = self.error_share(status, now)
             is_usual = abs(pace - 1.0) <= 0.3 and error_share <= self.settings.tolerated_error_share
             silent = self._reported_silence(status, now)
@@ -496,7 +507,7 @@
         cost = _expected_wait(balancer, candidate, load, candidate.entry.id == home, now)
         scored.append((cost, balancer.rng.random(), candidate))
     cost, _, best = min(scored, key=lambda entry: entry[:2])
-    reason = f"in flight {best.in_flight}, pace {balancer.pace(best.status, now):.1f}"
+    reason = f"in flight {best.in_flight}, pace {balancer.pace(best.entry.id, now):.1f}"
     if home is not None:
         reason += ", home" if best.entry.id == home else f", home {home} costs more"
     expected_wait = timedelta(seconds=cost)
@@ -574,7 +585,7 @@
 
 def _pace(balancer: Balancer, candidate: Candidate, now: timedelta) -> float:
     """Return the pace of an upstream: the slower of this node's and the peers' values."""
-    return max(balancer.pace(candidate.status, now), candidate.peers.pace)
+    return max(balancer.pace(candidate.entry.id, now), candidate.peers.pace)
 
 
 def _cached_tokens(status: UpstreamStatus, load: RequestLoad, is_home: bool) -> int:
--- a/src/chervilrack/_internal/balancing/state.py
+++ b/src/chervilrack/_internal/balancing/state.py
@@ -66,8 +66,8 @@
 class UpstreamReport(msgspec.Struct, frozen=True, array_like=True):
     """One node's report about one upstream: its own requests there and the failures it has seen.
 
-    The fields are as in ``UpstreamStatus``. ``silent_ms`` is for how long the upstream has been
-    silent, 0 if it is not.
+    The fields are as in ``UpstreamStatus``; ``pace`` is the measured one (``PaceBook``).
+    ``silent_ms`` is for how long the upstream has been silent, 0 if it is not.
     """
 
     upstream: str
@@ -84,9 +84,8 @@
     """State of one upstream as one node sees it.
 
     ``waiting_tokens`` are the prompt tokens of this node's requests that have no first byte yet.
-    ``pace`` is the moving average of the ratio of observed to expected times, so that 2 means
-    twice as slow as expected. ``error_share`` is the moving average of the share of responses
-    that report an error of the upstream. Without new observations both return to normal.
+    ``error_share`` is the moving average of the share of responses that report an error of the
+    upstream. Without new observations it returns to normal.
     ``ejections`` sets the length of the next ejection; a return after an ejection lowers it by 1.
     ``cached_parts`` holds the prompt parts that were sent to the upstream, oldest first, with the
     time of their last use.
@@ -105,8 +104,6 @@
     ejected_until: timedelta = _ZERO
     probing: bool = False
     last_success: timedelta | None = None
-    pace: float = 1.0
-    pace_at: timedelta = _ZERO
     error_share: float = 0.0
     error_share_at: timedelta = _ZERO
     cached_parts: OrderedDict[str, timedelta] = field(default_factory=OrderedDict)
--- a/src/chervilrack/_internal/batching/core.py
+++ b/src/chervilrack/_internal/batching/core.py
@@ -671,7 +671,7 @@
         return self._balancer.is_suspected(upstream.entry.id, now)
 
     def _pace(self, upstream: StageUpstream, now: timedelta) -> float:
-        return self._balancer.pace(self._balancer.status(upstream.entry.id), now)
+        return self._balancer.pace(upstream.entry.id, now)
 
     def _is_free(self, upstream: StageUpstream, now: timedelta) -> bool:
         assert self._spec is not None
