Read the load that upstreams state in their answers

Cause: nothing read Chervilrack-Server-Load. Change: platform/headers.py decodes it once into ResponseMetadata.load, for answers and interim responses to requests, for stage calls and for calls that free results; no further call is made.

--- a/features/adapter/translation.feature
+++ b/features/adapter/translation.feature
@@ -166,3 +166,32 @@
 
   Scenario: no text in Retry-After, Date or Server-Leaving breaks the reading of an answer
     Then any fields of an answer give a pause from 0 s on, and leave no error
+
+  Scenario Outline: an answer with <fields> states <load>
+    Then an answer with fields <fields> states <load>
+
+    Examples: running, waiting, slots and, on some upstreams, the time that work takes in percent
+      | fields                                               | load               |
+      | Content-Length: 1                                    | no load            |
+      | Chervilrack-Server-Load: 3,0,8                       | 3 0 8 None         |
+      | Chervilrack-Server-Load: 3,1,8,100                   | 3 1 8 1.0          |
+      | chervilrack-server-load: 3, 1, 8, 250                | 3 1 8 2.5          |
+      | Chervilrack-Server-Load: 3,1,8,62.5                  | 3 1 8 0.625        |
+      | Chervilrack-Server-Load: 0,0,0,1                     | 0 0 0 0.01         |
+      | Chervilrack-Server-Load: 9999999,0,1                 | 9999999 0 1 None   |
+
+    Examples: what cannot be read is left out and said so
+      | fields                                               | load               |
+      | Chervilrack-Server-Load:                             | an unreadable load |
+      | Chervilrack-Server-Load: 3,0                         | an unreadable load |
+      | Chervilrack-Server-Load: 3,0,8,100,7                 | an unreadable load |
+      | Chervilrack-Server-Load: 3,0,8 / Chervilrack-Server-Load: 3,0,8 | an unreadable load |
+      | Chervilrack-Server-Load: -3,0,8                      | an unreadable load |
+      | Chervilrack-Server-Load: 3,0,8,0                     | an unreadable load |
+      | Chervilrack-Server-Load: 3,0,8,-100                  | an unreadable load |
+      | Chervilrack-Server-Load: 3,0,8,1e3                   | an unreadable load |
+      | Chervilrack-Server-Load: 3,0,8,inf                   | an unreadable load |
+      | Chervilrack-Server-Load: 3,0,8,nan                   | an unreadable load |
+      | Chervilrack-Server-Load: 99999999,0,8                | an unreadable load |
+      | Chervilrack-Server-Load: 3,0,8,9999999               | an unreadable load |
+      | Chervilrack-Server-Load: busy                        | an unreadable load |
--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -313,6 +313,17 @@
     assert read_fields(status, fields).retry_after == expected, read_fields(status, fields)
 
 
+@then("an answer with fields {fields} states {load}")
+def check_load(context, fields, load):
+    metadata = read_fields(200, fields)
+    assert metadata.load_unreadable == (load == "an unreadable load"), metadata
+    stated = metadata.load
+    if stated is None:
+        assert load in ("no load", "an unreadable load"), metadata
+        return
+    assert load == f"{stated.running} {stated.waiting} {stated.slots} {stated.slowdown}", stated
+
+
 PAUSE_TEXTS = st.one_of(
     st.text(max_size=40),
     st.decimals().map(str),
--- a/features/support/scripted_upstream.py
+++ b/features/support/scripted_upstream.py
@@ -47,6 +47,8 @@
     "pausing": "Retry-After: 600\r\n",
     "shortly-pausing": "Retry-After: 0.5\r\n",
     "nonsense-pausing": "Retry-After: soon\r\n",
+    "slow": "Chervilrack-Server-Load: 1,0,4,250\r\n",
+    "nonsense-slow": "Chervilrack-Server-Load: 1,0,4,very\r\n",
 }
 # Bytes of an action, by its name; they depend on the id of the request.
 _ACTIONS = {
--- a/src/chervilrack/_internal/forwarding/dialect.py
+++ b/src/chervilrack/_internal/forwarding/dialect.py
@@ -57,6 +57,20 @@
     last_event: int | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class UpstreamLoad:
+    """What an upstream states of its load in an answer: its running and waiting requests.
+
+    ``slowdown`` is how long work takes on its VM at this moment, relative to the usual time, so
+    that 2 means twice as long; None if the upstream does not state it.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowdown: float | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseMetadata:
     """Values from the status and header fields of an upstream's response.
@@ -65,7 +79,8 @@
     ``misdirected`` means that another upstream has the address now, ``inputs_gone`` that the
     request names stage results that no longer exist. ``leaving`` is the upstream's statement that
     it leaves; its absence retracts nothing. ``retry_after`` is the time for which an upstream that
-    turned the request away wants nothing from this node, None if it named none.
+    turned the request away wants nothing from this node, None if it named none. ``load`` is None if
+    the upstream states no load, and also if the statement cannot be read (``load_unreadable``).
     """
 
     request_id: RequestId | None
@@ -75,6 +90,8 @@
     inputs_gone: bool = False
     leaving: bool = False
     retry_after: timedelta | None = None
+    load: UpstreamLoad | None = None
+    load_unreadable: bool = False
 
 
 class PieceFailure(Enum):
--- a/src/chervilrack/_internal/serving/metrics.py
+++ b/src/chervilrack/_internal/serving/metrics.py
@@ -126,6 +126,12 @@
             ["reason"],
             registry=self._registry,
         )
+        self._loads = Counter(
+            "chervilrack_serving_upstream_loads",
+            "Answers in which an upstream states its load, by whether that can be read.",
+            ["result"],
+            registry=self._registry,
+        )
         self._unreadable = Counter(
             "chervilrack_serving_unreadable_entries",
             "Revisions of entries of the store that were left out, by what their keys name.",
@@ -196,6 +202,10 @@
         reader = source if source in (OWN_ANSWER, "") else "peer"
         self._statements.labels(event.value, reader or "directory").inc()
 
+    def load_stated(self, *, readable: bool) -> None:
+        """Count an answer in which an upstream states its load."""
+        self._loads.labels("read" if readable else "unreadable").inc()
+
     def upstream_crashed(self, service: str) -> None:
         """Count a crash of an upstream."""
         self._crashes.labels(self._services.label(service)).inc()
--- a/src/chervilrack/_internal/serving/state.py
+++ b/src/chervilrack/_internal/serving/state.py
@@ -38,6 +38,7 @@
 from chervilrack._internal.quarantine.profiles import piece_profile
 from chervilrack._internal.quarantine.state import CrashedRequest, RequestProfile
 from chervilrack._internal.serving.crash_watch import CrashWatch
+from chervilrack._internal.serving.load_watch import LoadWatch
 from chervilrack._internal.serving.metrics import ForecastOutcome, ServingMetrics
 from chervilrack._internal.serving.settings import ServingSettings
 from chervilrack._internal.serving.stopping import StopPlan
@@ -82,6 +83,7 @@
         self.in_progress = 0
         self.metrics = ServingMetrics()
         self.crash_watch = CrashWatch(self.catalogue, self.balancer, clock, log, self.metrics)
+        self._load_watch = LoadWatch(self.balancer, log, self.metrics)
         self.crash_watch.on_blocked = self._refuse_waiting_requests
         self._misdirected: dict[UpstreamId, UpstreamEntry] = {}
         # Moving average of the time to the first byte.
@@ -372,12 +374,14 @@
         The response of another upstream at the same address says nothing of this one. Neither does
         a response to another request, if ``requests`` are the ones it may belong to.
         """
-        if metadata.misdirected or not (metadata.leaving or metadata.retry_after):
+        states_load = metadata.load is not None or metadata.load_unreadable
+        if metadata.misdirected or not (metadata.leaving or metadata.retry_after or states_load):
             return
         if requests is not None and metadata.request_id not in (None, *requests):
             return
         now = self.clock.monotonic()
         with self.lock:
+            self._load_watch.answer_received(upstream, metadata, now)
             self._report_standing(
                 self.balancer.standing.record_answer(
                     upstream, leaving=metadata.leaving, pause=metadata.retry_after, now=now
--- a/src/chervilrack/platform/emulated/standins.py
+++ b/src/chervilrack/platform/emulated/standins.py
@@ -252,7 +252,8 @@
     ``pieces`` the pieces of stage calls and ``freed`` the handles of results that were freed.
     ``received`` counts the requests and stage calls that have arrived, ``arrivals`` names them, and
     ``notices`` are what the upstream has said about itself. ``left`` is set when a caller closes
-    its connection during a stream. With ``leaving``, each answer says that the upstream leaves.
+    its connection during a stream. With ``leaving``, each answer says that the upstream leaves,
+    and with ``stated_load`` it states that load.
     With ``retry_after``, it turns requests and stage calls away with that value of ``Retry-After``;
     ``turned_away`` counts these and other refusals. ``born`` is its start time as it is registered.
 
@@ -268,6 +269,7 @@
         self.service = service
         self.behaviour = "good"
         self.leaving = False
+        self.stated_load = ""
         self.retry_after: str | None = None
         self.born = 1
         self.turned_away = 0
@@ -300,7 +302,10 @@
     @property
     def added_headers(self) -> Sequence[Header]:
         """Header fields that each answer gets."""
-        return [("Server-Leaving", "1")] if self.leaving else []
+        fields = [("Server-Leaving", "1")] if self.leaving else []
+        if self.stated_load:
+            fields.append(("Chervilrack-Server-Load", self.stated_load))
+        return fields
 
     @property
     def notices(self) -> list[Notice]:
--- a/src/chervilrack/platform/headers.py
+++ b/src/chervilrack/platform/headers.py
@@ -22,6 +22,7 @@
     PromptPart,
     RequestMetadata,
     ResponseMetadata,
+    UpstreamLoad,
 )
 
 # Names of header fields.
@@ -39,6 +40,7 @@
 RESPONSE_SIGNATURE: Final = "Chervilrack-Response-Signature"
 NOT_EXECUTED: Final = "Chervilrack-Not-Executed"
 LEAVING: Final = "Server-Leaving"
+SERVER_LOAD: Final = "Chervilrack-Server-Load"
 RETRY_AFTER: Final = "Retry-After"
 DATE: Final = "Date"
 AUTHORIZATION: Final = "Authorization"
@@ -58,6 +60,13 @@
 _MAX_PIECES: Final = 100_000
 _MAX_EVENT: Final = 10**18
 _MAX_QUOTED_LENGTH: Final = 80
+# Figures of a load statement: running, waiting and slots, and the time that work takes on the VM of
+# the upstream in percent of the usual time. Figures beyond the bounds make it unreadable.
+_LOAD: Final = re.compile(
+    r"([0-9]{1,7}),([0-9]{1,7}),([0-9]{1,7})(?:,([0-9]{1,6}(?:\.[0-9]{1,6})?))?"
+)
+_USUAL_PERCENT: Final = 100.0
+_LEAST_PERCENT: Final = 1.0
 # Names of results are listed in a header field, separated by commas.
 _HANDLE: Final = re.compile(r"[!-+\--~]{1,1000}")
 # Bytes of an answer to a stage call: those of each piece and those of everything else.
@@ -207,10 +216,13 @@
 
         The upstream leaves if one of the fields ``Server-Leaving`` is ``1``; other values say
         nothing. Of several values of ``Retry-After`` the longest counts. Values that are neither
-        seconds nor a date are left out, and only status 503 makes the field a wish.
+        seconds nor a date are left out, and only status 503 makes the field a wish. A load of other
+        than three or four figures within their bounds is unreadable.
         """
         request_id = headers.get(REQUEST_ID)
         misdirected = status == _STATUS_MISDIRECTED
+        stated_load = headers.get(SERVER_LOAD)
+        load = _upstream_load(stated_load) if stated_load is not None else None
         return ResponseMetadata(
             request_id=RequestId(request_id) if request_id else None,
             signed=RESPONSE_SIGNATURE in headers,
@@ -219,6 +231,8 @@
             inputs_gone=status == _STATUS_INPUTS_GONE and NOT_EXECUTED in headers,
             leaving="1" in (value.strip() for value in headers.get(LEAVING, "").split(",")),
             retry_after=self._retry_after(headers) if status == _STATUS_UNAVAILABLE else None,
+            load=load,
+            load_unreadable=stated_load is not None and load is None,
         )
 
     def _retry_after(self, headers: Mapping[str, str]) -> timedelta | None:
@@ -292,6 +306,20 @@
         return address
 
 
+def _upstream_load(text: str) -> UpstreamLoad | None:
+    """Return the load that an upstream states, None if it cannot be read."""
+    figures = _LOAD.fullmatch(text.replace(" ", ""))
+    if figures is None:
+        return None
+    running, waiting, slots = (int(figures[number]) for number in (1, 2, 3))
+    if figures[4] is None:
+        return UpstreamLoad(running, waiting, slots)
+    percent = float(figures[4])
+    if percent < _LEAST_PERCENT:
+        return None
+    return UpstreamLoad(running, waiting, slots, percent / _USUAL_PERCENT)
+
+
 def _date(text: str) -> datetime | None:
     """Return an HTTP date without the name of its day, None if it cannot be read."""
     try:
