Bound the time for which look-up answers name a lost node

Cause: a peer counts as alive for 3.5 heartbeats, whose interval grows with the fleet: 8.5 s at 195 nodes and 13.1 s at 300, noticed a heartbeat later. Look-up answers named lost nodes for so long, where a deployment allows contact time + 3 s. A process that had stood still named them longer. Change: `fleet/lookup.py` decides by the last message of a peer and the deployment's contact time (`contactMs`, in `platform/settings.py`), checked at each answer and not at the next heartbeat. Liveness for stage queues is as before; without a contact time nothing changes, and below about 130 nodes the bound is longer than 3.5 heartbeats.

--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -49,7 +49,7 @@
                 context.effects += context.fleet.tick(context.now)
             case [seconds, "s", "pause"]:
                 context.now += timedelta(seconds=float(seconds))
-                context.fleet.compensate_pause(timedelta(seconds=float(seconds)))
+                context.fleet.compensate_pause(timedelta(seconds=float(seconds)), context.now)
                 context.effects += context.fleet.tick(context.now)
             case ["order"]:
                 context.fleet.record_message(
@@ -85,7 +85,7 @@
         assert peer_address is None, peer_address
         return
     is_owner = NodeId("b") in context.fleet.owners()
-    is_endpoint = B in context.fleet.endpoints(None, 64)
+    is_endpoint = B in context.fleet.endpoints(None, 64, context.now)
     assert is_owner == is_endpoint == (state == "used"), (is_owner, is_endpoint)
 
 
--- a/src/chervilrack/_internal/common/ids.py
+++ b/src/chervilrack/_internal/common/ids.py
@@ -5,6 +5,7 @@
 NodeId = NewType("NodeId", str)
 Incarnation = NewType("Incarnation", str)
 ZoneId = NewType("ZoneId", str)
+RegionId = NewType("RegionId", str)
 OrganisationId = NewType("OrganisationId", str)
 TeamId = NewType("TeamId", str)
 UpstreamId = NewType("UpstreamId", str)
--- a/src/chervilrack/_internal/fleet/core.py
+++ b/src/chervilrack/_internal/fleet/core.py
@@ -8,6 +8,7 @@
 
 from chervilrack._internal.common.addresses import is_address
 from chervilrack._internal.common.ids import Incarnation, NodeId, ZoneId
+from chervilrack._internal.fleet.lookup import LookupBounds
 from chervilrack._internal.fleet.messages import Heartbeat
 
 _ZERO = timedelta(0)
@@ -40,13 +41,18 @@
 
 @dataclass(slots=True)
 class Peer:
-    """Another node. ``last_message_at`` is None until its first heartbeat arrives."""
+    """Another node.
+
+    ``last_message_at`` is None until its first heartbeat arrives. It moves forward by each pause of
+    this process; ``heard_at`` does not.
+    """
 
     address: str
     added_at: timedelta
     node: NodeId | None = None
     incarnation: Incarnation | None = None
     last_message_at: timedelta | None = None
+    heard_at: timedelta | None = None
     last_heartbeat: Heartbeat | None = None
     alive: bool = False
     leaving: bool = False
@@ -98,8 +104,10 @@
         rng: random.Random,
         settings: FleetSettings | None = None,
         cpu_cores: float = 1.0,
+        lookup_bounds: LookupBounds | None = None,
     ) -> None:
         self._node = node
+        self._lookup_bounds = lookup_bounds
         self._cpu_cores = cpu_cores
         self._address = address
         self._rng = rng
@@ -109,6 +117,8 @@
         self._leaving = False
         self._ready_since: timedelta | None = None
         self._ready_for = _ZERO
+        # End of the last pause of this process.
+        self._resumed_at: timedelta | None = None
 
     @property
     def heartbeat_interval(self) -> timedelta:
@@ -216,7 +226,8 @@
             effects.append(PeerLost(peer.node or node, "restarted"))
             peer.alive = False
         peer.node, peer.incarnation = node, incarnation
-        peer.last_message_at, peer.last_heartbeat = now, heartbeat
+        peer.last_message_at = peer.heard_at = now
+        peer.last_heartbeat = heartbeat
         self._by_node[node] = peer
         if not peer.alive:
             peer.alive = True
@@ -231,7 +242,7 @@
         """Count any message from the current process of a live node as a sign of life."""
         peer = self._by_node.get(node)
         if peer is not None and peer.alive and peer.incarnation == incarnation:
-            peer.last_message_at = now
+            peer.last_message_at = peer.heard_at = now
 
     def has_message_since(self, node: NodeId, since: timedelta) -> bool:
         """Whether a message from a node has arrived after ``since``."""
@@ -270,11 +281,12 @@
         )
         return max(self.heartbeat_interval, announced) * self._settings.silence_heartbeats
 
-    def compensate_pause(self, paused: timedelta) -> None:
-        """Move the time of each peer's last message forward by a pause of this process.
+    def compensate_pause(self, paused: timedelta, now: timedelta) -> None:
+        """Move the time of each peer's last message forward by a pause that ends at ``now``.
 
         Peers do not seem silent because this process was not running.
         """
+        self._resumed_at = now
         for peer in self._peers.values():
             if peer.last_message_at is not None:
                 peer.last_message_at += paused
@@ -284,7 +296,7 @@
         alive = [peer.address for peer in self.alive]
         return tuple(self._rng.sample(alive, min(len(alive), self._settings.gossiped_peers)))
 
-    def endpoints(self, own_address: str | None, limit: int) -> list[str]:
+    def endpoints(self, own_address: str | None, limit: int, now: timedelta) -> list[str]:
         """Return up to ``limit`` caller addresses of ready nodes in random order.
 
         ``own_address`` is included unless None. Nodes of all zones are returned, since the load of
@@ -294,9 +306,15 @@
         addresses = [
             peer.last_heartbeat.caller_address
             for peer in self._peers.values()
-            if peer.accepts_work and peer.last_heartbeat is not None
+            if peer.accepts_work and peer.last_heartbeat is not None and self._may_name(peer, now)
         ]
         if own_address is not None:
             addresses.append(own_address)
         self._rng.shuffle(addresses)
         return addresses[:limit]
+
+    def _may_name(self, peer: Peer, now: timedelta) -> bool:
+        """Whether look-up answers may name a live peer, which may be silent for a while."""
+        if self._lookup_bounds is None or peer.heard_at is None:
+            return True
+        return self._lookup_bounds.may_name(peer.heard_at, self._resumed_at, now)
--- a/src/chervilrack/_internal/serving/node.py
+++ b/src/chervilrack/_internal/serving/node.py
@@ -101,7 +101,13 @@
         self._log = log
         self._incarnation = Incarnation(secrets.token_hex(4))
         rng = random.Random()
-        self._fleet = Fleet(settings.node, str(settings.peer), rng, cpu_cores=settings.cpu_cores)
+        self._fleet = Fleet(
+            settings.node,
+            str(settings.peer),
+            rng,
+            cpu_cores=settings.cpu_cores,
+            lookup_bounds=settings.lookup_bounds,
+        )
         self._state = ServingState(settings, self._fleet, clock, log)
         answers = ByteBudget(round(settings.memory_bytes * ANSWER_MEMORY_SHARE), LARGEST_ANSWER)
         self._body_memory = ByteBudget(round(settings.memory_bytes * BODY_MEMORY_SHARE))
@@ -352,7 +358,8 @@
         self._dialect.read_lookup(query)
         own_address = str(self._settings.callers) if self.is_ready else None
         with self._state.lock:
-            addresses = self._fleet.endpoints(own_address, MAX_ENDPOINTS)
+            now = self._clock.monotonic()
+            addresses = self._fleet.endpoints(own_address, MAX_ENDPOINTS, now)
         if not addresses:
             responder.send_response(503, [("Retry-After", "0.5")], b"")
             return
@@ -478,7 +485,7 @@
 
     def _on_pause(self, duration: timedelta) -> None:
         self._log.note("node", "paused", seconds=round(duration.total_seconds(), 2))
-        self._fleet.compensate_pause(duration)
+        self._fleet.compensate_pause(duration, self._clock.monotonic())
 
     def _next_time(self) -> timedelta:
         times = [
--- a/src/chervilrack/_internal/serving/settings.py
+++ b/src/chervilrack/_internal/serving/settings.py
@@ -7,6 +7,7 @@
 
 from chervilrack._internal.changefeed.limits import ApplyLimits
 from chervilrack._internal.common.ids import NodeId, ZoneId
+from chervilrack._internal.fleet.lookup import LookupBounds
 from chervilrack._internal.limits.retry_budget import RetryBudgetSettings
 
 MAX_PORT = 65_535
@@ -57,6 +58,8 @@
     # Callers may use a look-up answer for up to three times its lifetime. A stopping node serves
     # requests for that long and has to exit within stop_grace.
     lookup_lifetime: timedelta = timedelta(seconds=2)
+    # How long look-up answers may name a node that has stopped, None if nothing bounds it.
+    lookup_bounds: LookupBounds | None = None
     stop_grace: timedelta = timedelta(seconds=8)
     retry_budget: RetryBudgetSettings = field(default_factory=RetryBudgetSettings)
     balancing_policy: str = "expected-wait"
--- a/src/chervilrack/platform/settings.py
+++ b/src/chervilrack/platform/settings.py
@@ -12,6 +12,7 @@
 from chervilrack._internal.common.decoding import UnreadableValue, decode_value
 from chervilrack._internal.common.ids import NodeId, ZoneId
 from chervilrack._internal.exceptions import InvalidDocumentError
+from chervilrack._internal.fleet.lookup import LookupBounds
 from chervilrack._internal.limits.retry_budget import RetryBudgetSettings
 from chervilrack._internal.serving.settings import Address, ServingSettings
 
@@ -21,6 +22,8 @@
 # Callers may use a look-up response for up to three times its lifetime. A stopping node has to
 # serve them meanwhile, and its stop may take 8 s (the default of ``graceS``).
 LOOKUP_LIFETIME: Final = timedelta(seconds=2)
+# Look-up answers may name a VM that has stopped for ``contactMs`` and this time.
+LOOKUP_GRACE: Final = timedelta(seconds=3)
 MAX_NAME_LENGTH: Final = 200
 
 _Name = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_LENGTH)]
@@ -48,6 +51,7 @@
     retry_slack: _Amount = 50.0
     config_apply_ms: _BoundMs = 2000.0
     drain_ms: _BoundMs = 2000.0
+    contact_ms: _BoundMs | None = None
     ttl_max_s: _Seconds = msgspec.field(default=5.0, name="ttl_max_s")
 
 
@@ -109,6 +113,7 @@
         ),
         store=_parse_address(content.platform.address),
         metrics=Address(content.ip, METRICS_PORT),
+        lookup_bounds=_lookup_bounds(content.bounds),
         lookup_lifetime=min(LOOKUP_LIFETIME, timedelta(seconds=content.bounds.ttl_max_s)),
         stop_grace=timedelta(seconds=content.bounds.grace_s),
         retry_budget=RetryBudgetSettings(
@@ -124,6 +129,13 @@
     )
 
 
+def _lookup_bounds(bounds: _Bounds) -> LookupBounds | None:
+    if bounds.contact_ms is None:
+        return None
+    contact = timedelta(milliseconds=bounds.contact_ms)
+    return LookupBounds(after_loss=contact + LOOKUP_GRACE, after_pause=contact)
+
+
 def _load_yaml(content: bytes) -> Any:
     return yaml.load(content.decode(), getattr(yaml, "CSafeLoader", yaml.SafeLoader))
 
