Serve requests of routes and organisations with homes only there

Cause: nothing read the homes of routes and organisations (`allowedRegions`): their requests reached upstreams in any region, and look-up answers named nodes in any region. Change: homes are decoded in `platform/configuration.py`, the region of each zone in `platform/settings.py`. `catalogue/homes.py` decides what homes allow; it is applied at the choice of an upstream, at further attempts and at look-up answers. A request with homes and stages is refused if an upstream of a stage or another node lies outside. Settings that place the VM's own zone in two regions are a mistake. `RequestLoad` carries the homes (balancing/state.py). Conclusion: without homes in a configuration nothing changes.

--- a/features/adapter/translation.feature
+++ b/features/adapter/translation.feature
@@ -91,6 +91,25 @@
     When a settings file is loaded that lacks zone and has a frontend without port
     Then 2 mistakes are reported that name zone and frontend
 
+  Scenario Outline: settings with <field> = <value> <result>
+    When a settings file is loaded with <field> = <value>
+    Then the settings <result>
+
+    Examples: the contact time bounds for how long look-up answers name a lost node
+      | field            | value                      | result                                     |
+      | bounds.contactMs | 4000                       | name a lost node for 7 s, 4 s after a pause |
+      | bounds.contactMs | null                       | name a lost node without a bound           |
+      | bounds.contactMs | 10                         | are refused with a mistake about contact   |
+      | bounds.contactMs | "soon"                     | are refused with a mistake about contact   |
+
+    Examples: regions of zones
+      | field            | value                      | result                                     |
+      | zones            | {"q": "r1", "zz": "r2"}    | have the regions q: r1, quito: sierra, zz: r2 |
+      | zones            | {"quito": "sierra"}        | have the regions quito: sierra             |
+      | zones            | null                       | have the regions quito: sierra             |
+      | zones            | {"quito": "costa"}         | are refused with a mistake about another region |
+      | zones            | ["quito"]                  | are refused with a mistake about zones     |
+
   # Guards against a node that ends, with all its requests, by SIGHUP while its settings file is written.
   Scenario Outline: SIGHUP while only a part of a settings file in <format> is written ends no node
     When a node reloads each beginning of a settings file in <format>
--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -17,6 +17,7 @@
 from chervilrack._internal.common.decoding import UnreadableValue
 from chervilrack._internal.common.ids import OrganisationId, ServiceId, UpstreamId
 from chervilrack._internal.exceptions import InvalidDocumentError
+from chervilrack._internal.fleet.lookup import LookupBounds
 from chervilrack._internal.forwarding.dialect import ForwardedMetadata, MalformedMessage
 from chervilrack.platform.configuration import decode_configuration, decode_upstream
 from chervilrack.platform.headers import PlatformDialect
@@ -252,6 +253,47 @@
             context.mistakes = error.mistakes
 
 
+@when("a settings file is loaded with {field} = {value}")
+def load_changed_settings(context, field, value):
+    settings = {**SETTINGS, "region": "sierra"}
+    section, _, key = field.rpartition(".")
+    if section:
+        settings[section] = {key: json.loads(value)}
+    else:
+        settings[key] = json.loads(value)
+    context.mistakes = []
+    with tempfile.TemporaryDirectory() as folder:
+        file = Path(folder) / "boot.yaml"
+        file.write_text(json.dumps(settings))
+        try:
+            context.settings = load_settings(file)
+        except InvalidDocumentError as error:
+            context.mistakes = error.mistakes
+
+
+@then("the settings name a lost node for {loss:g} s, {pause:g} s after a pause")
+def check_lookup_bounds(context, loss, pause):
+    expected = LookupBounds(timedelta(seconds=loss), timedelta(seconds=pause))
+    assert context.settings.lookup_bounds == expected, context.settings.lookup_bounds
+
+
+@then("the settings name a lost node without a bound")
+def check_no_lookup_bounds(context):
+    assert context.settings.lookup_bounds is None, context.settings.lookup_bounds
+
+
+@then("the settings have the regions {regions}")
+def check_regions(context, regions):
+    found = sorted(f"{zone}: {region}" for zone, region in context.settings.regions.items())
+    assert found == regions.split(", "), found
+
+
+@then("the settings are refused with a mistake about {subject}")
+def check_refused_settings(context, subject):
+    assert len(context.mistakes) == 1, context.mistakes
+    assert subject in context.mistakes[0], context.mistakes
+
+
 @when("a node reloads each beginning of a settings file in {form}")
 def reload_beginnings(context, form):
     # The name of the zone is not ASCII, so that a beginning may end within a character.
--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -57,8 +57,11 @@
     context.number = 0
 
 
-def start_serving_node(context, name="n1", feed=None, *, is_ready=True):
-    """Start a node; ``feed`` are the settings of its change feed, if not the usual ones."""
+def start_serving_node(context, name="n1", feed=None, *, is_ready=True, **settings):
+    """Start a node; ``feed`` are the settings of its change feed, if not the usual ones.
+
+    ``settings`` are added to those of the node.
+    """
     callers, management, peer = (Address("127.0.0.1", port) for port in free_ports(3))
     context.settings = ServingSettings(
         node=NodeId(name),
@@ -69,6 +72,7 @@
         peer=peer,
         metrics=management,
         lookup_lifetime=timedelta(milliseconds=300),
+        **settings,
     )
     context.log = io.StringIO()
     log = context.stack.enter_context(DecisionLog(name, context.log))
--- a/src/chervilrack/_internal/balancing/state.py
+++ b/src/chervilrack/_internal/balancing/state.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from chervilrack._internal.balancing.silence import SilencePolicy
-from chervilrack._internal.common.ids import UpstreamId, ZoneId
+from chervilrack._internal.common.ids import RegionId, UpstreamId, ZoneId
 from chervilrack._internal.common.units import Milliseconds
 
 _ZERO = timedelta(0)
@@ -141,12 +141,14 @@
 
     ``prompt_tokens`` is the length of the prompt; ``shared_parts`` holds the ids and sizes of its
     leading parts that other requests share, in order. ``inputs`` holds the bytes that the
-    upstream fetches from each zone.
+    upstream fetches from each zone. ``homes`` are the regions of the upstreams that may get it,
+    None if all may.
     """
 
     prompt_tokens: int = 0
     shared_parts: tuple[tuple[str, int], ...] = ()
     inputs: tuple[tuple[ZoneId, int], ...] = ()
+    homes: frozenset[RegionId] | None = None
 
     @property
     def session(self) -> str | None:
--- a/src/chervilrack/_internal/catalogue/state.py
+++ b/src/chervilrack/_internal/catalogue/state.py
@@ -10,7 +10,7 @@
 from functools import cached_property
 from typing import NamedTuple
 
-from chervilrack._internal.common.ids import OrganisationId, ServiceId, UpstreamId, ZoneId
+from chervilrack._internal.common.ids import OrganisationId, RegionId, ServiceId, UpstreamId, ZoneId
 
 
 class RequestKind(Enum):
@@ -40,7 +40,8 @@
 
     ``split`` holds the services of the route with their traffic weights. A lower ``priority`` is
     served first. ``max_gap`` is the longest time between two events of a stream that counts as
-    on time. ``anonymous`` routes require no key.
+    on time. ``anonymous`` routes require no key. ``homes`` are the regions in which the requests
+    may be served, None if all are.
     """
 
     name: str
@@ -57,6 +58,7 @@
     resumable: bool = False
     session_affinity: bool = False
     max_gap: timedelta | None = None
+    homes: frozenset[RegionId] | None = None
 
     @property
     def may_repeat(self) -> bool:
@@ -127,7 +129,8 @@
 
     ``keys`` maps callers' API keys to organisations. No key is required if the configuration has
     no organisations (``has_organisations`` is False). ``priorities`` holds the organisations
-    that have a priority of their own.
+    that have a priority of their own, and ``homes`` those whose requests may be served in some
+    regions only.
     """
 
     version: int
@@ -137,6 +140,7 @@
     keys: Mapping[str, OrganisationId] = field(default_factory=dict)
     priorities: Mapping[OrganisationId, int] = field(default_factory=dict)
     has_organisations: bool = False
+    homes: Mapping[OrganisationId, frozenset[RegionId]] = field(default_factory=dict)
 
     @cached_property
     def _by_host(self) -> Mapping[str, Sequence[Route]]:
@@ -152,6 +156,28 @@
         routes = self._by_host.get(host.lower(), ())
         return next((route for route in routes if path.startswith(route.path_prefix)), None)
 
+    def homes_of(
+        self, route: Route, organisation: OrganisationId | None
+    ) -> frozenset[RegionId] | None:
+        """Return the regions in which a request may be served, None if all are.
+
+        Both the homes of the route and those of the organisation bind.
+        """
+        own = self.homes.get(organisation) if organisation is not None else None
+        if route.homes is None or own is None:
+            return own if route.homes is None else route.homes
+        return route.homes & own
+
+    def lookup_homes(self, host: str) -> frozenset[RegionId] | None:
+        """Return the regions whose nodes may be named to callers of a host, None if all may be.
+
+        These are the homes that all its routes with homes share, or else all homes of these.
+        """
+        homes = [r.homes for r in self._by_host.get(host.lower(), ()) if r.homes is not None]
+        if not homes:
+            return None
+        return frozenset.intersection(*homes) or frozenset.union(*homes)
+
     def priority(self, route: Route, organisation: OrganisationId | None) -> int:
         """Return the priority of a request; 0 is served first.
 
--- a/src/chervilrack/_internal/fleet/core.py
+++ b/src/chervilrack/_internal/fleet/core.py
@@ -2,7 +2,7 @@
 
 import random
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from datetime import timedelta
 
@@ -296,24 +296,34 @@
         alive = [peer.address for peer in self.alive]
         return tuple(self._rng.sample(alive, min(len(alive), self._settings.gossiped_peers)))
 
-    def endpoints(self, own_address: str | None, limit: int, now: timedelta) -> list[str]:
+    def endpoints(
+        self,
+        own_address: str | None,
+        limit: int,
+        now: timedelta,
+        may_name: Callable[[ZoneId], bool] = lambda _: True,
+    ) -> list[str]:
         """Return up to ``limit`` caller addresses of ready nodes in random order.
 
-        ``own_address`` is included unless None. Nodes of all zones are returned, since the load of
-        a zone may exceed the capacity of its nodes. Crossing zones takes about a thousandth of the
+        ``own_address`` is included unless None, and peers unless ``may_name`` excludes their zone.
+        Nodes of all other zones are returned, since the load of a zone may exceed the capacity of
+        its nodes. Crossing zones takes about a thousandth of the
         shortest target latency.
         """
         addresses = [
             peer.last_heartbeat.caller_address
             for peer in self._peers.values()
-            if peer.accepts_work and peer.last_heartbeat is not None and self._may_name(peer, now)
+            if peer.accepts_work
+            and peer.last_heartbeat is not None
+            and self._is_current(peer, now)
+            and may_name(ZoneId(peer.last_heartbeat.zone))
         ]
         if own_address is not None:
             addresses.append(own_address)
         self._rng.shuffle(addresses)
         return addresses[:limit]
 
-    def _may_name(self, peer: Peer, now: timedelta) -> bool:
+    def _is_current(self, peer: Peer, now: timedelta) -> bool:
         """Whether look-up answers may name a live peer, which may be silent for a while."""
         if self._lookup_bounds is None or peer.heard_at is None:
             return True
--- a/src/chervilrack/_internal/forwarding/dialect.py
+++ b/src/chervilrack/_internal/forwarding/dialect.py
@@ -10,7 +10,7 @@
 from enum import Enum
 from typing import Protocol
 
-from chervilrack._internal.common.ids import OrganisationId, RequestId, UpstreamId, ZoneId
+from chervilrack._internal.common.ids import OrganisationId, RegionId, RequestId, UpstreamId, ZoneId
 
 # Header fields as received: names keep their case, and repeated fields are separate entries.
 HeaderFields = Sequence[tuple[str, str]]
@@ -108,10 +108,11 @@
 
 @dataclass(frozen=True, slots=True)
 class LookupQuery:
-    """A query to the endpoint look-up."""
+    """A query to the endpoint look-up: a host, and the zone and region of the caller."""
 
     name: str
     zone: ZoneId | None
+    region: RegionId | None = None
 
 
 class MalformedMessage(ValueError):
--- a/src/chervilrack/_internal/forwarding/forwarder.py
+++ b/src/chervilrack/_internal/forwarding/forwarder.py
@@ -85,6 +85,9 @@
     def unavailability(self, service: ServiceId) -> Problem | None:
         """Return why no upstream of a service may be used, None if one may be."""
 
+    def outside_homes(self, context: RequestContext) -> Problem | None:
+        """Return why the homes of a request leave it no upstream, None if they do not."""
+
     def choose(
         self, service: ServiceId, load: RequestLoad, excluded: Sequence[UpstreamId]
     ) -> tuple[UpstreamEntry, UpstreamChoice] | None:
@@ -251,7 +254,9 @@
             deadline_bound=bound,
             configuration=configuration,
             load=RequestLoad(
-                metadata.prompt_tokens, tuple((part.id, part.tokens) for part in shared)
+                metadata.prompt_tokens,
+                tuple((part.id, part.tokens) for part in shared),
+                homes=configuration.homes_of(route, organisation),
             ),
         )
 
@@ -303,7 +308,7 @@
             problem = self._backend.unavailability(stage.service)
             if problem is not None and problem.code is ResultCode.UPSTREAMS_LEAVING:
                 return problem
-        return None
+        return self._backend.outside_homes(context)
 
     def _create_stage_run(self, context: RequestContext) -> StageRun | None:
         if not context.route.stages:
--- a/src/chervilrack/_internal/serving/metrics.py
+++ b/src/chervilrack/_internal/serving/metrics.py
@@ -150,6 +150,12 @@
             ["service"],
             registry=self._registry,
         )
+        self._outside_homes = Counter(
+            "chervilrack_serving_requests_outside_homes",
+            "Requests refused because of their homes, by route.",
+            ["route"],
+            registry=self._registry,
+        )
         self._thread_failures = ThreadFailureMetric(self._registry)
         self._forecasts = Counter(
             "chervilrack_serving_stream_forecasts",
@@ -208,6 +214,10 @@
         """Count a request that gets no upstream because requests like it crash them."""
         self._quarantined.labels(self._services.label(service)).inc()
 
+    def request_outside_homes(self, route: str) -> None:
+        """Count a request whose homes leave it no upstream."""
+        self._outside_homes.labels(self._routes.label(route)).inc()
+
     def entry_unreadable(self, kind: str) -> None:
         """Count a revision of an entry that was left out; ``kind`` is what its key names."""
         self._unreadable.labels(kind).inc()
--- a/src/chervilrack/_internal/serving/node.py
+++ b/src/chervilrack/_internal/serving/node.py
@@ -45,6 +45,7 @@
 from chervilrack._internal.quarantine.messages import CrashReport, ProbeReport, SoundnessReport
 from chervilrack._internal.serving.block_store import BlockStore
 from chervilrack._internal.serving.directory import StoreDirectory
+from chervilrack._internal.serving.homes import named_zones
 from chervilrack._internal.serving.messages import serving_codec
 from chervilrack._internal.serving.metrics import CONTENT_TYPE
 from chervilrack._internal.serving.settings import ServingSettings
@@ -355,11 +356,19 @@
 
     def _answer_lookup(self, request: InboundRequest, responder: Responder) -> None:
         query = dict(parse_qsl(request.target.partition("?")[2]))
-        self._dialect.read_lookup(query)
+        may_name = named_zones(
+            self._state.regions,
+            self._state.catalogue.configuration,
+            self._dialect.read_lookup(query),
+        )
         own_address = str(self._settings.callers) if self.is_ready else None
+        own_address_there = own_address if may_name(self._settings.zone) else None
+        now = self._clock.monotonic()
         with self._state.lock:
-            now = self._clock.monotonic()
-            addresses = self._fleet.endpoints(own_address, MAX_ENDPOINTS, now)
+            # Nodes elsewhere refuse what they may not serve. Without any, callers have no answer.
+            addresses = self._fleet.endpoints(
+                own_address_there, MAX_ENDPOINTS, now, may_name
+            ) or self._fleet.endpoints(own_address, MAX_ENDPOINTS, now)
         if not addresses:
             responder.send_response(503, [("Retry-After", "0.5")], b"")
             return
--- a/src/chervilrack/_internal/serving/settings.py
+++ b/src/chervilrack/_internal/serving/settings.py
@@ -1,12 +1,13 @@
 """Settings of a serving node."""
 
 import re
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from datetime import timedelta
 from typing import Self
 
 from chervilrack._internal.changefeed.limits import ApplyLimits
-from chervilrack._internal.common.ids import NodeId, ZoneId
+from chervilrack._internal.common.ids import NodeId, RegionId, ZoneId
 from chervilrack._internal.fleet.lookup import LookupBounds
 from chervilrack._internal.limits.retry_budget import RetryBudgetSettings
 
@@ -43,7 +44,8 @@
 
     ``peer`` is the address at which other nodes reach this one, ``seeds`` are the peer addresses
     of some other nodes. The listeners for readiness, look-up and metrics may share an address.
-    ``cpu_cores`` is the processor time that the node may use, in cores.
+    ``cpu_cores`` is the processor time that the node may use, in cores. ``regions`` holds the
+    region of each zone; it is empty where zones are in no regions.
     """
 
     node: NodeId
@@ -69,3 +71,4 @@
     memory_bytes: int = 300_000_000
     # How a change of the store takes effect in time.
     apply_limits: ApplyLimits = field(default_factory=ApplyLimits)
+    regions: Mapping[ZoneId, RegionId] = field(default_factory=dict)
--- a/src/chervilrack/_internal/serving/state.py
+++ b/src/chervilrack/_internal/serving/state.py
@@ -17,6 +17,7 @@
 )
 from chervilrack._internal.balancing.state import RequestLoad, UpstreamChoice
 from chervilrack._internal.catalogue.core import Catalogue, UpstreamChanged
+from chervilrack._internal.catalogue.homes import Regions
 from chervilrack._internal.catalogue.state import (
     RequestKind,
     ServingConfiguration,
@@ -38,6 +39,7 @@
 from chervilrack._internal.quarantine.profiles import piece_profile
 from chervilrack._internal.quarantine.state import CrashedRequest, RequestProfile
 from chervilrack._internal.serving.crash_watch import CrashWatch
+from chervilrack._internal.serving.homes import HomesCheck
 from chervilrack._internal.serving.metrics import ForecastOutcome, ServingMetrics
 from chervilrack._internal.serving.settings import ServingSettings
 from chervilrack._internal.serving.stopping import StopPlan
@@ -53,6 +55,8 @@
 FIRST_BYTE_TIMEOUT_RATIO = 4.0
 MIN_FIRST_BYTE_TIMEOUT = timedelta(milliseconds=250)
 MIN_STREAM_FIRST_BYTE_TIMEOUT = timedelta(milliseconds=1200)
+# Most findings about the homes of one configuration that are logged.
+MAX_LOGGED_FINDINGS = 20
 _MILLISECOND = timedelta(milliseconds=1)
 # Time after which an overdue attempt is compared with other upstreams again.
 REVIEW_INTERVAL = timedelta(milliseconds=100)
@@ -74,6 +78,7 @@
         self.settings = settings
         self.fleet = fleet
         self.catalogue = Catalogue()
+        self.regions = Regions(settings.regions)
         self.clock = clock
         self.log = log
         self.rng = random.Random()
@@ -229,12 +234,23 @@
         """Choose an upstream of a service for ``load``; None if none can be chosen."""
         now = self.clock.monotonic()
         with self.lock:
-            entries = self._registered(service)
+            entries = self.regions.allowed(load.homes, self._registered(service))
             choice = self.balancer.choose(entries, load, now, excluded)
             if choice is None:
                 return None
             return self.catalogue.upstreams[choice.upstream], choice
 
+    def outside_homes(self, context: RequestContext) -> Problem | None:
+        """Return why the homes of a request leave it no upstream, None if they do not."""
+        if context.load.homes is None:
+            return None
+        with self.lock:
+            check = HomesCheck(self.regions, self._registered, tuple(self.fleet.zones))
+            problem = check.problem(context)
+        if problem is not None:
+            self.metrics.request_outside_homes(context.route.name)
+        return problem
+
     def zone_hint(self, service: ServiceId, load: RequestLoad, input_bytes: int) -> str:
         """Return the zone that will read ``input_bytes``, "" if their location decides it.
 
@@ -659,7 +675,8 @@
 
     def _untried(self, context: RequestContext, now: timedelta) -> list[UpstreamEntry]:
         """Return the usable upstreams at which a request has not been tried."""
-        entries = self.balancer.standing.open_upstreams(self._registered(context.service), now)
+        registered = self.regions.allowed(context.load.homes, self._registered(context.service))
+        entries = self.balancer.standing.open_upstreams(registered, now)
         return [entry for entry in entries if entry.id not in context.tried_upstreams]
 
     # Directory
@@ -725,7 +742,18 @@
             )
 
     def configuration_changed(self, configuration: ServingConfiguration) -> None:
-        """Forget the durations of routes that no longer exist. The caller holds the lock."""
+        """Forget the durations of routes that no longer exist, and log homes that cannot be served.
+
+        The caller holds the lock.
+        """
+        for finding in self.regions.findings(configuration)[:MAX_LOGGED_FINDINGS]:
+            self.log.note(
+                "catalogue",
+                "homes not servable",
+                version=configuration.version,
+                subject=finding.subject,
+                reason=finding.detail,
+            )
         self.forecaster.retain(
             frozenset(
                 Subject(route.name, service)
--- a/src/chervilrack/platform/configuration.py
+++ b/src/chervilrack/platform/configuration.py
@@ -20,7 +20,13 @@
 )
 from chervilrack._internal.common.addresses import parse_address
 from chervilrack._internal.common.decoding import decode_json
-from chervilrack._internal.common.ids import OrganisationId, ServiceId, UpstreamId, ZoneId
+from chervilrack._internal.common.ids import (
+    OrganisationId,
+    RegionId,
+    ServiceId,
+    UpstreamId,
+    ZoneId,
+)
 
 CONFIGURATION_KEY: Final = "op/config"
 UPSTREAM_PREFIX: Final = "servers/"
@@ -85,6 +91,7 @@
     session_affinity: bool = False
     stream_resume: bool = False
     target_gap_ms: _Milliseconds = 0
+    allowed_regions: tuple[_Name, ...] | None = None
 
 
 class _Batching(msgspec.Struct, rename="camel"):
@@ -127,6 +134,7 @@
     name: str
     api_keys: tuple[str, ...] = ()
     priority: _Priority | None = None
+    allowed_regions: tuple[_Name, ...] | None = None
 
 
 class _Configuration(msgspec.Struct):
@@ -201,6 +209,11 @@
             if tenant.priority is not None
         },
         has_organisations=document.tenants is not None,
+        homes={
+            OrganisationId(tenant.name): homes
+            for tenant in tenants
+            if (homes := _homes(tenant.allowed_regions)) is not None
+        },
     )
 
 
@@ -249,9 +262,14 @@
         resumable=route.stream_resume,
         session_affinity=route.session_affinity,
         max_gap=_milliseconds(route.target_gap_ms) if route.target_gap_ms else None,
+        homes=_homes(route.allowed_regions),
     )
 
 
+def _homes(regions: tuple[str, ...] | None) -> frozenset[RegionId] | None:
+    return frozenset(RegionId(region) for region in regions) if regions else None
+
+
 def _check_stages(route: _Route) -> None:
     """Raise ValueError if a stage follows itself, or a stage that does not exist."""
     waiting = dict(enumerate(stage.after for stage in route.stages))
--- a/src/chervilrack/platform/headers.py
+++ b/src/chervilrack/platform/headers.py
@@ -11,7 +11,7 @@
 from chervilrack._internal.common.addresses import is_address
 from chervilrack._internal.common.clock import Clock, SystemClock
 from chervilrack._internal.common.decoding import UnreadableValue, decode_json
-from chervilrack._internal.common.ids import RequestId, UpstreamId, ZoneId
+from chervilrack._internal.common.ids import RegionId, RequestId, UpstreamId, ZoneId
 from chervilrack._internal.forwarding.dialect import (
     ForwardedMetadata,
     HeaderFields,
@@ -278,7 +278,12 @@
     def read_lookup(self, query: Mapping[str, str]) -> LookupQuery:
         """Return the query of a look-up request."""
         zone = query.get("zone")
-        return LookupQuery(query.get("name", ""), ZoneId(zone) if zone else None)
+        region = query.get("region")
+        return LookupQuery(
+            query.get("name", ""),
+            ZoneId(zone) if zone else None,
+            RegionId(region) if region else None,
+        )
 
     def encode_lookup(self, addresses: Sequence[str], lifetime: timedelta) -> bytes:
         """Return the body of a look-up response; callers may keep it for ``lifetime``."""
--- a/src/chervilrack/platform/settings.py
+++ b/src/chervilrack/platform/settings.py
@@ -10,7 +10,7 @@
 from chervilrack._internal.changefeed.limits import ApplyLimits
 from chervilrack._internal.common.addresses import is_address, parse_address
 from chervilrack._internal.common.decoding import UnreadableValue, decode_value
-from chervilrack._internal.common.ids import NodeId, ZoneId
+from chervilrack._internal.common.ids import NodeId, RegionId, ZoneId
 from chervilrack._internal.exceptions import InvalidDocumentError
 from chervilrack._internal.fleet.lookup import LookupBounds
 from chervilrack._internal.limits.retry_budget import RetryBudgetSettings
@@ -80,6 +80,8 @@
     internal_ports: tuple[_Port, _Port]
     platform: _Platform
     seeds: tuple[str, ...] = ()
+    region: str | None = None
+    zones: dict[str, str] | None = None
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
@@ -88,7 +90,8 @@
     """Read the settings file. Raises OSError and InvalidDocumentError.
 
     Times are from 0 s to a week, those for changes of the store from 0.1 s to a minute, shares and
-    numbers of cores from 0 to 1e9, names from 1 to MAX_NAME_LENGTH characters long.
+    numbers of cores from 0 to 1e9, names from 1 to MAX_NAME_LENGTH characters long. ``zones`` holds
+    the region of each zone, and ``region`` that of the VM's own; where both name it, they agree.
     """
     try:
         raw = decode_value(str(file), file.read_bytes(), _load_yaml)
@@ -126,9 +129,17 @@
         apply_limits=ApplyLimits(
             timedelta(milliseconds=min(content.bounds.config_apply_ms, content.bounds.drain_ms))
         ),
+        regions=_regions(content),
     )
 
 
+def _regions(content: _SettingsFile) -> dict[ZoneId, RegionId]:
+    regions = {ZoneId(z): RegionId(region) for z, region in (content.zones or {}).items()}
+    if content.region:
+        regions[ZoneId(content.zone)] = RegionId(content.region)
+    return regions
+
+
 def _lookup_bounds(bounds: _Bounds) -> LookupBounds | None:
     if bounds.contact_ms is None:
         return None
@@ -169,6 +180,9 @@
         mistakes.append(f"{file}: platform.address: expected IP:PORT")
     if "ip" in values and not is_address(f"{values['ip']}:1"):
         mistakes.append(f"{file}: ip: expected an IP address")
+    region, zones = values.get("region"), values.get("zones") or {}
+    if region and zones.get(values.get("zone"), region) != region:
+        mistakes.append(f"{file}: zones: the VM's own zone is in another region than '{region}'")
     return None if mistakes else _SettingsFile(**values)
 
 
