--- a/src/chervilrack/_internal/serving/node.py
+++ b/src/chervilrack/_internal/serving/node.py
@@ -45,6 +45,7 @@
 from chervilrack._internal.quarantine.messages import CrashReport, ProbeReport, SoundnessReport
 from chervilrack._internal.serving.block_store import BlockStore
 from chervilrack._internal.serving.directory import StoreDirectory
+from chervilrack._internal.serving.homes import named_zones
 from chervilrack._internal.serving.messages import serving_codec
 from chervilrack._internal.serving.metrics import CONTENT_TYPE
 from chervilrack._internal.serving.settings import ServingSettings
@@ -101,7 +102,13 @@
         self._log = log
         self._incarnation = Incarnation(secrets.token_hex(4))
         rng = random.Random()
-        self._fleet = Fleet(settings.node, str(settings.peer), rng, cpu_cores=settings.cpu_cores)
+        self._fleet = Fleet(
+            settings.node,
+            str(settings.peer),
+            rng,
+            cpu_cores=settings.cpu_cores,
+            lookup_bounds=settings.lookup_bounds,
+        )
         self._state = ServingState(settings, self._fleet, clock, log)
         answers = ByteBudget(round(settings.memory_bytes * ANSWER_MEMORY_SHARE), LARGEST_ANSWER)
         self._body_memory = ByteBudget(round(settings.memory_bytes * BODY_MEMORY_SHARE))
@@ -349,10 +356,19 @@
 
     def _answer_lookup(self, request: InboundRequest, responder: Responder) -> None:
         query = dict(parse_qsl(request.target.partition("?")[2]))
-        self._dialect.read_lookup(query)
+        may_name = named_zones(
+            self._state.regions,
+            self._state.catalogue.configuration,
+            self._dialect.read_lookup(query),
+        )
         own_address = str(self._settings.callers) if self.is_ready else None
+        own_address_there = own_address if may_name(self._settings.zone) else None
+        now = self._clock.monotonic()
         with self._state.lock:
-            addresses = self._fleet.endpoints(own_address, MAX_ENDPOINTS)
+            # Nodes elsewhere refuse what they may not serve. Without any, callers have no answer.
+            addresses = self._fleet.endpoints(
+                own_address_there, MAX_ENDPOINTS, now, may_name
+            ) or self._fleet.endpoints(own_address, MAX_ENDPOINTS, now)
         if not addresses:
             responder.send_response(503, [("Retry-After", "0.5")], b"")
             return
@@ -478,7 +494,7 @@
 
     def _on_pause(self, duration: timedelta) -> None:
         self._log.note("node", "paused", seconds=round(duration.total_seconds(), 2))
-        self._fleet.compensate_pause(duration)
+        self._fleet.compensate_pause(duration, self._clock.monotonic())
 
     def _next_time(self) -> timedelta:
         times = [
--- a/src/chervilrack/_internal/serving/settings.py
+++ b/src/chervilrack/_internal/serving/settings.py
@@ -1,12 +1,14 @@
 """Settings of a serving node."""
 
 import re
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from datetime import timedelta
 from typing import Self
 
 from chervilrack._internal.changefeed.limits import ApplyLimits
-from chervilrack._internal.common.ids import NodeId, ZoneId
+from chervilrack._internal.common.ids import NodeId, RegionId, ZoneId
+from chervilrack._internal.fleet.lookup import LookupBounds
 from chervilrack._internal.limits.retry_budget import RetryBudgetSettings
 
 MAX_PORT = 65_535
@@ -42,7 +44,8 @@
 
     ``peer`` is the address at which other nodes reach this one, ``seeds`` are the peer addresses
     of some other nodes. The listeners for readiness, look-up and metrics may share an address.
-    ``cpu_cores`` is the processor time that the node may use, in cores.
+    ``cpu_cores`` is the processor time that the node may use, in cores. ``regions`` holds the
+    region of each zone; it is empty where zones are in no regions.
     """
 
     node: NodeId
@@ -57,6 +60,8 @@
     # Callers may use a look-up answer for up to three times its lifetime. A stopping node serves
     # requests for that long and has to exit within stop_grace.
     lookup_lifetime: timedelta = timedelta(seconds=2)
+    # How long look-up answers may name a node that has stopped, None if nothing bounds it.
+    lookup_bounds: LookupBounds | None = None
     stop_grace: timedelta = timedelta(seconds=8)
     retry_budget: RetryBudgetSettings = field(default_factory=RetryBudgetSettings)
     balancing_policy: str = "expected-wait"
@@ -66,3 +71,4 @@
     memory_bytes: int = 300_000_000
     # How a change of the store takes effect in time.
     apply_limits: ApplyLimits = field(default_factory=ApplyLimits)
+    regions: Mapping[ZoneId, RegionId] = field(default_factory=dict)
--- a/src/chervilrack/platform/settings.py
+++ b/src/chervilrack/platform/settings.py
@@ -10,8 +10,9 @@
 from chervilrack._internal.changefeed.limits import ApplyLimits
 from chervilrack._internal.common.addresses import is_address, parse_address
 from chervilrack._internal.common.decoding import UnreadableValue, decode_value
-from chervilrack._internal.common.ids import NodeId, ZoneId
+from chervilrack._internal.common.ids import NodeId, RegionId, ZoneId
 from chervilrack._internal.exceptions import InvalidDocumentError
+from chervilrack._internal.fleet.lookup import LookupBounds
 from chervilrack._internal.limits.retry_budget import RetryBudgetSettings
 from chervilrack._internal.serving.settings import Address, ServingSettings
 
@@ -21,6 +22,8 @@
 # Callers may use a look-up response for up to three times its lifetime. A stopping node has to
 # serve them meanwhile, and its stop may take 8 s (the default of ``graceS``).
 LOOKUP_LIFETIME: Final = timedelta(seconds=2)
+# Look-up answers may name a VM that has stopped for ``contactMs`` and this time.
+LOOKUP_GRACE: Final = timedelta(seconds=3)
 MAX_NAME_LENGTH: Final = 200
 
 _Name = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_LENGTH)]
@@ -48,6 +51,7 @@
     retry_slack: _Amount = 50.0
     config_apply_ms: _BoundMs = 2000.0
     drain_ms: _BoundMs = 2000.0
+    contact_ms: _BoundMs | None = None
     ttl_max_s: _Seconds = msgspec.field(default=5.0, name="ttl_max_s")
 
 
@@ -76,6 +80,8 @@
     internal_ports: tuple[_Port, _Port]
     platform: _Platform
     seeds: tuple[str, ...] = ()
+    region: str | None = None
+    zones: dict[str, str] | None = None
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
@@ -84,7 +90,8 @@
     """Read the settings file. Raises OSError and InvalidDocumentError.
 
     Times are from 0 s to a week, those for changes of the store from 0.1 s to a minute, shares and
-    numbers of cores from 0 to 1e9, names from 1 to MAX_NAME_LENGTH characters long.
+    numbers of cores from 0 to 1e9, names from 1 to MAX_NAME_LENGTH characters long. ``zones`` holds
+    the region of each zone, and ``region`` that of the VM's own; where both name it, they agree.
     """
     try:
         raw = decode_value(str(file), file.read_bytes(), _load_yaml)
@@ -109,6 +116,7 @@
         ),
         store=_parse_address(content.platform.address),
         metrics=Address(content.ip, METRICS_PORT),
+        lookup_bounds=_lookup_bounds(content.bounds),
         lookup_lifetime=min(LOOKUP_LIFETIME, timedelta(seconds=content.bounds.ttl_max_s)),
         stop_grace=timedelta(seconds=content.bounds.grace_s),
         retry_budget=RetryBudgetSettings(
@@ -121,9 +129,24 @@
         apply_limits=ApplyLimits(
             timedelta(milliseconds=min(content.bounds.config_apply_ms, content.bounds.drain_ms))
         ),
+        regions=_regions(content),
     )
 
 
+def _regions(content: _SettingsFile) -> dict[ZoneId, RegionId]:
+    regions = {ZoneId(z): RegionId(region) for z, region in (content.zones or {}).items()}
+    if content.region:
+        regions[ZoneId(content.zone)] = RegionId(content.region)
+    return regions
+
+
+def _lookup_bounds(bounds: _Bounds) -> LookupBounds | None:
+    if bounds.contact_ms is None:
+        return None
+    contact = timedelta(milliseconds=bounds.contact_ms)
+    return LookupBounds(after_loss=contact + LOOKUP_GRACE, after_pause=contact)
+
+
 def _load_yaml(content: bytes) -> Any:
     return yaml.load(content.decode(), getattr(yaml, "CSafeLoader", yaml.SafeLoader))
 
@@ -157,6 +180,9 @@
         mistakes.append(f"{file}: platform.address: expected IP:PORT")
     if "ip" in values and not is_address(f"{values['ip']}:1"):
         mistakes.append(f"{file}: ip: expected an IP address")
+    region, zones = values.get("region"), values.get("zones") or {}
+    if region and zones.get(values.get("zone"), region) != region:
+        mistakes.append(f"{file}: zones: the VM's own zone is in another region than '{region}'")
     return None if mistakes else _SettingsFile(**values)
 
 
