Send nothing new to the upstreams of evacuated zones

Cause: op/evacuate/ZONE was read by nothing, so that nodes went on sending to a zone that the operator had evacuated. Change: The catalogue holds the evacuated zones, from the node's own listing and watch, a watcher's feed or, without the store, a peer's state (StateReply.evacuations). ServingState leaves their upstreams out of every choice and checks again before a request or a stage call is written; stage queues keep them, with the space of their results, and call none. A key that names no zone costs itself. Settings, the rate of messages and the calls to the store are as before.

--- a/features/adapter/statements.feature
+++ b/features/adapter/statements.feature
@@ -208,6 +208,7 @@
       | statement     | code              |
       | leaves        | UPSTREAMS_LEAVING |
       | wants a pause | UPSTREAMS_PAUSED  |
+      | is evacuated  | ZONES_EVACUATED   |
 
   # Guards against stage calls that do.
   Scenario: a stage call that waits for a connection is not sent to an upstream that leaves meanwhile
--- a/features/balancing/standing.feature
+++ b/features/balancing/standing.feature
@@ -98,6 +98,13 @@
     When 10 s pass for the coordinator
     Then the results at u1, u2 are freed
 
+  Scenario: results at an upstream of an evacuated zone are freed at once
+    Given a serving state with the upstreams u1, u2 and u3
+    And a stage coordinator
+    When the zones of u1, u2 and u3 are evacuated
+    And results at u1 and u2 are to be freed
+    Then the results at u1, u2 are freed
+
   # Guards against calls that free results in a pause: they were asked for before it, and had to wait
   # for a thread.
   Scenario: results that wait to be freed when their upstream asks for a pause are freed at its end
--- a/features/batching/queue.feature
+++ b/features/batching/queue.feature
@@ -364,6 +364,33 @@
       | u1        | ask for 60 s of pause | u2     | 0      | nothing     |
       | u1, u2    | say that they leave   | none   | 8      | all leaving |
       | u1, u2    | ask for 60 s of pause | none   | 8      | all paused  |
+      | u1        | are evacuated         | u2     | 0      | nothing     |
+      | u1, u2    | are evacuated         | none   | 8      | all evacuated |
+
+  Scenario Outline: an order <inputs> inputs fails at once while all upstreams are evacuated, and runs after that
+    Given a stage queue with 2 upstreams and 4 pieces per call
+    When the upstreams u1, u2 are evacuated
+    And the queue receives an order <inputs> inputs and a deadline in 6 s
+    Then 2 pieces failed with all evacuated
+    When no upstreams are evacuated
+    And the queue receives orders of 4 pieces
+    Then the queue has called further pieces at u1 only
+
+    Examples:
+      | inputs  |
+      | with    |
+      | without |
+
+  # Guards against calls without space for their results after a zone has returned.
+  Scenario: results that an upstream keeps while it is evacuated count when it has returned
+    Given a stage queue with 1 upstreams and 4 pieces per call
+    And space for 6 results at each upstream
+    When the queue receives orders of 4 pieces
+    And the upstreams u1 are evacuated
+    And every call in progress ends, again and again
+    And no upstreams are evacuated
+    And the queue receives orders of 4 pieces
+    Then the last call reports 0 late pieces, a wait of 0 ms and space for 2 results
 
   Scenario: an upstream that leaves is not called although all others fail
     Given a stage queue with 2 upstreams and 4 pieces per call
--- a/features/steps/batching_steps.py
+++ b/features/steps/batching_steps.py
@@ -495,6 +495,19 @@
     record_statements(context, names, leaving=False, pause=timedelta(seconds=seconds))
 
 
+@when("the upstreams {names} are evacuated")
+def evacuate_upstreams(context, names):
+    # Each upstream has a zone of its own.
+    zones = frozenset(e.zone for e in context.entries if e.id in names.split(", "))
+    context.calls_before = len(context.calls)
+    context.queue._balancer.standing.set_evacuated_zones(zones)
+
+
+@when("no upstreams are evacuated")
+def return_upstreams(context):
+    context.queue._balancer.standing.set_evacuated_zones(frozenset())
+
+
 def record_statements(context, names, **statement):
     context.calls_before = len(context.calls)
     standing = context.queue._balancer.standing
--- a/features/steps/standing_steps.py
+++ b/features/steps/standing_steps.py
@@ -178,6 +178,13 @@
         register(context.state, moved)
 
 
+@when("the zones of u1, u2 and u3 are evacuated")
+def evacuate_zones(context):
+    state = context.state
+    for change in state.catalogue.evacuations.begin(ZoneId("z")):
+        state.evacuation_changed(change, 1)
+
+
 class RecordingCaller:
     """Frees results without network, when ``run`` is called or at once unless ``waits``."""
 
--- a/features/steps/statements_steps.py
+++ b/features/steps/statements_steps.py
@@ -443,7 +443,11 @@
 
     def state_it():
         wait_for(lambda: state.balancer.status(name).in_flight, "the request connects")
-        state.answer_received(incarnation, metadata)
+        if statement == "is evacuated":
+            context.store.put("op/evacuate/z1", {})
+            wait_for(lambda: state.catalogue.evacuated_zones, "the node knows of the evacuation")
+        else:
+            state.answer_received(incarnation, metadata)
 
     thread = threading.Thread(target=state_it)
     thread.start()
--- a/features/support/arrival_orders.py
+++ b/features/support/arrival_orders.py
@@ -13,9 +13,10 @@
 from chervilrack._internal.changefeed.messages import StoreProgress
 from chervilrack._internal.common.ids import Incarnation, NodeId
 from chervilrack._internal.fleet.messages import StateReply, StateRequest
-from chervilrack._internal.kvstore.port import Change, ChangeKind
+from chervilrack._internal.kvstore.port import Change, ChangeKind, KeyValue
 
 NAMES = ("u1", "u2", "u3", "u4")
+ZONES = ("z1", "z2")
 FIRST_REVISION = 3  # the nodes of the steps list u1 and u2 up to it
 
 
@@ -30,10 +31,13 @@
         self.revision = FIRST_REVISION
 
     def change(self, rng):
-        """Register, renew or remove an upstream."""
+        """Register, renew or remove an upstream, or evacuate or return a zone."""
         self.revision += 1
         items = dict(self._contents[self.revision - 1])
-        item = upstream(rng.choice(NAMES), self.revision, version=f"v{self.revision}")
+        if rng.random() < 0.3:
+            item = KeyValue(f"op/evacuate/{rng.choice(ZONES)}", b"{}", self.revision)
+        else:
+            item = upstream(rng.choice(NAMES), self.revision, version=f"v{self.revision}")
         if item.key in items and rng.random() < 0.6:
             del items[item.key]
             self._changes.append(Change(ChangeKind.DELETE, item))
@@ -50,6 +54,14 @@
         """Return the changes after one revision up to another."""
         return tuple(self._changes[after - FIRST_REVISION : revision - FIRST_REVISION])
 
+    def evacuated_zones(self, revision):
+        """Return the zones that are evacuated at a revision of the store."""
+        return {
+            key.removeprefix("op/evacuate/")
+            for key in self.items(revision)
+            if key.startswith("op/evacuate/")
+        }
+
     def upstreams(self, revision):
         """Return the revisions of the upstreams at a revision of the store."""
         return {
@@ -202,6 +214,9 @@
             return
         if is_end and revision != self.store.revision:
             self.mistakes.append((step, revision, self.store.revision))
+        zones = self.store.evacuated_zones(revision)
+        if catalogue.evacuated_zones != zones:
+            self.mistakes.append((step, revision, catalogue.evacuated_zones, zones))
         expected = self.store.upstreams(revision)
         lapsed = set(catalogue.lapsed_upstreams)
         known = {
--- a/src/chervilrack/_internal/balancing/standing.py
+++ b/src/chervilrack/_internal/balancing/standing.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from chervilrack._internal.catalogue.state import UpstreamEntry, UpstreamIncarnation, UpstreamState
-from chervilrack._internal.common.ids import NodeId, UpstreamId
+from chervilrack._internal.common.ids import NodeId, UpstreamId, ZoneId
 from chervilrack._internal.common.units import Count
 
 _ZERO = timedelta(0)
@@ -39,6 +39,7 @@
 
     LEAVING = "leaving"
     PAUSED = "paused"
+    EVACUATED = "evacuated"
 
 
 class StandingEvent(Enum):
@@ -90,6 +91,15 @@
         self._leaving_at_peers: OrderedDict[UpstreamId, int] = OrderedDict()
         self._pauses: OrderedDict[UpstreamId, _Pause] = OrderedDict()
         self._next_report = 0
+        self._evacuated_zones: frozenset[ZoneId] = frozenset()
+
+    def set_evacuated_zones(self, zones: frozenset[ZoneId]) -> None:
+        """Set the zones whose upstreams may get nothing new, whatever they say themselves."""
+        self._evacuated_zones = zones
+
+    def is_evacuated(self, entry: UpstreamEntry) -> bool:
+        """Whether an upstream lies in an evacuated zone."""
+        return entry.zone in self._evacuated_zones
 
     def record_answer(
         self,
@@ -151,7 +161,7 @@
         return pause.until
 
     def bar(self, upstream: UpstreamIncarnation, now: timedelta) -> Bar | None:
-        """Return why this node must not send anything new to an upstream, None if it may."""
+        """Return what an upstream has said that keeps this node from sending it anything new."""
         if self.is_leaving(upstream):
             return Bar.LEAVING
         return Bar.PAUSED if self.paused_until(upstream, now) is not None else None
@@ -160,9 +170,13 @@
         self, entries: Sequence[UpstreamEntry], now: timedelta
     ) -> Sequence[UpstreamEntry]:
         """Return the upstreams that this node may use."""
-        if not self._leaving and not self._pauses:
+        if not (self._leaving or self._pauses or self._evacuated_zones):
             return entries
-        return [entry for entry in entries if self.bar(entry.incarnation, now) is None]
+        return [
+            entry
+            for entry in entries
+            if not self.is_evacuated(entry) and self.bar(entry.incarnation, now) is None
+        ]
 
     def preferred_upstreams(
         self, entries: Sequence[UpstreamEntry], now: timedelta
@@ -175,11 +189,14 @@
         return others or candidates
 
     def next_return(self, entries: Iterable[UpstreamEntry], now: timedelta) -> timedelta | None:
-        """Return the end of the first pause among barred upstreams, None if all of them leave."""
+        """Return the end of the first pause among barred upstreams, None if none will be back.
+
+        Those that leave and those of evacuated zones have no known end.
+        """
         ends = (
             self.paused_until(entry.incarnation, now)
             for entry in entries
-            if not self.is_leaving(entry.incarnation)
+            if not self.is_leaving(entry.incarnation) and not self.is_evacuated(entry)
         )
         return min((end for end in ends if end is not None), default=None)
 
--- a/src/chervilrack/_internal/batching/core.py
+++ b/src/chervilrack/_internal/batching/core.py
@@ -520,11 +520,13 @@
     def _barred_failure(self, now: timedelta) -> tuple[PieceFailure, timedelta | None] | None:
         """Return the failure of pieces if all upstreams are barred, None if one is not.
 
-        With the failure comes the time until the first pause ends, None if all upstreams leave.
+        With the failure comes the time until the first pause ends, None if none will end.
         """
         entries = [upstream.entry for upstream in self._upstreams.values()]
         if not entries or self._balancer.standing.open_upstreams(entries, now):
             return None
+        if all(map(self._balancer.standing.is_evacuated, entries)):
+            return PieceFailure.ALL_EVACUATED, None
         pause_end = self._balancer.standing.next_return(entries, now)
         if pause_end is None:
             return PieceFailure.ALL_LEAVING, None
--- a/src/chervilrack/_internal/catalogue/core.py
+++ b/src/chervilrack/_internal/catalogue/core.py
@@ -8,13 +8,14 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from chervilrack._internal.catalogue.evacuation import EvacuationChanged, Evacuations
 from chervilrack._internal.catalogue.state import (
     ServiceSpec,
     ServingConfiguration,
     UpstreamEntry,
     UpstreamState,
 )
-from chervilrack._internal.common.ids import ServiceId, UpstreamId
+from chervilrack._internal.common.ids import ServiceId, UpstreamId, ZoneId
 
 # Upstreams whose registrations lapsed while the store was unavailable register again within about
 # two seconds of its return.
@@ -50,7 +51,7 @@
     previous: UpstreamEntry | None
 
 
-CatalogueEffect = ConfigurationApplied | UpstreamChanged
+CatalogueEffect = ConfigurationApplied | UpstreamChanged | EvacuationChanged
 
 
 class Catalogue:
@@ -70,6 +71,7 @@
         # Upstreams that are kept although their registrations have ended, and the end of that time;
         # None means REREGISTRATION_GRACE after the store answers again.
         self._lapsed: dict[UpstreamId, timedelta | None] = {}
+        self.evacuations = Evacuations()
         self._unavailable_since: timedelta | None = None
         self._available_again_at = _ZERO
         self._had_outage = False
@@ -92,6 +94,11 @@
         """All known upstreams by id, including draining ones."""
         return self._upstreams
 
+    @property
+    def evacuated_zones(self) -> frozenset[ZoneId]:
+        """Zones whose upstreams must get nothing new."""
+        return self.evacuations.zones
+
     def ready_upstreams(self, service: ServiceId) -> tuple[UpstreamEntry, ...]:
         """Return the ready upstreams of a service, ordered by id."""
         return self._ready_by_service.get(service, ())
--- a/src/chervilrack/_internal/fleet/messages.py
+++ b/src/chervilrack/_internal/fleet/messages.py
@@ -52,7 +52,8 @@
     ``configuration`` is empty if the requesting node already has the version. ``upstreams`` holds
     key, value and modification revision of each registration. ``missing`` names the upstreams
     whose registrations have ended but which the sender still keeps, since they may come back.
-    ``blocks`` are the traits that the sender blocks.
+    ``blocks`` are the traits that the sender blocks. ``evacuations`` are the evacuated zones,
+    None from a sender of an earlier version, which does not know of them.
     """
 
     configuration: bytes
@@ -60,3 +61,4 @@
     upstreams: tuple[tuple[str, bytes, Count], ...]
     missing: tuple[str, ...] = ()
     blocks: Annotated[tuple[BlockRecord, ...], msgspec.Meta(max_length=1024)] = ()
+    evacuations: tuple[str, ...] | None = None
--- a/src/chervilrack/_internal/forwarding/attempts.py
+++ b/src/chervilrack/_internal/forwarding/attempts.py
@@ -373,7 +373,7 @@
 
     def _check_bar(self, entry: UpstreamEntry) -> None:
         if not self._observer.may_send(entry.incarnation):
-            raise UpstreamBarred("not sent: the upstream leaves or wants a pause")
+            raise UpstreamBarred("not sent: the upstream leaves, wants a pause or is evacuated")
 
     def _write(
         self, context: RequestContext, exchange: Exchange, headers: Sequence[tuple[str, str]]
--- a/src/chervilrack/_internal/forwarding/dialect.py
+++ b/src/chervilrack/_internal/forwarding/dialect.py
@@ -80,7 +80,8 @@
 class PieceFailure(Enum):
     """Why an upstream did not produce a piece.
 
-    The last two mean that no upstream was asked: all of them leave, or want a pause.
+    The last three mean that no upstream was asked: all of them leave, want a pause, or lie in
+    evacuated zones.
     """
 
     LATE = "late"
@@ -89,6 +90,7 @@
     ERROR = "error"
     ALL_LEAVING = "all leaving"
     ALL_PAUSED = "all paused"
+    ALL_EVACUATED = "all evacuated"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/chervilrack/_internal/forwarding/forwarder.py
+++ b/src/chervilrack/_internal/forwarding/forwarder.py
@@ -45,6 +45,8 @@
 RETRY_DELAY = timedelta(milliseconds=300)
 # Most attempts of one request, including those that an upstream rejects.
 MAX_ATTEMPTS = 4
+# Reasons why a service has no upstream that have no known end.
+_LASTING_REFUSALS = frozenset((ResultCode.UPSTREAMS_LEAVING, ResultCode.ZONES_EVACUATED))
 
 
 def _caller_patience(route: Route) -> timedelta | None:
@@ -301,7 +303,7 @@
             if number < len(counts) and counts[number] == 0:
                 continue
             problem = self._backend.unavailability(stage.service)
-            if problem is not None and problem.code is ResultCode.UPSTREAMS_LEAVING:
+            if problem is not None and problem.code in _LASTING_REFUSALS:
                 return problem
         return None
 
--- a/src/chervilrack/_internal/forwarding/stages.py
+++ b/src/chervilrack/_internal/forwarding/stages.py
@@ -30,6 +30,7 @@
 _FAILURE_CODES = {
     PieceFailure.ALL_LEAVING: ResultCode.UPSTREAMS_LEAVING,
     PieceFailure.ALL_PAUSED: ResultCode.UPSTREAMS_PAUSED,
+    PieceFailure.ALL_EVACUATED: ResultCode.ZONES_EVACUATED,
 }
 
 
--- a/src/chervilrack/_internal/serving/directory.py
+++ b/src/chervilrack/_internal/serving/directory.py
@@ -1,6 +1,6 @@
 """The store's keys as one node knows them, from its own connection or from peers."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from datetime import timedelta
 
 import msgspec
@@ -10,9 +10,10 @@
     ConfigurationApplied,
     UpstreamChanged,
 )
+from chervilrack._internal.catalogue.evacuation import EvacuationChanged
 from chervilrack._internal.catalogue.state import CallerLimits, UpstreamEntry
 from chervilrack._internal.common.decoding import UnreadableValue, decode_json
-from chervilrack._internal.common.ids import NodeId, UpstreamId
+from chervilrack._internal.common.ids import NodeId, UpstreamId, ZoneId
 from chervilrack._internal.common.supervision import FAILURES
 from chervilrack._internal.fleet.messages import Heartbeat, StateReply, StateRequest
 from chervilrack._internal.kvstore.port import Change, ChangeKind, KeyValue
@@ -160,9 +161,16 @@
         self._archive.keep_only(
             item.key.removeprefix(prefix) for item in items if item.key.startswith(prefix)
         )
+        evacuated: set[ZoneId] = set()
         for item in items:
-            if not item.key.startswith(self._schema.upstream_prefix):
+            if item.key.startswith(self._schema.evacuation_prefix):
+                zone = self._decode_evacuation(item)
+                if zone is not None:
+                    evacuated.add(zone)
+            elif not item.key.startswith(self._schema.upstream_prefix):
                 self._apply_item(item)
+        # Before the upstreams: those of an evacuated zone are never usable.
+        self._perform(self._state.catalogue.evacuations.replace(evacuated))
         upstreams = self._replace_upstreams(items)
         self._perform(self._state.catalogue.apply_listing(upstreams, now))
         # Not earlier: with a configuration but no upstreams, every request would fail.
@@ -200,6 +208,8 @@
                     self._apply_node_registration(item)
                 case EntryKind.BLOCK:
                     self._apply_block(item)
+                case EntryKind.EVACUATION:
+                    self._apply_evacuation(item)
         except Exception as error:
             self._unreadable.record(kind, item, error)
 
@@ -210,6 +220,8 @@
             return EntryKind.UPSTREAM
         if key.startswith(self._schema.block_prefix):
             return EntryKind.BLOCK
+        if key.startswith(self._schema.evacuation_prefix):
+            return EntryKind.EVACUATION
         return EntryKind.NODE if key.startswith(self._schema.node_prefix) else EntryKind.OTHER
 
     def _apply_deletion(self, key: str, revision: int) -> None:
@@ -217,12 +229,30 @@
         if key.startswith(self._schema.block_prefix):
             self._archive.observe(key.removeprefix(self._schema.block_prefix), None, revision)
             self._state.crash_watch.on_record_outdated()
+        if key.startswith(self._schema.evacuation_prefix):
+            zone = ZoneId(key.removeprefix(self._schema.evacuation_prefix))
+            self._perform(self._state.catalogue.evacuations.end(zone))
         if key.startswith(self._schema.upstream_prefix):
             self._stored_items.pop(key, None)
             upstream = UpstreamId(key.removeprefix(self._schema.upstream_prefix))
             now = self._state.clock.monotonic()
             self._perform(self._state.catalogue.remove_upstream(upstream, revision, now))
 
+    def _apply_evacuation(self, item: KeyValue) -> None:
+        zone = self._decode_evacuation(item)
+        if zone is not None:
+            self._perform(self._state.catalogue.evacuations.begin(zone))
+
+    def _decode_evacuation(self, item: KeyValue) -> ZoneId | None:
+        """Return the zone of an evacuation; one whose key names no zone is left out."""
+        try:
+            zone = self._schema.decode_evacuation(item.key)
+        except Exception as error:
+            self._unreadable.record(EntryKind.EVACUATION, item, error)
+            return None
+        self._unreadable.forget(item.key)
+        return zone
+
     def _apply_upstream(self, item: KeyValue) -> None:
         entry = self._decode_upstream(item)
         if entry is not None:
@@ -286,7 +316,7 @@
         else:
             self._state.crash_watch.restore_block(record)
 
-    def _perform(self, effects: list[CatalogueEffect]) -> None:
+    def _perform(self, effects: Sequence[CatalogueEffect]) -> None:
         self._queues_outdated = self._queues_outdated or bool(effects)
         for effect in effects:
             match effect:
@@ -302,6 +332,8 @@
                     )
                 case UpstreamChanged():
                     self._perform_upstream_change(effect)
+                case EvacuationChanged():
+                    self._state.evacuation_changed(effect, self._revision)
 
     def _perform_upstream_change(self, change: UpstreamChanged) -> None:
         """Pass the change of an upstream on; leave the upstream out if that fails."""
@@ -373,13 +405,14 @@
         missing = self._state.catalogue.lapsed_upstreams
         blocks = self._state.crash_watch.block_records()
         content = item.value if newer else b""
-        reply = StateReply(content, self._revision, upstreams, missing, blocks)
+        evacuations = tuple(sorted(self._state.catalogue.evacuated_zones))
+        reply = StateReply(content, self._revision, upstreams, missing, blocks, evacuations)
         self._send(f"tcp://{address}", reply)
 
     def on_state_reply(self, message: StateReply) -> None:
-        """Apply a peer's blocks and newer configuration, and its upstreams without the store.
+        """Apply a peer's blocks and newer configuration, and its directory without the store.
 
-        The upstreams are applied only if the peer's store revision is newer than this node's.
+        Upstreams and evacuations are applied only if the peer has a newer revision of the store.
         """
         for record in message.blocks:
             self._learn_block(record)
@@ -394,6 +427,9 @@
         self._is_listed = True
         missing = [UpstreamId(name) for name in message.missing]
         now = self._state.clock.monotonic()
+        if message.evacuations is not None:
+            evacuated = [ZoneId(zone) for zone in message.evacuations]
+            self._perform(self._state.catalogue.evacuations.replace(evacuated))
         upstreams = self._replace_upstreams(items)
         self._perform(self._state.catalogue.apply_peer_listing(upstreams, missing, now))
         self._update_queues()
--- a/src/chervilrack/_internal/serving/metrics.py
+++ b/src/chervilrack/_internal/serving/metrics.py
@@ -126,6 +126,11 @@
             ["reason"],
             registry=self._registry,
         )
+        self._evacuated = Gauge(
+            "chervilrack_serving_evacuated_zones",
+            "Zones whose upstreams get nothing from this node because they are evacuated.",
+            registry=self._registry,
+        )
         self._unreadable = Counter(
             "chervilrack_serving_unreadable_entries",
             "Revisions of entries of the store that were left out, by what their keys name.",
@@ -208,6 +213,10 @@
         """Count a request that gets no upstream because requests like it crash them."""
         self._quarantined.labels(self._services.label(service)).inc()
 
+    def zones_evacuated(self, count: int) -> None:
+        """Set the number of evacuated zones."""
+        self._evacuated.set(count)
+
     def entry_unreadable(self, kind: str) -> None:
         """Count a revision of an entry that was left out; ``kind`` is what its key names."""
         self._unreadable.labels(kind).inc()
--- a/src/chervilrack/_internal/serving/stage_calls.py
+++ b/src/chervilrack/_internal/serving/stage_calls.py
@@ -196,7 +196,7 @@
     def _check_bar(self, call: StartCall) -> None:
         """Raise CallFailed if the upstream of a call that is not sent yet may get nothing new."""
         if not self._observer.may_send(call.incarnation):
-            detail = "not sent: the upstream leaves or wants a pause"
+            detail = "not sent: the upstream leaves, wants a pause or is evacuated"
             raise CallFailed(detail, upstream_absent=False, not_executed=True)
 
     def _post(
--- a/src/chervilrack/_internal/serving/state.py
+++ b/src/chervilrack/_internal/serving/state.py
@@ -17,6 +17,7 @@
 )
 from chervilrack._internal.balancing.state import RequestLoad, UpstreamChoice
 from chervilrack._internal.catalogue.core import Catalogue, UpstreamChanged
+from chervilrack._internal.catalogue.evacuation import EvacuationChanged
 from chervilrack._internal.catalogue.state import (
     RequestKind,
     ServingConfiguration,
@@ -24,7 +25,7 @@
     UpstreamIncarnation,
 )
 from chervilrack._internal.common.clock import Clock
-from chervilrack._internal.common.ids import NodeId, RequestId, ServiceId, UpstreamId
+from chervilrack._internal.common.ids import NodeId, RequestId, ServiceId, UpstreamId, ZoneId
 from chervilrack._internal.common.results import Executed, Problem, ResultCode
 from chervilrack._internal.fleet.core import Fleet
 from chervilrack._internal.forecast.core import Forecaster
@@ -88,6 +89,8 @@
         self._first_byte_times: dict[ServiceId, timedelta] = {}
         # Start and expected time to the first byte of attempts that have not got it yet.
         self._awaited_first_bytes: dict[tuple[str, UpstreamId], tuple[timedelta, timedelta]] = {}
+        # When this node learnt of the evacuation of each evacuated zone.
+        self._evacuated_since: dict[ZoneId, timedelta] = {}
         self._accepting = False
         self._has_left = False
         self.forecaster = Forecaster()
@@ -201,16 +204,19 @@
     def upstreams(self, service: ServiceId) -> Sequence[UpstreamEntry]:
         """Return the ready upstreams of a service except the misdirected ones.
 
-        Those that leave or want a pause are included.
+        Those that leave, want a pause or lie in evacuated zones are included.
         """
         with self.lock:
-            return self._registered(service)
+            return self._directed(service)
 
     def unavailability(self, service: ServiceId) -> Problem | None:
         """Return why no upstream of a service may be used, None if one may be."""
         now = self.clock.monotonic()
         with self.lock:
             entries = self._registered(service)
+            if not entries and self._directed(service):
+                detail = "all upstreams of the service lie in evacuated zones"
+                return Problem(ResultCode.ZONES_EVACUATED, detail)
             if not entries:
                 detail = "no upstream of the service is known"
                 return Problem(ResultCode.NO_UPSTREAM, detail)
@@ -387,6 +393,9 @@
     def may_send(self, upstream: UpstreamIncarnation) -> bool:
         """Whether an upstream may get anything new."""
         with self.lock:
+            entry = self.catalogue.upstreams.get(upstream.id)
+            if entry is not None and self.balancer.standing.is_evacuated(entry):
+                return False
             return self.balancer.standing.bar(upstream, self.clock.monotonic()) is None
 
     def first_byte_received(self, context: RequestContext, entry: UpstreamEntry) -> None:
@@ -684,6 +693,25 @@
                 self.balancer.standing.record_registration(change.entry.incarnation)
             )
 
+    def evacuation_changed(self, change: EvacuationChanged, revision: int) -> None:
+        """Use the upstreams of a zone, or stop using them. The caller holds the lock."""
+        now = self.clock.monotonic()
+        zones = self.catalogue.evacuated_zones
+        self.balancer.standing.set_evacuated_zones(zones)
+        self.metrics.zones_evacuated(len(zones))
+        upstreams = [e for e in self.catalogue.upstreams.values() if e.zone == change.zone]
+        began = self._evacuated_since.pop(change.zone, now)
+        if change.is_evacuated:
+            self._evacuated_since[change.zone] = now
+        self.log.note(
+            "catalogue",
+            "zone evacuated" if change.is_evacuated else "zone returned",
+            zone=change.zone,
+            upstreams=len(upstreams),
+            revision=revision,
+            after_s=None if change.is_evacuated else round((now - began).total_seconds(), 3),
+        )
+
     def upstream_at(self, address: str) -> UpstreamEntry | None:
         """Return the only upstream at an address. The caller holds the lock."""
         entries = [e for e in self.catalogue.upstreams.values() if e.address == address]
@@ -703,7 +731,10 @@
         """Return the number of registered upstreams that get nothing, by reason."""
         now = self.clock.monotonic()
         standing = self.balancer.standing
-        bars = (standing.bar(e.incarnation, now) for e in self.catalogue.upstreams.values())
+        bars = (
+            Bar.EVACUATED if standing.is_evacuated(entry) else standing.bar(entry.incarnation, now)
+            for entry in self.catalogue.upstreams.values()
+        )
         return Counter(bar for bar in bars if bar is not None)
 
     def _report_standing(self, changes: Sequence[StandingChanged]) -> None:
@@ -740,6 +771,17 @@
             self.log.note(action.part, action.action, upstream=action.subject, reason=action.reason)
 
     def _registered(self, service: ServiceId) -> tuple[UpstreamEntry, ...]:
+        """Return the ready upstreams of a service that may be used.
+
+        The misdirected ones and those of evacuated zones are left out.
+        """
+        entries = self._directed(service)
+        if not self.catalogue.evacuated_zones:
+            return entries
+        standing = self.balancer.standing
+        return tuple(entry for entry in entries if not standing.is_evacuated(entry))
+
+    def _directed(self, service: ServiceId) -> tuple[UpstreamEntry, ...]:
         """Return the ready upstreams of a service except the misdirected ones."""
         entries = self.catalogue.ready_upstreams(service)
         if not self._misdirected:
--- a/src/chervilrack/_internal/serving/store_schema.py
+++ b/src/chervilrack/_internal/serving/store_schema.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from chervilrack._internal.catalogue.state import ServingConfiguration, UpstreamEntry
+from chervilrack._internal.common.ids import ZoneId
 
 
 @dataclass(frozen=True, slots=True)
@@ -17,5 +18,7 @@
     upstream_prefix: str
     node_prefix: str
     block_prefix: str
+    evacuation_prefix: str
     decode_configuration: Callable[[bytes], ServingConfiguration]
     decode_upstream: Callable[[str, bytes], UpstreamEntry]
+    decode_evacuation: Callable[[str], ZoneId]
--- a/src/chervilrack/_internal/serving/unreadable.py
+++ b/src/chervilrack/_internal/serving/unreadable.py
@@ -18,6 +18,7 @@
     UPSTREAM = ("upstream", "catalogue", "entry unreadable")
     NODE = ("node", "fleet", "registration unreadable")
     BLOCK = ("block", "quarantine", "record unreadable")
+    EVACUATION = ("evacuation", "catalogue", "evacuation unreadable")
     OTHER = ("other", "catalogue", "entry unreadable")
 
     @property
--- a/src/chervilrack/platform/configuration.py
+++ b/src/chervilrack/platform/configuration.py
@@ -19,11 +19,12 @@
     UpstreamState,
 )
 from chervilrack._internal.common.addresses import parse_address
-from chervilrack._internal.common.decoding import decode_json
+from chervilrack._internal.common.decoding import UnreadableValue, decode_json
 from chervilrack._internal.common.ids import OrganisationId, ServiceId, UpstreamId, ZoneId
 
 CONFIGURATION_KEY: Final = "op/config"
 UPSTREAM_PREFIX: Final = "servers/"
+EVACUATION_PREFIX: Final = "op/evacuate/"
 BYTES_PER_MEGABYTE: Final = 1_000_000
 
 _REQUEST_KINDS: Final = {
@@ -43,6 +44,7 @@
 # Larger integers are not exact in every program that reads them.
 _MAX_EXACT: Final = 2**53 - 1
 _UPSTREAM_ID: Final = re.compile(r"[!-~]{1,200}")
+_ZONE: Final = re.compile(r"[!-.0-~]{1,200}")
 
 _Milliseconds = Annotated[float, msgspec.Meta(ge=0, le=_MAX_TIME_S * 1000)]
 _Seconds = Annotated[float, msgspec.Meta(ge=0, le=_MAX_TIME_S)]
@@ -181,6 +183,18 @@
     return decode_json(key, value, lambda content: _upstream(key, content))
 
 
+def decode_evacuation(key: str) -> ZoneId:
+    """Return the zone that ``key``, which is ``op/evacuate/ZONE``, names. Raises UnreadableValue.
+
+    A zone has up to 200 visible ASCII characters without slashes. The request is the key itself,
+    whatever its value is.
+    """
+    zone = key.removeprefix(EVACUATION_PREFIX)
+    if not _ZONE.fullmatch(zone):
+        raise UnreadableValue(key, "expected a zone of up to 200 visible ASCII characters")
+    return ZoneId(zone)
+
+
 def _configuration(value: bytes) -> ServingConfiguration:
     document = _configuration_decoder.decode(value)
     tenants = document.tenants or ()
--- a/src/chervilrack/platform/run.py
+++ b/src/chervilrack/platform/run.py
@@ -15,8 +15,10 @@
 from chervilrack._internal.serving.store_schema import StoreSchema
 from chervilrack.platform.configuration import (
     CONFIGURATION_KEY,
+    EVACUATION_PREFIX,
     UPSTREAM_PREFIX,
     decode_configuration,
+    decode_evacuation,
     decode_upstream,
 )
 from chervilrack.platform.headers import PlatformDialect
@@ -32,8 +34,10 @@
     upstream_prefix=UPSTREAM_PREFIX,
     node_prefix=NODE_PREFIX,
     block_prefix=BLOCK_PREFIX,
+    evacuation_prefix=EVACUATION_PREFIX,
     decode_configuration=decode_configuration,
     decode_upstream=decode_upstream,
+    decode_evacuation=decode_evacuation,
 )
 # A request needs less than 100 kB of stack; the default size would waste scarce memory.
 THREAD_STACK_BYTES = 256 * 1024
