Take no answer for whole whose connection was reset during the write

Cause: the kernel reports a reset once. If a write of the request got it, every HTTP client of the package read on (a server may refuse a request early), and after the bytes that had arrived the connection seemed to end as usual. A part of an answer without length passed for the whole one: a caller got 200. Statuses of 600 to 999 were passed on. Answers with 204 and 304 stated a length. Change: a connection whose write has failed ends no body (`_StrictConnection`, for Exchange, native calls, stage calls, commands, the store's and etcd's clients). `is_status` decides what a status is, for all of them. 204 and 304 are sent without length. Tests changed: `response_grammar.py`, with which changed responses are compared, knows only statuses of 100 to 599 now, as the clients do; nothing was eased. Still open: an answer without length that is closed, not reset, within its body cannot be told from a whole one.

--- a/features/adapter/answers.feature
+++ b/features/adapter/answers.feature
@@ -126,6 +126,16 @@
       | plain   | no HTTP, break                        | 502    |
       | plain   | chunked answer                        | 200    |
       | plain   | status line of 100000 bytes           | 502    |
+      | plain   | answer with status 000                | 502    |
+      | plain   | answer with status 099                | 502    |
+      | plain   | answer with status 101                | 502    |
+      | plain   | answer with status 20                 | 502    |
+      | plain   | answer with status 599                | 599    |
+      | plain   | answer with status 600                | 502    |
+      | plain   | answer with status 999                | 502    |
+      | plain   | answer with status 2000               | 502    |
+      | plain   | answer with status -200               | 502    |
+      | plain   | chunked answer with status 204        | 502    |
       | look-up | foreign answer, answer                | 502    |
 
   Scenario Outline: an order whose upstream sends <answer> and ends by a <ending> may have run
@@ -183,6 +193,42 @@
       | upstream resets its connection | reset   | succeed                   |
       | write fails                    | silence | fail behind the head      |
 
+  # Guards against a part of an answer that looks complete because a write has reported its reset.
+  Scenario Outline: an order of <size> bytes whose upstream answers <answer> and resets while <count> descriptors are open may have run
+    Given scripted plain upstreams that send "<answer>, reset"
+    And the node takes bodies of 4000000 bytes
+    And the node has <count> open descriptors
+    And writes to upstreams <writes>
+    When a caller sends an order with a body of <size> bytes
+    Then the caller gets status 502 and is told that it has maybe run
+    And 1 request has reached the scripted upstreams
+
+    Examples: the write of the body ends before, within and after the answer
+      | answer                                | size    | count | writes                          |
+      | answer without length                 | 100     | 10    | succeed                         |
+      | answer without length                 | 100     | 10    | pause for 0.3 s behind the head |
+      | answer without length                 | 30000   | 1100  | pause for 0.3 s behind the head |
+      | answer without length                 | 3900000 | 10    | succeed                         |
+      | answer without length                 | 3900000 | 1100  | succeed                         |
+      | answer without length                 | 3900000 | 10    | pause for 0.3 s behind the head |
+      | answer without length                 | 3900000 | 1100  | pause for 0.3 s behind the head |
+      | HTTP/1.0 answer up to answer to       | 30000   | 10    | pause for 0.3 s behind the head |
+      | half an answer                        | 30000   | 10    | pause for 0.3 s behind the head |
+      | chunks without the last               | 3900000 | 10    | pause for 0.3 s behind the head |
+
+  Scenario Outline: a <kind> whose upstream sends <answer> gets status <status> and <body>
+    Given scripted plain upstreams that send "<answer>"
+    When a caller sends a <kind> request with a deadline of 4000 ms
+    Then the caller gets status <status>
+    And the answer has <body>
+    And no later request gets a part of that answer
+
+    Examples: statuses that have no body, whatever follows
+      | kind  | answer                              | status | body    |
+      | plain | answer with status 204              | 204    | no body |
+      | plain | answer with status 304              | 304    | no body |
+      | plain | 103, answer with status 204         | 204    | no body |
+
   # Guards against system calls that cannot take large descriptors.
   Scenario Outline: a <kind> request with a body of <size> bytes is answered at a node with <count> open descriptors
     Given scripted plain upstreams that send "read the body, answer"
@@ -279,6 +325,10 @@
       | events 1 to 3                 | the events 1 2 3    |
       | unframed events 1 to 3        | the events 1 2 3    |
       | events without ids, break     | an error 502        |
+      | unframed events 1 to 3, reset | an error 502        |
+      | events 1 to 2, break          | an error 502        |
+      | answer with status 600        | an error 502        |
+      | answer with status 000        | an error 502        |
       | unframed events 1 to 2, reset | an error 502        |
 
   # Guards against memory that stays reserved for callers that leave.
@@ -287,6 +337,28 @@
     When an HTTP/1.0 caller leaves a stream once 3 events were sent
     Then the node has no memory reserved for requests
 
+  Scenario Outline: a stream whose engines send <answer> is <end>
+    Given one scripted engine that sends "<answer>"
+    When a caller reads a stream
+    Then the caller gets the events <events> and the stream is <end>
+
+    Examples: streams without length and chunks, and invalid statuses
+      | answer                        | events | end        |
+      | unframed events 1 to 3        | 1 2 3  | complete   |
+      | unframed events 1 to 2, reset | 1 2    | incomplete |
+
+  Scenario Outline: a stream that begins with <answer> gets status 502
+    Given one scripted engine that sends "<answer>"
+    When a caller sends a stream request with a deadline of 4000 ms
+    Then the caller gets status 502
+
+    Examples:
+      | answer                    |
+      | answer with status 000    |
+      | answer with status 099    |
+      | answer with status 600    |
+      | answer with status 999    |
+
   Scenario: requests that a caller sends at once get their own answers in their order
     # Guards against answers that are exchanged between the requests of one connection.
     Given scripted plain upstreams that send "103, answer, foreign answer"
--- a/features/steps/answers_steps.py
+++ b/features/steps/answers_steps.py
@@ -102,7 +102,9 @@
     write = exchange_module._Connection.send
 
     def write_head(connection, data):
-        if connection.has_written:
+        if connection.has_written and succeed.startswith("pause"):
+            time.sleep(float(succeed.split()[2]))
+        elif connection.has_written:
             raise ConnectionResetError("reset")
         write(connection, data)
 
@@ -244,7 +246,7 @@
 
 @when("a caller sends a {kind} request with a deadline of {deadline:d} ms")
 def send_to_scripted(context, kind, deadline):
-    path = {"plain": "/order/1", "look-up": "/read/1"}[kind]
+    path = {"plain": "/order/1", "look-up": "/read/1", "stream": "/stream/1"}[kind]
     context.raw = exchange(context, path, "caller-1", deadline)
     record_response(context)
 
@@ -256,6 +258,14 @@
     assert json.loads(context.raw.partition("\r\n\r\n")[2])["executed"] == told, context.raw
 
 
+@then("the answer has no body")
+def check_no_body(context):
+    head, _, body = context.raw.partition("\r\n\r\n")
+    assert not body, context.raw
+    assert "Content-Length" not in head, context.raw
+    assert "Transfer-Encoding" not in head, context.raw
+
+
 @then("no later request gets a part of that answer")
 def check_later_requests(context):
     assert FOREIGN_ID not in context.raw, context.raw
--- a/features/steps/broken_off_steps.py
+++ b/features/steps/broken_off_steps.py
@@ -4,9 +4,10 @@
 from contextlib import ExitStack
 from datetime import timedelta
 from types import SimpleNamespace
+from unittest import mock
 
 from behave import then
-from features.support.cut_server import CutServer
+from features.support.cut_server import RESET_DELAY_S, CutServer
 from features.support.response_grammar import read_response
 from hypothesis import given as for_all
 from hypothesis import strategies as st
@@ -15,6 +16,7 @@
 from chervilrack._internal.catalogue.state import UpstreamIncarnation
 from chervilrack._internal.cli.client import NodeClient, NodeRefused
 from chervilrack._internal.common.clock import SystemClock
+from chervilrack._internal.common.http_responses import StrictHTTPConnection
 from chervilrack._internal.exceptions import (
     NodeUnreachable,
     PlatformError,
@@ -267,6 +269,37 @@
                 assert call(stack, server.address, head_only), "the whole response is not believed"
 
 
+@then("{client} believes no {status} without a length that is reset before the request is written")
+def check_early_reset(context, client, status):
+    response = build_response(client, status, "without a length")
+    write_request = StrictHTTPConnection.send
+    heads = set()
+
+    def write_late(connection, data):
+        # Whatever is written behind the head comes after the reset.
+        if id(connection) in heads:
+            time.sleep(4 * RESET_DELAY_S)
+        heads.add(id(connection))
+        write_request(connection, data)
+
+    call, _, body = CLIENTS[client]
+    believed = []
+    with (
+        mock.patch.object(StrictHTTPConnection, "send", write_late),
+        CutServer(response, resets=True, is_early=True) as server,
+    ):
+        sizes = {len(response) - len(body) // 2, len(response)}
+        if client == "a token stream":
+            # Whole with its final event, however the connection ends.
+            sizes.remove(len(response))
+        for server.limit in sizes:
+            heads.clear()
+            with ExitStack() as stack:
+                if call(stack, server.address, False):
+                    believed.append(server.limit)
+    assert not believed, (believed, len(response))
+
+
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
 OK_LINE = b"HTTP/1.1 200 OK\r\n"
 # Bytes that a response of the given kind gets in addition.
@@ -286,6 +319,14 @@
     "a blank before its status line": (b" ", "prefix"),
     "a control character in a version": (b"HTTP/1.1\0 103 Early Hints\r\n\r\n", "prefix"),
     "a status of two digits": (b"HTTP/1.1 +20 OK\r\n\r\n", "prefix"),
+    "the status 000": (b"000", "status"),
+    "the status 099": (b"099", "status"),
+    "the status 20": (b"20", "status"),
+    "the status 2000": (b"2000", "status"),
+    "the status -200": (b"-200", "status"),
+    "the status 600": (b"600", "status"),
+    "the status 999": (b"999", "status"),
+    "no status": (b"", "status"),
     "a malformed interim response": (b"HTTP/1.1 103 Early Hints\r\nLink\r\n\r\n", "prefix"),
 }
 
@@ -297,6 +338,8 @@
     length = b"Content-Length: %d\r\n" % len(body)
     if kind == "101":
         return b"HTTP/1.1 101 Switching Protocols\r\n" + fields + length + b"\r\n" + body
+    if kind == "status":
+        return b"HTTP/1.1 " + extra + b" OK\r\n" + fields + length + b"\r\n" + body
     if kind == "prefix":
         return extra + OK_LINE + fields + length + b"\r\n" + body
     if kind == "length":
--- a/features/support/response_grammar.py
+++ b/features/support/response_grammar.py
@@ -2,7 +2,7 @@
 
 import re
 
-_STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] ([1-9][0-9]{2})(?: [^\r\n]*)?\r?\n")
+_STATUS_LINE = re.compile(rb"HTTP/[0-9]\.[0-9] ([1-5][0-9]{2})(?: [^\r\n]*)?\r?\n")
 _FIELD_LINE = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):([^\r\n]*)\r?\n")
 _EMPTY_LINE = re.compile(rb"\r?\n")
 _SIZE_LINE = re.compile(rb"([0-9A-Fa-f]+)[ \t]*(?:;[^\r\n]*)?\r?\n")
--- a/features/support/scripted_upstream.py
+++ b/features/support/scripted_upstream.py
@@ -1,8 +1,8 @@
 """Upstreams that write scripted bytes to their sockets, whatever the request is.
 
 A script is a comma-separated list of actions, see ``_ACTIONS`` and ``_run_action``. An action of
-``_ACTIONS`` followed by ``up to TEXT`` ends with that text. The attempt
-number selects the script, whichever upstream gets the attempt.
+``_ACTIONS`` followed by ``up to TEXT`` ends with that text, and one followed by ``with status N``
+has that status. The attempt number selects the script, whichever upstream gets the attempt.
 """
 
 import re
@@ -291,8 +291,11 @@
     if word in _STATEMENTS:
         status_line, rest = _ACTIONS[name](request_id).split("\r\n", 1)
         return f"{status_line}\r\n{_STATEMENTS[word]}{rest}"
+    action, _, status = action.partition(" with status ")
     name, _, end = action.partition(" up to ")
     content = _ACTIONS[name](request_id)
+    if status:
+        content = content.replace(" 200 ", f" {status} ", 1)
     return content[: content.index(end) + len(end)] if end else content
 
 
--- a/features/upstreams/broken_off.feature
+++ b/features/upstreams/broken_off.feature
@@ -88,6 +88,62 @@
       | a store write       | a signed chunk size              |
       | an etcd write       | a folded field                   |
 
+    Examples: only 100 to 599 are statuses (RFC 9110, 15)
+      | client              | fault                            |
+      | a forwarded request | the status 000                   |
+      | a forwarded request | the status 099                   |
+      | a forwarded request | the status 20                    |
+      | a forwarded request | the status 2000                  |
+      | a forwarded request | the status -200                  |
+      | a forwarded request | the status 600                   |
+      | a forwarded request | the status 999                   |
+      | a forwarded request | no status                        |
+      | a stage call        | the status 000                   |
+      | a stage call        | the status 600                   |
+      | a stage call        | the status 999                   |
+      | a native call       | the status 000                   |
+      | a native call       | the status 600                   |
+      | a native call       | the status 999                   |
+      | a token stream      | the status 000                   |
+      | a token stream      | the status 600                   |
+      | a token stream      | the status 999                   |
+      | a command           | the status 000                   |
+      | a command           | the status 600                   |
+      | a command           | the status 999                   |
+      | an operator         | the status 000                   |
+      | an operator         | the status 600                   |
+      | an operator         | the status 999                   |
+      | a soak caller       | the status 000                   |
+      | a soak caller       | the status 600                   |
+      | a soak caller       | the status 999                   |
+      | a store write       | the status 000                   |
+      | a store write       | the status 600                   |
+      | a store write       | the status 999                   |
+      | a store read        | the status 000                   |
+      | a store read        | the status 600                   |
+      | a store read        | the status 999                   |
+      | a lease             | the status 000                   |
+      | a lease             | the status 600                   |
+      | a lease             | the status 999                   |
+      | an etcd write       | the status 000                   |
+      | an etcd write       | the status 600                   |
+      | an etcd write       | the status 999                   |
+
+  Scenario Outline: <client> believes no <status> of a server that resets the connection while it writes
+    # Guards against a write that reports the reset, after which the end of the connection looks like that of the body.
+    Then <client> believes no <status> without a length that is reset before the request is written
+
+    Examples:
+      | client              | status |
+      | a forwarded request | 200    |
+      | a stage call        | 200    |
+      | a native call       | 200    |
+      | a token stream      | 200    |
+      | a command           | 200    |
+      | a store write       | 200    |
+      | a lease             | 200    |
+      | an etcd write       | 200    |
+
   Scenario Outline: a response with <form> is whole for <client>
     # Guards against strictness that refuses what sound servers may send.
     Then <client> believes a response with <form>
--- a/src/chervilrack/_internal/common/http_responses.py
+++ b/src/chervilrack/_internal/common/http_responses.py
@@ -27,7 +27,9 @@
 # Limit of a status line, and of a chunk's size line with its extensions.
 MAX_LINE_BYTES: Final = 65_536
 MAX_TRAILER_BYTES: Final = 8 * 1024
-_STATUS_LINE: Final = re.compile(rb"(HTTP/1\.[0-9]) ([1-9][0-9]{2})(?: ([^\r\n]*))?\r?\n")
+_STATUS_LINE: Final = re.compile(rb"(HTTP/1\.[0-9]) ([0-9]{3})(?: ([^\r\n]*))?\r?\n")
+# Others are invalid (RFC 9110, section 15).
+_STATUSES: Final = range(100, 600)
 _CHUNK_SIZE: Final = re.compile(rb"[0-9A-Fa-f]{1,16}")
 # The parser also reports body parts that a multipart type announces; these are no mistakes.
 _HEAD_DEFECTS: Final = (
@@ -40,6 +42,38 @@
 InterimObserver = Callable[[int, email.message.Message], None]
 
 
+def is_status(number: int) -> bool:
+    """Whether a number is a status of an HTTP response."""
+    return number in _STATUSES
+
+
+class _ResetStream(io.RawIOBase):
+    """Stream of a connection that was reset, as a failed write has reported.
+
+    The kernel reports a reset once. The bytes that arrived before can still be read, and then the
+    connection seems to have ended in the usual way.
+    """
+
+    def __init__(self, stream: io.RawIOBase) -> None:
+        self._stream = stream
+
+    def readable(self) -> bool:
+        """Return True."""
+        return True
+
+    def readinto(self, buffer: Any) -> int | None:
+        """Read into ``buffer``. Raises ConnectionResetError where the connection ends."""
+        count: int | None = self._stream.readinto(buffer)
+        if count == 0 and len(buffer) > 0:
+            raise ConnectionResetError("the connection was reset while the request was written")
+        return count
+
+    def close(self) -> None:
+        """Close the stream."""
+        self._stream.close()
+        super().close()
+
+
 class _LineReader(io.BufferedReader):
     """Reader that returns only whole lines."""
 
@@ -63,7 +97,8 @@
     """Response whose head, chunks and trailers are whole and unambiguous (RFC 9112).
 
     Calls ``on_interim`` with the status and header fields of each interim response before it, as
-    soon as it has arrived. Raises HTTPException or OSError for any other response.
+    soon as it has arrived. Raises HTTPException or OSError for any other response. ``was_reset`` is
+    whether the request could not be written whole; the end of the connection then ends no body.
     """
 
     fp: Any
@@ -74,11 +109,13 @@
         sock: Any,
         *args: Any,
         on_interim: InterimObserver = lambda *_: None,
+        was_reset: bool = False,
         **kwargs: Any,
     ) -> None:
         super().__init__(sock, *args, **kwargs)
         self._on_interim = on_interim
-        self.fp = _LineReader(self.fp.detach())
+        stream = self.fp.detach()
+        self.fp = _LineReader(_ResetStream(stream) if was_reset else stream)
 
     def begin(self) -> None:
         """Read the head."""
@@ -104,7 +141,7 @@
         if len(line) > MAX_LINE_BYTES:
             raise http.client.LineTooLong("status line")
         match = _STATUS_LINE.fullmatch(line)
-        if match is None:
+        if match is None or not is_status(int(match[2])):
             raise http.client.BadStatusLine(repr(line))
         version, status, reason = match.groups(b"")
         return version.decode("ascii"), int(status), reason.decode("latin-1")
@@ -196,16 +233,44 @@
     return bytes(body)
 
 
-class StrictHTTPConnection(HTTPConnection):
-    """Connection with strict responses."""
+class _StrictConnection:
+    """Mixin of connections with strict responses.
 
-    response_class = StrictResponse
+    ``urllib3`` and ``Exchange`` read the response also if the request could not be written whole,
+    because a server may have refused it before its end.
+    """
 
+    response_class: Any
 
-class StrictHTTPSConnection(HTTPSConnection):
-    """TLS connection with strict responses."""
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self._was_reset = False
+        # http.client calls it with the socket.
+        self.response_class = self._open_response
+
+    def connect(self) -> None:
+        """Connect to the server."""
+        self._was_reset = False
+        super().connect()  # type: ignore[misc]
+
+    def send(self, data: Any) -> None:
+        """Write a part of a request, and record a failure."""
+        try:
+            super().send(data)  # type: ignore[misc]
+        except OSError:
+            self._was_reset = True
+            raise
+
+    def _open_response(self, *args: Any, **kwargs: Any) -> StrictResponse:
+        return StrictResponse(*args, was_reset=self._was_reset, **kwargs)
 
-    response_class = StrictResponse
+
+class StrictHTTPConnection(_StrictConnection, HTTPConnection):
+    """Connection with strict responses."""
+
+
+class StrictHTTPSConnection(_StrictConnection, HTTPSConnection):
+    """TLS connection with strict responses."""
 
 
 class StrictHTTPConnectionPool(urllib3.HTTPConnectionPool):
--- a/src/chervilrack/_internal/gateway/passthrough.py
+++ b/src/chervilrack/_internal/gateway/passthrough.py
@@ -75,6 +75,8 @@
 MIN_CLOSE_TIME = timedelta(milliseconds=100)
 # Seconds in which threads have to end whose connections were cut.
 THREAD_END_TIME_S = 1
+# Responses that end with their head and state no length (RFC 9110, 8.6).
+_STATUSES_WITHOUT_BODY = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 # Header fields that concern only the caller's connection and are not forwarded.
 _CONNECTION_FIELDS = frozenset(
     (
@@ -184,8 +186,10 @@
     ) -> None:
         """Send a complete response."""
         self._is_ending = True
-        head = self._head(status, [*headers, ("Content-Length", str(len(body)))])
-        if self._request.method == b"HEAD":
+        has_body = status not in _STATUSES_WITHOUT_BODY
+        length = [("Content-Length", str(len(body)))] if has_body else []
+        head = self._head(status, [*headers, *length])
+        if self._request.method == b"HEAD" or not has_body:
             self._send(head)
         elif len(body) < _WRITE_BYTES:
             self._send(head + body)
--- a/src/chervilrack/_internal/upstreams/exchange.py
+++ b/src/chervilrack/_internal/upstreams/exchange.py
@@ -6,7 +6,6 @@
 """
 
 import email.message
-import functools
 import http.client
 import math
 import select
@@ -129,9 +128,9 @@
         super().__init__(*args, **kwargs)
         self.on_interim: InterimObserver = lambda *_: None
         self.has_written = False
-        self.response_class = functools.partial(  # type: ignore[assignment]
-            StrictResponse, on_interim=self._report_interim
-        )
+
+    def _open_response(self, *args: Any, **kwargs: Any) -> StrictResponse:
+        return super()._open_response(*args, on_interim=self._report_interim, **kwargs)
 
     def _report_interim(self, status: int, fields: email.message.Message) -> None:
         self.on_interim(status, fields)
@@ -151,19 +150,26 @@
         if self.sock is None or not isinstance(data, bytes) or len(data) <= _WRITE_BYTES:
             super().send(data)
             return
+        self._send_until_answered(self.sock, data)
+
+    def _send_until_answered(self, sock: socket.socket, data: bytes) -> None:
         view = memoryview(data)
-        timeout = self.sock.gettimeout()
+        timeout = sock.gettimeout()
         limit_ms = None if timeout is None else math.ceil(timeout * 1000)
         # select() takes no descriptor above 1023.
         poller = select.poll()
-        poller.register(self.sock, select.POLLIN | select.POLLOUT)
+        poller.register(sock, select.POLLIN | select.POLLOUT)
         while view:
             ready = poller.poll(limit_ms)
             if not ready:
                 raise TimeoutError("the upstream does not read the request")
             if ready[0][1] & ~select.POLLOUT:
                 return
-            sent = self.sock.send(view[:_WRITE_BYTES])
+            try:
+                sent = sock.send(view[:_WRITE_BYTES])
+            except OSError:
+                self._was_reset = True
+                raise
             view = view[sent:]
 
 
