Read a stream from its upstream whether or not its caller reads it

Cause: the thread of a request wrote each part of a stream to the caller before it read the next one. A caller that read slowly stopped the reading of the upstream once the kernel's buffers were full, and the upstream cut the stream off. The attempt lasted until the caller had read its answer, so that the upstream seemed busy. A write to an upstream that read its body slowly had the whole deadline for each part. Change: `gateway/unread.py` keeps what the caller does not read yet, within a twentieth of the memory and 1 MiB a stream; beyond, the stream waits for its caller as before. `AttemptRunner` ends the attempt, and closes the exchange, before the rest is delivered. The write of a body ends at one deadline. `chervilrack_serving_held_bytes` shows what a node holds. Reservations may be opened that never give way (`ByteBudget.open`). Not bounded: the sum of bodies at one upstream over all nodes; neither configuration nor registrations state its memory.

--- a/features/support/scripted_upstream.py
+++ b/features/support/scripted_upstream.py
@@ -118,7 +118,8 @@
     ``requests`` holds the heads of the requests, ``arrivals`` their monotonic times in seconds, and
     ``unsent`` the actions whose bytes could not be sent, because the connection was closed.
     Upstreams that are deaf do not complete the handshakes of new connections until ``hear`` is
-    called. The action "hold" lasts until ``release`` is called. Use as a context manager.
+    called. The action "hold" lasts until ``release`` is called. ``streams_sent`` counts the streams
+    that were sent whole although their connection could have been reset. Use as a context manager.
     """
 
     def __init__(self, scripts, count, *, is_deaf=False):
@@ -140,6 +141,7 @@
         self.requests = []
         self.arrivals = []
         self.unsent = []
+        self.streams_sent = 0
 
     def __enter__(self):
         for listener in self._listeners:
@@ -243,10 +245,11 @@
                 self._send_stream_part(connection, _chunk(": hello\n\n"), request_id, is_first)
             case ["nothing", "more"]:
                 self._send_stream_part(connection, "", request_id, is_first)
-            case ["flood", "of", *name]:
-                self._send_flood(connection, " ".join(name), request_id)
+            case ["flood" | "stream" as kind, "of", *words]:
+                send = self._send_flood if kind == "flood" else self._send_long_stream
+                send(connection, words, request_id)
             case [*name, "for", seconds, "s"]:
-                self._send_slowly(connection, " ".join(name), float(seconds), request_id, is_first)
+                self._take_long(connection, " ".join(name), float(seconds), request_id, is_first)
                 return
             case _:
                 connection.sendall(_response(action, request_id).encode())
@@ -268,8 +271,35 @@
         head = f"{OK}{_identity(request_id)}Content-Type: text/event-stream\r\n{coding}\r\n"
         connection.sendall(((head if is_first else "") + content).encode())
 
-    def _send_flood(self, connection, name, request_id):
-        begin, part = _FLOODS[name]
+    def _take_long(self, connection, name, seconds, request_id, is_first):
+        if name == "slow reading":
+            self._read_slowly(connection, seconds)
+        else:
+            self._send_slowly(connection, name, seconds, request_id, is_first)
+
+    def _send_long_stream(self, connection, words, request_id):
+        """Send "N kB unless unread for S s" of a stream, which is reset if nothing is read."""
+        size, seconds = int(words[0]), float(words[-2])
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 16_384)
+        connection.settimeout(seconds)
+        try:
+            self._send_stream_part(connection, "", request_id, True)
+            for number in range(1, size + 1):
+                # One thousand bytes with the framing of the chunk.
+                data = f"id: {number}\ndata: piece {number} "
+                connection.sendall(_chunk(data.ljust(993, "x") + "\n\n").encode())
+            connection.sendall(b"0\r\n\r\n")
+            self.streams_sent += 1
+        except TimeoutError:
+            self._run_action(connection, "reset", request_id, "")
+
+    def _read_slowly(self, connection, seconds):
+        end = time.monotonic() + seconds
+        while time.monotonic() < end and not self._stopping.wait(_STEP_S):
+            connection.recv(100_000)
+
+    def _send_flood(self, connection, words, request_id):
+        begin, part = _FLOODS[" ".join(words)]
         connection.sendall(begin.replace("{identity}", _identity(request_id)).encode())
         while not self._stopping.is_set():
             connection.sendall(part.encode())
--- a/src/chervilrack/_internal/common/byte_budget.py
+++ b/src/chervilrack/_internal/common/byte_budget.py
@@ -42,13 +42,15 @@
         """Bytes that the buffers hold."""
         return self._used
 
-    def open(self, on_revoked: Callable[[], None] = lambda: None) -> "Reservation":
+    def open(
+        self, on_revoked: Callable[[], None] = lambda: None, *, gives_way: bool = True
+    ) -> "Reservation":
         """Return an empty reservation.
 
         ``on_revoked`` is called, by another thread, when the buffer has to give way to others. It
-        should end the wait for further bytes.
+        should end the wait for further bytes. Without ``gives_way``, it never has to.
         """
-        return Reservation(self, on_revoked)
+        return Reservation(self, on_revoked, gives_way=gives_way)
 
     def resize(self, reservation: "Reservation", size: int) -> None:
         """Change the size of a reservation. Raises BudgetExceeded, which leaves it as it was."""
@@ -70,7 +72,7 @@
                 revoked.append(victim)
             self._used += growth
             reservation.size = size
-            if growth > 0:
+            if growth > 0 and reservation.gives_way:
                 self._growing.add(reservation)
         for victim in revoked:
             victim.on_revoked()
@@ -91,8 +93,11 @@
 class Reservation:
     """Bytes of a budget that one buffer holds; a context manager that gives them back."""
 
-    def __init__(self, budget: ByteBudget, on_revoked: Callable[[], None]) -> None:
+    def __init__(
+        self, budget: ByteBudget, on_revoked: Callable[[], None], *, gives_way: bool = True
+    ) -> None:
         self.size = 0
+        self.gives_way = gives_way
         self.is_revoked = False
         self.on_revoked = on_revoked
         self._budget = budget
--- a/src/chervilrack/_internal/forwarding/attempts.py
+++ b/src/chervilrack/_internal/forwarding/attempts.py
@@ -1,7 +1,8 @@
 """Runs one attempt of a request at one upstream, and relays a successful response to the caller."""
 
+import functools
 import logging
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
 from enum import Enum
@@ -82,7 +83,8 @@
     ``may_have_arrived`` is whether the upstream may have received the request. ``error_response``
     is the upstream's error response, which the caller gets if no other attempt succeeds. ``bound``
     is the bound that ended the attempt, None if the upstream or the caller ended it. ``broke_off``
-    is whether the upstream ended the connection before the end of its answer.
+    is whether the upstream ended the connection before the end of its answer. ``deliver`` sends the
+    rest of a whole answer to the caller, which may read it slowly.
     """
 
     outcome: AttemptOutcome
@@ -92,6 +94,7 @@
     error_response: tuple[int, list[tuple[str, str]], bytes] | None = None
     bound: Bound | None = None
     broke_off: bool = False
+    deliver: Callable[[], None] | None = None
 
 
 class AttemptObserver(Protocol):
@@ -214,25 +217,27 @@
             lambda: self._observer.answer_begun(context),
         )
         self._observer.attempt_started(context, entry, choice)
-        try:
-            with Exchange(entry.address, self._memory) as exchange:
-                context.add_gone_action(exchange.cancel)
-                context.add_stop_action(exchange.cancel)
-                try:
-                    result = self._exchange(
-                        context, relay, responder, entry, choice, inputs, exchange, stages
-                    )
-                except CallerGone:
+        with Exchange(entry.address, self._memory) as exchange:
+            context.add_gone_action(exchange.cancel)
+            context.add_stop_action(exchange.cancel)
+            try:
+                result = self._exchange(
+                    context, relay, responder, entry, choice, inputs, exchange, stages
+                )
+            except CallerGone:
+                raise
+            except Exception as error:
+                if exchange.sent:
                     raise
-                except Exception as error:
-                    if exchange.sent:
-                        raise
-                    return self._handle_unusable_entry(entry, error)
-                finally:
-                    context.remove_gone_action(exchange.cancel)
-                    context.remove_stop_action(exchange.cancel)
-        finally:
-            self._observer.attempt_ended(context, entry)
+                return self._handle_unusable_entry(entry, error)
+            finally:
+                context.remove_gone_action(exchange.cancel)
+                context.remove_stop_action(exchange.cancel)
+                exchange.close()
+                self._observer.attempt_ended(context, entry)
+            if result.deliver is not None:
+                # The memory of the answer is reserved until then.
+                result.deliver()
         if result.broke_off:
             at_start = not relay.has_events
             self._observer.answer_broke_off(context, entry, at_start=at_start)
@@ -477,10 +482,12 @@
         try:
             if context.route.kind is RequestKind.STREAM:
                 relay.run(response.status, headers, exchange, deadline)
+                deliver = relay.finish
                 self._observer.stream_ended(context, size, self._clock.monotonic() - begun)
             else:
                 body = exchange.read_body(deadline)
-                responder.send_response(response.status, headers, body)
+                status = response.status
+                deliver = functools.partial(responder.send_response, status, headers, body)
         except ExchangeFailed as error:
             if context.caller_gone:
                 return AttemptResult(
@@ -501,7 +508,11 @@
         self._observer.attempt_succeeded(entry)
         self._observer.answer_ended(context)
         return AttemptResult(
-            AttemptOutcome.ANSWERED, f"by {entry.id}", response.status, may_have_arrived=True
+            AttemptOutcome.ANSWERED,
+            f"by {entry.id}",
+            response.status,
+            may_have_arrived=True,
+            deliver=deliver,
         )
 
     def _handle_error_response(
--- a/src/chervilrack/_internal/forwarding/streams.py
+++ b/src/chervilrack/_internal/forwarding/streams.py
@@ -56,7 +56,10 @@
         exchange: Exchange,
         deadline: float,
     ) -> None:
-        """Relay one upstream's stream to its end. Raises ExchangeFailed if the stream breaks."""
+        """Relay one upstream's stream; ``finish`` ends the response.
+
+        Raises ExchangeFailed if the stream breaks.
+        """
         sequence = self._context.events
         is_continuation = self._context.stream_begun
         splitter = EventSplitter()
@@ -81,6 +84,9 @@
         if splitter.rest.strip():
             raise ExchangeFailed("the stream ended within an event", sent=True)
         self._begin(status, headers)
+
+    def finish(self) -> None:
+        """End the response, and wait until the caller has read it."""
         self._responder.end()
 
     def _count(self, events: int) -> None:
--- a/src/chervilrack/_internal/gateway/passthrough.py
+++ b/src/chervilrack/_internal/gateway/passthrough.py
@@ -40,6 +40,7 @@
     RecordedHeaders,
 )
 from chervilrack._internal.gateway.strict import StrictRequest
+from chervilrack._internal.gateway.unread import AnswerWriter
 
 logger = logging.getLogger(__name__)
 
@@ -68,6 +69,8 @@
 REFUSED_RETRY_TIME = timedelta(milliseconds=500)
 # Memory for the bodies of requests if nothing else is said, in bytes.
 BODY_MEMORY = 64 * 1024 * 1024
+# The same for streams that their callers have not read yet.
+UNREAD_MEMORY = 16 * 1024 * 1024
 _WRITE_BYTES = 64 * 1024
 # Longest time that a server takes to close if nothing else is said.
 CLOSE_TIME = timedelta(seconds=2)
@@ -180,6 +183,8 @@
         # length lets it tell an answer that was cut off from a whole one.
         self._collected: tuple[int, list[tuple[str, str]], bytearray] | None = None
         self._buffer = buffer
+        # Set while a response in chunked coding is sent.
+        self._writer: AnswerWriter | None = None
 
     def send_response(
         self, status: int, headers: Sequence[tuple[str, str]], body: bytes | bytearray
@@ -205,14 +210,16 @@
         if self._request.response_protocol != "HTTP/1.1":
             self._collected = (status, list(headers), bytearray())
             return
-        self._send(self._head(status, [*headers, ("Transfer-Encoding", "chunked")]))
+        head = self._head(status, [*headers, ("Transfer-Encoding", "chunked")])
+        self._writer = AnswerWriter(self._request.conn.socket, self._request.server.unread_memory)
+        self._send_part(head)
 
     def write(self, part: bytes) -> None:
         """Send one chunk."""
         if self._collected is not None:
             self._collect(part, self._collected[2])
         elif part:
-            self._send(b"%x\r\n%b\r\n" % (len(part), part))
+            self._send_part(b"%x\r\n%b\r\n" % (len(part), part))
 
     def _collect(self, part: bytes, body: bytearray) -> None:
         try:
@@ -229,11 +236,14 @@
         if self._collected is not None:
             self.send_response(*self._collected)
             return
-        self._send(b"0\r\n\r\n")
+        self._send_part(b"0\r\n\r\n")
+        self._flush()
 
     def abort(self) -> None:
         """Close the connection without sending the last chunk."""
         self._request.close_connection = True
+        with contextlib.suppress(CallerGone):
+            self._flush()
         if self._collected is not None:
             detail = "the answer broke off"
             problem = Problem(ResultCode.UPSTREAM_FAILED, detail, Executed.UNKNOWN)
@@ -268,6 +278,28 @@
             lines.append("Connection: close")
         return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
 
+    def close(self) -> None:
+        """Give back the memory of the response."""
+        if self._writer is not None:
+            self._writer.close()
+
+    def _send_part(self, data: bytes) -> None:
+        """Write a part of a chunked response, which may be kept until the caller reads on."""
+        assert self._writer is not None
+        try:
+            self._writer.write(data)
+        except (OSError, ValueError):
+            self._request.close_connection = True
+            raise CallerGone from None
+
+    def _flush(self) -> None:
+        if self._writer is not None:
+            try:
+                self._writer.flush()
+            except OSError:
+                self._request.close_connection = True
+                raise CallerGone from None
+
     def _send(self, data: bytes | bytearray) -> None:
         """Write bytes, in pieces, since the writer copies what it gets."""
         view = memoryview(data)
@@ -339,6 +371,8 @@
                 problem = Problem(ResultCode.INTERNAL_ERROR, detail, Executed.UNKNOWN)
                 with contextlib.suppress(CallerGone):
                     responder.send_response(*problem_response(problem, None))
+        finally:
+            responder.close()
         if not request.sent_headers:
             # A caller that was taken for gone must not wait for an answer.
             request.close_connection = True
@@ -454,6 +488,7 @@
     requests: _Pool
     watch: CallerWatch | None = None
     body_memory: ByteBudget
+    unread_memory: ByteBudget
     handler: Handler
     refuse: Handler
     clock: Clock
@@ -575,7 +610,8 @@
 
     ``handler`` is called with each request, and ``refuse`` with each one for which no thread was
     free in time; ``refuse`` must answer at once. Bodies of requests take their memory from
-    ``body_memory`` until the request has ended.
+    ``body_memory`` until the request has ended, and streams that their callers have not read yet
+    from ``unread_memory``.
     """
 
     def __init__(
@@ -587,6 +623,7 @@
         is_closing: Callable[[], bool] = lambda: False,
         refuse: Handler = _refuse_overload,
         body_memory: ByteBudget | None = None,
+        unread_memory: ByteBudget | None = None,
     ) -> None:
         self._server = _Server(
             (settings.host, settings.port),
@@ -603,6 +640,7 @@
         self._server.expiration_interval = settings.check_interval.total_seconds()
         self._server.watch = watch
         self._server.body_memory = body_memory or ByteBudget(BODY_MEMORY)
+        self._server.unread_memory = unread_memory or ByteBudget(UNREAD_MEMORY)
         self._server.handler = handler
         self._server.refuse = refuse
         self._server.clock = clock
--- /dev/null
+++ b/src/chervilrack/_internal/gateway/unread.py
@@ -0,0 +1,116 @@
+"""Writes answers to callers that read slowly, without a wait for them."""
+
+import logging
+import select
+import socket
+import threading
+from collections import deque
+
+from chervilrack._internal.common.byte_budget import BudgetExceeded, ByteBudget
+
+logger = logging.getLogger(__name__)
+
+_SEND_BYTES = 64 * 1024
+
+
+class AnswerWriter:
+    """Writes the parts of one answer to a caller's connection, which has a time limit.
+
+    What the caller does not read yet is kept, as far as ``memory`` allows, and a thread sends it
+    as the caller reads on. Once the memory is used up, ``write`` waits for the caller.
+
+    Methods raise OSError if the caller has left, or reads nothing within the time limit of the
+    connection. One thread at a time may call them.
+    """
+
+    def __init__(self, connection: socket.socket, memory: ByteBudget) -> None:
+        self._connection = connection
+        self._reservation = memory.open(gives_way=False)
+        self._poller = select.poll()
+        self._poller.register(connection, select.POLLOUT)
+        self._changed = threading.Condition()
+        self._kept: deque[memoryview] = deque()
+        self._is_draining = False
+        self._has_waited = False
+        self._error: OSError | None = None
+
+    def write(self, data: bytes) -> None:
+        """Send what the caller can take now, and keep the rest."""
+        rest = memoryview(data)
+        with self._changed:
+            self._raise_error()
+            if not self._kept:
+                rest = self._send_now(rest)
+            if not rest or self._keep(rest):
+                return
+        self._note_wait()
+        self.flush()
+        while rest:
+            rest = rest[self._connection.send(rest[:_SEND_BYTES]) :]
+
+    def flush(self) -> None:
+        """Wait until everything is sent."""
+        with self._changed:
+            self._changed.wait_for(lambda: not self._is_draining)
+            self._raise_error()
+
+    def close(self) -> None:
+        """Give the memory back; what is still kept is not sent."""
+        with self._changed:
+            self._kept.clear()
+        self._reservation.close()
+
+    def _raise_error(self) -> None:
+        if self._error is not None:
+            raise self._error
+
+    def _send_now(self, data: memoryview) -> memoryview:
+        """Send as much as the connection takes without a wait, and return the rest."""
+        while data and self._poller.poll(0):
+            data = data[self._connection.send(data[:_SEND_BYTES]) :]
+        return data
+
+    def _keep(self, data: memoryview) -> bool:
+        """Keep bytes for the thread that sends them; return False if there is no room for them."""
+        try:
+            self._reservation.add(len(data))
+        except BudgetExceeded:
+            return False
+        self._kept.append(data)
+        if not self._is_draining:
+            try:
+                threading.Thread(target=self._drain, name="unread", daemon=True).start()
+            except RuntimeError:  # no thread is free
+                self._kept.clear()
+                self._reservation.resize(0)
+                return False
+            self._is_draining = True
+        return True
+
+    def _drain(self) -> None:
+        error: OSError | None = None
+        while error is None:
+            with self._changed:
+                if not self._kept:
+                    break
+                part = self._kept[0]
+            try:
+                sent = self._connection.send(part[:_SEND_BYTES])
+            except OSError as failure:
+                error = failure
+                sent = 0
+            with self._changed:
+                if self._kept and sent:
+                    self._kept[0] = part[sent:]
+                    if not self._kept[0]:
+                        self._kept.popleft()
+                    self._reservation.resize(self._reservation.size - sent)
+        with self._changed:
+            self._error = error
+            self._is_draining = False
+            self._changed.notify_all()
+
+    def _note_wait(self) -> None:
+        if not self._has_waited:
+            self._has_waited = True
+            logger.warning("gateway: the memory for unread answers is used up; an answer waits")
--- a/src/chervilrack/_internal/serving/metrics.py
+++ b/src/chervilrack/_internal/serving/metrics.py
@@ -150,6 +150,12 @@
             ["service"],
             registry=self._registry,
         )
+        self._held_bytes = Gauge(
+            "chervilrack_serving_held_bytes",
+            "Bytes held in memory for callers and upstreams, by kind.",
+            ["kind"],
+            registry=self._registry,
+        )
         self._outside_homes = Counter(
             "chervilrack_serving_requests_outside_homes",
             "Requests refused because of their homes, by route.",
@@ -222,12 +228,21 @@
         """Count a revision of an entry that was left out; ``kind`` is what its key names."""
         self._unreadable.labels(kind).inc()
 
-    def render(self, in_progress: int, dropped: int, barred: Mapping[Bar, int]) -> bytes:
+    def render(
+        self,
+        in_progress: int,
+        dropped: int,
+        barred: Mapping[Bar, int],
+        held: Mapping[str, int],
+    ) -> bytes:
         """Return all metrics in the text format of Prometheus.
 
         ``in_progress`` is the number of requests in progress, ``dropped`` the number of log lines
-        dropped since the last report and ``barred`` the number of upstreams that get nothing.
+        dropped since the last report, ``barred`` the number of upstreams that get nothing and
+        ``held`` the number of bytes in memory for callers and upstreams, by kind.
         """
+        for kind, size in held.items():
+            self._held_bytes.labels(kind).set(size)
         for reason in Bar:
             self._barred.labels(reason.value).set(barred.get(reason, 0))
         self._thread_failures.update()
--- a/src/chervilrack/_internal/serving/node.py
+++ b/src/chervilrack/_internal/serving/node.py
@@ -76,6 +76,9 @@
 ANSWER_MEMORY_SHARE = 0.25
 BODY_MEMORY_SHARE = 0.2
 LARGEST_ANSWER = 64 * 1024 * 1024
+# The same for streams that their callers have not read yet, and the largest part of one stream.
+UNREAD_MEMORY_SHARE = 0.05
+LARGEST_UNREAD = 1024 * 1024
 # Requests for readiness, look-up and metrics have no body.
 MAX_MANAGEMENT_BODY = 64 * 1024
 _MILLISECOND = timedelta(milliseconds=1)
@@ -112,6 +115,10 @@
         self._state = ServingState(settings, self._fleet, clock, log)
         answers = ByteBudget(round(settings.memory_bytes * ANSWER_MEMORY_SHARE), LARGEST_ANSWER)
         self._body_memory = ByteBudget(round(settings.memory_bytes * BODY_MEMORY_SHARE))
+        self._unread_memory = ByteBudget(
+            round(settings.memory_bytes * UNREAD_MEMORY_SHARE), LARGEST_UNREAD
+        )
+        self._answer_memory = answers
         self._stage_caller = StageCaller(dialect, self._state, clock, answers)
         self._coordinator = StageCoordinator(
             settings.node, self._incarnation, self._state, dialect, self._stage_caller
@@ -309,6 +316,7 @@
             lambda: self._closes_connections,
             self._refuse_overload,
             self._body_memory,
+            self._unread_memory,
         )
 
     def _make_management_servers(self) -> list[PassThroughServer]:
@@ -349,7 +357,14 @@
         elif request.path == METRICS_PATH:
             with self._state.lock:
                 barred = self._state.count_barred()
-            body = self._state.metrics.render(self._state.in_progress, self._log.dropped, barred)
+            held = {
+                "answers": self._answer_memory.used,
+                "bodies": self._body_memory.used,
+                "unread": self._unread_memory.used,
+            }
+            body = self._state.metrics.render(
+                self._state.in_progress, self._log.dropped, barred, held
+            )
             responder.send_response(200, [("Content-Type", CONTENT_TYPE)], body)
         else:
             responder.send_response(404, [], b"")
--- a/src/chervilrack/_internal/upstreams/exchange.py
+++ b/src/chervilrack/_internal/upstreams/exchange.py
@@ -155,13 +155,14 @@
     def _send_until_answered(self, sock: socket.socket, data: bytes) -> None:
         view = memoryview(data)
         timeout = sock.gettimeout()
-        limit_ms = None if timeout is None else math.ceil(timeout * 1000)
+        deadline = math.inf if timeout is None else time.monotonic() + timeout
         # select() takes no descriptor above 1023.
         poller = select.poll()
         poller.register(sock, select.POLLIN | select.POLLOUT)
         while view:
-            ready = poller.poll(limit_ms)
-            if not ready:
+            left = max(0.0, deadline - time.monotonic())
+            ready = poller.poll(None if left == math.inf else math.ceil(left * 1000))
+            if not ready or left == 0:
                 raise TimeoutError("the upstream does not read the request")
             if ready[0][1] & ~select.POLLOUT:
                 return
