Move balancing policies and peers' reports into modules of their own

Cause: balancing/core.py held the policies, their cost and the peers' reports beside the health of upstreams, and a further policy would have made it longer. No decision changes.

--- a/src/chervilrack/_internal/balancing/core.py
+++ b/src/chervilrack/_internal/balancing/core.py
@@ -11,6 +11,8 @@
 from datetime import timedelta
 
 from chervilrack._internal.balancing.pace import PaceBook, PaceSettings
+from chervilrack._internal.balancing.peer_reports import PeerReports
+from chervilrack._internal.balancing.service_times import MeasuredTimes
 from chervilrack._internal.balancing.standing import Standing
 from chervilrack._internal.balancing.state import (
     BalancingSettings,
@@ -22,13 +24,12 @@
 )
 from chervilrack._internal.catalogue.state import UpstreamEntry
 from chervilrack._internal.common.effects import ActionTaken
-from chervilrack._internal.common.hashing import rendezvous_owner
 from chervilrack._internal.common.ids import NodeId, UpstreamId, ZoneId
 from chervilrack._internal.common.registry import Registry
 
 _ZERO = timedelta(0)
 BYTES_PER_MB = 1_000_000
-_NO_REPORTS = PeerSummary()
+DEFAULT_POLICY = "expected-wait"
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,7 +60,7 @@
         zone: ZoneId,
         rng: random.Random,
         settings: BalancingSettings | None = None,
-        policy: str = "expected-wait",
+        policy: str = DEFAULT_POLICY,
     ) -> None:
         self.settings = settings or BalancingSettings()
         self.zone = zone
@@ -74,11 +75,8 @@
         )
         self._policy = balancing_policies.get(policy)
         self._status: dict[UpstreamId, UpstreamStatus] = {}
-        # Reports of the peers by upstream; a peer reports few of the upstreams.
-        self._reports: dict[UpstreamId, dict[NodeId, UpstreamReport]] = {}
-        self._reported: dict[NodeId, tuple[UpstreamId, ...]] = {}
-        # Starts of the silences that peers report, by upstream.
-        self._reported_silences: dict[UpstreamId, dict[NodeId, timedelta]] = {}
+        self.peer_reports = PeerReports()
+        self.times = MeasuredTimes()
         self._actions: list[ActionTaken] = []
 
     def choose(
@@ -110,7 +108,7 @@
         without peers compares all of them.
         """
         count = self.settings.sampled_candidates
-        if not self._reported or len(candidates) <= count:
+        if not self.peer_reports or len(candidates) <= count:
             return candidates
         numbers = set(self.rng.sample(range(len(candidates)), count))
         return [
@@ -126,7 +124,11 @@
         session prefer, since it has their shared prompt parts cached.
         """
         reread_tokens = load.shared_tokens * self.settings.reread_weight
-        return reread_tokens / self.settings.prefill_tokens_per_s >= _move_cost(self, input_bytes)
+        return reread_tokens / self.settings.prefill_tokens_per_s >= self.move_cost(input_bytes)
+
+    def move_cost(self, size: int) -> float:
+        """Return the cost in seconds of ``size`` bytes of inputs that cross zones."""
+        return size / BYTES_PER_MB * self.settings.move_cost_per_mb.total_seconds()
 
     def status(self, upstream: UpstreamId) -> UpstreamStatus:
         """Return the status of one upstream; an unknown upstream gets a new status."""
@@ -371,25 +373,11 @@
         self, node: NodeId, reports: Sequence[UpstreamReport], now: timedelta = _ZERO
     ) -> None:
         """Replace the reports of a peer with those that have arrived now."""
-        self.forget_peer(node)
-        self._reported[node] = tuple(UpstreamId(report.upstream) for report in reports)
-        for report in reports:
-            upstream = UpstreamId(report.upstream)
-            self._reports.setdefault(upstream, {})[node] = report
-            if report.silent_ms:
-                since = now - timedelta(milliseconds=report.silent_ms)
-                self._reported_silences.setdefault(upstream, {})[node] = since
+        self.peer_reports.replace(node, reports, now)
 
     def forget_peer(self, node: NodeId) -> None:
         """Drop the reports of a peer that is gone."""
-        for upstream in self._reported.pop(node, ()):
-            reports = self._reports[upstream]
-            del reports[node]
-            if not reports:
-                del self._reports[upstream]
-            silences = self._reported_silences.get(upstream)
-            if silences is not None and silences.pop(node, None) is not None and not silences:
-                del self._reported_silences[upstream]
+        self.peer_reports.forget(node)
 
     def local_reports(self, now: timedelta) -> list[UpstreamReport]:
         """Return this node's reports for its peers.
@@ -425,6 +413,19 @@
             return 0
         return max(1, round((now - status.silent_since) / timedelta(milliseconds=1)))
 
+    def load_spread(self, entries: Sequence[UpstreamEntry]) -> float | None:
+        """Return the deviation of the requests in flight at upstreams, relative to their mean.
+
+        The requests of peers are those of their last reports. None if there are no requests.
+        """
+        loads = [
+            self.status(entry.id).in_flight + self._peer_summary(entry.id).in_flight
+            for entry in entries
+        ]
+        if not any(loads):
+            return None
+        return statistics.pstdev(loads) / statistics.fmean(loads)
+
     def drain_actions(self) -> list[ActionTaken]:
         """Return the ejections and returns since the last call, and forget them."""
         actions, self._actions = self._actions, []
@@ -447,27 +448,13 @@
         )
 
     def _peer_summary(self, upstream: UpstreamId) -> PeerSummary:
-        reports = self._reports.get(upstream)
-        if reports is None:
-            return _NO_REPORTS
-        peer_reports = reports.values()
-        return PeerSummary(
-            in_flight=sum(report.in_flight for report in peer_reports),
-            waiting_tokens=sum(report.waiting_tokens for report in peer_reports),
-            suspecting_peers=sum(report.suspected for report in peer_reports),
-            pace=statistics.median(report.pace for report in peer_reports),
-            error_share=statistics.fmean(report.error_share for report in peer_reports),
-            silent_since=self._silence_of_peers(upstream),
-        )
+        return self.peer_reports.summary(upstream, self._silence_of_peers(upstream))
 
     def _silence_of_peers(self, upstream: UpstreamId) -> timedelta | None:
         """Return when an upstream fell silent to enough peers, unless this node heard it since."""
-        silences = self._reported_silences.get(upstream, {})
-        if len(silences) < self.settings.min_suspecting_peers:
-            return None
-        since = max(silences.values())
+        since = self.peer_reports.silence(upstream, self.settings.min_suspecting_peers)
         heard = self.status(upstream).last_heard
-        return since if heard is None or heard < since else None
+        return since if since is not None and (heard is None or heard < since) else None
 
     def rest_of_silence(self, candidate: Candidate, now: timedelta) -> timedelta:
         """Return how long a request has to wait at most for a silent upstream that is sound."""
@@ -490,114 +477,3 @@
 
     def _record_action(self, action: str, upstream: UpstreamId, reason: str) -> None:
         self._actions.append(ActionTaken("balancing", action, upstream, reason))
-
-
-@balancing_policies.register("expected-wait")
-def choose_by_expected_wait(
-    balancer: Balancer, candidates: Sequence[Candidate], load: RequestLoad, now: timedelta
-) -> UpstreamChoice:
-    """Choose the least expected time until the first byte among a few candidates.
-
-    A session has a home, its owner by rendezvous hashing. The home counts as having all shared
-    prompt parts cached, which keeps the requests of a session together.
-    """
-    home = _home(load, candidates)
-    scored = []
-    for candidate in balancer.sample(candidates, home):
-        cost = _expected_wait(balancer, candidate, load, candidate.entry.id == home, now)
-        scored.append((cost, balancer.rng.random(), candidate))
-    cost, _, best = min(scored, key=lambda entry: entry[:2])
-    reason = f"in flight {best.in_flight}, pace {balancer.pace(best.entry.id, now):.1f}"
-    if home is not None:
-        reason += ", home" if best.entry.id == home else f", home {home} costs more"
-    expected_wait = timedelta(seconds=cost)
-    usual_wait = expected_wait / _pace(balancer, best, now)
-    return UpstreamChoice(best.entry.id, reason, expected_wait, usual_wait, len(candidates))
-
-
-def _home(load: RequestLoad, candidates: Sequence[Candidate]) -> UpstreamId | None:
-    """Return the upstream that has most likely cached the shared prompt parts of a session."""
-    if load.session is None:
-        return None
-    owner = rendezvous_owner(load.session, [c.entry.id for c in candidates])
-    return UpstreamId(owner) if owner is not None else None
-
-
-@balancing_policies.register("least-outstanding")
-def choose_least_outstanding(
-    balancer: Balancer, candidates: Sequence[Candidate], load: RequestLoad, now: timedelta
-) -> UpstreamChoice:
-    """Choose the fewest requests of this node in flight; a baseline for comparisons."""
-    del load, now
-    best = min(candidates, key=lambda c: (c.status.in_flight, balancer.rng.random()))
-    reason = f"{best.status.in_flight} in flight"
-    return UpstreamChoice(best.entry.id, reason, _ZERO, _ZERO, len(candidates))
-
-
-@balancing_policies.register("random")
-def choose_at_random(
-    balancer: Balancer, candidates: Sequence[Candidate], load: RequestLoad, now: timedelta
-) -> UpstreamChoice:
-    """Choose a random candidate; a baseline for comparisons."""
-    del load, now
-    chosen = balancer.rng.choice(list(candidates))
-    return UpstreamChoice(chosen.entry.id, "at random", _ZERO, _ZERO, len(candidates))
-
-
-def _expected_wait(
-    balancer: Balancer, candidate: Candidate, load: RequestLoad, is_home: bool, now: timedelta
-) -> float:
-    """Return the expected time in seconds until the first byte, with costs added to it.
-
-    The costs are those of errors, of another zone and of inputs that cross zones.
-    """
-    settings = balancer.settings
-    entry, status = candidate.entry, candidate.status
-    seconds = 0.0
-    if load.prompt_tokens:
-        tokens_ahead = status.waiting_tokens + candidate.peers.waiting_tokens
-        reread_tokens = load.shared_tokens - _cached_tokens(status, load, is_home)
-        own_tokens = (
-            load.prompt_tokens - load.shared_tokens + settings.reread_weight * reread_tokens
-        )
-        seconds += (tokens_ahead + own_tokens) / settings.prefill_tokens_per_s
-        seconds += candidate.in_flight * settings.running_request_cost.total_seconds()
-    else:
-        # Without token counts, 50 ms are assumed for each round of requests through the slots.
-        seconds += (candidate.in_flight + 1) / max(1, entry.slots) * 0.05
-    slots = max(0, entry.slots)
-    if candidate.in_flight >= slots:
-        # Requests beyond the slots queue at the upstream, for about 250 ms per round.
-        seconds += 0.25 * (1 + (candidate.in_flight - slots) / max(1, slots))
-    seconds *= _pace(balancer, candidate, now)
-    seconds += balancer.rest_of_silence(candidate, now).total_seconds()
-    error_share = max(balancer.error_share(status, now), candidate.peers.error_share)
-    seconds += max(0.0, error_share - settings.tolerated_error_share) * settings.error_cost_s
-    if entry.zone != balancer.zone:
-        seconds += settings.cross_zone_cost.total_seconds()
-    return seconds + _move_cost(balancer, load.moved_bytes(entry.zone))
-
-
-def _move_cost(balancer: Balancer, size: int) -> float:
-    """Return the cost in seconds of ``size`` bytes of inputs that cross zones."""
-    return size / BYTES_PER_MB * balancer.settings.move_cost_per_mb.total_seconds()
-
-
-def _pace(balancer: Balancer, candidate: Candidate, now: timedelta) -> float:
-    """Return the pace of an upstream: the slower of this node's and the peers' values."""
-    return max(balancer.pace(candidate.entry.id, now), candidate.peers.pace)
-
-
-def _cached_tokens(status: UpstreamStatus, load: RequestLoad, is_home: bool) -> int:
-    """Return the tokens of the leading shared parts that the upstream probably has cached.
-
-    The home of the session is assumed to have all of them.
-    """
-    if is_home:
-        return load.shared_tokens
-    cached_tokens = 0
-    for part, tokens in load.shared_parts:
-        if part not in status.cached_parts:
-            break
-        cached_tokens += tokens
-    return cached_tokens
