Read the era of the store, and let the stand-ins return from a copy

The client knew revisions alone. Change: StoreEras follows the era of all answers: older ones are dropped, odd ones logged and counted. Pages of two eras are not one listing, and a watch ends where the era of its revision does. The store in memory and the stand-in of the platform's store keep copies and come back from them.

--- a/src/chervilrack/_internal/kvstore/etcd.py
+++ b/src/chervilrack/_internal/kvstore/etcd.py
@@ -120,9 +120,13 @@
         self._call("/v3/lease/revoke", {"ID": str(lease)}, write=True)
 
     @contextmanager
-    def watch(self, prefix: str, from_revision: int) -> Iterator[Iterator[WatchBatch | None]]:
+    def watch(
+        self, prefix: str, from_revision: int, era: int | None = None
+    ) -> Iterator[Iterator[WatchBatch | None]]:
         """Open a watch that reconnects and resumes after the last change that it delivered.
 
+        etcd has no eras; ``era`` is ignored.
+
         Iterating raises WatchCompacted, or PlatformUnavailable after ``watch_reconnect`` without
         a connection. None is yielded at least once a second, also while the watch reconnects.
         """
--- a/src/chervilrack/_internal/kvstore/memory.py
+++ b/src/chervilrack/_internal/kvstore/memory.py
@@ -11,7 +11,9 @@
     PlatformOutcomeUnknown,
     PlatformRefused,
     PlatformUnavailable,
+    WatchCompacted,
 )
+from chervilrack._internal.kvstore.eras import StoreEras
 from chervilrack._internal.kvstore.port import (
     Compare,
     KeyValue,
@@ -42,6 +44,8 @@
         self._responses_to_lose = 0
         self._requests_to_lose = 0
         self._watch_generation = 0
+        self._copy: InMemoryKeyValueStore | None = None
+        self._eras = StoreEras()
         self._vms = VmList(frozenset(), frozenset(), frozenset())
 
     def set_available(self, available: bool) -> None:
@@ -76,6 +80,30 @@
             self._store.compact()
             self._condition.notify_all()
 
+    @property
+    def eras(self) -> StoreEras:
+        """Eras that the store's answers have stated."""
+        return self._eras
+
+    def keep_copy(self) -> None:
+        """Keep a copy of the store, in place of an earlier one."""
+        with self._condition:
+            self._copy = self._store.copy()
+
+    def return_from_copy(self) -> None:
+        """Come back from the kept copy, in the next era.
+
+        Later writes and leases are gone, and their revisions and numbers are given out again.
+        """
+        with self._condition:
+            if self._copy is None:
+                raise ValueError("no copy is kept")
+            self._store = self._copy.copy()
+            current = self._eras.current
+            self._eras.observe(str(current + 1), current, self._clock.monotonic())
+            self._watch_generation += 1
+            self._condition.notify_all()
+
     def set_vms(self, vms: VmList) -> None:
         """Set the list of VMs."""
         with self._condition:
@@ -92,13 +120,19 @@
         with self._condition:
             self._check_available()
             start = prefix.encode()
-            return self._store.range(start, prefix_end(start))
+            found = self._store.range(start, prefix_end(start))
+            return RangeResult(found.items, found.revision, self._eras.current)
 
     def txn(
         self, compares: Sequence[Compare], puts: Sequence[Put], deletes: Sequence[str] = ()
     ) -> TxnResult:
         """Apply all writes if every comparison holds."""
-        return self._write(lambda: self._store.txn(compares, puts, deletes))
+
+        def apply() -> TxnResult:
+            result = self._store.txn(compares, puts, deletes)
+            return TxnResult(result.succeeded, result.revision, self._eras.current)
+
+        return self._write(apply)
 
     def lease_grant(self, ttl: timedelta) -> int:
         """Create a lease and return its id."""
@@ -114,10 +148,17 @@
             raise PlatformRefused("requested lease not found")
 
     @contextmanager
-    def watch(self, prefix: str, from_revision: int) -> Iterator[Iterator[WatchBatch | None]]:
+    def watch(
+        self, prefix: str, from_revision: int, era: int | None = None
+    ) -> Iterator[Iterator[WatchBatch | None]]:
         """Open a watch; it yields batches, and None after ``watch_idle`` without changes."""
         with self._condition:
             self._check_available()
+            current = self._eras.current
+            if era is not None and era != current:
+                raise WatchCompacted(f"the store is in era {current}, not in {era}")
+            if from_revision > self._store.revision + 1:
+                raise WatchCompacted(f"revision {from_revision - 1} was not given out")
             generation = self._watch_generation
         yield self._batches(prefix.encode(), from_revision, generation)
 
@@ -145,7 +186,8 @@
         self._check_available()
         if generation != self._watch_generation:
             raise PlatformUnavailable("the watch was broken")
-        return self._store.changes(start, prefix_end(start), next_revision)
+        batch = self._store.changes(start, prefix_end(start), next_revision)
+        return WatchBatch(batch.changes, batch.revision, self._eras.current)
 
     def _write(self, apply: Callable[[], T]) -> T:
         with self._condition:
--- a/src/chervilrack/_internal/kvstore/port.py
+++ b/src/chervilrack/_internal/kvstore/port.py
@@ -1,7 +1,9 @@
 """Interface to the platform's service: compare-and-swap, leases, watches and the VM list.
 
 Keys and values follow etcd v3: each write gets a revision from one counter, and each key carries
-the revision of its last change (``mod_revision``), 0 for an absent key.
+the revision of its last change (``mod_revision``), 0 for an absent key. A store that comes back
+from an older copy of itself begins a new era, in which revisions are given out again; other stores
+are always in era 0.
 """
 
 from collections.abc import Iterator, Sequence
@@ -41,18 +43,20 @@
 
 @dataclass(frozen=True, slots=True)
 class TxnResult:
-    """Outcome of a transaction and the store's revision after it."""
+    """Outcome of a transaction and the store's revision after it, in an era of the store."""
 
     succeeded: bool
     revision: int
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class RangeResult:
-    """Items of a range, ordered by key, and the store's revision when they were read."""
+    """Items of a range, ordered by key, and the store's revision and era when they were read."""
 
     items: tuple[KeyValue, ...]
     revision: int
+    era: int = 0
 
 
 class ChangeKind(Enum):
@@ -72,10 +76,11 @@
 
 @dataclass(frozen=True, slots=True)
 class WatchBatch:
-    """Changes of one or more revisions; resume a broken watch at ``revision + 1``."""
+    """Changes of one or more revisions of an era; resume a broken watch at ``revision + 1``."""
 
     changes: tuple[Change, ...]
     revision: int
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,10 +124,13 @@
         """End a lease and delete its keys."""
 
     def watch(
-        self, prefix: str, from_revision: int
+        self, prefix: str, from_revision: int, era: int | None = None
     ) -> AbstractContextManager[Iterator[WatchBatch | None]]:
         """Open a watch of the keys that begin with ``prefix``, from ``from_revision`` on.
 
+        With ``era``, the revision is one of that era, and the watch ends as compacted when the
+        store is in a newer one.
+
         The iterator yields batches of changes, and None at least once a second while there are
         none.
         """
--- a/src/chervilrack/_internal/kvstore/store.py
+++ b/src/chervilrack/_internal/kvstore/store.py
@@ -4,6 +4,7 @@
 """
 
 import bisect
+import copy
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from datetime import timedelta
@@ -162,6 +163,10 @@
         )
         return WatchBatch(changes, self._revision)
 
+    def copy(self) -> "InMemoryKeyValueStore":
+        """Return a store with the same contents, history and leases."""
+        return copy.deepcopy(self)
+
     def compact(self, revision: int | None = None) -> None:
         """Drop changes up to ``revision``, by default up to the latest."""
         self._compacted = max(self._compacted, min(revision or self._revision, self._revision))
--- a/src/chervilrack/platform/emulated/standins.py
+++ b/src/chervilrack/platform/emulated/standins.py
@@ -29,6 +29,8 @@
 SIGNATURE_PREFIX = "signed-by-"
 # Longest time in ``Retry-After`` after which an upstream of a soak can be held to it.
 MAX_HOLD_S = 10.0
+# Copies of the store that are older than this are not kept.
+COPIES_KEPT_S = 30.0
 
 
 class _Handler(BaseHTTPRequestHandler):
@@ -127,14 +129,38 @@
         """Answer one request."""
 
 
+@dataclass(frozen=True, slots=True)
+class StoreWrite:
+    """A write of the operator or an upstream; ``document`` is None for a removed key."""
+
+    key: str
+    document: Any
+
+
+@dataclass(frozen=True, slots=True)
+class _StoreCopy:
+    at: float
+    revision: int
+    last_lease: int
+    items: dict[str, dict[str, Any]]
+    history: list[dict[str, Any]]
+
+
 class StoreStandIn(_StandIn):
     """Stand-in for the platform's store, with one revision counter and leases that never expire.
 
-    ``calls`` counts the calls by method and path.
+    ``calls`` counts the calls by method and path. ``era`` is the text of the header for it in all
+    answers, None for none. ``return_from_copy`` makes the store one of some seconds ago, and
+    ``lost`` are then the writes of the operator and the upstreams that it has lost.
     """
 
     def __init__(self, page_items: int = 2) -> None:
         super().__init__()
+        self.era: str | None = None
+        self.lost: list[StoreWrite] = []
+        self._copies: list[_StoreCopy] = []
+        self._writes: list[tuple[float, StoreWrite]] = []
+        self._returned_at = 0.0
         # The default is small, so that a listing needs several pages.
         self._page_items = page_items
         self._items: dict[str, dict[str, Any]] = {}
@@ -142,20 +168,63 @@
         self._revision = 1
         self._changed = threading.Condition()
         self.calls: Counter[str] = Counter()
-        self._leases = itertools.count(1)
+        self._last_lease = 0
 
     def put(self, key: str, document: Any) -> None:
         """Write a key without a lease, as the operator or an upstream does."""
         with self._changed:
+            self._record(StoreWrite(key, document))
             self._put(key, base64.b64encode(json.dumps(document).encode()).decode(), 0)
 
     def remove(self, key: str) -> None:
         """Remove a key."""
         with self._changed:
-            self._revision += 1
             del self._items[key]
+            self._record(StoreWrite(key, None))
+            self._revision += 1
             self._append_event({"key": key, "revision": self._revision, "tombstone": True})
 
+    def keep_copy(self) -> None:
+        """Keep a copy of the store, with its history and leases."""
+        with self._changed:
+            now = time.monotonic()
+            copy = _StoreCopy(
+                now, self._revision, self._last_lease, dict(self._items), list(self._history)
+            )
+            self._copies = [c for c in self._copies if now - c.at < COPIES_KEPT_S] + [copy]
+
+    def return_from_copy(self, age_s: float = 0.0) -> None:
+        """Come back from the newest copy of at least this age, in the next era.
+
+        Later writes and leases are gone, and their revisions and numbers are given out again.
+        """
+        with self._changed:
+            latest = time.monotonic() - age_s
+            copy = [copy for copy in self._copies if copy.at <= latest][-1]
+            self._copies = [kept for kept in self._copies if kept.at <= copy.at]
+            self._revision, self._last_lease = copy.revision, copy.last_lease
+            self._items, self._history = dict(copy.items), list(copy.history)
+            self.lost = [write for at, write in self._writes if at > copy.at]
+            self._writes = [(at, write) for at, write in self._writes if at <= copy.at]
+            self._returned_at = time.monotonic()
+            self.era = str(int(self.era or 0) + 1)
+            self._changed.notify_all()
+
+    def write_again(self) -> None:
+        """Repeat the last lost write of each key, unless the key was written since the return."""
+        with self._changed:
+            written = {write.key for at, write in self._writes if at >= self._returned_at}
+            lost = {write.key: write for write in self.lost if write.key not in written}
+            self.lost = []
+        for write in lost.values():
+            if write.document is not None:
+                self.put(write.key, write.document)
+            elif write.key in self._items:
+                self.remove(write.key)
+
+    def _record(self, write: "StoreWrite") -> None:
+        self._writes.append((time.monotonic(), write))
+
     def _put(self, key: str, value: str, lease: int) -> None:
         self._revision += 1
         item = {
@@ -185,11 +254,26 @@
         elif call == "POST /api/kv-txn":
             self._txn(request, json.loads(body))
         elif call == "POST /api/kv-lease":
-            request.answer(200, {"lease": next(self._leases), "ttlMs": json.loads(body)["ttlMs"]})
+            self._grant(request, json.loads(body))
         elif url.path.startswith("/api/kv-keep/"):
-            request.answer(200, {"ttlMs": 5000})
+            self._renew(request, int(url.path.rpartition("/")[2]))
         else:
-            request.answer(404)
+            request.answer(404, headers=self._headers())
+
+    def _headers(self) -> list[Header]:
+        """Header fields of an answer; the caller holds the lock if it depends on the contents."""
+        return [("Store-Era", self.era)] if self.era is not None else []
+
+    def _grant(self, request: _Handler, body: Any) -> None:
+        with self._changed:
+            self._last_lease += 1
+            answer, headers = {"lease": self._last_lease, "ttlMs": body["ttlMs"]}, self._headers()
+        request.answer(200, answer, headers)
+
+    def _renew(self, request: _Handler, lease: int) -> None:
+        with self._changed:
+            is_known, headers = lease <= self._last_lease, self._headers()
+        request.answer(200 if is_known else 404, {"ttlMs": 5000}, headers)
 
     def _range(self, request: _Handler, query: dict[str, str]) -> None:
         with self._changed:
@@ -203,7 +287,8 @@
                 "hasMore": len(items) > self._page_items,
                 "at": self._revision,
             }
-        request.answer(200, page)
+            headers = self._headers()
+        request.answer(200, page, headers)
 
     def _watch(self, request: _Handler, query: dict[str, str]) -> None:
         after, deadline = int(query["after"]), time.monotonic() + int(query["waitMs"]) / 1000
@@ -211,11 +296,12 @@
             while True:
                 events = [event for event in self._history if event["revision"] > after]
                 remaining_s = deadline - time.monotonic()
-                if events or remaining_s <= 0:
+                if events or remaining_s <= 0 or after > self._revision:
                     break
                 self._changed.wait(remaining_s)
-            answer = {"events": events, "at": self._revision}
-        request.answer(200, answer)
+            status = 410 if after > self._revision else 200
+            answer, headers = {"events": events, "at": self._revision}, self._headers()
+        request.answer(status, answer, headers)
 
     def _txn(self, request: _Handler, body: Any) -> None:
         with self._changed:
@@ -224,13 +310,16 @@
                 for row in body["expectedRevision"]
             ]
             is_current = current == body["expectedRevision"]
-            for put in body["puts"] if is_current else ():
+            has_leases = all(put["lease"] <= self._last_lease for put in body["puts"])
+            for put in body["puts"] if is_current and has_leases else ():
                 self._put(put["key"], put["value"], put["lease"])
-            revision = self._revision
-        if is_current:
-            request.answer(200, {"revision": revision})
+            revision, headers = self._revision, self._headers()
+        if not has_leases:
+            request.answer(404, {}, headers)
+        elif is_current:
+            request.answer(200, {"revision": revision}, headers)
         else:
-            request.answer(412, {"entries": current})
+            request.answer(412, {"entries": current}, headers)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/chervilrack/platform/store.py
+++ b/src/chervilrack/platform/store.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator, Mapping, Sequence
 from contextlib import contextmanager
 from datetime import timedelta
-from typing import Annotated, Any, Final, TypeVar
+from typing import Annotated, Any, Final, NamedTuple, TypeVar
 
 import msgspec
 import urllib3
@@ -28,6 +28,7 @@
     PlatformUnavailable,
     WatchCompacted,
 )
+from chervilrack._internal.kvstore.eras import EraEvent, OlderEra, StoreEras
 from chervilrack._internal.kvstore.port import (
     Change,
     ChangeKind,
@@ -45,6 +46,9 @@
 READ_TIMEOUT_S: Final = 1.0
 # A page has about 500 items. The limit ends a listing that claims to have more pages for ever.
 MAX_PAGES: Final = 1000
+# Listings that are begun again because the store came back from a copy between two pages.
+MAX_LISTINGS: Final = 3
+ERA_HEADER: Final = "Store-Era"
 
 _SUCCESS: Final = 200
 # The only error of the store's side that states that nothing was done.
@@ -53,6 +57,14 @@
 T = TypeVar("T")
 
 
+class _Answer(NamedTuple):
+    """Status and whole body of an answer, and the era of the store that it belongs to."""
+
+    status: int
+    body: bytes
+    era: int
+
+
 _Revision = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
 # Up to about 30 years, which any sum of times can hold.
 _Milliseconds = Annotated[int, msgspec.Meta(ge=0, le=10**12)]
@@ -112,6 +124,7 @@
     ) -> None:
         self._limits = limits or ApplyLimits()
         self._clock = clock or SystemClock()
+        self._eras = StoreEras()
         host, port = parse_address(address)
         self._pool = StrictHTTPConnectionPool(
             host,
@@ -121,29 +134,49 @@
             timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S),
         )
 
+    @property
+    def eras(self) -> StoreEras:
+        """Eras that the store's answers have stated."""
+        return self._eras
+
     def get(self, key: str) -> KeyValue | None:
         """Return the key, or None if it is absent."""
-        status, body = self._read("GET", "/api/kv-key", {"key": key})
-        if status == 404:
+        answer = self._read("GET", "/api/kv-key", {"key": key})
+        if answer.status == 404:
             return None
-        return _key_value(_decode(body, _Item))
+        return _key_value(_decode(answer.body, _Item))
 
     def range(self, prefix: str) -> RangeResult:
         """Return all keys that begin with ``prefix``; the pages do not form one snapshot.
 
         The revision is that of the first page. A watch from this revision misses no change, and
-        may repeat changes that later pages already contain.
+        may repeat changes that later pages already contain. All pages are of one era.
         """
+        for _ in range(MAX_LISTINGS):
+            listing = self._list(prefix)
+            if listing is not None:
+                return listing
+            logger.info("store: the pages of the listing of '%s' are of two eras", prefix)
+            self._eras.count(EraEvent.MIXED_LISTING)
+        raise PlatformUnavailable(f"the pages of the listing of '{prefix}' are of two eras")
+
+    def _list(self, prefix: str) -> RangeResult | None:
+        """Return a listing, None if its pages are of different eras."""
         items: list[KeyValue] = []
         revision = 0
+        era: int | None = None
         after = ""
         for _ in range(MAX_PAGES):
             query = {"pathPrefix": prefix, **({"after": after} if after else {})}
-            page = _decode(self._read("GET", "/api/kv-range", query)[1], _Page)
+            answer = self._read("GET", "/api/kv-range", query)
+            if era is not None and answer.era != era:
+                return None
+            era = answer.era
+            page = _decode(answer.body, _Page)
             items += [_key_value(item) for item in _read_items(page.entries)]
             revision = revision or page.at
             if not page.has_more or not page.entries:
-                return RangeResult(tuple(items), revision)
+                return RangeResult(tuple(items), revision, era)
             after = _last_key(page.entries)
         raise PlatformUnavailable(f"the listing of '{prefix}' has more than {MAX_PAGES} pages")
 
@@ -165,35 +198,42 @@
             ],
             "remove": list(deletes),
         }
-        status, content = self._write("POST", "/api/kv-txn", body)
-        if status == 412:
-            return TxnResult(succeeded=False, revision=0)
-        if status == 404:
+        answer = self._write("POST", "/api/kv-txn", body)
+        if answer.status == 412:
+            return TxnResult(succeeded=False, revision=0, era=answer.era)
+        if answer.status == 404:
             raise PlatformRefused("the lease of a written key has expired")
-        return TxnResult(succeeded=True, revision=_decode_written(content, _TxnResponse).revision)
+        revision = _decode_written(answer.body, _TxnResponse).revision
+        return TxnResult(succeeded=True, revision=revision, era=answer.era)
 
     def lease_grant(self, ttl: timedelta) -> int:
         """Create a lease and return its id."""
-        _, body = self._write("POST", "/api/kv-lease", {"ttlMs": round(ttl.total_seconds() * 1000)})
-        return _decode_written(body, _Lease).lease
+        ttl_ms = round(ttl.total_seconds() * 1000)
+        answer = self._write("POST", "/api/kv-lease", {"ttlMs": ttl_ms})
+        return _decode_written(answer.body, _Lease).lease
 
     def lease_keepalive(self, lease: int) -> timedelta:
         """Renew a lease; return its remaining time, zero if it has expired."""
-        status, body = self._read("POST", f"/api/kv-keep/{lease}")
-        if status == 404:
+        answer = self._read("POST", f"/api/kv-keep/{lease}")
+        if answer.status == 404:
             return timedelta(0)
-        return timedelta(milliseconds=_decode(body, _Lease).ttl_ms)
+        return timedelta(milliseconds=_decode(answer.body, _Lease).ttl_ms)
 
     def lease_revoke(self, lease: int) -> None:
         """End a lease and delete its keys."""
         self._write("DELETE", f"/api/kv-lease-end/{lease}")
 
     @contextmanager
-    def watch(self, prefix: str, from_revision: int) -> Iterator[Iterator[WatchBatch | None]]:
-        """Open a watch that yields batches, and None after each ``watch_wait`` without one."""
-        yield self._batches(prefix, from_revision - 1)
+    def watch(
+        self, prefix: str, from_revision: int, era: int | None = None
+    ) -> Iterator[Iterator[WatchBatch | None]]:
+        """Open a watch that yields batches, and None after each ``watch_wait`` without one.
 
-    def _batches(self, prefix: str, after: int) -> Iterator[WatchBatch | None]:
+        With ``era``, an answer of an older era than that is dropped, and the watch fails.
+        """
+        yield self._batches(prefix, from_revision - 1, era)
+
+    def _batches(self, prefix: str, after: int, era: int | None) -> Iterator[WatchBatch | None]:
         timeout = urllib3.Timeout(
             connect=CONNECT_TIMEOUT_S, read=self._limits.watch_timeout.total_seconds()
         )
@@ -204,11 +244,12 @@
             wait = max(timedelta(0), self._limits.watch_wait - taken)
             wait_ms = round(wait / timedelta(milliseconds=1))
             query = {"pathPrefix": prefix, "after": str(after), "waitMs": str(wait_ms)}
-            status, body = self._read("GET", "/api/kv-watch", query, timeout)
-            if status == 410:
+            answer = self._read("GET", "/api/kv-watch", query, timeout)
+            self._check_era(era, answer.era)
+            if answer.status == 410:
                 raise WatchCompacted(f"the changes after revision {after} are compacted")
             answered_at = self._clock.monotonic()
-            response = _decode(body, _Events)
+            response = _decode(answer.body, _Events)
             after = max(after, response.at)
             if not response.events:
                 yield None
@@ -217,7 +258,16 @@
                 Change(ChangeKind.DELETE if item.tombstone else ChangeKind.PUT, _key_value(item))
                 for item in _read_items(response.events)
             )
-            yield WatchBatch(changes, after) if changes else None
+            yield WatchBatch(changes, after, answer.era) if changes else None
+
+    def _check_era(self, expected: int | None, era: int) -> None:
+        """Raise an exception unless a watch of an era may go on with an answer of ``era``."""
+        if expected is None or era == expected:
+            return
+        if era > expected:
+            raise WatchCompacted(f"the store is in era {era}, and the watch began in {expected}")
+        self._eras.count(EraEvent.OLDER_ANSWER)
+        raise OlderEra(f"an answer of era {era} came to a watch of era {expected}")
 
     def _read(
         self,
@@ -225,16 +275,14 @@
         path: str,
         query: Mapping[str, str] | None = None,
         timeout: urllib3.Timeout | None = None,
-    ) -> tuple[int, bytes]:
+    ) -> _Answer:
         """Make an idempotent call; statuses 404 and 410 are returned like 200."""
         try:
             return self._call(method, path, query, None, timeout, returned_statuses=(404, 410))
         except HTTPError as error:
             raise PlatformUnavailable(f"{method} {path} failed: {_class_name(error)}") from None
 
-    def _write(
-        self, method: str, path: str, body: Mapping[str, Any] | None = None
-    ) -> tuple[int, bytes]:
+    def _write(self, method: str, path: str, body: Mapping[str, Any] | None = None) -> _Answer:
         """Make a call that may not be repeated; statuses 404 and 412 are returned like 200.
 
         Raises PlatformOutcomeUnknown if the response to a call that was sent is lost, or does not
@@ -255,6 +303,9 @@
             if error.status == _NOTHING_DONE:
                 raise
             raise PlatformOutcomeUnknown(str(error)) from None
+        except OlderEra as error:
+            # It was acknowledged in an era that has ended, and may be gone.
+            raise PlatformOutcomeUnknown(str(error)) from None
 
     def _call(
         self,
@@ -264,8 +315,9 @@
         content: bytes | None,
         timeout: urllib3.Timeout | None,
         returned_statuses: tuple[int, ...],
-    ) -> tuple[int, bytes]:
+    ) -> _Answer:
         headers = {"Content-Type": "application/json"} if content is not None else {}
+        begun = self._eras.current
         response = self._pool.request(
             method,
             path,
@@ -277,8 +329,10 @@
         )
         status = response.status
         content = read_limited(response)
+        stated = response.headers.get(ERA_HEADER)
+        era = self._eras.observe(stated, begun, self._clock.monotonic())
         if status == _SUCCESS or status in returned_statuses:
-            return status, content
+            return _Answer(status, content, era)
         if status == 429:
             raise PlatformOverloaded(f"{method} {path}: the store's rate limit is exceeded")
         if status >= 500:
