Order what nodes know of the store by era and revision

Change: StorePosition orders by era first; messages of a later era than 0 travel in frames of version 2, which older nodes refuse, and heartbeats say revision 0 to them. A node lists anew in a later era and drops what is of an older one. Found on the way: the result of a write of a record replaced a newer one that a watch had told meanwhile. Tests changed: the feed takes positions, and listeners of StoreSync the era; what they check is the same. Conclusion: stores without the header behave as before: position 0, frames of version 1.

--- a/features/steps/changefeed_steps.py
+++ b/features/steps/changefeed_steps.py
@@ -9,6 +9,7 @@
 from chervilrack._internal.changefeed.limits import ApplyLimits
 from chervilrack._internal.changefeed.messages import RelayedChange, StoreProgress
 from chervilrack._internal.common.ids import NodeId, ZoneId
+from chervilrack._internal.common.positions import StorePosition
 
 
 def parse_members(text):
@@ -60,8 +61,12 @@
     context.feed.set_members(parse_members("a leaving, b, c, d, e"))
 
 
+def own_position(context):
+    return StorePosition(0, context.revision)
+
+
 def receive(context, message):
-    changes = context.feed.receive(NodeId("b"), message, context.revision, context.now)
+    changes = context.feed.receive(NodeId("b"), message, own_position(context), context.now)
     if changes:
         assert [change.revision for change in changes] == list(
             range(context.revision + 1, message.revision + 1)
@@ -78,7 +83,7 @@
                 pass
             case [seconds, "s"]:
                 context.now += timedelta(seconds=float(seconds))
-                context.feed.is_current(context.revision, context.now)
+                context.feed.is_current(own_position(context), context.now)
             case ["keepalive", revision, *age]:
                 age_ms = round(float(age[-1]) * 1000) if age else 0
                 receive(context, StoreProgress(int(revision), int(revision), age_ms=age_ms))
@@ -88,24 +93,27 @@
                     RelayedChange("k", value, number, False)
                     for number in range(int(first) + 1, int(last) + 1)
                 ]
-                message = sender.progress(int(first), int(last), changes, context.now)
+                message = sender.progress(
+                    int(first), StorePosition(0, int(last)), changes, context.now
+                )
                 receive(context, message)
             case ["own", "watch", revision]:
                 context.revision = int(revision)
             case ["other", "zone", revision]:
-                context.feed.observe_revision(int(revision), context.revision, context.now)
+                known = StorePosition(0, int(revision))
+                context.feed.observe_position(known, own_position(context), context.now)
 
 
 @then("node a is current at revision {revision:d}")
 def check_current(context, revision):
     assert context.revision == revision, context.revision
-    assert context.feed.is_current(context.revision, context.now)
+    assert context.feed.is_current(own_position(context), context.now)
 
 
 @then("node a watches from revision {revision:d}")
 def check_watches(context, revision):
     assert context.revision == revision, context.revision
-    assert not context.feed.is_current(context.revision, context.now)
+    assert not context.feed.is_current(own_position(context), context.now)
 
 
 @given("{nodes:d} nodes in {zones:d} zones that follow the store")
--- a/features/steps/store_sync_steps.py
+++ b/features/steps/store_sync_steps.py
@@ -7,6 +7,7 @@
 
 from behave import given, then, when
 
+from chervilrack._internal.common.positions import ORIGIN, StorePosition
 from chervilrack._internal.serving.store_sync import StoreSync
 from chervilrack.platform.emulated.standins import StoreStandIn
 from chervilrack.platform.store import PlatformStore
@@ -18,7 +19,7 @@
 class Listener:
     def __init__(self, watching_nodes):
         self.watching_nodes = watching_nodes
-        self.revision = 0
+        self.position = ORIGIN
         self.is_fed = threading.Event()
         self.received_at = {}
         self.has_listed = threading.Event()
@@ -32,13 +33,13 @@
     def wait_for_feed(self):
         time.sleep(0.01)
 
-    def on_listing(self, items, revision):
-        self.revision = revision
+    def on_listing(self, items, revision, era):
+        self.position = StorePosition(era, revision)
         self.received_at |= {item.key: time.monotonic() for item in items}
         self.has_listed.set()
 
-    def on_changes(self, changes, revision):
-        self.revision = revision
+    def on_changes(self, changes, revision, era):
+        self.position = StorePosition(era, revision)
         self.received_at |= {change.item.key: time.monotonic() for change in changes}
 
     def on_available(self):
--- a/features/support/feed_load.py
+++ b/features/support/feed_load.py
@@ -15,6 +15,7 @@
 from chervilrack._internal.changefeed.limits import ApplyLimits
 from chervilrack._internal.changefeed.messages import RelayedChange, StoreProgress
 from chervilrack._internal.common.ids import NodeId, ZoneId
+from chervilrack._internal.common.positions import StorePosition
 
 STORE_LATENCY = timedelta(milliseconds=5)
 LINK_LATENCY = timedelta(milliseconds=3)
@@ -51,6 +52,10 @@
         # Number of the open watch call, None while the node does not watch.
         self.open_call: int | None = None
 
+    @property
+    def position(self) -> StorePosition:
+        return StorePosition(0, self.revision)
+
     def advance(self, revision: int, now: timedelta) -> None:
         assert revision >= self.revision, (self.name, revision, self.revision)
         for learned in range(self.revision + 1, revision + 1):
@@ -156,7 +161,7 @@
         """Watch if the node has to, as the thread that follows the store does."""
         if not node.alive or node.is_frozen or node.open_call is not None:
             return
-        until = node.feed.current_until(node.revision)
+        until = node.feed.current_until(node.position)
         if until is None or until < self.now:
             self._watch(node)
         else:
@@ -190,7 +195,7 @@
     def _send_keepalive(self, node: _Node) -> None:
         answered_at = node.answered_at
         age = self.now - answered_at if answered_at is not None else timedelta(0)
-        message = node.feed.progress(node.revision, node.revision, (), self.now, age=age)
+        message = node.feed.progress(node.revision, node.position, (), self.now, age=age)
         if answered_at is not None:
             self._send(node, message)
 
@@ -217,7 +222,7 @@
             RelayedChange("k", self._value, number, False)
             for number in range(previous + 1, revision + 1)
         ]
-        self._send(node, node.feed.progress(previous, revision, changes, self.now))
+        self._send(node, node.feed.progress(previous, node.position, changes, self.now))
         self._schedule(self.now + self._change_delay, lambda: self._check(node))
 
     def _send(self, node: _Node, message: StoreProgress) -> None:
@@ -233,7 +238,7 @@
     def _receive(self, node: _Node, sender: NodeId, message: StoreProgress) -> None:
         if not node.alive or node.is_frozen:
             return
-        if node.feed.receive(sender, message, node.revision, self.now):
+        if node.feed.receive(sender, message, node.position, self.now):
             node.advance(message.revision, self.now)
-        if node.open_call is None and not node.feed.is_current(node.revision, self.now):
+        if node.open_call is None and not node.feed.is_current(node.position, self.now):
             self._check(node)
--- a/src/chervilrack/_internal/catalogue/core.py
+++ b/src/chervilrack/_internal/catalogue/core.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from chervilrack._internal.catalogue.returns import EndedUpstreams, is_superseded
 from chervilrack._internal.catalogue.state import (
     ServiceSpec,
     ServingConfiguration,
@@ -15,6 +16,7 @@
     UpstreamState,
 )
 from chervilrack._internal.common.ids import ServiceId, UpstreamId
+from chervilrack._internal.common.positions import ORIGIN, StorePosition
 
 # Upstreams whose registrations lapsed while the store was unavailable register again within about
 # two seconds of its return.
@@ -58,6 +60,8 @@
 
     An upstream whose registration may have lapsed only because the store was unavailable stays in
     the directory until it had time to register again.
+
+    Revisions are those of the era that ``begin_era`` has named last, 0 before.
     """
 
     def __init__(self) -> None:
@@ -66,13 +70,16 @@
         self._former_services: dict[ServiceId, ServiceSpec] = {}
         self._upstreams: dict[UpstreamId, UpstreamEntry] = {}
         self._ready_by_service: dict[ServiceId, tuple[UpstreamEntry, ...]] = {}
-        self._revisions: dict[UpstreamId, int] = {}
+        self._positions: dict[UpstreamId, StorePosition] = {}
+        self._era = 0
+        self._ended = EndedUpstreams()
         # Upstreams that are kept although their registrations have ended, and the end of that time;
         # None means REREGISTRATION_GRACE after the store answers again.
         self._lapsed: dict[UpstreamId, timedelta | None] = {}
         self._unavailable_since: timedelta | None = None
         self._available_again_at = _ZERO
         self._had_outage = False
+        self._returned_at: timedelta | None = None
 
     @property
     def configuration(self) -> ServingConfiguration | None:
@@ -101,6 +108,24 @@
         """Ids of the upstreams that are kept although their registrations have ended, in order."""
         return tuple(sorted(self._lapsed))
 
+    @property
+    def withheld_upstreams(self) -> frozenset[UpstreamId]:
+        """Upstreams that had ended, and that a copy of the store names, which are not used yet."""
+        return self._ended.withheld
+
+    def begin_era(self, era: int, returned_at: timedelta | None = None) -> None:
+        """Take all further entries and revisions as those of a later era.
+
+        ``returned_at`` is the time at which the store was found to have come back from an older
+        copy, None if nothing of an earlier era is known. What the copy lacks may be written again,
+        and what it holds may have ended before.
+        """
+        self._era = era
+        if returned_at is not None:
+            self._had_outage = True
+            self._available_again_at = self._returned_at = returned_at
+            self._ended.begin_doubt(returned_at)
+
     def apply_configuration(self, configuration: ServingConfiguration) -> list[CatalogueEffect]:
         """Put ``configuration`` into force if it is newer than the one in force."""
         current = self._configuration
@@ -151,6 +176,7 @@
             effects += self.put_upstream(entry, revision)
         for upstream in [u for u in self._upstreams if u not in entries]:
             effects += self.remove_upstream(upstream, None, now)
+        self._drop_withheld(entries)
         return effects
 
     def apply_peer_listing(
@@ -163,24 +189,47 @@
 
         ``entries`` are the upstreams registered at the peer, with their revisions, and ``lapsed``
         those that the peer keeps although their registrations have ended. All others were removed
-        while the store answered the peer, and are removed here. This node keeps lapsed ones for
+        while the store answered the peer, and are removed here, unless the store has come back from
+        a copy: the peer may not have known them. This node keeps lapsed ones for
         REREGISTRATION_GRACE, counted from the first such listing.
         """
         effects: list[CatalogueEffect] = []
         for entry, revision in entries.values():
             effects += self.put_upstream(entry, revision)
         for upstream in [u for u in self._upstreams if u not in entries]:
-            if upstream not in lapsed:
+            if upstream not in lapsed and not self._is_kept_after_return(upstream, now):
                 effects += self._remove(upstream)
             elif self._lapsed.get(upstream) is None:
                 self._lapsed[upstream] = now + REREGISTRATION_GRACE
+        self._drop_withheld(entries)
         return effects
 
+    def _is_kept_after_return(self, upstream: UpstreamId, now: timedelta) -> bool:
+        return (
+            self._returned_at is not None
+            and now < self._returned_at + REREGISTRATION_GRACE
+            and self._upstreams[upstream].state is UpstreamState.READY
+        )
+
+    def _drop_withheld(self, entries: Collection[UpstreamId]) -> None:
+        for upstream in self._ended.withheld:
+            if upstream not in entries:
+                self._ended.drop(upstream)
+
     def put_upstream(self, entry: UpstreamEntry, revision: int) -> list[CatalogueEffect]:
-        """Add or replace one entry; an older revision than the known one is ignored."""
-        if revision < self._revisions.get(entry.id, 0):
+        """Add or replace one entry; an older revision than the known one is ignored.
+
+        After a return of the store, so is an entry that says less than an earlier era did.
+        """
+        position = StorePosition(self._era, revision)
+        if position < self._positions.get(entry.id, ORIGIN):
+            return []
+        if self.supersedes(entry):
+            self._keep_superseding(entry)
+            return []
+        if self._ended.withhold(entry, revision, self._era):
             return []
-        self._revisions[entry.id] = revision
+        self._positions[entry.id] = position
         self._lapsed.pop(entry.id, None)
         previous = self._upstreams.get(entry.id)
         if previous == entry:
@@ -189,6 +238,21 @@
         self._update_ready_index(entry.service, previous.service if previous else None)
         return [UpstreamChanged(entry.id, entry, previous)]
 
+    def supersedes(self, entry: UpstreamEntry) -> bool:
+        """Whether an earlier era has told more of the upstream than an entry of this era."""
+        known = self._upstreams.get(entry.id)
+        return (
+            known is not None
+            and self._positions.get(entry.id, ORIGIN).era < self._era
+            and is_superseded(entry, known)
+        )
+
+    def _keep_superseding(self, entry: UpstreamEntry) -> None:
+        """Keep a later start than that of an entry, for as long as it may register again."""
+        known = self._upstreams[entry.id]
+        if known.state is UpstreamState.READY:
+            self._lapsed.setdefault(entry.id, None)
+
     def remove_upstream(
         self, upstream: UpstreamId, revision: int | None, now: timedelta
     ) -> list[CatalogueEffect]:
@@ -197,13 +261,15 @@
         A ready upstream is kept for the time being if its registration may have lapsed because of
         an outage of the store. ``revision`` is None if the end was seen in a listing.
         """
+        self._ended.drop(upstream)
         entry = self._upstreams.get(upstream)
         if entry is None:
             return []
         if revision is not None:
-            if revision < self._revisions.get(upstream, 0):
+            position = StorePosition(self._era, revision)
+            if position < self._positions.get(upstream, ORIGIN):
                 return []
-            self._revisions[upstream] = revision
+            self._positions[upstream] = position
         if entry.state is UpstreamState.READY and self._may_have_lapsed(now):
             self._lapsed.setdefault(upstream, None)
             return []
@@ -214,21 +280,31 @@
 
         Unlike an entry that has ended, it cannot have lapsed because of an outage.
         """
-        if revision < self._revisions.get(upstream, 0):
+        position = StorePosition(self._era, revision)
+        if position < self._positions.get(upstream, ORIGIN):
             return []
+        self._ended.drop(upstream)
         if upstream in self._upstreams:
-            self._revisions[upstream] = revision
+            self._positions[upstream] = position
         return self._remove(upstream)
 
     def expire(self, now: timedelta) -> list[CatalogueEffect]:
-        """Remove kept upstreams that did not register again in time after an outage."""
+        """Remove kept upstreams that did not register again in time after an outage.
+
+        Upstreams that a copy of the store names are used if they are still registered after a time.
+        """
+        effects: list[CatalogueEffect] = []
+        for entry, revision in self._ended.release(now):
+            effects += self.put_upstream(entry, revision)
         may_have_lapsed = self._may_have_lapsed(now)
         ended = [
             upstream
             for upstream, until in sorted(self._lapsed.items())
             if (not may_have_lapsed if until is None else now >= until)
         ]
-        return [effect for upstream in ended for effect in self._remove(upstream)]
+        for upstream in ended:
+            effects += self._remove(upstream)
+        return effects
 
     def _may_have_lapsed(self, now: timedelta) -> bool:
         if self._unavailable_since is not None:
@@ -240,6 +316,7 @@
         previous = self._upstreams.pop(upstream, None)
         if previous is None:
             return []
+        self._ended.record_end(previous, self._era)
         self._update_ready_index(previous.service, None)
         return [UpstreamChanged(upstream, None, previous)]
 
--- a/src/chervilrack/_internal/changefeed/core.py
+++ b/src/chervilrack/_internal/changefeed/core.py
@@ -9,6 +9,7 @@
 from chervilrack._internal.changefeed.messages import RelayedChange, StoreProgress
 from chervilrack._internal.common.hashing import rendezvous_order
 from chervilrack._internal.common.ids import NodeId, ZoneId
+from chervilrack._internal.common.positions import ORIGIN, StorePosition
 
 _ZERO = timedelta(0)
 _MILLISECOND = timedelta(milliseconds=1)
@@ -54,9 +55,9 @@
         # Time of the store's latest answer to a watcher of this zone, and to each of them.
         self._answered_at: timedelta | None = None
         self._answers: dict[NodeId, timedelta] = {}
-        # Newest revision that a watcher of this zone, or any other node, has announced.
-        self._announced = 0
-        self._known_elsewhere = 0
+        # Newest position that a watcher of this zone, or any other node, has announced.
+        self._announced = ORIGIN
+        self._known_elsewhere = ORIGIN
         self._lagging_since: timedelta | None = None
         self._next_keepalive = timedelta(0)
 
@@ -97,24 +98,24 @@
             for size in zone_sizes
         )
 
-    def is_current(self, revision: int, now: timedelta) -> bool:
-        """Whether the feed keeps a copy of the store with this revision current.
+    def is_current(self, position: StorePosition, now: timedelta) -> bool:
+        """Whether the feed keeps a copy of the store at this position current.
 
         If it does not, the node has to watch the store itself. Watchers always have to.
         """
-        until = self.current_until(revision)
+        until = self.current_until(position)
         return until is not None and now <= until
 
-    def current_until(self, revision: int) -> timedelta | None:
+    def current_until(self, position: StorePosition) -> timedelta | None:
         """Return the time until which ``is_current`` holds without a further message.
 
         None means that it does not hold now.
         """
-        if self.is_watcher or self._answered_at is None or revision < self._announced:
+        if self.is_watcher or self._answered_at is None or position < self._announced:
             return None
         limits = self._settings.limits
         until = self._answered_at + limits.max_age
-        if revision >= self._known_elsewhere:
+        if position >= self._known_elsewhere:
             self._lagging_since = None
         if self._lagging_since is not None:
             until = min(until, self._lagging_since + limits.lag_limit)
@@ -140,27 +141,42 @@
             answers.append(own_answer_at)
         return not any(at > began for at in answers)
 
+    def is_outdated(self, progress: StoreProgress, position: StorePosition) -> bool:
+        """Whether a watcher's message is of an older era than the node's copy, and is dropped.
+
+        The watcher has not noticed yet that the store has come back from a copy.
+        """
+        return progress.era < position.era
+
     def receive(
-        self, sender: NodeId, progress: StoreProgress, revision: int, now: timedelta
+        self, sender: NodeId, progress: StoreProgress, position: StorePosition, now: timedelta
     ) -> tuple[RelayedChange, ...]:
         """Record the message of a watcher; return the changes that the node has to apply.
 
-        ``revision`` is that of the node's copy. If changes before those of the message are missing,
+        ``position`` is that of the node's copy. If changes before those of the message are missing,
         none are returned, and ``is_current`` is false until the node has read them from the store.
+        Messages of older eras are ignored.
         """
+        if self.is_outdated(progress, position):
+            return ()
         answered_at = now - progress.age_ms * _MILLISECOND
         if self._answered_at is None or answered_at > self._answered_at:
             self._answered_at = answered_at
         self._answers[sender] = max(answered_at, self._answers.get(sender, answered_at))
-        self._announced = max(self._announced, progress.revision)
-        if progress.revision <= revision or progress.previous > revision:
+        announced = progress.position
+        self._announced = max(self._announced, announced)
+        if announced <= position or announced.at(progress.previous) > position:
             return ()
-        return tuple(change for change in progress.changes if change.revision > revision)
+        return tuple(
+            change for change in progress.changes if announced.at(change.revision) > position
+        )
 
-    def observe_revision(self, known: int, revision: int, now: timedelta) -> None:
-        """Record that another node has the revision ``known``, and this one ``revision``."""
+    def observe_position(
+        self, known: StorePosition, position: StorePosition, now: timedelta
+    ) -> None:
+        """Record that another node is at the position ``known``, and this one at ``position``."""
         self._known_elsewhere = max(self._known_elsewhere, known)
-        if revision >= self._known_elsewhere:
+        if position >= self._known_elsewhere:
             self._lagging_since = None
         elif self._lagging_since is None:
             self._lagging_since = now
@@ -168,7 +184,7 @@
     def progress(
         self,
         previous: int,
-        revision: int,
+        position: StorePosition,
         changes: Sequence[RelayedChange],
         now: timedelta,
         *,
@@ -177,17 +193,24 @@
     ) -> StoreProgress:
         """Return the message that passes changes on, and postpone the next keepalive.
 
-        ``age`` is the time since the store's last answer, and ``outage`` that without an answer
+        ``previous`` is a revision of the era of ``position``, the node's own one. ``age`` is the
+        time since the store's last answer, and ``outage`` that without an answer
         before it, if the store has just begun to answer again. Changes that are too large are left
         out; their receivers read them from the store.
         """
         self._next_keepalive = now + self._settings.limits.keepalive_interval
         age_ms = max(0, math.ceil(age / _MILLISECOND))
         if sum(len(change.value) for change in changes) > self._settings.max_relayed_bytes:
-            previous, changes = revision, ()
+            previous, changes = position.revision, ()
         outage_ms = round((outage or _ZERO) / _MILLISECOND)
         return StoreProgress(
-            previous, revision, tuple(changes), outage is not None, age_ms, outage_ms
+            previous,
+            position.revision,
+            tuple(changes),
+            outage is not None,
+            age_ms,
+            outage_ms,
+            position.era,
         )
 
     @property
--- a/src/chervilrack/_internal/changefeed/messages.py
+++ b/src/chervilrack/_internal/changefeed/messages.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from chervilrack._internal.common.positions import StorePosition, protocol_version_of
 from chervilrack._internal.common.units import Count, Milliseconds
 
 
@@ -21,7 +22,7 @@
     copy is older than ``previous`` has to read the changes in between from the store.
     ``regained`` is whether the store has just begun to answer the watcher again. ``age_ms`` is the
     time since the store's last answer to the watcher, ``outage_ms`` that without an answer before
-    the store began to answer again.
+    the store began to answer again. All revisions are of ``era``.
     """
 
     previous: Count
@@ -30,3 +31,14 @@
     regained: bool = False
     age_ms: Milliseconds = 0
     outage_ms: Milliseconds = 0
+    era: Count = 0
+
+    @property
+    def position(self) -> StorePosition:
+        """Position of the sender's copy."""
+        return StorePosition(self.era, self.revision)
+
+    @property
+    def protocol_version(self) -> int:
+        """Version of the protocol that a receiver has to know."""
+        return protocol_version_of(self.era)
--- a/src/chervilrack/_internal/fleet/messages.py
+++ b/src/chervilrack/_internal/fleet/messages.py
@@ -6,6 +6,7 @@
 
 from chervilrack._internal.balancing.standing import LeavingReport
 from chervilrack._internal.balancing.state import UpstreamReport
+from chervilrack._internal.common.positions import StorePosition, protocol_version_of
 from chervilrack._internal.common.units import Count, Milliseconds
 from chervilrack._internal.quarantine.messages import SuspectReport
 from chervilrack._internal.quarantine.records import BlockRecord
@@ -20,7 +21,9 @@
     node holds. ``ready_for_ms`` is the time since the node became ready and ``interval_ms`` the
     time until its next heartbeat. ``cpu_cores`` is the processor time that the node may use, in
     cores. ``leaving_upstreams`` names upstreams that have told the node that they leave, and
-    ``suspects`` are inputs that may crash upstreams.
+    ``suspects`` are inputs that may crash upstreams. In a later era of the store than 0,
+    ``directory_in_era`` holds the era and the revision and ``directory_revision`` is 0, so that
+    nodes which do not know eras take the sender for one that has read nothing.
     """
 
     address: str
@@ -38,6 +41,14 @@
     cpu_cores: Annotated[float, msgspec.Meta(ge=0, le=1e6)] = 1.0
     leaving_upstreams: tuple[LeavingReport, ...] = ()
     suspects: tuple[SuspectReport, ...] = ()
+    directory_in_era: tuple[Count, Count] | None = None
+
+    @property
+    def position(self) -> StorePosition:
+        """Newest position in the store that the node holds."""
+        if self.directory_in_era is not None:
+            return StorePosition(*self.directory_in_era)
+        return StorePosition(0, self.directory_revision)
 
 
 class StateRequest(msgspec.Struct, frozen=True, array_like=True):
@@ -52,7 +63,7 @@
     ``configuration`` is empty if the requesting node already has the version. ``upstreams`` holds
     key, value and modification revision of each registration. ``missing`` names the upstreams
     whose registrations have ended but which the sender still keeps, since they may come back.
-    ``blocks`` are the traits that the sender blocks.
+    ``blocks`` are the traits that the sender blocks. All revisions are of ``era``.
     """
 
     configuration: bytes
@@ -60,3 +71,14 @@
     upstreams: tuple[tuple[str, bytes, Count], ...]
     missing: tuple[str, ...] = ()
     blocks: Annotated[tuple[BlockRecord, ...], msgspec.Meta(max_length=1024)] = ()
+    era: Count = 0
+
+    @property
+    def position(self) -> StorePosition:
+        """Position of the sender's copy of the store."""
+        return StorePosition(self.era, self.revision)
+
+    @property
+    def protocol_version(self) -> int:
+        """Version of the protocol that a receiver has to know."""
+        return protocol_version_of(self.era)
--- a/src/chervilrack/_internal/peering/envelope.py
+++ b/src/chervilrack/_internal/peering/envelope.py
@@ -1,5 +1,6 @@
 """Encoding of messages between nodes: versioned and typed; unknown fields are refused."""
 
+from collections.abc import Collection
 from dataclasses import dataclass
 
 import msgspec
@@ -9,6 +10,8 @@
 from chervilrack._internal.exceptions import ChervilrackError
 
 PROTOCOL_VERSION = 1
+# Messages whose revisions belong to an era of the store other than 0.
+ERA_PROTOCOL_VERSION = 2
 MAX_KIND_LENGTH = 80
 
 
@@ -41,9 +44,10 @@
 
 
 class MessageCodec:
-    """Encodes and decodes messages of the registered types."""
+    """Encodes and decodes messages of the registered types, in frames of known versions."""
 
-    def __init__(self) -> None:
+    def __init__(self, versions: Collection[int] = (PROTOCOL_VERSION,)) -> None:
+        self._versions = versions
         self._kinds: dict[type[msgspec.Struct], str] = {}
         self._decoders: dict[str, msgspec.msgpack.Decoder[msgspec.Struct]] = {}
         self._encoder = msgspec.msgpack.Encoder()
@@ -67,10 +71,15 @@
         message: msgspec.Struct,
         reply_to: str = "",
     ) -> bytes:
-        """Return the wire format of a message."""
+        """Return the wire format of a message.
+
+        A message with a ``protocol_version`` is sent in a frame of that version, which older nodes
+        refuse.
+        """
         kind = self._kinds[type(message)]
         body = self._encoder.encode(message)
-        frame = _Frame(PROTOCOL_VERSION, sender, incarnation, kind, body, reply_to)
+        version = getattr(message, "protocol_version", PROTOCOL_VERSION)
+        frame = _Frame(version, sender, incarnation, kind, body, reply_to)
         return self._encoder.encode(frame)
 
     def decode(self, data: bytes) -> Envelope:
@@ -82,7 +91,7 @@
             frame = decode_value("frame", data, self._frame_decoder.decode)
         except UnreadableValue as error:
             raise MessageRefused(f"frame is malformed: {error.detail}") from None
-        if frame.version != PROTOCOL_VERSION:
+        if frame.version not in self._versions:
             raise MessageRefused(f"protocol version {frame.version} is not supported")
         decoder = self._decoders.get(frame.kind)
         if decoder is None:
--- a/src/chervilrack/_internal/quarantine/archive.py
+++ b/src/chervilrack/_internal/quarantine/archive.py
@@ -37,11 +37,15 @@
 
 @dataclass(frozen=True, slots=True)
 class RecordWrite:
-    """A record to be written if its key was last changed at ``revision``, 0 for an absent key."""
+    """A record to be written if its key was last changed at ``revision``, 0 for an absent key.
+
+    The revision is one of ``era``, as is the absence of the key.
+    """
 
     record: BlockRecord
     value: bytes
     revision: int
+    era: int = 0
 
 
 class BlockArchive:
@@ -51,11 +55,35 @@
         self._node = node
         self.settings = settings or ArchiveSettings()
         self._stored: dict[str, tuple[BlockRecord, int]] = {}
+        # Era of the store that the records and their revisions belong to.
+        self._era = 0
+        # Names of the records that were known before that era.
+        self._before_return: frozenset[str] = frozenset()
         # When the need of a write was noticed first, or when a failed one is to be repeated.
         self._noticed: dict[str, timedelta] = {}
 
+    @property
+    def era(self) -> int:
+        """Era of the store that the records and their revisions belong to."""
+        return self._era
+
+    def begin_era(self, era: int) -> None:
+        """Forget all records: those of a later era are observed next."""
+        self._era = era
+        self._before_return = frozenset(self._stored)
+        self._stored.clear()
+
+    def is_rewrite(self, name: str) -> bool:
+        """Whether a record was known before the store came back from a copy."""
+        return name in self._before_return
+
     def observe(self, name: str, record: BlockRecord | None, revision: int) -> None:
-        """Record what the store holds under a name; None if the record has ended."""
+        """Record what the store holds under a name; None if the record has ended.
+
+        A revision that is older than the known one is ignored.
+        """
+        if revision < self._revision(name):
+            return
         if record is None:
             self._stored.pop(name, None)
         else:
@@ -94,7 +122,7 @@
             record = block_record(suspect, now)
             value = encode_record(record)
             if len(value) <= self.settings.max_bytes:
-                writes.append(RecordWrite(record, value, self._revision(name)))
+                writes.append(RecordWrite(record, value, self._revision(name), self._era))
         return writes, min(times, default=None)
 
     def _revision(self, name: str) -> int:
--- a/src/chervilrack/_internal/serving/block_store.py
+++ b/src/chervilrack/_internal/serving/block_store.py
@@ -8,9 +8,11 @@
 from typing import Self
 
 from chervilrack._internal.common.ids import NodeId
+from chervilrack._internal.common.positions import StorePosition
 from chervilrack._internal.common.supervision import SupervisedThread
 from chervilrack._internal.exceptions import PlatformError
-from chervilrack._internal.kvstore.port import Compare, KeyValueStore, Put
+from chervilrack._internal.kvstore.eras import EraStore
+from chervilrack._internal.kvstore.port import Compare, Put, TxnResult
 from chervilrack._internal.quarantine.archive import BlockArchive, RecordWrite
 from chervilrack._internal.quarantine.records import RecordState
 from chervilrack._internal.serving.state import ServingState
@@ -36,7 +38,7 @@
 
     def __init__(
         self,
-        store: KeyValueStore,
+        store: EraStore,
         prefix: str,
         archive: BlockArchive,
         state: ServingState,
@@ -84,26 +86,37 @@
                 self._wanted.wait(left)
 
     def _write(self, write: RecordWrite) -> None:
-        """Write a record unless another node has changed it meanwhile; failures are retried."""
+        """Write a record unless another node has changed it meanwhile; failures are retried.
+
+        What the record is based on has to be of the store's era. If the store has come back from a
+        copy meanwhile, the record is decided on again after its contents were read.
+        """
         record = write.record
-        key = f"{self._prefix}{record.name}"
-        try:
-            lease = self._store.lease_grant(RECORD_TTL[record.state])
-            compares = (Compare(key, write.revision),)
-            result = self._store.txn(compares, (Put(key, write.value, lease),))
-        except PlatformError as error:
-            logger.info("quarantine: the record of %s was not written: %s", record.trait, error)
-            result = None
+        result = self._call(write) if write.era == self._store.eras.current else None
         with self._state.lock:
-            if result is not None and result.succeeded:
-                self._archive.observe(record.name, record, result.revision)
+            archive = self._archive
+            if result is not None and result.succeeded and result.era == archive.era == write.era:
+                archive.observe(record.name, record, result.revision)
                 self._state.log.note(
                     "quarantine",
                     "recorded",
                     trait=record.trait,
                     service=record.service,
                     state=record.state.value,
-                    revision=result.revision,
+                    **StorePosition(result.era, result.revision).fields,
                 )
+                if archive.is_rewrite(record.name):
+                    self._state.metrics.written_again("block")
             else:
-                self._archive.postpone(record.name, self._state.clock.monotonic())
+                archive.postpone(record.name, self._state.clock.monotonic())
+
+    def _call(self, write: RecordWrite) -> TxnResult | None:
+        record = write.record
+        key = f"{self._prefix}{record.name}"
+        try:
+            lease = self._store.lease_grant(RECORD_TTL[record.state])
+            compares = (Compare(key, write.revision),)
+            return self._store.txn(compares, (Put(key, write.value, lease),))
+        except PlatformError as error:
+            logger.info("quarantine: the record of %s was not written: %s", record.trait, error)
+            return None
--- a/src/chervilrack/_internal/serving/directory.py
+++ b/src/chervilrack/_internal/serving/directory.py
@@ -13,8 +13,10 @@
 from chervilrack._internal.catalogue.state import CallerLimits, UpstreamEntry
 from chervilrack._internal.common.decoding import UnreadableValue, decode_json
 from chervilrack._internal.common.ids import NodeId, UpstreamId
+from chervilrack._internal.common.positions import ORIGIN, StorePosition
 from chervilrack._internal.common.supervision import FAILURES
 from chervilrack._internal.fleet.messages import Heartbeat, StateReply, StateRequest
+from chervilrack._internal.kvstore.eras import EraEvent
 from chervilrack._internal.kvstore.port import Change, ChangeKind, KeyValue
 from chervilrack._internal.quarantine.archive import BlockArchive
 from chervilrack._internal.quarantine.records import BlockRecord, decode_record
@@ -68,19 +70,26 @@
         self._archive = BlockArchive(settings.node)
         # Items by key with their values as stored, to be sent to peers.
         self._stored_items: dict[str, KeyValue] = {}
-        self._revision = 0
+        self._position = ORIGIN
         # Whether the upstreams up to that revision are known, from a listing or a peer's state.
         self._is_listed = False
+        # Whether the items that are being applied may be from a copy, and older than what is known.
+        self._is_from_copy = False
         self._queues_outdated = False
         self._store_answers = False
         # Time of the store's last answer to this node, or to a watcher that it follows.
         self._answered_at: timedelta | None = None
         self._state_requested_at = -STATE_REQUEST_INTERVAL
 
+    @property
+    def position(self) -> StorePosition:
+        """Newest position in the store that this node knows."""
+        return self._position
+
     @property
     def revision(self) -> int:
-        """Newest revision of the store that this node knows."""
-        return self._revision
+        """Newest revision that this node knows of the store's era."""
+        return self._position.revision
 
     @property
     def archive(self) -> BlockArchive:
@@ -104,17 +113,25 @@
         key = f"{self._schema.node_prefix}{self._settings.node}"
         return key, msgspec.json.encode(_NodeRegistration(str(self._settings.peer)))
 
-    def on_listing(self, items: tuple[KeyValue, ...], revision: int) -> None:
+    def on_listing(self, items: tuple[KeyValue, ...], revision: int, era: int = 0) -> None:
         """Apply a listing of all keys of the store."""
         with self._state.lock:
-            self._apply_listing(items, revision)
+            self._apply_listing(items, StorePosition(era, revision))
             self._update_queues()
 
-    def on_changes(self, changes: tuple[Change, ...], revision: int) -> None:
-        """Apply changes of the store; those up to the known revision have been applied already."""
+    def on_changes(self, changes: tuple[Change, ...], revision: int, era: int = 0) -> None:
+        """Apply changes of the store; those up to the known position have been applied already.
+
+        Changes of another era than the known one are ignored: a later one begins with a listing.
+        """
         with self._state.lock:
-            new_changes = [c for c in changes if c.item.mod_revision > self._revision]
-            self._revision = max(self._revision, revision)
+            position = StorePosition(era, revision)
+            if era != self._position.era:
+                self._note_older("changes", position)
+                return
+            known = self._position
+            new_changes = [c for c in changes if position.at(c.item.mod_revision) > known]
+            self._position = max(known, position)
             for change in new_changes:
                 if change.kind is ChangeKind.PUT:
                     self._apply_item(change.item)
@@ -128,32 +145,64 @@
             self._answered_at = now = self._state.clock.monotonic()
             if not self._store_answers:
                 self._store_answers = True
-                self._state.log.note("store", "regained", revision=self._revision)
+                self._state.log.note("store", "regained", **self._position.fields)
                 self._state.catalogue.mark_store_available(now)
 
     def on_unavailable(self, reason: str) -> None:
         """Record that the store does not answer this node."""
         with self._state.lock:
             if self._store_answers:
-                self._state.log.note("store", "lost", reason=reason, revision=self._revision)
+                self._state.log.note("store", "lost", reason=reason, **self._position.fields)
             self._store_answers = False
             now = self._state.clock.monotonic()
             last = self._answered_at if self._answered_at is not None else now
             self._state.catalogue.mark_store_unavailable(last)
 
-    def _apply_listing(self, items: tuple[KeyValue, ...], revision: int) -> None:
+    def _enter(self, position: StorePosition) -> bool:
+        """Take over a position; return whether the store has come back from a copy before it."""
+        known = self._position
+        self._position = max(known, position)
+        if position.era <= known.era:
+            return False
+        is_return = self._is_listed
+        now = self._state.clock.monotonic()
+        self._state.catalogue.begin_era(position.era, now if is_return else None)
+        self._archive.begin_era(position.era)
+        if is_return:
+            # The same revision may name another entry now.
+            self._unreadable.keep_only(set())
+            self._state.metrics.era_event(EraEvent.RETURNED)
+            self._state.log.note(
+                "store", "returned from a copy", before=known.fields, **position.fields
+            )
+        return is_return
+
+    def _note_older(self, what: str, position: StorePosition) -> None:
+        """Record that something of another era than the known one was dropped."""
+        self._state.metrics.era_event(EraEvent.OLDER_MESSAGE)
+        self._state.log.note(
+            "store",
+            f"{what} of another era dropped",
+            known=self._position.fields,
+            **position.fields,
+        )
+
+    def _apply_listing(self, items: tuple[KeyValue, ...], position: StorePosition) -> None:
         """Apply a listing, unless a peer's state or relayed changes have overtaken it.
 
-        A listing that is older than the node's revision holds upstreams that were removed since,
-        and lacks new ones. The watch, which begins at the node's revision, would not correct this.
+        A listing that is older than the node's position holds upstreams that were removed since,
+        and lacks new ones. The watch, which begins at the node's position, would not correct this.
         """
-        if self._is_listed and revision < self._revision:
+        if self._is_listed and position < self._position:
             self._state.log.note(
-                "store", "older listing ignored", listed=revision, revision=self._revision
+                "store",
+                "older listing ignored",
+                listed=position.revision,
+                **self._position.fields,
             )
             return
         now = self._state.clock.monotonic()
-        self._revision = max(self._revision, revision)
+        self._is_from_copy = self._enter(position)
         self._is_listed = True
         self._unreadable.keep_only({item.key for item in items})
         prefix = self._schema.block_prefix
@@ -163,6 +212,7 @@
         for item in items:
             if not item.key.startswith(self._schema.upstream_prefix):
                 self._apply_item(item)
+        self._is_from_copy = False
         upstreams = self._replace_upstreams(items)
         self._perform(self._state.catalogue.apply_listing(upstreams, now))
         # Not earlier: with a configuration but no upstreams, every request would fail.
@@ -175,7 +225,12 @@
 
         Returns each readable entry with its modification revision. The others are dropped.
         """
-        for key in [k for k in self._stored_items if k.startswith(self._schema.upstream_prefix)]:
+        known = {
+            key: item
+            for key, item in self._stored_items.items()
+            if key.startswith(self._schema.upstream_prefix)
+        }
+        for key in known:
             del self._stored_items[key]
         upstreams: dict[UpstreamId, tuple[UpstreamEntry, int]] = {}
         for item in items:
@@ -183,7 +238,7 @@
                 continue
             entry = self._decode_upstream(item)
             if entry is not None:
-                self._stored_items[item.key] = item
+                self._store_upstream(item, entry, known.get(item.key))
                 upstreams[entry.id] = (entry, item.mod_revision)
         return upstreams
 
@@ -226,9 +281,15 @@
     def _apply_upstream(self, item: KeyValue) -> None:
         entry = self._decode_upstream(item)
         if entry is not None:
-            self._stored_items[item.key] = item
+            self._store_upstream(item, entry, self._stored_items.get(item.key))
             self._perform(self._state.catalogue.put_upstream(entry, item.mod_revision))
 
+    def _store_upstream(self, item: KeyValue, entry: UpstreamEntry, known: KeyValue | None) -> None:
+        """Keep a registration for peers; the known one goes on if an old copy says less."""
+        if known is not None and self._state.catalogue.supersedes(entry):
+            item = KeyValue(item.key, known.value, item.mod_revision)
+        self._stored_items[item.key] = item
+
     def _decode_upstream(self, item: KeyValue) -> UpstreamEntry | None:
         """Return the upstream that an item names; one that names none is dropped."""
         try:
@@ -280,7 +341,12 @@
         self._learn_block(record)
 
     def _learn_block(self, record: BlockRecord) -> None:
-        """Use the record of a blocked trait, from the store or a peer."""
+        """Use the record of a blocked trait, from the store or a peer.
+
+        A copy of the store may say less than a node knows that goes by its own evidence.
+        """
+        if self._is_from_copy and self._state.is_accepting():
+            return
         if self._state.is_accepting():
             self._state.crash_watch.on_block_record(record)
         else:
@@ -298,7 +364,7 @@
                         version=configuration.version,
                         previous=previous,
                         routes=len(configuration.routes),
-                        revision=self._revision,
+                        **self._position.fields,
                     )
                 case UpstreamChanged():
                     self._perform_upstream_change(effect)
@@ -313,7 +379,7 @@
                 FAILURES.record(DIRECTORY, error, f"the end of upstream {change.id}")
                 return
             key = f"{self._schema.upstream_prefix}{change.id}"
-            item = self._stored_items.get(key) or KeyValue(key, b"", self._revision)
+            item = self._stored_items.get(key) or KeyValue(key, b"", self.revision)
             FAILURES.record(DIRECTORY, error, f"{key} of revision {item.mod_revision}")
             self._drop_upstream(item, error)
             return
@@ -324,7 +390,7 @@
             service=latest.service if (latest := entry or before) else None,
             state=entry.state.value if entry is not None else "gone",
             before=before.state.value if before is not None else None,
-            revision=self._revision,
+            **self._position.fields,
         )
 
     def _update_queues(self) -> None:
@@ -335,20 +401,20 @@
         try:
             self._reconfigure_queues()
         except Exception as error:
-            FAILURES.record(DIRECTORY, error, f"the queues at revision {self._revision}")
+            FAILURES.record(DIRECTORY, error, f"the queues at {self._position}")
 
     # Messages of peers; the caller holds the node's lock
 
     def on_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Request the sender's state if its configuration or its directory is newer.
 
-        The revision of the directory counts only while the store does not answer this node.
+        The position of the directory counts only while the store does not answer this node.
         """
         now = self._state.clock.monotonic()
         configuration = self._state.catalogue.configuration
         version = configuration.version if configuration is not None else 0
         behind = heartbeat.configuration_version > version or (
-            not self._store_answers and heartbeat.directory_revision > self._revision
+            not self._store_answers and heartbeat.position > self._position
         )
         if behind and now - self._state_requested_at >= STATE_REQUEST_INTERVAL:
             self._state_requested_at = now
@@ -365,21 +431,25 @@
             return
         configuration = self._state.catalogue.configuration
         newer = configuration is not None and configuration.version > message.known_version
+        prefix = self._schema.upstream_prefix
+        withheld = self._state.catalogue.withheld_upstreams
         upstreams = tuple(
             (registered.key, registered.value, registered.mod_revision)
             for registered in self._stored_items.values()
-            if registered.key.startswith(self._schema.upstream_prefix)
+            if registered.key.startswith(prefix)
+            and registered.key.removeprefix(prefix) not in withheld
         )
         missing = self._state.catalogue.lapsed_upstreams
         blocks = self._state.crash_watch.block_records()
         content = item.value if newer else b""
-        reply = StateReply(content, self._revision, upstreams, missing, blocks)
+        known = self._position
+        reply = StateReply(content, known.revision, upstreams, missing, blocks, known.era)
         self._send(f"tcp://{address}", reply)
 
     def on_state_reply(self, message: StateReply) -> None:
         """Apply a peer's blocks and newer configuration, and its upstreams without the store.
 
-        The upstreams are applied only if the peer's store revision is newer than this node's.
+        The upstreams are applied only if the peer's position in the store is a newer one.
         """
         for record in message.blocks:
             self._learn_block(record)
@@ -387,10 +457,11 @@
             key = self._schema.configuration_key
             self._apply_item(KeyValue(key, message.configuration, message.revision))
             self._update_queues()
-        if self._store_answers or message.revision <= self._revision:
+        position = message.position
+        if self._store_answers or position <= self._position:
             return
         items = tuple(KeyValue(key, value, rev) for key, value, rev in message.upstreams)
-        self._revision = message.revision
+        self._enter(position)
         self._is_listed = True
         missing = [UpstreamId(name) for name in message.missing]
         now = self._state.clock.monotonic()
@@ -398,4 +469,4 @@
         self._perform(self._state.catalogue.apply_peer_listing(upstreams, missing, now))
         self._update_queues()
         self._state.accept_requests()
-        self._state.log.note("store", "state of a peer taken", revision=message.revision)
+        self._state.log.note("store", "state of a peer taken", **position.fields)
--- a/src/chervilrack/_internal/serving/messages.py
+++ b/src/chervilrack/_internal/serving/messages.py
@@ -3,13 +3,17 @@
 from chervilrack._internal.batching import messages as batching
 from chervilrack._internal.changefeed import messages as changefeed
 from chervilrack._internal.fleet import messages as fleet
-from chervilrack._internal.peering.envelope import MessageCodec
+from chervilrack._internal.peering.envelope import (
+    ERA_PROTOCOL_VERSION,
+    PROTOCOL_VERSION,
+    MessageCodec,
+)
 from chervilrack._internal.quarantine import messages as quarantine
 
 
 def serving_codec() -> MessageCodec:
     """Return a codec that knows all messages between serving nodes."""
-    codec = MessageCodec()
+    codec = MessageCodec((PROTOCOL_VERSION, ERA_PROTOCOL_VERSION))
     codec.register("fleet.heartbeat", fleet.Heartbeat)
     codec.register("fleet.state-wanted", fleet.StateRequest)
     codec.register("fleet.state-given", fleet.StateReply)
--- a/src/chervilrack/_internal/serving/metrics.py
+++ b/src/chervilrack/_internal/serving/metrics.py
@@ -14,6 +14,7 @@
 from chervilrack._internal.batching.state import StartConditions
 from chervilrack._internal.forwarding.context import RequestContext
 from chervilrack._internal.forwarding.forwarder import ForwardingOutcome
+from chervilrack._internal.kvstore.eras import EraEvent
 from chervilrack._internal.observability.metrics import (
     MAX_VALUES,
     OTHER,
@@ -132,6 +133,18 @@
             ["kind"],
             registry=self._registry,
         )
+        self._eras = Counter(
+            "chervilrack_serving_store_eras",
+            "Returns of the store from an older copy, and odd or older eras, by event.",
+            ["event"],
+            registry=self._registry,
+        )
+        self._written_again = Counter(
+            "chervilrack_serving_store_written_again",
+            "Entries that this node wrote again after a return of the store, by kind.",
+            ["kind"],
+            registry=self._registry,
+        )
         self._crashes = Counter(
             "chervilrack_serving_upstream_crashes",
             "Crashes of upstreams that this node has found out itself, by service.",
@@ -208,6 +221,14 @@
         """Count a request that gets no upstream because requests like it crash them."""
         self._quarantined.labels(self._services.label(service)).inc()
 
+    def era_event(self, event: EraEvent) -> None:
+        """Count an event about the eras of the store."""
+        self._eras.labels(event.value).inc()
+
+    def written_again(self, kind: str) -> None:
+        """Count an entry that was written again after a return of the store."""
+        self._written_again.labels(kind).inc()
+
     def entry_unreadable(self, kind: str) -> None:
         """Count a revision of an entry that was left out; ``kind`` is what its key names."""
         self._unreadable.labels(kind).inc()
--- a/src/chervilrack/_internal/serving/node.py
+++ b/src/chervilrack/_internal/serving/node.py
@@ -38,7 +38,7 @@
 from chervilrack._internal.forwarding.messages import InboundRequest, Responder
 from chervilrack._internal.gateway.callers import CallerWatch
 from chervilrack._internal.gateway.passthrough import ListenSettings, PassThroughServer
-from chervilrack._internal.kvstore.port import KeyValueStore
+from chervilrack._internal.kvstore.eras import EraStore
 from chervilrack._internal.observability.decisions import DecisionHandler, DecisionLog
 from chervilrack._internal.peering.envelope import Envelope
 from chervilrack._internal.peering.transport import PeerTransport
@@ -91,7 +91,7 @@
         settings: ServingSettings,
         dialect: Dialect,
         schema: StoreSchema,
-        store: KeyValueStore | None,
+        store: EraStore | None,
         clock: Clock,
         log: DecisionLog,
     ) -> None:
@@ -137,8 +137,14 @@
         self._store_sync: StoreSync | None = None
         self._block_store: BlockStore | None = None
         if store is not None:
+            store.eras.on_event = self._state.metrics.era_event
             self._store_sync = StoreSync(
-                store, self._relay, self._directory.registration, rng, limits
+                store,
+                self._relay,
+                self._directory.registration,
+                rng,
+                limits,
+                lambda: self._state.metrics.written_again("registration"),
             )
             self._block_store = BlockStore(
                 store, schema.block_prefix, self._directory.archive, self._state, self._live_nodes
@@ -410,7 +416,7 @@
         self._state.leaving_reported(sender, heartbeat.leaving_upstreams)
         self._state.crash_watch.on_suspects(heartbeat.suspects)
         self._directory.on_heartbeat(heartbeat)
-        self._relay.observe_revision(heartbeat.directory_revision)
+        self._relay.observe_position(heartbeat.position)
 
     def _live_nodes(self) -> list[NodeId]:
         """Return this node and those that are alive."""
@@ -452,6 +458,7 @@
 
     def _send_heartbeat(self, now: timedelta) -> None:
         configuration = self._state.catalogue.configuration
+        position = self._directory.position
         heartbeat = Heartbeat(
             address=str(self._settings.peer),
             caller_address=str(self._settings.callers),
@@ -459,7 +466,7 @@
             ready=self.is_ready,
             leaving=self._leaving.is_set(),
             configuration_version=configuration.version if configuration is not None else 0,
-            directory_revision=self._directory.revision,
+            directory_revision=position.revision if not position.era else 0,
             store_answers=self._directory.store_answers,
             reports=tuple(self._state.balancer.local_reports(now)),
             peer_addresses=self._fleet.gossip(),
@@ -468,6 +475,7 @@
             cpu_cores=self._settings.cpu_cores,
             leaving_upstreams=self._state.leaving_reports(),
             suspects=self._state.crash_watch.share_suspects(),
+            directory_in_era=(position.era, position.revision) if position.era else None,
         )
         self._broadcast(heartbeat)
         self._next_heartbeat = now + self._fleet.heartbeat_interval
--- a/src/chervilrack/_internal/serving/store_relay.py
+++ b/src/chervilrack/_internal/serving/store_relay.py
@@ -9,6 +9,8 @@
 from chervilrack._internal.changefeed.core import ChangeFeed, ZoneMember
 from chervilrack._internal.changefeed.messages import RelayedChange, StoreProgress
 from chervilrack._internal.common.ids import NodeId
+from chervilrack._internal.common.positions import StorePosition
+from chervilrack._internal.kvstore.eras import EraEvent
 from chervilrack._internal.kvstore.port import Change, ChangeKind, KeyValue
 from chervilrack._internal.serving.directory import StoreDirectory
 from chervilrack._internal.serving.state import ServingState
@@ -22,7 +24,7 @@
 class StoreRelay:
     """Applies the store's changes to the node's copy and passes them on to the node's zone.
 
-    The class is the node's ``StoreListener``. The callers of ``on_progress``, ``observe_revision``,
+    The class is the node's ``StoreListener``. The callers of ``on_progress``, ``observe_position``,
     ``set_members`` and ``tick`` hold the node's lock; the other methods acquire it themselves.
     """
 
@@ -48,9 +50,14 @@
 
     @property
     def revision(self) -> int:
-        """Revision of the node's copy of the store."""
+        """Revision of the node's copy of the store, in its era."""
         return self._directory.revision
 
+    @property
+    def position(self) -> StorePosition:
+        """Position of the node's copy of the store."""
+        return self._directory.position
+
     @property
     def watching_nodes(self) -> int:
         """Number of nodes that may watch the store now, as far as this node knows.
@@ -67,29 +74,30 @@
         """Whether the node has to watch the store itself."""
         with self._state.lock:
             now = self._state.clock.monotonic()
-            return not self._feed.is_current(self._directory.revision, now)
+            return not self._feed.is_current(self._directory.position, now)
 
     def wait_for_feed(self) -> None:
         """Wait until the feed has changed, or no longer keeps the node's copy current."""
         with self._state.lock:
             now = self._state.clock.monotonic()
-            until = self._feed.current_until(self._directory.revision)
+            until = self._feed.current_until(self._directory.position)
         left = (until - now).total_seconds() if until is not None else 0.0
         self._feed_changed.wait(max(SHORTEST_FEED_WAIT_S, min(left, LONGEST_FEED_WAIT_S)))
         self._feed_changed.clear()
 
-    def on_listing(self, items: tuple[KeyValue, ...], revision: int) -> None:
+    def on_listing(self, items: tuple[KeyValue, ...], revision: int, era: int = 0) -> None:
         """Apply a listing of all keys of the store, and announce its revision."""
         with self._state.lock:
-            self._directory.on_listing(items, revision)
+            self._directory.on_listing(items, revision, era)
             self._pass_on(self._directory.revision, ())
 
-    def on_changes(self, changes: tuple[Change, ...], revision: int) -> None:
+    def on_changes(self, changes: tuple[Change, ...], revision: int, era: int = 0) -> None:
         """Apply changes of the store, and pass them on."""
         with self._state.lock:
-            previous = self._directory.revision
-            self._directory.on_changes(changes, revision)
-            self._pass_on(previous, changes)
+            previous = self._directory.position
+            self._directory.on_changes(changes, revision, era)
+            if era == previous.era:
+                self._pass_on(previous.revision, changes)
 
     def on_available(self) -> None:
         """Record that the store has answered this node."""
@@ -115,22 +123,34 @@
     def on_progress(self, sender: NodeId, message: StoreProgress) -> None:
         """Apply the changes that a watcher passes on."""
         now = self._state.clock.monotonic()
-        revision = self._directory.revision
+        position = self._directory.position
+        if self._feed.is_outdated(message, position):
+            self._state.metrics.era_event(EraEvent.OLDER_MESSAGE)
+            self._state.log.note(
+                "store",
+                "older message dropped",
+                routine=True,
+                sender=sender,
+                sent=message.position.fields,
+                **position.fields,
+            )
+            return
         if self._feed.has_missed_outage(sender, message, self._answered_at, now):
             # Registrations that end now may have lapsed during the outage.
             self._state.catalogue.mark_outage(now - message.outage_ms * _MILLISECOND, now)
-        to_apply = self._feed.receive(sender, message, revision, now)
+        to_apply = self._feed.receive(sender, message, position, now)
         if to_apply:
-            self._directory.on_changes(tuple(map(_change, to_apply)), message.revision)
-        if self._feed.is_current(self._directory.revision, now):
+            changes = tuple(map(_change, to_apply))
+            self._directory.on_changes(changes, message.revision, message.era)
+        if self._feed.is_current(self._directory.position, now):
             self._directory.on_available()
         else:
             self._feed_changed.set()
 
-    def observe_revision(self, known: int) -> None:
-        """Record the revision of another node's copy of the store."""
+    def observe_position(self, known: StorePosition) -> None:
+        """Record the position of another node's copy of the store."""
         now = self._state.clock.monotonic()
-        self._feed.observe_revision(known, self._directory.revision, now)
+        self._feed.observe_position(known, self._directory.position, now)
 
     def set_members(self, members: list[ZoneMember], watching_nodes: int) -> None:
         """Set the live nodes of the zone and the number of nodes that watch in all zones."""
@@ -142,7 +162,7 @@
                 "store",
                 "watching for the zone" if self._feed.is_watcher else "following watchers",
                 members=len(members),
-                revision=self._directory.revision,
+                **self._directory.position.fields,
             )
             self._feed_changed.set()
 
@@ -159,9 +179,9 @@
         self._send_keepalive(now)
 
     def _send_keepalive(self, now: timedelta) -> None:
-        revision, age = self._directory.revision, self._answer_age(now)
+        position, age = self._directory.position, self._answer_age(now)
         message = self._feed.progress(
-            revision, revision, (), now, age=age or timedelta(0), outage=self._outage
+            position.revision, position, (), now, age=age or timedelta(0), outage=self._outage
         )
         if self._directory.store_answers and age is not None:
             self._outage = None
@@ -185,7 +205,7 @@
         ]
         message = self._feed.progress(
             previous,
-            self._directory.revision,
+            self._directory.position,
             relayed,
             now,
             age=self._answer_age(now) or timedelta(0),
