Let the store of a soak return from a copy

Change: a kind of fault, store return: the store is away, comes back from a copy of 0.5 to 6 s, and gets again what the operator and the upstreams wrote 1.8 s later. The store of soaks states its era from the start.

--- a/src/chervilrack/_internal/soak/emulation.py
+++ b/src/chervilrack/_internal/soak/emulation.py
@@ -51,6 +51,15 @@
     def configure(self, configuration: Configuration) -> None:
         """Write the next version of the configuration."""
 
+    def take_store_away(self) -> None:
+        """Have the store answer no calls until it returns."""
+
+    def return_store(self, age: float) -> None:
+        """Have the store come back from a copy that is some seconds old."""
+
+    def write_again(self) -> None:
+        """Have the operator and the upstreams write again what the store has lost."""
+
     def behave(self, upstream: str, behaviour: str) -> None:
         """Set the behaviour of an upstream, such as "good" or "fails".
 
--- a/src/chervilrack/_internal/soak/injection.py
+++ b/src/chervilrack/_internal/soak/injection.py
@@ -8,7 +8,7 @@
 
 from chervilrack._internal.common.registry import Registry
 from chervilrack._internal.soak.bed import SoakBed
-from chervilrack._internal.soak.plan import CONFIGURATION_VALUES
+from chervilrack._internal.soak.plan import CONFIGURATION_VALUES, WRITE_AGAIN_S
 from chervilrack._internal.soak.proxy import LinkMode, LinkProxy
 from chervilrack._internal.soak.records import Fault
 
@@ -70,6 +70,19 @@
     return _set_link_modes([bed.store_links[name] for name in names], fault)
 
 
+@injectors.register("store return")
+def _return_store(bed: SoakBed, fault: Fault) -> UndoFault:
+    """Take the store away, and have it come back from a copy that is written up to date again."""
+    bed.emulation.take_store_away()
+
+    def undo() -> None:
+        bed.emulation.return_store(float(fault.detail))
+        time.sleep(WRITE_AGAIN_S)
+        bed.emulation.write_again()
+
+    return undo
+
+
 @injectors.register("caller link")
 def _caller_link(bed: SoakBed, fault: Fault) -> UndoFault:
     return _set_link_modes([bed.caller_links[fault.target]], fault)
--- a/src/chervilrack/_internal/soak/plan.py
+++ b/src/chervilrack/_internal/soak/plan.py
@@ -36,6 +36,10 @@
     return str(round(rng.uniform(0.5, MAX_SILENCE_S), 2))
 
 
+# Age of the copy from which the store returns, and time until all of it is written again.
+COPY_AGES_S = (0.5, 6.0)
+WRITE_AGAIN_S = 1.8
+
 _LINK_MODES = [mode.value for mode in LinkMode if mode is not LinkMode.OPEN]
 
 
@@ -124,6 +128,12 @@
     return rng.choice([*targets.nodes, "all"]), rng.choice(_LINK_MODES)
 
 
+@fault_kinds.register("store return")
+def _draw_store_return(rng: random.Random, targets: Targets) -> tuple[str, str]:
+    """Draw the age of the copy in seconds."""
+    return "store", str(round(rng.uniform(*COPY_AGES_S), 2))
+
+
 @fault_kinds.register("caller link")
 def _draw_caller_link(rng: random.Random, targets: Targets) -> tuple[str, str]:
     return rng.choice(targets.nodes), rng.choice(_LINK_MODES)
--- a/src/chervilrack/platform/emulated/emulation.py
+++ b/src/chervilrack/platform/emulated/emulation.py
@@ -3,6 +3,7 @@
 import contextlib
 import http.client
 import json
+import threading
 import zlib
 from collections.abc import Iterator, Mapping, Sequence
 from datetime import timedelta
@@ -52,6 +53,7 @@
     "handleS": 4.0,
 }
 _ITEMS_PER_PAGE: Final = 500
+_COPY_INTERVAL_S: Final = 0.5
 # The number of pieces of each stage, and the key under which upstreams may cache the results.
 _STAGED_HEADERS: Final = {"Chervilrack-Chunk-Count": "2,3", "Chervilrack-Chunk-Key": "piece-key"}
 
@@ -65,6 +67,7 @@
 
     def __init__(self) -> None:
         self._store = StoreStandIn(_ITEMS_PER_PAGE)
+        self._store.era = "1"
         self._upstreams = {
             name: UpstreamStandIn(name, service)
             for service, names in _UPSTREAM_NAMES.items()
@@ -80,8 +83,27 @@
             stack.enter_context(self._crash_cycle)
             for server in (self._store, *self._upstreams.values()):
                 stack.enter_context(server)
+            stack.enter_context(self._keeping_copies())
             yield
 
+    @contextlib.contextmanager
+    def _keeping_copies(self) -> Iterator[None]:
+        """Keep a copy of the store every _COPY_INTERVAL_S."""
+        stopping = threading.Event()
+
+        def run() -> None:
+            while not stopping.wait(_COPY_INTERVAL_S):
+                self._store.keep_copy()
+
+        thread = threading.Thread(target=run, name="store-copies", daemon=True)
+        self._store.keep_copy()
+        thread.start()
+        try:
+            yield
+        finally:
+            stopping.set()
+            thread.join()
+
     @property
     def store_address(self) -> tuple[str, int]:
         """Host and port of the store."""
@@ -125,6 +147,18 @@
         self._version += 1
         self._store.put(CONFIGURATION_KEY, changed_configuration(self._version, configuration))
 
+    def take_store_away(self) -> None:
+        """Have the store answer no calls until it returns."""
+        self._store.go_away()
+
+    def return_store(self, age: float) -> None:
+        """Have the store come back from a copy that is some seconds old."""
+        self._store.return_from_copy(age)
+
+    def write_again(self) -> None:
+        """Have the operator and the upstreams write again what the store has lost."""
+        self._store.write_again()
+
     def behave(self, upstream: str, behaviour: str) -> None:
         """Set the behaviour of an upstream, see ``UpstreamStandIn``."""
         self._upstreams[upstream].behaviour = behaviour
--- a/src/chervilrack/platform/emulated/standins.py
+++ b/src/chervilrack/platform/emulated/standins.py
@@ -158,6 +158,7 @@
         super().__init__()
         self.era: str | None = None
         self.lost: list[StoreWrite] = []
+        self._is_away = False
         self._copies: list[_StoreCopy] = []
         self._writes: list[tuple[float, StoreWrite]] = []
         self._returned_at = 0.0
@@ -184,6 +185,12 @@
             self._revision += 1
             self._append_event({"key": key, "revision": self._revision, "tombstone": True})
 
+    def go_away(self) -> None:
+        """Answer all calls with status 503 until the store returns from a copy."""
+        with self._changed:
+            self._is_away = True
+            self._changed.notify_all()
+
     def keep_copy(self) -> None:
         """Keep a copy of the store, with its history and leases."""
         with self._changed:
@@ -196,16 +203,19 @@
     def return_from_copy(self, age_s: float = 0.0) -> None:
         """Come back from the newest copy of at least this age, in the next era.
 
-        Later writes and leases are gone, and their revisions and numbers are given out again.
+        If all copies are newer, it is the oldest one. Later writes and leases are gone, and their
+        revisions and numbers are given out again.
         """
         with self._changed:
             latest = time.monotonic() - age_s
-            copy = [copy for copy in self._copies if copy.at <= latest][-1]
+            older = [copy for copy in self._copies if copy.at <= latest]
+            copy = older[-1] if older else self._copies[0]
             self._copies = [kept for kept in self._copies if kept.at <= copy.at]
             self._revision, self._last_lease = copy.revision, copy.last_lease
             self._items, self._history = dict(copy.items), list(copy.history)
             self.lost = [write for at, write in self._writes if at > copy.at]
             self._writes = [(at, write) for at, write in self._writes if at <= copy.at]
+            self._is_away = False
             self._returned_at = time.monotonic()
             self.era = str(int(self.era or 0) + 1)
             self._changed.notify_all()
@@ -247,7 +257,9 @@
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
         call = f"{request.command} {url.path}"
         self.calls[call] += 1
-        if call == "GET /api/kv-range":
+        if self._is_away:
+            request.answer(503, headers=self._headers())
+        elif call == "GET /api/kv-range":
             self._range(request, query)
         elif call == "GET /api/kv-watch":
             self._watch(request, query)
@@ -296,10 +308,11 @@
             while True:
                 events = [event for event in self._history if event["revision"] > after]
                 remaining_s = deadline - time.monotonic()
-                if events or remaining_s <= 0 or after > self._revision:
+                if events or remaining_s <= 0 or after > self._revision or self._is_away:
                     break
                 self._changed.wait(remaining_s)
             status = 410 if after > self._revision else 200
+            status = 503 if self._is_away else status
             answer, headers = {"events": events, "at": self._revision}, self._headers()
         request.answer(status, answer, headers)
 
