Count grace anew after a further return, and end doubts only while the store answers

Cause: the time until which a peer's listing keeps an upstream went on over the next return of the store. And the entry of an upstream that had ended was used after 6 s also while the store, which would have said so, was away. Ruled out: the store of the soak, which had written everything again. Change: a return begins all times anew, and entries are released only while the store answers.

--- a/features/catalogue/store_returns.feature
+++ b/features/catalogue/store_returns.feature
@@ -104,3 +104,20 @@
   Scenario: a heartbeat of a later era says to a node that does not know eras that nothing was read
     When a node that does not know eras gets a message fleet.heartbeat of era 3
     Then it takes the sender's revision for 0, and a node that knows eras for 12 of era 3
+
+  # Guards against times that were counted from an earlier return, and against doubts that end while the store is away.
+  Scenario: a second return gives upstreams that a peer's state lacked the whole time again
+    Given a node that has listed u1 and u2 in era 1, of which a copy is kept
+    When u3 is written before the return
+    And the store does not answer the node, and a peer's state of era 2 without u3 arrives
+    And 1 s pass at the node
+    And the node lists the copy in era 3
+    And 2 s pass at the node
+    Then u3 is ready
+
+  Scenario: an upstream that had ended is not used while the store does not answer
+    Given a node that has listed u1 and u2 in era 1, of which a copy is kept
+    When u2 ends before the return
+    And the node lists the copy in era 2, and then nothing happens
+    And the store does not answer the node for 10 s
+    Then u2 is not known
--- a/features/steps/store_returns_steps.py
+++ b/features/steps/store_returns_steps.py
@@ -214,3 +214,15 @@
     assert msgspec.msgpack.decode(context.body)[6] == 0
     position = serving_codec().decode(context.data).message.position
     assert (position.era, position.revision) == (3, revision)
+
+
+@when("the node lists the copy in era 3")
+def list_third_era(context):
+    context.node.relay.on_available()
+    context.node.relay.on_listing(COPY, COPY_REVISION, 3)
+
+
+@when("the store does not answer the node for {seconds:g} s")
+def cut_off(context, seconds):
+    context.node.directory.on_unavailable("cut off")
+    pass_time(context, seconds)
--- a/src/chervilrack/_internal/catalogue/core.py
+++ b/src/chervilrack/_internal/catalogue/core.py
@@ -124,6 +124,7 @@
         if returned_at is not None:
             self._had_outage = True
             self._available_again_at = self._returned_at = returned_at
+            self._lapsed = dict.fromkeys(self._lapsed)
             self._ended.begin_doubt(returned_at)
 
     def apply_configuration(self, configuration: ServingConfiguration) -> list[CatalogueEffect]:
@@ -291,11 +292,13 @@
     def expire(self, now: timedelta) -> list[CatalogueEffect]:
         """Remove kept upstreams that did not register again in time after an outage.
 
-        Upstreams that a copy of the store names are used if they are still registered after a time.
+        Upstreams that a copy of the store names are used if they are still registered after a time,
+        and the store answers.
         """
         effects: list[CatalogueEffect] = []
-        for entry, revision in self._ended.release(now):
-            effects += self.put_upstream(entry, revision)
+        if self._unavailable_since is None:
+            for entry, revision in self._ended.release(now):
+                effects += self.put_upstream(entry, revision)
         may_have_lapsed = self._may_have_lapsed(now)
         ended = [
             upstream
