--- a/features/steps/standing_steps.py
+++ b/features/steps/standing_steps.py
@@ -29,6 +29,7 @@
     UpstreamId,
     ZoneId,
 )
+from chervilrack._internal.common.positions import StorePosition
 from chervilrack._internal.common.results import Executed, Problem, ResultCode
 from chervilrack._internal.fleet.core import Fleet
 from chervilrack._internal.fleet.messages import Heartbeat
@@ -178,6 +179,13 @@
         register(context.state, moved)
 
 
+@when("the zones of u1, u2 and u3 are evacuated")
+def evacuate_zones(context):
+    state = context.state
+    for change in state.catalogue.evacuations.begin(ZoneId("z")):
+        state.evacuation_changed(change, StorePosition(0, 1))
+
+
 class RecordingCaller:
     """Frees results without network, when ``run`` is called or at once unless ``waits``."""
 
--- a/src/chervilrack/_internal/serving/metrics.py
+++ b/src/chervilrack/_internal/serving/metrics.py
@@ -127,6 +127,11 @@
             ["reason"],
             registry=self._registry,
         )
+        self._evacuated = Gauge(
+            "chervilrack_serving_evacuated_zones",
+            "Zones whose upstreams get nothing from this node because they are evacuated.",
+            registry=self._registry,
+        )
         self._unreadable = Counter(
             "chervilrack_serving_unreadable_entries",
             "Revisions of entries of the store that were left out, by what their keys name.",
@@ -229,6 +234,10 @@
         """Count an entry that was written again after a return of the store."""
         self._written_again.labels(kind).inc()
 
+    def zones_evacuated(self, count: int) -> None:
+        """Set the number of evacuated zones."""
+        self._evacuated.set(count)
+
     def entry_unreadable(self, kind: str) -> None:
         """Count a revision of an entry that was left out; ``kind`` is what its key names."""
         self._unreadable.labels(kind).inc()
