Keep evacuations that a copy of the store lacks for ten seconds

Cause: a store that comes back from a copy may lack an evacuation that it had acknowledged; the zone would have got work until the operator had written it again. Change: on a return, a zone's evacuation holds until it is taken back in the new era, or 10 s without being written again. One that the copy still holds is believed: a zone that gets nothing is never wrong (EVAC).

--- a/features/catalogue/store_returns.feature
+++ b/features/catalogue/store_returns.feature
@@ -121,3 +121,25 @@
     And the node lists the copy in era 2, and then nothing happens
     And the store does not answer the node for 10 s
     Then u2 is not known
+
+  # Guards against a zone that gets work again because a copy of the store lacks its evacuation (EVAC).
+  Scenario Outline: <before> before the return, <after> after it: <time> s later zone z1 is <state>
+    Given a node that has listed u1 and u2 in era 1, of which a copy <contents> is kept
+    When <before> before the return
+    And the node lists the copy in era 2, and then <after>
+    And <time> s pass at the node
+    Then zone z1 is <state>
+
+    Examples: an evacuation that the copy lacks goes on until it is taken back, or not written again for a time
+      | contents           | before              | after               | time | state       |
+      | without evacuation | z1 is evacuated     | nothing happens     | 0    | evacuated   |
+      | without evacuation | z1 is evacuated     | nothing happens     | 9.9  | evacuated   |
+      | without evacuation | z1 is evacuated     | nothing happens     | 10   | in use      |
+      | without evacuation | z1 is evacuated     | z1 is evacuated     | 20   | evacuated   |
+      | without evacuation | z1 is evacuated     | z1 is taken back    | 0    | in use      |
+      | without evacuation | z1 is evacuated     | the node lists u1 alone | 5 | evacuated  |
+      | without evacuation | nothing happens     | nothing happens     | 0    | in use      |
+      | with evacuation    | z1 is taken back    | nothing happens     | 0    | evacuated   |
+      | with evacuation    | z1 is taken back    | z1 is taken back    | 0    | in use      |
+      | with evacuation    | nothing happens     | nothing happens     | 20   | evacuated   |
+      | with evacuation    | nothing happens     | z1 is taken back    | 0    | in use      |
--- a/features/steps/store_returns_steps.py
+++ b/features/steps/store_returns_steps.py
@@ -28,10 +28,13 @@
 
 
 @given("a node that has listed u1 and u2 in era 1, of which a copy is kept")
-def start_node(context):
+@given("a node that has listed u1 and u2 in era 1, of which a copy {contents} is kept")
+def start_node(context, contents="without evacuation"):
+    evacuation = KeyValue("op/evacuate/z1", b"{}", 1)
+    context.copy = COPY if contents == "without evacuation" else (*COPY, evacuation)
     context.node = DirectoryNode("b", 2, lists=False)
     context.node.relay.on_available()
-    context.node.relay.on_listing(COPY, COPY_REVISION, 1)
+    context.node.relay.on_listing(context.copy, COPY_REVISION, 1)
 
 
 def change_store(node, what, era):
@@ -42,6 +45,10 @@
             return
         case ["version", version, *_]:
             changes = [Change(ChangeKind.PUT, configuration_item(int(version), revision))]
+        case ["z1", "is", "evacuated"]:
+            changes = [Change(ChangeKind.PUT, KeyValue("op/evacuate/z1", b"{}", revision))]
+        case ["z1", "is", "taken", "back"]:
+            changes = [Change(ChangeKind.DELETE, KeyValue("op/evacuate/z1", b"", revision))]
         case [name, "ends"]:
             changes = [Change(ChangeKind.DELETE, KeyValue(f"servers/{name}", b"", revision))]
         case [name, "drains"]:
@@ -73,7 +80,7 @@
     node.clock.advance(timedelta(seconds=1))
     node.directory.expire_upstreams()
     node.relay.on_available()
-    node.relay.on_listing(COPY, COPY_REVISION, 2)
+    node.relay.on_listing(context.copy, COPY_REVISION, 2)
     change_store(node, what, 2)
 
 
@@ -226,3 +233,8 @@
 def cut_off(context, seconds):
     context.node.directory.on_unavailable("cut off")
     pass_time(context, seconds)
+
+
+@then("zone z1 is {state}")
+def check_zone(context, state):
+    assert ("z1" in context.node.catalogue.evacuated_zones) == (state == "evacuated")
--- a/src/chervilrack/_internal/catalogue/core.py
+++ b/src/chervilrack/_internal/catalogue/core.py
@@ -133,6 +133,7 @@
             self._available_again_at = self._returned_at = returned_at
             self._lapsed = dict.fromkeys(self._lapsed)
             self._ended.begin_doubt(returned_at)
+            self.evacuations.keep(returned_at)
 
     def apply_configuration(self, configuration: ServingConfiguration) -> list[CatalogueEffect]:
         """Put ``configuration`` into force if it is newer than the one in force."""
@@ -306,6 +307,7 @@
         if self._unavailable_since is None:
             for entry, revision in self._ended.release(now):
                 effects += self.put_upstream(entry, revision)
+            effects += self.evacuations.expire(now)
         may_have_lapsed = self._may_have_lapsed(now)
         ended = [
             upstream
--- a/src/chervilrack/_internal/catalogue/evacuation.py
+++ b/src/chervilrack/_internal/catalogue/evacuation.py
@@ -2,9 +2,14 @@
 
 from collections.abc import Collection
 from dataclasses import dataclass
+from datetime import timedelta
 
 from chervilrack._internal.common.ids import ZoneId
 
+# After the store has come back from a copy that lacks an evacuation, the operator has this time to
+# write it again. Its zone gets nothing meanwhile, which is never wrong.
+EVACUATION_KEPT = timedelta(seconds=10)
+
 
 @dataclass(frozen=True, slots=True)
 class EvacuationChanged:
@@ -18,28 +23,46 @@
     """Zones that are evacuated.
 
     An evacuation holds until this node learns that it was taken back, also while the store is
-    away.
+    away. One that a copy of the store lacks holds for EVACUATION_KEPT. Times are monotonic.
     """
 
     def __init__(self) -> None:
         self._zones: frozenset[ZoneId] = frozenset()
+        # Zones that were evacuated before the store came back from a copy, and have not been since.
+        self._kept: frozenset[ZoneId] = frozenset()
+        self._kept_until: timedelta | None = None
 
     @property
     def zones(self) -> frozenset[ZoneId]:
         """The evacuated zones."""
         return self._zones
 
+    def keep(self, now: timedelta) -> None:
+        """Keep the evacuations of now, of which a copy of the store may lack some."""
+        self._kept, self._kept_until = self._zones, now + EVACUATION_KEPT
+
+    def expire(self, now: timedelta) -> list[EvacuationChanged]:
+        """End the kept evacuations that were not written again in time."""
+        if self._kept_until is None or now < self._kept_until:
+            return []
+        ended, self._kept, self._kept_until = self._kept, frozenset(), None
+        return self._change(self._zones - ended)
+
     def begin(self, zone: ZoneId) -> list[EvacuationChanged]:
         """Record that a zone is evacuated."""
-        return self.replace(self._zones | {zone})
+        self._kept -= {zone}
+        return self._change(self._zones | {zone})
 
     def end(self, zone: ZoneId) -> list[EvacuationChanged]:
         """Record that an evacuation was taken back."""
-        return self.replace(self._zones - {zone})
+        self._kept -= {zone}
+        return self._change(self._zones - {zone})
 
     def replace(self, zones: Collection[ZoneId]) -> list[EvacuationChanged]:
         """Apply all evacuations of a listing; those that it lacks were taken back."""
-        previous, self._zones = self._zones, frozenset(zones)
-        return [
-            EvacuationChanged(zone, zone in self._zones) for zone in sorted(previous ^ self._zones)
-        ]
+        self._kept -= frozenset(zones)
+        return self._change(frozenset(zones) | self._kept)
+
+    def _change(self, zones: frozenset[ZoneId]) -> list[EvacuationChanged]:
+        previous, self._zones = self._zones, zones
+        return [EvacuationChanged(zone, zone in zones) for zone in sorted(previous ^ zones)]
