--- a/features/steps/standing_steps.py
+++ b/features/steps/standing_steps.py
@@ -29,6 +29,7 @@
     UpstreamId,
     ZoneId,
 )
+from chervilrack._internal.common.positions import StorePosition
 from chervilrack._internal.common.results import Executed, Problem, ResultCode
 from chervilrack._internal.fleet.core import Fleet
 from chervilrack._internal.fleet.messages import Heartbeat
@@ -182,7 +183,7 @@
 def evacuate_zones(context):
     state = context.state
     for change in state.catalogue.evacuations.begin(ZoneId("z")):
-        state.evacuation_changed(change, 1)
+        state.evacuation_changed(change, StorePosition(0, 1))
 
 
 class RecordingCaller:
--- a/src/chervilrack/_internal/serving/state.py
+++ b/src/chervilrack/_internal/serving/state.py
@@ -27,6 +27,7 @@
 )
 from chervilrack._internal.common.clock import Clock
 from chervilrack._internal.common.ids import NodeId, RequestId, ServiceId, UpstreamId, ZoneId
+from chervilrack._internal.common.positions import StorePosition
 from chervilrack._internal.common.results import Executed, Problem, ResultCode
 from chervilrack._internal.fleet.core import Fleet
 from chervilrack._internal.forecast.core import Forecaster
@@ -714,7 +715,7 @@
                 self.balancer.standing.record_registration(change.entry.incarnation)
             )
 
-    def evacuation_changed(self, change: EvacuationChanged, revision: int) -> None:
+    def evacuation_changed(self, change: EvacuationChanged, position: StorePosition) -> None:
         """Use the upstreams of a zone, or stop using them. The caller holds the lock."""
         now = self.clock.monotonic()
         zones = self.catalogue.evacuated_zones
@@ -729,8 +730,8 @@
             "zone evacuated" if change.is_evacuated else "zone returned",
             zone=change.zone,
             upstreams=len(upstreams),
-            revision=revision,
             after_s=None if change.is_evacuated else round((now - began).total_seconds(), 3),
+            **position.fields,
         )
 
     def upstream_at(self, address: str) -> UpstreamEntry | None:
