Check a configuration before it is sent, and log findings at the nodes

Cause: a configuration that can be read may hide a route, name no service or contradict itself, and nothing said so before callers noticed. Nodes log up to five findings of each code, from a thread of its own, and apply the configuration all the same. Conclusion: keys that two organisations share are not found, as the decoder keeps one of them.

--- a/src/chervilrack/_internal/cli/main.py
+++ b/src/chervilrack/_internal/cli/main.py
@@ -17,6 +17,7 @@
     "release": ("release", "release_command"),
     "stand-in": ("standin", "standin_command"),
     "settings": ("settings", "settings_command"),
+    "config": ("config", "config_command"),
     "explain": ("explain", "explain"),
     "quickstart": ("quickstart", "quickstart"),
     "status": ("status", "status"),
--- a/src/chervilrack/_internal/serving/state.py
+++ b/src/chervilrack/_internal/serving/state.py
@@ -38,6 +38,7 @@
 from chervilrack._internal.observability.decisions import DecisionLog
 from chervilrack._internal.quarantine.profiles import piece_profile
 from chervilrack._internal.quarantine.state import CrashedRequest, RequestProfile
+from chervilrack._internal.serving.configuration_check import ConfigurationCheck
 from chervilrack._internal.serving.crash_watch import CrashWatch
 from chervilrack._internal.serving.homes import HomesCheck
 from chervilrack._internal.serving.metrics import ForecastOutcome, ServingMetrics
@@ -79,6 +80,7 @@
         self.fleet = fleet
         self.catalogue = Catalogue()
         self.regions = Regions(settings.regions)
+        self._configuration_check = ConfigurationCheck(log, settings.stop_grace)
         self.clock = clock
         self.log = log
         self.rng = random.Random()
@@ -746,6 +748,7 @@
 
         The caller holds the lock.
         """
+        self._configuration_check.start(configuration)
         for finding in self.regions.findings(configuration)[:MAX_LOGGED_FINDINGS]:
             self.log.note(
                 "catalogue",
