--- a/src/chervilrack/_internal/serving/metrics.py
+++ b/src/chervilrack/_internal/serving/metrics.py
@@ -7,6 +7,7 @@
 from collections.abc import Mapping
 from datetime import timedelta
 from enum import Enum
+from types import MappingProxyType
 
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
 
@@ -233,7 +234,7 @@
         in_progress: int,
         dropped: int,
         barred: Mapping[Bar, int],
-        held: Mapping[str, int],
+        held: Mapping[str, int] = MappingProxyType({}),
     ) -> bytes:
         """Return all metrics in the text format of Prometheus.
 
