Choose upstreams by reports that count less the older they are

Cause: nodes compare the loads of two upstreams by their peers' last reports, and the smaller one wins however old it is. Change: the policy "stale-aware". It is chosen by balancing.policy in the settings of a node; the default stays expected-wait. Metrics show the age of the reports used and the spread of the load.

--- a/features/adapter/decoding.feature
+++ b/features/adapter/decoding.feature
@@ -336,6 +336,12 @@
       | seeds ["a b:7740"]                          | refused |
       | platform {address: "10.200.1.7:0"}          | refused |
       | platform {address: "a\u0000b:8624"}         | refused |
+      | balancing {}                                | taken   |
+      | balancing {policy: expected-wait}           | taken   |
+      | balancing {policy: stale-aware}             | taken   |
+      | balancing {policy: evenly}                  | refused |
+      | balancing {policy: 3}                       | refused |
+      | balancing stale-aware                       | refused |
       | ip "10.1.0.41 "                             | refused |
       | nodeName ""                                 | refused |
       | odd 2026-99-99                              | refused |
--- a/src/chervilrack/_internal/balancing/state.py
+++ b/src/chervilrack/_internal/balancing/state.py
@@ -168,7 +168,8 @@
     """The chosen upstream, with the reason for the log.
 
     ``expected_wait`` is the expected time until the first byte, ``usual_wait`` the same for an
-    upstream with a pace of 1. ``candidates`` is the number of upstreams that were compared.
+    upstream with a pace of 1. ``candidates`` is the number of upstreams that were compared, and
+    ``report_age`` the mean age of the peers' reports, if the policy considers it.
     """
 
     upstream: UpstreamId
@@ -176,3 +177,4 @@
     expected_wait: timedelta
     usual_wait: timedelta
     candidates: int
+    report_age: timedelta | None = None
--- a/src/chervilrack/_internal/serving/metrics.py
+++ b/src/chervilrack/_internal/serving/metrics.py
@@ -12,6 +12,7 @@
 
 from chervilrack._internal.balancing.standing import OWN_ANSWER, Bar, StandingEvent
 from chervilrack._internal.batching.state import StartConditions
+from chervilrack._internal.common.ids import ServiceId
 from chervilrack._internal.forwarding.context import RequestContext
 from chervilrack._internal.forwarding.forwarder import ForwardingOutcome
 from chervilrack._internal.observability.metrics import (
@@ -27,6 +28,7 @@
 _REQUEST_BUCKETS = (0.05, 0.1, 0.2, 0.4, 0.8, 1.2, 1.6, 2, 3, 4, 6, 10, 20)
 _CALL_BUCKETS = (0.1, 0.2, 0.25, 0.3, 0.35, 0.4, 0.5, 0.7, 1, 2)
 _WAIT_BUCKETS = (0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 6)
+_AGE_BUCKETS = (0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3, 6)
 _PIECE_BUCKETS = (1, 2, 4, 8, 12, 16, 24, 32, 48, 64)
 # Organisations that have their own latency histogram on one node.
 MAX_ORGANISATIONS = 50
@@ -126,6 +128,20 @@
             ["reason"],
             registry=self._registry,
         )
+        self._report_ages = Histogram(
+            "chervilrack_serving_report_age_seconds",
+            "Mean age of the peers' reports by which an upstream was chosen.",
+            ["service"],
+            buckets=_AGE_BUCKETS,
+            registry=self._registry,
+        )
+        self._spreads = Gauge(
+            "chervilrack_serving_load_spread_ratio",
+            "Standard deviation of the requests in flight at the upstreams of a service, relative "
+            "to their mean, by this node's requests and the last reports of its peers.",
+            ["service"],
+            registry=self._registry,
+        )
         self._loads = Counter(
             "chervilrack_serving_upstream_loads",
             "Answers in which an upstream states its load, by whether that can be read.",
@@ -202,6 +218,10 @@
         reader = source if source in (OWN_ANSWER, "") else "peer"
         self._statements.labels(event.value, reader or "directory").inc()
 
+    def aged_reports_used(self, service: str, age: timedelta) -> None:
+        """Record the mean age of the peers' reports by which an upstream was chosen."""
+        self._report_ages.labels(self._services.label(service)).observe(age.total_seconds())
+
     def load_stated(self, *, readable: bool) -> None:
         """Count an answer in which an upstream states its load."""
         self._loads.labels("read" if readable else "unreadable").inc()
@@ -222,12 +242,22 @@
         """Count a revision of an entry that was left out; ``kind`` is what its key names."""
         self._unreadable.labels(kind).inc()
 
-    def render(self, in_progress: int, dropped: int, barred: Mapping[Bar, int]) -> bytes:
+    def render(
+        self,
+        in_progress: int,
+        dropped: int,
+        barred: Mapping[Bar, int],
+        spreads: Mapping[ServiceId, float] | None = None,
+    ) -> bytes:
         """Return all metrics in the text format of Prometheus.
 
         ``in_progress`` is the number of requests in progress, ``dropped`` the number of log lines
-        dropped since the last report and ``barred`` the number of upstreams that get nothing.
+        dropped since the last report, ``barred`` the number of upstreams that get nothing and
+        ``spreads`` the spread of the load of each service that has any.
         """
+        self._spreads.clear()
+        for service, spread in (spreads or {}).items():
+            self._spreads.labels(self._services.label(service)).set(spread)
         for reason in Bar:
             self._barred.labels(reason.value).set(barred.get(reason, 0))
         self._thread_failures.update()
--- a/src/chervilrack/_internal/serving/node.py
+++ b/src/chervilrack/_internal/serving/node.py
@@ -342,7 +342,10 @@
         elif request.path == METRICS_PATH:
             with self._state.lock:
                 barred = self._state.count_barred()
-            body = self._state.metrics.render(self._state.in_progress, self._log.dropped, barred)
+                spreads = self._state.load_spreads()
+            body = self._state.metrics.render(
+                self._state.in_progress, self._log.dropped, barred, spreads
+            )
             responder.send_response(200, [("Content-Type", CONTENT_TYPE)], body)
         else:
             responder.send_response(404, [], b"")
--- a/src/chervilrack/_internal/serving/settings.py
+++ b/src/chervilrack/_internal/serving/settings.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 from typing import Self
 
+from chervilrack._internal.balancing.core import DEFAULT_POLICY
 from chervilrack._internal.changefeed.limits import ApplyLimits
 from chervilrack._internal.common.ids import NodeId, ZoneId
 from chervilrack._internal.limits.retry_budget import RetryBudgetSettings
@@ -59,7 +60,7 @@
     lookup_lifetime: timedelta = timedelta(seconds=2)
     stop_grace: timedelta = timedelta(seconds=8)
     retry_budget: RetryBudgetSettings = field(default_factory=RetryBudgetSettings)
-    balancing_policy: str = "expected-wait"
+    balancing_policy: str = DEFAULT_POLICY
     batching: str = "shared"
     cpu_cores: float = 1.0
     # Above this many bytes of memory, the process is killed.
--- a/src/chervilrack/_internal/serving/state.py
+++ b/src/chervilrack/_internal/serving/state.py
@@ -362,6 +362,8 @@
                 choice.usual_wait + ENGINE_OVERHEAD if context.load.prompt_tokens else typical
             )
             self._awaited_first_bytes[(context.metadata.request_id, entry.id)] = (now, expected)
+        if choice.report_age is not None:
+            self.metrics.aged_reports_used(entry.service, choice.report_age)
 
     def answer_received(
         self,
@@ -412,6 +414,7 @@
                 self.forecaster.record_first_event(_subject(context), size, took, now)
             average = self._first_byte_times.get(context.service, INITIAL_FIRST_BYTE_TIME)
             self.balancer.observe_pace(entry.id, expected, took, now)
+            self.balancer.times.record_first_byte(entry.service, took)
             self._first_byte_times[context.service] = average + (took - average) * FIRST_BYTE_WEIGHT
 
     def stream_ended(self, context: RequestContext, size: StreamSize, took: timedelta) -> None:
@@ -437,6 +440,7 @@
             ):
                 took = now - context.attempt_began
                 self.forecaster.record(_subject(context), Work.ATTEMPT, took, now)
+                self.balancer.times.record_stay(entry.service, took)
             if (
                 self._awaited_first_bytes.pop((context.metadata.request_id, entry.id), None)
                 is not None
@@ -703,6 +707,15 @@
         """Record the upstreams that a peer reports as leaving."""
         self._report_standing(self.balancer.standing.record_peer_reports(node, reports))
 
+    def load_spreads(self) -> dict[ServiceId, float]:
+        """Return the spread of the load over the ready upstreams, by service with any load."""
+        services = {entry.service for entry in self.catalogue.upstreams.values()}
+        spreads = {
+            service: self.balancer.load_spread(self.catalogue.ready_upstreams(service))
+            for service in services
+        }
+        return {service: spread for service, spread in spreads.items() if spread is not None}
+
     def count_barred(self) -> Counter[Bar]:
         """Return the number of registered upstreams that get nothing, by reason."""
         now = self.clock.monotonic()
--- a/src/chervilrack/platform/settings.py
+++ b/src/chervilrack/platform/settings.py
@@ -7,6 +7,7 @@
 import msgspec
 import yaml
 
+from chervilrack._internal.balancing.core import DEFAULT_POLICY, balancing_policies
 from chervilrack._internal.changefeed.limits import ApplyLimits
 from chervilrack._internal.common.addresses import is_address, parse_address
 from chervilrack._internal.common.decoding import UnreadableValue, decode_value
@@ -66,6 +67,12 @@
     memory_mb: _Amount = 300.0
 
 
+class _Balancing(msgspec.Struct):
+    """Choice of upstreams; ``policy`` is a registered balancing policy."""
+
+    policy: str = DEFAULT_POLICY
+
+
 class _SettingsFile(msgspec.Struct, rename="camel"):
     """The settings file; unknown fields are ignored. ``seeds`` are control addresses of nodes."""
 
@@ -78,6 +85,7 @@
     seeds: tuple[str, ...] = ()
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    balancing: _Balancing = msgspec.field(default_factory=_Balancing)
 
 
 def load_settings(file: Path) -> ServingSettings:
@@ -116,6 +124,7 @@
             window=timedelta(seconds=content.bounds.budget_window_s),
             slack=content.bounds.retry_slack,
         ),
+        balancing_policy=content.balancing.policy,
         cpu_cores=content.limits.cpu_share * content.limits.cores,
         memory_bytes=round(content.limits.memory_mb * 1e6),
         apply_limits=ApplyLimits(
@@ -153,6 +162,11 @@
     for seed in values.get("seeds", ()):
         if not is_address(seed):
             mistakes.append(f"{file}: seeds: expected IP:PORT, not '{seed[:MAX_NAME_LENGTH]}'")
+    policy = values["balancing"].policy if "balancing" in values else DEFAULT_POLICY
+    if policy not in balancing_policies.names:
+        names = ", ".join(balancing_policies.names)
+        found = policy[:MAX_NAME_LENGTH]
+        mistakes.append(f"{file}: balancing.policy: expected one of {names}, not '{found}'")
     if "platform" in values and not is_address(values["platform"].address):
         mistakes.append(f"{file}: platform.address: expected IP:PORT")
     if "ip" in values and not is_address(f"{values['ip']}:1"):
