--- a/src/chervilrack/_internal/serving/node.py
+++ b/src/chervilrack/_internal/serving/node.py
@@ -363,13 +363,14 @@
         elif request.path == METRICS_PATH:
             with self._state.lock:
                 barred = self._state.count_barred()
+                spreads = self._state.load_spreads()
             held = {
                 "answers": self._answer_memory.used,
                 "bodies": self._body_memory.used,
                 "unread": self._unread_memory.used,
             }
             body = self._state.metrics.render(
-                self._state.in_progress, self._log.dropped, barred, held
+                self._state.in_progress, self._log.dropped, barred, held, spreads
             )
             responder.send_response(200, [("Content-Type", CONTENT_TYPE)], body)
         else:
--- a/src/chervilrack/_internal/serving/settings.py
+++ b/src/chervilrack/_internal/serving/settings.py
@@ -6,6 +6,7 @@
 from datetime import timedelta
 from typing import Self
 
+from chervilrack._internal.balancing.core import DEFAULT_POLICY
 from chervilrack._internal.changefeed.limits import ApplyLimits
 from chervilrack._internal.common.ids import NodeId, RegionId, ZoneId
 from chervilrack._internal.fleet.lookup import LookupBounds
@@ -64,7 +65,7 @@
     lookup_bounds: LookupBounds | None = None
     stop_grace: timedelta = timedelta(seconds=8)
     retry_budget: RetryBudgetSettings = field(default_factory=RetryBudgetSettings)
-    balancing_policy: str = "expected-wait"
+    balancing_policy: str = DEFAULT_POLICY
     batching: str = "shared"
     cpu_cores: float = 1.0
     # Above this many bytes of memory, the process is killed.
