Use upstreams again that only did not register in time after a return

Cause: upstreams that had been dropped because they had not registered again in time counted as ended, and what the next copy or the upstreams themselves wrote of them was not used for six seconds, anew after each return. Change: only an end that the store or a peer tells, with no return shortly before, is remembered.

--- a/features/catalogue/store_returns.feature
+++ b/features/catalogue/store_returns.feature
@@ -143,3 +143,13 @@
       | with evacuation    | z1 is taken back    | z1 is taken back    | 0    | in use      |
       | with evacuation    | nothing happens     | nothing happens     | 20   | evacuated   |
       | with evacuation    | nothing happens     | z1 is taken back    | 0    | in use      |
+
+  # Guards against an upstream that is taken for one that left because it was not written again in time (LOST).
+  Scenario: an upstream that was dropped after a return is used again as soon as it is registered in a later era
+    Given a node that has listed u1 and u2 in era 1, of which a copy is kept
+    When u3 is written before the return
+    And the node lists the copy in era 2, and then nothing happens
+    And 2.3 s pass at the node
+    And the node lists the copy in era 3
+    And u3 is written in era 3
+    Then u3 is ready
--- a/features/steps/store_returns_steps.py
+++ b/features/steps/store_returns_steps.py
@@ -238,3 +238,8 @@
 @then("zone z1 is {state}")
 def check_zone(context, state):
     assert ("z1" in context.node.catalogue.evacuated_zones) == (state == "evacuated")
+
+
+@when("u3 is written in era 3")
+def write_in_third_era(context):
+    change_store(context.node, "u3 is written", 3)
--- a/src/chervilrack/_internal/catalogue/core.py
+++ b/src/chervilrack/_internal/catalogue/core.py
@@ -207,7 +207,7 @@
             effects += self.put_upstream(entry, revision)
         for upstream in [u for u in self._upstreams if u not in entries]:
             if upstream not in lapsed and not self._is_kept_after_return(upstream, now):
-                effects += self._remove(upstream)
+                effects += self._remove(upstream, is_known_end=not self._ended.is_doubting)
             elif self._lapsed.get(upstream) is None:
                 self._lapsed[upstream] = now + REREGISTRATION_GRACE
         self._drop_withheld(entries)
@@ -315,7 +315,7 @@
             if (not may_have_lapsed if until is None else now >= until)
         ]
         for upstream in ended:
-            effects += self._remove(upstream)
+            effects += self._remove(upstream, is_known_end=False)
         return effects
 
     def _may_have_lapsed(self, now: timedelta) -> bool:
@@ -323,12 +323,14 @@
             return True
         return self._had_outage and now < self._available_again_at + REREGISTRATION_GRACE
 
-    def _remove(self, upstream: UpstreamId) -> list[CatalogueEffect]:
+    def _remove(self, upstream: UpstreamId, *, is_known_end: bool = True) -> list[CatalogueEffect]:
+        """Remove an upstream; ``is_known_end`` is false if it only did not register again."""
         self._lapsed.pop(upstream, None)
         previous = self._upstreams.pop(upstream, None)
         if previous is None:
             return []
-        self._ended.record_end(previous, self._era)
+        if is_known_end:
+            self._ended.record_end(previous, self._era)
         self._update_ready_index(previous.service, None)
         return [UpstreamChanged(upstream, None, previous)]
 
--- a/src/chervilrack/_internal/catalogue/returns.py
+++ b/src/chervilrack/_internal/catalogue/returns.py
@@ -47,6 +47,11 @@
         """Upstreams that are registered, but not used for the time being."""
         return frozenset(self._withheld)
 
+    @property
+    def is_doubting(self) -> bool:
+        """Whether the store has come back from a copy a short time ago."""
+        return self._doubted_until is not None
+
     def begin_doubt(self, now: timedelta) -> None:
         """Record that the store has come back from a copy."""
         self._doubted_until = now + DOUBT_TIME
--- a/src/chervilrack/_internal/serving/directory.py
+++ b/src/chervilrack/_internal/serving/directory.py
@@ -188,13 +188,16 @@
             **position.fields,
         )
 
+    def _is_overtaken(self, position: StorePosition) -> bool:
+        return self._is_listed and position < self._position
+
     def _apply_listing(self, items: tuple[KeyValue, ...], position: StorePosition) -> None:
         """Apply a listing, unless a peer's state or relayed changes have overtaken it.
 
         A listing that is older than the node's position holds upstreams that were removed since,
         and lacks new ones. The watch, which begins at the node's position, would not correct this.
         """
-        if self._is_listed and position < self._position:
+        if self._is_overtaken(position):
             self._state.log.note(
                 "store",
                 "older listing ignored",
