Withhold what a copy lists of upstreams that did not register in time

Change: such an end counts as uncertain: what a listing of a copy says of it is not used, what a watch tells is. An end that a watch told while the node still kept the upstream is remembered, too.

--- a/src/chervilrack/_internal/catalogue/core.py
+++ b/src/chervilrack/_internal/catalogue/core.py
@@ -182,7 +182,7 @@
         """
         effects: list[CatalogueEffect] = []
         for entry, revision in entries.values():
-            effects += self.put_upstream(entry, revision)
+            effects += self.put_upstream(entry, revision, is_listed=True)
         for upstream in [u for u in self._upstreams if u not in entries]:
             effects += self.remove_upstream(upstream, None, now)
         self._drop_withheld(entries)
@@ -204,10 +204,10 @@
         """
         effects: list[CatalogueEffect] = []
         for entry, revision in entries.values():
-            effects += self.put_upstream(entry, revision)
+            effects += self.put_upstream(entry, revision, is_listed=True)
         for upstream in [u for u in self._upstreams if u not in entries]:
             if upstream not in lapsed and not self._is_kept_after_return(upstream, now):
-                effects += self._remove(upstream, is_known_end=not self._ended.is_doubting)
+                effects += self._remove(upstream, is_certain=not self._ended.is_doubting)
             elif self._lapsed.get(upstream) is None:
                 self._lapsed[upstream] = now + REREGISTRATION_GRACE
         self._drop_withheld(entries)
@@ -225,10 +225,13 @@
             if upstream not in entries:
                 self._ended.drop(upstream)
 
-    def put_upstream(self, entry: UpstreamEntry, revision: int) -> list[CatalogueEffect]:
+    def put_upstream(
+        self, entry: UpstreamEntry, revision: int, *, is_listed: bool = False
+    ) -> list[CatalogueEffect]:
         """Add or replace one entry; an older revision than the known one is ignored.
 
         After a return of the store, so is an entry that says less than an earlier era did.
+        ``is_listed`` is whether the entry may have been written before the return.
         """
         position = StorePosition(self._era, revision)
         if position < self._positions.get(entry.id, ORIGIN):
@@ -236,7 +239,7 @@
         if self.supersedes(entry):
             self._keep_superseding(entry)
             return []
-        if self._ended.withhold(entry, revision, self._era):
+        if self._ended.withhold(entry, revision, self._era, is_listed=is_listed):
             return []
         self._positions[entry.id] = position
         self._lapsed.pop(entry.id, None)
@@ -281,6 +284,8 @@
             self._positions[upstream] = position
         if entry.state is UpstreamState.READY and self._may_have_lapsed(now):
             self._lapsed.setdefault(upstream, None)
+            if revision is not None:
+                self._ended.record_end(entry, self._era, is_certain=True)
             return []
         return self._remove(upstream)
 
@@ -315,7 +320,7 @@
             if (not may_have_lapsed if until is None else now >= until)
         ]
         for upstream in ended:
-            effects += self._remove(upstream, is_known_end=False)
+            effects += self._remove(upstream, is_certain=False)
         return effects
 
     def _may_have_lapsed(self, now: timedelta) -> bool:
@@ -323,14 +328,13 @@
             return True
         return self._had_outage and now < self._available_again_at + REREGISTRATION_GRACE
 
-    def _remove(self, upstream: UpstreamId, *, is_known_end: bool = True) -> list[CatalogueEffect]:
-        """Remove an upstream; ``is_known_end`` is false if it only did not register again."""
+    def _remove(self, upstream: UpstreamId, *, is_certain: bool = True) -> list[CatalogueEffect]:
+        """Remove an upstream; ``is_certain`` is false if it only did not register again."""
         self._lapsed.pop(upstream, None)
         previous = self._upstreams.pop(upstream, None)
         if previous is None:
             return []
-        if is_known_end:
-            self._ended.record_end(previous, self._era)
+        self._ended.record_end(previous, self._era, is_certain=is_certain)
         self._update_ready_index(previous.service, None)
         return [UpstreamChanged(upstream, None, previous)]
 
--- a/src/chervilrack/_internal/catalogue/returns.py
+++ b/src/chervilrack/_internal/catalogue/returns.py
@@ -17,6 +17,7 @@
 class _Ended:
     started_at_ms: int
     era: int
+    is_certain: bool
 
 
 def is_superseded(entry: UpstreamEntry, known: UpstreamEntry) -> bool:
@@ -56,23 +57,31 @@
         """Record that the store has come back from a copy."""
         self._doubted_until = now + DOUBT_TIME
 
-    def record_end(self, entry: UpstreamEntry, era: int) -> None:
-        """Remember an upstream that is no longer registered in an era."""
-        self._ended.pop(entry.id, None)
-        self._ended[entry.id] = _Ended(entry.started_at_ms, era)
+    def record_end(self, entry: UpstreamEntry, era: int, *, is_certain: bool) -> None:
+        """Remember an upstream that is no longer registered in an era.
+
+        It is not certain that an upstream has ended that only did not register again after an
+        outage or a return.
+        """
+        known = self._ended.pop(entry.id, None)
+        is_certain = is_certain or (known is not None and known.is_certain)
+        self._ended[entry.id] = _Ended(entry.started_at_ms, era, is_certain)
         if len(self._ended) > MAX_ENDED:
             del self._ended[next(iter(self._ended))]
 
-    def withhold(self, entry: UpstreamEntry, revision: int, era: int) -> bool:
+    def withhold(self, entry: UpstreamEntry, revision: int, era: int, *, is_listed: bool) -> bool:
         """Whether an entry is not to be used yet, because its upstream ended in an earlier era.
 
-        The entry is kept if so, and forgotten among the ended ones otherwise.
+        If that is not certain, entries are used that have been written since the return, which
+        those of a listing may not have been. The entry is kept if it is not to be used, and its
+        upstream forgotten among the ended ones otherwise.
         """
         ended = self._ended.get(entry.id)
         is_doubtful = (
             self._doubted_until is not None
             and ended is not None
             and ended.era < era
+            and (ended.is_certain or is_listed)
             and entry.started_at_ms <= ended.started_at_ms
         )
         if is_doubtful:
