Let slow upstreams count less in the admission

Cause: The admission took the rate of a service from the number of its upstreams alone; slow ones made it admit more than the later stages could do. Change: An upstream counts by its pace, which the owner of its queue knows and sends with its heartbeats; no further message.

--- a/features/admission/admission.feature
+++ b/features/admission/admission.feature
@@ -88,3 +88,20 @@
   Scenario: the work of an order includes the stages that follow from it
     Given routes that begin at first, first with targets of 1000, 2000 ms, the first of 3 stages
     Then an order of the first route for 2, 6, 10 pieces brings that work to first, second, third
+
+  Scenario Outline: with <upstreams> upstreams, of which <state>, orders <outcome>
+    A node decides for services whose queues others own. The pace of their upstreams comes with the
+    heartbeats of the owners, in the same way as their suspicions.
+
+    Given a node that admits orders for a service with <upstreams> upstreams of 10 pieces a second
+    And <state>
+    When orders for 5, 5, 5, 5, 5, 5, 5 pieces arrive there
+    Then orders <outcome>
+
+    Examples: work of 250 ms may be ahead, at 0.95 of the rate
+      | upstreams | state                                    | outcome               |
+      | 5         | all are sound                            | need no admission     |
+      | 8         | all are sound                            | are admitted up to 20 |
+      | 8         | 4 are reported with a pace of 1.2        | are admitted up to 20 |
+      | 8         | 4 are reported with a pace of 4.0        | are admitted up to 15 |
+      | 8         | 4 are suspected by this node             | are admitted up to 10 |
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -1,19 +1,34 @@
 """Steps for the admission of orders for first stages."""
 
+import random
 from datetime import timedelta
+from types import SimpleNamespace
 
 from behave import given, then, use_step_matcher, when
 
 from chervilrack._internal.admission.core import Admission
 from chervilrack._internal.admission.rules import competing_routes, work_from
 from chervilrack._internal.admission.state import Admit, Refuse, Work
+from chervilrack._internal.balancing.core import Balancer
+from chervilrack._internal.balancing.state import UpstreamReport
 from chervilrack._internal.batching.state import Order
-from chervilrack._internal.catalogue.state import RequestKind, Route, StageSpec
-from chervilrack._internal.common.ids import NodeId, RequestId, ServiceId
+from chervilrack._internal.catalogue.state import (
+    BatchSpec,
+    RequestKind,
+    Route,
+    ServiceSpec,
+    StageSpec,
+    UpstreamEntry,
+    UpstreamState,
+)
+from chervilrack._internal.common.ids import NodeId, RequestId, ServiceId, UpstreamId, ZoneId
+from chervilrack._internal.serving.metrics import ServingMetrics
+from chervilrack._internal.serving.stage_admission import StageAdmission
 
 SERVICES = ("first", "second", "third")
 RATE = 100.0
 TICK = timedelta(milliseconds=50)
+ZONE = ZoneId("z")
 
 
 @given("an admission for services of 100 pieces a second")
@@ -189,3 +204,80 @@
         Work(ServiceId(name), n) for name, n in zip(services.split(", "), counts, strict=True)
     ]
     assert list(work_from(context.routes[0], 0, counts)) == expected
+
+
+@given("a node that admits orders for a service with {count:d} upstreams of 10 pieces a second")
+def create_admitting_node(context, count):
+    # A full call has 10 pieces and takes 1 s.
+    spec = BatchSpec(1, 2, 10, timedelta(seconds=0.5), timedelta(seconds=0.05), 10**6, TICK)
+    service = ServiceId("first")
+    entries = [
+        UpstreamEntry(UpstreamId(f"i-{n}"), service, f"10.0.0.{n}:80", ZONE, UpstreamState.READY)
+        for n in range(count)
+    ]
+    context.balancer = Balancer(ZONE, random.Random(1))
+    context.admitted = []
+    state = SimpleNamespace(
+        catalogue=SimpleNamespace(
+            configuration=SimpleNamespace(services={service: ServiceSpec(service, batching=spec)})
+        ),
+        upstreams=lambda _: entries,
+        balancer=context.balancer,
+        metrics=ServingMetrics(),
+        log=SimpleNamespace(note=lambda *args, **fields: None),
+    )
+    context.node = StageAdmission(state, context.admitted.append, lambda order, after: None)
+    context.now = timedelta(seconds=10)
+    context.orders = []
+
+
+@given("all are sound")
+def keep_sound(context):
+    del context
+
+
+@given("{count:d} are reported with a pace of {pace:g}")
+def report_pace(context, count, pace):
+    reports = [UpstreamReport(f"i-{n}", 1, 0, False, pace, 0.0) for n in range(count)]
+    context.balancer.set_peer_reports(NodeId("owner"), reports, context.now)
+
+
+@given("{count:d} are suspected by this node")
+def suspect(context, count):
+    for number in range(count):
+        context.balancer.record_failure(UpstreamId(f"i-{number}"), context.now, "down", True)
+
+
+@when("orders for {pieces} pieces arrive there")
+def submit_to_node(context, pieces):
+    context.in_force = True
+    for number, count in enumerate(pieces.split(", ")):
+        work = (Work(ServiceId("first"), int(count)),)
+        context.in_force = context.in_force and context.node.is_in_force(work, context.now)
+        if context.in_force:
+            order = Order(
+                id=(NodeId("b"), number),
+                service=ServiceId("first"),
+                request_id=RequestId(f"r{number}"),
+                stage=0,
+                key="k",
+                inputs=(),
+                due=context.now + timedelta(seconds=5),
+                deadline=context.now + timedelta(seconds=5),
+                result_size=100,
+                queued_at=context.now,
+                pending_segments=set(range(int(count))),
+            )
+            context.node.submit(order, "a", work, context.now)
+
+
+@then("orders need no admission")
+def check_not_in_force(context):
+    assert not context.in_force
+
+
+@then("orders are admitted up to {pieces:d}")
+def check_admitted_pieces(context, pieces):
+    admitted = sum(len(order.pending_segments) for order in context.admitted)
+    assert context.in_force
+    assert admitted == pieces, admitted
--- a/src/chervilrack/_internal/serving/stage_admission.py
+++ b/src/chervilrack/_internal/serving/stage_admission.py
@@ -7,11 +7,13 @@
 from chervilrack._internal.admission.settings import AdmissionSettings
 from chervilrack._internal.admission.state import AdmissionEffect, Admit, Refuse, Work
 from chervilrack._internal.batching.state import Order, OrderId
-from chervilrack._internal.common.ids import NodeId, ServiceId
+from chervilrack._internal.common.ids import NodeId, ServiceId, UpstreamId
 from chervilrack._internal.serving.state import ServingState
 
 # What the upstreams can do is read again after this time.
 RATES_PERIOD = timedelta(milliseconds=200)
+# Upstreams count with their full rate up to this pace, which single calls reach by chance.
+USUAL_PACE = 1.3
 _MILLISECOND = timedelta(milliseconds=1)
 
 
@@ -115,7 +117,8 @@
     def _read_rates(self, now: timedelta) -> None:
         """Read the rates of the stage services with enough upstreams.
 
-        Upstreams that are suspected of failure do not count.
+        Upstreams that are suspected of failure do not count, and slow ones less. What the owners of
+        the other queues know of their upstreams comes with their heartbeats.
         """
         if self._rates_read_at is not None and now < self._rates_read_at + RATES_PERIOD:
             return
@@ -129,7 +132,14 @@
             upstreams = self._state.upstreams(spec.id)
             if len(upstreams) < self._settings.min_upstreams:
                 continue
-            usable = sum(not self._state.balancer.is_suspected(e.id, now) for e in upstreams)
+            usable = sum(self._share_of_rate(entry.id, now) for entry in upstreams)
             full_call = batching.call_time + batching.batch * batching.item_time
-            self._rates[spec.id] = max(1, usable) * batching.batch / full_call.total_seconds()
+            self._rates[spec.id] = max(1.0, usable) * batching.batch / full_call.total_seconds()
         self._admission.configure(self._rates)
+
+    def _share_of_rate(self, upstream: UpstreamId, now: timedelta) -> float:
+        """Return what an upstream does, relative to one that is sound and as fast as usual."""
+        if self._state.balancer.is_suspected(upstream, now):
+            return 0.0
+        pace = self._state.balancer.known_pace(upstream, now)
+        return 1.0 / pace if pace > USUAL_PACE else 1.0
