--- a/src/chervilrack/_internal/balancing/core.py
+++ b/src/chervilrack/_internal/balancing/core.py
@@ -362,6 +362,13 @@
         """Return what this node believes of the pace of an upstream."""
         return self.paces.believed(upstream, now).pace
 
+    def known_pace(self, upstream: UpstreamId, now: timedelta) -> float:
+        """Return the slowest pace that this node has seen or that a peer reports."""
+        status = self._status.get(upstream)
+        own = self.pace(status, now) if status is not None else 1.0
+        reports = self._reports.get(upstream, {}).values()
+        return max([own, *(report.pace for report in reports)])
+
     def forget(self, upstream: UpstreamId) -> None:
         """Drop the status of an upstream that is gone, unless requests are in flight at it."""
         status = self._status.get(upstream)
