Join the parts: pace of stage upstreams, settings checks, answers of test stores

Cause: the admission read the balancer's peer reports, which have moved to a module of their own; the check of settings had grown by two parts; stand-in answers of the store lacked an era. Change: PeerReports.slowest_pace, platform/settings._check, and the era in decoding_steps.py. Conclusion: no check was changed.

--- a/features/steps/decoding_steps.py
+++ b/features/steps/decoding_steps.py
@@ -7,6 +7,7 @@
 import tempfile
 from datetime import timedelta
 from pathlib import Path
+from types import SimpleNamespace
 
 from adapter_steps import CONFIGURATION, REGISTRATION, SETTINGS
 from behave import given, then, when
@@ -434,7 +435,7 @@
     def _call(self, *_args, **_kwargs):
         if not self._answers:
             raise PlatformUnavailable("no further answer")
-        return 200, self._answers.pop(0)
+        return SimpleNamespace(status=200, body=self._answers.pop(0), era=0)
 
 
 def item(key, revision):
--- a/src/chervilrack/_internal/balancing/core.py
+++ b/src/chervilrack/_internal/balancing/core.py
@@ -364,10 +364,7 @@
 
     def known_pace(self, upstream: UpstreamId, now: timedelta) -> float:
         """Return the slowest pace that this node has seen or that a peer reports."""
-        status = self._status.get(upstream)
-        own = self.pace(status, now) if status is not None else 1.0
-        reports = self._reports.get(upstream, {}).values()
-        return max([own, *(report.pace for report in reports)])
+        return max(self.pace(upstream, now), self.peer_reports.slowest_pace(upstream))
 
     def forget(self, upstream: UpstreamId) -> None:
         """Drop the status of an upstream that is gone, unless requests are in flight at it."""
--- a/src/chervilrack/_internal/balancing/peer_reports.py
+++ b/src/chervilrack/_internal/balancing/peer_reports.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from chervilrack._internal.balancing.pace import USUAL
 from chervilrack._internal.balancing.state import PeerSummary, UpstreamReport
 from chervilrack._internal.common.ids import NodeId, UpstreamId
 
@@ -93,6 +94,11 @@
         shown = [pace for pace in paces if pace > 0 and abs(pace - 1) >= LEAST_DEVIATION]
         return math.exp(sum(map(math.log, shown)) / (len(shown) + 1))
 
+    def slowest_pace(self, upstream: UpstreamId) -> float:
+        """Return the slowest reported pace of an upstream, the usual one without reports."""
+        reports = self._reports.get(upstream, {}).values()
+        return max((report.pace for report in reports), default=USUAL)
+
     def silence(self, upstream: UpstreamId, min_peers: int) -> timedelta | None:
         """Return when an upstream fell silent to the last of enough peers, None if it did not."""
         silences = self._silences.get(upstream, {})
--- a/src/chervilrack/platform/settings.py
+++ b/src/chervilrack/platform/settings.py
@@ -1,5 +1,6 @@
 """Reader of the platform's settings file for a serving node."""
 
+from collections.abc import Mapping
 from datetime import timedelta
 from pathlib import Path
 from typing import Annotated, Any, Final
@@ -178,6 +179,12 @@
             values[field.name] = msgspec.convert(raw[field.encode_name], field.type)
         except msgspec.ValidationError as error:
             mistakes.append(f"{file}: {field.encode_name}: {error}")
+    _check(values, mistakes, file)
+    return None if mistakes else _SettingsFile(**values)
+
+
+def _check(values: Mapping[str, Any], mistakes: list[str], file: str) -> None:
+    """Add to ``mistakes`` what is wrong with the values of fields that could be converted."""
     for listener in ("frontend", "readiness", "directory"):
         listen = values.get("listen")
         if listen is not None and not is_address(getattr(listen, listener), is_listener=True):
@@ -197,7 +204,6 @@
     region, zones = values.get("region"), values.get("zones") or {}
     if region and zones.get(values.get("zone"), region) != region:
         mistakes.append(f"{file}: zones: the VM's own zone is in another region than '{region}'")
-    return None if mistakes else _SettingsFile(**values)
 
 
 def _parse_address(text: str) -> Address:
