Give a request of the tests the fields that orders read

Cause: orders name their organisation and the work of later stages now. Change: the fixture of standing.feature has these fields; no check was changed.

--- a/features/steps/standing_steps.py
+++ b/features/steps/standing_steps.py
@@ -261,7 +261,13 @@
 @when("the owner of a queue reports that all upstreams want a pause of {seconds:g} s")
 def report_pause(context, seconds):
     planned = PlannedStage(0, SERVICE, (0,), (), s(1), s(1), 100, "", 0)
-    request = SimpleNamespace(metadata=SimpleNamespace(request_id="r"), priority=0)
+    request = SimpleNamespace(
+        metadata=SimpleNamespace(request_id="r"),
+        priority=0,
+        organisation=None,
+        configuration=SimpleNamespace(routes=()),
+        route=SimpleNamespace(name="r"),
+    )
     context.results = []
     context.coordinator.place_order(StageOrder(request, planned, "k"), context.results.append)
     ((wanted,)) = context.transport.sent
