Measure the check of a large configuration in processor time

Change: the same bound of 2 s holds for the processor time of the process, which a busy machine does not lengthen by waiting. Conclusion: the bound is as strict for the code; the wall clock is no longer a criterion.

--- a/features/catalogue/check.feature
+++ b/features/catalogue/check.feature
@@ -95,8 +95,8 @@
     When the file is checked
     Then the check finds E001 at zone, listen, internalPorts, platform and ends with 1
 
-  Scenario: a configuration of 5000 routes is checked in less than 2 s
+  Scenario: a configuration of 5000 routes is checked in less than 2 s of processor time
     Given a configuration with 5000 more routes
     When the configuration is checked
     Then the check finds nothing and ends with 0
-    And the check took less than 2 s
+    And the check took less than 2 s of processor time
--- a/features/steps/check_steps.py
+++ b/features/steps/check_steps.py
@@ -87,11 +87,11 @@
 
 
 def run(context, *arguments):
-    began = time.monotonic()
+    began = time.process_time()
     result = CliRunner().invoke(
         config_command, ["check", *arguments, "--json"], standalone_mode=False
     )
-    context.took = time.monotonic() - began
+    context.took = time.process_time() - began
     assert result.exception is None, result.exception
     context.status = result.return_value
     context.findings = json.loads(result.output)["findings"]
@@ -165,6 +165,6 @@
     assert context.status == status, context.status
 
 
-@then("the check took less than {limit:d} s")
+@then("the check took less than {limit:d} s of processor time")
 def check_time_taken(context, limit):
     assert context.took < limit, context.took
