Bound the requests to cold upstreams over all nodes

Cause: coldStartS, coldPerS and coldRemainingMs were used by nothing; a zone that returns cold would have got all that its load invites. Change: An upstream counts as cold for coldStartS from when a node learns that it started, says so, its zone returned, or it answers again after refusing connections (ServingState). Requests without another upstream get 503 with code 1410 and the time until this node may send. In force only with coldOverage or coldSlack in the settings and both values at the service. evacuateMs counts among the bounds of the feed.

--- a/src/chervilrack/_internal/catalogue/state.py
+++ b/src/chervilrack/_internal/catalogue/state.py
@@ -97,15 +97,30 @@
     kv_tokens: int
 
 
+@dataclass(frozen=True, slots=True)
+class WarmUpSpec:
+    """How the upstreams of a service warm up after a cold start.
+
+    An upstream is cold for up to ``duration``. It then bears ``rate`` requests a second.
+    """
+
+    duration: timedelta
+    rate: float
+
+
 @dataclass(frozen=True, slots=True)
 class ServiceSpec:
-    """One service; ``batching`` is set for stage services, ``engine`` for model services."""
+    """One service; ``batching`` is set for stage services, ``engine`` for model services.
+
+    ``warm_up`` is set for services whose upstreams must not get many requests while cold.
+    """
 
     id: ServiceId
     health_path: str = "/health"
     max_connections: int = 0
     batching: BatchSpec | None = None
     engine: EngineSpec | None = None
+    warm_up: WarmUpSpec | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/chervilrack/_internal/common/results.py
+++ b/src/chervilrack/_internal/common/results.py
@@ -46,6 +46,7 @@
     UPSTREAMS_PAUSED = (1407, 503, "All upstreams of a service want a pause", True)
     CRASHES_UPSTREAMS = (1408, 503, "Requests like this one crash upstreams", True)
     ZONES_EVACUATED = (1409, 503, "All upstreams of a service lie in evacuated zones", True)
+    UPSTREAMS_COLD = (1410, 503, "All usable upstreams of a service are cold", True)
     IDEMPOTENCY_KEY_MISSING = (1501, 400, "The operation needs an Idempotency-Key", False)
     IDEMPOTENCY_KEY_REUSED = (1502, 422, "The Idempotency-Key was used for another request", False)
     ORDER_OUTCOME_UNKNOWN = (1503, 409, "The outcome of the order is not known", False)
--- a/src/chervilrack/_internal/fleet/core.py
+++ b/src/chervilrack/_internal/fleet/core.py
@@ -175,6 +175,30 @@
         least_cores = max(cores_by_node.values()) * self._settings.owner_cpu_share
         return sorted(node for node, cores in cores_by_node.items() if cores >= least_cores)
 
+    def settled_nodes(self) -> list[NodeId]:
+        """Return the nodes that take work and have been ready for long enough to be known to all.
+
+        This node is included if that is so for itself.
+        """
+        settled = [
+            peer.node
+            for peer in self._peers.values()
+            if peer.accepts_work
+            and peer.node is not None
+            and peer.last_heartbeat is not None
+            and timedelta(milliseconds=peer.last_heartbeat.ready_for_ms)
+            >= self._settings.owner_settle_time
+        ]
+        if not self._leaving and self._ready_for >= self._settings.owner_settle_time:
+            settled.append(self._node)
+        return sorted(settled)
+
+    @property
+    def is_known_as_settled(self) -> bool:
+        """Whether this node has been settled for so long that its peers have heard of it."""
+        known_after = self._settings.owner_settle_time + 2 * self.heartbeat_interval
+        return not self._leaving and self._ready_for >= known_after
+
     def update_readiness(self, ready: bool, now: timedelta) -> timedelta:
         """Record whether this node is ready and return for how long it has been."""
         if not ready:
--- a/src/chervilrack/_internal/serving/directory.py
+++ b/src/chervilrack/_internal/serving/directory.py
@@ -162,6 +162,7 @@
             item.key.removeprefix(prefix) for item in items if item.key.startswith(prefix)
         )
         evacuated: set[ZoneId] = set()
+        self._state.registered_nodes.clear()
         for item in items:
             if item.key.startswith(self._schema.evacuation_prefix):
                 zone = self._decode_evacuation(item)
@@ -229,6 +230,8 @@
         if key.startswith(self._schema.block_prefix):
             self._archive.observe(key.removeprefix(self._schema.block_prefix), None, revision)
             self._state.crash_watch.on_record_outdated()
+        if key.startswith(self._schema.node_prefix):
+            self._state.registered_nodes.discard(key.removeprefix(self._schema.node_prefix))
         if key.startswith(self._schema.evacuation_prefix):
             zone = ZoneId(key.removeprefix(self._schema.evacuation_prefix))
             self._perform(self._state.catalogue.evacuations.end(zone))
@@ -298,6 +301,7 @@
         registration = decode_json(item.key, item.value, _node_registration_decoder.decode)
         peer = str(Address.parse(registration.peer))
         self._unreadable.forget(item.key)
+        self._state.registered_nodes.add(item.key.removeprefix(self._schema.node_prefix))
         self._state.fleet.add_addresses([peer], self._state.clock.monotonic())
 
     def _apply_block(self, item: KeyValue) -> None:
--- a/src/chervilrack/_internal/serving/metrics.py
+++ b/src/chervilrack/_internal/serving/metrics.py
@@ -126,6 +126,17 @@
             ["reason"],
             registry=self._registry,
         )
+        self._cold = Gauge(
+            "chervilrack_serving_upstreams_cold",
+            "Upstreams that count as cold at this node.",
+            registry=self._registry,
+        )
+        self._cold_requests = Counter(
+            "chervilrack_serving_cold_upstream_requests",
+            "Requests sent to cold upstreams, and requests refused for lack of others, by service.",
+            ["service", "event"],
+            registry=self._registry,
+        )
         self._evacuated = Gauge(
             "chervilrack_serving_evacuated_zones",
             "Zones whose upstreams get nothing from this node because they are evacuated.",
@@ -213,6 +224,18 @@
         """Count a request that gets no upstream because requests like it crash them."""
         self._quarantined.labels(self._services.label(service)).inc()
 
+    def upstreams_cold(self, count: int) -> None:
+        """Set the number of cold upstreams."""
+        self._cold.set(count)
+
+    def cold_upstream_used(self, service: str) -> None:
+        """Count a request to a cold upstream."""
+        self._cold_requests.labels(self._services.label(service), "sent").inc()
+
+    def kept_from_cold_upstreams(self, service: str) -> None:
+        """Count a refusal because all usable upstreams of a service are cold."""
+        self._cold_requests.labels(self._services.label(service), "refused").inc()
+
     def zones_evacuated(self, count: int) -> None:
         """Set the number of evacuated zones."""
         self._evacuated.set(count)
--- a/src/chervilrack/_internal/serving/node.py
+++ b/src/chervilrack/_internal/serving/node.py
@@ -342,6 +342,8 @@
         elif request.path == METRICS_PATH:
             with self._state.lock:
                 barred = self._state.count_barred()
+                cold = self._state.cold.count(self._clock.monotonic())
+                self._state.metrics.upstreams_cold(cold)
             body = self._state.metrics.render(self._state.in_progress, self._log.dropped, barred)
             responder.send_response(200, [("Content-Type", CONTENT_TYPE)], body)
         else:
--- a/src/chervilrack/_internal/serving/settings.py
+++ b/src/chervilrack/_internal/serving/settings.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 from typing import Self
 
+from chervilrack._internal.balancing.cold import ColdLimits
 from chervilrack._internal.changefeed.limits import ApplyLimits
 from chervilrack._internal.common.ids import NodeId, ZoneId
 from chervilrack._internal.limits.retry_budget import RetryBudgetSettings
@@ -66,3 +67,5 @@
     memory_bytes: int = 300_000_000
     # How a change of the store takes effect in time.
     apply_limits: ApplyLimits = field(default_factory=ApplyLimits)
+    # Bound on the requests to a cold upstream; None if there is none.
+    cold_limits: ColdLimits | None = None
--- a/src/chervilrack/_internal/serving/state.py
+++ b/src/chervilrack/_internal/serving/state.py
@@ -9,6 +9,7 @@
 from datetime import timedelta
 from typing import Any
 
+from chervilrack._internal.balancing.cold import ColdFleet, ColdReason, ColdUpstreams
 from chervilrack._internal.balancing.core import Balancer
 from chervilrack._internal.balancing.standing import (
     Bar,
@@ -23,6 +24,7 @@
     ServingConfiguration,
     UpstreamEntry,
     UpstreamIncarnation,
+    WarmUpSpec,
 )
 from chervilrack._internal.common.clock import Clock
 from chervilrack._internal.common.ids import NodeId, RequestId, ServiceId, UpstreamId, ZoneId
@@ -84,6 +86,11 @@
         self.metrics = ServingMetrics()
         self.crash_watch = CrashWatch(self.catalogue, self.balancer, clock, log, self.metrics)
         self.crash_watch.on_blocked = self._refuse_waiting_requests
+        # Names of the nodes that are registered in the store.
+        self.registered_nodes: set[str] = set()
+        self.cold = ColdUpstreams(settings.node, settings.cold_limits, self._cold_fleet)
+        # Upstreams that refused connections and have not answered since.
+        self._unreachable: set[UpstreamId] = set()
         self._misdirected: dict[UpstreamId, UpstreamEntry] = {}
         # Moving average of the time to the first byte.
         self._first_byte_times: dict[ServiceId, timedelta] = {}
@@ -221,8 +228,11 @@
                 detail = "no upstream of the service is known"
                 return Problem(ResultCode.NO_UPSTREAM, detail)
             standing = self.balancer.standing
-            if standing.open_upstreams(entries, now):
+            usable = standing.open_upstreams(entries, now)
+            if self._open(service, usable, now):
                 return None
+            if usable:
+                return self._cold_problem(service, usable, now)
             pause_end = standing.next_return(entries, now)
         if pause_end is None:
             return Problem(ResultCode.UPSTREAMS_LEAVING, "all upstreams of the service are leaving")
@@ -235,7 +245,7 @@
         """Choose an upstream of a service for ``load``; None if none can be chosen."""
         now = self.clock.monotonic()
         with self.lock:
-            entries = self._registered(service)
+            entries = self._open(service, self._registered(service), now)
             choice = self.balancer.choose(entries, load, now, excluded)
             if choice is None:
                 return None
@@ -360,6 +370,8 @@
         now = self.clock.monotonic()
         context.attempt_began = now
         with self.lock:
+            if self.cold.record_request(entry.id, now):
+                self.metrics.cold_upstream_used(context.service)
             self.balancer.record_start(entry.id, context.load, now)
             typical = self._first_byte_times.get(context.service, INITIAL_FIRST_BYTE_TIME)
             expected = (
@@ -392,11 +404,15 @@
 
     def may_send(self, upstream: UpstreamIncarnation) -> bool:
         """Whether an upstream may get anything new."""
+        now = self.clock.monotonic()
         with self.lock:
             entry = self.catalogue.upstreams.get(upstream.id)
-            if entry is not None and self.balancer.standing.is_evacuated(entry):
-                return False
-            return self.balancer.standing.bar(upstream, self.clock.monotonic()) is None
+            if entry is not None:
+                if self.balancer.standing.is_evacuated(entry):
+                    return False
+                if not self.cold.may_send(entry.id, self._warm_up(entry.service), now):
+                    return False
+            return self.balancer.standing.bar(upstream, now) is None
 
     def first_byte_received(self, context: RequestContext, entry: UpstreamEntry) -> None:
         """Record that an upstream has begun to answer, and update its pace."""
@@ -450,8 +466,12 @@
 
     def attempt_succeeded(self, entry: UpstreamEntry) -> None:
         """Record a successful answer of an upstream."""
+        now = self.clock.monotonic()
         with self.lock:
-            self.balancer.record_success(entry.id, self.clock.monotonic())
+            self.balancer.record_success(entry.id, now)
+            if entry.id in self._unreachable:
+                self._unreachable.discard(entry.id)
+                self._begin_cold(entry, ColdReason.ANSWERS_AGAIN, now)
             self.report_actions()
 
     def answer_begun(self, context: RequestContext) -> None:
@@ -496,6 +516,7 @@
             self.crash_watch.upstream_checked(entry, refuses_connections=refuses)
             if refuses:
                 now = self.clock.monotonic()
+                self._unreachable.add(entry.id)
                 self.balancer.record_failure(entry.id, now, "crashed", certain=True)
             self.report_actions()
 
@@ -535,6 +556,8 @@
     def attempt_failed(self, entry: UpstreamEntry, reason: str, certain: bool) -> None:
         """Record a failure of an upstream; a ``certain`` one ejects it at once."""
         with self.lock:
+            if certain:
+                self._unreachable.add(entry.id)
             self.balancer.record_failure(entry.id, self.clock.monotonic(), reason, certain)
             self.report_actions()
 
@@ -669,6 +692,7 @@
     def _untried(self, context: RequestContext, now: timedelta) -> list[UpstreamEntry]:
         """Return the usable upstreams at which a request has not been tried."""
         entries = self.balancer.standing.open_upstreams(self._registered(context.service), now)
+        entries = self._open(context.service, entries, now)
         return [entry for entry in entries if entry.id not in context.tried_upstreams]
 
     # Directory
@@ -688,7 +712,10 @@
         )
         if change.entry is None or restarted:
             self.balancer.forget(change.id)
+            self._unreachable.discard(change.id)
+            self.cold.forget(change.id)
         if change.entry is not None:
+            self._observe_warmth(change.entry, is_new=change.previous is None or restarted)
             self._report_standing(
                 self.balancer.standing.record_registration(change.entry.incarnation)
             )
@@ -700,6 +727,9 @@
         self.balancer.standing.set_evacuated_zones(zones)
         self.metrics.zones_evacuated(len(zones))
         upstreams = [e for e in self.catalogue.upstreams.values() if e.zone == change.zone]
+        if not change.is_evacuated:
+            for entry in upstreams:
+                self._begin_cold(entry, ColdReason.ZONE_RETURNED, now)
         began = self._evacuated_since.pop(change.zone, now)
         if change.is_evacuated:
             self._evacuated_since[change.zone] = now
@@ -712,6 +742,55 @@
             after_s=None if change.is_evacuated else round((now - began).total_seconds(), 3),
         )
 
+    def _observe_warmth(self, entry: UpstreamEntry, *, is_new: bool) -> None:
+        """Count an upstream as cold that says so, or that started while this node was running."""
+        now = self.clock.monotonic()
+        if is_new and self._accepting:
+            self._begin_cold(entry, ColdReason.STARTED, now)
+        elif entry.cold_remaining:
+            self._begin_cold(entry, ColdReason.ANNOUNCED, now, entry.cold_remaining)
+
+    def _begin_cold(
+        self,
+        entry: UpstreamEntry,
+        reason: ColdReason,
+        now: timedelta,
+        remaining: timedelta | None = None,
+    ) -> None:
+        until = self.cold.begin(entry, self.catalogue.service(entry.service), now, remaining)
+        if until is not None:
+            self.log.note(
+                "balancing",
+                "cold",
+                upstream=entry.id,
+                service=entry.service,
+                reason=reason.value,
+                seconds=round((until - now).total_seconds(), 3),
+            )
+
+    def _warm_up(self, service: ServiceId) -> WarmUpSpec | None:
+        spec = self.catalogue.service(service)
+        return spec.warm_up if spec is not None else None
+
+    def _open(
+        self, service: ServiceId, entries: Sequence[UpstreamEntry], now: timedelta
+    ) -> Sequence[UpstreamEntry]:
+        """Leave out the cold upstreams that get no request of this node now."""
+        return self.cold.open_upstreams(entries, self._warm_up(service), now)
+
+    def _cold_problem(
+        self, service: ServiceId, entries: Sequence[UpstreamEntry], now: timedelta
+    ) -> Problem:
+        returns_at = self.cold.next_return(entries, self._warm_up(service), now) or now
+        self.metrics.kept_from_cold_upstreams(service)
+        detail = "all usable upstreams of the service are cold"
+        return Problem(ResultCode.UPSTREAMS_COLD, detail, Executed.NO, returns_at - now)
+
+    def _cold_fleet(self) -> ColdFleet:
+        members = tuple(self.fleet.settled_nodes())
+        knows_most = 2 * len(members) > len(self.registered_nodes)
+        return ColdFleet(members, self.fleet.is_known_as_settled and knows_most)
+
     def upstream_at(self, address: str) -> UpstreamEntry | None:
         """Return the only upstream at an address. The caller holds the lock."""
         entries = [e for e in self.catalogue.upstreams.values() if e.address == address]
--- a/src/chervilrack/platform/configuration.py
+++ b/src/chervilrack/platform/configuration.py
@@ -17,6 +17,7 @@
     StageSpec,
     UpstreamEntry,
     UpstreamState,
+    WarmUpSpec,
 )
 from chervilrack._internal.common.addresses import parse_address
 from chervilrack._internal.common.decoding import UnreadableValue, decode_json
@@ -111,11 +112,15 @@
 
 
 class _Service(msgspec.Struct, rename="camel"):
+    """A service; while cold, for ``cold_start_s``, its upstreams bear ``cold_per_s`` requests/s."""
+
     name: str
     health_path: str = "/health"
     max_connections: _Count = 0
     segments: _Batching | None = None
     engine: _Engine | None = None
+    cold_start_s: _Seconds = 0
+    cold_per_s: _Amount = 0
 
 
 class _Limits(msgspec.Struct, rename="camel"):
@@ -299,6 +304,9 @@
         engine=None
         if engine is None
         else EngineSpec(slots=engine.slots, kv_tokens=engine.kv_capacity_tokens),
+        warm_up=WarmUpSpec(timedelta(seconds=service.cold_start_s), service.cold_per_s)
+        if service.cold_start_s and service.cold_per_s
+        else None,
     )
 
 
--- a/src/chervilrack/platform/settings.py
+++ b/src/chervilrack/platform/settings.py
@@ -7,6 +7,7 @@
 import msgspec
 import yaml
 
+from chervilrack._internal.balancing.cold import ColdLimits
 from chervilrack._internal.changefeed.limits import ApplyLimits
 from chervilrack._internal.common.addresses import is_address, parse_address
 from chervilrack._internal.common.decoding import UnreadableValue, decode_value
@@ -48,6 +49,9 @@
     retry_slack: _Amount = 50.0
     config_apply_ms: _BoundMs = 2000.0
     drain_ms: _BoundMs = 2000.0
+    evacuate_ms: _BoundMs | None = None
+    cold_overage: _Amount | None = None
+    cold_slack: _Amount | None = None
     ttl_max_s: _Seconds = msgspec.field(default=5.0, name="ttl_max_s")
 
 
@@ -118,12 +122,27 @@
         ),
         cpu_cores=content.limits.cpu_share * content.limits.cores,
         memory_bytes=round(content.limits.memory_mb * 1e6),
-        apply_limits=ApplyLimits(
-            timedelta(milliseconds=min(content.bounds.config_apply_ms, content.bounds.drain_ms))
-        ),
+        apply_limits=_apply_limits(content.bounds),
+        cold_limits=_cold_limits(content.bounds),
     )
 
 
+def _apply_limits(bounds: _Bounds) -> ApplyLimits:
+    """Return the limits for the shortest bound on the effect of a change of the store."""
+    shortest = min(bounds.config_apply_ms, bounds.drain_ms)
+    if bounds.evacuate_ms is not None:
+        shortest = min(shortest, bounds.evacuate_ms)
+    return ApplyLimits(timedelta(milliseconds=shortest))
+
+
+def _cold_limits(bounds: _Bounds) -> ColdLimits | None:
+    """Return the bound on requests to cold upstreams, None if the platform sets none."""
+    if bounds.cold_overage is None and bounds.cold_slack is None:
+        return None
+    overage = 1.0 if bounds.cold_overage is None else bounds.cold_overage
+    return ColdLimits(overage, bounds.cold_slack or 0.0)
+
+
 def _load_yaml(content: bytes) -> Any:
     return yaml.load(content.decode(), getattr(yaml, "CSafeLoader", yaml.SafeLoader))
 
