--- a/features/adapter/statements.feature
+++ b/features/adapter/statements.feature
@@ -184,10 +184,11 @@
     Then the node knows the peer
 
     Examples: nodes of the version before and after this one
-      | change                         |
-      | without leaving upstreams      |
-      | without suspects               |
-      | with a field of a later version |
+      | change                                    |
+      | without leaving upstreams                 |
+      | without suspects                          |
+      | without a position in an era of the store |
+      | with a field of a later version           |
 
   Scenario: a stage call that waited for a thread is not sent to an upstream that leaves meanwhile
     Its pieces would be made a second time elsewhere, or late.
--- a/features/steps/statements_steps.py
+++ b/features/steps/statements_steps.py
@@ -526,7 +526,8 @@
     fields = {
         "without leaving upstreams": peer_heartbeat(),
         "without suspects": peer_heartbeat(()),
-        "with a field of a later version": peer_heartbeat((), (), "later"),
+        "without a position in an era of the store": peer_heartbeat((), ()),
+        "with a field of a later version": peer_heartbeat((), (), None, "later"),
     }[change]
     deliver_heartbeat(context, fields)
 
--- a/src/chervilrack/_internal/serving/node.py
+++ b/src/chervilrack/_internal/serving/node.py
@@ -364,6 +364,7 @@
             with self._state.lock:
                 barred = self._state.count_barred()
                 spreads = self._state.load_spreads()
+                self._state.metrics.upstreams_cold(self._state.cold.count(self._clock.monotonic()))
             held = {
                 "answers": self._answer_memory.used,
                 "bodies": self._body_memory.used,
--- a/src/chervilrack/_internal/serving/settings.py
+++ b/src/chervilrack/_internal/serving/settings.py
@@ -6,6 +6,7 @@
 from datetime import timedelta
 from typing import Self
 
+from chervilrack._internal.balancing.cold import ColdLimits
 from chervilrack._internal.balancing.core import DEFAULT_POLICY
 from chervilrack._internal.changefeed.limits import ApplyLimits
 from chervilrack._internal.common.ids import NodeId, RegionId, ZoneId
@@ -73,3 +74,5 @@
     # How a change of the store takes effect in time.
     apply_limits: ApplyLimits = field(default_factory=ApplyLimits)
     regions: Mapping[ZoneId, RegionId] = field(default_factory=dict)
+    # Bound on the requests to a cold upstream; None if there is none.
+    cold_limits: ColdLimits | None = None
--- a/src/chervilrack/platform/settings.py
+++ b/src/chervilrack/platform/settings.py
@@ -8,6 +8,7 @@
 import msgspec
 import yaml
 
+from chervilrack._internal.balancing.cold import ColdLimits
 from chervilrack._internal.balancing.core import DEFAULT_POLICY, balancing_policies
 from chervilrack._internal.changefeed.limits import ApplyLimits
 from chervilrack._internal.common.addresses import is_address, parse_address
@@ -54,6 +55,9 @@
     config_apply_ms: _BoundMs = 2000.0
     drain_ms: _BoundMs = 2000.0
     contact_ms: _BoundMs | None = None
+    evacuate_ms: _BoundMs | None = None
+    cold_overage: _Amount | None = None
+    cold_slack: _Amount | None = None
     ttl_max_s: _Seconds = msgspec.field(default=5.0, name="ttl_max_s")
 
 
@@ -136,9 +140,8 @@
         balancing_policy=content.balancing.policy,
         cpu_cores=content.limits.cpu_share * content.limits.cores,
         memory_bytes=round(content.limits.memory_mb * 1e6),
-        apply_limits=ApplyLimits(
-            timedelta(milliseconds=min(content.bounds.config_apply_ms, content.bounds.drain_ms))
-        ),
+        apply_limits=_apply_limits(content.bounds),
+        cold_limits=_cold_limits(content.bounds),
         regions=_regions(content),
     )
 
@@ -157,6 +160,22 @@
     return LookupBounds(after_loss=contact + LOOKUP_GRACE, after_pause=contact)
 
 
+def _apply_limits(bounds: _Bounds) -> ApplyLimits:
+    """Return the limits for the shortest bound on the effect of a change of the store."""
+    shortest = min(bounds.config_apply_ms, bounds.drain_ms)
+    if bounds.evacuate_ms is not None:
+        shortest = min(shortest, bounds.evacuate_ms)
+    return ApplyLimits(timedelta(milliseconds=shortest))
+
+
+def _cold_limits(bounds: _Bounds) -> ColdLimits | None:
+    """Return the bound on requests to cold upstreams, None if the platform sets none."""
+    if bounds.cold_overage is None and bounds.cold_slack is None:
+        return None
+    overage = 1.0 if bounds.cold_overage is None else bounds.cold_overage
+    return ColdLimits(overage, bounds.cold_slack or 0.0)
+
+
 def _load_yaml(content: bytes) -> Any:
     return yaml.load(content.decode(), getattr(yaml, "CSafeLoader", yaml.SafeLoader))
 
