--- a/features/support/cold_fleet.py
+++ b/features/support/cold_fleet.py
@@ -29,6 +29,7 @@
     UpstreamId,
     ZoneId,
 )
+from chervilrack._internal.common.positions import StorePosition
 from chervilrack._internal.fleet.core import Fleet
 from chervilrack._internal.fleet.messages import Heartbeat
 from chervilrack._internal.observability.decisions import DecisionLog
@@ -90,7 +91,7 @@
 
     def _change_evacuation(self, changes):
         for change in changes:
-            self.state.evacuation_changed(change, 1)
+            self.state.evacuation_changed(change, StorePosition(0, 1))
 
     def return_zone(self):
         self._change_evacuation(self.state.catalogue.evacuations.end(ZONE))
