Pass the time to the pause of a node in the cold fleet's tests

Cause: Fleet.compensate_pause takes the time since look-up answers are bounded after a pause; 4 scenarios of features/balancing/cold.feature raised TypeError on the joined parts. Change: features/support/cold_fleet.py passes the time of the wake. Conclusion: no check was changed.

--- a/features/support/cold_fleet.py
+++ b/features/support/cold_fleet.py
@@ -231,7 +231,7 @@
     def _wake(self, nodes, now):
         for node in nodes:
             paused = timedelta(seconds=now) - node.clock.monotonic()
-            node.fleet.compensate_pause(paused)
+            node.fleet.compensate_pause(paused, timedelta(seconds=now))
             node.is_running = True
 
     def _restart(self, nodes, pause):
