Admit by upstreams that may be used, and release orders whose services lost theirs

Cause: The rate of a service counted upstreams of evacuated zones, leaving and paused ones, and an order that waited stayed in the admission when all upstreams of a service it needs went, until the work ahead had run out or its deadline came. Its queue would have failed it at once, with the reason. Change: Only open upstreams add to the rate, those of evacuated zones do not count for the least number, and orders that wait for a service without a rate go to their queue. A new configuration or directory has the rates read again. Conclusion: A waiting order learns within 250 ms why it can't be served.

--- a/features/admission/admission.feature
+++ b/features/admission/admission.feature
@@ -105,3 +105,23 @@
       | 8         | 4 are reported with a pace of 1.2        | are admitted up to 20 |
       | 8         | 4 are reported with a pace of 4.0        | are admitted up to 15 |
       | 8         | 4 are suspected by this node             | are admitted up to 10 |
+      | 8         | 4 leave                                  | are admitted up to 10 |
+      | 8         | 4 want a pause                           | are admitted up to 10 |
+      | 12        | 6 lie in an evacuated zone               | are admitted up to 15 |
+      | 8         | 4 lie in an evacuated zone               | need no admission     |
+      | 8         | 8 want a pause                           | need no admission     |
+
+  Scenario Outline: orders that wait when <state> go to the queue, which fails or queues them itself
+    Given a node that admits orders for a service with 8 upstreams of 10 pieces a second
+    When orders for 150, 15, 5, 5 pieces arrive there
+    And <state>
+    And the node looks at its orders for 250 ms
+    Then all orders have been admitted there
+
+    Examples: without the change, the first order is ahead for 2 s
+      | state                      |
+      | 8 leave                    |
+      | 8 want a pause             |
+      | 8 lie in an evacuated zone |
+      | 4 lie in an evacuated zone |
+      | the service is removed     |
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -1,6 +1,7 @@
 """Steps for the admission of orders for first stages."""
 
 import random
+from dataclasses import replace
 from datetime import timedelta
 from types import SimpleNamespace
 
@@ -217,6 +218,7 @@
     ]
     context.balancer = Balancer(ZONE, random.Random(1))
     context.admitted = []
+    context.entries = entries
     state = SimpleNamespace(
         catalogue=SimpleNamespace(
             configuration=SimpleNamespace(services={service: ServiceSpec(service, batching=spec)})
@@ -226,6 +228,7 @@
         metrics=ServingMetrics(),
         log=SimpleNamespace(note=lambda *args, **fields: None),
     )
+    context.configuration = state.catalogue.configuration
     context.node = StageAdmission(state, context.admitted.append, lambda order, after: None)
     context.now = timedelta(seconds=10)
     context.orders = []
@@ -248,6 +251,51 @@
         context.balancer.record_failure(UpstreamId(f"i-{number}"), context.now, "down", True)
 
 
+@given("{count:d} leave")
+@when("{count:d} leave")
+def leave(context, count):
+    for entry in context.entries[:count]:
+        context.balancer.standing.record_answer(
+            entry.incarnation, leaving=True, pause=None, now=context.now
+        )
+
+
+@given("{count:d} want a pause")
+@when("{count:d} want a pause")
+def pause(context, count):
+    for entry in context.entries[:count]:
+        context.balancer.standing.record_answer(
+            entry.incarnation, leaving=False, pause=timedelta(seconds=2), now=context.now
+        )
+
+
+@given("{count:d} lie in an evacuated zone")
+@when("{count:d} lie in an evacuated zone")
+def evacuate(context, count):
+    zone = ZoneId("evacuated")
+    context.entries[:count] = [replace(entry, zone=zone) for entry in context.entries[:count]]
+    context.balancer.standing.set_evacuated_zones(frozenset([zone]))
+
+
+@when("the service is removed")
+def remove_service(context):
+    context.configuration.services = {}
+
+
+@when("the node looks at its orders for {duration:d} ms")
+def look(context, duration):
+    end = context.now + timedelta(milliseconds=duration)
+    while context.now < end:
+        context.now = min(end, context.now + TICK)
+        context.node.tick(context.now)
+
+
+@then("all orders have been admitted there")
+def check_all_admitted(context):
+    assert [order.id[1] for order in context.admitted] == [0, 1, 2, 3], context.admitted
+    assert context.node.next_time(context.now) is None
+
+
 @when("orders for {pieces} pieces arrive there")
 def submit_to_node(context, pieces):
     context.in_force = True
--- a/src/chervilrack/_internal/admission/core.py
+++ b/src/chervilrack/_internal/admission/core.py
@@ -54,7 +54,8 @@
     def configure(self, rates: Mapping[ServiceId, float]) -> None:
         """Set the pieces per second that the upstreams of each service produce in full calls.
 
-        Services without a rate do not limit the admission.
+        Services without a rate do not limit the admission. Orders that wait for room at a service
+        that has no rate any more are admitted by the next ``tick``.
         """
         self._rates = {service: rate for service, rate in rates.items() if rate > 0}
 
@@ -105,12 +106,12 @@
             return []
         self._looked_at = now
         self._elapse(now)
+        effects: list[AdmissionEffect] = [*self._admit_unlimited()]
         punctual = Plan(self._admitted, lambda order: order.due, now, self._settings)
         punctual.add_all(self._waiting.values())
         fastest = 1.0 / self._settings.fill
         late = Plan(punctual.busy, lambda order: order.deadline, now, self._settings, fastest)
         late.add_all(punctual.missed)
-        effects: list[AdmissionEffect] = []
         contended: set[ServiceId] = set()
         for entry in [*punctual.planned, *late.planned]:
             if self._has_room(entry) and contended.isdisjoint(entry.work):
@@ -122,6 +123,13 @@
         self._contended = frozenset(contended)
         return [*effects, *self._refuse(late, now)]
 
+    def _admit_unlimited(self) -> list[Admit]:
+        """Admit the orders of services that have lost their rates, which their queues judge."""
+        entries = [e for e in self._waiting.values() if not self._rates.keys() >= e.work.keys()]
+        for entry in entries:
+            del self._waiting[entry.order.id]
+        return [Admit(entry.order) for entry in entries]
+
     def _refuse(self, plan: Plan, now: timedelta) -> list[AdmissionEffect]:
         """Refuse the orders that miss their deadlines.
 
--- a/src/chervilrack/_internal/serving/stage_admission.py
+++ b/src/chervilrack/_internal/serving/stage_admission.py
@@ -45,7 +45,8 @@
     def is_in_force(self, work: Sequence[Work], now: timedelta) -> bool:
         """Whether orders with this work are admitted.
 
-        They are if each of the services has enough upstreams.
+        They are if each of the services has enough upstreams, of which one may be used. Orders that
+        wait when that ends are admitted, so that the queues fail them for the true reason.
         """
         self._read_rates(now)
         return all(item.service in self._rates for item in work)
@@ -66,6 +67,10 @@
         """Remove and return the waiting orders of a service that another node owns now."""
         return self._admission.take(service)
 
+    def reconfigure(self) -> None:
+        """Have the rates read again with the next order or ``tick``."""
+        self._rates_read_at = None
+
     def next_time(self, now: timedelta) -> timedelta | None:
         """Return when ``tick`` is due next, None if no order waits."""
         return self._admission.next_time(now)
@@ -115,24 +120,28 @@
             self._admitted = self._refused = 0
 
     def _read_rates(self, now: timedelta) -> None:
-        """Read the rates of the stage services with enough upstreams.
+        """Read the rates of the stage services with enough upstreams, of which one may be used.
 
-        Upstreams that are suspected of failure do not count, and slow ones less. What the owners of
-        the other queues know of their upstreams comes with their heartbeats.
+        Upstreams of evacuated zones do not count as upstreams of the service. Those that leave,
+        want a pause or are suspected of failure add nothing to the rate, and slow ones less than
+        others. What the owners of the other queues know of their upstreams comes with their
+        heartbeats.
         """
         if self._rates_read_at is not None and now < self._rates_read_at + RATES_PERIOD:
             return
         self._rates_read_at = now
         self._rates = {}
         configuration = self._state.catalogue.configuration
+        standing = self._state.balancer.standing
         for spec in configuration.services.values() if configuration is not None else ():
             batching = spec.batching
             if batching is None:
                 continue
-            upstreams = self._state.upstreams(spec.id)
-            if len(upstreams) < MIN_UPSTREAMS:
+            upstreams = [e for e in self._state.upstreams(spec.id) if not standing.is_evacuated(e)]
+            open_upstreams = standing.open_upstreams(upstreams, now)
+            if len(upstreams) < MIN_UPSTREAMS or not open_upstreams:
                 continue
-            usable = sum(self._share_of_rate(entry.id, now) for entry in upstreams)
+            usable = sum(self._share_of_rate(entry.id, now) for entry in open_upstreams)
             full_call = batching.call_time + batching.batch * batching.item_time
             self._rates[spec.id] = max(1.0, usable) * batching.batch / full_call.total_seconds()
         self._admission.configure(self._rates)
--- a/src/chervilrack/_internal/serving/stage_coordinator.py
+++ b/src/chervilrack/_internal/serving/stage_coordinator.py
@@ -356,6 +356,7 @@
     def reconfigure(self) -> None:
         """Apply a changed configuration or changed upstreams to the queues."""
         now = self._state.clock.monotonic()
+        self._admission.reconfigure()
         for queue in self._queues.values():
             self._configure(queue)
             self._perform(queue, queue.dispatch(now))
