Let no order wait for one that was dropped

Cause: The services that waiting orders contend for stayed set when the last waiting order was dropped, so that the next order waited a tick despite room. Change: They are forgotten when no order waits. Conclusion: The first order after a dropped one begins at once.

--- a/features/admission/admission.feature
+++ b/features/admission/admission.feature
@@ -125,3 +125,12 @@
       | 8 lie in an evacuated zone |
       | 4 lie in an evacuated zone |
       | the service is removed     |
+
+  Scenario: an order for which there is room does not wait because of one that was dropped
+    Given an admission for services of 100 pieces a second
+    When an order for 40 pieces of first is submitted
+    And an order of node c for 5 pieces of first is submitted
+    And node c leaves the fleet
+    And 300 ms pass
+    And an order for 5 pieces of first is submitted
+    Then the third order is admitted
--- a/src/chervilrack/_internal/admission/core.py
+++ b/src/chervilrack/_internal/admission/core.py
@@ -65,6 +65,8 @@
         """Admit an order at once if there is room for it, or let it wait."""
         self._elapse(now)
         entry = WaitingOrder(order, organisation, self._seconds_of(work))
+        if not self._waiting:
+            self._contended = frozenset()
         if self._has_room(entry) and self._contended.isdisjoint(entry.work):
             return [self._admit(entry)]
         if not self._waiting:
