Plan orders of any priority

Cause: The weight of an order grew with its priority without bound. From a priority of about 1,750 on it did not fit a float, each look at the waiting orders failed, and all of them waited until their callers left. Change: Steps count from the most urgent waiting order, at most 20 of them. Conclusion: Priorities of the whole range of the configuration are planned.

--- a/features/admission/admission.feature
+++ b/features/admission/admission.feature
@@ -134,3 +134,20 @@
     And 300 ms pass
     And an order for 5 pieces of first is submitted
     Then the third order is admitted
+
+  Scenario Outline: orders of priorities <priorities> are planned, and the less urgent one gives way
+    Configurations may state any priority of 32 bits.
+
+    Given an admission for services of 100 pieces a second
+    When an order for 40 pieces of first is submitted
+    And orders of priorities <priorities> for 40 pieces of first due in 1.1 s are submitted
+    And 400 ms pass
+    Then the second order is admitted
+    And the third order is waiting
+
+    Examples:
+      | priorities              |
+      | 0, 1                    |
+      | 5000, 5001              |
+      | 0, 2147483647           |
+      | -2147483648, 2147483647 |
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -46,7 +46,7 @@
     return admission
 
 
-def submit(context, work, due=5.0, deadline=10.0, node="b"):
+def submit(context, work, due=5.0, deadline=10.0, node="b", priority=0):
     number = len(context.orders) + 1
     order = Order(
         id=(NodeId(node), number),
@@ -59,6 +59,7 @@
         deadline=context.now + timedelta(seconds=deadline),
         result_size=100,
         queued_at=context.now,
+        priority=priority,
         pending_segments={0},
     )
     context.orders.append((order, work))
@@ -93,6 +94,16 @@
 use_step_matcher("parse")
 
 
+@when(
+    "orders of priorities {priorities} for {pieces:d} pieces of first"
+    " due in {due:g} s are submitted"
+)
+def submit_priorities(context, priorities, pieces, due):
+    for priority in priorities.split(", "):
+        work = [Work(ServiceId("first"), pieces)]
+        submit(context, work, due, priority=int(priority))
+
+
 @when("{duration:d} ms pass")
 def pass_time(context, duration):
     end = context.now + timedelta(milliseconds=duration)
--- a/src/chervilrack/_internal/admission/plan.py
+++ b/src/chervilrack/_internal/admission/plan.py
@@ -12,6 +12,9 @@
 
 Limit = Callable[[Order], timedelta]
 
+# Steps of priority that count; a configuration may state any number.
+MAX_PRIORITY_STEPS = 20
+
 
 class Plan:
     """Orders that meet their limits if they are admitted in this sequence.
@@ -38,6 +41,8 @@
         self._by_organisation: dict[str, list[tuple[float, OrderId]]] = {}
         self._size_of_organisation: defaultdict[str, float] = defaultdict(float)
         self._missed: list[WaitingOrder] = []
+        # Priority of the most urgent orders.
+        self._priority = 0
 
     @property
     def busy(self) -> Mapping[ServiceId, float]:
@@ -74,7 +79,9 @@
         Orders of organisations that use less than an equal share are taken out last, so that an
         organisation with few requests does not pay for those of another.
         """
-        for entry in sorted(orders, key=lambda e: (self._limit(e.order), e.order.id)):
+        in_sequence = sorted(orders, key=lambda e: (self._limit(e.order), e.order.id))
+        self._priority = min((entry.order.priority for entry in in_sequence), default=0)
+        for entry in in_sequence:
             left = self._limit(entry.order) - self._now - self._settings.first_stage_time
             if left < -self._settings.grace:
                 self._missed.append(entry)
@@ -91,7 +98,8 @@
         self._planned[entry.order.id] = entry
         for service, seconds in entry.work.items():
             self._busy[service] += seconds
-        weighted_size = entry.size * self._settings.priority_weight**entry.order.priority
+        steps = min(entry.order.priority - self._priority, MAX_PRIORITY_STEPS)
+        weighted_size = entry.size * self._settings.priority_weight**steps
         heap = self._by_organisation.setdefault(entry.organisation, [])
         heapq.heappush(heap, (-weighted_size, entry.order.id))
         self._size_of_organisation[entry.organisation] += entry.size
