Wake the timers when the first order waits for its admission

Cause: An order of another node that had to wait set a due time that the timers did not learn of: they looked at it with the next call's end or heartbeat, up to 500 ms later, instead of after 50 ms. Change: The timers are woken when the first order begins to wait. Conclusion: Waiting orders are first looked at after 50 ms.

--- a/features/admission/admission.feature
+++ b/features/admission/admission.feature
@@ -151,3 +151,10 @@
       | 5000, 5001              |
       | 0, 2147483647           |
       | -2147483648, 2147483647 |
+
+  # Guards against orders of other nodes that wait for the next heartbeat of their owner.
+  Scenario: the timers of an owner are woken when an order of another node has to wait
+    Given a node that admits orders for a service with 8 upstreams of 10 pieces a second
+    And that node is the owner of the queue
+    When node b orders 40 and 5 pieces there
+    Then its timers are woken, and due in 50 ms
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -12,6 +12,7 @@
 from chervilrack._internal.admission.state import Admit, Refuse, Work
 from chervilrack._internal.balancing.core import Balancer
 from chervilrack._internal.balancing.state import UpstreamReport
+from chervilrack._internal.batching.messages import PiecesWanted
 from chervilrack._internal.batching.state import Order
 from chervilrack._internal.catalogue.state import (
     BatchSpec,
@@ -22,9 +23,18 @@
     UpstreamEntry,
     UpstreamState,
 )
-from chervilrack._internal.common.ids import NodeId, RequestId, ServiceId, UpstreamId, ZoneId
+from chervilrack._internal.common.clock import ManualClock
+from chervilrack._internal.common.ids import (
+    Incarnation,
+    NodeId,
+    RequestId,
+    ServiceId,
+    UpstreamId,
+    ZoneId,
+)
 from chervilrack._internal.serving.metrics import ServingMetrics
 from chervilrack._internal.serving.stage_admission import StageAdmission
+from chervilrack._internal.serving.stage_coordinator import StageCoordinator
 
 SERVICES = ("first", "second", "third")
 RATE = 100.0
@@ -240,6 +250,7 @@
         log=SimpleNamespace(note=lambda *args, **fields: None),
     )
     context.configuration = state.catalogue.configuration
+    context.state = state
     context.node = StageAdmission(state, context.admitted.append, lambda order, after: None)
     context.now = timedelta(seconds=10)
     context.orders = []
@@ -340,3 +351,48 @@
     admitted = sum(len(order.pending_segments) for order in context.admitted)
     assert context.in_force
     assert admitted == pieces, admitted
+
+
+@given("that node is the owner of the queue")
+def create_owner(context):
+    state, service = context.state, context.configuration.services[ServiceId("first")]
+    state.clock = ManualClock()
+    state.catalogue.service = lambda _: service
+    state.settings = SimpleNamespace(batching="shared")
+    state.fleet = SimpleNamespace(owners=lambda: ["a"], address_of=lambda _: None)
+    state.report_actions = lambda: None
+    calls = SimpleNamespace(start=lambda *args: None)
+    context.coordinator = StageCoordinator(NodeId("a"), Incarnation("01"), state, None, calls)
+    context.woken = []
+
+
+@when("node b orders {first:d} and {second:d} pieces there")
+def order_pieces(context, first, second):
+    for number, pieces in enumerate((first, second)):
+        message = PiecesWanted(
+            order=number,
+            service="first",
+            request_id=f"r{number}",
+            stage=0,
+            segments=(0,),
+            key="k",
+            inputs=(),
+            due_ms=5000,
+            remaining_ms=9000,
+            result_size=100,
+            zone="",
+            move_bytes=0,
+            priority=0,
+            work=(("first", pieces),),
+        )
+        # Only the order that waits counts: the first one starts a call.
+        context.woken.clear()
+        context.coordinator.wake = lambda: context.woken.append(True)
+        context.coordinator.on_pieces_wanted(NodeId("b"), message)
+
+
+@then("its timers are woken, and due in {duration:d} ms")
+def check_woken(context, duration):
+    now = context.state.clock.monotonic()
+    assert context.coordinator.next_time(now) == now + timedelta(milliseconds=duration)
+    assert context.woken
--- a/src/chervilrack/_internal/serving/stage_coordinator.py
+++ b/src/chervilrack/_internal/serving/stage_coordinator.py
@@ -496,7 +496,10 @@
     ) -> None:
         """Queue an order, after its admission if it needs one."""
         if work and self._admission.is_in_force(work, now):
+            had_time = self._admission.next_time(now) is not None
             self._admission.submit(order, organisation, work, now)
+            if not had_time and self._admission.next_time(now) is not None:
+                self.wake()
         else:
             self._perform(queue, queue.submit(order, now))
 
