Keep all pieces of an order that comes again while it waits

Cause: An order that was placed again at the same owner replaced the waiting one, with those of its pieces that had been returned, and the others never came. Change: Its pieces are added, as in the queues. Conclusion: No piece is lost between two owners.

--- a/features/admission/admission.feature
+++ b/features/admission/admission.feature
@@ -158,3 +158,12 @@
     And that node is the owner of the queue
     When node b orders 40 and 5 pieces there
     Then its timers are woken, and due in 50 ms
+
+  # Guards against pieces that are lost when their order comes twice, after changes of owners.
+  Scenario: pieces of an order that comes again are added to those that wait
+    Given an admission for services of 100 pieces a second
+    When an order for 40 pieces of first is submitted
+    And an order for 5 pieces of first is submitted
+    And the second order is submitted again for segment 3
+    And 300 ms pass
+    Then the second order is admitted with segments 0, 3
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -122,6 +122,32 @@
         context.effects += context.admission.tick(context.now)
 
 
+@when("{count:d} orders for {pieces:d} pieces of first are submitted")
+def submit_many(context, count, pieces):
+    for _ in range(count):
+        submit(context, [Work(ServiceId("first"), pieces)], deadline=100)
+
+
+@then("the admission is due in {interval:d} ms")
+def check_due(context, interval):
+    due = context.admission.next_time(context.now)
+    assert due == context.now + timedelta(milliseconds=interval), due
+
+
+@when("the second order is submitted again for segment {segment:d}")
+def submit_again(context, segment):
+    order, work = context.orders[1]
+    again = replace(order, pending_segments={segment})
+    context.effects += context.admission.submit(again, "a", work, context.now)
+
+
+@then("the second order is admitted with segments {segments}")
+def check_segments(context, segments):
+    identity = context.orders[1][0].id
+    (admitted,) = [e.order for e in context.effects if e.order.id == identity]
+    assert admitted.pending_segments == {int(s) for s in segments.split(", ")}, admitted
+
+
 @when("node {node} leaves the fleet")
 def lose_node(context, node):
     context.admission.drop_node(NodeId(node))
--- a/src/chervilrack/_internal/admission/core.py
+++ b/src/chervilrack/_internal/admission/core.py
@@ -62,8 +62,15 @@
     def submit(
         self, order: Order, organisation: str, work: Iterable[Work], now: timedelta
     ) -> list[AdmissionEffect]:
-        """Admit an order at once if there is room for it, or let it wait."""
+        """Admit an order at once if there is room for it, or let it wait.
+
+        Pieces of an order that waits already are added to it.
+        """
         self._elapse(now)
+        known = self._waiting.get(order.id)
+        if known is not None:
+            known.order.pending_segments |= order.pending_segments
+            return []
         entry = WaitingOrder(order, organisation, self._seconds_of(work))
         if not self._waiting:
             self._contended = frozenset()
