Look at many waiting orders less often

Cause: A look at 1,180 waiting orders of 16 organisations took 25 ms of a core, under the node's lock, and was due every 50 ms (1,000 organisations: 46 ms). Change: The looks are 150 us for each waiting order apart, at least 50 ms and at most the 250 ms of admitted work, after which upstreams could be idle. Conclusion: 333 orders are looked at as before, 1,000 three times less often.

--- a/features/admission/admission.feature
+++ b/features/admission/admission.feature
@@ -167,3 +167,16 @@
     And the second order is submitted again for segment 3
     And 300 ms pass
     Then the second order is admitted with segments 0, 3
+
+  Scenario Outline: with <count> waiting orders, the admission looks at them every <interval> ms
+    Given an admission for services of 100 pieces a second
+    When an order for 40 pieces of first is submitted
+    And <count> orders for 1 pieces of first are submitted
+    Then the admission is due in <interval> ms
+
+    Examples: a look takes some 20 us for each order, and a VM may have half a core
+      | count | interval |
+      | 1     | 50       |
+      | 300   | 50       |
+      | 1000  | 150      |
+      | 5000  | 250      |
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -163,7 +163,7 @@
 
 @then("the {which} order is {expected:w}")
 def check_outcome(context, which, expected):
-    found = outcome(context, {"second": 1, "third": 2}[which])
+    found = outcome(context, {"second": 1, "third": 2, "fourth": 3}[which])
     assert found == expected, context.effects
 
 
--- a/src/chervilrack/_internal/admission/core.py
+++ b/src/chervilrack/_internal/admission/core.py
@@ -102,7 +102,15 @@
         """Return when ``tick`` has something to do next, if any."""
         if not self._waiting:
             return None
-        return self._looked_at + self._settings.interval
+        return self._looked_at + self._interval
+
+    @property
+    def _interval(self) -> timedelta:
+        """Time between two looks at the waiting orders, longer if there are many of them."""
+        settings = self._settings
+        return min(
+            settings.depth, max(settings.interval, self.waiting * settings.interval_per_order)
+        )
 
     def tick(self, now: timedelta) -> Sequence[AdmissionEffect]:
         """Admit the orders for which there is room, and refuse those that come too late.
@@ -111,7 +119,7 @@
         order of their deadlines. An order is refused when its deadline cannot be met even if no
         further order comes.
         """
-        if not self._waiting or now < self._looked_at + self._settings.interval:
+        if not self._waiting or now < self._looked_at + self._interval:
             return []
         self._looked_at = now
         self._elapse(now)
--- a/src/chervilrack/_internal/admission/settings.py
+++ b/src/chervilrack/_internal/admission/settings.py
@@ -25,8 +25,10 @@
     grace: timedelta = timedelta(milliseconds=150)
     # Time by which orders of organisations that use less than an equal share are preferred.
     small_share_lead: timedelta = timedelta(milliseconds=100)
-    # Waiting orders are looked at this often.
+    # Waiting orders are looked at this often, or if there are many, after this time for each, so
+    # that this takes a small part of a core. After ``depth`` upstreams could be idle.
     interval: timedelta = timedelta(milliseconds=50)
+    interval_per_order: timedelta = timedelta(microseconds=150)
     # Factor by which the work of an order counts more for each step of lower priority, when orders
     # are chosen that miss their targets.
     priority_weight: float = 1.5
