Refuse no order because of a service that it does not need

Cause: Where a service was full, the largest of all planned orders was taken out, also those that do not need that service. They were refused (503) though they could be served, and their Retry-After counted the work of all services. Change: The largest of the orders that need the full service is taken out; Retry-After counts the services that the order needs. Sizes are kept. Conclusion: A refusal says the truth about the services of the request.

--- a/features/admission/admission.feature
+++ b/features/admission/admission.feature
@@ -180,3 +180,14 @@
       | 300   | 50       |
       | 1000  | 150      |
       | 5000  | 250      |
+
+  # Guards against refusals (503) of requests that can be served in time.
+  Scenario: an order is not refused because a service that it does not need is full
+    Given an admission for services of 100 pieces a second
+    When an order for 40 pieces of first is submitted
+    And an order for 500 pieces of third is submitted
+    And an order for 60 pieces of first due in 0.2 s with a deadline in 2000 ms is submitted
+    And an order for 30 pieces of third due in 0.2 s with a deadline in 2500 ms is submitted
+    And 300 ms pass
+    Then the third order is admitted
+    And the fourth order is refused
--- a/src/chervilrack/_internal/admission/core.py
+++ b/src/chervilrack/_internal/admission/core.py
@@ -150,12 +150,13 @@
     def _refuse(self, plan: Plan, now: timedelta) -> list[AdmissionEffect]:
         """Refuse the orders that miss their deadlines.
 
-        Each is told to come back when the work before it is done, that of the orders refused before
-        included, so that their callers come back one after the other.
+        Each is told to come back when the work before it is done at the services that it needs, and
+        that of the orders refused before, so that their callers come back one after the other.
         """
         effects: list[AdmissionEffect] = []
-        clear_at = now + timedelta(seconds=max(plan.busy.values(), default=0.0))
         for entry in sorted(plan.missed, key=lambda e: (e.order.deadline, e.order.id)):
+            work_ahead = max((plan.busy[service] for service in entry.work), default=0.0)
+            clear_at = now + timedelta(seconds=work_ahead)
             self._room_at = max(self._room_at, clear_at) + timedelta(seconds=entry.size)
             del self._waiting[entry.order.id]
             effects.append(Refuse(entry.order, self._room_at - now))
--- a/src/chervilrack/_internal/admission/plan.py
+++ b/src/chervilrack/_internal/admission/plan.py
@@ -1,7 +1,7 @@
 """Chooses the waiting orders that can meet their limits: their due times, or their deadlines."""
 
 import heapq
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Callable, Iterable, Mapping
 from datetime import timedelta
 
@@ -37,9 +37,14 @@
         self._fastest = fastest
         self._busy: defaultdict[ServiceId, float] = defaultdict(float, busy)
         self._planned: dict[OrderId, WaitingOrder] = {}
-        # Planned orders of each organisation, largest first, and their total size.
-        self._by_organisation: dict[str, list[tuple[float, OrderId]]] = {}
+        # Orders of each organisation that need a service, largest first. Those that were taken out
+        # remain in the heaps of their other services until they come up there.
+        self._heaps: defaultdict[ServiceId, dict[str, list[tuple[float, OrderId]]]]
+        self._heaps = defaultdict(dict)
+        # Total size and number of the planned orders of each organisation.
         self._size_of_organisation: defaultdict[str, float] = defaultdict(float)
+        self._count_of_organisation: Counter[str] = Counter()
+        self._size = 0.0
         self._missed: list[WaitingOrder] = []
         # Priority of the most urgent orders.
         self._priority = 0
@@ -75,7 +80,8 @@
         """Plan as many orders as possible.
 
         This is the algorithm of Moore and Hodgson for several services: orders are planned by their
-        limits, and when one of them would miss its own, the largest planned so far is taken out.
+        limits, and when one of them would miss its own, the largest planned so far is taken out, of
+        those that need the service for which it would be late.
         Orders of organisations that use less than an equal share are taken out last, so that an
         organisation with few requests does not pay for those of another.
         """
@@ -89,10 +95,9 @@
             self._add(entry)
             time = max(left, timedelta(0)) + self._settings.depth
             allowed = time.total_seconds() * self._fastest
-            while entry.order.id in self._planned and any(
-                self._busy[service] > allowed for service in entry.work
-            ):
-                self._take_out_largest()
+            for service in entry.work:
+                while entry.order.id in self._planned and self._busy[service] > allowed:
+                    self._take_out_largest(service)
 
     def _add(self, entry: WaitingOrder) -> None:
         self._planned[entry.order.id] = entry
@@ -100,30 +105,37 @@
             self._busy[service] += seconds
         steps = min(entry.order.priority - self._priority, MAX_PRIORITY_STEPS)
         weighted_size = entry.size * self._settings.priority_weight**steps
-        heap = self._by_organisation.setdefault(entry.organisation, [])
-        heapq.heappush(heap, (-weighted_size, entry.order.id))
-        self._size_of_organisation[entry.organisation] += entry.size
-
-    def _take_out_largest(self) -> None:
-        organisation = self._largest_claimant()
-        _, order_id = heapq.heappop(self._by_organisation[organisation])
-        if not self._by_organisation[organisation]:
-            del self._by_organisation[organisation]
+        for service in entry.work:
+            heap = self._heaps[service].setdefault(entry.organisation, [])
+            heapq.heappush(heap, (-weighted_size, entry.order.id))
+        self._count(entry, 1)
+
+    def _count(self, entry: WaitingOrder, number: int) -> None:
+        self._size_of_organisation[entry.organisation] += number * entry.size
+        self._size += number * entry.size
+        self._count_of_organisation[entry.organisation] += number
+        if not self._count_of_organisation[entry.organisation]:
+            del self._count_of_organisation[entry.organisation]
+
+    def _take_out_largest(self, service: ServiceId) -> None:
+        organisation = self._largest_claimant(service)
+        _, order_id = self._heaps[service][organisation][0]
         entry = self._planned.pop(order_id)
-        self._size_of_organisation[organisation] -= entry.size
-        for service, seconds in entry.work.items():
-            self._busy[service] -= seconds
+        self._count(entry, -1)
+        for needed, seconds in entry.work.items():
+            self._busy[needed] -= seconds
         self._missed.append(entry)
 
-    def _largest_claimant(self) -> str:
+    def _largest_claimant(self, service: ServiceId) -> str:
         """Return the organisation with the largest order, of those above an equal share."""
-        share, sizes = self._equal_share(), self._size_of_organisation
-        return min(
-            self._by_organisation,
-            key=lambda name: (sizes[name] < share, self._by_organisation[name][0]),
-        )
+        heaps, share, sizes = self._heaps[service], self._equal_share(), self._size_of_organisation
+        for name, heap in list(heaps.items()):
+            while heap and heap[0][1] not in self._planned:
+                heapq.heappop(heap)
+            if not heap:
+                del heaps[name]
+        return min(heaps, key=lambda name: (sizes[name] < share, heaps[name][0]))
 
     def _equal_share(self) -> float:
         """Return the size of the planned orders of an organisation if all had the same."""
-        total = sum(self._size_of_organisation[name] for name in self._by_organisation)
-        return total / max(1, len(self._by_organisation))
+        return self._size / max(1, len(self._count_of_organisation))
--- a/src/chervilrack/_internal/admission/state.py
+++ b/src/chervilrack/_internal/admission/state.py
@@ -1,6 +1,6 @@
 """Orders that wait for their admission, and the effects of decisions on them."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 
 from chervilrack._internal.batching.state import Order
@@ -22,11 +22,11 @@
     order: Order
     organisation: str
     work: dict[ServiceId, float]
+    # Seconds for which the order occupies the service that it needs longest.
+    size: float = field(init=False)
 
-    @property
-    def size(self) -> float:
-        """Seconds for which the order occupies the service that it needs longest."""
-        return max(self.work.values(), default=0.0)
+    def __post_init__(self) -> None:
+        self.size = max(self.work.values(), default=0.0)
 
 
 @dataclass(frozen=True, slots=True)
