Admit only where the most urgent callers end at the stage that others pass

Cause: Any two routes with different targets or priorities at one service had the admission in force, also in deployments whose most urgent requests pass all stages and are put first by each queue already. Change: Routes compete if those that go on to further stages have both a longer target latency and a lower priority than the most urgent ones that end there. The table of routes is replaced by a longer one: its example in which the most urgent route goes on (1000, 2000 ms) does not compete any more. Conclusion: The condition follows from the routes alone.

--- a/features/admission/admission.feature
+++ b/features/admission/admission.feature
@@ -74,16 +74,23 @@
     Then the waiting orders of first are handed back once
     And a new owner admits them at once
 
-  Scenario Outline: routes that begin at <services> with targets of <targets> ms <compete>
+  Scenario Outline: routes at <services> with targets of <targets> ms and priorities <priorities> <compete>
     Given routes that begin at <services> with targets of <targets> ms, the first of <stages> stages
+    And their priorities are <priorities>
     Then the routes <compete>
 
-    Examples:
-      | services     | targets    | stages | compete        |
-      | first, first | 1000, 2000 | 3      | compete        |
-      | first, first | 2000, 2000 | 3      | do not compete |
-      | first, first | 1000, 2000 | 1      | do not compete |
-      | first, other | 1000, 2000 | 3      | do not compete |
+    Examples: the most urgent route, by target and by priority, ends where the others go on
+      | services            | targets          | priorities | stages | compete        |
+      | first, first        | 2000, 1000       | 1, 0       | 3      | compete        |
+      | first, first        | 2000, 1000       | 0, 0       | 3      | do not compete |
+      | first, first        | 2000, 1000       | 0, 1       | 3      | do not compete |
+      | first, first        | 1000, 2000       | 0, 1       | 3      | do not compete |
+      | first, first        | 1000, 2000       | 1, 0       | 3      | do not compete |
+      | first, first        | 1000, 1000       | 1, 0       | 3      | do not compete |
+      | first, first        | 2000, 2000       | 0, 0       | 3      | do not compete |
+      | first, first        | 2000, 1000       | 1, 0       | 1      | do not compete |
+      | first, other        | 2000, 1000       | 1, 0       | 3      | do not compete |
+      | first, first, first | 2000, 1000, 3000 | 1, 0, 2    | 3      | compete        |
 
   Scenario: the work of an order includes the stages that follow from it
     Given routes that begin at first, first with targets of 1000, 2000 ms, the first of 3 stages
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -238,6 +238,14 @@
         )
 
 
+@given("their priorities are {priorities}")
+def set_priorities(context, priorities):
+    context.routes = [
+        replace(route, priority=int(priority))
+        for route, priority in zip(context.routes, priorities.split(", "), strict=True)
+    ]
+
+
 @then("the routes {expected}")
 def check_competition(context, expected):
     names = competing_routes(context.routes)
--- a/src/chervilrack/_internal/admission/rules.py
+++ b/src/chervilrack/_internal/admission/rules.py
@@ -10,19 +10,26 @@
 def competing_routes(routes: Iterable[Route]) -> frozenset[str]:
     """Return the names of the routes that compete for the services of their first stages.
 
-    Routes compete if they begin at the same service with different target latencies or priorities,
-    and at least one of them goes on to further stages.
+    Routes compete if they begin at the same service, and the most urgent of them, both by target
+    latency and by priority, end there while others go on to further stages. The queue of that
+    service then decides what the further ones get, for requests that these do not know.
     """
     by_service: dict[ServiceId, list[Route]] = {}
     for route in routes:
         for service in {stage.service for stage in route.stages if not stage.after}:
             by_service.setdefault(service, []).append(route)
     return frozenset(
-        route.name
-        for group in by_service.values()
-        if len({(route.target_latency, route.priority) for route in group}) > 1
-        and any(stage.after for route in group for stage in route.stages)
-        for route in group
+        route.name for group in by_service.values() if _compete(group) for route in group
+    )
+
+
+def _compete(group: Sequence[Route]) -> bool:
+    """Whether routes that begin at the same service compete for it."""
+    shortest = min(route.target_latency for route in group)
+    highest = min(route.priority for route in group)
+    going_on = [route for route in group if any(stage.after for stage in route.stages)]
+    return bool(going_on) and all(
+        route.target_latency > shortest and route.priority > highest for route in going_on
     )
 
 
