Send what is kept just when the sending thread ends

Cause: The thread that sends kept parts saw that none was left, and recorded its end a moment later. A part that was kept in between had no thread: the last chunk of an answer was lost, and its caller waited, or took the next answer of the connection for the rest. Change: It records its end while it holds the lock under which it saw that. Conclusion: Each kept part has a thread that sends it.

--- a/src/chervilrack/_internal/gateway/unread.py
+++ b/src/chervilrack/_internal/gateway/unread.py
@@ -88,23 +88,28 @@
         return True
 
     def _drain(self) -> None:
-        error: OSError | None = None
-        while error is None:
-            with self._changed:
-                if not self._kept:
-                    break
-                part = self._kept[0]
+        while (part := self._next_part()) is not None:
             try:
                 sent = self._connection.send(part[:_SEND_BYTES])
-            except OSError as failure:
-                error = failure
-                sent = 0
+            except OSError as error:
+                self._end_draining(error)
+                return
             with self._changed:
-                if self._kept and sent:
+                if self._kept:
                     self._kept[0] = part[sent:]
                     if not self._kept[0]:
                         self._kept.popleft()
                     self._reservation.resize(self._reservation.size - sent)
+
+    def _next_part(self) -> memoryview | None:
+        """Return the next part to send; None, after which a new thread sends, if there is none."""
+        with self._changed:
+            if self._kept:
+                return self._kept[0]
+            self._end_draining()
+            return None
+
+    def _end_draining(self, error: OSError | None = None) -> None:
         with self._changed:
             self._error = error
             self._is_draining = False
