End the sending thread of an answer before its connection is closed

Cause: A request that ended without a wait for its caller, such as one whose caller was taken for gone after a half close, left the sending thread in a send of up to the stall limit. The connection was closed meanwhile, and its descriptor could be that of another caller's connection. Change: The end of the answer shuts the connection down if the thread still sends, and waits for the thread. Conclusion: No thread sends to a connection that was closed.

--- a/src/chervilrack/_internal/gateway/unread.py
+++ b/src/chervilrack/_internal/gateway/unread.py
@@ -1,5 +1,6 @@
 """Writes answers to callers that read slowly, without a wait for them."""
 
+import contextlib
 import logging
 import select
 import socket
@@ -55,9 +56,15 @@
             self._raise_error()
 
     def close(self) -> None:
-        """Give the memory back; what is still kept is not sent."""
+        """Give the memory back; what is still kept is not sent, and the connection then ends."""
         with self._changed:
             self._kept.clear()
+            if self._is_draining:
+                # Nobody may close the connection while the thread sends: its descriptor could be
+                # that of another one by then. This ends the wait for the caller.
+                with contextlib.suppress(OSError):
+                    socket.socket.shutdown(self._connection, socket.SHUT_RDWR)
+                self._changed.wait_for(lambda: not self._is_draining)
         self._reservation.close()
 
     def _raise_error(self) -> None:
