--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -1,6 +1,7 @@
 """Steps for the admission of orders for first stages."""
 
 import random
+from dataclasses import replace
 from datetime import timedelta
 from types import SimpleNamespace
 
@@ -11,6 +12,7 @@
 from chervilrack._internal.admission.state import Admit, Refuse, Work
 from chervilrack._internal.balancing.core import Balancer
 from chervilrack._internal.balancing.state import UpstreamReport
+from chervilrack._internal.batching.messages import PiecesWanted
 from chervilrack._internal.batching.state import Order
 from chervilrack._internal.catalogue.state import (
     BatchSpec,
@@ -21,9 +23,18 @@
     UpstreamEntry,
     UpstreamState,
 )
-from chervilrack._internal.common.ids import NodeId, RequestId, ServiceId, UpstreamId, ZoneId
+from chervilrack._internal.common.clock import ManualClock
+from chervilrack._internal.common.ids import (
+    Incarnation,
+    NodeId,
+    RequestId,
+    ServiceId,
+    UpstreamId,
+    ZoneId,
+)
 from chervilrack._internal.serving.metrics import ServingMetrics
 from chervilrack._internal.serving.stage_admission import StageAdmission
+from chervilrack._internal.serving.stage_coordinator import StageCoordinator
 
 SERVICES = ("first", "second", "third")
 RATE = 100.0
@@ -45,7 +56,7 @@
     return admission
 
 
-def submit(context, work, due=5.0, deadline=10.0, node="b"):
+def submit(context, work, due=5.0, deadline=10.0, node="b", priority=0):
     number = len(context.orders) + 1
     order = Order(
         id=(NodeId(node), number),
@@ -58,6 +69,7 @@
         deadline=context.now + timedelta(seconds=deadline),
         result_size=100,
         queued_at=context.now,
+        priority=priority,
         pending_segments={0},
     )
     context.orders.append((order, work))
@@ -92,6 +104,16 @@
 use_step_matcher("parse")
 
 
+@when(
+    "orders of priorities {priorities} for {pieces:d} pieces of first"
+    " due in {due:g} s are submitted"
+)
+def submit_priorities(context, priorities, pieces, due):
+    for priority in priorities.split(", "):
+        work = [Work(ServiceId("first"), pieces)]
+        submit(context, work, due, priority=int(priority))
+
+
 @when("{duration:d} ms pass")
 def pass_time(context, duration):
     end = context.now + timedelta(milliseconds=duration)
@@ -100,6 +122,32 @@
         context.effects += context.admission.tick(context.now)
 
 
+@when("{count:d} orders for {pieces:d} pieces of first are submitted")
+def submit_many(context, count, pieces):
+    for _ in range(count):
+        submit(context, [Work(ServiceId("first"), pieces)], deadline=100)
+
+
+@then("the admission is due in {interval:d} ms")
+def check_due(context, interval):
+    due = context.admission.next_time(context.now)
+    assert due == context.now + timedelta(milliseconds=interval), due
+
+
+@when("the second order is submitted again for segment {segment:d}")
+def submit_again(context, segment):
+    order, work = context.orders[1]
+    again = replace(order, pending_segments={segment})
+    context.effects += context.admission.submit(again, "a", work, context.now)
+
+
+@then("the second order is admitted with segments {segments}")
+def check_segments(context, segments):
+    identity = context.orders[1][0].id
+    (admitted,) = [e.order for e in context.effects if e.order.id == identity]
+    assert admitted.pending_segments == {int(s) for s in segments.split(", ")}, admitted
+
+
 @when("node {node} leaves the fleet")
 def lose_node(context, node):
     context.admission.drop_node(NodeId(node))
@@ -115,7 +163,7 @@
 
 @then("the {which} order is {expected:w}")
 def check_outcome(context, which, expected):
-    found = outcome(context, {"second": 1, "third": 2}[which])
+    found = outcome(context, {"second": 1, "third": 2, "fourth": 3}[which])
     assert found == expected, context.effects
 
 
@@ -190,6 +238,14 @@
         )
 
 
+@given("their priorities are {priorities}")
+def set_priorities(context, priorities):
+    context.routes = [
+        replace(route, priority=int(priority))
+        for route, priority in zip(context.routes, priorities.split(", "), strict=True)
+    ]
+
+
 @then("the routes {expected}")
 def check_competition(context, expected):
     names = competing_routes(context.routes)
@@ -217,6 +273,7 @@
     ]
     context.balancer = Balancer(ZONE, random.Random(1))
     context.admitted = []
+    context.entries = entries
     state = SimpleNamespace(
         catalogue=SimpleNamespace(
             configuration=SimpleNamespace(services={service: ServiceSpec(service, batching=spec)})
@@ -226,6 +283,8 @@
         metrics=ServingMetrics(),
         log=SimpleNamespace(note=lambda *args, **fields: None),
     )
+    context.configuration = state.catalogue.configuration
+    context.state = state
     context.node = StageAdmission(state, context.admitted.append, lambda order, after: None)
     context.now = timedelta(seconds=10)
     context.orders = []
@@ -248,6 +307,51 @@
         context.balancer.record_failure(UpstreamId(f"i-{number}"), context.now, "down", True)
 
 
+@given("{count:d} leave")
+@when("{count:d} leave")
+def leave(context, count):
+    for entry in context.entries[:count]:
+        context.balancer.standing.record_answer(
+            entry.incarnation, leaving=True, pause=None, now=context.now
+        )
+
+
+@given("{count:d} want a pause")
+@when("{count:d} want a pause")
+def pause(context, count):
+    for entry in context.entries[:count]:
+        context.balancer.standing.record_answer(
+            entry.incarnation, leaving=False, pause=timedelta(seconds=2), now=context.now
+        )
+
+
+@given("{count:d} lie in an evacuated zone")
+@when("{count:d} lie in an evacuated zone")
+def evacuate(context, count):
+    zone = ZoneId("evacuated")
+    context.entries[:count] = [replace(entry, zone=zone) for entry in context.entries[:count]]
+    context.balancer.standing.set_evacuated_zones(frozenset([zone]))
+
+
+@when("the service is removed")
+def remove_service(context):
+    context.configuration.services = {}
+
+
+@when("the node looks at its orders for {duration:d} ms")
+def look(context, duration):
+    end = context.now + timedelta(milliseconds=duration)
+    while context.now < end:
+        context.now = min(end, context.now + TICK)
+        context.node.tick(context.now)
+
+
+@then("all orders have been admitted there")
+def check_all_admitted(context):
+    assert [order.id[1] for order in context.admitted] == [0, 1, 2, 3], context.admitted
+    assert context.node.next_time(context.now) is None
+
+
 @when("orders for {pieces} pieces arrive there")
 def submit_to_node(context, pieces):
     context.in_force = True
@@ -281,3 +385,48 @@
     admitted = sum(len(order.pending_segments) for order in context.admitted)
     assert context.in_force
     assert admitted == pieces, admitted
+
+
+@given("that node is the owner of the queue")
+def create_owner(context):
+    state, service = context.state, context.configuration.services[ServiceId("first")]
+    state.clock = ManualClock()
+    state.catalogue.service = lambda _: service
+    state.settings = SimpleNamespace(batching="shared")
+    state.fleet = SimpleNamespace(owners=lambda: ["a"], address_of=lambda _: None)
+    state.report_actions = lambda: None
+    calls = SimpleNamespace(start=lambda *args: None)
+    context.coordinator = StageCoordinator(NodeId("a"), Incarnation("01"), state, None, calls)
+    context.woken = []
+
+
+@when("node b orders {first:d} and {second:d} pieces there")
+def order_pieces(context, first, second):
+    for number, pieces in enumerate((first, second)):
+        message = PiecesWanted(
+            order=number,
+            service="first",
+            request_id=f"r{number}",
+            stage=0,
+            segments=(0,),
+            key="k",
+            inputs=(),
+            due_ms=5000,
+            remaining_ms=9000,
+            result_size=100,
+            zone="",
+            move_bytes=0,
+            priority=0,
+            work=(("first", pieces),),
+        )
+        # Only the order that waits counts: the first one starts a call.
+        context.woken.clear()
+        context.coordinator.wake = lambda: context.woken.append(True)
+        context.coordinator.on_pieces_wanted(NodeId("b"), message)
+
+
+@then("its timers are woken, and due in {duration:d} ms")
+def check_woken(context, duration):
+    now = context.state.clock.monotonic()
+    assert context.coordinator.next_time(now) == now + timedelta(milliseconds=duration)
+    assert context.woken
--- a/src/chervilrack/_internal/admission/core.py
+++ b/src/chervilrack/_internal/admission/core.py
@@ -54,16 +54,26 @@
     def configure(self, rates: Mapping[ServiceId, float]) -> None:
         """Set the pieces per second that the upstreams of each service produce in full calls.
 
-        Services without a rate do not limit the admission.
+        Services without a rate do not limit the admission. Orders that wait for room at a service
+        that has no rate any more are admitted by the next ``tick``.
         """
         self._rates = {service: rate for service, rate in rates.items() if rate > 0}
 
     def submit(
         self, order: Order, organisation: str, work: Iterable[Work], now: timedelta
     ) -> list[AdmissionEffect]:
-        """Admit an order at once if there is room for it, or let it wait."""
+        """Admit an order at once if there is room for it, or let it wait.
+
+        Pieces of an order that waits already are added to it.
+        """
         self._elapse(now)
+        known = self._waiting.get(order.id)
+        if known is not None:
+            known.order.pending_segments |= order.pending_segments
+            return []
         entry = WaitingOrder(order, organisation, self._seconds_of(work))
+        if not self._waiting:
+            self._contended = frozenset()
         if self._has_room(entry) and self._contended.isdisjoint(entry.work):
             return [self._admit(entry)]
         if not self._waiting:
@@ -92,7 +102,15 @@
         """Return when ``tick`` has something to do next, if any."""
         if not self._waiting:
             return None
-        return self._looked_at + self._settings.interval
+        return self._looked_at + self._interval
+
+    @property
+    def _interval(self) -> timedelta:
+        """Time between two looks at the waiting orders, longer if there are many of them."""
+        settings = self._settings
+        return min(
+            settings.depth, max(settings.interval, self.waiting * settings.interval_per_order)
+        )
 
     def tick(self, now: timedelta) -> Sequence[AdmissionEffect]:
         """Admit the orders for which there is room, and refuse those that come too late.
@@ -101,16 +119,16 @@
         order of their deadlines. An order is refused when its deadline cannot be met even if no
         further order comes.
         """
-        if not self._waiting or now < self._looked_at + self._settings.interval:
+        if not self._waiting or now < self._looked_at + self._interval:
             return []
         self._looked_at = now
         self._elapse(now)
+        effects: list[AdmissionEffect] = [*self._admit_unlimited()]
         punctual = Plan(self._admitted, lambda order: order.due, now, self._settings)
         punctual.add_all(self._waiting.values())
         fastest = 1.0 / self._settings.fill
         late = Plan(punctual.busy, lambda order: order.deadline, now, self._settings, fastest)
         late.add_all(punctual.missed)
-        effects: list[AdmissionEffect] = []
         contended: set[ServiceId] = set()
         for entry in [*punctual.planned, *late.planned]:
             if self._has_room(entry) and contended.isdisjoint(entry.work):
@@ -122,15 +140,23 @@
         self._contended = frozenset(contended)
         return [*effects, *self._refuse(late, now)]
 
+    def _admit_unlimited(self) -> list[Admit]:
+        """Admit the orders of services that have lost their rates, which their queues judge."""
+        entries = [e for e in self._waiting.values() if not self._rates.keys() >= e.work.keys()]
+        for entry in entries:
+            del self._waiting[entry.order.id]
+        return [Admit(entry.order) for entry in entries]
+
     def _refuse(self, plan: Plan, now: timedelta) -> list[AdmissionEffect]:
         """Refuse the orders that miss their deadlines.
 
-        Each is told to come back when the work before it is done, that of the orders refused before
-        included, so that their callers come back one after the other.
+        Each is told to come back when the work before it is done at the services that it needs, and
+        that of the orders refused before, so that their callers come back one after the other.
         """
         effects: list[AdmissionEffect] = []
-        clear_at = now + timedelta(seconds=max(plan.busy.values(), default=0.0))
         for entry in sorted(plan.missed, key=lambda e: (e.order.deadline, e.order.id)):
+            work_ahead = max((plan.busy[service] for service in entry.work), default=0.0)
+            clear_at = now + timedelta(seconds=work_ahead)
             self._room_at = max(self._room_at, clear_at) + timedelta(seconds=entry.size)
             del self._waiting[entry.order.id]
             effects.append(Refuse(entry.order, self._room_at - now))
--- a/src/chervilrack/_internal/gateway/unread.py
+++ b/src/chervilrack/_internal/gateway/unread.py
@@ -1,5 +1,6 @@
 """Writes answers to callers that read slowly, without a wait for them."""
 
+import contextlib
 import logging
 import select
 import socket
@@ -55,9 +56,15 @@
             self._raise_error()
 
     def close(self) -> None:
-        """Give the memory back; what is still kept is not sent."""
+        """Give the memory back; what is still kept is not sent, and the connection then ends."""
         with self._changed:
             self._kept.clear()
+            if self._is_draining:
+                # Nobody may close the connection while the thread sends: its descriptor could be
+                # that of another one by then. This ends the wait for the caller.
+                with contextlib.suppress(OSError):
+                    socket.socket.shutdown(self._connection, socket.SHUT_RDWR)
+                self._changed.wait_for(lambda: not self._is_draining)
         self._reservation.close()
 
     def _raise_error(self) -> None:
@@ -88,23 +95,28 @@
         return True
 
     def _drain(self) -> None:
-        error: OSError | None = None
-        while error is None:
-            with self._changed:
-                if not self._kept:
-                    break
-                part = self._kept[0]
+        while (part := self._next_part()) is not None:
             try:
                 sent = self._connection.send(part[:_SEND_BYTES])
-            except OSError as failure:
-                error = failure
-                sent = 0
+            except OSError as error:
+                self._end_draining(error)
+                return
             with self._changed:
-                if self._kept and sent:
+                if self._kept:
                     self._kept[0] = part[sent:]
                     if not self._kept[0]:
                         self._kept.popleft()
                     self._reservation.resize(self._reservation.size - sent)
+
+    def _next_part(self) -> memoryview | None:
+        """Return the next part to send; None, after which a new thread sends, if there is none."""
+        with self._changed:
+            if self._kept:
+                return self._kept[0]
+            self._end_draining()
+            return None
+
+    def _end_draining(self, error: OSError | None = None) -> None:
         with self._changed:
             self._error = error
             self._is_draining = False
--- a/src/chervilrack/_internal/serving/stage_coordinator.py
+++ b/src/chervilrack/_internal/serving/stage_coordinator.py
@@ -356,6 +356,7 @@
     def reconfigure(self) -> None:
         """Apply a changed configuration or changed upstreams to the queues."""
         now = self._state.clock.monotonic()
+        self._admission.reconfigure()
         for queue in self._queues.values():
             self._configure(queue)
             self._perform(queue, queue.dispatch(now))
@@ -495,7 +496,10 @@
     ) -> None:
         """Queue an order, after its admission if it needs one."""
         if work and self._admission.is_in_force(work, now):
+            had_time = self._admission.next_time(now) is not None
             self._admission.submit(order, organisation, work, now)
+            if not had_time and self._admission.next_time(now) is not None:
+                self.wake()
         else:
             self._perform(queue, queue.submit(order, now))
 
