Keep what a peer told of the time before a return

Cause: peers keep drained upstreams, later starts and evacuations that the store's copy lacks, and pass them on in the new era. A node that learned them so took them for contents of that era: its own listing of the copy, in the same era, undid them. A draining upstream or an earlier start was used again, and an evacuated zone got work, also at a node that had seen the evacuation itself before the return. Evacuations that a peer confirms stay kept, and new ones are kept for 10 s. Nothing changes in era 0. Conclusion: an evacuation that is taken back while its node is cut off after a return may hold for 10 s longer there.

--- a/features/catalogue/store_returns.feature
+++ b/features/catalogue/store_returns.feature
@@ -153,3 +153,30 @@
     And the node lists the copy in era 3
     And u3 is written in era 3
     Then u3 is ready
+
+  # Guards against a copy that undoes what a peer has told since the return (DRAIN, LOST, EVAC).
+  Scenario Outline: <node> hears from a peer in era 2 that <told>: <time> s after it <after> <result>
+    Given <node> in era 2 while the store does not answer it
+    When a peer's state of era 2 arrives, in which <told>
+    And the node <after>, and <time> s pass
+    Then <result>
+
+    Examples:
+      | node                            | told                | after               | time | result                 |
+      | a node that starts              | u2 drains           | lists the copy      | 0    | u2 is draining         |
+      | a node that starts              | u2 drains           | lists the copy      | 10   | u2 is draining         |
+      | a node that starts              | u2 has started anew | lists the copy      | 0    | u2 is ready            |
+      | a node that starts              | u2 has started anew | lists the copy      | 0    | u2 has its later start |
+      | a node that starts              | u2 has started anew | lists the copy      | 2.3  | u2 is not known        |
+      | a node that starts              | u3 is registered    | lists the copy      | 0    | u3 is not known        |
+      | a node that starts              | z1 is evacuated     | lists the copy      | 9.9  | zone z1 is evacuated   |
+      | a node that starts              | z1 is evacuated     | lists the copy      | 10   | zone z1 is in use      |
+      | a node that starts              | z1 is evacuated     | sees z1 taken back  | 0    | zone z1 is in use      |
+      | a node that has listed the copy | u2 drains           | lists the copy      | 0    | u2 is draining         |
+      | a node that has listed the copy | u2 has started anew | lists the copy      | 0    | u2 has its later start |
+      | a node that has listed the copy | u3 is registered    | lists the copy      | 0    | u3 is not known        |
+      | a node that has listed the copy | z1 is evacuated     | lists the copy      | 9.9  | zone z1 is evacuated   |
+      | a node that knew z1 evacuated   | z1 is evacuated     | lists the copy      | 9.9  | zone z1 is evacuated   |
+      | a node that knew z1 evacuated   | z1 is evacuated     | lists the copy      | 10   | zone z1 is in use      |
+      | a node that knew z1 evacuated   | z1 is evacuated     | sees z1 taken back  | 0    | zone z1 is in use      |
+      | a node that has listed the copy | z1 is evacuated     | sees z1 taken back  | 0    | zone z1 is in use      |
--- a/features/steps/store_returns_steps.py
+++ b/features/steps/store_returns_steps.py
@@ -243,3 +243,47 @@
 @when("u3 is written in era 3")
 def write_in_third_era(context):
     change_store(context.node, "u3 is written", 3)
+
+
+@given("{node} in era 2 while the store does not answer it")
+def start_without_store(context, node):
+    context.node = DirectoryNode("b", 2, lists=False)
+    if node == "a node that has listed the copy":
+        context.node.relay.on_available()
+        context.node.relay.on_listing(COPY, COPY_REVISION, 2)
+    if node == "a node that knew z1 evacuated":
+        context.node.relay.on_available()
+        context.node.relay.on_listing(COPY, COPY_REVISION, 1)
+        change_store(context.node, "z1 is evacuated", 1)
+    context.node.directory.on_unavailable("cut off")
+
+
+@when("a peer's state of era 2 arrives, in which {told}")
+def receive_newer_state(context, told):
+    """The peer knew it before the return; the copy lacks it, and one entry was written since."""
+    items = {item.key: item for item in COPY[1:]}
+    match told.split():
+        case [name, "drains"]:
+            items[f"servers/{name}"] = entry_item(name, 3, "draining")
+        case [name, "has", "started", "anew"]:
+            items[f"servers/{name}"] = entry_item(name, 3, started=STARTED + 9000)
+        case ["u3", *_]:
+            items["servers/u3"] = entry_item("u3", 4)
+    upstreams = tuple((item.key, item.value, item.mod_revision) for item in items.values())
+    evacuations = ("z1",) if told == "z1 is evacuated" else ()
+    reply = StateReply(CONFIGURATION.value, 4, upstreams, (), (), evacuations, 2)
+    context.node.directory.on_state_reply(reply)
+
+
+@when("the node lists the copy, and {seconds:g} s pass")
+def list_after_state(context, seconds):
+    context.node.relay.on_available()
+    context.node.relay.on_listing(COPY, COPY_REVISION + 2, 2)
+    pass_time(context, seconds)
+
+
+@when("the node sees z1 taken back, and {seconds:g} s pass")
+def see_taken_back(context, seconds):
+    context.node.relay.on_available()
+    change_store(context.node, "z1 is taken back", 2)
+    pass_time(context, seconds)
--- a/src/chervilrack/_internal/catalogue/core.py
+++ b/src/chervilrack/_internal/catalogue/core.py
@@ -74,6 +74,9 @@
         self._positions: dict[UpstreamId, StorePosition] = {}
         self._era = 0
         self._ended = EndedUpstreams()
+        # Upstreams whose entries a peer may know from an earlier era than this one, and the end of
+        # the time in which they may register again.
+        self._told: dict[UpstreamId, timedelta] = {}
         # Upstreams that are kept although their registrations have ended, and the end of that time;
         # None means REREGISTRATION_GRACE after the store answers again.
         self._lapsed: dict[UpstreamId, timedelta | None] = {}
@@ -128,6 +131,7 @@
         and what it holds may have ended before.
         """
         self._era = era
+        self._told.clear()
         if returned_at is not None:
             self._had_outage = True
             self._available_again_at = self._returned_at = returned_at
@@ -201,10 +205,19 @@
         while the store answered the peer, and are removed here, unless the store has come back from
         a copy: the peer may not have known them. This node keeps lapsed ones for
         REREGISTRATION_GRACE, counted from the first such listing.
+
+        In later eras than the first one, the peer may know more of an upstream than the copy does,
+        which this node may list next.
         """
         effects: list[CatalogueEffect] = []
         for entry, revision in entries.values():
+            is_known = (
+                self._upstreams.get(entry.id) == entry
+                and self._positions.get(entry.id, ORIGIN).era == self._era
+            )
             effects += self.put_upstream(entry, revision, is_listed=True)
+            if self._era and not is_known and self._upstreams.get(entry.id) == entry:
+                self._told[entry.id] = now + REREGISTRATION_GRACE
         for upstream in [u for u in self._upstreams if u not in entries]:
             if upstream not in lapsed and not self._is_kept_after_return(upstream, now):
                 effects += self._remove(upstream, is_certain=not self._ended.is_doubting)
@@ -246,24 +259,23 @@
         previous = self._upstreams.get(entry.id)
         if previous == entry:
             return []
+        self._told.pop(entry.id, None)
         self._upstreams[entry.id] = entry
         self._update_ready_index(entry.service, previous.service if previous else None)
         return [UpstreamChanged(entry.id, entry, previous)]
 
     def supersedes(self, entry: UpstreamEntry) -> bool:
-        """Whether an earlier era has told more of the upstream than an entry of this era."""
+        """Whether more of the upstream is known, maybe from an earlier era, than an entry says."""
         known = self._upstreams.get(entry.id)
-        return (
-            known is not None
-            and self._positions.get(entry.id, ORIGIN).era < self._era
-            and is_superseded(entry, known)
-        )
+        if known is None or not is_superseded(entry, known):
+            return False
+        return entry.id in self._told or self._positions.get(entry.id, ORIGIN).era < self._era
 
     def _keep_superseding(self, entry: UpstreamEntry) -> None:
         """Keep a later start than that of an entry, for as long as it may register again."""
         known = self._upstreams[entry.id]
         if known.state is UpstreamState.READY:
-            self._lapsed.setdefault(entry.id, None)
+            self._lapsed.setdefault(entry.id, self._told.get(entry.id))
 
     def remove_upstream(
         self, upstream: UpstreamId, revision: int | None, now: timedelta
@@ -331,6 +343,7 @@
     def _remove(self, upstream: UpstreamId, *, is_certain: bool = True) -> list[CatalogueEffect]:
         """Remove an upstream; ``is_certain`` is false if it only did not register again."""
         self._lapsed.pop(upstream, None)
+        self._told.pop(upstream, None)
         previous = self._upstreams.pop(upstream, None)
         if previous is None:
             return []
--- a/src/chervilrack/_internal/catalogue/evacuation.py
+++ b/src/chervilrack/_internal/catalogue/evacuation.py
@@ -41,6 +41,22 @@
         """Keep the evacuations of now, of which a copy of the store may lack some."""
         self._kept, self._kept_until = self._zones, now + EVACUATION_KEPT
 
+    def replace_from_peer(
+        self, zones: Collection[ZoneId], now: timedelta, *, may_be_lost: bool
+    ) -> list[EvacuationChanged]:
+        """Apply all evacuations that a peer knows.
+
+        ``may_be_lost`` is whether the peer may know them from before the store came back from a
+        copy, which may lack them; those that this node did not know are kept then, too.
+        """
+        told, kept = frozenset(zones) - self._zones, self._kept
+        effects = self.replace(zones)
+        if may_be_lost:
+            self._kept = kept | told
+            if told:
+                self._kept_until = now + EVACUATION_KEPT
+        return effects
+
     def expire(self, now: timedelta) -> list[EvacuationChanged]:
         """End the kept evacuations that were not written again in time."""
         if self._kept_until is None or now < self._kept_until:
--- a/src/chervilrack/_internal/serving/directory.py
+++ b/src/chervilrack/_internal/serving/directory.py
@@ -505,7 +505,10 @@
         now = self._state.clock.monotonic()
         if message.evacuations is not None:
             evacuated = [ZoneId(zone) for zone in message.evacuations]
-            self._perform(self._state.catalogue.evacuations.replace(evacuated))
+            effects = self._state.catalogue.evacuations.replace_from_peer(
+                evacuated, now, may_be_lost=position.era > 0
+            )
+            self._perform(effects)
         upstreams = self._replace_upstreams(items)
         self._perform(self._state.catalogue.apply_peer_listing(upstreams, missing, now))
         self._update_queues()
