Tell in a peer's state which evacuations are kept without the store

Change: a node's state names the evacuations that it keeps although its copy of the store lacks them, in an element behind the known ones, empty without a return. The receiver keeps just these; the others end as the store says. Conclusion: a peer of an older release names none; its evacuations are taken for those of the store, as before.

--- a/features/catalogue/store_returns.feature
+++ b/features/catalogue/store_returns.feature
@@ -169,14 +169,21 @@
       | a node that starts              | u2 has started anew | lists the copy      | 0    | u2 has its later start |
       | a node that starts              | u2 has started anew | lists the copy      | 2.3  | u2 is not known        |
       | a node that starts              | u3 is registered    | lists the copy      | 0    | u3 is not known        |
-      | a node that starts              | z1 is evacuated     | lists the copy      | 9.9  | zone z1 is evacuated   |
-      | a node that starts              | z1 is evacuated     | lists the copy      | 10   | zone z1 is in use      |
-      | a node that starts              | z1 is evacuated     | sees z1 taken back  | 0    | zone z1 is in use      |
+      | a node that starts              | z1 is kept          | lists the copy      | 9.9  | zone z1 is evacuated   |
+      | a node that starts              | z1 is kept          | lists the copy      | 10   | zone z1 is in use      |
+      | a node that starts              | z1 is kept          | sees z1 taken back  | 0    | zone z1 is in use      |
       | a node that has listed the copy | u2 drains           | lists the copy      | 0    | u2 is draining         |
       | a node that has listed the copy | u2 has started anew | lists the copy      | 0    | u2 has its later start |
       | a node that has listed the copy | u3 is registered    | lists the copy      | 0    | u3 is not known        |
-      | a node that has listed the copy | z1 is evacuated     | lists the copy      | 9.9  | zone z1 is evacuated   |
-      | a node that knew z1 evacuated   | z1 is evacuated     | lists the copy      | 9.9  | zone z1 is evacuated   |
-      | a node that knew z1 evacuated   | z1 is evacuated     | lists the copy      | 10   | zone z1 is in use      |
-      | a node that knew z1 evacuated   | z1 is evacuated     | sees z1 taken back  | 0    | zone z1 is in use      |
-      | a node that has listed the copy | z1 is evacuated     | sees z1 taken back  | 0    | zone z1 is in use      |
+      | a node that has listed the copy | z1 is kept          | lists the copy      | 9.9  | zone z1 is evacuated   |
+      | a node that knew z1 evacuated   | z1 is kept          | lists the copy      | 9.9  | zone z1 is evacuated   |
+      | a node that knew z1 evacuated   | z1 is kept          | lists the copy      | 10   | zone z1 is in use      |
+      | a node that knew z1 evacuated   | z1 is kept          | sees z1 taken back  | 0    | zone z1 is in use      |
+      | a node that has listed the copy | z1 is kept          | sees z1 taken back  | 0    | zone z1 is in use      |
+      | a node that starts              | z1 is evacuated     | sees nothing new    | 20   | zone z1 is evacuated   |
+      | a node that has listed the copy | z1 is evacuated     | sees nothing new    | 20   | zone z1 is evacuated   |
+      | a node that knew z1 evacuated   | z1 is evacuated     | sees nothing new    | 20   | zone z1 is evacuated   |
+      | a node that starts              | z1 is evacuated     | lists the copy      | 0    | zone z1 is in use      |
+      | a node that knew z1 evacuated   | z1 is evacuated     | lists the copy      | 0    | zone z1 is in use      |
+      | a node that starts              | z1 is kept          | sees nothing new    | 9.9  | zone z1 is evacuated   |
+      | a node that starts              | z1 is kept          | sees nothing new    | 10   | zone z1 is in use      |
--- a/features/steps/store_returns_steps.py
+++ b/features/steps/store_returns_steps.py
@@ -260,7 +260,7 @@
 
 @when("a peer's state of era 2 arrives, in which {told}")
 def receive_newer_state(context, told):
-    """The peer knew it before the return; the copy lacks it, and one entry was written since."""
+    """The peer has seen it; the copy lacks what drained, started anew or is kept."""
     items = {item.key: item for item in COPY[1:]}
     match told.split():
         case [name, "drains"]:
@@ -270,8 +270,9 @@
         case ["u3", *_]:
             items["servers/u3"] = entry_item("u3", 4)
     upstreams = tuple((item.key, item.value, item.mod_revision) for item in items.values())
-    evacuations = ("z1",) if told == "z1 is evacuated" else ()
-    reply = StateReply(CONFIGURATION.value, 4, upstreams, (), (), evacuations, 2)
+    evacuations = ("z1",) if told.startswith("z1") else ()
+    kept = ("z1",) if told == "z1 is kept" else ()
+    reply = StateReply(CONFIGURATION.value, 4, upstreams, (), (), evacuations, 2, kept)
     context.node.directory.on_state_reply(reply)
 
 
@@ -282,8 +283,9 @@
     pass_time(context, seconds)
 
 
-@when("the node sees z1 taken back, and {seconds:g} s pass")
-def see_taken_back(context, seconds):
+@when("the node sees {what}, and {seconds:g} s pass")
+def see_change(context, what, seconds):
+    changes = {"z1 taken back": "z1 is taken back", "nothing new": "nothing happens"}
     context.node.relay.on_available()
-    change_store(context.node, "z1 is taken back", 2)
+    change_store(context.node, changes[what], 2)
     pass_time(context, seconds)
--- a/src/chervilrack/_internal/catalogue/evacuation.py
+++ b/src/chervilrack/_internal/catalogue/evacuation.py
@@ -37,24 +37,28 @@
         """The evacuated zones."""
         return self._zones
 
+    @property
+    def kept(self) -> frozenset[ZoneId]:
+        """Evacuated zones that the copy of the store lacks, as far as this node knows."""
+        return self._kept
+
     def keep(self, now: timedelta) -> None:
         """Keep the evacuations of now, of which a copy of the store may lack some."""
         self._kept, self._kept_until = self._zones, now + EVACUATION_KEPT
 
     def replace_from_peer(
-        self, zones: Collection[ZoneId], now: timedelta, *, may_be_lost: bool
+        self, zones: Collection[ZoneId], kept: Collection[ZoneId], now: timedelta
     ) -> list[EvacuationChanged]:
-        """Apply all evacuations that a peer knows.
+        """Apply all evacuations that a peer knows, of which it keeps some.
 
-        ``may_be_lost`` is whether the peer may know them from before the store came back from a
-        copy, which may lack them; those that this node did not know are kept then, too.
+        Those that the peer keeps are kept here, too; the others are in the store.
         """
-        told, kept = frozenset(zones) - self._zones, self._kept
+        told = frozenset(kept) - self._zones
+        still_kept = self._kept & frozenset(kept)
         effects = self.replace(zones)
-        if may_be_lost:
-            self._kept = kept | told
-            if told:
-                self._kept_until = now + EVACUATION_KEPT
+        self._kept |= still_kept | told
+        if told:
+            self._kept_until = now + EVACUATION_KEPT
         return effects
 
     def expire(self, now: timedelta) -> list[EvacuationChanged]:
--- a/src/chervilrack/_internal/fleet/messages.py
+++ b/src/chervilrack/_internal/fleet/messages.py
@@ -64,8 +64,9 @@
     key, value and modification revision of each registration. ``missing`` names the upstreams
     whose registrations have ended but which the sender still keeps, since they may come back.
     ``blocks`` are the traits that the sender blocks. ``evacuations`` are the evacuated zones,
-    None from a sender of an earlier version, which does not know of them. All revisions are of
-    ``era``.
+    None from a sender of an earlier version, which does not know of them, and ``kept_evacuations``
+    those of them that the sender keeps although its copy of the store lacks them. All revisions
+    are of ``era``.
     """
 
     configuration: bytes
@@ -75,6 +76,7 @@
     blocks: Annotated[tuple[BlockRecord, ...], msgspec.Meta(max_length=1024)] = ()
     evacuations: tuple[str, ...] | None = None
     era: Count = 0
+    kept_evacuations: tuple[str, ...] = ()
 
     @property
     def position(self) -> StorePosition:
--- a/src/chervilrack/_internal/serving/directory.py
+++ b/src/chervilrack/_internal/serving/directory.py
@@ -479,8 +479,9 @@
         content = item.value if newer else b""
         known = self._position
         evacuations = tuple(sorted(self._state.catalogue.evacuated_zones))
+        kept = tuple(sorted(self._state.catalogue.evacuations.kept))
         reply = StateReply(
-            content, known.revision, upstreams, missing, blocks, evacuations, known.era
+            content, known.revision, upstreams, missing, blocks, evacuations, known.era, kept
         )
         self._send(f"tcp://{address}", reply)
 
@@ -505,9 +506,8 @@
         now = self._state.clock.monotonic()
         if message.evacuations is not None:
             evacuated = [ZoneId(zone) for zone in message.evacuations]
-            effects = self._state.catalogue.evacuations.replace_from_peer(
-                evacuated, now, may_be_lost=position.era > 0
-            )
+            kept = [ZoneId(zone) for zone in message.kept_evacuations]
+            effects = self._state.catalogue.evacuations.replace_from_peer(evacuated, kept, now)
             self._perform(effects)
         upstreams = self._replace_upstreams(items)
         self._perform(self._state.catalogue.apply_peer_listing(upstreams, missing, now))
