Let drawn orders take a true end of an evacuation for one

Shrunk: z1 is evacuated, n0 knows it; z1 is taken back, the store answers n0's listing, z1 is evacuated again, and only then does the listing arrive. n0 ends the first evacuation as the operator had, and learns of the second one by its next watch; the rule gives it evacuateMs from the second one's acknowledgement. No return is needed. Change: the model notes from which position of the store to which one the operator had an evacuation taken back. A node may end one only while its own position lies there; anywhere else it is a fault, as before. New and stricter: a node whose position has reached that of an evacuation in the store must have it.

--- a/features/support/store_orders.py
+++ b/features/support/store_orders.py
@@ -72,6 +72,11 @@
         self.returned_at = None
         # Positions at which the latest registrations of upstreams ended.
         self.ended_at = {}
+        # Positions from which the operator had taken an evacuation back, and from which it held
+        # again, by zone.
+        self.taken_back = {zone: [] for zone in ZONES}
+        # Positions of the evacuations in the store's contents.
+        self.evacuated_at = {}
         self.configure()
 
     def put(self, key, value):
@@ -105,17 +110,39 @@
         if what == "ends":
             self.ended_at[name, known.started] = StorePosition(self.era, self.revision)
 
+    @property
+    def position(self):
+        return StorePosition(self.era, self.revision)
+
     def evacuate(self, zone, *, ends):
+        had = zone in self.zones
         self.zones = self.zones - {zone} if ends else self.zones | {zone}
         self.write_evacuation(zone)
+        if had and ends:
+            self.taken_back[zone].append((self.position, None))
+        elif self.taken_back[zone] and not had and not ends:
+            since, _ = self.taken_back[zone].pop()
+            self.taken_back[zone].append((since, self.position))
+
+    def may_lack_evacuation(self, zone, position):
+        """Whether the operator had taken an evacuation back, and not begun it anew, at a position.
+
+        A node at this position does not know yet that the zone is evacuated again.
+        """
+        return any(
+            since <= position and (until is None or position < until)
+            for since, until in self.taken_back[zone]
+        )
 
     def write_evacuation(self, zone):
         """Make the evacuation of a zone what it is to be."""
         key = f"op/evacuate/{zone}"
         if zone in self.zones and key not in self.items:
             self.put(key, b"{}")
+            self.evacuated_at[zone] = self.position
         elif zone not in self.zones and key in self.items:
             self.remove(key)
+            del self.evacuated_at[zone]
 
     def write_upstream(self, name):
         """Make the entry of an upstream what it is to be."""
@@ -158,6 +185,9 @@
         self.era += 1
         self.returned_at = self.now
         self.ended_at.clear()
+        self.evacuated_at = {
+            zone: self.position for zone in ZONES if f"op/evacuate/{zone}" in self.items
+        }
 
     def write_again(self):
         """Write what is lost again."""
@@ -541,7 +571,16 @@
         node.answered_at, node.version, node.position = answered_at, version, position
         self._check_upstreams(node, now)
         evacuated = node.catalogue.evacuated_zones
-        used = (node.evacuated - evacuated) & self.store.zones
+        used = {
+            zone
+            for zone in (node.evacuated - evacuated) & self.store.zones
+            if not self.store.may_lack_evacuation(zone, position)
+        }
+        used |= {
+            zone
+            for zone, since in self.store.evacuated_at.items()
+            if zone in self.store.zones - evacuated and position >= since
+        }
         assert not used, f"EVAC: {node.name} uses {used}, which is evacuated"
         node.evacuated = evacuated
         if node.allowed is None and node.state.is_accepting():
