--- a/src/chervilrack/_internal/catalogue/evacuation.py
+++ b/src/chervilrack/_internal/catalogue/evacuation.py
@@ -37,10 +37,30 @@
         """The evacuated zones."""
         return self._zones
 
+    @property
+    def kept(self) -> frozenset[ZoneId]:
+        """Evacuated zones that the copy of the store lacks, as far as this node knows."""
+        return self._kept
+
     def keep(self, now: timedelta) -> None:
         """Keep the evacuations of now, of which a copy of the store may lack some."""
         self._kept, self._kept_until = self._zones, now + EVACUATION_KEPT
 
+    def replace_from_peer(
+        self, zones: Collection[ZoneId], kept: Collection[ZoneId], now: timedelta
+    ) -> list[EvacuationChanged]:
+        """Apply all evacuations that a peer knows, of which it keeps some.
+
+        Those that the peer keeps are kept here, too; the others are in the store.
+        """
+        told = frozenset(kept) - self._zones
+        still_kept = self._kept & frozenset(kept)
+        effects = self.replace(zones)
+        self._kept |= still_kept | told
+        if told:
+            self._kept_until = now + EVACUATION_KEPT
+        return effects
+
     def expire(self, now: timedelta) -> list[EvacuationChanged]:
         """End the kept evacuations that were not written again in time."""
         if self._kept_until is None or now < self._kept_until:
