--- a/features/catalogue/store_returns.feature
+++ b/features/catalogue/store_returns.feature
@@ -187,3 +187,13 @@
       | a node that knew z1 evacuated   | z1 is evacuated     | lists the copy      | 0    | zone z1 is in use      |
       | a node that starts              | z1 is kept          | sees nothing new    | 9.9  | zone z1 is evacuated   |
       | a node that starts              | z1 is kept          | sees nothing new    | 10   | zone z1 is in use      |
+
+  # Guards against an upstream that is kept for twice the time (DRAIN).
+  Scenario: a peer's state does not prolong the time in which an upstream may register after a return
+    Given a node that has listed u1 and u2 in era 1, of which a copy is kept
+    When u3 is written before the return
+    And the node lists the copy in era 2, and then nothing happens
+    And the store does not answer the node for 1 s
+    And a peer's state of era 2 arrives, in which nothing is new
+    And 1.3 s pass at the node
+    Then u3 is not known
--- a/src/chervilrack/_internal/catalogue/core.py
+++ b/src/chervilrack/_internal/catalogue/core.py
@@ -219,10 +219,13 @@
             if self._era and not is_known and self._upstreams.get(entry.id) == entry:
                 self._told[entry.id] = now + REREGISTRATION_GRACE
         for upstream in [u for u in self._upstreams if u not in entries]:
-            if upstream not in lapsed and not self._is_kept_after_return(upstream, now):
+            is_kept = self._is_kept_after_return(upstream, now)
+            if upstream not in lapsed and not is_kept:
                 effects += self._remove(upstream, is_certain=not self._ended.is_doubting)
             elif self._lapsed.get(upstream) is None:
-                self._lapsed[upstream] = now + REREGISTRATION_GRACE
+                returned_at = None if upstream in lapsed else self._returned_at
+                since = now if returned_at is None else returned_at
+                self._lapsed[upstream] = since + REREGISTRATION_GRACE
         self._drop_withheld(entries)
         return effects
 
