--- a/features/steps/decoding_steps.py
+++ b/features/steps/decoding_steps.py
@@ -7,7 +7,6 @@
 import tempfile
 from datetime import timedelta
 from pathlib import Path
-from types import SimpleNamespace
 
 from adapter_steps import CONFIGURATION, REGISTRATION, SETTINGS
 from behave import given, then, when
@@ -21,7 +20,7 @@
 from chervilrack.platform.configuration import decode_configuration, decode_upstream
 from chervilrack.platform.headers import PlatformDialect
 from chervilrack.platform.settings import load_settings
-from chervilrack.platform.store import PlatformStore
+from chervilrack.platform.store import PlatformStore, StoreAnswer
 
 MAX_TIME = timedelta(days=7)
 MAX_MESSAGE = 600
@@ -435,7 +434,7 @@
     def _call(self, *_args, **_kwargs):
         if not self._answers:
             raise PlatformUnavailable("no further answer")
-        return SimpleNamespace(status=200, body=self._answers.pop(0), era=0)
+        return StoreAnswer(200, self._answers.pop(0), era=0)
 
 
 def item(key, revision):
--- a/features/support/nested_values.py
+++ b/features/support/nested_values.py
@@ -13,7 +13,7 @@
 from chervilrack.platform.configuration import decode_configuration, decode_upstream
 from chervilrack.platform.headers import PlatformDialect
 from chervilrack.platform.run import THREAD_STACK_BYTES
-from chervilrack.platform.store import PlatformStore
+from chervilrack.platform.store import PlatformStore, StoreAnswer
 
 JSON_SHAPES = {
     "arrays": (b"[", b"1", b"]"),
@@ -37,8 +37,8 @@
         super().__init__("10.200.1.7:8624")
         self._body = body
 
-    def _call(self, *_args: object, **_kwargs: object) -> tuple[int, bytes]:
-        return 200, self._body
+    def _call(self, *_args: object, **_kwargs: object) -> StoreAnswer:
+        return StoreAnswer(200, self._body, era=0)
 
 
 def _watch(body: bytes) -> object:
--- a/src/chervilrack/platform/store.py
+++ b/src/chervilrack/platform/store.py
@@ -57,7 +57,7 @@
 T = TypeVar("T")
 
 
-class _Answer(NamedTuple):
+class StoreAnswer(NamedTuple):
     """Status and whole body of an answer, and the era of the store that it belongs to."""
 
     status: int
@@ -275,14 +275,14 @@
         path: str,
         query: Mapping[str, str] | None = None,
         timeout: urllib3.Timeout | None = None,
-    ) -> _Answer:
+    ) -> StoreAnswer:
         """Make an idempotent call; statuses 404 and 410 are returned like 200."""
         try:
             return self._call(method, path, query, None, timeout, returned_statuses=(404, 410))
         except HTTPError as error:
             raise PlatformUnavailable(f"{method} {path} failed: {_class_name(error)}") from None
 
-    def _write(self, method: str, path: str, body: Mapping[str, Any] | None = None) -> _Answer:
+    def _write(self, method: str, path: str, body: Mapping[str, Any] | None = None) -> StoreAnswer:
         """Make a call that may not be repeated; statuses 404 and 412 are returned like 200.
 
         Raises PlatformOutcomeUnknown if the response to a call that was sent is lost, or does not
@@ -315,7 +315,7 @@
         content: bytes | None,
         timeout: urllib3.Timeout | None,
         returned_statuses: tuple[int, ...],
-    ) -> _Answer:
+    ) -> StoreAnswer:
         headers = {"Content-Type": "application/json"} if content is not None else {}
         begun = self._eras.current
         response = self._pool.request(
@@ -332,7 +332,7 @@
         stated = response.headers.get(ERA_HEADER)
         era = self._eras.observe(stated, begun, self._clock.monotonic())
         if status == _SUCCESS or status in returned_statuses:
-            return _Answer(status, content, era)
+            return StoreAnswer(status, content, era)
         if status == 429:
             raise PlatformOverloaded(f"{method} {path}: the store's rate limit is exceeded")
         if status >= 500:
