Log how a node has learnt a configuration, and how long the store was silent

Change: 'configuration applied' has the source, 'store: lost' the time since the last answer; two gauges for the version in force and the age of the store's last answer. The soak's proxy can silence its open connections for good.

--- a/features/catalogue/directory.feature
+++ b/features/catalogue/directory.feature
@@ -57,6 +57,24 @@
       | 1.9  | has to   |
       | 2.5  | has to   |
 
+  # Guards against a late configuration of which the log does not say what the node relied on.
+  Scenario Outline: the log says that a configuration came by <way>
+    Given node a and node b that both list upstreams u1 and u2
+    When node b learns version 2 of the configuration by <way>
+    Then node b logs that it applied version 2, with the source "<source>"
+
+    Examples:
+      | way                                 | source  |
+      | its own listing                     | listing |
+      | its own watch                       | watch   |
+      | node a, which watches for its zone  | relay   |
+      | the state of node a                 | peer    |
+
+  Scenario: the log of a lost store says for how long it has been silent
+    Given node a and node b that both list upstreams u1 and u2
+    When node b is cut off from the store
+    Then node b logs that the store was silent for 1000 ms
+
   Scenario: a node that is not fed counts all nodes as watching, a watcher only the watchers
     Every change ends all watch calls. In a starting fleet, or after a lost message, all nodes watch.
     Each then has to collect changes for long enough that the store is not called too often.
--- a/features/steps/directory_steps.py
+++ b/features/steps/directory_steps.py
@@ -194,6 +194,43 @@
     assert context.b.relay.must_watch() == (duty == "has to")
 
 
+@when("node b learns version 2 of the configuration by {way}")
+def learn_configuration(context, way):
+    item = KeyValue("op/config", json.dumps(configuration(2, ["k1"])).encode(), 4)
+    change = Change(ChangeKind.PUT, item)
+    match way:
+        case "its own listing":
+            context.b.relay.on_listing((item, upstream("u1", 2), upstream("u2", 3)), 4)
+        case "its own watch":
+            context.b.relay.on_changes((change,), 4)
+        case "node a, which watches for its zone":
+            start_feed(context)
+            context.a.relay.on_changes((change,), 4)
+        case "the state of node a":
+            context.a.relay.on_changes((change,), 4)
+            context.b.directory.on_state_reply(StateReply(item.value, 4, ()))
+
+
+def logged(node, event):
+    with node.log:
+        # Its end writes what is buffered.
+        pass
+    lines = map(json.loads, node.output.getvalue().splitlines())
+    return [line for line in lines if line["event"] == event]
+
+
+@then('node b logs that it applied version 2, with the source "{source}"')
+def check_source(context, source):
+    line = logged(context.b, "configuration applied")[-1]
+    assert (line["version"], line["source"]) == (2, source), line
+
+
+@then("node b logs that the store was silent for {silent:d} ms")
+def check_silence(context, silent):
+    (line,) = logged(context.b, "lost")
+    assert line["silent_ms"] == silent, line
+
+
 @when("node b gets a heartbeat of node a and then its state")
 def transfer_state(context):
     context.b.directory.on_heartbeat(context.a.heartbeat())
--- a/src/chervilrack/_internal/changefeed/core.py
+++ b/src/chervilrack/_internal/changefeed/core.py
@@ -66,6 +66,11 @@
         """Whether this node watches the store for its zone."""
         return self._node in self._watchers
 
+    @property
+    def answered_at(self) -> timedelta | None:
+        """Time of the store's latest answer to a watcher of the zone, as its messages state it."""
+        return self._answered_at
+
     @property
     def recipients(self) -> tuple[str, ...]:
         """Peer addresses to which this node passes changes on; empty unless it is a watcher."""
--- a/src/chervilrack/_internal/serving/directory.py
+++ b/src/chervilrack/_internal/serving/directory.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable, Sequence
 from datetime import timedelta
+from enum import Enum
 
 import msgspec
 
@@ -30,6 +31,18 @@
 DIRECTORY = "directory"
 # A node requests the state of a peer at most this often.
 STATE_REQUEST_INTERVAL = timedelta(milliseconds=500)
+_MILLISECOND = timedelta(milliseconds=1)
+
+
+class ContentSource(Enum):
+    """How contents of the store have reached this node; the value is that in log lines."""
+
+    LISTING = "listing"
+    WATCH = "watch"
+    # A node that watches the store for this node's zone.
+    RELAY = "relay"
+    # The state that a peer has sent on request.
+    PEER = "peer"
 
 
 class _NodeRegistration(msgspec.Struct):
@@ -76,6 +89,8 @@
         self._is_listed = False
         # Whether the items that are being applied may be from a copy, and older than what is known.
         self._is_from_copy = False
+        # Where the items that were applied last come from.
+        self._source = ContentSource.LISTING
         self._queues_outdated = False
         self._store_answers = False
         # Time of the store's last answer to this node, or to a watcher that it follows.
@@ -117,10 +132,17 @@
     def on_listing(self, items: tuple[KeyValue, ...], revision: int, era: int = 0) -> None:
         """Apply a listing of all keys of the store."""
         with self._state.lock:
+            self._source = ContentSource.LISTING
             self._apply_listing(items, StorePosition(era, revision))
             self._update_queues()
 
-    def on_changes(self, changes: tuple[Change, ...], revision: int, era: int = 0) -> None:
+    def on_changes(
+        self,
+        changes: tuple[Change, ...],
+        revision: int,
+        era: int = 0,
+        source: ContentSource = ContentSource.WATCH,
+    ) -> None:
         """Apply changes of the store; those up to the known position have been applied already.
 
         Changes of another era than the known one are ignored: a later one begins with a listing.
@@ -130,6 +152,7 @@
             if era != self._position.era:
                 self._note_older("changes", position)
                 return
+            self._source = source
             known = self._position
             new_changes = [c for c in changes if position.at(c.item.mod_revision) > known]
             self._position = max(known, position)
@@ -152,11 +175,17 @@
     def on_unavailable(self, reason: str) -> None:
         """Record that the store does not answer this node."""
         with self._state.lock:
-            if self._store_answers:
-                self._state.log.note("store", "lost", reason=reason, **self._position.fields)
-            self._store_answers = False
             now = self._state.clock.monotonic()
             last = self._answered_at if self._answered_at is not None else now
+            if self._store_answers:
+                self._state.log.note(
+                    "store",
+                    "lost",
+                    reason=reason,
+                    silent_ms=round((now - last) / _MILLISECOND),
+                    **self._position.fields,
+                )
+            self._store_answers = False
             self._state.catalogue.mark_store_unavailable(last)
 
     def _enter(self, position: StorePosition) -> bool:
@@ -401,6 +430,7 @@
                         version=configuration.version,
                         previous=previous,
                         routes=len(configuration.routes),
+                        source=self._source.value,
                         **self._position.fields,
                     )
                 case UpstreamChanged():
@@ -494,6 +524,7 @@
 
         Upstreams and evacuations are applied only if the peer's position in the store is newer.
         """
+        self._source = ContentSource.PEER
         for record in message.blocks:
             self._learn_block(record)
         if message.configuration:
--- a/src/chervilrack/_internal/serving/metrics.py
+++ b/src/chervilrack/_internal/serving/metrics.py
@@ -184,6 +184,16 @@
             ["kind"],
             registry=self._registry,
         )
+        self._configuration_version = Gauge(
+            "chervilrack_serving_configuration_version",
+            "Version of the configuration in force, 0 before the first one.",
+            registry=self._registry,
+        )
+        self._store_answer_age = Gauge(
+            "chervilrack_serving_store_answer_age_seconds",
+            "Time since the store's last answer to this node or to a node that it follows.",
+            registry=self._registry,
+        )
         self._eras = Counter(
             "chervilrack_serving_store_eras",
             "Returns of the store from an older copy, and odd or older eras, by event.",
@@ -329,6 +339,12 @@
         """Set the number of evacuated zones."""
         self._evacuated.set(count)
 
+    def store_followed(self, version: int, answer_age: timedelta | None) -> None:
+        """Set the version in force, and the age of the last answer of the store if there is one."""
+        self._configuration_version.set(version)
+        if answer_age is not None:
+            self._store_answer_age.set(answer_age.total_seconds())
+
     def entry_unreadable(self, kind: str) -> None:
         """Count a revision of an entry that was left out; ``kind`` is what its key names."""
         self._unreadable.labels(kind).inc()
--- a/src/chervilrack/_internal/serving/node.py
+++ b/src/chervilrack/_internal/serving/node.py
@@ -364,7 +364,11 @@
             with self._state.lock:
                 barred = self._state.count_barred()
                 spreads = self._state.load_spreads()
-                self._state.metrics.upstreams_cold(self._state.cold.count(self._clock.monotonic()))
+                now = self._clock.monotonic()
+                self._state.metrics.upstreams_cold(self._state.cold.count(now))
+                self._state.metrics.store_followed(
+                    self._configuration_version, self._relay.answer_age(now)
+                )
             held = {
                 "answers": self._answer_memory.used,
                 "bodies": self._body_memory.used,
@@ -451,6 +455,12 @@
         self._directory.on_heartbeat(heartbeat)
         self._relay.observe_position(heartbeat.position)
 
+    @property
+    def _configuration_version(self) -> int:
+        """Version of the configuration in force, 0 before the first one."""
+        configuration = self._state.catalogue.configuration
+        return configuration.version if configuration is not None else 0
+
     def _live_nodes(self) -> list[NodeId]:
         """Return this node and those that are alive."""
         peers = [peer.node for peer in self._fleet.alive if peer.node is not None]
@@ -490,7 +500,6 @@
         self._relay.set_members(members, self._feed.count_watchers(zone_sizes.values()))
 
     def _send_heartbeat(self, now: timedelta) -> None:
-        configuration = self._state.catalogue.configuration
         position = self._directory.position
         heartbeat = Heartbeat(
             address=str(self._settings.peer),
@@ -498,7 +507,7 @@
             zone=self._settings.zone,
             ready=self.is_ready,
             leaving=self._leaving.is_set(),
-            configuration_version=configuration.version if configuration is not None else 0,
+            configuration_version=self._configuration_version,
             directory_revision=position.revision if not position.era else 0,
             store_answers=self._directory.store_answers,
             reports=tuple(self._state.balancer.local_reports(now)),
--- a/src/chervilrack/_internal/serving/store_relay.py
+++ b/src/chervilrack/_internal/serving/store_relay.py
@@ -12,7 +12,7 @@
 from chervilrack._internal.common.positions import StorePosition
 from chervilrack._internal.kvstore.eras import EraEvent
 from chervilrack._internal.kvstore.port import Change, ChangeKind, KeyValue
-from chervilrack._internal.serving.directory import StoreDirectory
+from chervilrack._internal.serving.directory import ContentSource, StoreDirectory
 from chervilrack._internal.serving.state import ServingState
 
 # Longest and shortest wait of a node that does not watch until it checks whether it has to.
@@ -141,7 +141,7 @@
         to_apply = self._feed.receive(sender, message, position, now)
         if to_apply:
             changes = tuple(map(_change, to_apply))
-            self._directory.on_changes(changes, message.revision, message.era)
+            self._directory.on_changes(changes, message.revision, message.era, ContentSource.RELAY)
         if self._feed.is_current(self._directory.position, now):
             self._directory.on_available()
         else:
@@ -152,6 +152,14 @@
         now = self._state.clock.monotonic()
         self._feed.observe_position(known, self._directory.position, now)
 
+    def answer_age(self, now: timedelta) -> timedelta | None:
+        """Return the time since the store's last answer to this node or to one it follows.
+
+        None means that there has been none.
+        """
+        answers = [at for at in (self._answered_at, self._feed.answered_at) if at is not None]
+        return now - max(answers) if answers else None
+
     def set_members(self, members: list[ZoneMember], watching_nodes: int) -> None:
         """Set the live nodes of the zone and the number of nodes that watch in all zones."""
         was_watcher = self._feed.is_watcher
--- a/src/chervilrack/_internal/soak/proxy.py
+++ b/src/chervilrack/_internal/soak/proxy.py
@@ -47,6 +47,8 @@
         self._mode = LinkMode.OPEN
         self._closing = False
         self._sockets: set[socket.socket] = set()
+        # Those of connections on which nothing is forwarded any more.
+        self._silenced: set[socket.socket] = set()
         self._lock = threading.Lock()
         self._ended = threading.Condition(self._lock)
         # Whether the server had read all bytes, by port of the client, for ended connections.
@@ -71,6 +73,11 @@
         if mode is LinkMode.RESET:
             self._reset_all()
 
+    def silence_open(self) -> None:
+        """Forward nothing more on the open connections, for good; new ones are not affected."""
+        with self._lock:
+            self._silenced |= self._sockets
+
     def was_read(self, client_port: int, timeout: float) -> bool:
         """Return whether the server had read all bytes of a connection before it closed it.
 
@@ -134,6 +141,7 @@
         to_client.join()
         with self._ended:
             self._sockets -= {client, server}
+            self._silenced -= {client, server}
             self._were_read[client_port] = was_read
             self._ended.notify_all()
         for connection in (client, server):
@@ -162,7 +170,8 @@
                     time.sleep(DELAY_S)
                 while self._mode in holding_modes and not self._closing:
                     time.sleep(HOLD_POLL_S)
-                target.sendall(data)
+                if source not in self._silenced:
+                    target.sendall(data)
         except OSError:
             is_reset.set()
             # Only wakes the other thread: a shutdown for writing would look like a normal close.
