Have the soak check which configuration nodes go by, and silence connections

Cause: the soak's only promise on configurations was that a removed key is not served after 5 s, at any node. The rule gives nodes in touch 2 s (configApplyMs), for services and keys. Change: promise 'configuration in force', from the services and keys that callers and upstreams saw; kind 'store connections': open connections to the store fall silent for good, new ones work.

--- a/features/soak/soak.feature
+++ b/features/soak/soak.feature
@@ -38,6 +38,10 @@
       | a request at an upstream that said long ago that it leaves | leaving upstreams |
       | three requests at an upstream that holds off             | upstreams that hold off |
       | four requests with a part on which five engines have crashed | crashing parts |
+      | a run by a service 2.1 s after its route was moved       | configuration in force |
+      | a run with a key 2.1 s after it was removed              | configuration in force |
+      | a refusal of a key 2.1 s after it was added              | configuration in force |
+      | a run by a service from which routes were moved long after the store connections of its node fell silent | configuration in force |
 
   Scenario Outline: evidence of <event> breaks no promise
     Given evidence of a soak without violations
@@ -68,6 +72,11 @@
       | a request at an upstream that said just now that it leaves |
       | two late requests at an upstream that holds off            |
       | requests at an upstream that no longer holds off           |
+      | a run by a service 1.9 s after its route was moved         |
+      | a run by a service 2.1 s after its route was moved and moved back |
+      | a run with a key 1.9 s after it was removed                |
+      | a run by a service from which routes were moved just after the store connections of its node fell silent |
+      | a run by a service from which routes were moved while the store was away |
 
   Scenario Outline: the <plan> plan of a seed is reproducible and has no faults at its end
     Then two 30 s <plan> plans with seed 5 are equal, differ from seed 6 and leave the end free
@@ -102,6 +111,12 @@
       | silent      | nothing | nothing |
       | reset       | nothing | nothing |
 
+  Scenario: a link silences its open connections for good, and no others
+    Given a proxied connection to an echo server
+    When the link silences its open connections
+    Then it passes nothing to the server and nothing to the client
+    And a new connection passes bytes both ways after the fault
+
   Scenario Outline: a proxy tells that a server <what> before it closed
     A close that crosses a request loses nothing. One after the request was read does.
 
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -21,6 +21,8 @@
     RECOVERY_S,
     Arrival,
     Attempt,
+    Configuration,
+    ConfigurationChange,
     Disruption,
     Ending,
     Evidence,
@@ -109,6 +111,36 @@
         evidence.disruptions.append(Disruption(*disruption))
 
 
+def add_configured(evidence, *configurations, disruption=None, **fields):
+    """Add a read at 50.0 that plain-1 ran, and configurations, each with its time before it.
+
+    It is the only request of a route that they move.
+    """
+    evidence.attempts = [a for a in evidence.attempts if a.kind not in (Kind.READ, Kind.ORDER)]
+    for seconds, configuration in configurations:
+        at = 50.0 - seconds
+        evidence.configurations.append(ConfigurationChange(configuration, at - 0.01, at))
+    add_request(evidence, "x", Kind.READ, runs=0, **{"signer": "plain-1"} | fields)
+    if fields.get("status", 200) == 200:
+        evidence.runs.append(Run("x", "plain-1", 50.01, Kind.READ))
+    if disruption is not None:
+        evidence.disruptions.append(Disruption(*disruption))
+
+
+def configured(*keys, **fields):
+    return Configuration(keys or ("key-1",), **fields)
+
+
+STAYED, MOVED = (40.0, configured()), configured(is_moved=True)
+
+
+def add_new_key(evidence):
+    evidence.key_removals.append(KeyRemoval("key-gone", 47.9, "key-new"))
+    configurations = ((40.0, configured("key-gone")), (2.1, configured("key-new")))
+    fields = {"key": "key-new", "status": 401, "body": b"", "signer": ""}
+    add_configured(evidence, *configurations, **fields)
+
+
 def add_crashes(evidence, count, delays, disruption=None):
     """Add crashes up to 50.0, and requests that reach an engine ``delays`` seconds later."""
     for number in range(count):
@@ -260,6 +292,33 @@
     "requests at an upstream that no longer holds off": lambda e: add_notice(
         e, NoticeKind.HOLD_OFF, [2.1, 2.2, 2.3], until=52.0
     ),
+    "a run by a service 2.1 s after its route was moved": lambda e: add_configured(
+        e, STAYED, (2.1, MOVED)
+    ),
+    "a run with a key 2.1 s after it was removed": lambda e: add_configured(
+        e, (40.0, configured("key-1", "key-2")), (2.1, configured()), key="key-2"
+    ),
+    "a refusal of a key 2.1 s after it was added": add_new_key,
+    "a run by a service from which routes were moved long after the store connections of its node "
+    "fell silent": lambda e: add_configured(
+        e, STAYED, (2.1, MOVED), disruption=("store connections", "n0", 46.9, 46.9)
+    ),
+    "a run by a service 1.9 s after its route was moved": lambda e: add_configured(
+        e, STAYED, (1.9, MOVED)
+    ),
+    "a run by a service 2.1 s after its route was moved and moved back": lambda e: add_configured(
+        e, STAYED, (2.1, MOVED), (0.5, configured())
+    ),
+    "a run with a key 1.9 s after it was removed": lambda e: add_configured(
+        e, (40.0, configured("key-1", "key-2")), (1.9, configured()), key="key-2"
+    ),
+    "a run by a service from which routes were moved just after the store connections of its node "
+    "fell silent": lambda e: add_configured(
+        e, STAYED, (2.1, MOVED), disruption=("store connections", "n0", 47.5, 47.5)
+    ),
+    "a run by a service from which routes were moved while the store was away": lambda e: (
+        add_configured(e, STAYED, (2.1, MOVED), disruption=("store return", "store", 46.0, 48.5))
+    ),
     "a read that ran twice": lambda e: add_request(e, "x", Kind.READ, runs=2),
     "a run with a key that was just replaced": lambda e: add_request(
         e, "x", Kind.READ, key="key-old", started_at=9.9 + checks.REVOKE_S
@@ -381,6 +440,11 @@
     context.link.set_mode(LinkMode(mode))
 
 
+@when("the link silences its open connections")
+def silence_open(context):
+    context.link.silence_open()
+
+
 @then("it passes {forward} to the server and {back} to the client")
 def link_passes_bytes(context, forward, back):
     limit = TIMEOUT_S if back == "all" else ABSENCE_WAIT_S + 2 * DELAY_S
--- a/src/chervilrack/_internal/soak/bed.py
+++ b/src/chervilrack/_internal/soak/bed.py
@@ -25,6 +25,7 @@
 from chervilrack._internal.soak.records import (
     Attempt,
     Configuration,
+    ConfigurationChange,
     Disruption,
     Evidence,
     KeyRemoval,
@@ -165,7 +166,7 @@
             link = stack.enter_context(LinkProxy(("127.0.0.1", 0), address))
             self.upstream_links[name] = link
             self.emulation.register(name, link.address)
-        self.emulation.configure(self._configuration)
+        self._configure()
         for number in range(self._size.nodes):
             self._add_node(stack, number)
         self._await_all_nodes()
@@ -193,7 +194,10 @@
 
     def _configure(self, **changes: Any) -> None:
         self._configuration = dataclasses.replace(self._configuration, **changes)
+        sent_at = time.monotonic()
         self.emulation.configure(self._configuration)
+        change = ConfigurationChange(self._configuration, sent_at, time.monotonic())
+        self.evidence.configurations.append(change)
 
     def _await_all_nodes(self) -> None:
         """Wait until the look-up of each node returns the addresses of all nodes."""
--- a/src/chervilrack/_internal/soak/injection.py
+++ b/src/chervilrack/_internal/soak/injection.py
@@ -66,8 +66,19 @@
 
 @injectors.register("store link")
 def _store_link(bed: SoakBed, fault: Fault) -> UndoFault:
+    return _set_link_modes(_store_links(bed, fault), fault)
+
+
+def _store_links(bed: SoakBed, fault: Fault) -> list[LinkProxy]:
     names = list(bed.store_links) if fault.target == "all" else [fault.target]
-    return _set_link_modes([bed.store_links[name] for name in names], fault)
+    return [bed.store_links[name] for name in names]
+
+
+@injectors.register("store connections")
+def _silence_store_connections(bed: SoakBed, fault: Fault) -> UndoFault:
+    for link in _store_links(bed, fault):
+        link.silence_open()
+    return lambda: None
 
 
 @injectors.register("store return")
--- a/src/chervilrack/_internal/soak/plan.py
+++ b/src/chervilrack/_internal/soak/plan.py
@@ -128,6 +128,12 @@
     return rng.choice([*targets.nodes, "all"]), rng.choice(_LINK_MODES)
 
 
+@fault_kinds.register("store connections")
+def _draw_store_connections(rng: random.Random, targets: Targets) -> tuple[str, str]:
+    """Draw the node whose open connections to the store fall silent for good."""
+    return rng.choice([*targets.nodes, "all"]), ""
+
+
 @fault_kinds.register("store return")
 def _draw_store_return(rng: random.Random, targets: Targets) -> tuple[str, str]:
     """Draw the age of the copy in seconds."""
--- a/src/chervilrack/_internal/soak/records.py
+++ b/src/chervilrack/_internal/soak/records.py
@@ -147,6 +147,15 @@
     extra_routes: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class ConfigurationChange:
+    """A configuration that the operator has written; ``acknowledged_at`` is the store's answer."""
+
+    configuration: Configuration
+    sent_at: float
+    acknowledged_at: float
+
+
 @dataclass(frozen=True, slots=True)
 class KeyRemoval:
     """Replacement of an API key; ``removed_at`` is when the store had acknowledged it."""
@@ -172,6 +181,7 @@
     disruptions: list[Disruption] = field(default_factory=list)
     faults: list[Fault] = field(default_factory=list)
     key_removals: list[KeyRemoval] = field(default_factory=list)
+    configurations: list[ConfigurationChange] = field(default_factory=list)
     exit_problems: list[str] = field(default_factory=list)
     faults_ended_at: float = 0.0
     recovery: float = RECOVERY_S
