Replace connections to the store that were idle, before a call uses them

What callers saw: at nodes in touch, requests handled by a version that was older than one acknowledged more than configApplyMs before, for up to 0.05 s after contactMs (incident CONFIG, second hypothesis). Cause: a node that no longer relies on its watchers makes its own watch call, for which the limits of the change feed allow 0.2 of the bound. Where the open connections have fallen silent without being closed, the call went out on an idle one of the pool and failed only after 0.9 of the bound. 0.8 + 0.9 of it, a pause and a listing come to contactMs. Change: the store's client replaces connections that were idle for longer than the share of the own call, for all calls. Rejected: a shorter limit for that call (a slow store would seem lost), an answer at once before the wait (a call more each). Between nodes, silent connections are not noticed at all yet (next).

--- a/features/adapter/store_sync.feature
+++ b/features/adapter/store_sync.feature
@@ -37,6 +37,30 @@
       | 500    |
       | 503    |
 
+  # Guards against time limits in series: a call on one silent connection after the other, each with a limit of its own (CONFIG).
+  Scenario Outline: open connections that have fallen silent do not delay <call>
+    Given a client of the store with two connections, which fall silent
+    When <event>, and a key is written
+    Then <call> has its answer at the first attempt
+
+    Examples: new connections work, and nothing closes those that are silent
+      | call                 | event                             |
+      | a listing            | its watch call has failed         |
+      | the lease of a node  | its watch call has failed         |
+      | a watch              | both have been idle for 0.25 s    |
+      | a listing            | both have been idle for 0.25 s    |
+      | a registration       | both have been idle for 0.25 s    |
+
+  Scenario Outline: a connection that has been idle for <idle> s <use>
+    Given a client of the store with two connections
+    When both have been idle for <idle> s, and a key is written
+    Then a listing <use>
+
+    Examples: the bound is 1 s, of which a node's own call may take 0.2 s
+      | idle | use                        |
+      | 0.15 | is made on an open one     |
+      | 0.25 | is made on a new one       |
+
   Scenario Outline: a node goes on following the store after <error> while it handles <what>
     # Guards against the second report of the incident LOST: an odd entry ended the thread for good.
     Given a store that a node watches whose handling of <what> raises <error> 2 times
--- a/features/steps/store_sync_steps.py
+++ b/features/steps/store_sync_steps.py
@@ -4,11 +4,17 @@
 import random
 import threading
 import time
+from datetime import timedelta
 
 from behave import given, then, when
 
+from chervilrack._internal.changefeed.limits import ApplyLimits
+from chervilrack._internal.common.clock import ManualClock
 from chervilrack._internal.common.positions import ORIGIN, StorePosition
+from chervilrack._internal.exceptions import PlatformUnavailable
+from chervilrack._internal.kvstore.port import Put
 from chervilrack._internal.serving.store_sync import StoreSync
+from chervilrack._internal.soak.proxy import LinkProxy
 from chervilrack.platform.emulated.standins import StoreStandIn
 from chervilrack.platform.store import PlatformStore
 
@@ -71,6 +77,101 @@
             request.answer(status, {})
 
 
+class Connections(LinkProxy):
+    """Link to the store that counts its connections."""
+
+    count = 0
+
+    def _connect(self, client):
+        self.count += 1
+        super()._connect(client)
+
+
+@given("a client of the store with two connections")
+def connect_twice(context):
+    context.store = StoreStandIn()
+    context.store.__enter__()
+    context.add_cleanup(context.store.__exit__)
+    host, _, port = context.store.address.rpartition(":")
+    context.link = Connections(("127.0.0.1", 0), (host, int(port)))
+    context.link.__enter__()
+    context.add_cleanup(context.link.__exit__, None, None, None)
+    context.clock = ManualClock()
+    limits = ApplyLimits(timedelta(seconds=1))
+    context.client = PlatformStore(context.link.address, limits, context.clock)
+    context.lease = context.client.lease_grant(timedelta(seconds=10))
+    context.revision = context.client.range("").revision
+    # One call waits, and the other one needs a second connection meanwhile.
+    waiting = threading.Thread(target=watch_once, args=(context,))
+    waiting.start()
+    wait_for(lambda: context.store.calls[WATCH_CALL] == 1)
+    context.client.range("")
+    context.store.put("nodes/n0", {})
+    waiting.join(LIMIT_S)
+    context.revision = context.client.range("").revision
+    assert context.link.count == 2, context.link.count
+
+
+def watch_once(context):
+    with context.client.watch("", context.revision + 1) as batches:
+        return next(batches)
+
+
+@given("a client of the store with two connections, which fall silent")
+def silence_both(context):
+    connect_twice(context)
+    context.link.silence_open()
+
+
+@when("its watch call has failed, and a key is written")
+def fail_watch(context):
+    try:
+        watch_once(context)
+    except PlatformUnavailable:
+        context.clock.advance(timedelta(seconds=0.9))
+    else:
+        raise AssertionError("the watch was answered")
+    context.store.put("nodes/n1", {})
+
+
+@when("both have been idle for {seconds:g} s, and a key is written")
+def rest(context, seconds):
+    context.clock.advance(timedelta(seconds=seconds))
+    context.store.put("nodes/n1", {})
+
+
+@then("a listing has its answer at the first attempt")
+def check_listing(context):
+    assert "nodes/n1" in {item.key for item in context.client.range("").items}
+
+
+@then("a watch has its answer at the first attempt")
+def check_watch(context):
+    assert [change.item.key for change in watch_once(context).changes] == ["nodes/n1"]
+
+
+@then("the lease of a node has its answer at the first attempt")
+def check_lease(context):
+    assert context.client.lease_keepalive(context.lease) > timedelta(0)
+
+
+@then("a registration has its answer at the first attempt")
+def check_registration(context):
+    assert context.client.txn((), (Put("nodes/a", b"{}", context.lease),)).succeeded
+
+
+@then("a listing is made on an open one")
+def check_open_one(context):
+    check_listing(context)
+    assert context.link.count == 2, context.link.count
+
+
+@then("a listing is made on a new one")
+def check_new_one(context):
+    check_listing(context)
+    assert context.link.count == 3, context.link.count
+
+
 def run_sync(context):
     client = PlatformStore(context.store.address)
     listener = context.listener
--- a/src/chervilrack/platform/store.py
+++ b/src/chervilrack/platform/store.py
@@ -20,7 +20,8 @@
     decode_json,
     decode_value,
 )
-from chervilrack._internal.common.http_responses import StrictHTTPConnectionPool, read_limited
+from chervilrack._internal.common.fresh_connections import FreshHTTPConnectionPool
+from chervilrack._internal.common.http_responses import read_limited
 from chervilrack._internal.exceptions import (
     PlatformOutcomeUnknown,
     PlatformOverloaded,
@@ -126,9 +127,13 @@
         self._clock = clock or SystemClock()
         self._eras = StoreEras()
         host, port = parse_address(address)
-        self._pool = StrictHTTPConnectionPool(
+        # The own call of a node that no longer relies on a relay must not wait for an answer on a
+        # connection that has fallen silent meanwhile.
+        self._pool = FreshHTTPConnectionPool(
             host,
             port,
+            self._limits.own_call_time,
+            self._clock,
             maxsize=4,
             retries=False,
             timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S),
