Replace links between nodes that have fallen silent

What callers saw: after the open connections between nodes had fallen silent without being closed, look-up answers named one node of six for good, each node took itself for the only one, and shared limits and queues no longer were. Cause: a link was used as long as its socket took messages. Nothing noticed that none arrived; after 20 s the nodes forgot each other. Change: the kernel closes a link on which nothing is acknowledged for 2 s (TCP_USER_TIMEOUT). Rejected: pings of ZeroMQ, which would triple the messages of a quiet node. Tests changed: none but additions; a heartbeat has one field more, which older nodes pass over.

--- a/features/fleet/fleet.feature
+++ b/features/fleet/fleet.feature
@@ -38,6 +38,44 @@
       | 1.2 s             | PeerLost    |
       | heartbeat         | nothing     |
 
+  # Guards against nodes that stay lost to each other although new connections between them work.
+  Scenario Outline: after <event>, a new connection to node b is <wanted>
+    Given a node a that knows the address of node b
+    When node a observes heartbeat
+    And node a observes <event>
+    Then a new connection to node b is <wanted>
+
+    Examples: a restarted node has closed its connections
+      | event   | wanted     |
+      | restart | not wanted |
+      | 1.2 s   | wanted     |
+
+  # Guards against one silent direction between two nodes, of which only the other node knows.
+  Scenario Outline: after <events>, node a has been told <count> times that node b does not hear it
+    Given a node a that knows the address of node b
+    When node a observes <events>
+    Then node a has been told <count> times that node b does not hear it
+
+    Examples: a new connection needs a moment until node b hears node a again
+      | events                                                          | count |
+      | heartbeat, heartbeat                                            | 0     |
+      | heartbeat, deaf heartbeat                                       | 1     |
+      | heartbeat, deaf heartbeat, 0.3 s, deaf heartbeat                | 1     |
+      | heartbeat, deaf heartbeat, 0.9 s, deaf heartbeat, 0.9 s, deaf heartbeat | 2 |
+      | heartbeat, deaf heartbeat, 0.3 s, heartbeat                     | 1     |
+
+  Scenario Outline: after <events>, node a says that it hears node b <or not>
+    Given a node a that knows the address of node b
+    When node a observes <events>
+    Then node a says that it hears node b <or not>
+
+    Examples: a node that was never heard is not missed
+      | events                      | or not |
+      | nothing                     | yes    |
+      | heartbeat                   | yes    |
+      | heartbeat, 1.2 s            | no     |
+      | heartbeat, 1.2 s, heartbeat | yes    |
+
   Scenario: a heartbeat passes on the addresses of other nodes
     Given a node a that knows the address of node b
     When a heartbeat of node b to node a contains the address of node c
--- a/features/peering/messages.feature
+++ b/features/peering/messages.feature
@@ -35,6 +35,20 @@
       | other keys     | 0     |
       | no keys        | 0     |
 
+  # Guards against nodes that stay lost to each other although new connections between them work.
+  Scenario: messages arrive again once the link of a lost peer is replaced
+    Given node a that sends messages to node b over a link
+    When the link silences its open connections
+    Then no message of node a reaches node b
+    When node a replaces its link to node b
+    Then messages of node a reach node b
+
+  # Guards against a link on which nothing is acknowledged, but that stays open.
+  Scenario: messages arrive again after the other side of a connection has stopped reading
+    Given node a that sends messages to node b over a link
+    When the other side of the open connection stops reading
+    Then messages of node a reach node b
+
   Scenario Outline: all <count> messages to each of <peers> addresses are delivered
     Guards against links that are closed between messages: they drop queued messages, and peers are
     considered lost.
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 
 from chervilrack._internal.common.ids import Incarnation, NodeId
-from chervilrack._internal.fleet.core import Fleet
+from chervilrack._internal.fleet.core import Fleet, PeerCannotHear, PeerLost
 from chervilrack._internal.fleet.messages import Heartbeat
 
 A, B, C = "10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"
@@ -62,6 +62,8 @@
             case ["restart"]:
                 context.incarnation += 1
                 receive(context, heartbeat())
+            case ["deaf", "heartbeat"]:
+                receive(context, msgspec.structs.replace(heartbeat(), unheard=(A,)))
             case [*kind, "heartbeat"]:
                 receive(context, heartbeat(ready="unready" not in kind, leaving="leaving" in kind))
 
@@ -95,6 +97,23 @@
     assert (expected in effect_names) if expected != "nothing" else not effect_names, effect_names
 
 
+@then("a new connection to node b is {wanted}")
+def check_new_connection(context, wanted):
+    (lost,) = [effect for effect in context.effects if isinstance(effect, PeerLost)]
+    assert lost.silent_address == (B if wanted == "wanted" else None), lost
+
+
+@then("node a has been told {count:d} times that node b does not hear it")
+def check_deafness(context, count):
+    told = [effect for effect in context.effects if isinstance(effect, PeerCannotHear)]
+    assert told == [PeerCannotHear(NodeId("b"), B)] * count, told
+
+
+@then("node a says that it hears node b {answer}")
+def check_stated(context, answer):
+    assert context.fleet.unheard() == (() if answer == "yes" else (B,))
+
+
 @then("node a sends heartbeats to {count:d} addresses")
 def check_address_count(context, count):
     assert len(context.fleet.addresses) == count
--- a/features/steps/peering_steps.py
+++ b/features/steps/peering_steps.py
@@ -1,19 +1,26 @@
 """Steps for messages between nodes."""
 
 import contextlib
+import select
+import socket
+import threading
 import time
 from collections import Counter
+from datetime import timedelta
 
 import msgspec
 import zmq
-from behave import then, when
+from behave import given, then, when
 
 from chervilrack._internal.peering.envelope import MessageCodec, MessageRefused
 from chervilrack._internal.peering.keys import generate_keys
 from chervilrack._internal.peering.transport import PeerTransport
+from chervilrack._internal.soak.proxy import LinkProxy
 
 WAIT_TIMEOUT_S = 20
 LOOPBACK = "tcp://127.0.0.1:*"
+# How long a test waits for messages that must not arrive.
+ABSENCE_WAIT_S = 0.3
 
 
 class Hello(msgspec.Struct, forbid_unknown_fields=True):
@@ -105,6 +112,105 @@
     assert senders.count("a") == count, senders
 
 
+class StallingLink(LinkProxy):
+    """Link whose open connections can stop reading, so that their window closes."""
+
+    def __init__(self, listen, target):
+        super().__init__(listen, target)
+        # Inherited by the connections that are accepted.
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        self.stalled = threading.Event()
+        self._first = []
+
+    def _forward(self, source, target, holding_modes, is_reset):
+        self._first.append(source)
+        if self._first.index(source) < 2:
+            source = _StallingSocket(source, self.stalled)
+        super()._forward(source, target, holding_modes, is_reset)
+
+
+class _StallingSocket:
+    """Socket that reads nothing more once ``stalled`` is set."""
+
+    def __init__(self, connection, stalled):
+        self._connection, self._stalled = connection, stalled
+
+    def __getattr__(self, name):
+        return getattr(self._connection, name)
+
+    def __hash__(self):
+        return hash(self._connection)
+
+    def __eq__(self, other):
+        return self._connection is other
+
+    def recv(self, size):
+        while not select.select([self._connection], [], [], 0.02)[0] or self._stalled.is_set():
+            if self._stalled.is_set() and self._connection.fileno() < 0:
+                return b""
+            time.sleep(0.02)
+        return self._connection.recv(size)
+
+
+@given("node a that sends messages to node b over a link")
+def connect_over_link(context):
+    def enter(manager):
+        context.add_cleanup(manager.__exit__, None, None, None)
+        return manager.__enter__()
+
+    context.delivered = []
+    handler = context.delivered.append
+    receiver = enter(PeerTransport("b", "1", LOOPBACK, _create_codec(), handler))
+    host, _, port = receiver.address.removeprefix("tcp://").rpartition(":")
+    context.link = enter(StallingLink(("127.0.0.1", 0), (host, int(port))))
+    context.address = f"tcp://{context.link.address}"
+    context.sender = enter(
+        PeerTransport(
+            "a", "1", LOOPBACK, _create_codec(), handler, unacknowledged_limit=timedelta(seconds=1)
+        )
+    )
+    send_until_delivered(context)
+
+
+def send_until_delivered(context):
+    """Send large messages until one of them is delivered."""
+    count = len(context.delivered)
+    deadline = time.monotonic() + WAIT_TIMEOUT_S
+    while len(context.delivered) == count and time.monotonic() < deadline:
+        context.sender.send_to_address(context.address, Hello("x" * 20_000))
+        time.sleep(0.02)
+    assert len(context.delivered) > count
+
+
+@then("messages of node a reach node b")
+def check_messages_arrive(context):
+    send_until_delivered(context)
+
+
+@then("no message of node a reaches node b")
+def check_no_message_arrives(context):
+    time.sleep(ABSENCE_WAIT_S)
+    count = len(context.delivered)
+    context.sender.send_to_address(context.address, Hello("lost"))
+    time.sleep(ABSENCE_WAIT_S)
+    assert len(context.delivered) == count
+
+
+@when("node a replaces its link to node b")
+def replace_link(context):
+    context.sender.replace_link(context.address)
+
+
+@when("the other side of the open connection stops reading")
+def stop_reading(context):
+    context.link.stalled.set()
+    # What has been read by then is still delivered.
+    time.sleep(ABSENCE_WAIT_S)
+    for _ in range(400):
+        context.sender.send_to_address(context.address, Hello("x" * 20_000))
+    time.sleep(ABSENCE_WAIT_S)
+
+
 @when("a node sends {count:d} messages to each of {peers:d} addresses, with pauses")
 def send_to_many(context, count, peers):
     context.peers = peers
--- a/src/chervilrack/_internal/fleet/core.py
+++ b/src/chervilrack/_internal/fleet/core.py
@@ -29,6 +29,8 @@
     forget_after: timedelta = timedelta(seconds=20)
     # Peer addresses in one heartbeat; a new node learns all addresses from a few heartbeats.
     gossiped_peers: int = 8
+    # Addresses of silent peers in one heartbeat.
+    stated_unheard: int = 16
     # A node owns queues after it has been ready for this time. When a queue moves, its owner's
     # knowledge of the upstreams is lost, and a process that has just started answers slowly.
     owner_settle_time: timedelta = timedelta(seconds=5)
@@ -56,6 +58,8 @@
     last_heartbeat: Heartbeat | None = None
     alive: bool = False
     leaving: bool = False
+    # When this node last learnt that the peer does not hear it.
+    unheard_at: timedelta | None = None
 
     @property
     def accepts_work(self) -> bool:
@@ -85,13 +89,26 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerLost:
-    """A node has been silent for too long or has restarted; the work that it had is lost."""
+    """A node has been silent for too long or has restarted; the work that it had is lost.
+
+    ``silent_address`` is the peer address of a silent node. It may live behind connections that
+    have fallen silent, and be reached over new ones.
+    """
 
     node: NodeId
     reason: str
+    silent_address: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class PeerCannotHear:
+    """A peer, which this node hears, says that it does not hear this node."""
+
+    node: NodeId
+    address: str
 
 
-FleetEffect = PeerJoined | PeerLeaving | PeerLost
+FleetEffect = PeerJoined | PeerLeaving | PeerLost | PeerCannotHear
 
 
 class Fleet:
@@ -260,8 +277,15 @@
         if heartbeat.leaving and not peer.leaving:
             peer.leaving = True
             effects.append(PeerLeaving(node))
+        if self._address in heartbeat.unheard and self._is_news_that_unheard(peer, now):
+            peer.unheard_at = now
+            effects.append(PeerCannotHear(node, peer.address))
         return effects
 
+    def _is_news_that_unheard(self, peer: Peer, now: timedelta) -> bool:
+        """Whether the peer had time to hear this node since it last said that it does not."""
+        return peer.unheard_at is None or now - peer.unheard_at > self._silence_limit(peer)
+
     def record_message(self, node: NodeId, incarnation: Incarnation, now: timedelta) -> None:
         """Count any message from the current process of a live node as a sign of life."""
         peer = self._by_node.get(node)
@@ -283,9 +307,8 @@
             if peer.alive and now - last_seen > self._silence_limit(peer):
                 peer.alive = False
                 assert peer.node is not None
-                effects.append(
-                    PeerLost(peer.node, f"silent for {(now - last_seen).total_seconds():.2f} s")
-                )
+                reason = f"silent for {(now - last_seen).total_seconds():.2f} s"
+                effects.append(PeerLost(peer.node, reason, address))
             if not peer.alive and now - last_seen > self._settings.forget_after:
                 del self._peers[address]
                 if peer.node is not None and self._by_node.get(peer.node) is peer:
@@ -320,6 +343,15 @@
         alive = [peer.address for peer in self.alive]
         return tuple(self._rng.sample(alive, min(len(alive), self._settings.gossiped_peers)))
 
+    def unheard(self) -> tuple[str, ...]:
+        """Return a random sample of the addresses of peers that were alive and are silent."""
+        silent = [
+            peer.address
+            for peer in self._peers.values()
+            if not peer.alive and peer.last_message_at is not None
+        ]
+        return tuple(self._rng.sample(silent, min(len(silent), self._settings.stated_unheard)))
+
     def endpoints(
         self,
         own_address: str | None,
--- a/src/chervilrack/_internal/fleet/messages.py
+++ b/src/chervilrack/_internal/fleet/messages.py
@@ -23,7 +23,8 @@
     cores. ``leaving_upstreams`` names upstreams that have told the node that they leave, and
     ``suspects`` are inputs that may crash upstreams. In a later era of the store than 0,
     ``directory_in_era`` holds the era and the revision and ``directory_revision`` is 0, so that
-    nodes which do not know eras take the sender for one that has read nothing.
+    nodes which do not know eras take the sender for one that has read nothing. ``unheard`` are the
+    peer addresses of some nodes that the sender has heard before, but not of late.
     """
 
     address: str
@@ -42,6 +43,7 @@
     leaving_upstreams: tuple[LeavingReport, ...] = ()
     suspects: tuple[SuspectReport, ...] = ()
     directory_in_era: tuple[Count, Count] | None = None
+    unheard: tuple[str, ...] = ()
 
     @property
     def position(self) -> StorePosition:
--- a/src/chervilrack/_internal/peering/transport.py
+++ b/src/chervilrack/_internal/peering/transport.py
@@ -35,6 +35,9 @@
 SEND_QUEUE_MESSAGES = 1000
 # Time after which an unfinished TCP connection attempt to a vanished VM is dropped.
 CONNECT_TIMEOUT_MS = 2000
+# Time after which a connection is closed on which sent bytes are not acknowledged, or not accepted:
+# it may have fallen silent while new ones work. Three lost packets in a row take 1.4 s.
+UNACKNOWLEDGED_LIMIT = timedelta(seconds=2)
 # Reconnects back off, so that all nodes do not flood a returning VM at once.
 RECONNECT_MS = 50
 RECONNECT_MAX_MS = 1000
@@ -48,6 +51,8 @@
 THREAD_NAME = "peering"
 MAX_LOGGED_ADDRESS = 100
 
+_MILLISECOND = timedelta(milliseconds=1)
+
 PeerHandler = Callable[[Envelope], None]
 
 
@@ -71,7 +76,8 @@
 
 @dataclass(slots=True)
 class _Outbox:
-    queue: deque[tuple[str, bytes]] = field(default_factory=deque)
+    # Messages by address; None replaces the link.
+    queue: deque[tuple[str, bytes | None]] = field(default_factory=deque)
     lock: threading.Lock = field(default_factory=threading.Lock)
     wake_pending: bool = False
 
@@ -91,7 +97,9 @@
         codec: MessageCodec,
         handler: PeerHandler,
         keys: CurveKeys | None = None,
+        unacknowledged_limit: timedelta = UNACKNOWLEDGED_LIMIT,
     ) -> None:
+        self._unacknowledged_limit = unacknowledged_limit
         self._node = node
         self._incarnation = incarnation
         self._listen = listen
@@ -210,8 +218,18 @@
         if not unblocked_addresses:
             return
         data = self._codec.encode(self._node, self._incarnation, message, self._reply_to)
+        self._enqueue([(address, data) for address in unblocked_addresses])
+
+    def replace_link(self, address: str) -> None:
+        """Use a new connection to an address from the next message on.
+
+        Messages that are on their way there may be lost.
+        """
+        self._enqueue([(address, None)])
+
+    def _enqueue(self, entries: list[tuple[str, bytes | None]]) -> None:
         with self._outbox.lock:
-            self._outbox.queue.extend((address, data) for address in unblocked_addresses)
+            self._outbox.queue.extend(entries)
             must_wake = not self._outbox.wake_pending
             self._outbox.wake_pending = True
             if must_wake:
@@ -241,6 +259,9 @@
             self._outbox.wake_pending = False
         self._close_idle_links()
         for address, data in batch:
+            if data is None:
+                self._close_link(address)
+                continue
             delay = self._delays_s.get(address)
             if delay:
                 message = (time.monotonic() + delay, next(self._sequence), address, data)
@@ -285,6 +306,8 @@
         socket.setsockopt(zmq.LINGER, 0)
         socket.setsockopt(zmq.SNDHWM, SEND_QUEUE_MESSAGES)
         socket.setsockopt(zmq.CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS)
+        # The option TCP_USER_TIMEOUT of the connection.
+        socket.setsockopt(zmq.TCP_MAXRT, round(self._unacknowledged_limit / _MILLISECOND))
         socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
         socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
         if self._keys is not None:
@@ -294,14 +317,18 @@
         socket.connect(address)
         return socket
 
+    def _close_link(self, address: str) -> None:
+        link = self._links.pop(address, None)
+        if link is not None:
+            link.socket.close()
+
     def _close_idle_links(self) -> None:
         idle_since = time.monotonic() - LINK_IDLE_S
         while self._links:
             address, link = next(iter(self._links.items()))
             if link.used_at > idle_since:
                 return
-            del self._links[address]
-            link.socket.close()
+            self._close_link(address)
 
     def _receive(self) -> None:
         while True:
--- a/src/chervilrack/_internal/serving/node.py
+++ b/src/chervilrack/_internal/serving/node.py
@@ -30,7 +30,14 @@
 from chervilrack._internal.common.byte_budget import ByteBudget
 from chervilrack._internal.common.clock import Clock
 from chervilrack._internal.common.ids import Incarnation, NodeId
-from chervilrack._internal.fleet.core import Fleet, FleetEffect, PeerJoined, PeerLeaving, PeerLost
+from chervilrack._internal.fleet.core import (
+    Fleet,
+    FleetEffect,
+    PeerCannotHear,
+    PeerJoined,
+    PeerLeaving,
+    PeerLost,
+)
 from chervilrack._internal.fleet.messages import Heartbeat, StateReply, StateRequest
 from chervilrack._internal.forwarding.attempts import AttemptRunner
 from chervilrack._internal.forwarding.dialect import Dialect
@@ -477,10 +484,15 @@
             self._update_zone_members()
         for effect in effects:
             match effect:
-                case PeerLost(node, reason):
+                case PeerLost(node, reason, silent_address):
+                    if silent_address is not None:
+                        self._transport.replace_link(f"tcp://{silent_address}")
                     self._log.note("fleet", "peer lost", peer=node, reason=reason)
                     self._state.balancer.forget_peer(node)
                     self._coordinator.on_node_lost(node)
+                case PeerCannotHear(node, address):
+                    self._transport.replace_link(f"tcp://{address}")
+                    self._log.note("fleet", "not heard by a peer", peer=node, address=address)
                 case PeerLeaving(node):
                     self._log.note("fleet", "peer leaving", peer=node)
                 case PeerJoined(node, address):
@@ -518,6 +530,7 @@
             leaving_upstreams=self._state.leaving_reports(),
             suspects=self._state.crash_watch.share_suspects(),
             directory_in_era=(position.era, position.revision) if position.era else None,
+            unheard=self._fleet.unheard(),
         )
         self._broadcast(heartbeat)
         self._next_heartbeat = now + self._fleet.heartbeat_interval
