Test that nodes follow a store that has come back from a copy

Change: a test with three node processes, a store that returns from a copy, and a key that is replaced after it.

--- a/features/soak/soak.feature
+++ b/features/soak/soak.feature
@@ -145,6 +145,13 @@
     When each node is killed, restarted and sent SIGHUP as soon as it blocks SIGHUP
     Then no node had logged anything before SIGHUP, and each is running 1 s later
 
+  # Guards against an order by the store's revision alone: after a return, nodes passed over all changes until the store had
+  # caught up with their revision, and served removed keys and outdated routes (incident CONFIG of 5a5d3ce).
+  Scenario: nodes go by a configuration that is written after the store has come back from a copy
+    Given 3 nodes as processes
+    When 40 configurations are written, the store comes back from a copy without them, and a key is replaced
+    Then each node serves requests with the new key, and none with the removed key
+
   Scenario Outline: all promises hold in a <plan> soak with seed <seed>
     When a <plan> soak of <duration> s runs with seed <seed> and <callers> callers
     Then no promise is broken
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -2,6 +2,8 @@
 
 import contextlib
 import dataclasses
+import http.client
+import itertools
 import os
 import signal
 import socket
@@ -516,9 +518,55 @@
     context.folder = Path(folder.name)
     bed = SoakBed(PlatformEmulation(), context.folder, 1, SoakSize(nodes=count))
     context.bed = bed.__enter__()
+    context.numbers = itertools.count()
     context.add_cleanup(bed.__exit__, None, None, None)
 
 
+@when(
+    "40 configurations are written, the store comes back from a copy without them, and a key is "
+    "replaced"
+)
+def return_store(context):
+    bed = context.bed
+    # A copy is kept each half second.
+    time.sleep(1.0)
+    began = time.monotonic()
+    for number in range(40):
+        bed.change_configuration(idle_timeout=5.0 + number)
+        time.sleep(0.01)
+    for node in bed.nodes:
+        ask_until(context, node, bed.keys.valid[0], 200)
+    bed.emulation.take_store_away()
+    bed.emulation.return_store(time.monotonic() - began)
+    bed.replace_key()
+
+
+@then("each node serves requests with the new key, and none with the removed key")
+def check_keys(context):
+    (removal,) = context.bed.evidence.key_removals
+    for node in context.bed.nodes:
+        ask_until(context, node, removal.new_key, 200)
+        ask_until(context, node, removal.key, 401)
+
+
+def ask_until(context, node, key, status):
+    """Send reads to a node until they get a status."""
+    host, _, port = context.bed.caller_links[node].address.rpartition(":")
+    end = time.monotonic() + TIMEOUT_S
+    while (got := ask(context, host, int(port), key)) != status and time.monotonic() < end:
+        time.sleep(0.05)
+    assert got == status, (node, key, got)
+
+
+def ask(context, host, port, key):
+    request = f"r{next(context.numbers)}"
+    headers = context.bed.emulation.request_headers(request, Kind.READ, key, 4.0)
+    connection = http.client.HTTPConnection(host, port, timeout=TIMEOUT_S)
+    with contextlib.closing(connection):
+        connection.request("GET", f"{Kind.READ.value}{request}", headers=headers)
+        return connection.getresponse().status
+
+
 @when("each node is paused, resumed and sent SIGTERM at once")
 def paused_and_stopped(context):
     for node in context.bed.nodes.values():
