End the check of a configuration with 2 for every unreadable file

Cause: a file that is no JSON object was checked as settings, and one that is not UTF-8 or is cut off counted as settings with a mistake: exit status 1. Change: settings that are no YAML document at all have an exception of their own.

--- a/features/catalogue/check.feature
+++ b/features/catalogue/check.feature
@@ -85,6 +85,21 @@
       | {"version": -1, "routes": []}              | $.version              |
       | {"version": 1, "routes": [{"name": "r"}]}  | $.routes[0]            |
 
+  # Guards against unreadable files that pass for files with mistakes.
+  Scenario Outline: a file of <bytes> cannot be read
+    Given a file of <bytes>
+    When the file is checked
+    Then the check says "<place>" of the file, which cannot be read, and ends with 2
+
+    Examples:
+      | bytes                          | place  |
+      | random bytes                   | utf-8  |
+      | a configuration in UTF-16      | utf-8  |
+      | a configuration in Latin-1     | UTF-8  |
+      | settings in Latin-1            | utf-8  |
+      | settings that are cut          | flow   |
+      | NUL bytes                      | control characters |
+
   Scenario: a node logs what it applies in spite of a finding
     Given a serving node with stand-ins for the platform
     When a configuration comes into force with two routes of the same prefix
--- a/features/steps/check_steps.py
+++ b/features/steps/check_steps.py
@@ -109,6 +109,22 @@
     run(context, file, "--against", write_json(context, "old.json", sound()))
 
 
+CONTENTS = {
+    "random bytes": bytes(range(255, 127, -1)),
+    "a configuration in UTF-16": '{"version": 1, "routes": []}'.encode("utf-16"),
+    "a configuration in Latin-1": '{"version": 1, "routes": [{"name": "é"}]}'.encode("latin-1"),
+    "settings in Latin-1": "nodeName: é\nzone: z".encode("latin-1"),
+    "settings that are cut": b"nodeName: n\nseeds: [a, ",
+    "NUL bytes": bytes(8),
+}
+
+
+@given("a file of {name}")
+def write_bytes(context, name):
+    write_file(context, "")
+    Path(context.file).write_bytes(CONTENTS[name])
+
+
 @when("the file is checked")
 def check_file(context):
     run(context, context.file)
--- a/src/chervilrack/_internal/commands/config.py
+++ b/src/chervilrack/_internal/commands/config.py
@@ -15,7 +15,7 @@
 from chervilrack._internal.catalogue.state import ServingConfiguration
 from chervilrack._internal.cli.status_codes import ExitStatus
 from chervilrack._internal.common.decoding import UnreadableValue
-from chervilrack._internal.exceptions import InvalidDocumentError
+from chervilrack._internal.exceptions import InvalidDocumentError, UnreadableDocumentError
 
 _FILE = click.Path(dir_okay=False, path_type=Path)
 # Code of the mistakes of a settings file, and of a file that cannot be read.
@@ -97,6 +97,8 @@
 
     try:
         load_settings(file)
+    except UnreadableDocumentError as error:
+        raise _Unreadable(file, error.mistakes[0].removeprefix(f"{file}: ")) from None
     except InvalidDocumentError as error:
         return [_split_mistake(mistake, file) for mistake in error.mistakes]
     return []
--- a/src/chervilrack/_internal/exceptions.py
+++ b/src/chervilrack/_internal/exceptions.py
@@ -55,6 +55,10 @@
         return self._mistakes
 
 
+class UnreadableDocumentError(InvalidDocumentError):
+    """A file is no YAML document at all."""
+
+
 class PeerUnreachable(ChervilrackError):
     """A node did not answer a request in time."""
 
--- a/src/chervilrack/platform/settings.py
+++ b/src/chervilrack/platform/settings.py
@@ -14,7 +14,7 @@
 from chervilrack._internal.common.addresses import is_address, parse_address
 from chervilrack._internal.common.decoding import UnreadableValue, decode_value
 from chervilrack._internal.common.ids import NodeId, RegionId, ZoneId
-from chervilrack._internal.exceptions import InvalidDocumentError
+from chervilrack._internal.exceptions import InvalidDocumentError, UnreadableDocumentError
 from chervilrack._internal.fleet.lookup import LookupBounds
 from chervilrack._internal.limits.retry_budget import RetryBudgetSettings
 from chervilrack._internal.serving.settings import Address, ServingSettings
@@ -100,7 +100,7 @@
 
 
 def load_settings(file: Path) -> ServingSettings:
-    """Read the settings file. Raises OSError and InvalidDocumentError.
+    """Read the settings file. Raises OSError, InvalidDocumentError and UnreadableDocumentError.
 
     Times are from 0 s to a week, those for changes of the store from 0.1 s to a minute, shares and
     numbers of cores from 0 to 1e9, names from 1 to MAX_NAME_LENGTH characters long. ``zones`` holds
@@ -109,7 +109,7 @@
     try:
         raw = decode_value(str(file), file.read_bytes(), _load_yaml)
     except UnreadableValue as error:
-        raise InvalidDocumentError([f"{file}: {error.detail}"]) from None
+        raise UnreadableDocumentError([f"{file}: {error.detail}"]) from None
     mistakes: list[str] = []
     content = _convert(raw, mistakes, str(file))
     if content is None:
