Keep the first attempt of a look-up while a second upstream is tried

Cause: a look-up without an answer was given up at its upstream and began anew at the next one, where it takes as long. Change: the attempt goes on beside the next one, and the first whole answer is delivered; an error of one leaves the other its time. One attempt is kept at most, only of routes whose requests may run more than once, without stages. A caller that leaves, a stop and the end of the request close both. No more attempts are made than before. Rejected: keeping it only when little time is left (look-ups of 3.5 s of 4 s still failed). Found on the way: an answer that was kept must count for the usual time to the first byte, or each look-up that is longer than the first guess is tried twice for good.

--- a/features/adapter/serving.feature
+++ b/features/adapter/serving.feature
@@ -96,6 +96,31 @@
     And a caller sends 1 look-ups that take 1300 ms, with a deadline of 2200 ms
     Then all look-ups are answered with status 200
 
+  # Guards against a long look-up that is given up halfway, and takes as long at the next upstream.
+  Scenario Outline: a look-up that takes <first> at its first upstream, and <next> at the next, ends as <status>
+    When a caller sends 4 look-ups that take 500 ms, with a deadline of 5000 ms
+    And from now on look-ups take <first> at their first upstream, and <next> at the next
+    And a caller sends 1 look-ups that take 0 ms, with a deadline of 4000 ms
+    Then the last look-up is answered with status <status>, and ran <runs> times
+    And nothing is in progress at any plain upstream
+
+    Examples: look-ups usually take 500 ms, and those that take much longer are tried elsewhere as well
+      | first   | next      | status | runs |
+      | 600 ms  | 600 ms    | 200    | 1    |
+      | 2500 ms | 2500 ms   | 200    | 2    |
+      | 3500 ms | 3500 ms   | 200    | 2    |
+      | 3500 ms | 10 ms     | 200    | 2    |
+      | 2500 ms | a failure | 200    | 2    |
+      | 2500 ms | a refusal | 200    | 1    |
+      | no time, cut off | 10 ms | 200 | 2   |
+      | 4500 ms | 4500 ms   | 504    | 2    |
+
+  Scenario: a caller that leaves ends both attempts of its look-up
+    When a caller sends 4 look-ups that take 500 ms, with a deadline of 5000 ms
+    And from now on look-ups take 3900 ms at their first upstream, and 3900 ms at the next
+    And a caller leaves after two upstreams have got its look-up
+    Then nothing is in progress at any plain upstream
+
   Scenario: the stream of a caller that disconnects is cancelled
     Given all engines are "slow"
     When a caller disconnects after the first event of a stream
--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -109,6 +109,75 @@
     context.statuses += [response.status for response, _ in responses]
 
 
+def plain_upstreams(context):
+    return [u for u in context.upstreams.values() if u.service == "plain"]
+
+
+def handle_in_turn(context, *handlings):
+    """Have the first, second ... request at any plain upstream handled in these ways."""
+    left = list(handlings)
+    for upstream in plain_upstreams(context):
+
+        def serve(request, body, upstream=upstream, serve=upstream.serve):
+            left.pop(0)(upstream, request)
+            serve(request, body)
+
+        upstream.serve = serve
+
+
+def handling(text):
+    """Return a function that makes an upstream handle a request as the text says."""
+
+    def handle(upstream, request):
+        match text.split():
+            case [milliseconds, "ms"]:
+                request.path = f"/read/1?workMs={milliseconds}"
+            case ["a", "failure"]:
+                upstream.behaviour = "fails"
+            case ["a", "refusal"]:
+                upstream.behaviour = "full"
+            case ["no", "time,", "cut", "off"]:
+                upstream.behaviour = "cut off"
+
+    return handle
+
+
+@when("from now on look-ups take {first} at their first upstream, and {following} at the next")
+def set_handling(context, first, following):
+    handle_in_turn(context, handling(first), handling(following))
+    context.runs_before = count_runs(context)
+
+
+def count_runs(context):
+    return sum(len(upstream.seen) for upstream in plain_upstreams(context))
+
+
+@when("a caller leaves after two upstreams have got its look-up")
+def leave_lookup(context):
+    headers = {
+        "Host": "app.example",
+        "Chervilrack-Deadline-Ms": "4000",
+        "Chervilrack-Request-Id": "leaves",
+        "Authorization": f"Token {KEY}",
+    }
+    connection = http.client.HTTPConnection(str(context.settings.callers), timeout=LIMIT_S)
+    connection.request("GET", "/read/1", headers=headers)
+    wait_for(lambda: count_runs(context) - context.runs_before == 2, "both attempts run")
+    connection.close()
+
+
+@then("the last look-up is answered with status {status:d}, and ran {runs:d} times")
+def check_last_lookup(context, status, runs):
+    assert context.statuses[-1] == status, context.statuses
+    assert count_runs(context) - context.runs_before == runs
+
+
+@then("nothing is in progress at any plain upstream")
+def check_nothing_in_progress(context):
+    statuses = [context.node.balancer.status(UpstreamId(u.id)) for u in plain_upstreams(context)]
+    wait_for(lambda: not any(s.in_flight for s in statuses), "no attempt is in flight")
+
+
 @then("all look-ups are answered with status {status:d}")
 def check_lookups(context, status):
     assert set(context.statuses) == {status}, context.statuses
--- a/src/chervilrack/_internal/forwarding/attempts.py
+++ b/src/chervilrack/_internal/forwarding/attempts.py
@@ -1,5 +1,6 @@
 """Runs one attempt of a request at one upstream, and relays a successful response to the caller."""
 
+import contextlib
 import functools
 import logging
 from collections.abc import Callable, Mapping, Sequence
@@ -20,9 +21,15 @@
 from chervilrack._internal.forwarding.context import RequestContext
 from chervilrack._internal.forwarding.dialect import Dialect, ForwardedMetadata, ResponseMetadata
 from chervilrack._internal.forwarding.messages import CallerGone, Responder
+from chervilrack._internal.forwarding.open_attempts import OpenAttempt, may_keep
 from chervilrack._internal.forwarding.stages import StageRun
 from chervilrack._internal.forwarding.streams import StreamRelay
-from chervilrack._internal.upstreams.exchange import Exchange, ExchangeFailed, TimeLimit
+from chervilrack._internal.upstreams.exchange import (
+    Exchange,
+    ExchangeFailed,
+    TimeLimit,
+    first_readable,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -62,6 +69,18 @@
     """The upstream has said, before the request was sent to it, that it wants nothing new."""
 
 
+class KeptAnswered(ChervilrackError):
+    """An earlier attempt has answered the request while a later one went on.
+
+    ``attempt`` is to be closed once its answer is delivered.
+    """
+
+    def __init__(self, result: "AttemptResult", attempt: OpenAttempt) -> None:
+        super().__init__(f"{attempt.entry.id} has answered")
+        self.result = result
+        self.attempt = attempt
+
+
 class AttemptOutcome(Enum):
     """How an attempt ended.
 
@@ -216,25 +235,28 @@
             lambda: self._observer.upstream_heard(entry),
             lambda: self._observer.answer_begun(context),
         )
-        self._observer.attempt_started(context, entry, choice)
-        with Exchange(entry.address, self._memory) as exchange:
-            context.add_gone_action(exchange.cancel)
-            context.add_stop_action(exchange.cancel)
+        exchange = Exchange(entry.address, self._memory)
+        with contextlib.ExitStack() as opened:
+            attempt = opened.enter_context(
+                OpenAttempt(context, entry, choice, exchange, self._observer)
+            )
             try:
-                result = self._exchange(
-                    context, relay, responder, entry, choice, inputs, exchange, stages
-                )
+                result = self._exchange(context, relay, responder, attempt, inputs, stages)
             except CallerGone:
                 raise
+            except KeptAnswered as answered:
+                opened.callback(answered.attempt.close)
+                answered.attempt.end()
+                context.executions += 1
+                result = answered.result
             except Exception as error:
                 if exchange.sent:
                     raise
                 return self._handle_unusable_entry(entry, error)
-            finally:
-                context.remove_gone_action(exchange.cancel)
-                context.remove_stop_action(exchange.cancel)
-                exchange.close()
-                self._observer.attempt_ended(context, entry)
+            if context.kept is attempt:
+                opened.pop_all()
+                return result
+            attempt.end()
             if result.deliver is not None:
                 # The memory of the answer is reserved until then.
                 result.deliver()
@@ -243,6 +265,70 @@
             self._observer.answer_broke_off(context, entry, at_start=at_start)
         return result
 
+    def await_kept(self, context: RequestContext, responder: Responder) -> AttemptResult | None:
+        """Wait for the answer of the attempt that was kept, if any, and send it to the caller.
+
+        Returns None if it does not answer the request.
+        """
+        kept = context.kept
+        if kept is None:
+            return None
+        left = context.time_left(self._clock.monotonic())
+        if not kept.exchange.wait_readable(left.total_seconds()):
+            return None
+        try:
+            self._finish_kept(context, responder, kept)
+        except KeptAnswered as answered:
+            with contextlib.closing(answered.attempt):
+                answered.attempt.end()
+                if answered.result.deliver is not None:
+                    answered.result.deliver()
+            return answered.result
+        return None
+
+    def drop_kept(self, context: RequestContext) -> None:
+        """Close the attempt that was kept, if any."""
+        kept, context.kept = context.kept, None
+        if kept is not None:
+            kept.close()
+
+    def _finish_kept(
+        self, context: RequestContext, responder: Responder, kept: OpenAttempt
+    ) -> None:
+        """Read the answer of a kept attempt, and close it unless it answers the request.
+
+        Raises KeptAnswered if it does.
+        """
+        try:
+            result = self._read_kept(context, responder, kept)
+        except ExchangeFailed as error:
+            result = AttemptResult(AttemptOutcome.FAILED, error.detail, may_have_arrived=True)
+        except BaseException:
+            self.drop_kept(context)
+            raise
+        context.step(f"{kept.entry.id} was kept: {result.outcome.value}: {result.detail}")
+        if result.outcome is not AttemptOutcome.ANSWERED:
+            self.drop_kept(context)
+            return
+        context.kept = None
+        raise KeptAnswered(result, kept)
+
+    def _read_kept(
+        self, context: RequestContext, responder: Responder, kept: OpenAttempt
+    ) -> AttemptResult:
+        response = self._read_head(context, kept)
+        self._observer.upstream_heard(kept.entry)
+        metadata = self._dialect.read_response(response.status, response.headers)
+        if metadata.request_id not in (None, context.metadata.request_id):
+            return AttemptResult(AttemptOutcome.FAILED, "an answer to another request")
+        self._observer.answer_received(kept.entry.incarnation, metadata)
+        if metadata.not_executed or not 200 <= response.status < 300:
+            return AttemptResult(AttemptOutcome.FAILED, f"answered {response.status}")
+        self._observer.first_byte_received(context, kept.entry)
+        return self._handle_success(
+            context, None, responder, kept.entry, kept.exchange, response, metadata.signed
+        )
+
     def _handle_unusable_entry(self, entry: UpstreamEntry, error: Exception) -> AttemptResult:
         """Return the result of an attempt for which no request could be made of an entry."""
         detail = f"no request can be made for it ({type(error).__name__})"
@@ -264,22 +350,26 @@
         context: RequestContext,
         relay: StreamRelay,
         responder: Responder,
-        entry: UpstreamEntry,
-        choice: UpstreamChoice,
+        attempt: OpenAttempt,
         inputs: Sequence[str],
-        exchange: Exchange,
         stages: StageRun | None,
     ) -> AttemptResult:
+        entry, choice, exchange = attempt.entry, attempt.choice, attempt.exchange
         started = self._clock.monotonic()
         try:
-            response = self._send(context, entry, choice, inputs, exchange, stages)
+            self._send(context, attempt, inputs, stages, started)
+            self._await_answer(context, responder, attempt, stages, started)
+            response = self._read_head(context, attempt)
         except UpstreamBarred as error:
             return AttemptResult(AttemptOutcome.NOT_RUN, str(error))
         except ExchangeFailed as error:
             now = self._clock.monotonic()
-            is_upstream_fault = context.time_left(
-                now
-            ) > DEADLINE_TOLERANCE or self._observer.is_overdue(context, choice, now - started)
+            left = context.time_left(now)
+            is_upstream_fault = left > DEADLINE_TOLERANCE or self._observer.is_overdue(
+                context, choice, now - started
+            )
+            if error.limit is TimeLimit.FIRST_BYTE and may_keep(context):
+                context.kept = attempt
             return self._handle_exchange_failure(
                 context, entry, error, started, is_upstream_fault=is_upstream_fault
             )
@@ -308,14 +398,13 @@
     def _send(
         self,
         context: RequestContext,
-        entry: UpstreamEntry,
-        choice: UpstreamChoice,
+        attempt: OpenAttempt,
         inputs: Sequence[str],
-        exchange: Exchange,
         stages: StageRun | None,
-    ) -> urllib3.BaseHTTPResponse:
-        request = context.request
-        started = self._clock.monotonic()
+        started: timedelta,
+    ) -> None:
+        """Connect to the upstream and write the request. Raises ExchangeFailed, UpstreamBarred."""
+        request, entry, exchange = context.request, attempt.entry, attempt.exchange
         left = context.time_left(started)
         forwarded = ForwardedMetadata(
             deadline=left,
@@ -333,25 +422,67 @@
             # Also if the write fails: the upstream may have got the request.
             if exchange.sent:
                 context.sent_attempts += 1
+
+    def _await_answer(
+        self,
+        context: RequestContext,
+        responder: Responder,
+        attempt: OpenAttempt,
+        stages: StageRun | None,
+        started: timedelta,
+    ) -> None:
+        """Wait until the upstream answers, or for as long as the request is to stay there.
+
+        Raises ExchangeFailed if it is to be tried elsewhere, and KeptAnswered if the attempt that
+        was kept has answered it.
+        """
+        exchange, choice = attempt.exchange, attempt.choice
         timeout = self._observer.first_byte_timeout(context, choice)
-        begins = self._begins_within(exchange, timeout, stages)
+        if context.kept is None:
+            begins = self._begins_within(exchange, timeout, stages)
+        else:
+            begins = self._begins_beside_kept(context, responder, exchange, timeout)
         while not begins:
             stay = self._observer.time_to_stay(context, choice, started)
+            if stay is None and context.kept is None:
+                return
             if stay is None:
-                break
+                stay = context.time_left(self._clock.monotonic())
             if stay <= timedelta(0):
                 waited = self._clock.monotonic() - started
                 detail = f"silent for {waited.total_seconds():.2f} s"
                 raise ExchangeFailed(detail, sent=True, limit=TimeLimit.FIRST_BYTE)
-            begins = exchange.wait_readable(stay.total_seconds())
+            begins = self._begins_beside_kept(context, responder, exchange, stay)
+
+    def _begins_beside_kept(
+        self, context: RequestContext, responder: Responder, exchange: Exchange, timeout: timedelta
+    ) -> bool:
+        """Whether the response begins within the timeout.
+
+        Raises KeptAnswered if the attempt that was kept, if any, answers the request before it.
+        """
+        end = self._clock.monotonic() + timeout
+        while context.kept is not None:
+            left = end - self._clock.monotonic()
+            pair = (exchange, context.kept.exchange)
+            ready = first_readable(pair, left.total_seconds())
+            if ready is None:
+                return False
+            if ready is exchange:
+                return True
+            self._finish_kept(context, responder, context.kept)
+        return exchange.wait_readable((end - self._clock.monotonic()).total_seconds())
+
+    def _read_head(self, context: RequestContext, attempt: OpenAttempt) -> urllib3.BaseHTTPResponse:
         left = context.time_left(self._clock.monotonic())
+        incarnation = attempt.entry.incarnation
 
         def read_interim(status: int, fields: Mapping[str, str]) -> None:
             metadata = self._dialect.read_response(status, fields)
             if metadata.request_id in (None, context.metadata.request_id):
-                self._observer.answer_received(entry.incarnation, metadata)
+                self._observer.answer_received(incarnation, metadata)
 
-        return exchange.read_head(left.total_seconds(), read_interim)
+        return attempt.exchange.read_head(left.total_seconds(), read_interim)
 
     def _connect(
         self,
@@ -462,7 +593,7 @@
     def _handle_success(
         self,
         context: RequestContext,
-        relay: StreamRelay,
+        relay: StreamRelay | None,
         responder: Responder,
         entry: UpstreamEntry,
         exchange: Exchange,
@@ -480,7 +611,7 @@
         begun = self._clock.monotonic()
         size = context.stream_size
         try:
-            if context.route.kind is RequestKind.STREAM:
+            if relay is not None and context.route.kind is RequestKind.STREAM:
                 relay.run(response.status, headers, exchange, deadline)
                 deliver = relay.finish
                 self._observer.stream_ended(context, size, self._clock.monotonic() - begun)
--- a/src/chervilrack/_internal/forwarding/context.py
+++ b/src/chervilrack/_internal/forwarding/context.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import timedelta
+from typing import TYPE_CHECKING
 
 from chervilrack._internal.balancing.state import RequestLoad
 from chervilrack._internal.catalogue.state import Route, ServingConfiguration
@@ -17,6 +18,9 @@
 from chervilrack._internal.quarantine.profiles import plain_profile, prompt_profile
 from chervilrack._internal.quarantine.state import RequestProfile
 
+if TYPE_CHECKING:
+    from chervilrack._internal.forwarding.open_attempts import OpenAttempt
+
 
 @dataclass(slots=True)
 class RequestContext:
@@ -40,6 +44,7 @@
     ``attempt_began`` the start of the current attempt. ``forecast`` is the rest that was forecast
     when that attempt was chosen. ``usual_first_byte`` is the usual time from the start of an
     attempt to the first byte, by which the stages are due sooner; zero if none compete for them.
+    ``kept`` is an earlier attempt that goes on beside the current one.
     """
 
     request: InboundRequest
@@ -64,6 +69,7 @@
     attempt_began: timedelta | None = None
     forecast: Rest = field(default_factory=Rest)
     usual_first_byte: timedelta = timedelta(0)
+    kept: "OpenAttempt | None" = None
     events: EventSequence = field(default_factory=EventSequence)
     tried_upstreams: set[UpstreamId] = field(default_factory=set)
     steps: list[str] = field(default_factory=list)
--- a/src/chervilrack/_internal/forwarding/forwarder.py
+++ b/src/chervilrack/_internal/forwarding/forwarder.py
@@ -292,6 +292,7 @@
         finally:
             if stages is not None:
                 stages.close()
+            self._attempts.drop_kept(context)
             if context.holds_retry:
                 self._backend.give_back_retry(context.service)
 
@@ -329,7 +330,8 @@
             stop_reason = self._backend.check_stop(context, is_admitted=True)
             if stop_reason is not None:
                 context.step(f"no further attempt: {stop_reason}")
-                return self._end_by_stop(context, responder, last, stop_reason)
+                answered = self._answer_of_kept(context, responder)
+                return answered or self._end_by_stop(context, responder, last, stop_reason)
             chosen = self._choose(context, stages)
             if chosen is None:
                 break
@@ -365,7 +367,16 @@
                 context.tried_upstreams.discard(entry.id)
             if context.time_left(self._clock.monotonic()) <= timedelta(0):
                 break
-        return self._give_up(context, responder, last)
+        return self._answer_of_kept(context, responder) or self._give_up(context, responder, last)
+
+    def _answer_of_kept(
+        self, context: RequestContext, responder: Responder
+    ) -> ForwardingOutcome | None:
+        """Return how a request ended that an attempt has answered which was kept, else None."""
+        result = self._attempts.await_kept(context, responder)
+        if result is None:
+            return None
+        return self._outcome(context, result.outcome.value, result.status, result.detail)
 
     def _choose(
         self, context: RequestContext, stages: StageRun | None
@@ -437,6 +448,9 @@
     ) -> ForwardingOutcome:
         """End a request whose next attempt must not be made."""
         context.step(f"no further attempt: {obstacle.detail}")
+        answered = self._answer_of_kept(context, responder)
+        if answered is not None:
+            return answered
         if last is not None and last.error_response is not None:
             return self._give_up(context, responder, last)
         return self._fail(context, responder, self._true_problem(context, obstacle))
--- a/src/chervilrack/_internal/upstreams/exchange.py
+++ b/src/chervilrack/_internal/upstreams/exchange.py
@@ -211,6 +211,13 @@
         """Whether a byte of the request may have been written."""
         return self._sent
 
+    @property
+    def descriptor(self) -> int | None:
+        """Descriptor of the open connection, None if there is none."""
+        sock = self._socket
+        number = sock.fileno() if sock is not None else -1
+        return number if number >= 0 else None
+
     @property
     def cancelled(self) -> bool:
         """Whether ``cancel`` was called."""
@@ -452,6 +459,25 @@
         return TimeLimit.PROGRESS
 
 
+def first_readable(exchanges: Sequence[Exchange], timeout_s: float) -> Exchange | None:
+    """Return the first exchange whose upstream answers or closes the connection, None if none does.
+
+    Waits for ``timeout_s`` at most. An exchange that is closed counts as one whose upstream has
+    closed the connection.
+    """
+    poller = select.poll()
+    by_descriptor: dict[int, Exchange] = {}
+    for exchange in exchanges:
+        descriptor = exchange.descriptor
+        if descriptor is None:
+            return exchange
+        by_descriptor[descriptor] = exchange
+        poller.register(descriptor, select.POLLIN | select.POLLHUP | select.POLLERR)
+    for descriptor, _ in poller.poll(max(0, math.ceil(timeout_s * 1000))):
+        return by_descriptor[descriptor]
+    return None
+
+
 def _ends_with_connection(response: urllib3.BaseHTTPResponse) -> bool:
     """Whether only the end of the connection shows the end of a response's body."""
     return not response.chunked and response.length_remaining is None
