Count a kept attempt with the time since its own start

Cause: the start of the current attempt stood in the context of the request; a look-up may have two attempts in flight since, and the earlier one was then counted as if it had begun with the later one. Change: the start is kept for each attempt in flight. Tests changed: the double of a request in cold_steps.py says that its caller has left, so that nothing is measured, where it had no start before.

--- a/features/adapter/serving.feature
+++ b/features/adapter/serving.feature
@@ -115,6 +115,13 @@
       | no time, cut off | 10 ms | 200 | 2   |
       | 4500 ms | 4500 ms   | 504    | 2    |
 
+  # Guards against the start of a later attempt as that of one that was kept.
+  Scenario: an attempt that is kept counts with the time since its own start
+    When a caller sends 4 look-ups that take 500 ms, with a deadline of 5000 ms
+    And from now on look-ups take 3500 ms at their first upstream, and 10 ms at the next
+    And a caller sends 1 look-ups that take 0 ms, with a deadline of 4000 ms
+    Then a look-up counts as staying longer than before at its upstream
+
   Scenario: a caller that leaves ends both attempts of its look-up
     When a caller sends 4 look-ups that take 500 ms, with a deadline of 5000 ms
     And from now on look-ups take 3900 ms at their first upstream, and 3900 ms at the next
--- a/features/steps/cold_steps.py
+++ b/features/steps/cold_steps.py
@@ -174,7 +174,7 @@
     )
     state.attempt_started(request, entry, choice)
     state.attempt_ended(
-        SimpleNamespace(**vars(request) | {"attempt_began": None}),
+        SimpleNamespace(**vars(request) | {"caller_gone": True}),
         entry,
     )
     return entry.id if state.may_send(entry.incarnation) else None
--- a/features/steps/serving_steps.py
+++ b/features/steps/serving_steps.py
@@ -13,7 +13,7 @@
 from behave import given, then, when
 
 from chervilrack._internal.common.clock import SystemClock
-from chervilrack._internal.common.ids import NodeId, UpstreamId, ZoneId
+from chervilrack._internal.common.ids import NodeId, ServiceId, UpstreamId, ZoneId
 from chervilrack._internal.common.results import ResultCode
 from chervilrack._internal.kvstore.port import Change, ChangeKind, KeyValue
 from chervilrack._internal.observability.decisions import DecisionLog
@@ -146,6 +146,17 @@
 def set_handling(context, first, following):
     handle_in_turn(context, handling(first), handling(following))
     context.runs_before = count_runs(context)
+    context.stay_before = usual_stay(context)
+
+
+def usual_stay(context):
+    return context.node.balancer.times.of(ServiceId("plain")).stay
+
+
+@then("a look-up counts as staying longer than before at its upstream")
+def check_stay(context):
+    check_nothing_in_progress(context)
+    assert usual_stay(context) > context.stay_before
 
 
 def count_runs(context):
--- a/src/chervilrack/_internal/forwarding/context.py
+++ b/src/chervilrack/_internal/forwarding/context.py
@@ -40,10 +40,10 @@
     ``refusal`` is set while the request
     waits for its stages if requests like it get no upstream any more.
 
-    ``node_stops_at`` is the time at which the node ends the request because it stops, and
-    ``attempt_began`` the start of the current attempt. ``forecast`` is the rest that was forecast
-    when that attempt was chosen. ``usual_first_byte`` is the usual time from the start of an
-    attempt to the first byte, by which the stages are due sooner; zero if none compete for them.
+    ``node_stops_at`` is the time at which the node ends the request because it stops. ``forecast``
+    is the rest that was forecast when the current attempt was chosen. ``usual_first_byte`` is the
+    usual time from the start of an attempt to the first byte, by which the stages are due sooner;
+    zero if none compete for them.
     ``kept`` is an earlier attempt that goes on beside the current one.
     """
 
@@ -66,7 +66,6 @@
     holds_retry: bool = False
     last_event_at: timedelta | None = None
     node_stops_at: timedelta | None = None
-    attempt_began: timedelta | None = None
     forecast: Rest = field(default_factory=Rest)
     usual_first_byte: timedelta = timedelta(0)
     kept: "OpenAttempt | None" = None
--- a/src/chervilrack/_internal/serving/state.py
+++ b/src/chervilrack/_internal/serving/state.py
@@ -108,6 +108,8 @@
         self._first_byte_times: dict[ServiceId, timedelta] = {}
         # Start and expected time to the first byte of attempts that have not got it yet.
         self._awaited_first_bytes: dict[tuple[str, UpstreamId], tuple[timedelta, timedelta]] = {}
+        # Start of each attempt in flight; a request may have two.
+        self._attempts_began: dict[tuple[str, UpstreamId], timedelta] = {}
         # When this node learnt of the evacuation of each evacuated zone.
         self._evacuated_since: dict[ZoneId, timedelta] = {}
         self._accepting = False
@@ -404,8 +406,8 @@
     ) -> None:
         """Count an attempt as in flight."""
         now = self.clock.monotonic()
-        context.attempt_began = now
         with self.lock:
+            self._attempts_began[(context.metadata.request_id, entry.id)] = now
             if self.cold.record_request(entry.id, now):
                 self.metrics.cold_upstream_used(context.service)
             self.balancer.record_start(entry.id, context.load, now)
@@ -494,10 +496,9 @@
         with self.lock:
             self.balancer.record_end(entry.id)
             self.balancer.end_probe(entry.id)
-            if context.attempt_began is not None and not (
-                context.caller_gone or context.node_stopping
-            ):
-                took = now - context.attempt_began
+            began = self._attempts_began.pop((context.metadata.request_id, entry.id), None)
+            if began is not None and not (context.caller_gone or context.node_stopping):
+                took = now - began
                 self.forecaster.record(_subject(context), Work.ATTEMPT, took, now)
                 self.balancer.times.record_stay(entry.service, took)
             if (
