Give the heartbeat of a later version one field more in its test

Change: the later version has one field more, and the version before this one has a row, as with the fields before.

--- a/features/adapter/statements.feature
+++ b/features/adapter/statements.feature
@@ -188,6 +188,7 @@
       | without leaving upstreams                 |
       | without suspects                          |
       | without a position in an era of the store |
+      | without unheard peers                     |
       | with a field of a later version           |
 
   Scenario: a stage call that waited for a thread is not sent to an upstream that leaves meanwhile
--- a/features/steps/statements_steps.py
+++ b/features/steps/statements_steps.py
@@ -527,7 +527,8 @@
         "without leaving upstreams": peer_heartbeat(),
         "without suspects": peer_heartbeat(()),
         "without a position in an era of the store": peer_heartbeat((), ()),
-        "with a field of a later version": peer_heartbeat((), (), None, "later"),
+        "without unheard peers": peer_heartbeat((), (), None),
+        "with a field of a later version": peer_heartbeat((), (), None, (), "later"),
     }[change]
     deliver_heartbeat(context, fields)
 
