Read the rest of a refused body, so that its caller gets the refusal

Cause: a connection that was shut down stayed open for 1 s, but nothing was read from it, and its close resets it while bytes are unread. Callers that needed longer, at load or over slow links, lost the answer. Change: the rest of a request that was not read whole is read and discarded in the accepting thread, 1 MiB at a time at most, until the caller ends, sends nothing for 1 s, or 5 s have passed.

--- a/features/adapter/memory.feature
+++ b/features/adapter/memory.feature
@@ -26,6 +26,14 @@
     When 10 requests with bodies of 100 bytes are sent at once
     Then each of them is answered
 
+  # Guards against a refusal that is lost, as the connection is reset while its caller still sends.
+  Scenario: a caller that is still sending a body gets the refusal
+    Given 1 nodes as processes
+    And callers may send bodies of 4194304 bytes
+    And 16 callers that have begun to send bodies of 3900000 bytes
+    When another caller sends a body of 3900000 bytes within 3 s
+    Then it gets status 503 once it has sent all of it
+
   # Guards against memory that stays with the process after the requests that needed it.
   Scenario: the memory of large answers goes back when their requests end
     Given 1 nodes as processes
--- a/features/steps/memory_steps.py
+++ b/features/steps/memory_steps.py
@@ -1,6 +1,8 @@
 """Steps for the memory of a node process, in the face of bytes without end."""
 
 import re
+import socket
+import time
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
@@ -8,8 +10,10 @@
 from stopping_steps import process_request, wait_for
 from support.scripted_upstream import ScriptedUpstreams
 
+from chervilrack._internal.soak.records import Kind
 from chervilrack.platform.emulated.emulation import configuration
 
+LIMIT_S = 20.0
 DEADLINE_MS = 8000
 STREAMS = 6
 MEGABYTE = 1024 * 1024
@@ -103,6 +107,39 @@
         context.body_statuses = list(pool.map(lambda name: send(context, name, body), names))
 
 
+def begin_upload(context, request_id, size):
+    """Send the head of an upload and the first byte of its body; return the connection."""
+    headers = context.bed.emulation.request_headers(
+        request_id, Kind.ORDER, context.bed.keys.valid[0], DEADLINE_MS / 1000
+    )
+    lines = [f"POST {Kind.ORDER.value}1 HTTP/1.1", f"Content-Length: {size}"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    address = (context.bed.host(0), context.bed.emulation.callers_port)
+    connection = socket.create_connection(address, timeout=LIMIT_S)
+    context.add_cleanup(connection.close)
+    connection.sendall("\r\n".join([*lines, "", ""]).encode() + b"x")
+    return connection
+
+
+@given("{count:d} callers that have begun to send bodies of {size:d} bytes")
+def begin_uploads(context, count, size):
+    context.uploads = [begin_upload(context, f"begun-{n}", size) for n in range(count)]
+
+
+@when("another caller sends a body of {size:d} bytes within {seconds:d} s")
+def send_slowly(context, size, seconds):
+    context.upload = begin_upload(context, "refused", size)
+    pieces = 50 * seconds
+    for _ in range(pieces):
+        context.upload.sendall(b"x" * (size // pieces))
+        time.sleep(seconds / pieces)
+
+
+@then("it gets status {status:d} once it has sent all of it")
+def check_upload(context, status):
+    assert context.upload.recv(100).startswith(f"HTTP/1.1 {status} ".encode())
+
+
 @then("each of them is answered, or refused as not run")
 def check_bodies(context):
     statuses = context.body_statuses
--- a/src/chervilrack/_internal/gateway/connections.py
+++ b/src/chervilrack/_internal/gateway/connections.py
@@ -31,6 +31,12 @@
 # Time for which a connection that was shut down stays open for reading. Closing it at once would
 # reset it if bytes arrive meanwhile, and the reset may destroy the end of the answer.
 LINGER_TIME = timedelta(seconds=1)
+# Longest time for which the rest of a refused body is read, while bytes of it go on arriving. A
+# caller that is still sending sees the refusal only then, and a reset before it.
+LONGEST_LINGER_TIME = timedelta(seconds=5)
+# Bytes of such a body that are read at a time, and how often in a row.
+_DISCARD_BYTES = 65_536
+_DISCARD_READS = 16
 # Pause after a connection could not be accepted, mostly because no file descriptor was free.
 ACCEPT_RETRY_INTERVAL = timedelta(milliseconds=10)
 # Interval at which a server that closes checks whether all connections are closed.
@@ -126,6 +132,9 @@
         self.is_refused = False
         self.is_unused = True
         self.is_partial = False
+        # Whether the rest of a refused body is read, and when bytes of it came last.
+        self.is_discarding = False
+        self.discarded_at = self.idle_since
         self._is_shut_down = False
 
     def _make_file(self, sock: Any, mode: str, buffer_size: int) -> BufferedWriter | StreamReader:
@@ -164,7 +173,10 @@
         self.socket.settimeout(STALL_LIMIT.total_seconds())
 
     def close(self) -> None:
-        """Shut down the connection, and close it after LINGER_TIME."""
+        """Shut down the connection, and close it after LINGER_TIME.
+
+        The rest of a request that was not read whole is read and discarded meanwhile.
+        """
         if self._is_shut_down or not self.server.ready or has_caller_left(self.socket):
             self.close_at_once()
             return
@@ -209,7 +221,7 @@
         self._idle_limit = idle_limit
         self._clock = clock
         self._lock = threading.Lock()
-        # Connections that were shut down, oldest first, with the time at which to close each.
+        # Connections that were shut down, oldest first, with the time at which each was.
         self._lingering: list[tuple[timedelta, CallerConnection]] = []
         self._is_accepting = True
 
@@ -227,8 +239,13 @@
 
     def linger(self, conn: CallerConnection) -> None:
         """Keep a connection that was shut down until the caller has read the answer."""
+        now = conn.discarded_at = self._clock.monotonic()
         with self._lock:
-            self._lingering.append((self._clock.monotonic() + LINGER_TIME, conn))
+            self._lingering.append((now, conn))
+        if conn.is_partial:
+            conn.is_discarding = True
+            with contextlib.suppress(OSError, ValueError, KeyError):
+                self._selector.register(conn.socket.fileno(), selectors.EVENT_READ, data=conn)
 
     def forget(self, conn: CallerConnection) -> None:
         """Record that a connection is closed."""
@@ -267,7 +284,7 @@
         return [
             (descriptor, conn)
             for descriptor, conn in list(self._selector.connections)
-            if isinstance(conn, CallerConnection)
+            if isinstance(conn, CallerConnection) and not conn.is_discarding
         ]
 
     def _run(self, expiration_interval: float) -> None:
@@ -334,10 +351,31 @@
             if conn is self.server:
                 self._accept()
                 continue
+            if isinstance(conn, CallerConnection) and conn.is_discarding:
+                self._discard(conn)
+                continue
             self._selector.unregister(descriptor)
             if conn is not None:
                 self.server.process_conn(conn)
 
+    def _discard(self, conn: CallerConnection) -> None:
+        """Read and discard what has arrived of a refused body, and notice its end."""
+        try:
+            for _ in range(_DISCARD_READS):
+                if not conn.socket.recv(_DISCARD_BYTES, socket.MSG_DONTWAIT):
+                    self._end_discarding(conn)
+                    return
+                conn.discarded_at = self._clock.monotonic()
+        except BlockingIOError:
+            return
+        except (OSError, ValueError):
+            self._end_discarding(conn)
+
+    def _end_discarding(self, conn: CallerConnection) -> None:
+        conn.is_discarding = False
+        with contextlib.suppress(OSError, ValueError, KeyError):
+            self._selector.unregister(conn.socket.fileno())
+
     def _accept(self) -> None:
         """Accept a connection. One that cannot be accepted waits until others are closed."""
         try:
@@ -372,12 +410,15 @@
         ended: list[CallerConnection] = []
         with self._lock:
             lingering, self._lingering = self._lingering, []
-            for close_at, conn in lingering:
+            for began, conn in lingering:
+                close_at = min(conn.discarded_at + LINGER_TIME, began + LONGEST_LINGER_TIME)
                 if now >= close_at or has_caller_left(conn.socket) or self._is_done(conn):
                     ended.append(conn)
                 else:
-                    self._lingering.append((close_at, conn))
+                    self._lingering.append((began, conn))
         for conn in ended:
+            if conn.is_discarding:
+                self._end_discarding(conn)
             conn.close_at_once()
 
     def _is_done(self, conn: CallerConnection) -> bool:
