Try a silent peer over a new connection before it counts as lost

Cause: one silent connection made a peer a lost one. An order that an owner was passed over for never went back to it, but from node to node. Change: after half of the silence that makes a peer a lost one, and after half of the time that an owner has to confirm an order, the link to it is replaced, and the heartbeat over the new one says that it is not heard. Orders at a peer that is heard again are sent once more, because results may have been lost with the connection; the owner leaves out what it has. An owner that was passed over counts again once it is heard. Tests: features/fleet/fleet.feature and features/batching/queue.feature, three additions. 'an owner that ... is passed over after ...' expected one message to the owner before; it expects exactly two to a silent owner now, one to one that is heard, none to another node, so that it checks as much.

--- a/features/batching/queue.feature
+++ b/features/batching/queue.feature
@@ -322,6 +322,35 @@
       | does not                    | 850      | 1020 |
       | sends messages but does not | 300      | 1000 |
 
+  # Guards against a second owner that makes calls beside the first, which is behind a silent connection only.
+  Scenario Outline: an order that its owner does not confirm is sent once more after <time> ms
+    Given a node whose orders go to owner b
+    And heartbeats every <interval> ms
+    When the node orders pieces and owner b does not confirm
+    Then after <time> ms, and not before, the order is sent to its owner over a new connection
+
+    Examples: half of the time after which the owner is passed over
+      | interval | time |
+      | 200      | 125  |
+      | 300      | 180  |
+      | 850      | 510  |
+
+  # Guards against requests that wait for results which were lost with a connection.
+  Scenario: an order goes once more to an owner that was silent and is heard again
+    Given a node whose orders go to owner b
+    When the node orders pieces and owner b does confirm
+    And owner b confirms the order and delivers one of its results to a connection that is silent
+    And the owner is heard again
+    Then the owner gets the order once more
+
+  # Guards against orders that go from node to node, and against as many owners of a queue, when an owner was passed over.
+  Scenario: an order that the next owner returns goes back to the owner that was passed over and is heard again
+    Given a node whose orders go to owner b
+    And heartbeats every 300 ms
+    When the node orders pieces and owner b does not confirm
+    And the owner is passed over, and is heard again before the next one returns the order
+    Then the owner gets the order once more
+
   Scenario: an owner that has confirmed an order is not passed over
     Given a node whose orders go to owner b
     When the node orders pieces and owner b does confirm
--- a/features/fleet/fleet.feature
+++ b/features/fleet/fleet.feature
@@ -50,6 +50,25 @@
       | restart | not wanted |
       | 1.2 s   | wanted     |
 
+  # Guards against nodes that lose each other, and move their queues, for one connection that falls silent.
+  Scenario Outline: after <events>, node b is tried over a new connection <times> times and <heard>
+    Given a node a that knows the address of node b
+    When node a observes <events>
+    Then node b is tried over a new connection <times> times and <heard>
+
+    Examples: half of the silence after which a node is lost is 0.525 s
+      | events                                      | times | heard       |
+      | nothing                                     | 0     | not awaited |
+      | heartbeat, 0.5 s                            | 0     | not awaited |
+      | heartbeat, 0.6 s                            | 1     | awaited     |
+      | heartbeat, 0.6 s, 0.3 s                     | 1     | awaited     |
+      | heartbeat, 0.6 s, heartbeat                 | 1     | heard again |
+      | heartbeat, 0.6 s, heartbeat, 0.6 s          | 2     | awaited     |
+      | heartbeat, 0.4 s, order, 0.4 s              | 0     | not awaited |
+      | heartbeat, 5 s pause, 0.3 s                 | 0     | not awaited |
+      | infrequent heartbeat, 8 s                   | 0     | not awaited |
+      | infrequent heartbeat, 9 s                   | 1     | awaited     |
+
   # Guards against one silent direction between two nodes, of which only the other node knows.
   Scenario Outline: after <events>, node a has been told <count> times that node b does not hear it
     Given a node a that knows the address of node b
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -7,7 +7,13 @@
 from behave import given, then, when
 
 from chervilrack._internal.common.ids import Incarnation, NodeId
-from chervilrack._internal.fleet.core import Fleet, PeerCannotHear, PeerLost
+from chervilrack._internal.fleet.core import (
+    Fleet,
+    PeerCannotHear,
+    PeerHeardAgain,
+    PeerLost,
+    PeerSilent,
+)
 from chervilrack._internal.fleet.messages import Heartbeat
 
 A, B, C = "10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"
@@ -103,6 +109,15 @@
     assert lost.silent_address == (B if wanted == "wanted" else None), lost
 
 
+@then("node b is tried over a new connection {times:d} times and {heard}")
+def check_trials(context, times, heard):
+    trials = [effect for effect in context.effects if isinstance(effect, PeerSilent)]
+    assert trials == [PeerSilent(NodeId("b"), B)] * times, trials
+    assert (B in context.fleet.unheard()) == (heard == "awaited"), context.fleet.unheard()
+    last = context.effects[-1] if context.effects else None
+    assert (last == PeerHeardAgain(NodeId("b"))) == (heard == "heard again"), last
+
+
 @then("node a has been told {count:d} times that node b does not hear it")
 def check_deafness(context, count):
     told = [effect for effect in context.effects if isinstance(effect, PeerCannotHear)]
--- a/features/steps/stage_coordinator_steps.py
+++ b/features/steps/stage_coordinator_steps.py
@@ -141,7 +141,11 @@
     request = request_without_rivals()
     number = context.coordinator.place_order(StageOrder(request, planned, "k"), lambda _: None)
     ((context.owner, _),) = context.transport.sent
+    context.tried_again = []
+    context.coordinator.try_node_again = context.tried_again.append
+    context.messages_to_owner = 2
     if answer == "sends messages but does not":
+        context.messages_to_owner = 1
         context.fleet.last_message_at = context.clock.monotonic() + timedelta(milliseconds=1)
     elif answer == "does":
         context.coordinator.on_order_queued(PiecesQueued(number, 0))
@@ -151,14 +155,61 @@
 def check_next_owner(context, time):
     context.clock.advance(timedelta(milliseconds=time - 1))
     context.coordinator.tick(context.clock.monotonic())
-    assert len(context.transport.sent) == 1, context.transport.sent
+    owners = [address for address, _ in context.transport.sent]
+    assert owners == [context.owner] * context.messages_to_owner, owners
     context.clock.advance(timedelta(milliseconds=1))
     assert context.coordinator.next_time(context.clock.monotonic()) == context.clock.monotonic()
     context.coordinator.tick(context.clock.monotonic())
-    _, (other, _) = context.transport.sent
+    *earlier, (other, _) = context.transport.sent
+    assert len(earlier) == context.messages_to_owner, context.transport.sent
     assert other != context.owner, other
 
 
+@then("after {time:d} ms, and not before, the order is sent to its owner over a new connection")
+def check_repetition(context, time):
+    owner = next(n for n, a in context.fleet.alive.items() if f"tcp://{a}" == context.owner)
+    for advance, tried, sent in ((time - 1, [], 1), (1, [owner], 2)):
+        context.clock.advance(timedelta(milliseconds=advance))
+        context.coordinator.tick(context.clock.monotonic())
+        assert context.tried_again == tried, context.tried_again
+        assert [a for a, _ in context.transport.sent] == [context.owner] * sent
+    first, second = (message for _, message in context.transport.sent)
+    assert (first.order, first.segments) == (second.order, second.segments), second
+
+
+@when("owner b confirms the order and delivers one of its results to a connection that is silent")
+def lose_result(context):
+    number = context.transport.sent[0][1].order
+    context.coordinator.on_order_queued(PiecesQueued(number, 0))
+    context.transport.sent.clear()
+
+
+@when("the owner is heard again")
+def hear_owner_again(context):
+    owner = next(n for n, a in context.fleet.alive.items() if f"tcp://{a}" == context.owner)
+    context.coordinator.on_node_heard_again(NodeId(owner))
+
+
+@then("the owner gets the order once more")
+def check_order_once_more(context):
+    ((address, message),) = context.transport.sent
+    assert (address, message.segments) == (context.owner, (0, 1)), message
+
+
+@when("the owner is passed over, and is heard again before the next one returns the order")
+def return_to_first_owner(context):
+    check_next_owner(context, 360)
+    _, message = context.transport.sent[-1]
+    other = next(
+        n for n, a in context.fleet.alive.items() if f"tcp://{a}" == context.transport.sent[-1][0]
+    )
+    context.clock.advance(timedelta(milliseconds=50))
+    context.fleet.last_message_at = context.clock.monotonic()
+    context.transport.sent.clear()
+    returned = PiecesReturned(message.order, message.segments)
+    context.coordinator.on_pieces_returned(NodeId(other), returned)
+
+
 @then("the order stays with its owner")
 def check_same_owner(context):
     context.clock.advance(timedelta(seconds=5))
--- a/src/chervilrack/_internal/fleet/core.py
+++ b/src/chervilrack/_internal/fleet/core.py
@@ -25,6 +25,10 @@
     # per second whatever the size of the fleet.
     heartbeat_interval_per_node: timedelta = timedelta(microseconds=12_500)
     silence_heartbeats: float = 3.5
+    # After this share of that time, a silent peer is tried over a new connection: its open ones may
+    # have fallen silent. Heartbeats are sent and checked once an interval, so that a peer which
+    # answers over the new connection is heard before it counts as lost.
+    trial_share: float = 0.5
     # Addresses that do not answer are dropped after this time.
     forget_after: timedelta = timedelta(seconds=20)
     # Peer addresses in one heartbeat; a new node learns all addresses from a few heartbeats.
@@ -60,6 +64,8 @@
     leaving: bool = False
     # When this node last learnt that the peer does not hear it.
     unheard_at: timedelta | None = None
+    # Whether the peer is tried over a new connection and has not been heard since.
+    on_trial: bool = False
 
     @property
     def accepts_work(self) -> bool:
@@ -108,7 +114,22 @@
     address: str
 
 
-FleetEffect = PeerJoined | PeerLeaving | PeerLost | PeerCannotHear
+@dataclass(frozen=True, slots=True)
+class PeerSilent:
+    """A live peer is silent, and is to be tried over a new connection."""
+
+    node: NodeId
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class PeerHeardAgain:
+    """A silent peer is heard again; messages from and to it may have been lost meanwhile."""
+
+    node: NodeId
+
+
+FleetEffect = PeerJoined | PeerLeaving | PeerLost | PeerCannotHear | PeerSilent | PeerHeardAgain
 
 
 class Fleet:
@@ -274,6 +295,9 @@
             peer.alive = True
             peer.leaving = False
             effects.append(PeerJoined(node, peer.address))
+        elif peer.on_trial:
+            effects.append(PeerHeardAgain(node))
+        peer.on_trial = False
         if heartbeat.leaving and not peer.leaving:
             peer.leaving = True
             effects.append(PeerLeaving(node))
@@ -299,8 +323,16 @@
             peer is not None and peer.last_message_at is not None and peer.last_message_at > since
         )
 
+    def try_again(self, node: NodeId) -> list[FleetEffect]:
+        """Try a live node that does not answer over a new connection, once until it is heard."""
+        peer = self._by_node.get(node)
+        if peer is None or not peer.alive or peer.on_trial:
+            return []
+        peer.on_trial = True
+        return [PeerSilent(node, peer.address)]
+
     def tick(self, now: timedelta) -> list[FleetEffect]:
-        """Return the nodes newly lost through silence, and drop addresses that stay silent."""
+        """Return the nodes that are newly silent or lost, and drop addresses that stay silent."""
         effects: list[FleetEffect] = []
         for address, peer in list(self._peers.items()):
             last_seen = peer.last_message_at if peer.last_message_at is not None else peer.added_at
@@ -309,6 +341,10 @@
                 assert peer.node is not None
                 reason = f"silent for {(now - last_seen).total_seconds():.2f} s"
                 effects.append(PeerLost(peer.node, reason, address))
+            elif peer.alive and peer.node is not None:
+                trial_after = self._silence_limit(peer) * self._settings.trial_share
+                if now - last_seen > trial_after:
+                    effects += self.try_again(peer.node)
             if not peer.alive and now - last_seen > self._settings.forget_after:
                 del self._peers[address]
                 if peer.node is not None and self._by_node.get(peer.node) is peer:
@@ -348,7 +384,7 @@
         silent = [
             peer.address
             for peer in self._peers.values()
-            if not peer.alive and peer.last_message_at is not None
+            if peer.on_trial or (not peer.alive and peer.last_message_at is not None)
         ]
         return tuple(self._rng.sample(silent, min(len(silent), self._settings.stated_unheard)))
 
--- a/src/chervilrack/_internal/serving/node.py
+++ b/src/chervilrack/_internal/serving/node.py
@@ -34,9 +34,11 @@
     Fleet,
     FleetEffect,
     PeerCannotHear,
+    PeerHeardAgain,
     PeerJoined,
     PeerLeaving,
     PeerLost,
+    PeerSilent,
 )
 from chervilrack._internal.fleet.messages import Heartbeat, StateReply, StateRequest
 from chervilrack._internal.forwarding.attempts import AttemptRunner
@@ -188,6 +190,7 @@
             self._on_pause,
         )
         self._coordinator.wake = self._timers.wake
+        self._coordinator.try_node_again = self._try_peer_again
         self._state.crash_watch.wake = self._timers.wake
         self._next_heartbeat = timedelta(0)
         self._caller_server = self._make_caller_server()
@@ -493,11 +496,27 @@
                 case PeerCannotHear(node, address):
                     self._transport.replace_link(f"tcp://{address}")
                     self._log.note("fleet", "not heard by a peer", peer=node, address=address)
+                    self._send_heartbeat_soon()
+                case PeerSilent(node, address):
+                    self._transport.replace_link(f"tcp://{address}")
+                    self._log.note("fleet", "peer silent", peer=node, address=address)
+                    self._send_heartbeat_soon()
+                case PeerHeardAgain(node):
+                    self._log.note("fleet", "peer heard again", peer=node)
+                    self._coordinator.on_node_heard_again(node)
                 case PeerLeaving(node):
                     self._log.note("fleet", "peer leaving", peer=node)
                 case PeerJoined(node, address):
                     self._log.note("fleet", "peer joined", peer=node, address=address)
 
+    def _send_heartbeat_soon(self) -> None:
+        """Send the next heartbeat at once, over the new connection to a peer."""
+        self._next_heartbeat = timedelta(0)
+        self._timers.wake()
+
+    def _try_peer_again(self, node: NodeId) -> None:
+        self._perform(self._fleet.try_again(node))
+
     def _update_zone_members(self) -> None:
         """Pass the live nodes of the zone to the change feed."""
         members = [
--- a/src/chervilrack/_internal/serving/stage_coordinator.py
+++ b/src/chervilrack/_internal/serving/stage_coordinator.py
@@ -68,8 +68,10 @@
 class _PendingOrder:
     """An order of one of this node's requests that lacks some results.
 
-    ``excluded_owners`` are nodes at which the order is not placed again, and ``missing_segments``
-    the segments without results.
+    ``excluded_owners`` are nodes at which the order is not placed again, ``silent_owners`` those at
+    which it is not until they are heard again, with the time since which they are not, and
+    ``missing_segments`` the segments without results. ``repeated`` tells that the order was sent to
+    its silent owner once more.
     """
 
     order: StageOrder
@@ -77,7 +79,9 @@
     owner: NodeId
     sent_at: timedelta
     confirmed: bool = False
+    repeated: bool = False
     excluded_owners: set[NodeId] = field(default_factory=set)
+    silent_owners: dict[NodeId, timedelta] = field(default_factory=dict)
     missing_segments: set[int] = field(default_factory=set)
 
 
@@ -117,6 +121,8 @@
         self._competition = Competition()
         self.transport: PeerTransport | None = None
         self.wake: Callable[[], None] = lambda: None
+        # Replaces the connection to a node that may have fallen silent.
+        self.try_node_again: Callable[[NodeId], None] = lambda _: None
 
     # StageClient
 
@@ -313,16 +319,34 @@
             queue.drop_node(node)
         for number, pending in list(self._pending_orders.items()):
             if pending.owner == node:
-                pending.excluded_owners.add(node)
+                pending.silent_owners[node] = self._state.clock.monotonic()
                 self._place(number, pending, pending.missing_segments)
 
+    def on_node_heard_again(self, node: NodeId) -> None:
+        """Send the orders at a node that was silent once more, as results may have been lost.
+
+        The node leaves out pieces that it already has.
+        """
+        now = self._state.clock.monotonic()
+        for number, pending in list(self._pending_orders.items()):
+            if pending.owner == node:
+                pending.sent_at = now
+                pending.confirmed = pending.repeated = False
+                self._send_order(number, pending, pending.missing_segments, now)
+
     def tick(self, now: timedelta) -> None:
         """Place unconfirmed orders at other owners when they time out, and run the queues."""
         self._free_deferred(now)
         for number, pending in list(self._pending_orders.items()):
             if pending.confirmed or pending.owner == self._node:
                 continue
-            if now - pending.sent_at >= self._confirm_timeout(pending):
+            if now < self._confirmation_due(pending):
+                continue
+            if self._may_repeat(pending):
+                pending.repeated = True
+                self.try_node_again(pending.owner)
+                self._send_order(number, pending, pending.missing_segments, now)
+            else:
                 self._state.log.note(
                     "batching",
                     "owner passed over",
@@ -330,7 +354,7 @@
                     request=pending.order.context.metadata.request_id,
                     service=pending.order.planned.service,
                 )
-                pending.excluded_owners.add(pending.owner)
+                pending.silent_owners[pending.owner] = now
                 self._place(number, pending, pending.missing_segments)
         self._admission.tick(now)
         for queue in list(self._queues.values()):
@@ -340,7 +364,7 @@
     def next_time(self, now: timedelta) -> timedelta | None:
         """Return when ``tick`` is due next, None if nothing is pending."""
         times = [
-            pending.sent_at + self._confirm_timeout(pending)
+            self._confirmation_due(pending)
             for pending in self._pending_orders.values()
             if not pending.confirmed and pending.owner != self._node
         ]
@@ -370,6 +394,20 @@
             return BUSY_CONFIRM_TIMEOUT
         return max(CONFIRM_TIMEOUT, fleet.heartbeat_interval * CONFIRM_HEARTBEATS)
 
+    def _confirmation_due(self, pending: _PendingOrder) -> timedelta:
+        """Return when the order is sent to its silent owner once more, or the owner passed over.
+
+        The former is half-way to the latter. A second owner of a queue starts calls that are not
+        full, for which those of the first have to wait.
+        """
+        timeout = self._confirm_timeout(pending)
+        return pending.sent_at + (timeout / 2 if self._may_repeat(pending) else timeout)
+
+    def _may_repeat(self, pending: _PendingOrder) -> bool:
+        """Whether an order may be sent once more, over a new connection, because of silence."""
+        is_heard = self._state.fleet.has_message_since(pending.owner, pending.sent_at)
+        return not pending.repeated and not is_heard
+
     def _owner_of(self, service: ServiceId, excluded: frozenset[NodeId]) -> NodeId:
         """Return the owner of a service's queue; this node if all owners are excluded."""
         if self._state.settings.batching == "local":
@@ -394,23 +432,37 @@
             groups.setdefault(producer if is_reachable else current, []).append(handle)
         return groups
 
+    def _barred_owners(self, pending: _PendingOrder) -> frozenset[NodeId]:
+        """Return the nodes at which an order is not placed now."""
+        silent = {
+            node
+            for node, since in pending.silent_owners.items()
+            if not self._state.fleet.has_message_since(node, since)
+        }
+        return frozenset(pending.excluded_owners | silent)
+
     def _place(self, number: int, pending: _PendingOrder, wanted: Collection[int]) -> None:
         order = pending.order
         now = self._state.clock.monotonic()
         planned = order.planned
-        pending.owner = self._owner_of(planned.service, frozenset(pending.excluded_owners))
+        pending.owner = self._owner_of(planned.service, self._barred_owners(pending))
         pending.sent_at = now
-        pending.confirmed = False
-        segments = tuple(sorted(wanted))
+        pending.confirmed = pending.repeated = False
         if pending.owner == self._node:
-            self._queue_locally(number, order, segments, now)
-            return
+            self._queue_locally(number, order, tuple(sorted(wanted)), now)
+        else:
+            self._send_order(number, pending, wanted, now)
+
+    def _send_order(
+        self, number: int, pending: _PendingOrder, wanted: Collection[int], now: timedelta
+    ) -> None:
+        order, planned = pending.order, pending.order.planned
         message = PiecesWanted(
             order=number,
             service=planned.service,
             request_id=order.context.metadata.request_id,
             stage=planned.stage,
-            segments=segments,
+            segments=tuple(sorted(wanted)),
             key=order.key,
             inputs=planned.inputs,
             due_ms=round((planned.due - now) / _MILLISECOND),
