Free the bodies of requests when their exchanges end

Cause: a connection to an upstream referred to itself (its response class was a method of it), and to an observer of interim responses that refers to the request's context and body. All of it lived on until the garbage collector came by, after ByteBudget had given the bytes back. Change: the method is set while a response is read only, and the observer is forgotten with the head. Not changed: _read_body reserves a body once; cheroot's reader makes no second copy of it (io.BufferedReader).

--- a/features/soak/soak.feature
+++ b/features/soak/soak.feature
@@ -21,6 +21,7 @@
       | no request served after the last fault       | recovery          |
       | more repeats than the budget allows          | retry budget      |
       | a node that ended by itself                  | exits             |
+      | a node with more memory than it may have     | memory            |
       | an answer that another upstream signed       | whole answers     |
       | an answer that nobody signed                 | whole answers     |
       | a request that is called malformed           | proper requests   |
@@ -161,3 +162,9 @@
       | plan    | duration | seed | callers |
       | mixed   | 22       | 1    | 4       |
       | calm    | 22       | 1    | 24      |
+
+  # Guards against bodies of requests that live on after their requests, until a node exceeds its memory (review case 7).
+  Scenario: all promises hold in a soak of uploads
+    When a soak of 34 s with uploads runs with seed 1 and 12 callers
+    Then no promise is broken
+    And faults were injected and requests of every kind were served
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -30,6 +30,7 @@
     Evidence,
     KeyRemoval,
     Kind,
+    MemoryExcess,
     Notice,
     NoticeKind,
     Run,
@@ -185,6 +186,9 @@
     ),
     "no request served after the last fault": remove_requests_after_recovery,
     "more repeats than the budget allows": add_repeats_above_budget,
+    "a node with more memory than it may have": lambda e: e.excesses.append(
+        MemoryExcess("n1", 210_000_000, 200_000_000)
+    ),
     "a node that ended by itself": lambda e: e.exit_problems.append("n1 ended by itself"),
     "an answer that another upstream signed": lambda e: add_request(e, "x", Kind.READ, signer="v"),
     "an answer that nobody signed": lambda e: add_request(e, "x", Kind.READ, signer=""),
@@ -504,6 +508,16 @@
     context.evidence = result.evidence
 
 
+@when("a soak of {duration:d} s with {kind} runs with seed {seed:d} and {callers:d} callers")
+def run_soak_of_kind(context, duration, kind, seed, callers):
+    with tempfile.TemporaryDirectory() as folder:
+        size = SoakSize(nodes=1, callers=callers, longest_work=CI_LONGEST_WORK_S)
+        result = run_soak(
+            PlatformEmulation(), Path(folder), seed, float(duration), size, kinds=(kind,)
+        )
+    context.evidence = result.evidence
+
+
 @then("faults were injected and requests of every kind were served")
 def faults_injected_and_requests_served(context):
     assert context.evidence.faults
--- a/src/chervilrack/_internal/common/http_responses.py
+++ b/src/chervilrack/_internal/common/http_responses.py
@@ -42,6 +42,10 @@
 InterimObserver = Callable[[int, email.message.Message], None]
 
 
+def _ignore_interim(status: int, fields: email.message.Message) -> None:
+    """Observe nothing."""
+
+
 def is_status(number: int) -> bool:
     """Whether a number is a status of an HTTP response."""
     return number in _STATUSES
@@ -108,7 +112,7 @@
         self,
         sock: Any,
         *args: Any,
-        on_interim: InterimObserver = lambda *_: None,
+        on_interim: InterimObserver = _ignore_interim,
         was_reset: bool = False,
         **kwargs: Any,
     ) -> None:
@@ -120,6 +124,7 @@
     def begin(self) -> None:
         """Read the head."""
         super().begin()
+        self._on_interim = _ignore_interim
         _check_head(self.headers)
 
     def _read_status(self) -> tuple[str, int, str]:
@@ -245,8 +250,16 @@
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
         self._was_reset = False
-        # http.client calls it with the socket.
+
+    def getresponse(self) -> Any:
+        """Read the head of a response."""
+        # http.client calls it with the socket. A connection that referred to itself for longer
+        # would live on, with all that it refers to, until the garbage collector finds it.
         self.response_class = self._open_response
+        try:
+            return super().getresponse()  # type: ignore[misc]
+        finally:
+            del self.response_class
 
     def connect(self) -> None:
         """Connect to the server."""
--- a/src/chervilrack/_internal/soak/bed.py
+++ b/src/chervilrack/_internal/soak/bed.py
@@ -16,9 +16,11 @@
     Caller,
     CallerKeys,
     Prompts,
+    Uploads,
     WorkTimes,
 )
 from chervilrack._internal.soak.emulation import Emulation
+from chervilrack._internal.soak.memory import MemoryWatch
 from chervilrack._internal.soak.plan import Targets
 from chervilrack._internal.soak.processes import NodeProcess
 from chervilrack._internal.soak.proxy import LinkProxy
@@ -55,6 +57,7 @@
         self.evidence = Evidence()
         self.keys = CallerKeys(KEY_COUNT)
         self.prompts = Prompts()
+        self.uploads = Uploads()
         self._rng = random.Random(f"operator-{seed}")
         self.nodes: dict[str, NodeProcess] = {}
         self.store_links: dict[str, LinkProxy] = {}
@@ -146,7 +149,17 @@
         }
         work = WorkTimes(self._size.longest_work, shortest_work)
         self._callers = [
-            Caller(number, self._seed, self.emulation, hosts, links, self.keys, work, self.prompts)
+            Caller(
+                number,
+                self._seed,
+                self.emulation,
+                hosts,
+                links,
+                self.keys,
+                work,
+                self.prompts,
+                self.uploads,
+            )
             for number in range(self._size.callers)
         ]
         for caller in self._callers:
@@ -170,6 +183,8 @@
         for number in range(self._size.nodes):
             self._add_node(stack, number)
         self._await_all_nodes()
+        limit = self.emulation.memory_bytes
+        stack.enter_context(MemoryWatch(self.nodes.values(), limit, self.evidence.excesses))
 
     def _add_node(self, stack: contextlib.ExitStack, number: int) -> None:
         name, host = f"n{number}", self.host(number)
--- a/src/chervilrack/_internal/soak/callers.py
+++ b/src/chervilrack/_internal/soak/callers.py
@@ -121,6 +121,13 @@
         return parts, crashing_part
 
 
+class Uploads:
+    """Number of bytes that callers add to the bodies of their requests at present."""
+
+    def __init__(self) -> None:
+        self.size = 0
+
+
 class Caller(threading.Thread):
     """Thread that sends requests one after the other until it is stopped."""
 
@@ -134,6 +141,7 @@
         keys: CallerKeys,
         work: WorkTimes,
         prompts: Prompts,
+        uploads: Uploads,
     ) -> None:
         super().__init__(name=f"caller-{number}", daemon=True)
         self.attempts: list[Attempt] = []
@@ -147,6 +155,7 @@
         self._keys = keys
         self._work = work
         self._prompts = prompts
+        self._uploads = uploads
         self._stopping = threading.Event()
         self._node_addresses: list[str] = []
         self._looked_up_at = -LOOKUP_TTL_S
@@ -192,7 +201,8 @@
         connection = self._take_connection(address, started_at)
         is_closing, was_read, port = False, False, 0
         try:
-            content = self._content(request.encode(), headers)
+            whole = request.encode() + bytes(self._uploads.size)
+            content = self._content(whole, headers)
             connection.request("POST", target, content, headers)
             sent_at = time.monotonic()
             port = connection.sock.getsockname()[1]
--- a/src/chervilrack/_internal/soak/checks.py
+++ b/src/chervilrack/_internal/soak/checks.py
@@ -3,7 +3,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Iterator
 
-from chervilrack._internal.soak import configurations, crashes, notices  # noqa: F401 - register
+from chervilrack._internal.soak import configurations, crashes, memory, notices  # noqa: F401 - register
 from chervilrack._internal.soak.losses import DEADLINE_S
 from chervilrack._internal.soak.promises import promises
 from chervilrack._internal.soak.records import Attempt, Ending, Evidence, Kind, Violation
--- a/src/chervilrack/_internal/soak/emulation.py
+++ b/src/chervilrack/_internal/soak/emulation.py
@@ -22,6 +22,8 @@
     settings_variable: str
     node_command: Sequence[str]
     callers_port: int
+    # Private memory in bytes above which the platform ends a node.
+    memory_bytes: int
 
     def running(self) -> AbstractContextManager[object]:
         """Return a context manager that runs the store and the upstreams."""
--- a/src/chervilrack/_internal/soak/injection.py
+++ b/src/chervilrack/_internal/soak/injection.py
@@ -156,6 +156,17 @@
     return undo
 
 
+@injectors.register("uploads")
+def _send_uploads(bed: SoakBed, fault: Fault) -> UndoFault:
+    """Let callers send large bodies."""
+    bed.uploads.size = int(fault.detail)
+
+    def undo() -> None:
+        bed.uploads.size = 0
+
+    return undo
+
+
 @injectors.register("key replaced")
 def _key_replaced(bed: SoakBed, fault: Fault) -> UndoFault:
     bed.replace_key()
--- a/src/chervilrack/_internal/soak/plan.py
+++ b/src/chervilrack/_internal/soak/plan.py
@@ -15,7 +15,14 @@
 MIN_FAULT_S = 0.2
 MAX_FAULT_S = 3.0
 # Faults that show only after a bound has passed last longer by this time.
-FURTHER_S = {"upstream notice": 3.0, "upstream silence": 1.6, "crashing part": 6.0}
+FURTHER_S = {
+    "upstream notice": 3.0,
+    "upstream silence": 1.6,
+    "crashing part": 6.0,
+    "uploads": 3.0,
+}
+# Bytes of the bodies of uploads; callers may send up to 4 MiB.
+UPLOAD_BYTES = (1_000_000, 3_600_000)
 # Longest silence of a sound upstream. Faults of this kind last longer, so that two do not add up.
 MAX_SILENCE_S = 1.5
 # A series repeats one fault at one target; its faults are shorter in proportion.
@@ -193,6 +200,12 @@
     return "operator", ""
 
 
+@fault_kinds.register("uploads")
+def _draw_uploads(rng: random.Random, targets: Targets) -> tuple[str, str]:
+    """Draw the size of the bodies that all callers send."""
+    return "callers", str(rng.randint(*UPLOAD_BYTES))
+
+
 def _draw_argument(rng: random.Random, behaviour: str) -> str:
     if not behaviour.endswith(":"):
         return behaviour
--- a/src/chervilrack/_internal/soak/records.py
+++ b/src/chervilrack/_internal/soak/records.py
@@ -165,6 +165,15 @@
     new_key: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class MemoryExcess:
+    """Private memory of a node in bytes that exceeds its limit."""
+
+    node: str
+    used_bytes: int
+    limit_bytes: int
+
+
 @dataclass(slots=True)
 class Evidence:
     """All observations of a soak.
@@ -183,6 +192,7 @@
     key_removals: list[KeyRemoval] = field(default_factory=list)
     configurations: list[ConfigurationChange] = field(default_factory=list)
     exit_problems: list[str] = field(default_factory=list)
+    excesses: list[MemoryExcess] = field(default_factory=list)
     faults_ended_at: float = 0.0
     recovery: float = RECOVERY_S
 
--- a/src/chervilrack/_internal/upstreams/exchange.py
+++ b/src/chervilrack/_internal/upstreams/exchange.py
@@ -42,6 +42,10 @@
 _SEND_ERRORS = (OSError, ValueError, urllib3.exceptions.HTTPError, http.client.HTTPException)
 
 
+def _ignore_interim(status: int, fields: email.message.Message) -> None:
+    """Observe nothing."""
+
+
 class TimeLimit(Enum):
     """Time limit that ended an exchange; PROGRESS is the one on the time without progress."""
 
@@ -126,7 +130,7 @@
 
     def __init__(self, *args: Any, **kwargs: Any) -> None:
         super().__init__(*args, **kwargs)
-        self.on_interim: InterimObserver = lambda *_: None
+        self.on_interim: InterimObserver = _ignore_interim
         self.has_written = False
 
     def _open_response(self, *args: Any, **kwargs: Any) -> StrictResponse:
@@ -287,20 +291,24 @@
 
         ``on_interim`` is called with those of each interim response (1xx) as soon as it arrives.
         """
-        assert self._connection is not None
-        self._connection.on_interim = lambda status, fields: on_interim(
+        connection = self._connection
+        assert connection is not None
+        connection.on_interim = lambda status, fields: on_interim(
             status, urllib3.HTTPHeaderDict(fields.items())
         )
         deadline = self._deadline = time.monotonic() + time_left_s
         self._set_read_deadline(lambda: deadline)
         # Reads wait for the socket themselves.
-        self._connection.timeout = None
+        connection.timeout = None
         try:
-            self._response = self._connection.getresponse()
+            self._response = connection.getresponse()
         except (OSError, ValueError, urllib3.exceptions.HTTPError) as error:
             raise self._create_failure("no answer", error) from None
         except Exception as error:  # http.client has its own exceptions for malformed answers
             raise self._create_failure("the answer is malformed", error) from None
+        finally:
+            # It refers to the request and its body, which must not live as long as the connection.
+            connection.on_interim = _ignore_interim
         return self._response
 
     def read_body(self, deadline: float) -> bytes | bytearray:
--- a/src/chervilrack/platform/emulated/emulation.py
+++ b/src/chervilrack/platform/emulated/emulation.py
@@ -57,6 +57,10 @@
 # The number of pieces of each stage, and the key under which upstreams may cache the results.
 _STAGED_HEADERS: Final = {"Chervilrack-Chunk-Count": "2,3", "Chervilrack-Chunk-Key": "piece-key"}
 
+# Largest body that callers may send, and the memory of the smallest VMs.
+MAX_BODY_BYTES = 4_194_304
+MEMORY_MB = 200
+
 
 class PlatformEmulation:
     """Store and upstreams on loopback; implements ``soak.emulation.Emulation``."""
@@ -64,6 +68,7 @@
     settings_variable = SETTINGS_VARIABLE
     node_command: Sequence[str] = ("-c", "from chervilrack.platform.start import main; main()")
     callers_port = _PORTS["frontend"]
+    memory_bytes = MEMORY_MB * 1_000_000
 
     def __init__(self) -> None:
         self._store = StoreStandIn(_ITEMS_PER_PAGE)
@@ -128,6 +133,7 @@
             "listen": {name: f"{host}:{port}" for name, port in _PORTS.items()},
             "internalPorts": _PEER_PORTS,
             "platform": {"address": store},
+            "limits": {"memoryMb": MEMORY_MB},
         }
         file.write_text(yaml.safe_dump(settings), encoding="utf-8")
 
@@ -279,7 +285,7 @@
             {"name": "first", "segments": _STAGE_SERVICE},
             {"name": "second", "segments": _STAGE_SERVICE},
         ],
-        "limits": {"maxBodyBytes": 100000},
+        "limits": {"maxBodyBytes": MAX_BODY_BYTES},
         "tenants": [{"name": "bozi", "apiKeys": list(keys)}],
     }
 
--- a/src/chervilrack/platform/emulated/standins.py
+++ b/src/chervilrack/platform/emulated/standins.py
@@ -547,6 +547,8 @@
 
         The caller may send its next request as soon as it has them.
         """
+        # Uploads are filled up with zeros, which answers do not repeat.
+        body = body.rstrip(b"\0")
         headers = dict(request.headers.items())
         executed = ExecutedRequest(request.command, request.path, headers, body, time.monotonic())
         self.seen.append(executed)
