Read only the newest of large configurations, and only from the store

Cause: a change of half a megabyte is announced only, so that each node reads it from the store over its link of 10 Mbit/s. A node that was slower than the changes read each of them, because a watch returns all; and each heartbeat with a newer version made it ask a peer for the same half megabyte, which delayed both. Change: a node that lacks changes which were left out of the feed for their size lists the keys, which returns the newest value of each. Ruled out: relaying large values (a watcher would send half a megabyte to 25 nodes). Tests: rows of features/changefeed/feed.feature, features/adapter/store_sync.feature (read each of the 5 before), an outline of features/catalogue/directory.feature (7 requests before).

--- a/features/adapter/store_sync.feature
+++ b/features/adapter/store_sync.feature
@@ -76,3 +76,9 @@
       | a feed       | KeyError       |
       | an outage    | KeyError       |
       | registration | TypeError      |
+
+  # Guards against a node on a small link that reads each of many large configurations (review case 6).
+  Scenario: a node that lacks several large changes reads the newest one only
+    Given a node that follows a store without its large changes
+    When the configuration is written 5 times before the node learns of it
+    Then it reads the configuration once
--- a/features/catalogue/directory.feature
+++ b/features/catalogue/directory.feature
@@ -111,3 +111,19 @@
       | 2     | lists version 3 of revision 10, at revision 10 | 3        |
       | 3     | lists version 2 of revision 7, at revision 9   | 3        |
       | 2     | lists version 2 of revision 7, at revision 9   | 2        |
+
+  # Guards against a deployment that stalls in a storm of large configurations (review case 6): each node read each of them from
+  # the store, and asked its peers for them as well, over its small link.
+  Scenario Outline: node b, which the store <answers>, gets heartbeats of a newer configuration for <seconds> s, <progress>
+    Given node a and node b that both list upstreams u1 and u2
+    When node a has version 2 of the configuration
+    And the store <answers> node b
+    And node b gets heartbeats of it for <seconds> s, <progress>
+    Then node b asks <count> times for the state of node a
+
+    Examples: with a bound of 2 s, a node reads from the store itself after 0.5 s, which takes 0.4 s at most
+      | answers         | seconds | progress                          | count |
+      | answers         | 0.8     | and reads nothing                 | 0     |
+      | answers         | 1.0     | and reads nothing                 | 1     |
+      | answers         | 3.0     | and reads from the store meanwhile | 0    |
+      | does not answer | 0.1     | and reads nothing                 | 1     |
--- a/features/changefeed/feed.feature
+++ b/features/changefeed/feed.feature
@@ -42,6 +42,12 @@
       | changes 10 to 12, keepalive 11             | is current at revision 12    |
       | keepalive 9                                | is current at revision 10    |
       | large changes 10 to 12                     | watches from revision 10     |
+      | large changes 10 to 12                     | lists before it watches      |
+      | large changes 10 to 12, keepalive 12       | lists before it watches      |
+      | large changes 10 to 12, changes 12 to 13   | lists before it watches      |
+      | large changes 10 to 12, own watch 12, changes 13 to 14 | watches without a listing |
+      | changes 11 to 12                           | watches without a listing    |
+      | keepalive 12                               | watches without a listing    |
       | keepalive 10, other zone 12                | is current at revision 10    |
       | keepalive 10, other zone 12, 0.4 s, keepalive 10, 0.3 s   | watches from revision 10 |
       | keepalive 10, other zone 12, 0.4 s, changes 10 to 12, 0.3 s | is current at revision 12 |
--- a/features/steps/changefeed_steps.py
+++ b/features/steps/changefeed_steps.py
@@ -116,6 +116,18 @@
     assert not context.feed.is_current(own_position(context), context.now)
 
 
+@then("node a lists before it watches")
+def check_lists(context):
+    assert not context.feed.is_current(own_position(context), context.now)
+    assert context.feed.lacks_large_changes(own_position(context))
+
+
+@then("node a watches without a listing")
+def check_watches_without_listing(context):
+    assert not context.feed.is_current(own_position(context), context.now)
+    assert not context.feed.lacks_large_changes(own_position(context))
+
+
 @given("{nodes:d} nodes in {zones:d} zones that follow the store")
 def create_fleet(context, nodes, zones):
     context.fleet_shape = (nodes, zones)
--- a/features/steps/directory_steps.py
+++ b/features/steps/directory_steps.py
@@ -4,6 +4,7 @@
 import json
 from datetime import timedelta
 
+import msgspec
 from behave import given, then, when
 
 from chervilrack._internal.changefeed.core import ChangeFeed, ZoneMember
@@ -283,3 +284,38 @@
     context.b.directory.on_state_request(NodeId("a"), StateRequest(1))
     reply = context.b.sent[-1]
     assert json.loads(reply.configuration)["version"] == version, reply
+
+
+@when("node a has version 2 of the configuration")
+def advance_configuration(context):
+    item = KeyValue("op/config", json.dumps(configuration(2, ["k1"])).encode(), 4)
+    context.a.relay.on_changes((Change(ChangeKind.PUT, item),), 4)
+    context.b.sent.clear()
+
+
+@when("node b gets heartbeats of it for {seconds:g} s, {progress}")
+def send_heartbeats(context, seconds, progress):
+    interval = timedelta(seconds=0.1)
+    heartbeat = msgspec.structs.replace(context.a.heartbeat(), configuration_version=2)
+    for number in range(round(seconds / interval.total_seconds()) + 1):
+        if progress == "and reads from the store meanwhile" and number % 5 == 4:
+            item = upstream("u3", 4 + number)
+            context.b.relay.on_changes((Change(ChangeKind.PUT, item),), 4 + number)
+        context.b.directory.on_heartbeat(heartbeat)
+        context.b.clock.advance(interval)
+
+
+@then("node b asks {count:d} times for the state of node a")
+def check_state_requests(context, count):
+    requests = [message for message in context.b.sent if isinstance(message, StateRequest)]
+    assert len(requests) == count, requests
+
+
+@when("the store answers node b")
+def keep_store(context):
+    assert context.b.directory.store_answers
+
+
+@when("the store does not answer node b")
+def lose_store(context):
+    cut_off(context)
--- a/features/steps/store_sync_steps.py
+++ b/features/steps/store_sync_steps.py
@@ -1,6 +1,7 @@
 """Steps for the synchronisation with the platform's store."""
 
 import builtins
+import json
 import random
 import threading
 import time
@@ -36,6 +37,9 @@
     def must_watch(self):
         return not self.is_fed.is_set()
 
+    def must_list(self):
+        return False
+
     def wait_for_feed(self):
         time.sleep(0.01)
 
@@ -334,3 +338,51 @@
             request.answer(503, {})
         else:
             super()._range(request, query)
+
+
+class LaggingListener(Listener):
+    """Learns of ``large_revision``, whose change the feed has left out for its size."""
+
+    def __init__(self):
+        super().__init__(1)
+        self.large_revision = 0
+        self.read = []
+
+    def must_watch(self):
+        return self.position.revision < self.large_revision or not self.has_listed.is_set()
+
+    def must_list(self):
+        return self.position.revision < self.large_revision
+
+    def on_listing(self, items, revision, era):
+        self.read += [item.value for item in items if item.key == "op/config"]
+        super().on_listing(items, revision, era)
+
+    def on_changes(self, changes, revision, era):
+        self.read += [change.item.value for change in changes]
+        super().on_changes(changes, revision, era)
+
+
+@given("a node that follows a store without its large changes")
+def follow_store(context):
+    context.store, context.listener = StoreStandIn(), LaggingListener()
+    context.store.__enter__()
+    context.add_cleanup(context.store.__exit__)
+    run_sync(context)
+    wait_for(context.listener.has_listed.is_set)
+    wait_for(lambda: context.store.calls["POST /api/kv-txn"] == 1)
+
+
+@when("the configuration is written {count:d} times before the node learns of it")
+def write_configurations(context, count):
+    for number in range(count):
+        context.store.put("op/config", {"version": number})
+    context.listener.large_revision = 1 + count
+
+
+@then("it reads the configuration once")
+def check_read_once(context):
+    wait_for(lambda: context.listener.read)
+    time.sleep(0.05)
+    assert len(context.listener.read) == 1, context.listener.read
+    assert json.loads(context.listener.read[0])["version"] == 4, context.listener.read
--- a/src/chervilrack/_internal/changefeed/core.py
+++ b/src/chervilrack/_internal/changefeed/core.py
@@ -58,6 +58,8 @@
         # Newest position that a watcher of this zone, or any other node, has announced.
         self._announced = ORIGIN
         self._known_elsewhere = ORIGIN
+        # Newest position whose changes a watcher has left out for their size.
+        self._omitted = ORIGIN
         self._lagging_since: timedelta | None = None
         self._next_keepalive = timedelta(0)
 
@@ -126,6 +128,14 @@
             until = min(until, self._lagging_since + limits.lag_limit)
         return until
 
+    def lacks_large_changes(self, position: StorePosition) -> bool:
+        """Whether changes were left out of the feed for their size after this position.
+
+        A node that has fallen behind would read each of them with a watch, and only the newest one
+        of each key with a listing.
+        """
+        return not self.is_watcher and position < self._omitted
+
     def has_missed_outage(
         self,
         sender: NodeId,
@@ -170,6 +180,8 @@
         self._answers[sender] = max(answered_at, self._answers.get(sender, answered_at))
         announced = progress.position
         self._announced = max(self._announced, announced)
+        if progress.omits_changes:
+            self._omitted = max(self._omitted, announced)
         if announced <= position or announced.at(progress.previous) > position:
             return ()
         return tuple(
@@ -205,7 +217,9 @@
         """
         self._next_keepalive = now + self._settings.limits.keepalive_interval
         age_ms = max(0, math.ceil(age / _MILLISECOND))
-        if sum(len(change.value) for change in changes) > self._settings.max_relayed_bytes:
+        size = sum(len(change.value) for change in changes)
+        omits_changes = size > self._settings.max_relayed_bytes
+        if omits_changes:
             previous, changes = position.revision, ()
         outage_ms = round((outage or _ZERO) / _MILLISECOND)
         return StoreProgress(
@@ -216,6 +230,7 @@
             age_ms,
             outage_ms,
             position.era,
+            omits_changes,
         )
 
     @property
--- a/src/chervilrack/_internal/changefeed/messages.py
+++ b/src/chervilrack/_internal/changefeed/messages.py
@@ -22,7 +22,8 @@
     copy is older than ``previous`` has to read the changes in between from the store.
     ``regained`` is whether the store has just begun to answer the watcher again. ``age_ms`` is the
     time since the store's last answer to the watcher, ``outage_ms`` that without an answer before
-    the store began to answer again. All revisions are of ``era``.
+    the store began to answer again. All revisions are of ``era``. ``omits_changes`` is whether
+    changes up to ``revision`` have been left out for their size.
     """
 
     previous: Count
@@ -32,6 +33,7 @@
     age_ms: Milliseconds = 0
     outage_ms: Milliseconds = 0
     era: Count = 0
+    omits_changes: bool = False
 
     @property
     def position(self) -> StorePosition:
--- a/src/chervilrack/_internal/serving/directory.py
+++ b/src/chervilrack/_internal/serving/directory.py
@@ -96,6 +96,9 @@
         # Time of the store's last answer to this node, or to a watcher that it follows.
         self._answered_at: timedelta | None = None
         self._state_requested_at = -STATE_REQUEST_INTERVAL
+        # Since when heartbeats state a newer configuration while this node stays at one position.
+        self._outdated_since = timedelta(0)
+        self._outdated_position = ORIGIN
 
     @property
     def position(self) -> StorePosition:
@@ -477,14 +480,24 @@
     def on_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Request the sender's state if its configuration or its directory is newer.
 
-        The position of the directory counts only while the store does not answer this node.
+        While the store answers this node, it reads newer configurations from there, and a large
+        state from a peer would delay that on a slow link. It then requests one only if its position
+        does not move on for the time after which it has to read from the store, and of that call.
         """
         now = self._state.clock.monotonic()
         configuration = self._state.catalogue.configuration
         version = configuration.version if configuration is not None else 0
-        behind = heartbeat.configuration_version > version or (
-            not self._store_answers and heartbeat.position > self._position
-        )
+        is_outdated = heartbeat.configuration_version > version
+        if not is_outdated or self._position != self._outdated_position:
+            self._outdated_since, self._outdated_position = now, self._position
+        if self._store_answers:
+            limits = self._settings.apply_limits
+            behind = is_outdated and (
+                configuration is None
+                or now - self._outdated_since >= limits.lag_limit + limits.own_call_time
+            )
+        else:
+            behind = is_outdated or heartbeat.position > self._position
         if behind and now - self._state_requested_at >= STATE_REQUEST_INTERVAL:
             self._state_requested_at = now
             self._send(f"tcp://{heartbeat.address}", StateRequest(version))
--- a/src/chervilrack/_internal/serving/store_relay.py
+++ b/src/chervilrack/_internal/serving/store_relay.py
@@ -76,6 +76,11 @@
             now = self._state.clock.monotonic()
             return not self._feed.is_current(self._directory.position, now)
 
+    def must_list(self) -> bool:
+        """Whether the node reads what it lacks with a listing, and not with a watch."""
+        with self._state.lock:
+            return self._feed.lacks_large_changes(self._directory.position)
+
     def wait_for_feed(self) -> None:
         """Wait until the feed has changed, or no longer keeps the node's copy current."""
         with self._state.lock:
--- a/src/chervilrack/_internal/serving/store_sync.py
+++ b/src/chervilrack/_internal/serving/store_sync.py
@@ -66,6 +66,12 @@
     def must_watch(self) -> bool:
         """Whether this node has to watch the store, since no other node passes its changes on."""
 
+    def must_list(self) -> bool:
+        """Whether a node that has to watch the store lists the keys first.
+
+        It lacks large changes, of which a watch returns each and a listing the newest.
+        """
+
     def wait_for_feed(self) -> None:
         """Wait for a short time, less if ``must_watch`` may have become true."""
 
@@ -126,6 +132,8 @@
         failures = 0
         # Listings without an answer to a watch call after them.
         listings = 0
+        # Whether the next listing is the first one, or follows a failure.
+        is_anew = True
         while not self._stopping.is_set():
             try:
                 if self._listener.must_watch():
@@ -133,23 +141,33 @@
                     self._listener.on_available()
                     with handling(f"the listing of revision {listing.revision}"):
                         self._listener.on_listing(listing.items, listing.revision, listing.era)
-                    self._registration_wanted.set()
+                    if is_anew:
+                        self._registration_wanted.set()
                 failures = 0
+                is_anew = False
                 self._follow_changes()
+                continue
             except WatchCompacted as error:
+                is_anew = True
                 logger.info("store: %s", error)
                 listings = 0 if self._has_watched else listings + 1
                 if listings > 1:
                     self._stopping.wait(self._backoff(listings - 1))
             except PlatformError as error:
+                is_anew = True
                 failures += 1
                 self._listener.on_unavailable(str(error))
                 self._stopping.wait(self._backoff(failures))
 
     def _follow_changes(self) -> None:
-        """Watch the store while this node has to; other nodes pass the changes on otherwise."""
+        """Watch the store while this node has to; other nodes pass the changes on otherwise.
+
+        Returns when the node has to list the keys first.
+        """
         while not self._stopping.is_set():
             if self._listener.must_watch():
+                if self._listener.must_list():
+                    return
                 self._watch(self._listener.position)
             else:
                 self._listener.wait_for_feed()
