Have the soak check that stages come back

Change: promise 'stages come back': from 5 s after the last fault, a staged request that is served takes at most its target of 2 s longer than the longest work of an engine. Result: evidence of one that takes longer breaks only this promise; two that are allowed break none (features/soak/soak.feature).

--- a/features/soak/soak.feature
+++ b/features/soak/soak.feature
@@ -21,6 +21,7 @@
       | no request served after the last fault       | recovery          |
       | more repeats than the budget allows          | retry budget      |
       | a node that ended by itself                  | exits             |
+      | a staged request that takes 4.6 s, 5.1 s after the last fault | stages come back |
       | a node with more memory than it may have     | memory            |
       | an answer that another upstream signed       | whole answers     |
       | an answer that nobody signed                 | whole answers     |
@@ -51,6 +52,8 @@
 
     Examples:
       | event                                    |
+      | a staged request that takes 4.4 s, 5.1 s after the last fault |
+      | a staged request that takes 4.6 s, 4.9 s after the last fault |
       | a stream that its upstream breaks off    |
       | a read that ran twice                    |
       | a run with a key that was just replaced  |
--- a/features/steps/soak_steps.py
+++ b/features/steps/soak_steps.py
@@ -189,6 +189,15 @@
     "a node with more memory than it may have": lambda e: e.excesses.append(
         MemoryExcess("n1", 210_000_000, 200_000_000)
     ),
+    "a staged request that takes 4.6 s, 5.1 s after the last fault": lambda e: add_request(
+        e, "x", Kind.STAGED, FAULTS_ENDED_AT + 5.1, ended_at=FAULTS_ENDED_AT + 9.7
+    ),
+    "a staged request that takes 4.4 s, 5.1 s after the last fault": lambda e: add_request(
+        e, "x", Kind.STAGED, FAULTS_ENDED_AT + 5.1, ended_at=FAULTS_ENDED_AT + 9.5
+    ),
+    "a staged request that takes 4.6 s, 4.9 s after the last fault": lambda e: add_request(
+        e, "x", Kind.STAGED, FAULTS_ENDED_AT + 4.9, ended_at=FAULTS_ENDED_AT + 9.5
+    ),
     "a node that ended by itself": lambda e: e.exit_problems.append("n1 ended by itself"),
     "an answer that another upstream signed": lambda e: add_request(e, "x", Kind.READ, signer="v"),
     "an answer that nobody signed": lambda e: add_request(e, "x", Kind.READ, signer=""),
--- a/src/chervilrack/_internal/soak/checks.py
+++ b/src/chervilrack/_internal/soak/checks.py
@@ -17,6 +17,10 @@
 # Time after the deadline within which a node must have reported that it has passed.
 DEADLINE_SLACK_S = 1.0
 STREAM_EVENTS = 5
+# Time after the last fault within which the queues of stages are level again, and the target
+# latency of requests with stages, beyond the work of their engine.
+STAGES_BACK_S = 5.0
+STAGED_TARGET_S = 2.0
 # Statuses of responses that say that the request did not run.
 REFUSALS = (401, 408, 421, 429, 503)
 # Statuses of responses that blame the caller, whatever its key.
@@ -133,6 +137,25 @@
         yield Violation("recovery", "all", "nothing was served after the faults")
 
 
+@promises.register("stages come back")
+def stages_come_back(evidence: Evidence) -> Iterator[Violation]:
+    """Check that requests with stages wait no longer than usual a few seconds after the faults.
+
+    Those that fail are left to the promise "recovery".
+    """
+    longest = evidence.longest_work + STAGED_TARGET_S
+    for attempt in evidence.attempts:
+        duration = attempt.ended_at - attempt.started_at
+        if (
+            attempt.kind is Kind.STAGED
+            and attempt.started_at >= evidence.faults_ended_at + STAGES_BACK_S
+            and attempt.status == 200
+            and duration > longest
+        ):
+            detail = f"took {duration:.1f} s, {longest:.1f} s expected"
+            yield Violation("stages come back", attempt.id, detail)
+
+
 @promises.register("retry budget")
 def retry_budget(evidence: Evidence) -> Iterator[Violation]:
     """Check that repeated executions stay within the retry budget in each window.
--- a/src/chervilrack/_internal/soak/records.py
+++ b/src/chervilrack/_internal/soak/records.py
@@ -179,7 +179,8 @@
     """All observations of a soak.
 
     ``faults_ended_at`` is when the last fault had ended; every request that starts ``recovery``
-    seconds later must be served.
+    seconds later must be served. Upstreams worked on a request for ``longest_work`` seconds or
+    less.
     """
 
     attempts: list[Attempt] = field(default_factory=list)
@@ -195,6 +196,7 @@
     excesses: list[MemoryExcess] = field(default_factory=list)
     faults_ended_at: float = 0.0
     recovery: float = RECOVERY_S
+    longest_work: float = 2.5
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/chervilrack/_internal/soak/run.py
+++ b/src/chervilrack/_internal/soak/run.py
@@ -80,4 +80,5 @@
         ]
         bed.evidence.faults = list(plan.faults)
         bed.evidence.recovery = plan.recovery
+        bed.evidence.longest_work = size.longest_work
     return SoakResult(seed, bed.evidence, violations(bed.evidence))
