Bound the heartbeats that answer silent peers

Cause: a node that tries a silent peer over a new connection, or learns that one does not hear it, sent its next heartbeat at once. Heartbeats go to all nodes, so that 70 nodes whose links fall silent would answer each other with 70 messages each time. Change: two heartbeats of a node are at least a quarter of the usual interval apart. Tests: features/fleet/fleet.feature, 'with ... other nodes, of which many are silent ...'.

--- a/features/fleet/fleet.feature
+++ b/features/fleet/fleet.feature
@@ -110,6 +110,17 @@
       | 80    | 80    |
       | 389   | 80    |
 
+  # Guards against a storm of heartbeats when the links of a large fleet fall silent at once.
+  Scenario Outline: with <nodes> other nodes, of which many are silent, a node sends at most <limit> heartbeats per second
+    Given a node a that gets heartbeats from <nodes> other nodes
+    Then node a sends at most <limit> heartbeats per second while it tries silent nodes
+
+    Examples: four times as many as usual
+      | nodes | limit |
+      | 6     | 80    |
+      | 80    | 320   |
+      | 389   | 320   |
+
   Scenario Outline: node a has been ready for <own> s and node b is <other>: <owners> own queues
     A queue that moves to a process that has just started loses what its owner knew of the
     upstreams.
--- a/features/steps/fleet_steps.py
+++ b/features/steps/fleet_steps.py
@@ -134,6 +134,12 @@
     assert len(context.fleet.addresses) == count
 
 
+@then("node a sends at most {limit:d} heartbeats per second while it tries silent nodes")
+def check_early_heartbeat_rate(context, limit):
+    interval = context.fleet.shortest_heartbeat_interval.total_seconds()
+    assert len(context.fleet.addresses) / interval <= limit, interval
+
+
 @then("node a sends at most {limit:d} heartbeats per second")
 def check_heartbeat_rate(context, limit):
     rate = len(context.fleet.addresses) / context.fleet.heartbeat_interval.total_seconds()
--- a/src/chervilrack/_internal/fleet/core.py
+++ b/src/chervilrack/_internal/fleet/core.py
@@ -29,6 +29,9 @@
     # have fallen silent. Heartbeats are sent and checked once an interval, so that a peer which
     # answers over the new connection is heard before it counts as lost.
     trial_share: float = 0.5
+    # Shortest time between two heartbeats, as a share of the usual interval. Heartbeats go to all
+    # nodes: without it, nodes whose links fall silent would answer each silent peer with one.
+    early_heartbeat_share: float = 0.25
     # Addresses that do not answer are dropped after this time.
     forget_after: timedelta = timedelta(seconds=20)
     # Peer addresses in one heartbeat; a new node learns all addresses from a few heartbeats.
@@ -167,6 +170,11 @@
             settings.heartbeat_interval_per_node * (len(self._peers) + 1),
         )
 
+    @property
+    def shortest_heartbeat_interval(self) -> timedelta:
+        """Time between two heartbeats of this node while it tries peers that are silent."""
+        return self.heartbeat_interval * self._settings.early_heartbeat_share
+
     @property
     def addresses(self) -> list[str]:
         """Peer addresses to which this node sends heartbeats."""
--- a/src/chervilrack/_internal/serving/node.py
+++ b/src/chervilrack/_internal/serving/node.py
@@ -193,6 +193,7 @@
         self._coordinator.try_node_again = self._try_peer_again
         self._state.crash_watch.wake = self._timers.wake
         self._next_heartbeat = timedelta(0)
+        self._last_heartbeat = timedelta(0)
         self._caller_server = self._make_caller_server()
         self._management_servers = self._make_management_servers()
         self._exit = contextlib.ExitStack()
@@ -510,8 +511,12 @@
                     self._log.note("fleet", "peer joined", peer=node, address=address)
 
     def _send_heartbeat_soon(self) -> None:
-        """Send the next heartbeat at once, over the new connection to a peer."""
-        self._next_heartbeat = timedelta(0)
+        """Send the next heartbeat early, over the new connection to a peer.
+
+        If many connections fall silent at once, one heartbeat answers several peers.
+        """
+        early = self._last_heartbeat + self._fleet.shortest_heartbeat_interval
+        self._next_heartbeat = min(self._next_heartbeat, early)
         self._timers.wake()
 
     def _try_peer_again(self, node: NodeId) -> None:
@@ -552,6 +557,7 @@
             unheard=self._fleet.unheard(),
         )
         self._broadcast(heartbeat)
+        self._last_heartbeat = now
         self._next_heartbeat = now + self._fleet.heartbeat_interval
         self._coordinator.hand_over_queues()
         self._update_zone_members()
